--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# SPDX-License-Identifier: Apache-2.0
+# Copyright The Rillsail Authors
+
+GO ?= go
+
+.PHONY: build fmt lint vet test demo measure long generate
+
+build: ## build all commands into bin/
+	$(GO) build -o bin/ ./cmd/...
+
+fmt: ## format the code
+	$(GO) tool gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$\|\.twirp\.go$$')
+
+lint: ## check format and style
+	test -z "$$($(GO) tool gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$\|\.twirp\.go$$') | tee /dev/stderr)"
+	$(GO) tool revive -config revive.toml -set_exit_status -exclude ./modules/peerrpc/... ./...
+
+vet:
+	$(GO) vet ./...
+
+test: ## the README's test command
+	$(GO) test ./...
+
+demo: ## run everything in one process
+	$(GO) run ./cmd/rillsail-standin demo
+
+generate: ## write the peers' calls anew; needs protoc, protoc-gen-go, protoc-gen-twirp
+	protoc --go_out=. --go_opt=module=rillsail.example/rillsail --twirp_out=. \
+		--twirp_opt=module=rillsail.example/rillsail modules/peerrpc/peer.proto
--- /dev/null
+++ b/cmd/rillsail/main.go
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Command rillsail is the operators' tool. It asks any daemon; the daemon finds
+// whoever has to answer.
+//
+// # Usage
+//
+//	export RILLSAIL_DAEMON=127.0.0.1:7002 RILLSAIL_TOKEN=...
+//	rillsail status
+//	rillsail config apply -f change.json
+//	rillsail jobs submit -f jobs.json
+//	rillsail explain job/nightly-1/0
+//	rillsail drain worker-12
+//
+// Exit status: 0 done; 1 failed, nothing was done; 2 wrong usage; 3 conflict with
+// another operator's change; 4 unknown, it may have been done; 5 refused as wrong.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Exit statuses, as documented above and in docs/operators/tool.md.
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitUnknown  = 4
+	exitRefused  = 5
+)
+
+// tool is what every subcommand works with.
+type tool struct {
+	client client
+	output string
+	out    io.Writer
+}
+
+const defaultTimeout = 15 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run runs one command line and gives the exit status.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	t := &tool{out: out}
+	flags := flag.NewFlagSet("rillsail", flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	flags.StringVar(&t.client.daemon, "daemon", "127.0.0.1:7002", "operators' listener of any daemon (RILLSAIL_DAEMON)")
+	flags.StringVar(&t.client.token, "token", "", "operators' token (RILLSAIL_TOKEN)")
+	flags.DurationVar(&t.client.timeout, "timeout", defaultTimeout, "time limit of the call")
+	flags.StringVar(&t.output, "output", "table", "table or json")
+	root := &ffcli.Command{
+		Name: "rillsail", ShortUsage: "rillsail [flags] <subcommand>", FlagSet: flags,
+		Options:     []ff.Option{ff.WithEnvVarPrefix("RILLSAIL")},
+		Subcommands: t.commands(),
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	if err := root.Parse(args); err != nil {
+		return status(errOut, usageError{err})
+	}
+	if t.output != "table" && t.output != "json" {
+		return status(errOut, usageError{fmt.Errorf("--output %q is neither table nor json", t.output)})
+	}
+	return status(errOut, root.Run(ctx))
+}
+
+func (t *tool) commands() []*ffcli.Command {
+	return []*ffcli.Command{
+		t.simple("status", "daemons, cells and upstreams", t.status),
+		t.simple("cells", "cells with their owners", t.cells),
+		t.simple("workers", "workers with what is committed there", t.workers),
+		t.simple("services", "services with their replicas", t.services),
+		t.simple("tasks", "tasks of all cells", t.tasks),
+		t.simple("dump", "whole state of the asked daemon, as JSON", t.dump),
+		t.named("explain", "<task>", "why a task is where it is, or waits", t.explain),
+		t.named("drain", "<vm>", "keep new work off a VM and move away what it runs", t.drain),
+		t.named("undrain", "<vm>", "let a drained VM take work again", t.undrain),
+		t.labelCommand(),
+		t.configCommand(),
+		t.jobsCommand(),
+	}
+}
+
+// simple is a subcommand without arguments.
+func (t *tool) simple(name, help string, do func(context.Context) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name: name, ShortUsage: "rillsail " + name, ShortHelp: help,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return usageError{fmt.Errorf("%s takes no arguments", name)}
+			}
+			return do(ctx)
+		},
+	}
+}
+
+// named is a subcommand with one argument.
+func (t *tool) named(name, argument, help string, do func(context.Context, string) error) *ffcli.Command {
+	return &ffcli.Command{
+		Name: name, ShortUsage: "rillsail " + name + " " + argument, ShortHelp: help,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError{fmt.Errorf("%s needs exactly one %s", name, argument)}
+			}
+			return do(ctx, args[0])
+		},
+	}
+}
+
+// usageError is a command line that makes no sense.
+type usageError struct{ error }
+
+// Unwrap gives the cause.
+func (e usageError) Unwrap() error { return e.error }
+
+// status prints an error with what to do and gives the exit status.
+func status(errOut io.Writer, err error) int {
+	var usage usageError
+	var call *callError
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, flag.ErrHelp):
+		return exitUsage
+	case errors.As(err, &usage):
+		fmt.Fprintln(errOut, "rillsail:", err)
+		return exitUsage
+	case errors.As(err, &call):
+		fmt.Fprintln(errOut, "rillsail:", err)
+		return call.status
+	default:
+		fmt.Fprintln(errOut, "rillsail:", err)
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/cmd/rillsail/show.go
@@ -0,0 +1,186 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/routers/operator"
+)
+
+// table writes rows with aligned columns.
+func (t *tool) table(header string, rows func(w *tabwriter.Writer)) error {
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, header)
+	rows(w)
+	return w.Flush()
+}
+
+// show writes an answer as JSON or as tables.
+func (t *tool) show(value any, tables ...func() error) error {
+	if t.output == "json" {
+		return t.printJSON(value)
+	}
+	for _, table := range tables {
+		if err := table(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *tool) status(ctx context.Context) error {
+	s, err := get[models.Status](ctx, t.client, operator.PathStatus)
+	if err != nil {
+		return err
+	}
+	return t.show(s, func() error { return t.memberTable(s) }, func() error { return t.cellTable(s) }, func() error { return t.upstreamTable(s) })
+}
+
+func (t *tool) cells(ctx context.Context) error {
+	s, err := get[models.Status](ctx, t.client, operator.PathStatus)
+	if err != nil {
+		return err
+	}
+	return t.show(s.Cells, func() error { return t.cellTable(s) })
+}
+
+func (t *tool) memberTable(s models.Status) error {
+	return t.table("DAEMON\tDOMAIN\tSTATE\tREVISION\tCELLS\tWAITING\tPEERS AT", func(w *tabwriter.Writer) {
+		for _, m := range s.Members {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", m.ID, m.Domain, m.State, m.Revision, m.Cells, m.Waiting, m.PeerAddress)
+		}
+		fmt.Fprintln(w)
+	})
+}
+
+func (t *tool) cellTable(s models.Status) error {
+	return t.table("CELL\tDOMAIN\tOWNER\tEPOCH\tFREE CORES\tFREE MIB\tWAITING", func(w *tabwriter.Writer) {
+		for _, c := range s.Cells {
+			owner := c.Owner
+			if owner == "" {
+				owner = "(none)"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.1f\t%d\t%d\n", c.Cell, c.Domain, owner, c.Epoch, cores(c.Free.CPU), c.Free.Memory, c.Waiting)
+		}
+		fmt.Fprintln(w)
+	})
+}
+
+func (t *tool) upstreamTable(s models.Status) error {
+	return t.table("UPSTREAM\tSTATE\tOWN\tPEERS\tSHARE\tSLOTS\tLATENCY MS", func(w *tabwriter.Writer) {
+		for _, u := range s.Upstream {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", u.VM, u.State, u.Own, u.Peers, u.Share, u.Slots, u.Latency)
+		}
+	})
+}
+
+func cores(c models.MilliCPU) float64 { return float64(c) / 1000 }
+
+func (t *tool) workers(ctx context.Context) error {
+	l, err := get[models.Listing](ctx, t.client, operator.PathWorkers)
+	if err != nil {
+		return err
+	}
+	return t.show(l, func() error {
+		return t.table("WORKER\tCELL\tSTATE\tTASKS\tCORES\tCOMMITTED\tUSED\tMIB\tCOMMITTED", func(w *tabwriter.Writer) {
+			for _, v := range l.Workers {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.1f\t%.1f\t%.1f\t%d\t%d\n", v.VM, v.Cell, v.State, v.Tasks,
+					cores(v.Capacity.CPU), cores(v.Committed.CPU), cores(v.Usage.CPU), v.Capacity.Memory, v.Committed.Memory)
+			}
+		})
+	}, func() error { return t.missing(l) })
+}
+
+// missing says which cells gave no answer.
+func (t *tool) missing(l models.Listing) error {
+	for cell, why := range l.Missing {
+		fmt.Fprintf(t.out, "not shown: cell %s: %s\n", cell, why)
+	}
+	return nil
+}
+
+func (t *tool) tasks(ctx context.Context) error {
+	l, err := get[models.Listing](ctx, t.client, operator.PathTasks)
+	if err != nil {
+		return err
+	}
+	return t.show(l, func() error { return t.taskTable(l.Tasks) }, func() error { return t.missing(l) })
+}
+
+func (t *tool) taskTable(tasks []models.Task) error {
+	return t.table("TASK\tKIND\tSTATE\tATTEMPT\tWORKER\tEVICTIONS\tREASON", func(w *tabwriter.Writer) {
+		for _, v := range tasks {
+			where := string(v.Worker)
+			if v.Peer != "" {
+				where = "in " + string(v.Peer)
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%s\n", v.ID, v.Kind, v.State, v.Attempt, where, v.Evictions, v.Reason)
+		}
+	})
+}
+
+func (t *tool) services(ctx context.Context) error {
+	c, err := get[models.Configuration](ctx, t.client, operator.PathConfig)
+	if err != nil {
+		return err
+	}
+	l, err := get[models.Listing](ctx, t.client, operator.PathTasks)
+	if err != nil {
+		return err
+	}
+	running := map[models.ServiceName]int{}
+	for _, task := range l.Tasks {
+		if task.State == models.TaskRunning {
+			running[task.Service]++
+		}
+	}
+	return t.show(l, func() error {
+		return t.table("SERVICE\tTEAM\tREPLICAS\tRUNNING\tTARGET P99 MS\tLABELS", func(w *tabwriter.Writer) {
+			for _, box := range c.Objects {
+				if s, ok := box.Object.(models.Service); ok {
+					fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%v\n", s.Name, s.Team, s.Replicas, running[s.Name], s.Target, s.Labels)
+				}
+			}
+		})
+	}, func() error { return t.missing(l) })
+}
+
+func (t *tool) explain(ctx context.Context, task string) error {
+	l, err := get[models.Listing](ctx, t.client, operator.PathExplain+"?task="+url.QueryEscape(task))
+	if err != nil {
+		return err
+	}
+	if len(l.Tasks)+len(l.Decisions) == 0 && t.output != "json" {
+		fmt.Fprintf(t.out, "no record and no decision is kept of task %s; it ended long ago, waits as part of its job, or never was\n", task)
+	}
+	return t.show(l, func() error { return t.taskTable(l.Tasks) }, func() error {
+		return t.table("AT\tDECISION\tWORKER\tREASON", func(w *tabwriter.Writer) {
+			for _, d := range l.Decisions {
+				at := time.UnixMilli(int64(d.At)).UTC().Format(time.RFC3339)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", at, d.Action, d.Worker, d.Reason)
+			}
+		})
+	}, func() error { return t.missing(l) })
+}
+
+// raw is an answer that is shown as it came.
+type raw struct{ json.RawMessage }
+
+// Check is there for the decoder.
+func (r raw) Check() error { return nil }
+
+func (t *tool) dump(ctx context.Context) error {
+	d, err := get[raw](ctx, t.client, operator.PathDump)
+	if err != nil {
+		return err
+	}
+	return t.printJSON(d.RawMessage)
+}
--- /dev/null
+++ b/modules/listen/listen.go
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package listen opens the process's HTTP listeners with their limits, and checks
+// the tokens of calls that need one.
+//
+// # Usage
+//
+//	server, err := listen.Open(listen.Config{Address: "127.0.0.1:7000", Handler: h, …})
+//	manager.Loop("callers", server.Run)
+package listen
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/netutil"
+
+	"rillsail.example/rillsail/modules/wire"
+)
+
+// Config says where to listen and what is allowed.
+type Config struct {
+	Address        string
+	Handler        http.Handler
+	MaxHeader      int // bytes
+	MaxConnections int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Server is an open listener.
+type Server struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// Open listens; the server answers from Run on.
+func Open(config Config) (*Server, error) {
+	listener, err := net.Listen("tcp", config.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", config.Address)
+	}
+	return &Server{
+		listener: netutil.LimitListener(listener, config.MaxConnections),
+		server: &http.Server{
+			Handler: config.Handler, MaxHeaderBytes: config.MaxHeader,
+			ReadHeaderTimeout: config.HeaderTimeout, IdleTimeout: config.IdleTimeout,
+		},
+	}, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Run serves until ctx ends; then it lets what is in flight end.
+func (s *Server) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, s.shutdown)
+	defer stop()
+	_ = s.server.Serve(s.listener) // always returns an error; the end of ctx is the reason
+}
+
+// shutdownTimeout bounds the last wait; a planned stop has drained before.
+const shutdownTimeout = 5 * time.Second
+
+func (s *Server) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if s.server.Shutdown(ctx) != nil {
+		_ = s.server.Close()
+	}
+}
+
+// RequireToken lets only calls with the bearer token through.
+func RequireToken(token string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !ok || subtle.ConstantTimeCompare([]byte(given), []byte(token)) != 1 {
+			wire.Write(w, http.StatusUnauthorized, wire.Problem{Error: "the call needs the listener's token"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// LimitBody bounds the bodies that a handler reads.
+func LimitBody(limit int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/modules/log/log.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package log makes the process's logger. Lines are written only for changes of
+// state; everything that repeats is a counter in modules/metrics.
+//
+// # Usage
+//
+//	logger, err := log.New(log.Config{Level: "info", Process: "rillsaild", ID: "entry-1"})
+//	logger.Info("cell taken over", zap.String("cell", id))
+//	logger.Warn("journal lost", log.Err(err)...)
+package log
+
+import (
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"rillsail.example/rillsail/modules/errstep"
+)
+
+// Config says how to log.
+type Config struct {
+	Level   string // debug, info, warn or error
+	Process string
+	ID      string // of this process, in every line
+}
+
+// New makes a logger that writes JSON lines to standard error.
+func New(config Config) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(config.Level)
+	if err != nil {
+		return nil, errors.Wrapf(err, "log level %q", config.Level)
+	}
+	zc := zap.NewProductionConfig()
+	zc.Level = zap.NewAtomicLevelAt(level)
+	zc.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	zc.DisableStacktrace = true
+	logger, err := zc.Build()
+	if err != nil {
+		return nil, errors.Wrap(err, "build logger")
+	}
+	return logger.Named(config.Process).With(zap.String("id", config.ID)), nil
+}
+
+// Err gives the fields of an error, its step and peer apart.
+func Err(err error) []zap.Field {
+	step, peer := errstep.Of(err)
+	return []zap.Field{zap.String("step", step), zap.String("peer", peer), zap.Error(err)}
+}
--- /dev/null
+++ b/modules/setting/platform.go
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package setting
+
+import "time"
+
+// Platform is section [platform]: the platform's services.
+type Platform struct {
+	Store       string // address of the key-value service
+	List        string // address of the VM list
+	ListEvery   time.Duration
+	CallTimeout time.Duration // of one call to the store, the list or a worker
+	WatchWait   time.Duration // how long a watch waits at the store
+}
+
+func defaultPlatform() Platform {
+	return Platform{ListEvery: 2 * time.Second, CallTimeout: 2 * time.Second, WatchWait: 30 * time.Second}
+}
+
+func (p *Platform) register(r *registry) {
+	r.address("store", &p.Store, "the platform's key-value service")
+	r.address("list", &p.List, "the platform's VM list")
+	r.duration("list_every", &p.ListEvery, 50*time.Millisecond, time.Minute, "how often the VM list is read")
+	r.duration("call_timeout", &p.CallTimeout, 50*time.Millisecond, time.Minute, "time limit of one call")
+	r.duration("watch_wait", &p.WatchWait, 100*time.Millisecond, 10*time.Minute, "how long one watch waits at the store")
+}
+
+func checkPlatform(s *Settings) *Error {
+	switch {
+	case s.Platform.Store == "":
+		return &Error{Section: "platform", Key: "store", Allowed: "must be given"}
+	case s.Platform.List == "":
+		return &Error{Section: "platform", Key: "list", Allowed: "must be given"}
+	}
+	return nil
+}
--- /dev/null
+++ b/modules/setting/setting.go
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package setting
+
+import (
+	"flag"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3"
+	"gopkg.in/ini.v1"
+)
+
+// Settings are all settings of a daemon, section by section.
+type Settings struct {
+	Daemon   Daemon
+	Listen   Listen
+	Platform Platform
+	Member   Member
+	Cell     Cell
+	Entry    Entry
+
+	// CheckOnly ends the process after the settings are checked. Flag only.
+	CheckOnly bool
+}
+
+// Config says where the settings come from.
+type Config struct {
+	Args   []string  // without the program's name
+	Output io.Writer // for -help; standard error when nil
+}
+
+// EnvironmentPrefix stands before the environment variable of each key.
+const EnvironmentPrefix = "RILLSAIL"
+
+// Load reads flags, environment and the file named by -config, and checks each
+// value and their combinations. Errors about a value are *Error.
+func Load(config Config) (*Settings, error) {
+	settings := Defaults()
+	r := settings.register()
+	if config.Output != nil {
+		r.flags.SetOutput(config.Output)
+	}
+	r.flags.BoolVar(&settings.CheckOnly, "check", false, "check the settings and end")
+	_ = r.flags.String("config", "", "settings file in INI")
+	err := ff.Parse(r.flags, config.Args,
+		ff.WithEnvVarPrefix(EnvironmentPrefix),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(r.parseINI),
+	)
+	switch {
+	case r.bad != nil:
+		return nil, r.bad
+	case err != nil:
+		return nil, errors.Wrap(err, "settings")
+	}
+	if err := settings.check(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+// Defaults are the settings when nothing is said. Id, addresses, failure domain
+// and tokens have no default; they must be given.
+func Defaults() *Settings {
+	return &Settings{
+		Daemon:   defaultDaemon(),
+		Listen:   defaultListen(),
+		Platform: defaultPlatform(),
+		Member:   defaultMember(),
+		Cell:     defaultCell(),
+		Entry:    defaultEntry(),
+	}
+}
+
+func (s *Settings) register() *registry {
+	r := &registry{flags: flag.NewFlagSet("rillsaild", flag.ContinueOnError)}
+	s.Daemon.register(r.in("daemon"))
+	s.Listen.register(r.in("listen"))
+	s.Platform.register(r.in("platform"))
+	s.Member.register(r.in("member"))
+	s.Cell.register(r.in("cell"))
+	s.Entry.register(r.in("entry"))
+	return r
+}
+
+func (s *Settings) check() error {
+	for _, check := range []func(*Settings) *Error{checkDaemon, checkListen, checkPlatform, checkMember, checkCell, checkEntry} {
+		if err := check(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// parseINI hands each key of the file to set; an unknown one is an error.
+func (r *registry) parseINI(file io.Reader, set func(name, value string) error) error {
+	data, err := io.ReadAll(file)
+	if err != nil {
+		return errors.Wrap(err, "read settings file")
+	}
+	parsed, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, AllowShadows: true}, data)
+	if err != nil {
+		return errors.Wrap(err, "settings file is not INI")
+	}
+	for _, section := range parsed.Sections() {
+		for _, key := range section.Keys() {
+			if err := r.setKey(section.Name(), key, set); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (r *registry) setKey(section string, key *ini.Key, set func(name, value string) error) error {
+	name := section + "." + key.Name()
+	bad := &Error{Section: section, Key: key.Name(), Value: key.Value()}
+	switch {
+	case r.flags.Lookup(name) == nil:
+		bad.Allowed = "unknown key; -help lists the keys"
+	case len(key.ValueWithShadows()) > 1:
+		bad.Allowed = "the key stands twice"
+	default:
+		return set(name, key.Value())
+	}
+	r.bad = bad
+	return bad
+}
+
+// Usage writes every key with its default, as -help does.
+func Usage(w io.Writer) {
+	r := Defaults().register()
+	r.flags.SetOutput(w)
+	r.flags.PrintDefaults()
+}
+
+// Keys lists every key as "section.key".
+func Keys() []string {
+	var keys []string
+	Defaults().register().flags.VisitAll(func(f *flag.Flag) { keys = append(keys, f.Name) })
+	return keys
+}
+
+// EnvironmentName is the environment variable of a key.
+func EnvironmentName(key string) string {
+	return EnvironmentPrefix + "_" + strings.ToUpper(strings.NewReplacer(".", "_", "-", "_").Replace(key))
+}
--- /dev/null
+++ b/routers/peer/peer.go
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package peer is the daemons' listener for each other: it decodes each twirp call,
+// hands it to one service and encodes the answer.
+//
+// # Usage
+//
+//	handler := peer.New(peer.Config{Members: members, Cells: cells, Claims: claims, …})
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/peerrpc"
+	"rillsail.example/rillsail/modules/wire"
+	"rillsail.example/rillsail/services/cell"
+	"rillsail.example/rillsail/services/claim"
+	"rillsail.example/rillsail/services/config"
+	"rillsail.example/rillsail/services/inventory"
+	"rillsail.example/rillsail/services/member"
+)
+
+// Config is what the handlers call.
+type Config struct {
+	Self      models.MemberID
+	Members   *member.Service
+	Settings  *config.Service
+	Cells     *cell.Manager
+	Claims    *claim.Service
+	Inventory *inventory.Service
+	// Heard is called with each heartbeat received.
+	Heard func(models.Heartbeat)
+}
+
+// New makes the handler.
+func New(c Config) http.Handler { return peerrpc.NewPeerServer(&server{c}) }
+
+type server struct{ Config }
+
+// Heartbeat implements peerrpc.Peer.
+func (s *server) Heartbeat(_ context.Context, in *peerrpc.Envelope) (*peerrpc.Envelope, error) {
+	return serve(s, in, func(beat models.Heartbeat) (models.Heartbeat, error) {
+		answer := s.Members.Receive(beat)
+		s.Heard(beat)
+		return answer, nil
+	})
+}
+
+// Configuration implements peerrpc.Peer.
+func (s *server) Configuration(_ context.Context, in *peerrpc.Envelope) (*peerrpc.Envelope, error) {
+	return serve(s, in, func(query models.ConfigQuery) (models.ConfigTransfer, error) {
+		transfer := s.Settings.Transfer(query)
+		transfer.Cells = s.Inventory.Cells()
+		return transfer, nil
+	})
+}
+
+// Offer implements peerrpc.Peer.
+func (s *server) Offer(ctx context.Context, in *peerrpc.Envelope) (*peerrpc.Envelope, error) {
+	return serve(s, in, func(call models.OfferCall) (models.OfferAnswer, error) { return s.Cells.OfferHere(ctx, call) })
+}
+
+// Report implements peerrpc.Peer.
+func (s *server) Report(ctx context.Context, in *peerrpc.Envelope) (*peerrpc.Envelope, error) {
+	return serve(s, in, func(call models.ReportCall) (models.ReportAnswer, error) { return s.Cells.ReportHere(ctx, call) })
+}
+
+// Claim implements peerrpc.Peer.
+func (s *server) Claim(_ context.Context, in *peerrpc.Envelope) (*peerrpc.Envelope, error) {
+	return serve(s, in, s.Claims.Serve)
+}
+
+// Forward implements peerrpc.Peer.
+func (s *server) Forward(ctx context.Context, in *peerrpc.Envelope) (*peerrpc.Envelope, error) {
+	return serve(s, in, func(call models.ForwardCall) (models.ForwardAnswer, error) { return s.Cells.ForwardHere(ctx, call) })
+}
+
+// Handover implements peerrpc.Peer.
+func (s *server) Handover(_ context.Context, in *peerrpc.Envelope) (*peerrpc.Envelope, error) {
+	return serve(s, in, s.Cells.AdoptHere)
+}
+
+// serve decodes one call, performs it and encodes the answer.
+func serve[C wire.Checker, A any](s *server, in *peerrpc.Envelope, perform func(C) (A, error)) (*peerrpc.Envelope, error) {
+	call, err := wire.DecodeBytes[C](in.GetBody())
+	if err != nil {
+		return nil, twirp.NewError(twirp.InvalidArgument, "from "+in.GetFrom()+": "+err.Error())
+	}
+	answer, err := perform(call)
+	if err != nil {
+		return nil, refusalOf(err)
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode answer")
+	}
+	return &peerrpc.Envelope{From: string(s.Self), Body: data}, nil
+}
+
+// refusalOf carries over the wire which refusal an error is.
+func refusalOf(err error) error {
+	failed := twirp.NewError(twirp.Unavailable, err.Error())
+	if refusal, ok := cell.RefusalOf(err); ok {
+		failed = failed.WithMeta(cell.MetaRefusal, refusal)
+	}
+	return failed
+}
--- /dev/null
+++ b/services/cell/cycle.go
@@ -0,0 +1,171 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"context"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/place"
+)
+
+// cycle is the path of tasks. It runs whenever something has arrived.
+func (o *Owner) cycle(ctx context.Context) {
+	if o.frozen {
+		return
+	}
+	o.observe(ctx)           // what workers, VM list and cancellations say
+	o.drainWorkers()         // what has to leave its VM
+	o.reconcileServices()    // which replicas there should be
+	o.probeStore()           // whether the store is back
+	if o.failedAt.IsZero() { // nothing new starts while it is not
+		for _, c := range o.admit() { // who is next, within quotas
+			o.placeOne(c)
+		}
+	}
+	o.prune()
+	o.commit(ctx) // journal first
+	o.act()       // then act on what is journalled
+	o.exchange(ctx)
+	o.sweepFlights(time.Now())
+	o.publish()
+}
+
+// placeOne finds a place for one candidate: here, in another cell, or by evicting
+// what yields to it.
+func (o *Owner) placeOne(c candidate) {
+	if c.virtual && c.task.Index != o.working.Jobs[c.task.Job].Next {
+		return // an earlier task of the job has found no place in this cycle
+	}
+	workers := o.workers()
+	choice := place.Choose(o.request(c.task, workers))
+	if choice.Found {
+		o.start(c, choice)
+		return
+	}
+	if cell, ok := o.otherCell(c.task); ok {
+		o.offerTo(c, cell)
+		return
+	}
+	if c.task.Kind == models.TaskService || c.task.Urgent {
+		if o.makeWay(c.task, workers) {
+			return
+		}
+	}
+	if choice.Never && !o.anyWorkerCouldHold(c.task) {
+		choice.Reason = "no worker of any cell could hold it even if empty"
+	}
+	o.decide(c.task.ID, "waits", "", choice.Reason)
+	o.noteWaiting(c, choice.Reason)
+}
+
+func (o *Owner) request(t models.Task, workers []place.Worker) place.Request {
+	return place.Request{
+		Task: t, Workers: workers, Rules: o.config.View().Rules, Selectors: o.selectors,
+		Policy: o.policy, Predict: o.config.Learner,
+	}
+}
+
+// start places a candidate on a worker of this cell.
+func (o *Owner) start(c candidate, choice place.Choice) {
+	o.materialise(c)
+	l := o.links[choice.Worker]
+	if o.step(c.task.ID, models.EventPlace{Worker: choice.Worker, Incarnation: l.incarnation}) {
+		o.decide(c.task.ID, "placed", choice.Worker, choice.Reason)
+	}
+	if held, ok := o.holds[choice.Worker]; ok && held.task == c.task.ID {
+		delete(o.holds, choice.Worker)
+	}
+}
+
+// materialise gives the next task of a job a record of its own.
+func (o *Owner) materialise(c candidate) {
+	if !c.virtual {
+		return
+	}
+	job := o.working.Jobs[c.task.Job]
+	job.Next++
+	o.putJob(job)
+	o.put(c.task)
+}
+
+// workers is the picture of the cell's workers as placement needs it.
+func (o *Owner) workers() []place.Worker {
+	now := time.Now()
+	view := o.config.View()
+	workers := make([]place.Worker, 0, len(o.links))
+	index := make(map[models.VMID]int, len(o.links))
+	for _, id := range o.linkOrder() {
+		l := o.links[id]
+		w := place.Worker{VM: l.vm, Free: l.vm.Capacity, OverNow: o.overNow(l)}
+		w.Why = o.unusable(l, view.Drained(id), now)
+		w.Usable = w.Why == ""
+		if h, ok := o.holds[id]; ok && now.Before(h.until) {
+			w.Held = h.task
+		}
+		index[id] = len(workers)
+		workers = append(workers, w)
+	}
+	for _, t := range o.working.Tasks {
+		if i, ok := index[t.Worker]; ok && t.HoldsRoom() {
+			workers[i].Free = workers[i].Free.Sub(t.Size)
+			workers[i].Tasks = append(workers[i].Tasks, t)
+		}
+	}
+	for i := range workers {
+		workers[i].Trying = o.trying(workers[i])
+	}
+	return workers
+}
+
+// unusable says why nothing new may start on a worker; empty when it may.
+func (o *Owner) unusable(l *link, drained bool, now time.Time) string {
+	listed, _ := o.config.Inventory.Listed(l.vm.ID)
+	switch {
+	case !listed:
+		return "VM is gone"
+	case l.vm.State == models.VMLeaving:
+		return "VM is leaving"
+	case drained:
+		return "VM is drained"
+	case o.silent(l, now):
+		return "worker is silent"
+	case l.incarnation == "":
+		return "worker has not answered yet"
+	case l.failures.quarantined(now):
+		return "worker is quarantined: it failed many different tasks"
+	default:
+		return ""
+	}
+}
+
+// probeStore keeps trying the journal after a failure, for nothing else might.
+func (o *Owner) probeStore() {
+	if !o.failedAt.IsZero() && !o.appending && o.dirty.empty() {
+		o.dirty.generations[probeKey] = true
+	}
+}
+
+// prune drops the oldest ended jobs beyond what the settings keep.
+func (o *Owner) prune() {
+	for {
+		var oldest models.Job
+		ended := 0
+		for _, job := range o.working.Jobs {
+			if job.Ended == 0 {
+				continue
+			}
+			ended++
+			if oldest.Ended == 0 || job.Ended < oldest.Ended || job.Ended == oldest.Ended && job.ID < oldest.ID {
+				oldest = job
+			}
+		}
+		if ended <= o.config.Settings.KeepJobs {
+			return
+		}
+		delete(o.working.Jobs, oldest.ID)
+		o.dirty.dropJob(oldest.ID)
+	}
+}
--- /dev/null
+++ b/services/cell/link.go
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// linkConfig is what a link works with.
+type linkConfig struct {
+	Workers platform.Workers
+	VM      models.VM
+	Cell    models.CellID
+	Epoch   models.Epoch
+	Lease   time.Duration
+	Renew   time.Duration
+	Send    func(context.Context, message) bool
+}
+
+// link makes the calls to one worker, one after the other, so that its answers
+// reach the owner in the order in which the worker gave them.
+type link struct {
+	config linkConfig
+	calls  chan workerCall
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	address  string
+	paused   bool // the VM is not listed any more
+	acks     map[models.AttemptRef]bool
+	throttle map[models.TaskID]int
+
+	// These belong to the owner's loop.
+	vm          models.VM
+	incarnation models.Incarnation
+	answered    time.Time // last answer of any call
+	asked       time.Time // last renewal sent while the VM was listed
+	report      models.RenewAnswer
+	observed    map[models.AttemptRef]uint64 // last lagging figure taken, by attempt
+	shares      map[models.TaskID]int
+	failures    failureRecord
+}
+
+// workerCall is a start or a stop. The set is closed.
+type workerCall interface{ workerCall() }
+
+type startCall struct{ models.StartCall }
+
+type stopCall struct{ models.StopCall }
+
+func (startCall) workerCall() {}
+func (stopCall) workerCall()  {}
+
+// linkQueue bounds the calls that wait for one worker; what doesn't fit is tried
+// again by the owner.
+const linkQueue = 64
+
+func newLink(config linkConfig) *link {
+	return &link{
+		config: config, vm: config.VM, address: config.VM.Address, calls: make(chan workerCall, linkQueue),
+		acks: map[models.AttemptRef]bool{}, throttle: map[models.TaskID]int{},
+		observed: map[models.AttemptRef]uint64{}, shares: map[models.TaskID]int{},
+		answered: time.Now(), failures: newFailureRecord(),
+	}
+}
+
+// offer hands a call to the link; false when too many wait.
+func (l *link) offer(call workerCall) bool {
+	select {
+	case l.calls <- call:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *link) loop(ctx context.Context) {
+	ticker := time.NewTicker(l.config.Renew)
+	defer ticker.Stop()
+	l.renew(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.renew(ctx)
+		case call := <-l.calls:
+			l.perform(ctx, call)
+		}
+	}
+}
+
+func (l *link) perform(ctx context.Context, call workerCall) {
+	address := l.target()
+	switch c := call.(type) {
+	case startCall:
+		answer, err := l.config.Workers.Start(ctx, address, c.StartCall)
+		l.config.Send(ctx, startedMessage{vm: l.config.VM.ID, ref: c.AttemptRef, answer: answer, err: err})
+	case stopCall:
+		answer, err := l.config.Workers.Stop(ctx, address, c.StopCall)
+		l.config.Send(ctx, stoppedMessage{vm: l.config.VM.ID, ref: c.AttemptRef, answer: answer, err: err})
+	}
+}
+
+func (l *link) renew(ctx context.Context) {
+	call, ok := l.renewal()
+	if !ok {
+		return
+	}
+	sent := time.Now()
+	answer, err := l.config.Workers.Renew(ctx, l.target(), call)
+	l.config.Send(ctx, renewedMessage{vm: l.config.VM.ID, sent: sent, answer: answer, err: err})
+	if err == nil && answer.Refused == "" {
+		l.acknowledged(call.Acknowledge)
+	}
+}
+
+// renewal makes the next call; ok is false while the VM is not listed, for the
+// proof that nothing runs there needs a whole lease without renewal.
+func (l *link) renewal() (call models.RenewCall, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	call = models.RenewCall{
+		Guard:    models.Guard{Cell: l.config.Cell, Epoch: l.config.Epoch},
+		Lease:    models.MilliOf(l.config.Lease),
+		Throttle: maps.Clone(l.throttle),
+	}
+	for ref := range l.acks {
+		call.Acknowledge = append(call.Acknowledge, ref)
+	}
+	return call, !l.paused
+}
+
+func (l *link) acknowledged(refs []models.AttemptRef) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, ref := range refs {
+		delete(l.acks, ref)
+	}
+}
+
+func (l *link) target() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address
+}
+
+// acknowledge lets the worker forget an ended attempt with the next renewal.
+func (l *link) acknowledge(ref models.AttemptRef) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.acks[ref] = true
+}
+
+// setThrottle sets the shares that go with each renewal.
+func (l *link) setThrottle(shares map[models.TaskID]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.throttle = maps.Clone(shares)
+}
+
+// setListed follows the VM list.
+func (l *link) setListed(vm models.VM, listed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = !listed
+	if listed {
+		l.address = vm.Address
+	}
+}
--- /dev/null
+++ b/services/cell/manager.go
@@ -0,0 +1,326 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/log"
+	"rillsail.example/rillsail/modules/rendezvous"
+	"rillsail.example/rillsail/modules/setting"
+	"rillsail.example/rillsail/services/config"
+	"rillsail.example/rillsail/services/interference"
+	"rillsail.example/rillsail/services/inventory"
+	"rillsail.example/rillsail/services/journal"
+	"rillsail.example/rillsail/services/member"
+	"rillsail.example/rillsail/services/peer"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// ManagerConfig is what a manager works with.
+type ManagerConfig struct {
+	Self      models.MemberID
+	Settings  setting.Cell
+	Every     time.Duration // between two looks at who should own what
+	HoldOff   time.Duration // after losing a cell, before taking it back; doubles
+	Store     platform.Store
+	Workers   platform.Workers
+	Inventory *inventory.Service
+	View      func() *config.View
+	Members   *member.Service
+	Client    *peer.Client
+	Learner   *interference.Learner
+	Logger    *zap.Logger
+	Scope     tally.Scope
+	NewID     func() string
+}
+
+// Manager owns the cells that are this daemon's by hash, and takes care of those
+// whose owner is gone while the store can't be written.
+type Manager struct {
+	config ManagerConfig
+	group  conc.WaitGroup
+	nudge  chan struct{}
+
+	mu        sync.Mutex
+	owners    map[models.CellID]*owned
+	taking    map[models.CellID]bool
+	epochs    map[models.CellID]models.Epoch // highest heard of
+	holdOffs  map[models.CellID]holdOff
+	caring    map[models.CellID]bool // caretaker of, as last logged
+	releasing bool
+	life      context.Context // of all owners; set by Run
+}
+
+type owned struct {
+	owner  *Owner
+	cancel context.CancelFunc
+}
+
+// holdOff keeps two daemons that don't hear each other from taking a cell back and
+// forth without end.
+type holdOff struct {
+	until  time.Time
+	length time.Duration
+}
+
+// maxHoldOff bounds how long a daemon waits before it takes back a cell it lost.
+const maxHoldOff = time.Minute
+
+// NewManager makes a manager that owns nothing.
+func NewManager(c ManagerConfig) *Manager {
+	return &Manager{
+		config: c, nudge: make(chan struct{}, 1),
+		owners: map[models.CellID]*owned{}, taking: map[models.CellID]bool{},
+		epochs: map[models.CellID]models.Epoch{}, holdOffs: map[models.CellID]holdOff{},
+		caring: map[models.CellID]bool{},
+	}
+}
+
+// Run takes and leaves cells until ctx ends, and then waits for the owners to end.
+func (m *Manager) Run(ctx context.Context) {
+	m.mu.Lock()
+	m.life = ctx
+	m.mu.Unlock()
+	m.loop(ctx)
+	m.group.Wait()
+}
+
+func (m *Manager) loop(ctx context.Context) {
+	ticker := time.NewTicker(m.config.Every)
+	defer ticker.Stop()
+	for {
+		m.tick(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-m.nudge:
+		}
+	}
+}
+
+// Nudge asks for a look at once, because members, list or map have changed.
+func (m *Manager) Nudge() {
+	select {
+	case m.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// tick looks at each cell: who should own it, who does, and what follows.
+func (m *Manager) tick(ctx context.Context) {
+	m.leaveSuperseded()
+	m.noteEpochs()
+	members := m.config.Members
+	if !members.Settled() || !members.HearsMost() {
+		return
+	}
+	live := members.LiveIDs()
+	for _, cell := range slices.Sorted(maps.Keys(m.config.Inventory.Cells().Cells)) {
+		preferred, ok := rendezvous.First(string(cell), live)
+		if ok && preferred == m.config.Self && m.mayTake(cell) {
+			m.group.Go(func() { m.runTake(ctx, cell) })
+		}
+	}
+}
+
+// leaveSuperseded drops owners that have ended, and ends those that another daemon
+// has superseded, which an owner without changes to write doesn't notice.
+func (m *Manager) leaveSuperseded() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for cell, own := range m.owners {
+		_, epoch, other := m.config.Members.OwnerOf(cell)
+		if other && epoch > own.owner.config.Epoch {
+			own.cancel()
+		}
+		select {
+		case <-own.owner.done:
+			delete(m.owners, cell)
+			own.cancel()
+			m.holdOffAfterLoss(cell)
+		default:
+		}
+	}
+}
+
+// holdOffAfterLoss doubles the time before the cell is taken back; the caller holds
+// the lock.
+func (m *Manager) holdOffAfterLoss(cell models.CellID) {
+	h := m.holdOffs[cell]
+	if time.Since(h.until) > maxHoldOff {
+		h.length = 0
+	}
+	h.length = min(maxHoldOff, max(m.config.HoldOff, 2*h.length))
+	h.until = time.Now().Add(h.length)
+	m.holdOffs[cell] = h
+}
+
+func (m *Manager) noteEpochs() {
+	beats := m.config.Members.Beats()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, beat := range beats {
+		for cell, c := range beat.Cells {
+			m.epochs[cell] = max(m.epochs[cell], c.Epoch)
+		}
+	}
+}
+
+// mayTake tells whether a takeover may begin now, and marks it as begun.
+func (m *Manager) mayTake(cell models.CellID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.releasing || m.owners[cell] != nil || m.taking[cell] || time.Now().Before(m.holdOffs[cell].until) {
+		return false
+	}
+	m.taking[cell] = true
+	return true
+}
+
+// runTake takes a cell over, or takes care of it when the store can't be written.
+func (m *Manager) runTake(ctx context.Context, cell models.CellID) {
+	defer m.endTaking(cell)
+	j := journal.New(journal.Config{
+		Store: m.config.Store, Cell: cell, Writer: m.config.Self, Slots: m.config.Settings.RingSlots, NewID: m.config.NewID,
+	})
+	err := j.Take(ctx)
+	for errors.Is(err, journal.ErrPending) && ctx.Err() == nil {
+		m.care(ctx, cell)
+		sleep(ctx, retryAppend)
+		err = j.Settle(ctx)
+	}
+	switch {
+	case err == nil:
+		m.own(ctx, cell, j, false)
+	case isSuperseded(err):
+		m.config.Scope.Counter("takeovers_lost").Inc(1)
+	default:
+		m.config.Scope.Counter("takeovers_failed").Inc(1)
+		m.noteDamage(cell, err)
+		m.care(ctx, cell)
+	}
+}
+
+func (m *Manager) noteDamage(cell models.CellID, err error) {
+	if errors.Is(err, journal.ErrDamaged) {
+		m.config.Logger.Error("journal can't be read; nothing is decided for the cell until it is repaired",
+			append(log.Err(err), zap.String("cell", string(cell)))...)
+	}
+}
+
+func (m *Manager) endTaking(cell models.CellID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.taking, cell)
+}
+
+// own runs the owner of a cell whose journal has just been taken or adopted.
+func (m *Manager) own(ctx context.Context, cell models.CellID, j *journal.Journal, adopted bool) {
+	owner := NewOwner(OwnerConfig{
+		Adopted: adopted, Cell: cell, Epoch: j.Epoch(), Settings: m.config.Settings, Journal: j, Workers: m.config.Workers,
+		Inventory: m.config.Inventory, View: m.config.View, Peers: m, Learner: m.config.Learner,
+		Logger: m.config.Logger, Scope: m.config.Scope,
+	})
+	ownerContext, cancel := context.WithCancel(ctx)
+	m.mu.Lock()
+	m.owners[cell] = &owned{owner: owner, cancel: cancel}
+	m.epochs[cell] = j.Epoch()
+	m.caring[cell] = false
+	m.mu.Unlock()
+	m.config.Logger.Info("cell is owned here", zap.String("cell", string(cell)),
+		zap.Uint64("epoch", uint64(j.Epoch())), zap.Int("tasks", len(j.State().Tasks)))
+	m.group.Go(func() { owner.Run(ownerContext) })
+	m.config.Members.Nudge()
+}
+
+// Owned gives this daemon's owner of a cell.
+func (m *Manager) owned(cell models.CellID) (*Owner, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own, ok := m.owners[cell]
+	if !ok {
+		return nil, false
+	}
+	select {
+	case <-own.owner.done:
+		return nil, false
+	default:
+		return own.owner, true
+	}
+}
+
+// Beat is the source of the cells in this daemon's heartbeats.
+func (m *Manager) Beat(beat *models.Heartbeat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	beat.Cells = make(map[models.CellID]models.CellBeat, len(m.owners))
+	for cell, own := range m.owners {
+		c := models.CellBeat{Epoch: own.owner.config.Epoch}
+		if published := own.owner.beat.Load(); published != nil {
+			c = *published
+		}
+		beat.Cells[cell] = c
+	}
+}
+
+// Cells implements Peers.
+func (m *Manager) Cells() map[models.CellID]models.CellBeat {
+	cells := map[models.CellID]models.CellBeat{}
+	for _, beat := range m.config.Members.Beats() {
+		for cell, c := range beat.Cells {
+			if c.Epoch > cells[cell].Epoch {
+				cells[cell] = c
+			}
+		}
+	}
+	var own models.Heartbeat
+	m.Beat(&own)
+	for cell, c := range own.Cells {
+		if c.Epoch > cells[cell].Epoch {
+			cells[cell] = c
+		}
+	}
+	return cells
+}
+
+// Dump gives the state of every cell owned here.
+func (m *Manager) Dump(ctx context.Context) []Dump {
+	var dumps []Dump
+	for _, cell := range m.OwnedCells() {
+		owner, ok := m.owned(cell)
+		if !ok {
+			continue
+		}
+		reply := make(chan Dump, 1)
+		if !owner.send(ctx, dumpMessage{reply: reply}) {
+			continue
+		}
+		select {
+		case dump := <-reply:
+			dumps = append(dumps, dump)
+		case <-owner.done:
+		case <-ctx.Done():
+		}
+	}
+	return dumps
+}
+
+// OwnedCells lists the cells owned here.
+func (m *Manager) OwnedCells() []models.CellID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.owners))
+}
--- /dev/null
+++ b/services/cell/owner.go
@@ -0,0 +1,357 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package cell is the path of tasks: it decides for the workers of one cell, while
+// this daemon owns it. Manager takes and leaves cells as members come and go; each
+// owned cell has an Owner with one loop, through which everything passes:
+//
+//	observe → admit → feasible → score → commit → act
+//
+// Owner.cycle in cycle.go reads as that chain. State is changed only by
+// models.Step, becomes durable with the journal's next append, and only then are
+// the actions taken that it calls for. An owner that finds the journal ahead of it
+// has been superseded and ends at once.
+//
+// # Usage
+//
+//	manager := cell.NewManager(cell.ManagerConfig{…})
+//	graceful.Loop("cells", manager.Run)
+//	answer, err := manager.Forward(ctx, models.ForwardCall{Cell: c, Submit: jobs})
+package cell
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/log"
+	"rillsail.example/rillsail/modules/metrics"
+	"rillsail.example/rillsail/modules/selector"
+	"rillsail.example/rillsail/modules/setting"
+	"rillsail.example/rillsail/services/config"
+	"rillsail.example/rillsail/services/interference"
+	"rillsail.example/rillsail/services/inventory"
+	"rillsail.example/rillsail/services/journal"
+	"rillsail.example/rillsail/services/place"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// Peers is how an owner reaches the owners of other cells.
+type Peers interface {
+	// Cells tells what is known of all owned cells.
+	Cells() map[models.CellID]models.CellBeat
+	// Offer and Report call the owner of call.To.
+	Offer(ctx context.Context, call models.OfferCall) (models.OfferAnswer, error)
+	Report(ctx context.Context, call models.ReportCall) (models.ReportAnswer, error)
+}
+
+// OwnerConfig is what an owner works with.
+type OwnerConfig struct {
+	Cell      models.CellID
+	Settings  setting.Cell
+	Epoch     models.Epoch     // of the takeover
+	Adopted   bool             // handed over in a former owner's epoch
+	Journal   *journal.Journal // taken
+	Workers   platform.Workers
+	Inventory *inventory.Service
+	View      func() *config.View
+	Peers     Peers
+	Learner   *interference.Learner
+	Logger    *zap.Logger
+	Scope     tally.Scope
+}
+
+// Owner decides for one cell. All fields but inbox and done belong to its loop.
+type Owner struct {
+	config    OwnerConfig
+	journal   *journal.Journal
+	policy    place.Policy
+	selectors *selector.Set
+	inbox     chan message
+	done      chan struct{} // closed when the loop has ended
+
+	working    models.CellState // what the journal will hold
+	journalled models.CellState // what it holds
+	dirty      dirty
+	staged     []staged // operators' calls that wait for the next append
+
+	appending  bool
+	unsettled  bool      // the store hasn't said whether the last append was written
+	failedAt   time.Time // of the last failed append; zero when the last one succeeded
+	nextAppend time.Time
+	superseded bool
+	links      map[models.VMID]*link
+	group      conc.WaitGroup // links and calls in flight
+	inFlight   map[flight]time.Time
+	offersSeen map[models.TaskID]models.Attempt // refused in this epoch
+	retired    map[models.TaskID]bool           // homes that were told of a lost replica
+	holds      map[models.VMID]hold
+	actions    map[models.VMID]time.Time // when the last action against slowness was taken
+	changed    map[models.VMID]time.Time // when the batch tasks there last changed
+	sequence   models.Sequence           // of the last entry known to be journalled
+	beat       atomic.Pointer[models.CellBeat]
+	decisions  decisions
+	wake       *time.Timer
+	counts     Counts
+	frozen     bool // handed over: does nothing more
+	misses     map[string]miss
+	promised   map[models.CellID]models.Resources // offered to other cells, answer open
+	refusals   map[models.CellID]time.Time        // until when no offers go there
+	waiters    []func() bool                      // calls that wait for the journal
+}
+
+// hold keeps room on a worker for a task while others are evicted for it.
+type hold struct {
+	task  models.TaskID
+	until time.Time
+}
+
+// flight is an action that is under way.
+type flight struct {
+	task    models.TaskID
+	attempt models.Attempt
+	action  models.TaskAction
+}
+
+// Counts is what an owner has done so far.
+type Counts struct {
+	Started   int64 `json:"started"`
+	Finished  int64 `json:"finished"`
+	Failed    int64 `json:"failed"`
+	Evictions int64 `json:"evictions"`
+	Throttles int64 `json:"throttles"`
+	Offers    int64 `json:"offers"`
+	Taken     int64 `json:"taken"` // offers of other cells
+}
+
+const inboxSize = 256
+
+// NewOwner makes the owner of a cell whose journal this daemon has just taken.
+func NewOwner(c OwnerConfig) *Owner {
+	o := &Owner{
+		config: c, journal: c.Journal, policy: place.PolicyOf(c.Settings.Policy), selectors: selector.New(),
+		inbox: make(chan message, inboxSize), done: make(chan struct{}),
+		working: c.Journal.State().Clone(), journalled: c.Journal.State().Clone(), dirty: newDirty(),
+		links: map[models.VMID]*link{}, inFlight: map[flight]time.Time{},
+		offersSeen: map[models.TaskID]models.Attempt{}, retired: map[models.TaskID]bool{},
+		holds: map[models.VMID]hold{}, actions: map[models.VMID]time.Time{},
+		changed: map[models.VMID]time.Time{}, sequence: c.Journal.Sequence(),
+		misses: map[string]miss{}, promised: map[models.CellID]models.Resources{},
+		refusals: map[models.CellID]time.Time{},
+	}
+	if c.Adopted {
+		o.failedAt = time.Now() // cells are handed over only while the store fails
+	}
+	return o
+}
+
+// Run decides for the cell until ctx ends or another daemon has taken it.
+func (o *Owner) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer close(o.done)
+	o.loop(ctx)
+	cancel()
+	o.drain()
+	o.group.Wait()
+}
+
+func (o *Owner) loop(ctx context.Context) {
+	ticker := time.NewTicker(o.config.Settings.Tick)
+	defer ticker.Stop()
+	o.wake = time.NewTimer(o.config.Settings.Tick)
+	defer o.wake.Stop()
+	for !o.superseded {
+		o.cycle(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-o.inbox:
+			o.handle(m)
+			o.handleWaiting()
+		case <-ticker.C:
+		case <-o.wake.C:
+		}
+	}
+	o.config.Logger.Info("cell has another owner now", zap.String("cell", string(o.config.Cell)))
+}
+
+// handleWaiting takes what else has arrived, so that a burst costs one cycle.
+func (o *Owner) handleWaiting() {
+	for range inboxSize {
+		select {
+		case m := <-o.inbox:
+			o.handle(m)
+		default:
+			return
+		}
+	}
+}
+
+// drain lets the goroutines that still send to the inbox end, and tells waiting
+// callers that this daemon isn't the owner.
+func (o *Owner) drain() {
+	for _, s := range o.staged {
+		s.answer(ErrMaybe)
+	}
+	o.staged = nil
+	o.group.Go(o.runDrain)
+}
+
+// drainIdle is after how long without messages nobody sends any more.
+const drainIdle = 100 * time.Millisecond
+
+func (o *Owner) runDrain() {
+	idle := time.NewTimer(drainIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case m := <-o.inbox:
+			refuse(m)
+			idle.Reset(drainIdle)
+		case <-idle.C:
+			return
+		}
+	}
+}
+
+// refuse answers a call that no loop will handle.
+func refuse(m message) {
+	switch m := m.(type) {
+	case forwardMessage:
+		m.reply <- forwardReply{err: ErrNotOwner}
+	case offerMessage:
+		m.reply <- models.OfferAnswer{}
+	case reportMessage:
+		m.reply <- models.ReportAnswer{}
+	case dumpMessage:
+		m.reply <- Dump{}
+	case freezeMessage:
+		m.reply <- frozenState{err: ErrNotOwner}
+	}
+}
+
+// send hands a message to the loop; false when the loop has ended.
+func (o *Owner) send(ctx context.Context, m message) bool {
+	select {
+	case o.inbox <- m:
+		return true
+	case <-o.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (o *Owner) handle(m message) {
+	switch m := m.(type) {
+	case forwardMessage:
+		o.handleForward(m)
+	case offerMessage:
+		o.handleOffer(m)
+	case reportMessage:
+		o.handleReport(m)
+	case dumpMessage:
+		m.reply <- o.dump()
+	case freezeMessage:
+		o.freeze(m)
+	case renewedMessage:
+		o.handleRenewed(m)
+	case startedMessage:
+		o.handleStarted(m)
+	case stoppedMessage:
+		o.handleStopped(m)
+	case appendedMessage:
+		o.handleAppended(m)
+	case unsettledMessage:
+		o.noteStoreFailure(m.err)
+		o.unsettled = true
+	case offeredMessage:
+		o.handleOffered(m)
+	case reportedMessage:
+		o.handleReported(m)
+	}
+}
+
+// step moves a task on and marks its record for the next append.
+func (o *Owner) step(id models.TaskID, event models.TaskEvent) bool {
+	task, ok := o.working.Tasks[id]
+	if !ok {
+		return false
+	}
+	next, _, changed := models.Step(task, event)
+	if !changed {
+		return false
+	}
+	o.count(task, next)
+	o.noteNeighbours(task, next)
+	o.put(next)
+	return true
+}
+
+// noteNeighbours notes that a worker's batch tasks have changed, so that latencies
+// measured before aren't put down to those that run there now.
+func (o *Owner) noteNeighbours(before, after models.Task) {
+	if before.Kind == models.TaskBatch && before.State != after.State && before.Worker+after.Worker != "" {
+		o.changed[max(before.Worker, after.Worker)] = time.Now()
+	}
+}
+
+func (o *Owner) put(t models.Task) {
+	o.working.Tasks[t.ID] = t
+	o.dirty.task(t.ID)
+	if !t.Foreign() && t.Ended() {
+		o.settleEnded(t)
+	}
+}
+
+// settleEnded drops the record of an ended task and counts it in its job.
+func (o *Owner) settleEnded(t models.Task) {
+	delete(o.working.Tasks, t.ID)
+	o.dirty.dropTask(t.ID)
+	job, ok := o.working.Jobs[t.Job]
+	if t.Kind != models.TaskBatch || !ok {
+		return
+	}
+	o.putJob(job.Count(t, models.UnixMilliOf(time.Now())))
+}
+
+func (o *Owner) putJob(job models.Job) {
+	o.working.Jobs[job.ID] = job
+	o.dirty.job(job.ID)
+}
+
+// count keeps the figures that users measure.
+func (o *Owner) count(before, after models.Task) {
+	if after.Evictions > before.Evictions && after.State == models.TaskEvicting {
+		o.counts.Evictions++
+		o.config.Scope.Counter(metrics.Evictions).Inc(1)
+	}
+	if after.State != models.TaskDone || before.Attempt != after.Attempt {
+		return
+	}
+	if after.Outcome == models.OutcomeSucceeded {
+		o.counts.Finished++
+		o.config.Scope.Counter(metrics.BatchFinished).Inc(1)
+		return
+	}
+	o.counts.Failed++
+	o.config.Scope.Tagged(map[string]string{"outcome": string(after.Outcome)}).Counter("tasks_not_succeeded").Inc(1)
+}
+
+func (o *Owner) noteStoreFailure(err error) {
+	if o.failedAt.IsZero() {
+		o.config.Logger.Warn("journal can't be written; running tasks go on, nothing new starts",
+			append(log.Err(err), zap.String("cell", string(o.config.Cell)))...)
+	}
+	o.failedAt = time.Now()
+	o.config.Scope.Counter("appends_failed").Inc(1)
+}
+
+// isSuperseded tells whether err says that another daemon owns the cell.
+func isSuperseded(err error) bool { return errors.Is(err, journal.ErrSuperseded) }
--- /dev/null
+++ b/services/cell/pressure.go
@@ -0,0 +1,288 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/interference"
+	"rillsail.example/rillsail/services/place"
+)
+
+// Steps of the ladder against slowness: throttle, throttle more, evict.
+const (
+	fullShare  = 100
+	halfShare  = 50
+	leastShare = 25
+)
+
+// relaxBelow is the part of the target under which throttled tasks get more again.
+const relaxBelow = 0.6
+
+// maxEvictions is after how many evictions a batch task is only throttled, so that
+// none is evicted over and over.
+const maxEvictions = 3
+
+// learn takes the latencies of a worker's report: into the learner, and into
+// action when a service is over its target.
+func (o *Owner) learn(l *link) {
+	neighbours, batch := o.batchOn(l)
+	worst, calm := o.observeServices(l, neighbours)
+	if _, off := o.policy.(place.FirstFit); off {
+		return
+	}
+	now := time.Now()
+	if now.Sub(o.actions[l.vm.ID]) < o.config.Settings.SettleAfter {
+		return // what is reported now was measured before the last action took hold
+	}
+	switch {
+	case worst != nil:
+		o.relieve(l, *worst, neighbours, batch, now)
+	case calm:
+		o.relax(l, now)
+	}
+}
+
+// batchOn lists the batch tasks that run on a worker, as tasks and as neighbours.
+func (o *Owner) batchOn(l *link) ([]interference.Neighbour, []models.Task) {
+	var neighbours []interference.Neighbour
+	var batch []models.Task
+	for _, r := range l.report.Attempts {
+		t, ok := o.working.Tasks[r.Task]
+		if !ok || t.Kind != models.TaskBatch || t.State != models.TaskRunning || t.Attempt != r.Attempt {
+			continue
+		}
+		neighbours = append(neighbours, interference.Neighbour{Labels: t.Labels, Share: float64(l.shareOf(t.ID)) / fullShare})
+		batch = append(batch, t)
+	}
+	return neighbours, batch
+}
+
+// observeServices teaches the learner what is new in the report, and gives the
+// service most over its target, or whether all are well below theirs.
+func (o *Owner) observeServices(l *link, neighbours []interference.Neighbour) (worst *models.Task, calm bool) {
+	worstRatio := 1.0
+	calm = true
+	for _, r := range l.report.Attempts {
+		t, ok := o.working.Tasks[r.Task]
+		target := o.targetOf(t)
+		if !ok || t.Kind != models.TaskService || t.Attempt != r.Attempt || r.P99 == 0 || target == 0 {
+			continue
+		}
+		if r.Observed <= l.observed[r.AttemptRef] {
+			continue // the same figure as before: nothing is done twice on one report
+		}
+		l.observed[r.AttemptRef] = r.Observed
+		if time.Since(o.changed[l.vm.ID]) >= o.config.Settings.SettleAfter {
+			o.config.Learner.Observe(interference.Sample{
+				Service: t.Labels, Batch: neighbours, P99: r.P99.Duration(), Target: target.Duration(), At: time.Now(),
+			})
+		}
+		ratio := float64(r.P99) / float64(target)
+		calm = calm && ratio < relaxBelow
+		if ratio > worstRatio {
+			worst, worstRatio = &t, ratio
+		}
+	}
+	return worst, calm
+}
+
+// relieve takes one step of the ladder on the batch task that yields first.
+func (o *Owner) relieve(l *link, service models.Task, neighbours []interference.Neighbour, batch []models.Task, now time.Time) {
+	victim, ok := o.firstToYield(service, neighbours, batch)
+	if !ok {
+		return
+	}
+	o.actions[l.vm.ID] = now
+	o.changed[l.vm.ID] = now
+	why := string(service.ID) + " is over its target"
+	share := l.shareOf(victim.ID)
+	canEvict := !victim.Unrepeatable && victim.Evictions < maxEvictions
+	switch {
+	case share > halfShare:
+		o.throttle(l, victim, halfShare, why)
+	case share > leastShare && !canEvict:
+		o.throttle(l, victim, leastShare, why)
+	case canEvict:
+		l.setShare(victim.ID, fullShare)
+		o.decide(victim.ID, "evicted", l.vm.ID, why)
+		o.step(victim.ID, models.EventEvict{Reason: why})
+	}
+}
+
+func (o *Owner) throttle(l *link, t models.Task, share int, why string) {
+	l.setShare(t.ID, share)
+	o.counts.Throttles++
+	o.config.Scope.Counter("throttles").Inc(1)
+	o.decide(t.ID, "throttled", l.vm.ID, why)
+}
+
+// firstToYield chooses by the operators' yield order and, within it, by the part
+// that each task is learned to have in the slowdown.
+func (o *Owner) firstToYield(service models.Task, neighbours []interference.Neighbour, batch []models.Task) (models.Task, bool) {
+	var candidates []models.Task
+	order := make([]int, len(batch))
+	for i := range order {
+		order[i] = i
+	}
+	if _, pairs := o.policy.(place.Pairs); pairs {
+		order = o.config.Learner.Blame(service.Labels, neighbours)
+	}
+	for _, i := range order {
+		t := batch[i]
+		spent := t.Unrepeatable || t.Evictions >= maxEvictions
+		if spent && o.links[t.Worker].shareOf(t.ID) <= leastShare {
+			continue // nothing more can be done to it
+		}
+		candidates = append(candidates, t)
+	}
+	if len(candidates) == 0 {
+		return models.Task{}, false
+	}
+	slices.SortStableFunc(candidates, func(a, b models.Task) int { return o.yieldOrder(a) - o.yieldOrder(b) })
+	return candidates[0], true
+}
+
+// lastToYield is the order of tasks that no rule selects.
+const lastToYield = 1 << 20
+
+func (o *Owner) yieldOrder(t models.Task) int {
+	order := lastToYield
+	for _, rule := range o.config.View().Rules {
+		if rule.Kind == models.RuleYield && rule.Order < order && o.selectors.Matches(rule.Selector, t.Labels) {
+			order = rule.Order
+		}
+	}
+	return order
+}
+
+// relax gives one throttled task on a calm worker more processor time.
+func (o *Owner) relax(l *link, now time.Time) {
+	for id, share := range l.shares {
+		if share >= fullShare {
+			continue
+		}
+		l.setShare(id, min(fullShare, share*2))
+		o.actions[l.vm.ID], o.changed[l.vm.ID] = now, now
+		o.decide(id, "relaxed", l.vm.ID, "services there are well below their targets")
+		return
+	}
+}
+
+// overNow tells whether a service on the worker was last reported over its target.
+func (o *Owner) overNow(l *link) bool {
+	for _, r := range l.report.Attempts {
+		t, ok := o.working.Tasks[r.Task]
+		if target := o.targetOf(t); ok && t.Kind == models.TaskService && target > 0 && r.P99 > target {
+			return true
+		}
+	}
+	return false
+}
+
+// trying tells whether a pair that isn't known yet is on the worker: a service and
+// a batch task that were never measured together.
+func (o *Owner) trying(w place.Worker) bool {
+	for _, s := range w.Tasks {
+		if s.Kind != models.TaskService {
+			continue
+		}
+		for _, b := range w.Tasks {
+			if b.Kind != models.TaskBatch {
+				continue
+			}
+			if _, known := o.config.Learner.Slowdown(s.Labels, b.Labels); !known {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// holdFor is how long room that is being freed is kept for the task it is freed for.
+const holdFor = 30 * time.Second
+
+// makeWay evicts batch tasks that yield so that a service or urgent task finds
+// room. It takes the worker on which the least has to go.
+func (o *Owner) makeWay(t models.Task, workers []place.Worker) bool {
+	for _, h := range o.holds {
+		if h.task == t.ID && time.Now().Before(h.until) {
+			return true // under way
+		}
+	}
+	var best []models.Task
+	var at models.VMID
+	for _, w := range workers {
+		if victims, ok := o.victims(t, w); ok && (at == "" || len(victims) < len(best)) {
+			best, at = victims, w.VM.ID
+		}
+	}
+	if at == "" {
+		return false
+	}
+	o.holds[at] = hold{task: t.ID, until: time.Now().Add(holdFor)}
+	for _, v := range best {
+		o.decide(v.ID, "evicted", at, "makes room for "+string(t.ID))
+		o.step(v.ID, models.EventEvict{Reason: "made room for " + string(t.ID)})
+	}
+	return true
+}
+
+// victims lists the tasks to evict from a worker for t; ok is false when that would
+// not be enough.
+func (o *Owner) victims(t models.Task, w place.Worker) (victims []models.Task, ok bool) {
+	if !w.Usable || w.Held != "" || !t.Size.Fits(w.VM.Capacity) {
+		return nil, false
+	}
+	candidates := slices.Clone(w.Tasks)
+	slices.SortStableFunc(candidates, func(a, b models.Task) int { return o.yieldOrder(a) - o.yieldOrder(b) })
+	free := w.Free
+	for _, c := range candidates {
+		if t.Size.Fits(free) {
+			break
+		}
+		yields := c.Kind == models.TaskBatch && !c.Unrepeatable && c.Evictions < maxEvictions && (!c.Urgent || t.Kind == models.TaskService)
+		if yields && (c.State == models.TaskRunning || c.State == models.TaskPlaced) {
+			victims = append(victims, c)
+			free = free.Add(c.Size)
+		}
+	}
+	return victims, t.Size.Fits(free)
+}
+
+// drainWorkers moves batch work off VMs that leave or are drained. Replicas homed
+// here are replaced first, see reconcileReplica; those of other cells are returned.
+func (o *Owner) drainWorkers() {
+	view := o.config.View()
+	for _, t := range o.working.Tasks {
+		l := o.links[t.Worker]
+		if l == nil || !t.HoldsRoom() || l.vm.State == models.VMLive && !view.Drained(t.Worker) {
+			continue
+		}
+		if t.Unrepeatable || t.Kind == models.TaskService && !t.Foreign() {
+			continue
+		}
+		if o.step(t.ID, models.EventEvict{Reason: "VM " + string(t.Worker) + " is leaving or drained"}) {
+			o.decide(t.ID, "evicted", t.Worker, "the VM is leaving or drained")
+		}
+	}
+}
+
+func (l *link) shareOf(id models.TaskID) int {
+	if share, ok := l.shares[id]; ok {
+		return share
+	}
+	return fullShare
+}
+
+func (l *link) setShare(id models.TaskID, share int) {
+	if share >= fullShare {
+		delete(l.shares, id)
+	} else {
+		l.shares[id] = share
+	}
+	l.setThrottle(l.shares)
+}
--- /dev/null
+++ b/services/cell/queue.go
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"rillsail.example/rillsail/models"
+)
+
+// candidate is a task that may start next.
+type candidate struct {
+	task models.Task
+	// virtual tells that the task has no record yet: it is the next of its job.
+	virtual bool
+}
+
+// maxPlacements bounds the decisions of one cycle, so that answers are not kept
+// waiting by a long queue.
+const maxPlacements = 32
+
+// admit gives the candidates of this cycle in order: services, then urgent tasks,
+// then the team that uses the least of its quota, then age. A job that did not fit
+// a moment ago is passed over for a while, so that it doesn't block the rest.
+func (o *Owner) admit() []candidate {
+	queue := o.queue()
+	if len(queue) == 0 {
+		return nil
+	}
+	usage := o.teamUsage()
+	var admitted []candidate
+	for len(admitted) < maxPlacements && len(queue) > 0 {
+		best := o.next(queue, usage)
+		if best < 0 {
+			break
+		}
+		c := queue[best]
+		admitted = append(admitted, c)
+		if c.task.Kind == models.TaskBatch {
+			usage[c.task.Team] = usage[c.task.Team].Add(c.task.Size)
+		}
+		if following, ok := o.following(c); ok {
+			queue[best] = following
+		} else {
+			queue = slices.Delete(queue, best, best+1)
+		}
+	}
+	return admitted
+}
+
+// queue lists all that waits: queued records, and the next task of each job.
+func (o *Owner) queue() []candidate {
+	now := time.Now()
+	var queue []candidate
+	for _, t := range o.working.Tasks {
+		if t.State == models.TaskQueued && !t.Foreign() && !o.paused(string(t.ID), now) {
+			queue = append(queue, candidate{task: t})
+		}
+	}
+	for _, job := range o.working.Jobs {
+		if job.State == models.JobActive && job.Next < job.Tasks && !o.paused(string(job.ID), now) {
+			queue = append(queue, candidate{task: job.NewTask(job.Next), virtual: true})
+		}
+	}
+	return queue
+}
+
+// following is the job's task after the candidate.
+func (o *Owner) following(c candidate) (candidate, bool) {
+	job := o.working.Jobs[c.task.Job]
+	if !c.virtual || c.task.Index+1 >= job.Tasks {
+		return candidate{}, false
+	}
+	return candidate{task: job.NewTask(c.task.Index + 1), virtual: true}, true
+}
+
+// next finds the first of the queue that its team's quota allows; -1 when none is.
+func (o *Owner) next(queue []candidate, usage map[models.TeamName]models.Resources) int {
+	view := o.config.View()
+	best := -1
+	for i, c := range queue {
+		team := view.Teams[c.task.Team]
+		if c.task.Kind == models.TaskBatch && !withinQuota(usage[c.task.Team].Add(c.task.Size), team.Quota) {
+			o.decide(c.task.ID, "waits", "", "team "+string(c.task.Team)+" has used up its quota")
+			continue
+		}
+		if best < 0 || o.before(c.task, queue[best].task, usage) {
+			best = i
+		}
+	}
+	return best
+}
+
+// before tells whether a is to start before b.
+func (o *Owner) before(a, b models.Task, usage map[models.TeamName]models.Resources) bool {
+	order := cmp.Or(
+		-compareBool(a.Kind == models.TaskService, b.Kind == models.TaskService),
+		-compareBool(a.Urgent, b.Urgent),
+		cmp.Compare(o.usedShare(a.Team, usage), o.usedShare(b.Team, usage)),
+		cmp.Compare(a.Queued, b.Queued),
+		cmp.Compare(a.ID, b.ID),
+	)
+	return order < 0
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// usedShare is the part of its quota a team uses, or the processors it uses for a
+// team without.
+func (o *Owner) usedShare(team models.TeamName, usage map[models.TeamName]models.Resources) float64 {
+	quota := o.config.View().Teams[team].Quota.CPU
+	if quota == 0 {
+		quota = unlimitedQuota
+	}
+	return float64(usage[team].CPU) / float64(quota)
+}
+
+// unlimitedQuota stands for the quota of a team without one when shares are compared.
+const unlimitedQuota models.MilliCPU = 1_000_000
+
+// withinQuota tells whether usage is within the parts of the quota that are set.
+func withinQuota(usage, quota models.Resources) bool {
+	return (quota.CPU == 0 || usage.CPU <= quota.CPU) &&
+		(quota.Memory == 0 || usage.Memory <= quota.Memory) &&
+		(quota.Accelerators == 0 || usage.Accelerators <= quota.Accelerators)
+}
+
+// teamUsage sums up what teams' batch tasks use in all cells: exactly here, as of
+// the last heartbeats elsewhere.
+func (o *Owner) teamUsage() map[models.TeamName]models.Resources {
+	usage := o.ownUsage()
+	for cell, beat := range o.config.Peers.Cells() {
+		if cell == o.config.Cell {
+			continue
+		}
+		for team, used := range beat.Teams {
+			usage[team] = usage[team].Add(used)
+		}
+	}
+	return usage
+}
+
+func (o *Owner) ownUsage() map[models.TeamName]models.Resources {
+	usage := map[models.TeamName]models.Resources{}
+	for _, t := range o.working.Tasks {
+		if t.Kind == models.TaskBatch && (t.HoldsRoom() || t.State == models.TaskOffered) {
+			usage[t.Team] = usage[t.Team].Add(t.Size)
+		}
+	}
+	return usage
+}
+
+// waitAfterMiss is for how many ticks a job or task that fits nowhere is passed over.
+const waitAfterMiss = 2
+
+// noteWaiting passes over what did not fit for a while.
+func (o *Owner) noteWaiting(c candidate, reason string) {
+	key := string(c.task.ID)
+	if c.virtual {
+		key = string(c.task.Job)
+	}
+	o.misses[key] = miss{until: time.Now().Add(waitAfterMiss * o.config.Settings.Tick), reason: reason}
+}
+
+// miss is a job or task that did not fit.
+type miss struct {
+	until  time.Time
+	reason string
+}
+
+func (o *Owner) paused(key string, now time.Time) bool {
+	m, ok := o.misses[key]
+	if !ok {
+		return false
+	}
+	if now.After(m.until) {
+		delete(o.misses, key)
+		return false
+	}
+	return true
+}
+
+// linkOrder gives the workers by id, so that choices don't depend on map order.
+func (o *Owner) linkOrder() []models.VMID { return slices.Sorted(maps.Keys(o.links)) }
--- /dev/null
+++ b/services/cell/replica.go
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/rendezvous"
+)
+
+// ReplicaHome is the cell that keeps a replica: replicas go round the failure
+// domains, and within a domain to the cell that hashing gives.
+func ReplicaHome(service models.ServiceName, replica int, cells models.CellMap) (models.CellID, bool) {
+	domains := map[models.FailureDomain][]models.CellID{}
+	for _, cell := range slices.Sorted(maps.Keys(cells.Cells)) {
+		domain := cells.Cells[cell]
+		domains[domain] = append(domains[domain], cell)
+	}
+	order := rendezvous.Order(string(service), slices.Sorted(maps.Keys(domains)))
+	if len(order) == 0 {
+		return "", false
+	}
+	domain := order[replica%len(order)]
+	return rendezvous.First(fmt.Sprintf("%s/%d", service, replica), domains[domain])
+}
+
+// JobHome is the cell that keeps a job.
+func JobHome(job models.JobID, cells models.CellMap) (models.CellID, bool) {
+	return rendezvous.First(string(job), slices.Sorted(maps.Keys(cells.Cells)))
+}
+
+// replicaKey names a replica in the state's generations.
+func replicaKey(service models.ServiceName, replica int) string {
+	return fmt.Sprintf("%s/%d", service, replica)
+}
+
+// reconcileServices makes the replicas that are homed here what the configuration
+// asks for. It waits for a configuration; an empty one says nothing.
+func (o *Owner) reconcileServices() {
+	view := o.config.View()
+	if view.Revision() == 0 {
+		return
+	}
+	cells := o.config.Inventory.Cells()
+	present := o.replicasByKey()
+	for _, service := range view.Services {
+		for replica := range service.Replicas {
+			home, ok := ReplicaHome(service.Name, replica, cells)
+			if !ok || home != o.config.Cell {
+				continue
+			}
+			key := replicaKey(service.Name, replica)
+			o.reconcileReplica(service, replica, present[key])
+			delete(present, key)
+		}
+	}
+	for _, tasks := range present {
+		for _, t := range tasks {
+			o.step(t.ID, models.EventCancel{Reason: "the configuration has no such replica here"})
+		}
+	}
+	o.relabelForeign()
+}
+
+// replicasByKey groups the records of replicas homed here, the oldest first.
+func (o *Owner) replicasByKey() map[string][]models.Task {
+	present := map[string][]models.Task{}
+	for _, t := range o.working.Tasks {
+		if t.Kind == models.TaskService && !t.Foreign() {
+			key := replicaKey(t.Service, t.Replica)
+			present[key] = append(present[key], t)
+		}
+	}
+	for _, tasks := range present {
+		slices.SortFunc(tasks, func(a, b models.Task) int { return a.Generation - b.Generation })
+	}
+	return present
+}
+
+// reconcileReplica sees to it that one replica is, or will be, healthy. What is
+// lost, drained or out of date is replaced first and retired once its successor
+// runs; a lost one is retired as soon as its worker answers.
+func (o *Owner) reconcileReplica(service models.Service, replica int, tasks []models.Task) {
+	var healthy []models.Task
+	for _, t := range tasks {
+		t = o.relabel(t, service)
+		if !t.Cancelled && o.replicaHealthy(t, service) {
+			healthy = append(healthy, t)
+		}
+	}
+	if len(healthy) == 0 {
+		o.newReplica(service, replica)
+		return
+	}
+	keep := healthy[0]
+	if keep.State != models.TaskRunning && keep.State != models.TaskMoved {
+		return // not running yet: the old ones go on
+	}
+	for _, t := range tasks {
+		if t.ID != keep.ID {
+			o.step(t.ID, models.EventCancel{Reason: "replaced by " + string(keep.ID)})
+		}
+	}
+}
+
+func (o *Owner) replicaHealthy(t models.Task, service models.Service) bool {
+	if t.State == models.TaskLost || t.Size != service.Size {
+		return false
+	}
+	if !t.HoldsRoom() {
+		return true
+	}
+	l := o.links[t.Worker]
+	return l != nil && l.vm.State == models.VMLive && !o.config.View().Drained(t.Worker)
+}
+
+func (o *Owner) newReplica(service models.Service, replica int) {
+	key := replicaKey(service.Name, replica)
+	generation := o.working.Generations[key] + 1
+	o.working.Generations[key] = generation
+	o.dirty.generations[key] = true
+	t := models.Task{
+		ID:   models.ReplicaTaskID(service.Name, replica, generation),
+		Kind: models.TaskService, Service: service.Name, Replica: replica, Generation: generation,
+		Team: service.Team, Labels: service.Labels, Size: service.Size,
+		Queued: models.UnixMilliOf(time.Now()), State: models.TaskQueued,
+	}
+	o.put(t)
+	o.decide(t.ID, "created", "", "the configuration asks for replica "+key)
+}
+
+// relabel follows a change of labels without a restart.
+func (o *Owner) relabel(t models.Task, service models.Service) models.Task {
+	if !maps.Equal(t.Labels, service.Labels) && !t.Ended() {
+		t.Labels = service.Labels
+		o.put(t)
+	}
+	return t
+}
+
+func (o *Owner) relabelForeign() {
+	services := o.config.View().Services
+	for _, t := range o.working.Tasks {
+		if service, ok := services[t.Service]; ok && t.Foreign() && t.Kind == models.TaskService {
+			o.relabel(t, service)
+		}
+	}
+}
--- /dev/null
+++ b/services/cell/route.go
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"context"
+	"net"
+
+	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/errstep"
+)
+
+// Forward carries an operator's call to the owner of a cell, here or at a peer.
+func (m *Manager) Forward(ctx context.Context, call models.ForwardCall) (models.ForwardAnswer, error) {
+	if owner, ok := m.owned(call.Cell); ok {
+		return forwardTo(ctx, owner, call)
+	}
+	holder, _, ok := m.config.Members.OwnerOf(call.Cell)
+	if !ok {
+		return models.ForwardAnswer{}, errstep.Wrap(ErrNotOwner, "find the owner", string(call.Cell))
+	}
+	answer, err := m.config.Client.Forward(ctx, holder.PeerAddress, call)
+	return answer, truthful(call, err)
+}
+
+// ForwardHere serves a peer's Forward: it goes no further.
+func (m *Manager) ForwardHere(ctx context.Context, call models.ForwardCall) (models.ForwardAnswer, error) {
+	owner, ok := m.owned(call.Cell)
+	if !ok {
+		return models.ForwardAnswer{}, errstep.Wrap(ErrNotOwner, "serve forwarded call", string(m.config.Self))
+	}
+	return forwardTo(ctx, owner, call)
+}
+
+func forwardTo(ctx context.Context, owner *Owner, call models.ForwardCall) (models.ForwardAnswer, error) {
+	reply := make(chan forwardReply, 1)
+	if !owner.send(ctx, forwardMessage{call: call, reply: reply}) {
+		return models.ForwardAnswer{}, ErrNotOwner
+	}
+	select {
+	case r := <-reply:
+		return r.answer, r.err
+	case <-ctx.Done():
+		return models.ForwardAnswer{}, errors.Mark(ctx.Err(), ErrMaybe)
+	}
+}
+
+// truthful marks the error of a call to a peer with what is known of its outcome:
+// only the peer's own word, or a connection that was never made, says "not run".
+func truthful(call models.ForwardCall, err error) error {
+	if err == nil {
+		return nil
+	}
+	var failed twirp.Error
+	if errors.As(err, &failed) {
+		for _, known := range []error{ErrNotOwner, ErrNoStore, ErrOtherSpec} {
+			if failed.Meta(MetaRefusal) == known.Error() {
+				return errors.Mark(err, known)
+			}
+		}
+	}
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return errors.Mark(err, ErrNotOwner)
+	}
+	if len(call.Submit)+len(call.Cancel) > 0 {
+		return errors.Mark(err, ErrMaybe)
+	}
+	return err
+}
+
+// MetaRefusal is the key under which a peer's error carries which refusal it is.
+const MetaRefusal = "refusal"
+
+// RefusalOf gives the refusal that err stands for, to be sent to a peer.
+func RefusalOf(err error) (refusal string, ok bool) {
+	for _, known := range []error{ErrNotOwner, ErrNoStore, ErrOtherSpec} {
+		if errors.Is(err, known) {
+			return known.Error(), true
+		}
+	}
+	return "", false
+}
+
+// Offer implements Peers.
+func (m *Manager) Offer(ctx context.Context, call models.OfferCall) (models.OfferAnswer, error) {
+	if _, ok := m.owned(call.To); ok {
+		return m.OfferHere(ctx, call)
+	}
+	holder, _, ok := m.config.Members.OwnerOf(call.To)
+	if !ok {
+		return models.OfferAnswer{}, errstep.Wrap(ErrNotOwner, "find the owner", string(call.To))
+	}
+	return m.config.Client.Offer(ctx, holder.PeerAddress, call)
+}
+
+// OfferHere serves an offer to a cell owned here.
+func (m *Manager) OfferHere(ctx context.Context, call models.OfferCall) (models.OfferAnswer, error) {
+	reply := make(chan models.OfferAnswer, 1)
+	return ask(ctx, m, call.To, offerMessage{call: call, reply: reply}, reply)
+}
+
+// Report implements Peers.
+func (m *Manager) Report(ctx context.Context, call models.ReportCall) (models.ReportAnswer, error) {
+	if _, ok := m.owned(call.To); ok {
+		return m.ReportHere(ctx, call)
+	}
+	holder, _, ok := m.config.Members.OwnerOf(call.To)
+	if !ok {
+		return models.ReportAnswer{}, errstep.Wrap(ErrNotOwner, "find the owner", string(call.To))
+	}
+	return m.config.Client.Report(ctx, holder.PeerAddress, call)
+}
+
+// ReportHere serves a report to a cell owned here.
+func (m *Manager) ReportHere(ctx context.Context, call models.ReportCall) (models.ReportAnswer, error) {
+	reply := make(chan models.ReportAnswer, 1)
+	return ask(ctx, m, call.To, reportMessage{call: call, reply: reply}, reply)
+}
+
+// ask hands a message to the owner of a cell and waits for its reply.
+func ask[A any](ctx context.Context, m *Manager, cell models.CellID, msg message, reply <-chan A) (A, error) {
+	var zero A
+	owner, ok := m.owned(cell)
+	if !ok || !owner.send(ctx, msg) {
+		return zero, errstep.Wrap(ErrNotOwner, "ask the owner of "+string(cell), string(m.config.Self))
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-owner.done:
+		return zero, errstep.Wrap(ErrNotOwner, "ask the owner of "+string(cell), string(m.config.Self))
+	}
+}
--- /dev/null
+++ b/services/cell/spill.go
@@ -0,0 +1,312 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/place"
+)
+
+// A task that finds no place here is offered to another cell:
+//
+//	home: offered(k) → journal → offer(k, epoch) → accepted → moved → journal
+//	other: journal placed(k+1) → accepted; or refused, kept for the epoch
+//
+// An offer names the epoch it is meant for. The owner of that epoch remembers each
+// offer that it has seen; the owner of a later epoch refuses what the journal
+// doesn't hold. So a late copy of an offer is never taken, though refusals are not
+// journalled.
+
+// anyWorkerCouldHold tells whether any VM of the fleet is large enough when empty.
+func (o *Owner) anyWorkerCouldHold(t models.Task) bool {
+	for _, vm := range o.config.Inventory.VMs().VMs {
+		if vm.Kind == models.KindWorker && t.Size.Fits(vm.Capacity) {
+			return true
+		}
+	}
+	return false
+}
+
+// otherCell chooses the cell to offer a task to: of those with a large enough free
+// place, the one with the most room.
+func (o *Owner) otherCell(t models.Task) (models.CellID, bool) {
+	cells := o.config.Peers.Cells()
+	var best models.CellID
+	for _, cell := range slices.Sorted(maps.Keys(cells)) {
+		beat := cells[cell]
+		if cell == o.config.Cell || !t.Size.Fits(beat.Room) || o.refusedLately(cell) {
+			continue
+		}
+		if best == "" || beat.Free.CPU-o.promised[cell].CPU > cells[best].Free.CPU-o.promised[best].CPU {
+			best = cell
+		}
+	}
+	if best == "" || !t.Size.Fits(cells[best].Free.Sub(o.promised[best])) {
+		return "", false
+	}
+	return best, true
+}
+
+// refusedLately tells whether the cell has just refused offers.
+func (o *Owner) refusedLately(cell models.CellID) bool {
+	return time.Now().Before(o.refusals[cell])
+}
+
+func (o *Owner) offerTo(c candidate, cell models.CellID) {
+	o.materialise(c)
+	epoch := o.config.Peers.Cells()[cell].Epoch
+	if o.step(c.task.ID, models.EventOffer{Cell: cell, Epoch: epoch}) {
+		o.promised[cell] = o.promised[cell].Add(c.task.Size)
+		o.counts.Offers++
+		o.decide(c.task.ID, "offered", "", "no room here, offered to cell "+string(cell))
+	}
+}
+
+// exchange sends what other cells have to know: offers, reports, cancellations.
+// One call to each cell is under way at a time.
+func (o *Owner) exchange(ctx context.Context) {
+	offers := map[models.CellID]map[models.Epoch][]models.Task{}
+	reports := map[models.CellID]*models.ReportCall{}
+	for id, t := range o.journalled.Tasks {
+		if current, ok := o.working.Tasks[id]; !ok || current.State != t.State || current.Attempt != t.Attempt {
+			continue
+		}
+		switch {
+		case t.State == models.TaskOffered:
+			if offers[t.Peer] == nil {
+				offers[t.Peer] = map[models.Epoch][]models.Task{}
+			}
+			offers[t.Peer][t.PeerEpoch] = append(offers[t.Peer][t.PeerEpoch], t)
+		case t.State == models.TaskMoved && t.Cancelled:
+			call := callFor(reports, t.Peer)
+			call.Cancel = append(call.Cancel, id)
+		case t.ToReport(), o.lostReplica(t):
+			call := callFor(reports, t.Home)
+			call.Tasks = append(call.Tasks, t)
+		}
+	}
+	for cell, byEpoch := range offers {
+		for epoch, tasks := range byEpoch {
+			o.sendOffer(ctx, models.OfferCall{From: o.config.Cell, To: cell, Epoch: epoch, Tasks: tasks})
+		}
+	}
+	for _, call := range reports {
+		o.sendReport(ctx, *call)
+	}
+}
+
+func callFor(calls map[models.CellID]*models.ReportCall, to models.CellID) *models.ReportCall {
+	if calls[to] == nil {
+		calls[to] = &models.ReportCall{To: to}
+	}
+	return calls[to]
+}
+
+// lostReplica tells whether a home has to hear that a replica's worker is silent.
+func (o *Owner) lostReplica(t models.Task) bool {
+	return t.Foreign() && t.State == models.TaskLost && t.Kind == models.TaskService && !t.Cancelled && !o.retired[t.ID]
+}
+
+// A flight of these kinds stands for a call to another cell.
+const (
+	flightOffer  models.TaskAction = "offer-call"
+	flightReport models.TaskAction = "report-call"
+)
+
+func (o *Owner) sendOffer(ctx context.Context, call models.OfferCall) {
+	if !o.begin(flight{models.TaskID(call.To), models.Attempt(call.Epoch), flightOffer}, time.Now()) {
+		return
+	}
+	o.group.Go(func() { o.runOffer(ctx, call) })
+}
+
+func (o *Owner) runOffer(ctx context.Context, call models.OfferCall) {
+	answer, err := o.config.Peers.Offer(ctx, call)
+	o.send(ctx, offeredMessage{call: call, answer: answer, err: err})
+}
+
+func (o *Owner) sendReport(ctx context.Context, call models.ReportCall) {
+	if !o.begin(flight{models.TaskID(call.To), 0, flightReport}, time.Now()) {
+		return
+	}
+	o.group.Go(func() { o.runReport(ctx, call) })
+}
+
+func (o *Owner) runReport(ctx context.Context, call models.ReportCall) {
+	answer, err := o.config.Peers.Report(ctx, call)
+	o.send(ctx, reportedMessage{call: call, answer: answer, err: err})
+}
+
+// handleOffer decides on another cell's offer. The answer waits for the journal;
+// a task that is missing in it is still open.
+func (o *Owner) handleOffer(m offerMessage) {
+	answer := models.OfferAnswer{Accepted: map[models.TaskID]bool{}}
+	var open []models.Task
+	for _, t := range m.call.Tasks {
+		accepted, final := o.considerOffer(m.call, t)
+		if final {
+			answer.Accepted[t.ID] = accepted
+		} else {
+			open = append(open, t)
+		}
+	}
+	if len(open) == 0 {
+		m.reply <- answer
+		return
+	}
+	o.waiters = append(o.waiters, func() bool {
+		for _, t := range open {
+			_, open := o.working.Tasks[t.ID]
+			kept, ok := o.journalled.Tasks[t.ID]
+			if open && (!ok || kept.Attempt <= t.Attempt) {
+				return false
+			}
+		}
+		for _, t := range open {
+			answer.Accepted[t.ID] = true
+		}
+		m.reply <- answer
+		return true
+	})
+}
+
+// considerOffer says what is final about an offered task; one that was just placed
+// becomes final with the next append.
+func (o *Owner) considerOffer(call models.OfferCall, t models.Task) (accepted, final bool) {
+	if kept, ok := o.journalled.Tasks[t.ID]; ok && kept.Foreign() && kept.Attempt > t.Attempt {
+		return true, true
+	}
+	if kept, ok := o.working.Tasks[t.ID]; ok && kept.Foreign() && kept.Attempt > t.Attempt {
+		return false, false
+	}
+	if call.Epoch > o.config.Epoch {
+		return false, false // meant for a successor we don't know of yet
+	}
+	if call.Epoch < o.config.Epoch || o.offersSeen[t.ID] >= t.Attempt || !o.failedAt.IsZero() || o.config.Adopted {
+		o.offersSeen[t.ID] = max(o.offersSeen[t.ID], t.Attempt)
+		return false, true
+	}
+	o.offersSeen[t.ID] = t.Attempt
+	return false, !o.takeOffered(call, t)
+}
+
+// takeOffered places an offered task; false when there is no place for it.
+func (o *Owner) takeOffered(call models.OfferCall, t models.Task) bool {
+	t.State, t.Home = models.TaskQueued, call.From
+	t.Peer, t.PeerEpoch = "", 0
+	choice := place.Choose(o.request(t, o.workers()))
+	if !choice.Found {
+		return false
+	}
+	o.counts.Taken++
+	o.put(t)
+	o.start(candidate{task: t}, choice)
+	return true
+}
+
+func (o *Owner) handleOffered(m offeredMessage) {
+	delete(o.inFlight, flight{models.TaskID(m.call.To), models.Attempt(m.call.Epoch), flightOffer})
+	if m.err != nil {
+		o.config.Scope.Counter("offers_unanswered").Inc(1)
+		return
+	}
+	for _, t := range m.call.Tasks {
+		accepted, final := m.answer.Accepted[t.ID]
+		if !final {
+			continue
+		}
+		o.promised[m.call.To] = o.promised[m.call.To].Sub(t.Size)
+		if accepted {
+			o.step(t.ID, models.EventOfferAccepted{Attempt: t.Attempt})
+			continue
+		}
+		o.refusals[m.call.To] = time.Now().Add(o.config.Settings.Tick)
+		o.step(t.ID, models.EventOfferRefused{Attempt: t.Attempt})
+	}
+}
+
+// handleReport takes another cell's report on tasks that are homed here, or its
+// request to cancel tasks that were taken over from it. The answer waits for the
+// journal.
+func (o *Owner) handleReport(m reportMessage) {
+	for _, id := range m.call.Cancel {
+		if t, ok := o.working.Tasks[id]; ok && t.Foreign() {
+			o.step(id, models.EventCancel{Reason: "cancelled by its home cell"})
+		}
+	}
+	for _, t := range m.call.Tasks {
+		o.takeReport(t)
+	}
+	o.waiters = append(o.waiters, func() bool {
+		var answer models.ReportAnswer
+		for _, t := range m.call.Tasks {
+			if !o.reportSettled(t) {
+				return false
+			}
+			answer.Settled = append(answer.Settled, t.ID)
+		}
+		m.reply <- answer
+		return true
+	})
+	o.runWaiters()
+}
+
+func (o *Owner) takeReport(t models.Task) {
+	switch {
+	case t.State == models.TaskLost:
+		o.step(t.ID, models.EventCancel{Reason: "its worker is silent"})
+	case t.State == models.TaskDone:
+		o.step(t.ID, models.EventRemoteDone{Attempt: t.Attempt, Outcome: t.Outcome, Reason: t.Reason, Evictions: t.Evictions})
+	default:
+		o.step(t.ID, models.EventReturned{
+			Attempt: t.Attempt, Checkpoint: t.Checkpoint, Reason: t.Reason,
+			Evictions: t.Evictions, Failures: t.Failures, FailedOn: t.FailedOn,
+		})
+	}
+}
+
+// reportSettled tells whether the journal no longer waits for the report.
+func (o *Owner) reportSettled(t models.Task) bool {
+	kept, ok := o.journalled.Tasks[t.ID]
+	switch {
+	case !ok:
+		return true
+	case t.State == models.TaskLost:
+		return kept.Cancelled
+	default:
+		return kept.Attempt >= t.Attempt
+	}
+}
+
+// runWaiters answers the calls whose records are journalled by now.
+func (o *Owner) runWaiters() {
+	o.waiters = slices.DeleteFunc(o.waiters, func(answered func() bool) bool { return answered() })
+}
+
+func (o *Owner) handleReported(m reportedMessage) {
+	delete(o.inFlight, flight{models.TaskID(m.call.To), 0, flightReport})
+	if m.err != nil {
+		o.config.Scope.Counter("reports_unanswered").Inc(1)
+		return
+	}
+	for _, id := range m.answer.Settled {
+		t, ok := o.working.Tasks[id]
+		if !ok || !t.Foreign() {
+			continue
+		}
+		if t.State == models.TaskLost {
+			o.retired[id] = true
+			continue
+		}
+		if t.ToReport() {
+			delete(o.working.Tasks, id)
+			o.dirty.dropTask(id)
+		}
+	}
+}
--- /dev/null
+++ b/services/config/apply.go
@@ -0,0 +1,301 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/errstep"
+	"rillsail.example/rillsail/modules/wire"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// RefusedError refuses a change that contradicts itself or the configuration.
+type RefusedError struct{ Problems []string }
+
+// Error lists the problems.
+func (e *RefusedError) Error() string {
+	text := "change refused, nothing was changed:"
+	for _, p := range e.Problems {
+		text += " " + p + ";"
+	}
+	return text
+}
+
+// ErrMaybeApplied says that the store didn't say whether the change took effect.
+var ErrMaybeApplied = errors.New("the change may have been accepted; look at the configuration in force and apply again if it was not")
+
+// Bounds on what heads and buckets keep of the past.
+const (
+	keptWrites    = 64
+	keptRetired   = 40
+	keptDeletions = 64
+	applyTries    = 8
+)
+
+// Apply accepts a change, all of it or nothing. It retries when another operator
+// changed other objects meanwhile; when the same ones changed since the change's
+// base, it gives *models.ConflictError.
+func (s *Service) Apply(ctx context.Context, change models.ConfigChange) (models.ConfigResult, error) {
+	writeID := s.config.NewID()
+	if change.Base == 0 {
+		change.Base = s.View().Revision()
+	}
+	for range applyTries {
+		result, err := s.tryApply(ctx, change, writeID)
+		if !errors.Is(err, platform.ErrConflict) {
+			return result, err
+		}
+	}
+	return models.ConfigResult{}, errors.New("apply configuration: other changes were faster every time; nothing was changed, try again")
+}
+
+func (s *Service) tryApply(ctx context.Context, change models.ConfigChange, writeID string) (models.ConfigResult, error) {
+	version, err := s.refresh(ctx)
+	if err != nil {
+		return models.ConfigResult{}, err
+	}
+	view := s.View()
+	if err := conflicts(view, change); err != nil {
+		return models.ConfigResult{}, err
+	}
+	plan, err := s.plan(view, change, writeID)
+	if err != nil {
+		return models.ConfigResult{}, err
+	}
+	result := models.ConfigResult{Revision: plan.head.Revision, Diff: view.diff(change), Warnings: s.warnings(plan.view())}
+	if problems := contradictions(plan.view()); len(problems) > 0 {
+		return models.ConfigResult{}, &RefusedError{Problems: problems}
+	}
+	if change.DryRun {
+		result.Revision = view.Revision()
+		return result, nil
+	}
+	if err := s.write(ctx, plan, version, writeID); err != nil {
+		return models.ConfigResult{}, err
+	}
+	s.put(plan.view())
+	return result, nil
+}
+
+// refresh brings the view up to the store's head and gives the head's version.
+func (s *Service) refresh(ctx context.Context) (platform.Version, error) {
+	record, err := s.config.Store.Get(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, errstep.Wrap(err, "read configuration head", "store")
+	}
+	return record.Version, s.takeHead(ctx, record)
+}
+
+func conflicts(view *View, change models.ConfigChange) error {
+	conflict := &models.ConflictError{Revision: view.Revision()}
+	for _, key := range change.Keys() {
+		if view.changedAt(key) > change.Base {
+			conflict.Objects = append(conflict.Objects, key.String())
+		}
+	}
+	if len(conflict.Objects) > 0 {
+		return conflict
+	}
+	return nil
+}
+
+// plan is the next configuration, ready to be written.
+type plan struct {
+	head    models.ConfigHead
+	buckets map[models.BucketName]models.Bucket
+	stored  map[models.BucketHash][]byte
+	written map[models.BucketName]models.BucketHash
+	expired []models.RetiredBucket
+}
+
+func (p plan) view() *View { return newView(p.head, p.buckets, p.stored) }
+
+func (s *Service) plan(view *View, change models.ConfigChange, writeID string) (plan, error) {
+	p := plan{
+		head: models.ConfigHead{
+			Revision: view.Revision() + 1,
+			Buckets:  maps.Clone(view.Head.Buckets),
+			Writes:   recentWrites(view.Head, writeID),
+			Retired:  slices.Clone(view.Head.Retired),
+		},
+		buckets: maps.Clone(view.buckets),
+		stored:  maps.Clone(view.stored),
+		written: map[models.BucketName]models.BucketHash{},
+	}
+	if p.buckets == nil {
+		p.buckets, p.stored = map[models.BucketName]models.Bucket{}, map[models.BucketHash][]byte{}
+	}
+	for name, bucket := range changedBuckets(view, change, p.head.Revision) {
+		bucket.Name, bucket.WriteID = name, writeID
+		data, hash, err := bucket.Encode()
+		if err != nil {
+			return plan{}, err
+		}
+		if len(data) > platform.MaxValue {
+			return plan{}, &RefusedError{Problems: []string{"bucket " + string(name) + " would outgrow the store's largest value"}}
+		}
+		p.replace(name, bucket, hash, data)
+	}
+	p.expire()
+	return p, nil
+}
+
+func (p *plan) replace(name models.BucketName, bucket models.Bucket, hash models.BucketHash, data []byte) {
+	if old, ok := p.head.Buckets[name]; ok {
+		p.head.Retired = append(p.head.Retired, models.RetiredBucket{Name: name, Hash: old, Since: p.head.Revision})
+		delete(p.stored, old)
+	}
+	p.head.Buckets[name] = hash
+	p.buckets[name] = bucket
+	p.stored[hash] = data
+	p.written[name] = hash
+}
+
+// expire takes out of the head the buckets that are to be deleted after the swap.
+func (p *plan) expire() {
+	if extra := len(p.head.Retired) - keptRetired; extra > 0 {
+		p.expired = p.head.Retired[:extra]
+		p.head.Retired = p.head.Retired[extra:]
+	}
+}
+
+func recentWrites(head models.ConfigHead, writeID string) map[string]models.Revision {
+	writes := map[string]models.Revision{writeID: head.Revision + 1}
+	for id, revision := range head.Writes {
+		if revision+keptWrites > head.Revision {
+			writes[id] = revision
+		}
+	}
+	return writes
+}
+
+// changedBuckets gives the buckets that a change touches as they will be.
+func changedBuckets(view *View, change models.ConfigChange, revision models.Revision) map[models.BucketName]models.Bucket {
+	changed := map[models.BucketName]models.Bucket{}
+	take := func(key models.ObjectKey) models.Bucket {
+		bucket, ok := changed[key.Bucket()]
+		if !ok {
+			bucket = view.buckets[key.Bucket()]
+			bucket.Deleted = maps.Clone(bucket.Deleted)
+			if bucket.Deleted == nil {
+				bucket.Deleted = map[string]models.Revision{}
+			}
+		}
+		bucket.Objects = slices.DeleteFunc(slices.Clone(bucket.Objects), func(b models.ObjectBox) bool { return b.Object.Key() == key })
+		delete(bucket.Deleted, key.String())
+		return bucket
+	}
+	for _, box := range change.Put {
+		bucket := take(box.Object.Key())
+		bucket.Objects = append(bucket.Objects, models.ObjectBox{Object: box.Object, Changed: revision})
+		changed[box.Object.Key().Bucket()] = bucket
+	}
+	for _, key := range change.Delete {
+		bucket := take(key)
+		bucket.Deleted[key.String()] = revision
+		pruneDeleted(bucket.Deleted)
+		changed[key.Bucket()] = bucket
+	}
+	return changed
+}
+
+func pruneDeleted(deleted map[string]models.Revision) {
+	for len(deleted) > keptDeletions {
+		oldest := ""
+		for key, revision := range deleted {
+			if oldest == "" || revision < deleted[oldest] {
+				oldest = key
+			}
+		}
+		delete(deleted, oldest)
+	}
+}
+
+// write writes the buckets and swaps the head. On platform.ErrConflict nothing is
+// in force.
+func (s *Service) write(ctx context.Context, p plan, version platform.Version, writeID string) error {
+	for name, hash := range p.written {
+		_, err := s.config.Store.Swap(ctx, bucketKey(name, hash), p.stored[hash], 0, 0)
+		// A conflict means that a lost try wrote it: the key holds the write's id.
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			return errstep.Wrap(err, "write bucket "+string(name)+"; nothing is in force of the change", "store")
+		}
+	}
+	value, err := json.Marshal(p.head)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration head")
+	}
+	_, err = s.config.Store.Swap(ctx, HeadKey, value, version, 0)
+	switch {
+	case err == nil:
+	case errors.Is(err, platform.ErrUnknown):
+		if err := s.settle(ctx, writeID); err != nil {
+			return err
+		}
+	case errors.Is(err, platform.ErrConflict):
+		s.discard(ctx, p)
+		return errstep.Wrap(err, "swap configuration head", "store")
+	default:
+		return errstep.Wrap(err, "swap configuration head; nothing is in force of the change", "store")
+	}
+	s.removeExpired(ctx, p.expired)
+	return nil
+}
+
+// settleTries bounds how often the head is read back after a lost answer.
+const settleTries = 3
+
+// settle finds out whether a change whose answer was lost took effect.
+func (s *Service) settle(ctx context.Context, writeID string) error {
+	for range settleTries {
+		record, err := s.config.Store.Get(ctx, HeadKey)
+		if err != nil {
+			continue
+		}
+		head, err := wire.DecodeBytes[models.ConfigHead](record.Value)
+		if err != nil {
+			return err
+		}
+		if _, ok := head.Writes[writeID]; ok {
+			return nil
+		}
+		break // not there, but the write may still be on its way
+	}
+	return errstep.Wrap(ErrMaybeApplied, "swap configuration head", "store")
+}
+
+// discard deletes the buckets of a change that lost the race; a key that stays
+// behind does no harm.
+func (s *Service) discard(ctx context.Context, p plan) {
+	for name, hash := range p.written {
+		s.removeBucket(ctx, name, hash)
+	}
+}
+
+func (s *Service) removeExpired(ctx context.Context, expired []models.RetiredBucket) {
+	for _, old := range expired {
+		s.removeBucket(ctx, old.Name, old.Hash)
+	}
+}
+
+func (s *Service) removeBucket(ctx context.Context, name models.BucketName, hash models.BucketHash) {
+	key := bucketKey(name, hash)
+	record, err := s.config.Store.Get(ctx, key)
+	if err == nil {
+		err = s.config.Store.Delete(ctx, key, record.Version)
+	}
+	if err != nil {
+		s.config.Scope.Counter("buckets_left_behind").Inc(1)
+	}
+}
--- /dev/null
+++ b/services/daemon/daemon.go
@@ -0,0 +1,243 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package daemon puts a daemon together from its settings and runs it. It is the
+// one place that knows all parts, and the order in which a planned stop ends them.
+//
+// # Usage
+//
+//	d, err := daemon.New(daemon.Config{Settings: settings, Logger: logger})
+//	err = d.Run(ctx) // until ctx ends and the planned stop is over
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/graceful"
+	"rillsail.example/rillsail/modules/listen"
+	"rillsail.example/rillsail/modules/metrics"
+	"rillsail.example/rillsail/modules/setting"
+	"rillsail.example/rillsail/services/cell"
+	"rillsail.example/rillsail/services/claim"
+	"rillsail.example/rillsail/services/config"
+	"rillsail.example/rillsail/services/entry"
+	"rillsail.example/rillsail/services/interference"
+	"rillsail.example/rillsail/services/inventory"
+	"rillsail.example/rillsail/services/member"
+	"rillsail.example/rillsail/services/operate"
+	"rillsail.example/rillsail/services/peer"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// Config is what a daemon is made of.
+type Config struct {
+	Settings *setting.Settings
+	Logger   *zap.Logger
+	// Routers makes the handlers of the three listeners; package routers gives it.
+	Routers func(*Daemon) Handlers
+}
+
+// Daemon is one rillsaild.
+type Daemon struct {
+	Settings  *setting.Settings
+	Logger    *zap.Logger
+	Metrics   *metrics.Registry
+	Members   *member.Service
+	Inventory *inventory.Service
+	Config    *config.Service
+	Cells     *cell.Manager
+	Claims    *claim.Service
+	Entry     *entry.Service
+	Operate   *operate.Service
+	Learner   *interference.Learner
+
+	client    *peer.Client
+	manager   *graceful.Manager
+	listeners []*listen.Server
+}
+
+// idMaker makes ids that no other process makes.
+type idMaker struct {
+	prefix string
+	next   atomic.Uint64
+}
+
+func newIDMaker() (*idMaker, error) {
+	var random [8]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return nil, errors.Wrap(err, "draw random id")
+	}
+	return &idMaker{prefix: hex.EncodeToString(random[:])}, nil
+}
+
+func (m *idMaker) make() string { return m.prefix + "-" + strconv.FormatUint(m.next.Add(1), 36) }
+
+// New makes a daemon and opens its listeners.
+func New(c Config) (*Daemon, error) {
+	ids, err := newIDMaker()
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		Settings: c.Settings, Logger: c.Logger, Metrics: metrics.New(metrics.Config{Process: "rillsail"}),
+		manager: graceful.New(graceful.Config{Logger: c.Logger}), Learner: interference.New(interference.Config{}),
+	}
+	d.assemble(ids)
+	if err := d.open(c.Routers(d)); err != nil {
+		return nil, err
+	}
+	d.arrange()
+	return d, nil
+}
+
+func (d *Daemon) assemble(ids *idMaker) {
+	s := d.Settings
+	self := models.Member{
+		ID: models.MemberID(s.Daemon.ID), Incarnation: models.Incarnation(ids.prefix),
+		Domain: models.FailureDomain(s.Daemon.Domain), PeerAddress: s.Listen.Peer,
+	}
+	scope := d.Metrics.Scope
+	store := platform.NewHTTPStore(platform.HTTPConfig{
+		Address: s.Platform.Store, CallTimeout: s.Platform.CallTimeout, WatchWait: s.Platform.WatchWait,
+	})
+	d.client = peer.New(peer.Config{Self: self.ID, Token: s.Listen.PeerToken, Timeout: s.Platform.CallTimeout})
+	d.Members = member.New(member.Config{
+		Self: self, Store: store, Client: d.client, Logger: d.Logger, Scope: scope.SubScope("member"),
+		Lease: s.Member.Lease, Heartbeat: s.Member.Heartbeat, SilentAfter: s.Member.SilentAfter, Sync: s.Member.Sync,
+		Seeds: s.Member.Seeds,
+	})
+	d.Inventory = inventory.New(inventory.Config{
+		List:  platform.NewHTTPList(platform.HTTPConfig{Address: s.Platform.List, CallTimeout: s.Platform.CallTimeout}),
+		Store: store, Every: s.Platform.ListEvery, Logger: d.Logger, Scope: scope.SubScope("inventory"), Changed: d.inventoryChanged,
+	})
+	d.Config = config.New(config.Config{
+		Store: store, Logger: d.Logger, Scope: scope.SubScope("config"), Sync: s.Member.Heartbeat,
+		FromPeers: d.configFromPeers, Accepted: d.configAccepted, VMs: d.Inventory.VMs, NewID: ids.make,
+	})
+	d.Cells = cell.NewManager(cell.ManagerConfig{
+		Self: self.ID, Settings: s.Cell, Every: s.Member.Heartbeat, HoldOff: s.Member.SilentAfter, Store: store,
+		Workers:   platform.NewHTTPWorkers(platform.HTTPConfig{CallTimeout: s.Platform.CallTimeout}),
+		Inventory: d.Inventory, View: d.Config.View, Members: d.Members, Client: d.client, Learner: d.Learner,
+		Logger: d.Logger, Scope: scope.SubScope("cell"), NewID: ids.make,
+	})
+	d.Claims = claim.New(claim.Config{Self: self.ID, Members: d.Members, Client: d.client, Keep: s.Entry.ClaimKeepDone})
+	d.Entry = entry.New(entry.Config{
+		Self: self.ID, Settings: s.Entry, MaxBody: int64(s.Listen.MaxBody), View: d.Config.View, Claims: d.Claims,
+		Logger: d.Logger, Scope: scope.SubScope("entry"), NewID: ids.make,
+	})
+	d.Operate = operate.New(operate.Config{
+		Cells: d.Cells, Inventory: d.Inventory, Members: d.Members, View: d.Config.View, Entry: d.Entry,
+	})
+	d.Members.AddSource(d.Cells.Beat)
+	d.Members.AddSource(d.Entry.Beat)
+	d.Members.AddSource(func(b *models.Heartbeat) { b.Revision = d.Config.View().Revision() })
+}
+
+// arrange sets the loops and the order of a planned stop: tell the peers, let the
+// balancer and the requests in flight end, pass on cells and claims.
+func (d *Daemon) arrange() {
+	d.manager.Loop("inventory", d.Inventory.Run)
+	d.manager.Loop("configuration", d.Config.Run)
+	d.manager.Loop("members", d.Members.Run)
+	d.manager.Loop("cells", d.Cells.Run)
+	d.manager.Loop("sync", d.syncLoop)
+	for _, l := range d.listeners {
+		d.manager.Loop("listener "+l.Address(), l.Run)
+	}
+	d.manager.OnStop("leave the members", d.leave)
+	d.manager.OnStop("drain the entry", d.drain)
+	d.manager.OnStop("release the cells", d.release)
+	d.manager.OnStop("carry the claims", d.Claims.Carry)
+}
+
+// Run runs the daemon until ctx ends and the planned stop is over.
+func (d *Daemon) Run(ctx context.Context) {
+	d.Logger.Info("daemon starts", zap.String("domain", d.Settings.Daemon.Domain),
+		zap.String("callers", d.Settings.Listen.Caller), zap.String("operators", d.Settings.Listen.Operator),
+		zap.String("peers", d.Settings.Listen.Peer))
+	d.manager.Run(ctx)
+	_ = d.Metrics.Close() // nothing to do about a reporter that can't close
+}
+
+func (d *Daemon) leave(ctx context.Context) error {
+	d.Entry.BeginDrain()
+	return d.Members.Leave(ctx)
+}
+
+func (d *Daemon) drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.Settings.Entry.DrainTimeout)
+	defer cancel()
+	return d.Entry.Drain(ctx)
+}
+
+// releaseSilences is for how many silent periods a stop waits for peers to take its
+// cells.
+const releaseSilences = 3
+
+func (d *Daemon) release(ctx context.Context) error {
+	return d.Cells.Release(ctx, releaseSilences*d.Settings.Member.SilentAfter)
+}
+
+// Heard takes what a peer's heartbeat says beside membership.
+func (d *Daemon) Heard(beat models.Heartbeat) { d.Config.Hint(beat.Revision) }
+
+// syncLoop hands the entry what is known of upstreams and peers.
+func (d *Daemon) syncLoop(ctx context.Context) {
+	ticker := time.NewTicker(d.Settings.Member.Heartbeat)
+	defer ticker.Stop()
+	for {
+		d.sync()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Daemon) sync() {
+	beats := d.Members.Beats()
+	for _, beat := range beats {
+		d.Config.Hint(beat.Revision)
+	}
+	d.Entry.Sync(d.Inventory.Upstreams(), d.Members.LiveIDs(), beats)
+}
+
+func (d *Daemon) inventoryChanged() {
+	d.sync()
+	d.Cells.Nudge()
+}
+
+func (d *Daemon) configAccepted(*config.View) {
+	d.Members.Nudge() // peers hear of the revision at once
+	d.sync()
+}
+
+// configFromPeers asks the peers one after the other, those with the highest
+// revision first, and all of them when nobody has told one yet.
+func (d *Daemon) configFromPeers(ctx context.Context, query models.ConfigQuery) models.ConfigTransfer {
+	var best models.Heartbeat
+	for _, beat := range d.Members.Beats() {
+		if beat.Revision > best.Revision {
+			best = beat
+		}
+	}
+	if best.Revision <= query.Revision {
+		return models.ConfigTransfer{}
+	}
+	transfer, err := d.client.Configuration(ctx, best.Member.PeerAddress, query)
+	if err != nil {
+		return models.ConfigTransfer{}
+	}
+	d.Inventory.Offer(transfer.Cells)
+	return transfer
+}
--- /dev/null
+++ b/services/entry/claim.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"rillsail.example/rillsail/models"
+)
+
+// claim gets the right to send an unrepeatable request that names a key, so that a
+// caller may send it again through any daemon and it still runs at most once.
+func (s *Service) claim(ctx context.Context, req *request) *refusal {
+	if !req.class.Unrepeatable || req.key == "" {
+		return nil
+	}
+	state, ended, err := s.config.Claims.Claim(ctx, req.key, req.id)
+	switch {
+	case err != nil:
+		req.key = "" // nothing to end
+		return &refusal{
+			status: http.StatusServiceUnavailable, outcome: models.RequestNotRun,
+			reason: "the idempotency key could not be claimed: " + err.Error(), retry: comeBack,
+		}
+	case state == models.ClaimGranted:
+		return nil
+	}
+	req.key = ""
+	r := &refusal{status: http.StatusConflict, outcome: models.RequestUnknown, retry: comeBack}
+	switch {
+	case state == models.ClaimUnknown:
+		r.reason = "the daemons that knew whether this key was used are gone; check at the booking whether it ran"
+		r.retry = 0
+	case ended:
+		r.reason = "a request with this key was sent before; it is over"
+		r.retry = 0
+	default:
+		r.reason = "a request with this key is under way"
+	}
+	return r
+}
+
+// endClaim says what became of a request that held its key. A request that was not
+// run frees the key before its caller hears so.
+func (s *Service) endClaim(req *request, o outcome) {
+	if !req.class.Unrepeatable || req.key == "" {
+		return
+	}
+	notRun := o.refusal != nil && o.refusal.outcome == models.RequestNotRun
+	s.config.Claims.End(req.key, req.id, notRun)
+}
--- /dev/null
+++ b/services/entry/decode.go
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/models"
+)
+
+// defaultClass takes the requests that no class of the configuration selects. It
+// is unrepeatable, so that nothing is sent twice that nobody declared safe.
+var defaultClass = models.Class{Name: "default", Priority: models.PriorityOrdinary, Unrepeatable: true}
+
+// Bounds on what a request may say of itself.
+const (
+	maxLabels   = 32
+	maxDeadline = 24 * time.Hour
+)
+
+// decode reads the whole request, so that half a request never reaches an upstream.
+func (s *Service) decode(r *http.Request) (*request, *refusal) {
+	req := &request{
+		id: s.config.NewID(), arrived: time.Now(), source: r, class: defaultClass, tried: map[models.VMID]bool{},
+	}
+	var err error
+	if req.labels, err = parseLabels(r.Header.Get(models.HeaderLabels)); err != nil {
+		return req, malformed(err)
+	}
+	if req.deadline, err = parseDeadline(r.Header.Get(models.HeaderDeadline), req.arrived); err != nil {
+		return req, malformed(err)
+	}
+	req.key = r.Header.Get(models.HeaderIdempotencyKey)
+	if len(req.key) > models.MaxIdempotencyKey {
+		return req, malformed(errors.Newf("%s is longer than %d bytes", models.HeaderIdempotencyKey, models.MaxIdempotencyKey))
+	}
+	body := http.MaxBytesReader(nil, r.Body, s.config.MaxBody)
+	req.body, err = io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return req, &refusal{status: http.StatusRequestEntityTooLarge, outcome: models.RequestNotRun, reason: "body is larger than " + strconv.FormatInt(s.config.MaxBody, 10) + " bytes"}
+	}
+	if err != nil {
+		return req, malformed(errors.Wrap(err, "body did not arrive whole"))
+	}
+	return req, nil
+}
+
+func malformed(err error) *refusal {
+	return &refusal{status: http.StatusBadRequest, outcome: models.RequestNotRun, reason: err.Error()}
+}
+
+// parseLabels reads "key=value,key=value".
+func parseLabels(text string) (map[string]string, error) {
+	labels := map[string]string{}
+	if text == "" {
+		return labels, nil
+	}
+	for _, part := range strings.Split(text, ",") {
+		key, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || key == "" {
+			return nil, errors.Newf("%s: %q is not key=value", models.HeaderLabels, part)
+		}
+		labels[key] = value
+	}
+	if len(labels) > maxLabels {
+		return nil, errors.Newf("%s: more than %d labels", models.HeaderLabels, maxLabels)
+	}
+	return labels, nil
+}
+
+// parseDeadline reads milliseconds from now; zero time when there are none.
+func parseDeadline(text string, now time.Time) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+		return time.Time{}, errors.Newf("%s: %q is not a number of milliseconds from 1 to %d", models.HeaderDeadline, text, maxDeadline.Milliseconds())
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond), nil
+}
+
+// classify finds the first class whose selector takes the request's labels.
+func (s *Service) classify(req *request) {
+	for _, class := range s.config.View().Classes {
+		if s.selectors.Matches(class.Selector, req.labels) {
+			req.class = class
+			break
+		}
+	}
+	if !req.deadline.IsZero() {
+		return
+	}
+	switch {
+	case req.class.Deadline > 0:
+		req.deadline = req.arrived.Add(req.class.Deadline.Duration())
+	case req.class.Priority != models.PriorityDeferred:
+		req.deadline = req.arrived.Add(s.config.Settings.Deadline)
+	}
+}
--- /dev/null
+++ b/services/entry/path.go
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"rillsail.example/rillsail/models"
+)
+
+// request is one caller's request on its way through the filters.
+type request struct {
+	id       string
+	arrived  time.Time
+	class    models.Class
+	labels   map[string]string
+	deadline time.Time // zero: none
+	key      string    // idempotency key, of unrepeatable requests
+	body     []byte
+	source   *http.Request
+	tried    map[models.VMID]bool
+	sent     int // times it may have reached an upstream
+}
+
+// ServeHTTP is the path of a request. Each filter either hands it on or refuses.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	s.inFlight.Add(1)
+	defer func() {
+		s.inFlight.Add(-1)
+		s.active.Done()
+	}()
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close") // the balancer's kept connections end here
+	}
+	req, refusal := s.decode(r)
+	if refusal != nil {
+		s.refuse(w, req, *refusal)
+		return
+	}
+	s.budget.earn()
+	s.classify(req)
+	ctx, cancel := req.context(r.Context())
+	defer cancel()
+	if refusal := s.claim(ctx, req); refusal != nil {
+		s.refuse(w, req, *refusal)
+		return
+	}
+	outcome := s.forward(ctx, w, req)
+	s.endClaim(req, outcome)
+	if outcome.refusal != nil {
+		s.refuse(w, req, *outcome.refusal)
+		return
+	}
+	s.finish(req, outcome)
+}
+
+// outcome is how the sending of a request ended.
+type outcome struct {
+	refusal *refusal // nil: an answer was relayed
+	cut     bool     // the answer was cut off after its header had been relayed
+	aborted bool     // the caller went away
+}
+
+// forward admits, picks, sends and relays, again while that is safe and within the
+// retry budget.
+func (s *Service) forward(ctx context.Context, w http.ResponseWriter, req *request) outcome {
+	for {
+		slot, refusal := s.gate.admit(ctx, req)
+		if refusal != nil {
+			return outcome{refusal: refusal.after(req)}
+		}
+		answer, failure := s.send(ctx, req, slot)
+		if failure == nil {
+			return s.relay(w, req, slot, answer)
+		}
+		slot.release(failure.verdict(), 0)
+		req.tried[slot.upstream.id()] = true
+		if !s.mayRetry(req, failure) {
+			if failure.answer != nil {
+				return s.relayHeld(w, failure.answer)
+			}
+			return outcome{refusal: failure.refusal(req), aborted: ctx.Err() != nil}
+		}
+		s.counters.of(req.class.Name).retried.Inc(1)
+	}
+}
+
+// finish counts an answered request.
+func (s *Service) finish(req *request, o outcome) {
+	c := s.counters.of(req.class.Name)
+	switch {
+	case o.cut:
+		c.unknown.Inc(1)
+		panic(http.ErrAbortHandler) // never passes for a whole answer
+	case o.aborted:
+		return
+	default:
+		c.answered.Inc(1)
+		c.latency.RecordDuration(time.Since(req.arrived))
+	}
+}
+
+func (r *request) context(parent context.Context) (context.Context, context.CancelFunc) {
+	if r.deadline.IsZero() {
+		return context.WithCancel(parent)
+	}
+	return context.WithDeadline(parent, r.deadline)
+}
+
+// mayRetry tells whether a failed request may be sent to another upstream.
+func (s *Service) mayRetry(req *request, f *failure) bool {
+	if req.source.Context().Err() != nil {
+		return false
+	}
+	if f.notRun && len(req.tried) < maxTries {
+		return s.budget.take()
+	}
+	return !req.class.Unrepeatable && len(req.tried) < maxTries && s.budget.take()
+}
+
+// maxTries bounds how often one request is sent.
+const maxTries = 3
--- /dev/null
+++ b/services/entry/refusal.go
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package entry
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/metrics"
+	"rillsail.example/rillsail/modules/wire"
+)
+
+// refusal is the final answer to a request that gets none of an upstream.
+type refusal struct {
+	status  int
+	outcome models.RequestOutcome
+	reason  string
+	retry   time.Duration // when to come back; 0: not worth it
+}
+
+// after makes the refusal of a request that may have reached an upstream before say so.
+func (r *refusal) after(req *request) *refusal {
+	if req.sent > 0 {
+		r.outcome = models.RequestUnknown
+	}
+	return r
+}
+
+// Problem is the body of a refusal.
+type Problem struct {
+	Outcome models.RequestOutcome `json:"outcome"`
+	Reason  string                `json:"reason"`
+	Class   models.ClassName      `json:"class"`
+}
+
+func (s *Service) refuse(w http.ResponseWriter, req *request, r refusal) {
+	c := s.counters.of(req.class.Name)
+	if r.outcome == models.RequestNotRun {
+		c.refused.Inc(1)
+	} else {
+		c.unknown.Inc(1)
+	}
+	w.Header().Set(models.HeaderOutcome, string(r.outcome))
+	w.Header().Set(models.HeaderReason, r.reason)
+	if r.retry > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.retry.Seconds()))))
+	}
+	wire.Write(w, r.status, Problem{Outcome: r.outcome, Reason: r.reason, Class: req.class.Name})
+}
+
+func (c *counters) of(class models.ClassName) classCounters {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counters, ok := c.byClass[class]
+	if !ok {
+		scope := c.scope.Tagged(map[string]string{"class": string(class)})
+		counters = classCounters{
+			answered: scope.Counter("answered"), refused: scope.Counter("refused_not_run"),
+			unknown: scope.Counter("outcome_unknown"), retried: scope.Counter("retried"),
+			latency: scope.Histogram(metrics.ServiceLatency, metrics.LatencyBuckets),
+		}
+		c.byClass[class] = counters
+	}
+	return counters
+}
+
+// Drain ends the entry for a planned stop: the health check fails and kept
+// connections are closed with their next answer, while everything in flight, and
+// what still arrives, is served. It returns when nothing has been in flight for a
+// moment, or with ctx's error.
+func (s *Service) Drain(ctx context.Context) error {
+	s.BeginDrain()
+	quiet := time.NewTicker(drainLook)
+	defer quiet.Stop()
+	for calm := 0; calm < drainCalm; {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-quiet.C:
+			if s.InFlight() == 0 {
+				calm++
+			} else {
+				calm = 0
+			}
+		}
+	}
+	return nil
+}
+
+// BeginDrain lets the health check fail and kept connections end.
+func (s *Service) BeginDrain() { s.draining.Store(true) }
+
+// A drain ends when so many looks one after the other have found nothing in flight.
+const (
+	drainLook = 100 * time.Millisecond
+	drainCalm = 10
+)
+
+// Healthy tells the balancer whether to send new requests here.
+func (s *Service) Healthy() bool { return !s.draining.Load() }
--- /dev/null
+++ b/services/entry/send.go
@@ -0,0 +1,200 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"slices"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/errstep"
+)
+
+// answer is an upstream's answer whose header has come.
+type answer struct {
+	response *http.Response
+	wait     time.Duration // until the header
+	whole    []byte        // the body, when it was held back to be checked
+	held     bool
+}
+
+// failure is a sending without usable answer.
+type failure struct {
+	err    error
+	notRun bool // no byte reached the upstream, or it said so itself
+	caller bool // the caller went away or its deadline passed
+	// answer is the upstream's own error, to be relayed when nothing else is tried.
+	answer *answer
+}
+
+func (f *failure) verdict() verdict {
+	if f.caller {
+		return verdictNone
+	}
+	return verdictFailure
+}
+
+func (f *failure) refusal(req *request) *refusal {
+	r := &refusal{status: http.StatusBadGateway, outcome: models.RequestUnknown, reason: f.err.Error(), retry: comeBack}
+	if f.caller {
+		r.status = http.StatusGatewayTimeout
+		r.reason = "deadline passed while the upstream worked: " + f.err.Error()
+	}
+	if f.notRun && req.sent == 0 {
+		r.status, r.outcome = http.StatusServiceUnavailable, models.RequestNotRun
+	}
+	return r
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// send sends the request once and waits for the answer's header, or for the whole
+// answer when it is short.
+func (s *Service) send(ctx context.Context, req *request, slot *slot) (*answer, *failure) {
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	sending, id := s.outgoing(httptrace.WithClientTrace(ctx, trace), req, slot.upstream.vm.Address)
+	began := time.Now()
+	response, err := s.transportFor(req).RoundTrip(sending)
+	if connected {
+		req.sent++
+	}
+	peer := string(slot.upstream.id())
+	if err != nil {
+		return nil, &failure{err: errstep.Wrap(err, "send request", peer), notRun: !connected, caller: ctx.Err() != nil}
+	}
+	if response.Close && !req.class.Unrepeatable {
+		s.gate.noteLeaving(slot.upstream)
+	}
+	a := &answer{response: response, wait: time.Since(began)}
+	if f := s.inspect(req, a, id, peer); f != nil {
+		_ = response.Body.Close()
+		f.caller = ctx.Err() != nil
+		return nil, f
+	}
+	return a, nil
+}
+
+// transportFor keeps unrepeatable requests off kept connections, on which a client
+// library may send a request a second time by itself.
+func (s *Service) transportFor(req *request) *http.Transport {
+	if req.class.Unrepeatable {
+		return s.once
+	}
+	return s.repeat
+}
+
+func (s *Service) outgoing(ctx context.Context, req *request, address string) (*http.Request, string) {
+	id := s.config.NewID()
+	out := &http.Request{
+		Method: req.source.Method,
+		URL:    &url.URL{Scheme: "http", Host: address, Path: req.source.URL.Path, RawPath: req.source.URL.RawPath, RawQuery: req.source.URL.RawQuery},
+		Header: req.source.Header.Clone(), Host: req.source.Host,
+		Body: io.NopCloser(bytes.NewReader(req.body)), ContentLength: int64(len(req.body)),
+	}
+	if len(req.body) == 0 {
+		out.Body = http.NoBody
+	}
+	for _, name := range hopHeaders {
+		out.Header.Del(name)
+	}
+	out.Header.Set(models.HeaderRequestID, id)
+	return out.WithContext(ctx), id
+}
+
+// inspect checks that the answer is this request's own, and holds back a short one
+// until it is whole.
+func (s *Service) inspect(req *request, a *answer, id, peer string) *failure {
+	r := a.response
+	if echoed := r.Header.Get(models.HeaderRequestID); echoed != "" && echoed != id {
+		return &failure{err: errstep.Wrap(errForeignAnswer, "check answer", peer)}
+	}
+	if r.Header.Get(models.HeaderOutcome) == string(models.RequestNotRun) {
+		req.sent--
+		return &failure{err: errstep.Wrap(errUpstreamRefused, "send request", peer), notRun: true}
+	}
+	if r.ContentLength < 0 || r.ContentLength > int64(s.config.Settings.BufferAnswer) {
+		return nil // streamed; a cut aborts the caller's connection
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil || int64(len(body)) != r.ContentLength && req.source.Method != http.MethodHead {
+		return &failure{err: errstep.Wrap(errShortAnswer, "read answer", peer)}
+	}
+	a.whole, a.held = body, true
+	if r.StatusCode >= http.StatusInternalServerError && !req.class.Unrepeatable {
+		return &failure{err: errstep.Wrap(statusError(r.StatusCode), "send request", peer), answer: a}
+	}
+	return nil
+}
+
+// relay passes the answer on to the caller and gives the slot back.
+func (s *Service) relay(w http.ResponseWriter, req *request, slot *slot, a *answer) outcome {
+	defer func() { _ = a.response.Body.Close() }()
+	v := verdictSuccess
+	if a.response.StatusCode >= http.StatusInternalServerError {
+		v = verdictFailure
+	}
+	if a.held {
+		slot.release(v, a.wait)
+		return s.relayHeld(w, a)
+	}
+	copyHeader(w.Header(), a.response.Header)
+	o := s.stream(w, req, a)
+	if o.cut {
+		v = verdictFailure
+	}
+	slot.release(v, a.wait)
+	return o
+}
+
+// relayHeld passes on an answer that was held back until it was whole.
+func (s *Service) relayHeld(w http.ResponseWriter, a *answer) outcome {
+	copyHeader(w.Header(), a.response.Header)
+	w.WriteHeader(a.response.StatusCode)
+	_, err := w.Write(a.whole)
+	return outcome{aborted: err != nil}
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !slices.Contains(hopHeaders, name) && name != models.HeaderRequestID {
+			to[name] = values
+		}
+	}
+}
+
+const streamChunk = 32 << 10
+
+// stream passes on an answer piece by piece as it comes.
+func (s *Service) stream(w http.ResponseWriter, req *request, a *answer) outcome {
+	w.WriteHeader(a.response.StatusCode)
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	buffer := make([]byte, streamChunk)
+	for {
+		n, err := a.response.Body.Read(buffer)
+		if n > 0 {
+			if _, err := w.Write(buffer[:n]); err != nil {
+				return outcome{aborted: true}
+			}
+			_ = controller.Flush()
+		}
+		switch {
+		case err == io.EOF:
+			return outcome{}
+		case err != nil:
+			return outcome{cut: true, aborted: req.source.Context().Err() != nil}
+		}
+	}
+}
--- /dev/null
+++ b/services/entry/upstream.go
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/rendezvous"
+	"rillsail.example/rillsail/modules/selector"
+)
+
+// upstream is what this daemon knows of an upstream; the gate's lock guards it.
+type upstream struct {
+	vm      models.VM
+	labels  map[string]string
+	drained bool
+
+	own     int     // requests of this daemon in flight there
+	peers   int     // those of the others, as last told
+	share   int     // slots that are this daemon's
+	latency average // time to the answer's header, in seconds
+
+	failing average   // 1 for a failure, 0 for a success
+	samples int       // since the last ejection
+	ejected time.Time // until when it gets nothing
+	strikes int       // ejections one after the other
+	leaving time.Time // until when its own word, or a peer's, counts
+	ownWord bool      // leaving by its own word, which peers are told
+}
+
+// average is an exponentially weighted mean.
+type average struct {
+	value float64
+	known bool
+}
+
+// averageWeight is the weight of the newest observation.
+const averageWeight = 0.1
+
+func (a *average) add(x float64) {
+	if !a.known {
+		a.value, a.known = x, true
+		return
+	}
+	a.value += averageWeight * (x - a.value)
+}
+
+func newUpstream() *upstream { return &upstream{} }
+
+func (u *upstream) id() models.VMID { return u.vm.ID }
+
+// serves tells whether new requests of the class may go there at all.
+func (u *upstream) serves(class models.Class, selectors *selector.Set) bool {
+	if u.vm.State != models.VMLive || u.drained || time.Now().Before(u.leaving) {
+		return false
+	}
+	return selectors.Matches(class.Upstreams, u.labels)
+}
+
+// Ejection of an upstream that fails.
+const (
+	ejectRate    = 0.5 // failures among the latest requests
+	ejectSamples = 5
+	ejectFor     = time.Second
+	ejectMost    = 30 * time.Second
+)
+
+// healthy tells whether the upstream is not ejected; after an ejection it gets one
+// request at a time until one succeeds.
+func (u *upstream) healthy(now time.Time) bool {
+	if now.Before(u.ejected) {
+		return false
+	}
+	return u.strikes == 0 || u.own == 0
+}
+
+// verdict is what one request tells of its upstream.
+type verdict int
+
+const (
+	verdictNone    verdict = iota // nothing: the caller went away
+	verdictSuccess                // it answered
+	verdictFailure                // it did not, or with an error of its own
+)
+
+// note takes a verdict; ejected tells that the upstream was just ejected.
+func (u *upstream) note(v verdict, now time.Time) (ejected bool) {
+	switch v {
+	case verdictNone:
+		return false
+	case verdictSuccess:
+		u.failing.add(0)
+		u.samples++
+		u.strikes = 0
+		return false
+	}
+	u.failing.add(1)
+	u.samples++
+	if u.strikes == 0 && (u.samples < ejectSamples || u.failing.value < ejectRate) {
+		return false
+	}
+	u.ejected = now.Add(min(ejectMost, ejectFor<<min(u.strikes, 5)))
+	u.strikes++
+	u.samples = 0
+	return true
+}
+
+// share divides each upstream's slots among the entries: everyone gets as many, and
+// what is left goes to the first in the upstream's hash order. The sum over the
+// entries is the upstream's slots.
+func (g *gate) share(live []models.MemberID) {
+	g.capacity = 0
+	for _, u := range g.order {
+		u.share = shareOf(u.vm, g.config.Self, live)
+		if u.vm.State == models.VMLive && !u.drained {
+			g.capacity += u.share
+		}
+	}
+}
+
+func shareOf(vm models.VM, self models.MemberID, live []models.MemberID) int {
+	if len(live) == 0 || !slices.Contains(live, self) {
+		return max(1, vm.Slots/(len(live)+1))
+	}
+	share := vm.Slots / len(live)
+	rank := slices.Index(rendezvous.Order(string(vm.ID), live), self)
+	if rank < vm.Slots%len(live) {
+		share++
+	}
+	return share
+}
+
+// leavingFor is for how long an upstream's or a peer's word of leaving counts; the
+// VM list has caught up by then.
+const leavingFor = 15 * time.Second
+
+// hear takes the peers' counts and what they say of leaving upstreams.
+func (g *gate) hear(beats map[models.MemberID]models.Heartbeat) {
+	for _, u := range g.order {
+		u.peers = 0
+	}
+	now := time.Now()
+	for _, beat := range beats {
+		for id, load := range beat.Load {
+			if u, ok := g.upstreams[id]; ok {
+				u.peers += load
+			}
+		}
+		for _, id := range beat.LeavingVMs {
+			if u, ok := g.upstreams[id]; ok && !u.ownWord {
+				u.leaving = now.Add(leavingFor)
+			}
+		}
+	}
+}
+
+// noteLeaving takes an upstream's own word that it closes its connections. When
+// most of them do so, it says nothing of leaving and is not believed.
+func (g *gate) noteLeaving(u *upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	leaving := 1
+	for _, other := range g.order {
+		if other != u && now.Before(other.leaving) {
+			leaving++
+		}
+	}
+	if 2*leaving > len(g.order) {
+		return
+	}
+	u.leaving, u.ownWord = now.Add(leavingFor), true
+}
+
+// beat tells the peers what this daemon has in flight, and who leaves by its own word.
+func (g *gate) beat(beat *models.Heartbeat) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	beat.Load = map[models.VMID]int{}
+	beat.Waiting = g.waiting
+	now := time.Now()
+	for _, u := range g.order {
+		if u.own > 0 {
+			beat.Load[u.id()] = u.own
+		}
+		if u.ownWord && now.Before(u.leaving) {
+			beat.LeavingVMs = append(beat.LeavingVMs, u.id())
+		} else {
+			u.ownWord = false
+		}
+	}
+}
--- /dev/null
+++ b/services/inventory/inventory.go
@@ -0,0 +1,264 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package inventory knows the platform's VMs: the list as last read, when a VM left
+// it, and to which cell each worker belongs. The map of cells is kept in the store
+// and only ever grows.
+//
+// # Usage
+//
+//	vms := inventory.New(inventory.Config{List: list, Store: store, …})
+//	manager.Loop("inventory", vms.Run)
+//	for _, vm := range vms.WorkersOf(cell) { … }
+package inventory
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/errstep"
+	"rillsail.example/rillsail/modules/log"
+	"rillsail.example/rillsail/modules/wire"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// CellMapKey is the store's key of the map of cells.
+const CellMapKey = "cellmap"
+
+// Config says where list and map come from.
+type Config struct {
+	List   platform.List
+	Store  platform.Store
+	Every  time.Duration // between two reads of the list
+	Logger *zap.Logger
+	Scope  tally.Scope
+	// Changed is called after a read that found another list or map.
+	Changed func()
+}
+
+// Service holds the list and the map.
+type Service struct {
+	config Config
+
+	mu      sync.RWMutex
+	list    models.VMList
+	vms     map[models.VMID]models.VM
+	gone    map[models.VMID]time.Time
+	read    time.Time // of the list, zero before the first
+	cells   models.CellMap
+	version platform.Version // of the map's key
+	failing bool
+}
+
+// New makes a service that knows nothing yet.
+func New(config Config) *Service {
+	return &Service{config: config, vms: map[models.VMID]models.VM{}, gone: map[models.VMID]time.Time{}}
+}
+
+// Run reads the list until ctx ends.
+func (s *Service) Run(ctx context.Context) { s.loop(ctx) }
+
+func (s *Service) loop(ctx context.Context) {
+	ticker := time.NewTicker(s.config.Every)
+	defer ticker.Stop()
+	for {
+		s.note(s.Refresh(ctx))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Service) note(err error) {
+	s.mu.Lock()
+	failing := err != nil
+	changed := failing != s.failing
+	s.failing = failing
+	s.mu.Unlock()
+	if failing {
+		s.config.Scope.Counter("reads_failed").Inc(1)
+	}
+	if changed && failing {
+		s.config.Logger.Warn("VM list or cell map can't be read; the last one stays in use", log.Err(err)...)
+	} else if changed {
+		s.config.Logger.Info("VM list and cell map are read again")
+	}
+}
+
+// Refresh reads the list once and enters new racks in the map.
+func (s *Service) Refresh(ctx context.Context) error {
+	list, err := s.config.List.VMs(ctx)
+	if err != nil {
+		return err
+	}
+	changed := s.take(list)
+	err = s.refreshCells(ctx, list)
+	if changed {
+		s.config.Changed()
+	}
+	return err
+}
+
+func (s *Service) take(list models.VMList) (changed bool) {
+	now := time.Now()
+	vms := make(map[models.VMID]models.VM, len(list.VMs))
+	for _, vm := range list.VMs {
+		vms[vm.ID] = vm
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, vm := range vms {
+		old, known := s.vms[id]
+		changed = changed || !known || old.State != vm.State || old.Address != vm.Address
+		delete(s.gone, id)
+	}
+	for id := range s.vms {
+		if _, ok := vms[id]; !ok {
+			s.gone[id] = now
+			changed = true
+		}
+	}
+	s.list, s.vms, s.read = list, vms, now
+	return changed
+}
+
+// refreshCells makes sure that the map holds every rack of the list.
+func (s *Service) refreshCells(ctx context.Context, list models.VMList) error {
+	for {
+		cells, version := s.cellMap()
+		next, missing := cells.With(list)
+		if !missing {
+			return nil
+		}
+		// Read first: another daemon may have entered the racks.
+		found, foundVersion, err := s.readCells(ctx)
+		if err != nil {
+			return err
+		}
+		if foundVersion != version {
+			s.setCells(found, foundVersion)
+			continue
+		}
+		version, err = s.writeCells(ctx, next, version)
+		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		s.setCells(next, version)
+		return nil
+	}
+}
+
+func (s *Service) readCells(ctx context.Context) (models.CellMap, platform.Version, error) {
+	record, err := s.config.Store.Get(ctx, CellMapKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return models.CellMap{}, 0, nil
+	}
+	if err != nil {
+		return models.CellMap{}, 0, errstep.Wrap(err, "read cell map", "store")
+	}
+	cells, err := wire.DecodeBytes[models.CellMap](record.Value)
+	return cells, record.Version, errstep.Wrap(err, "decode cell map", "store")
+}
+
+func (s *Service) writeCells(ctx context.Context, cells models.CellMap, version platform.Version) (platform.Version, error) {
+	value, err := json.Marshal(cells)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode cell map")
+	}
+	version, err = s.config.Store.Swap(ctx, CellMapKey, value, version, 0)
+	return version, errstep.Wrap(err, "write cell map", "store")
+}
+
+func (s *Service) cellMap() (models.CellMap, platform.Version) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.cells, s.version
+}
+
+func (s *Service) setCells(cells models.CellMap, version platform.Version) {
+	s.mu.Lock()
+	s.cells, s.version = cells, version
+	s.mu.Unlock()
+	s.config.Logger.Info("cell map is in force", zap.Int("cells", len(cells.Cells)), zap.Int("racks", len(cells.Racks)))
+	s.config.Changed()
+}
+
+// Offer takes a peer's map when this daemon has none, as during a store outage.
+func (s *Service) Offer(cells models.CellMap) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.version == 0 && len(s.cells.Cells) < len(cells.Cells) {
+		s.cells = cells
+	}
+}
+
+// Cells is the map of cells.
+func (s *Service) Cells() models.CellMap {
+	cells, _ := s.cellMap()
+	return cells
+}
+
+// VMs is the list as last read.
+func (s *Service) VMs() models.VMList {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.list
+}
+
+// Get gives a VM of the list.
+func (s *Service) Get(id models.VMID) (models.VM, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	vm, ok := s.vms[id]
+	return vm, ok
+}
+
+// Listed tells whether the VM is listed; if not, since when this daemon has known
+// so. A VM that was never seen counts from the first read of the list.
+func (s *Service) Listed(id models.VMID) (listed bool, goneSince time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.vms[id]; ok || s.read.IsZero() {
+		return true, time.Time{}
+	}
+	since, ok := s.gone[id]
+	if !ok {
+		since = time.Now()
+		s.gone[id] = since
+	}
+	return false, since
+}
+
+// WorkersOf lists the workers of a cell.
+func (s *Service) WorkersOf(cell models.CellID) []models.VM {
+	return s.filter(func(vm models.VM) bool { return vm.Kind == models.KindWorker && s.cells.Racks[vm.Rack] == cell })
+}
+
+// Upstreams lists the upstreams.
+func (s *Service) Upstreams() []models.VM {
+	return s.filter(func(vm models.VM) bool { return vm.Kind == models.KindUpstream })
+}
+
+func (s *Service) filter(keep func(models.VM) bool) []models.VM {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var kept []models.VM
+	for _, vm := range s.list.VMs {
+		if keep(vm) {
+			kept = append(kept, vm)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/services/journal/handover.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package journal
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// Export gives all that another daemon needs to go on with the journal in this
+// epoch. The caller must never append again. ErrPending while the last append is
+// not settled, for then nobody knows the position.
+func (j *Journal) Export() (models.HandoverCall, error) {
+	if j.pending != nil {
+		return models.HandoverCall{}, ErrPending
+	}
+	call := models.HandoverCall{
+		Cell: j.config.Cell, Epoch: j.epoch, Sequence: j.sequence,
+		Snapshot: uint64(j.snapshot.version), SnapSeq: j.snapshot.sequence, State: j.state.Clone(),
+	}
+	for _, version := range j.versions {
+		call.Versions = append(call.Versions, uint64(version))
+	}
+	return call, nil
+}
+
+// Adopt goes on where Export ended.
+func (j *Journal) Adopt(call models.HandoverCall) error {
+	if len(call.Versions) != j.config.Slots {
+		return errors.Newf("handover of %s has %d slots, this daemon's settings say %d", call.Cell, len(call.Versions), j.config.Slots)
+	}
+	for i, version := range call.Versions {
+		j.versions[i] = platform.Version(version)
+	}
+	j.snapshot = snapshotPosition{version: platform.Version(call.Snapshot), sequence: call.SnapSeq}
+	j.epoch, j.sequence, j.writer = call.Epoch, call.Sequence, j.config.Writer
+	if call.State.Tasks != nil {
+		j.state.Tasks = call.State.Tasks
+	}
+	if call.State.Jobs != nil {
+		j.state.Jobs = call.State.Jobs
+	}
+	if call.State.Generations != nil {
+		j.state.Generations = call.State.Generations
+	}
+	return nil
+}
--- /dev/null
+++ b/services/member/beat.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package member
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"rillsail.example/rillsail/models"
+)
+
+// forgetAfter is after how many silent periods a peer that isn't listed any more
+// is forgotten.
+const forgetAfter = 10
+
+func (s *Service) beatLoop(ctx context.Context) {
+	ticker := time.NewTicker(s.config.Heartbeat)
+	defer ticker.Stop()
+	for {
+		s.Round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.nudge:
+		}
+	}
+}
+
+// Nudge asks for a round of heartbeats at once, because something changed that
+// the peers should know.
+func (s *Service) Nudge() {
+	select {
+	case s.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Round sends one heartbeat to every peer and waits for the answers.
+func (s *Service) Round(ctx context.Context) {
+	beat := s.compose()
+	ctx, cancel := context.WithTimeout(ctx, s.config.SilentAfter/2)
+	defer cancel()
+	var group conc.WaitGroup
+	for _, address := range s.addresses() {
+		group.Go(func() { s.send(ctx, address, beat) })
+	}
+	group.Wait()
+	s.sweep()
+}
+
+func (s *Service) send(ctx context.Context, address string, beat models.Heartbeat) {
+	answer, err := s.config.Client.Heartbeat(ctx, address, beat)
+	if err != nil {
+		s.config.Scope.Counter("heartbeats_failed").Inc(1)
+		return
+	}
+	s.config.Scope.Counter("heartbeats").Inc(1)
+	s.hear(answer)
+}
+
+// sweep logs who fell silent and forgets who was silent for long.
+func (s *Service) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, k := range s.known {
+		s.noteLive(k)
+		if !k.heard.IsZero() && time.Since(k.heard) > forgetAfter*s.config.SilentAfter {
+			s.noteLost(k)
+			delete(s.known, id)
+		}
+	}
+	s.config.Scope.Gauge("known").Update(float64(len(s.known)))
+}
+
+// Leave tells every peer that this daemon leaves and takes its key out of the
+// store. New work goes elsewhere; what is in flight here goes on.
+func (s *Service) Leave(ctx context.Context) error {
+	s.mu.Lock()
+	s.self.Leaving = true
+	s.mu.Unlock()
+	s.Round(ctx)
+	return s.deregister(ctx)
+}
--- /dev/null
+++ b/services/operate/operate.go
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package operate does what operators ask for, whatever daemon they ask: it finds
+// the cells concerned, asks their owners, and puts the answers together.
+//
+// # Usage
+//
+//	service := operate.New(operate.Config{Cells: manager, Inventory: vms, …})
+//	results := service.Submit(ctx, submission)
+package operate
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/cell"
+	"rillsail.example/rillsail/services/config"
+	"rillsail.example/rillsail/services/entry"
+	"rillsail.example/rillsail/services/inventory"
+	"rillsail.example/rillsail/services/member"
+)
+
+// Config is what the service works with.
+type Config struct {
+	Cells     *cell.Manager
+	Inventory *inventory.Service
+	Members   *member.Service
+	View      func() *config.View
+	Entry     *entry.Service
+}
+
+// Service answers operators.
+type Service struct{ config Config }
+
+// New makes the service.
+func New(config Config) *Service { return &Service{config: config} }
+
+// maxCellCalls bounds the owners asked at a time.
+const maxCellCalls = 8
+
+// errNoCells says that the daemon doesn't know the fleet yet.
+var errNoCells = errors.Mark(errors.New("not run: no cell is known yet; the VM list or the store has not been read; ask again in a few seconds"), cell.ErrNotOwner)
+
+// Submit hands each job to the owner of its home cell. The results stand in the
+// order of the jobs; each says whether the job was accepted, not run, or unknown.
+func (s *Service) Submit(ctx context.Context, submission models.Submission) models.JobResults {
+	specs := map[models.JobID]models.JobSpec{}
+	ids := make([]models.JobID, len(submission.Jobs))
+	for i, spec := range submission.Jobs {
+		ids[i], specs[spec.ID] = spec.ID, spec
+	}
+	return s.eachHome(ids, func(home models.CellID, ids []models.JobID) ([]models.Job, error) {
+		call := models.ForwardCall{Cell: home}
+		for _, id := range ids {
+			call.Submit = append(call.Submit, specs[id])
+		}
+		answer, err := s.config.Cells.Forward(ctx, call)
+		return answer.Submitted, err
+	})
+}
+
+// Cancel hands each cancellation to the owner of the job's home cell.
+func (s *Service) Cancel(ctx context.Context, cancellation models.Cancellation) models.JobResults {
+	return s.eachHome(cancellation.Jobs, func(home models.CellID, ids []models.JobID) ([]models.Job, error) {
+		answer, err := s.config.Cells.Forward(ctx, models.ForwardCall{Cell: home, Cancel: ids})
+		return answer.Cancelled, err
+	})
+}
+
+// eachHome groups jobs by home cell and calls once for each group.
+func (s *Service) eachHome(ids []models.JobID, do func(models.CellID, []models.JobID) ([]models.Job, error)) models.JobResults {
+	cells := s.config.Inventory.Cells()
+	groups := map[models.CellID][]models.JobID{}
+	results := map[models.JobID]models.JobResult{}
+	for _, id := range ids {
+		home, ok := cell.JobHome(id, cells)
+		if !ok {
+			results[id] = refused(id, errNoCells)
+			continue
+		}
+		groups[home] = append(groups[home], id)
+	}
+	var mu sync.Mutex
+	calls := pool.New().WithMaxGoroutines(maxCellCalls)
+	for home, group := range groups {
+		calls.Go(func() {
+			jobs, err := do(home, group)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, id := range group {
+				results[id] = resultOf(id, jobs, err)
+			}
+		})
+	}
+	calls.Wait()
+	var ordered models.JobResults
+	for _, id := range ids {
+		ordered.Results = append(ordered.Results, results[id])
+	}
+	return ordered
+}
+
+func resultOf(id models.JobID, jobs []models.Job, err error) models.JobResult {
+	if err != nil {
+		return refused(id, err)
+	}
+	i := slices.IndexFunc(jobs, func(j models.Job) bool { return j.ID == id })
+	if i < 0 {
+		return models.JobResult{ID: id, Error: "no such job is known in its home cell"}
+	}
+	return models.JobResult{ID: id, Job: &jobs[i]}
+}
+
+// refused says of an error whether the job may have been accepted.
+func refused(id models.JobID, err error) models.JobResult {
+	outcome := models.RequestUnknown
+	if _, known := cell.RefusalOf(err); known {
+		outcome = models.RequestNotRun
+	}
+	return models.JobResult{ID: id, Outcome: outcome, Error: err.Error()}
+}
+
+// List asks the owners of all cells and puts their answers together.
+func (s *Service) List(ctx context.Context, call models.ForwardCall) models.Listing {
+	cells := slices.Sorted(maps.Keys(s.config.Inventory.Cells().Cells))
+	var mu sync.Mutex
+	listing := models.Listing{Missing: map[models.CellID]string{}}
+	calls := pool.New().WithMaxGoroutines(maxCellCalls)
+	for _, id := range cells {
+		calls.Go(func() {
+			call := call
+			call.Cell = id
+			answer, err := s.config.Cells.Forward(ctx, call)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				listing.Missing[id] = err.Error()
+				return
+			}
+			listing.Jobs = append(listing.Jobs, answer.Jobs...)
+			listing.Tasks = append(listing.Tasks, answer.Tasks...)
+			listing.Workers = append(listing.Workers, answer.Workers...)
+			listing.Decisions = append(listing.Decisions, answer.Decisions...)
+		})
+	}
+	calls.Wait()
+	sortListing(&listing)
+	return listing
+}
+
+func sortListing(l *models.Listing) {
+	slices.SortFunc(l.Jobs, func(a, b models.Job) int {
+		return cmp.Or(cmp.Compare(a.Submitted, b.Submitted), strings.Compare(string(a.ID), string(b.ID)))
+	})
+	slices.SortFunc(l.Tasks, func(a, b models.Task) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(l.Workers, func(a, b models.WorkerStatus) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	slices.SortFunc(l.Decisions, func(a, b models.Decision) int { return cmp.Compare(a.At, b.At) })
+}
+
+// Status sums up this daemon and what it knows of the others.
+func (s *Service) Status() models.Status {
+	members := s.config.Members
+	status := models.Status{
+		Self: members.Self(), Revision: s.config.View().Revision(), Upstream: s.config.Entry.Upstreams(),
+		Figures: map[string]float64{"requests_in_flight": float64(s.config.Entry.InFlight())},
+	}
+	status.Members = append(status.Members, models.MemberStatus{
+		Member: status.Self, Revision: status.Revision, Cells: len(s.config.Cells.OwnedCells()), State: memberState(status.Self, true),
+	})
+	dump := members.Dump()
+	for _, beat := range dump.Members {
+		status.Members = append(status.Members, models.MemberStatus{
+			Member: beat.Member, Revision: beat.Revision, Cells: len(beat.Cells), Waiting: beat.Waiting, State: memberState(beat.Member, true),
+		})
+	}
+	for _, m := range dump.Silent {
+		status.Members = append(status.Members, models.MemberStatus{Member: m, State: memberState(m, false)})
+	}
+	slices.SortFunc(status.Members, func(a, b models.MemberStatus) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	status.Cells = s.cellStatus()
+	return status
+}
+
+func memberState(m models.Member, live bool) string {
+	switch {
+	case !live:
+		return "silent"
+	case m.Leaving:
+		return "leaving"
+	default:
+		return "live"
+	}
+}
+
+func (s *Service) cellStatus() []models.CellStatus {
+	cells := s.config.Inventory.Cells()
+	beats := s.config.Cells.Cells()
+	own := s.config.Cells.OwnedCells()
+	var statuses []models.CellStatus
+	for _, id := range slices.Sorted(maps.Keys(cells.Cells)) {
+		status := models.CellStatus{Cell: id, Domain: cells.Cells[id]}
+		if beat, ok := beats[id]; ok {
+			status.Epoch, status.Free, status.Waiting = beat.Epoch, beat.Free, beat.Waits
+		}
+		if slices.Contains(own, id) {
+			status.Owner = s.config.Members.Self().ID
+		} else if owner, _, ok := s.config.Members.OwnerOf(id); ok {
+			status.Owner = owner.ID
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
--- /dev/null
+++ b/services/peer/peer.go
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package peer calls the other daemons. It carries domain types in twirp calls and
+// adds step and peer to each error.
+//
+// # Usage
+//
+//	client := peer.New(peer.Config{Self: "entry-1", Token: token, Timeout: 2 * time.Second})
+//	answer, err := client.Heartbeat(ctx, member.PeerAddress, beat)
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/errstep"
+	"rillsail.example/rillsail/modules/peerrpc"
+	"rillsail.example/rillsail/modules/wire"
+)
+
+// Config says who calls and how.
+type Config struct {
+	Self    models.MemberID
+	Token   string
+	Timeout time.Duration // of one call
+}
+
+// Client calls any peer by its address.
+type Client struct {
+	config  Config
+	http    *http.Client
+	mu      sync.Mutex
+	clients map[string]peerrpc.Peer
+
+	calls     atomic.Int64
+	bytesSent atomic.Int64
+	bytesGot  atomic.Int64
+}
+
+// Counts is what the calls to peers have cost so far.
+type Counts struct {
+	Calls     int64 `json:"calls"`
+	BytesSent int64 `json:"bytes_sent"`
+	BytesGot  int64 `json:"bytes_got"`
+}
+
+const idleConnections = 4
+
+// New makes a client.
+func New(config Config) *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: config.Timeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &Client{
+		config:  config,
+		http:    &http.Client{Transport: bearer{token: config.Token, next: transport}, Timeout: config.Timeout},
+		clients: map[string]peerrpc.Peer{},
+	}
+}
+
+// bearer adds the peers' token to each call.
+type bearer struct {
+	token string
+	next  http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+b.token)
+	return b.next.RoundTrip(r)
+}
+
+// Counts is what the calls have cost so far.
+func (c *Client) Counts() Counts {
+	return Counts{Calls: c.calls.Load(), BytesSent: c.bytesSent.Load(), BytesGot: c.bytesGot.Load()}
+}
+
+// Heartbeat exchanges heartbeats.
+func (c *Client) Heartbeat(ctx context.Context, address string, beat models.Heartbeat) (models.Heartbeat, error) {
+	return call[models.Heartbeat](ctx, c, "send heartbeat", address, peerrpc.Peer.Heartbeat, beat)
+}
+
+// Configuration asks for a newer configuration.
+func (c *Client) Configuration(ctx context.Context, address string, query models.ConfigQuery) (models.ConfigTransfer, error) {
+	return call[models.ConfigTransfer](ctx, c, "fetch configuration", address, peerrpc.Peer.Configuration, query)
+}
+
+// Offer offers tasks to the owner of another cell.
+func (c *Client) Offer(ctx context.Context, address string, offer models.OfferCall) (models.OfferAnswer, error) {
+	return call[models.OfferAnswer](ctx, c, "offer tasks", address, peerrpc.Peer.Offer, offer)
+}
+
+// Report reports tasks to the owner of their home cell.
+func (c *Client) Report(ctx context.Context, address string, report models.ReportCall) (models.ReportAnswer, error) {
+	return call[models.ReportAnswer](ctx, c, "report tasks", address, peerrpc.Peer.Report, report)
+}
+
+// Claim asks a home of an idempotency key.
+func (c *Client) Claim(ctx context.Context, address string, claim models.ClaimCall) (models.ClaimAnswer, error) {
+	return call[models.ClaimAnswer](ctx, c, "claim key", address, peerrpc.Peer.Claim, claim)
+}
+
+// Forward carries an operator's call to a cell's owner.
+func (c *Client) Forward(ctx context.Context, address string, forward models.ForwardCall) (models.ForwardAnswer, error) {
+	return call[models.ForwardAnswer](ctx, c, "forward call", address, peerrpc.Peer.Forward, forward)
+}
+
+// Handover passes a cell on during a store outage.
+func (c *Client) Handover(ctx context.Context, address string, handover models.HandoverCall) (models.HandoverAnswer, error) {
+	return call[models.HandoverAnswer](ctx, c, "hand over cell", address, peerrpc.Peer.Handover, handover)
+}
+
+type method func(peerrpc.Peer, context.Context, *peerrpc.Envelope) (*peerrpc.Envelope, error)
+
+func call[A wire.Checker](ctx context.Context, c *Client, step, address string, do method, body any) (A, error) {
+	var zero A
+	data, err := json.Marshal(body)
+	if err != nil {
+		return zero, errors.Wrapf(err, "encode: %s", step)
+	}
+	envelope, err := do(c.client(address), ctx, &peerrpc.Envelope{From: string(c.config.Self), Body: data})
+	c.calls.Add(1)
+	c.bytesSent.Add(int64(len(data)))
+	if err != nil {
+		return zero, errstep.Wrap(err, step, address)
+	}
+	c.bytesGot.Add(int64(len(envelope.GetBody())))
+	answer, err := wire.DecodeBytes[A](envelope.GetBody())
+	return answer, errstep.Wrap(err, step, address)
+}
+
+func (c *Client) client(address string) peerrpc.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.clients[address]
+	if !ok {
+		client = peerrpc.NewPeerProtobufClient("http://"+address, c.http)
+		c.clients[address] = client
+	}
+	return client
+}
--- /dev/null
+++ b/services/place/score.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package place
+
+import "rillsail.example/rillsail/models"
+
+// Weights of the score's parts; each part is in 0..1.
+const (
+	weightSpread   = 4.0 // replicas of one service on different VMs
+	weightQuiet    = 2.0 // services where little batch work disturbs
+	weightPacking  = 1.0 // batch tasks where the VM is fullest
+	weightHeadroom = 3.0 // batch tasks where services keep the most headroom
+)
+
+// unknownSlowdown is what a pair that was never observed is taken for; such pairs
+// are tried one at a time on a worker.
+const unknownSlowdown = 0.15
+
+// headroomUsed is the part of a service's headroom that placement may use up; the
+// rest is for the error of the predictions.
+const headroomUsed = 0.8
+
+// score values a feasible worker; why is set when the policy rules it out.
+func (r Request) score(w *Worker) (score float64, why string) {
+	switch r.Policy.(type) {
+	case FirstFit:
+		return 1, ""
+	case Feedback:
+		return r.scoreFeedback(w)
+	default:
+		return r.scorePairs(w)
+	}
+}
+
+func (r Request) scoreFeedback(w *Worker) (float64, string) {
+	if r.Task.Kind == models.TaskBatch && w.OverNow {
+		return 0, "a service there is over its target"
+	}
+	if r.Task.Kind == models.TaskService {
+		return weightSpread*r.spread(w) + weightQuiet*emptiness(w), ""
+	}
+	return weightPacking * fullness(w), ""
+}
+
+func (r Request) scorePairs(w *Worker) (float64, string) {
+	if r.Task.Kind == models.TaskService {
+		return weightSpread*r.spread(w) + weightQuiet*r.quietFor(w), ""
+	}
+	if w.OverNow {
+		return 0, "a service there is over its target"
+	}
+	left, why := r.headroomLeft(w)
+	if why != "" {
+		return 0, why
+	}
+	return weightHeadroom*left + weightPacking*fullness(w), ""
+}
+
+// spread is 1 when no replica of the task's service is on the worker.
+func (r Request) spread(w *Worker) float64 {
+	same := 0
+	for _, other := range w.Tasks {
+		if other.Kind == models.TaskService && other.Service == r.Task.Service {
+			same++
+		}
+	}
+	return 1 / float64(1+same)
+}
+
+// quietFor is 1 when nothing on the worker is expected to slow the service down.
+func (r Request) quietFor(w *Worker) float64 {
+	total := 0.0
+	for _, other := range w.Tasks {
+		if other.Kind == models.TaskBatch {
+			total += r.slowdown(r.Task.Labels, other.Labels)
+		}
+	}
+	return 1 / (1 + total)
+}
+
+func (r Request) slowdown(service, batch map[string]string) float64 {
+	fraction, known := r.Predict.Slowdown(service, batch)
+	if !known {
+		return unknownSlowdown
+	}
+	return fraction
+}
+
+// headroomLeft is the least part of headroom that a service on the worker keeps
+// when the batch task comes; why is set when one would go over its target.
+func (r Request) headroomLeft(w *Worker) (left float64, why string) {
+	left = 1
+	for _, service := range w.Tasks {
+		if service.Kind != models.TaskService {
+			continue
+		}
+		headroom, known := r.Predict.Headroom(service.Labels)
+		if !known {
+			if w.Trying {
+				return 0, "a service there has not been measured yet"
+			}
+			continue
+		}
+		if _, known := r.Predict.Slowdown(service.Labels, r.Task.Labels); !known && w.Trying {
+			return 0, "an unknown pair is being tried there"
+		}
+		used := r.slowdown(service.Labels, r.Task.Labels)
+		for _, other := range w.Tasks {
+			if other.Kind == models.TaskBatch {
+				used += r.slowdown(service.Labels, other.Labels)
+			}
+		}
+		if used > headroom*headroomUsed {
+			return 0, "it would slow down " + string(service.Service) + " beyond its target"
+		}
+		left = min(left, 1-used/max(headroom, 0.01))
+	}
+	return left, ""
+}
+
+// fullness is the part of the worker's processors in use.
+func fullness(w *Worker) float64 { return 1 - emptiness(w) }
+
+func emptiness(w *Worker) float64 {
+	if w.VM.Capacity.CPU == 0 {
+		return 0
+	}
+	return float64(w.Free.CPU) / float64(w.VM.Capacity.CPU)
+}
--- /dev/null
+++ b/services/platform/http_vms.go
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package platform
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/errstep"
+	"rillsail.example/rillsail/modules/wire"
+)
+
+// Paths of the VM list and of workers.
+const (
+	PathVMs   = "/v1/vms"
+	PathStart = "/v1/start"
+	PathRenew = "/v1/renew"
+	PathStop  = "/v1/stop"
+)
+
+// HTTPList is List over HTTP and JSON.
+type HTTPList struct {
+	url     string
+	client  *http.Client
+	timeout time.Duration
+}
+
+// NewHTTPList makes the adapter.
+func NewHTTPList(config HTTPConfig) *HTTPList {
+	return &HTTPList{url: "http://" + config.Address + PathVMs, client: clientOf(config), timeout: config.CallTimeout}
+}
+
+// VMs implements List.
+func (l *HTTPList) VMs(ctx context.Context) (models.VMList, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	call := wire.Call{Client: l.client, Method: http.MethodGet, URL: l.url, Limit: maxListAnswer}
+	list, err := wire.Do[models.VMList](ctx, call, nil)
+	return list, errstep.Wrap(err, "read VM list", "list")
+}
+
+// HTTPWorkers is Workers over HTTP and JSON.
+type HTTPWorkers struct {
+	client  *http.Client
+	timeout time.Duration
+}
+
+// NewHTTPWorkers makes the adapter; Address is not used.
+func NewHTTPWorkers(config HTTPConfig) *HTTPWorkers {
+	return &HTTPWorkers{client: clientOf(config), timeout: config.CallTimeout}
+}
+
+// Start implements Workers.
+func (w *HTTPWorkers) Start(ctx context.Context, address string, call models.StartCall) (models.StartAnswer, error) {
+	return workerCall[models.StartAnswer](ctx, w, "start task", address, PathStart, call)
+}
+
+// Renew implements Workers.
+func (w *HTTPWorkers) Renew(ctx context.Context, address string, call models.RenewCall) (models.RenewAnswer, error) {
+	return workerCall[models.RenewAnswer](ctx, w, "renew leases", address, PathRenew, call)
+}
+
+// Stop implements Workers.
+func (w *HTTPWorkers) Stop(ctx context.Context, address string, call models.StopCall) (models.StopAnswer, error) {
+	return workerCall[models.StopAnswer](ctx, w, "stop task", address, PathStop, call)
+}
+
+func workerCall[T wire.Checker](ctx context.Context, w *HTTPWorkers, step, address, path string, body any) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.timeout)
+	defer cancel()
+	answer, err := wire.Do[T](ctx, wire.Call{Client: w.client, URL: "http://" + address + path, Limit: maxWorkerAnswer}, body)
+	return answer, errstep.Wrap(err, step, address)
+}
--- /dev/null
+++ b/services/standin/fleet/audit.go
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package fleet
+
+import (
+	"fmt"
+	"sync"
+
+	"rillsail.example/rillsail/models"
+)
+
+// Audit is what really happened at the workers and upstreams, as no daemon sees
+// it. Violations lists every breach of a promise.
+type Audit struct {
+	Starts       int64    `json:"starts"`
+	Finished     int64    `json:"finished"`
+	Stopped      int64    `json:"stopped"`
+	Failed       int64    `json:"failed"`
+	Running      int      `json:"running"`
+	Samples      int64    `json:"samples"`
+	SlowSamples  int64    `json:"slow_samples"` // services over their target
+	Requests     int64    `json:"requests"`     // run by upstreams
+	SlotOverruns int64    `json:"slot_overruns"`
+	Violations   []string `json:"violations"`
+}
+
+// Check is there for the decoder.
+func (a Audit) Check() error { return nil }
+
+// maxViolations bounds the list; the first ones tell the most.
+const maxViolations = 100
+
+// auditor watches all tasks and requests of the fleet.
+type auditor struct {
+	mu       sync.Mutex
+	audit    Audit
+	running  map[models.TaskID]models.VMID
+	finished map[models.TaskID]int
+	executed map[string]int // runs of a request by its load id
+	ran      map[string]models.VMID
+}
+
+func newAuditor() *auditor {
+	return &auditor{
+		running:  map[models.TaskID]models.VMID{},
+		finished: map[models.TaskID]int{},
+		executed: map[string]int{},
+		ran:      map[string]models.VMID{},
+	}
+}
+
+func (a *auditor) violation(format string, args ...any) {
+	if len(a.audit.Violations) < maxViolations {
+		a.audit.Violations = append(a.audit.Violations, fmt.Sprintf(format, args...))
+	}
+}
+
+func (a *auditor) started(vm models.VMID, call models.StartCall) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.audit.Starts++
+	if other, ok := a.running[call.Task]; ok {
+		a.violation("task %s attempt %d started on %s while it runs on %s", call.Task, call.Attempt, vm, other)
+	}
+	if a.finished[call.Task] > 0 {
+		a.violation("task %s attempt %d started on %s after it had finished", call.Task, call.Attempt, vm)
+	}
+	attempt := fmt.Sprintf("%s#%d", call.Task, call.Attempt)
+	if before, ok := a.ran[attempt]; ok {
+		a.violation("task %s attempt %d started twice, on %s and %s", call.Task, call.Attempt, before, vm)
+	}
+	a.ran[attempt] = vm
+	a.running[call.Task] = vm
+}
+
+func (a *auditor) ended(vm models.VMID, call models.StartCall, status models.AttemptStatus) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.running[call.Task] == vm {
+		delete(a.running, call.Task)
+	}
+	switch status {
+	case models.StatusFinished:
+		a.audit.Finished++
+		a.finished[call.Task]++
+	case models.StatusFailed:
+		a.audit.Failed++
+	default:
+		a.audit.Stopped++
+	}
+}
+
+func (a *auditor) committed(vm models.VM, used models.Resources) {
+	if used.Fits(vm.Capacity) {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.violation("vm %s holds %+v of %+v", vm.ID, used, vm.Capacity)
+}
+
+func (a *auditor) latency(slow bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.audit.Samples++
+	if slow {
+		a.audit.SlowSamples++
+	}
+}
+
+func (a *auditor) request(id string, unrepeatable, overrun bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.audit.Requests++
+	if overrun {
+		a.audit.SlotOverruns++
+	}
+	if id == "" {
+		return
+	}
+	a.executed[id]++
+	if unrepeatable && a.executed[id] > 1 {
+		a.violation("unrepeatable request %s ran %d times", id, a.executed[id])
+	}
+}
+
+func (a *auditor) runsOf(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.executed[id]
+}
+
+func (a *auditor) get() Audit {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	audit := a.audit
+	audit.Running = len(a.running)
+	audit.Violations = append([]string{}, a.audit.Violations...)
+	return audit
+}
--- /dev/null
+++ b/services/standin/fleet/control.go
@@ -0,0 +1,193 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package fleet
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/wire"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// Paths by which tests and trials steer the fleet.
+const (
+	PathControl = "/standin/control"
+	PathAudit   = "/standin/audit"
+	PathRuns    = "/standin/runs"
+)
+
+// Action is what to do to a VM.
+type Action string
+
+// The actions. Cut and heal, leave and stay, faulty and sound undo each other.
+const (
+	ActionKill    Action = "kill"    // the VM dies; the list drops it after its lag
+	ActionRestart Action = "restart" // the worker's process begins a new incarnation
+	ActionCut     Action = "cut"     // it runs on but nobody reaches it
+	ActionHeal    Action = "heal"
+	ActionLeave   Action = "leave" // the list says leaving after its lag
+	ActionStay    Action = "stay"
+	ActionFaulty  Action = "faulty" // tasks fail, requests fail at once
+	ActionSound   Action = "sound"
+	ActionSlow    Action = "slow"    // upstreams only: Factor times slower
+	ActionHalf    Action = "half"    // upstreams only: Count answers end in the middle
+	ActionHangUp  Action = "hang-up" // upstreams only: Count requests run and get no answer
+	ActionForeign Action = "foreign" // upstreams only: Count answers carry another request's id
+)
+
+// Control is one action on one VM.
+type Control struct {
+	VM     models.VMID `json:"vm"`
+	Action Action      `json:"action"`
+	Factor int         `json:"factor,omitempty"`
+	Count  int         `json:"count,omitempty"`
+}
+
+// Check is there for the decoder; Apply says what is wrong.
+func (c Control) Check() error { return nil }
+
+const maxControl = 1 << 16
+
+// Handler serves the VM list and the fleet's own paths.
+func (f *Fleet) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, _ *http.Request) { wire.Write(w, http.StatusOK, f.VMs()) })
+	mux.HandleFunc("GET "+PathAudit, func(w http.ResponseWriter, _ *http.Request) { wire.Write(w, http.StatusOK, f.Audit()) })
+	mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, r *http.Request) {
+		wire.Write(w, http.StatusOK, f.RunsOf(r.URL.Query().Get("id")))
+	})
+	mux.HandleFunc("POST "+PathControl, f.serveControl)
+	return mux
+}
+
+func (f *Fleet) serveControl(w http.ResponseWriter, r *http.Request) {
+	control, err := wire.Decode[Control](r.Body, maxControl)
+	if err == nil {
+		err = f.Apply(control)
+	}
+	if err != nil {
+		wire.WriteError(w, err)
+		return
+	}
+	wire.Write(w, http.StatusOK, control)
+}
+
+// Apply carries out one action.
+func (f *Fleet) Apply(control Control) error {
+	if w, ok := f.workers[control.VM]; ok {
+		return f.applyToWorker(w, control)
+	}
+	if u, ok := f.upstreams[control.VM]; ok {
+		return f.applyToUpstream(u, control)
+	}
+	return errors.Newf("no vm %s", control.VM)
+}
+
+func (f *Fleet) applyToWorker(w *worker, control Control) error {
+	switch control.Action {
+	case ActionKill:
+		w.kill(false)
+		f.list(control.VM, "")
+	case ActionRestart:
+		w.kill(true)
+	case ActionCut, ActionHeal:
+		w.set(func() { w.cut = control.Action == ActionCut })
+	case ActionLeave:
+		f.list(control.VM, models.VMLeaving)
+	case ActionStay:
+		f.list(control.VM, models.VMLive)
+	case ActionFaulty, ActionSound:
+		w.set(func() { w.faulty = control.Action == ActionFaulty })
+	default:
+		return errors.Newf("action %q is not for workers", control.Action)
+	}
+	return nil
+}
+
+func (f *Fleet) applyToUpstream(u *upstream, control Control) error {
+	switch control.Action {
+	case ActionKill:
+		u.set(func() { u.cut = true })
+		f.list(control.VM, "")
+	case ActionCut, ActionHeal:
+		u.set(func() { u.cut = control.Action == ActionCut })
+	case ActionLeave:
+		u.set(func() { u.leaving = true })
+		f.list(control.VM, models.VMLeaving)
+	case ActionStay:
+		u.set(func() { u.leaving = false })
+		f.list(control.VM, models.VMLive)
+	case ActionFaulty, ActionSound:
+		u.set(func() { u.faulty = control.Action == ActionFaulty })
+	case ActionSlow:
+		u.set(func() { u.factor = max(control.Factor, 1) })
+	case ActionHalf:
+		u.set(func() { u.half = control.Count })
+	case ActionHangUp:
+		u.set(func() { u.hangUp = control.Count })
+	case ActionForeign:
+		u.set(func() { u.foreign = control.Count })
+	default:
+		return errors.Newf("action %q is not for upstreams", control.Action)
+	}
+	return nil
+}
+
+// list changes what the list will say of a VM; an empty state drops it.
+func (f *Fleet) list(id models.VMID, state models.VMState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.truth = slices.Clone(f.truth)
+	for i, vm := range f.truth {
+		if vm.ID != id {
+			continue
+		}
+		if state == "" {
+			f.truth = slices.Delete(f.truth, i, i+1)
+		} else {
+			f.truth[i].State = state
+		}
+		break
+	}
+	f.publish(f.config.ListLag)
+}
+
+func (w *worker) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+// handler serves the agent's interface. A worker that is down or cut ends every
+// call without an answer.
+func (w *worker) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathStart, serveAgent(w, w.start))
+	mux.HandleFunc("POST "+platform.PathRenew, serveAgent(w, w.renew))
+	mux.HandleFunc("POST "+platform.PathStop, serveAgent(w, w.stop))
+	return mux
+}
+
+const maxAgentCall = 4 << 20
+
+func serveAgent[C wire.Checker, A any](w *worker, perform func(C) A) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		unreachable := w.down || w.cut
+		w.mu.Unlock()
+		if unreachable {
+			panic(http.ErrAbortHandler)
+		}
+		call, err := wire.Decode[C](r.Body, maxAgentCall)
+		if err != nil {
+			wire.WriteError(rw, err)
+			return
+		}
+		wire.Write(rw, http.StatusOK, perform(call))
+	}
+}
--- /dev/null
+++ b/services/standin/fleet/fleet.go
@@ -0,0 +1,221 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package fleet is a stand-in for the platform's VMs, for tests and trials only:
+// worker agents, upstreams that answer requests, and the lagging VM list, each VM
+// with an address of its own on the loopback. It watches what really runs and
+// lists every breach of a promise in its audit.
+//
+// # Usage
+//
+//	f, err := fleet.New(fleet.Config{Workers: 16, Upstreams: 8, Domains: []string{"south/a", "south/b"}})
+//	go http.Serve(listener, f.Handler())  // list, control, audit
+//	f.Run(ctx)                            // until ctx ends
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"rillsail.example/rillsail/models"
+)
+
+// Config says what the fleet is made of and how it behaves.
+type Config struct {
+	Run       string // names this run; part of incarnations
+	Workers   int
+	PerRack   int
+	Worker    models.Resources
+	Upstreams int
+	Slots     int
+	Conns     int
+	Domains   []string
+	ListLag   time.Duration // of the VM list
+	ReportLag time.Duration // of latencies in worker reports
+	Guards    bool          // workers refuse what they have no room for
+	SizeError float64       // declared sizes and run times are off by 1/(1+e)..1+e
+	Pairs     PairTable
+	Service   ServiceTimes // of upstreams
+	Tick      time.Duration
+}
+
+// PairTable says how much a service is slowed down by each batch task beside it;
+// the scheduler never sees it.
+type PairTable map[Pair]float64
+
+// Pair is a service and a batch task by their label "app".
+type Pair struct{ Service, Batch string }
+
+// Slowdown is what one batch task adds to the service's latency, as a factor.
+func (t PairTable) Slowdown(service, batch string) float64 { return t[Pair{service, batch}] }
+
+const appLabel = "app"
+
+// Fleet is the stand-in.
+type Fleet struct {
+	config    Config
+	audit     *auditor
+	workers   map[models.VMID]*worker
+	upstreams map[models.VMID]*upstream
+	servers   []*http.Server
+	listeners []net.Listener
+
+	mu        sync.Mutex
+	truth     []models.VM // what the list will say once it has caught up
+	published []listed
+}
+
+// listed is what the list says from a moment on.
+type listed struct {
+	from time.Time
+	vms  []models.VM
+}
+
+const defaultTick = 20 * time.Millisecond
+
+// New makes the fleet and opens a listener for each VM.
+func New(config Config) (*Fleet, error) {
+	if config.Tick == 0 {
+		config.Tick = defaultTick
+	}
+	f := &Fleet{
+		config: config, audit: newAuditor(),
+		workers: map[models.VMID]*worker{}, upstreams: map[models.VMID]*upstream{},
+	}
+	for i := range config.Workers {
+		if err := f.addWorker(i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range config.Upstreams {
+		if err := f.addUpstream(i); err != nil {
+			return nil, err
+		}
+	}
+	f.publish(0)
+	return f, nil
+}
+
+func (f *Fleet) addWorker(i int) error {
+	rack := i / f.config.PerRack
+	domain := f.config.Domains[rack%len(f.config.Domains)]
+	vm := models.VM{
+		ID: models.VMID(fmt.Sprintf("worker-%d", i)), Kind: models.KindWorker, State: models.VMLive,
+		Domain: models.FailureDomain(domain), Rack: models.RackID(fmt.Sprintf("rack-%d", rack)), Capacity: f.config.Worker,
+	}
+	listener, err := f.open(&vm)
+	if err != nil {
+		return err
+	}
+	w := newWorker(f, vm)
+	f.workers[vm.ID] = w
+	f.serve(listener, w.handler())
+	return nil
+}
+
+func (f *Fleet) addUpstream(i int) error {
+	vm := models.VM{
+		ID: models.VMID(fmt.Sprintf("upstream-%d", i)), Kind: models.KindUpstream, State: models.VMLive,
+		Domain: models.FailureDomain(f.config.Domains[i%len(f.config.Domains)]), Rack: "upstreams",
+		Slots: f.config.Slots, MaxConns: f.config.Conns,
+	}
+	listener, err := f.open(&vm)
+	if err != nil {
+		return err
+	}
+	u := newUpstream(f, vm)
+	f.upstreams[vm.ID] = u
+	f.serve(listener, u)
+	return nil
+}
+
+// open listens on the loopback and enters the VM in the list.
+func (f *Fleet) open(vm *models.VM) (net.Listener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for %s", vm.ID)
+	}
+	vm.Address = listener.Addr().String()
+	f.truth = append(f.truth, *vm)
+	return listener, nil
+}
+
+func (f *Fleet) serve(listener net.Listener, handler http.Handler) {
+	f.listeners = append(f.listeners, listener)
+	f.servers = append(f.servers, &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute})
+}
+
+// publish makes the list say the truth once the lag has passed.
+func (f *Fleet) publish(lag time.Duration) {
+	f.published = append(f.published, listed{from: time.Now().Add(lag), vms: slices.Clone(f.truth)})
+}
+
+// VMs is what the list says now.
+func (f *Fleet) VMs() models.VMList {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for len(f.published) > 1 && !f.published[1].from.After(now) {
+		f.published = f.published[1:]
+	}
+	return models.VMList{VMs: f.published[0].vms}
+}
+
+// Audit is what really happened so far.
+func (f *Fleet) Audit() Audit { return f.audit.get() }
+
+// RunsOf is how often upstreams ran the request with the load id.
+func (f *Fleet) RunsOf(id string) int { return f.audit.runsOf(id) }
+
+// Run serves all VMs until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	var group conc.WaitGroup
+	for i, server := range f.servers {
+		group.Go(func() { _ = server.Serve(f.listeners[i]) })
+	}
+	f.loop(ctx)
+	for _, server := range f.servers {
+		_ = server.Close()
+	}
+	group.Wait()
+}
+
+// loop lets the tasks of all workers run.
+func (f *Fleet) loop(ctx context.Context) {
+	ticker := time.NewTicker(f.config.Tick)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			now := time.Now()
+			for _, w := range f.workers {
+				w.advance(now, now.Sub(last))
+			}
+			last = now
+		}
+	}
+}
+
+// sizeFactor is by how much a task's true size and run time differ from what was
+// declared; it is the same for all tasks of a job.
+func (f *Fleet) sizeFactor(call models.StartCall) float64 {
+	if f.config.SizeError == 0 {
+		return 1
+	}
+	s := spread(call.Labels[appLabel] + string(call.Task))
+	if s < 0.5 {
+		return 1 / (1 + f.config.SizeError*2*s)
+	}
+	return 1 + f.config.SizeError*(2*s-1)
+}
--- /dev/null
+++ b/services/standin/fleet/upstream.go
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package fleet
+
+import (
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"rillsail.example/rillsail/models"
+)
+
+// Headers by which the load tool tells an upstream what to do.
+const (
+	HeaderLoadID       = "Load-Id"           // names the request for the audit
+	HeaderUnrepeatable = "Load-Unrepeatable" // running it twice is a violation
+	HeaderWork         = "Load-Work-Ms"      // service time instead of the drawn one
+	HeaderBytes        = "Load-Bytes"        // length of the answer's filling
+	HeaderWatch        = "Load-Watch-Ms"     // stream a line now and then for so long
+)
+
+// ServiceTimes are log-normal service times: short with a long tail.
+type ServiceTimes struct {
+	Median time.Duration
+	Sigma  float64
+	Most   time.Duration
+}
+
+// Draw draws a service time.
+func (s ServiceTimes) Draw() time.Duration {
+	d := time.Duration(float64(s.Median) * math.Exp(s.Sigma*rand.NormFloat64()))
+	return min(d, s.Most)
+}
+
+// upstream answers requests in a number of slots; more requests wait.
+type upstream struct {
+	fleet *Fleet
+	vm    models.VM
+	slots chan struct{}
+
+	mu      sync.Mutex
+	cut     bool
+	leaving bool
+	faulty  bool
+	factor  int
+	half    int
+	hangUp  int
+	foreign int
+	conns   int
+}
+
+func newUpstream(f *Fleet, vm models.VM) *upstream {
+	return &upstream{fleet: f, vm: vm, slots: make(chan struct{}, vm.Slots), factor: 1}
+}
+
+func (u *upstream) set(change func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	change()
+}
+
+// behaviour is what one request will meet.
+type behaviour struct {
+	leaving, faulty, half, hangUp, foreign bool
+	factor                                 int
+}
+
+// behave takes what the next request will meet; it aborts when the VM is cut.
+func (u *upstream) behave() behaviour {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.cut {
+		panic(http.ErrAbortHandler)
+	}
+	b := behaviour{leaving: u.leaving, faulty: u.faulty, factor: u.factor}
+	b.half = takeOne(&u.half)
+	b.hangUp = takeOne(&u.hangUp)
+	b.foreign = takeOne(&u.foreign)
+	return b
+}
+
+func takeOne(n *int) bool {
+	if *n == 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+// ServeHTTP runs one request.
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b := u.behave()
+	if b.leaving {
+		w.Header().Set("Connection", "close")
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if b.faulty {
+		http.Error(w, "faulty", http.StatusInternalServerError)
+		return
+	}
+	overrun := u.enter(r)
+	u.fleet.audit.request(r.Header.Get(HeaderLoadID), r.Header.Get(HeaderUnrepeatable) != "", overrun)
+	if watch, err := strconv.Atoi(r.Header.Get(HeaderWatch)); err == nil {
+		<-u.slots // a standing watcher takes a connection, not a slot
+		u.stream(w, r, time.Duration(watch)*time.Millisecond)
+		return
+	}
+	time.Sleep(u.workOf(r) * time.Duration(b.factor))
+	<-u.slots
+	u.answer(w, r, body, b)
+}
+
+// enter waits for a slot and tells whether none was free.
+func (u *upstream) enter(r *http.Request) (overrun bool) {
+	select {
+	case u.slots <- struct{}{}:
+		return false
+	default:
+	}
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (u *upstream) workOf(r *http.Request) time.Duration {
+	if ms, err := strconv.Atoi(r.Header.Get(HeaderWork)); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return u.fleet.config.Service.Draw()
+}
+
+// AnswerFor is the whole answer to a request, so that a caller can check it.
+func AnswerFor(id string, body []byte, filling int) string {
+	return "answer to " + id + " " + string(body) + strings.Repeat(".", filling) + " end"
+}
+
+func (u *upstream) answer(w http.ResponseWriter, r *http.Request, body []byte, b behaviour) {
+	if b.hangUp {
+		panic(http.ErrAbortHandler)
+	}
+	filling, _ := strconv.Atoi(r.Header.Get(HeaderBytes))
+	text := AnswerFor(r.Header.Get(HeaderLoadID), body, filling)
+	id := r.Header.Get(models.HeaderRequestID)
+	if b.foreign {
+		id += "-other"
+	}
+	w.Header().Set(models.HeaderRequestID, id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if b.half {
+		_, _ = io.WriteString(w, text[:len(text)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+const watchLine = 50 * time.Millisecond
+
+// stream sends a line now and then, and a last one, as a standing watcher gets them.
+func (u *upstream) stream(w http.ResponseWriter, r *http.Request, length time.Duration) {
+	controller := http.NewResponseController(w)
+	end := time.NewTimer(length)
+	defer end.Stop()
+	ticker := time.NewTicker(watchLine)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-end.C:
+			_, _ = io.WriteString(w, "end\n")
+			return
+		case <-ticker.C:
+			_, _ = io.WriteString(w, "line\n")
+			_ = controller.Flush()
+		}
+	}
+}
--- /dev/null
+++ b/services/standin/kv/kv.go
@@ -0,0 +1,267 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package kv is a stand-in for the platform's key-value service, for tests and
+// trials only: it keeps everything in memory. It offers compare-and-swap, leases
+// and watches, enforces the platform's rates, counts calls, and brings about
+// outages, slowness and lost answers when told to.
+//
+// # Usage
+//
+//	service := kv.New(kv.Config{WritesPerSecond: 100, ReadsPerSecond: 2000})
+//	http.Serve(listener, service.Handler())
+package kv
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"rillsail.example/rillsail/services/platform"
+)
+
+// Config says what the service allows. Rates of 0 are not limited.
+type Config struct {
+	WritesPerSecond int
+	ReadsPerSecond  int
+}
+
+// Faults are what the service does wrong until told otherwise.
+type Faults struct {
+	Outage bool `json:"outage"`   // every call ends without an answer and without effect
+	Delay  int  `json:"delay_ms"` // before each call takes effect
+	// LoseAnswers lets so many writes take effect and then ends them without an answer.
+	LoseAnswers int    `json:"lose_answers"`
+	LosePrefix  string `json:"lose_prefix"` // only of keys with this prefix
+}
+
+// Check is there for the decoder.
+func (f Faults) Check() error { return nil }
+
+// Stats counts calls.
+type Stats struct {
+	Reads        int64            `json:"reads"`
+	Writes       int64            `json:"writes"`
+	Watches      int64            `json:"watches"`
+	Limited      int64            `json:"limited"`
+	BytesIn      int64            `json:"bytes_in"`
+	BytesOut     int64            `json:"bytes_out"`
+	Keys         int              `json:"keys"`
+	WritesByKind map[string]int64 `json:"writes_by_kind"`
+}
+
+// Check is there for the decoder.
+func (s Stats) Check() error { return nil }
+
+// historyLength is how many changes watches can look back.
+const historyLength = 4096
+
+type entry struct {
+	value   []byte
+	version platform.Version
+	lease   platform.LeaseID
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+	keys  map[string]bool
+}
+
+// Service is the stand-in.
+type Service struct {
+	mu       sync.Mutex
+	revision platform.Version
+	keys     map[string]entry
+	leases   map[platform.LeaseID]*lease
+	history  []platform.Record
+	changed  chan struct{} // closed and renewed with each change
+	faults   Faults
+	stats    Stats
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+}
+
+// New makes an empty service.
+func New(config Config) *Service {
+	return &Service{
+		keys:    map[string]entry{},
+		leases:  map[platform.LeaseID]*lease{},
+		changed: make(chan struct{}),
+		stats:   Stats{WritesByKind: map[string]int64{}},
+		writes:  limiter(config.WritesPerSecond),
+		reads:   limiter(config.ReadsPerSecond),
+	}
+}
+
+func limiter(perSecond int) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Stats gives the counts so far.
+func (s *Service) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stats := s.stats
+	stats.Keys = len(s.keys)
+	stats.WritesByKind = make(map[string]int64, len(s.stats.WritesByKind))
+	for kind, n := range s.stats.WritesByKind {
+		stats.WritesByKind[kind] = n
+	}
+	return stats
+}
+
+func (s *Service) get(key string) (platform.StoreAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.keys[key]
+	if !ok {
+		return platform.StoreAnswer{}, platform.ErrNotFound
+	}
+	record := platform.Record{Key: key, Value: e.value, Version: e.version}
+	return platform.StoreAnswer{Records: []platform.Record{record}, Version: s.revision}, nil
+}
+
+func (s *Service) list(prefix string) platform.StoreAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer := platform.StoreAnswer{Version: s.revision}
+	for key, e := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			answer.Records = append(answer.Records, platform.Record{Key: key, Value: e.value, Version: e.version})
+		}
+	}
+	sort.Slice(answer.Records, func(i, j int) bool { return answer.Records[i].Key < answer.Records[j].Key })
+	return answer
+}
+
+func (s *Service) swap(call platform.StoreCall) (platform.StoreAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keys[call.Key].version != call.Expect {
+		return platform.StoreAnswer{}, platform.ErrConflict
+	}
+	if call.Lease != 0 {
+		held, ok := s.leases[call.Lease]
+		if !ok {
+			return platform.StoreAnswer{}, platform.ErrNoLease
+		}
+		held.keys[call.Key] = true
+	}
+	s.revision++
+	s.keys[call.Key] = entry{value: call.Value, version: s.revision, lease: call.Lease}
+	kind, _, _ := strings.Cut(call.Key, "/")
+	s.stats.WritesByKind[kind]++
+	s.note(platform.Record{Key: call.Key, Value: call.Value, Version: s.revision})
+	return platform.StoreAnswer{Version: s.revision}, nil
+}
+
+func (s *Service) remove(key string, expect platform.Version) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.keys[key]
+	if !ok || e.version != expect {
+		return platform.ErrConflict
+	}
+	s.drop(key)
+	return nil
+}
+
+// drop removes a key; the caller holds the lock.
+func (s *Service) drop(key string) {
+	delete(s.keys, key)
+	s.revision++
+	s.note(platform.Record{Key: key, Version: s.revision, Deleted: true})
+}
+
+// note keeps a change for watches and wakes them; the caller holds the lock.
+func (s *Service) note(record platform.Record) {
+	s.history = append(s.history, record)
+	if len(s.history) > 2*historyLength {
+		s.history = append([]platform.Record(nil), s.history[historyLength:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Service) watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) (platform.StoreAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		answer, err := s.changesAfter(prefix, after)
+		changed := s.changed
+		s.mu.Unlock()
+		if err != nil || len(answer.Records) > 0 {
+			return answer, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return answer, nil
+		}
+	}
+}
+
+func (s *Service) changesAfter(prefix string, after platform.Version) (platform.StoreAnswer, error) {
+	if len(s.history) > 0 && after+1 < s.history[0].Version {
+		return platform.StoreAnswer{}, platform.ErrCompacted
+	}
+	answer := platform.StoreAnswer{Version: s.revision}
+	for i := len(s.history) - 1; i >= 0 && s.history[i].Version > after; i-- {
+		if strings.HasPrefix(s.history[i].Key, prefix) {
+			answer.Records = append(answer.Records, s.history[i])
+		}
+	}
+	sort.Slice(answer.Records, func(i, j int) bool { return answer.Records[i].Version < answer.Records[j].Version })
+	return answer, nil
+}
+
+func (s *Service) grant(ttl time.Duration) platform.StoreAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	id := platform.LeaseID(s.revision)
+	s.leases[id] = &lease{ttl: ttl, keys: map[string]bool{}, timer: time.AfterFunc(ttl, func() { s.lapse(id) })}
+	return platform.StoreAnswer{Lease: id}
+}
+
+func (s *Service) keep(id platform.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return platform.ErrNoLease
+	}
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+func (s *Service) lapse(id platform.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return
+	}
+	delete(s.leases, id)
+	for key := range l.keys {
+		if s.keys[key].lease == id {
+			s.drop(key)
+		}
+	}
+}
