--- /dev/null
+++ b/services/standin/load/load.go
@@ -0,0 +1,295 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package load sends requests at a fixed rate, whether answers come or not, checks
+// each answer and measures latency from the moment a request was meant to be sent.
+//
+// # Usage
+//
+//	report, err := load.Run(ctx, load.Config{Targets: addresses, Rate: 200, For: time.Minute, Mix: mix})
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/standin/fleet"
+)
+
+// Kind is one kind of request in the mix.
+type Kind struct {
+	Name         string
+	Weight       int
+	Labels       string
+	Deadline     time.Duration
+	Unrepeatable bool
+	Watch        time.Duration // a standing watcher of this length
+	Work         time.Duration // service time; 0: drawn by the upstream
+	Bytes        int           // filling of the answer
+}
+
+// Config says what to send where.
+type Config struct {
+	Targets []string // of callers' listeners; Weights gives their shares
+	Weights []int
+	Rate    float64 // requests a second
+	For     time.Duration
+	Mix     []Kind
+	Seed    uint64
+	Run     string // part of the requests' ids
+	// Retries is how often a refused request is sent again at once, as in a storm.
+	Retries int
+}
+
+// Report is the result, by kind.
+type Report struct {
+	Kinds map[string]*KindReport `json:"kinds"`
+}
+
+// KindReport counts what became of the requests of one kind. Times are in
+// milliseconds.
+type KindReport struct {
+	Sent    int64   `json:"sent"`
+	Right   int64   `json:"right"`   // whole, own and in time
+	Late    int64   `json:"late"`    // right but after the deadline
+	Wrong   int64   `json:"wrong"`   // not whole or not its own: must never be
+	NotRun  int64   `json:"not_run"` // refused, not run
+	Unknown int64   `json:"unknown"` // refused, may have run
+	Broken  int64   `json:"broken"`  // the connection ended
+	Resent  int64   `json:"resent"`
+	P50     float64 `json:"p50_ms"`
+	P99     float64 `json:"p99_ms"`
+	P999    float64 `json:"p999_ms"`
+	Goodput float64 `json:"goodput"` // right / sent
+
+	histogram *hdrhistogram.Histogram
+}
+
+// String is a table of the report.
+func (r Report) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-12s %7s %7s %6s %6s %7s %7s %6s %9s %9s %9s %8s\n",
+		"kind", "sent", "right", "late", "wrong", "notrun", "unknown", "broken", "p50 ms", "p99 ms", "p99.9 ms", "goodput")
+	for _, name := range slices.Sorted(maps.Keys(r.Kinds)) {
+		k := r.Kinds[name]
+		fmt.Fprintf(&b, "%-12s %7d %7d %6d %6d %7d %7d %6d %9.1f %9.1f %9.1f %8.4f\n",
+			name, k.Sent, k.Right, k.Late, k.Wrong, k.NotRun, k.Unknown, k.Broken, k.P50, k.P99, k.P999, k.Goodput)
+	}
+	return b.String()
+}
+
+type runner struct {
+	config Config
+	client *http.Client
+	mu     sync.Mutex
+	report Report
+	next   int
+}
+
+// Latencies are kept from 10 microseconds to 10 minutes in three digits.
+const (
+	lowest  = 10
+	highest = 600_000_000
+	digits  = 3
+)
+
+const connections = 512
+
+// Run sends until the time is over and waits for the last answer.
+func Run(ctx context.Context, config Config) (Report, error) {
+	if len(config.Targets) == 0 || config.Rate <= 0 || len(config.Mix) == 0 {
+		return Report{}, errors.New("load: targets, rate and mix are needed")
+	}
+	r := &runner{
+		config: config, report: Report{Kinds: map[string]*KindReport{}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections}},
+	}
+	for _, kind := range config.Mix {
+		r.report.Kinds[kind.Name] = &KindReport{histogram: hdrhistogram.New(lowest, highest, digits)}
+	}
+	r.loop(ctx)
+	r.client.CloseIdleConnections()
+	for _, k := range r.report.Kinds {
+		k.P50, k.P99, k.P999 = k.quantile(50), k.quantile(99), k.quantile(99.9)
+		k.Goodput = float64(k.Right) / float64(max(k.Sent, 1))
+	}
+	return r.report, nil
+}
+
+func (k *KindReport) quantile(q float64) float64 {
+	return float64(k.histogram.ValueAtQuantile(q)) / 1000
+}
+
+// loop sends each request at its time, late ones at once.
+func (r *runner) loop(ctx context.Context) {
+	random := rand.New(rand.NewPCG(r.config.Seed, 1))
+	var group conc.WaitGroup
+	defer group.Wait()
+	start := time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for at := time.Duration(0); at < r.config.For; at += r.gap(random) {
+		timer.Reset(time.Until(start.Add(at)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		kind := r.draw(random)
+		target := r.target(random)
+		r.next++
+		id := fmt.Sprintf("%s-%d", r.config.Run, r.next)
+		group.Go(func() { r.run(ctx, kind, target, id, start.Add(at)) })
+	}
+}
+
+// gap is the time to the next request: exponential, as of independent callers.
+func (r *runner) gap(random *rand.Rand) time.Duration {
+	return time.Duration(random.ExpFloat64() / r.config.Rate * float64(time.Second))
+}
+
+func (r *runner) draw(random *rand.Rand) Kind {
+	total := 0
+	for _, kind := range r.config.Mix {
+		total += kind.Weight
+	}
+	n := random.IntN(total)
+	for _, kind := range r.config.Mix {
+		if n -= kind.Weight; n < 0 {
+			return kind
+		}
+	}
+	return r.config.Mix[0]
+}
+
+func (r *runner) target(random *rand.Rand) string {
+	if len(r.config.Weights) != len(r.config.Targets) {
+		return r.config.Targets[random.IntN(len(r.config.Targets))]
+	}
+	total := 0
+	for _, w := range r.config.Weights {
+		total += w
+	}
+	n := random.IntN(total)
+	for i, w := range r.config.Weights {
+		if n -= w; n < 0 {
+			return r.config.Targets[i]
+		}
+	}
+	return r.config.Targets[0]
+}
+
+// result is what became of one request.
+type result int
+
+const (
+	right result = iota
+	late
+	wrong
+	notRun
+	unknown
+	broken
+)
+
+func (r *runner) run(ctx context.Context, kind Kind, target, id string, meant time.Time) {
+	var got result
+	resent := int64(0)
+	for try := 0; ; try++ {
+		got = r.send(ctx, kind, target, id, meant)
+		if got != notRun || try >= r.config.Retries {
+			break
+		}
+		resent++
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.report.Kinds[kind.Name]
+	k.Sent++
+	k.Resent += resent
+	switch got {
+	case right:
+		k.Right++
+		_ = k.histogram.RecordValue(max(lowest, time.Since(meant).Microseconds())) // out of range is beyond 10 minutes
+	case late:
+		k.Late++
+		_ = k.histogram.RecordValue(max(lowest, time.Since(meant).Microseconds()))
+	case wrong:
+		k.Wrong++
+	case notRun:
+		k.NotRun++
+	case unknown:
+		k.Unknown++
+	case broken:
+		k.Broken++
+	}
+}
+
+func (r *runner) send(ctx context.Context, kind Kind, target, id string, meant time.Time) result {
+	body := "body of " + id
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/"+kind.Name, strings.NewReader(body))
+	if err != nil {
+		return broken
+	}
+	setHeaders(request.Header, kind, id)
+	response, err := r.client.Do(request)
+	if err != nil {
+		return broken
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return judge(response, string(text), err, kind, id, body, meant)
+}
+
+func setHeaders(h http.Header, kind Kind, id string) {
+	h.Set(models.HeaderLabels, kind.Labels)
+	h.Set(fleet.HeaderLoadID, id)
+	if kind.Deadline > 0 {
+		h.Set(models.HeaderDeadline, strconv.FormatInt(kind.Deadline.Milliseconds(), 10))
+	}
+	if kind.Unrepeatable {
+		h.Set(fleet.HeaderUnrepeatable, "1")
+		h.Set(models.HeaderIdempotencyKey, id)
+	}
+	if kind.Watch > 0 {
+		h.Set(fleet.HeaderWatch, strconv.FormatInt(kind.Watch.Milliseconds(), 10))
+	}
+	if kind.Work > 0 {
+		h.Set(fleet.HeaderWork, strconv.FormatInt(kind.Work.Milliseconds(), 10))
+	}
+	if kind.Bytes > 0 {
+		h.Set(fleet.HeaderBytes, strconv.Itoa(kind.Bytes))
+	}
+}
+
+func judge(response *http.Response, text string, err error, kind Kind, id, body string, meant time.Time) result {
+	switch {
+	case err != nil:
+		return broken
+	case response.Header.Get(models.HeaderOutcome) == string(models.RequestNotRun):
+		return notRun
+	case response.StatusCode != http.StatusOK:
+		return unknown
+	case kind.Watch > 0 && strings.HasSuffix(text, "end\n"):
+		return right
+	case kind.Watch > 0 || text != fleet.AnswerFor(id, []byte(body), kind.Bytes):
+		return wrong
+	case kind.Deadline > 0 && time.Since(meant) > kind.Deadline:
+		return late
+	default:
+		return right
+	}
+}
