Random interleavings of owners, successors, workers and store

Cause looked for: any way to run a task twice or to overcommit a VM. The real owners run on synctest's clock against the stand-ins' code; rapid draws crashes, pauses, two owners, lost, repeated and late messages, outages and restarts.

The mark now stands until the action's time to be repeated has come.

Failed try: drawing inside the bubble, which rapid can't shrink; scripts are now drawn first and played afterwards.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 generate: ## write the peers' calls anew; needs protoc, protoc-gen-go, protoc-gen-twirp
 	protoc --go_out=. --go_opt=module=rillsail.example/rillsail --twirp_out=. \
 		--twirp_opt=module=rillsail.example/rillsail modules/peerrpc/peer.proto
+
+long: ## random interleavings with another seed and many more runs
+	$(GO) test -timeout 30m ./services/cell -run Random -args -rapid.checks=5000 -rapid.seed=$$(date +%s)
--- a/services/cell/act.go
+++ b/services/cell/act.go
@@ -45,7 +45,8 @@
 	}
 }
 
-// begin marks an action as under way; false when it is already.
+// begin marks an action as under way; false when it is already. An answer doesn't
+// end it: what was refused is not taken again before its time.
 func (o *Owner) begin(f flight, now time.Time) bool {
 	if began, ok := o.inFlight[f]; ok && now.Sub(began) < o.again() {
 		return false
--- a/services/cell/observe.go
+++ b/services/cell/observe.go
@@ -206,7 +206,6 @@
 }
 
 func (o *Owner) handleStarted(m startedMessage) {
-	delete(o.inFlight, flight{m.ref.Task, m.ref.Attempt, models.ActionStart})
 	l := o.links[m.vm]
 	if m.err != nil || l == nil {
 		o.config.Scope.Counter("starts_unanswered").Inc(1)
@@ -233,7 +232,6 @@
 }
 
 func (o *Owner) handleStopped(m stoppedMessage) {
-	delete(o.inFlight, flight{m.ref.Task, m.ref.Attempt, models.ActionStop})
 	l := o.links[m.vm]
 	if m.err != nil || l == nil {
 		return
--- /dev/null
+++ b/services/cell/random_test.go
@@ -0,0 +1,302 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/config"
+	"rillsail.example/rillsail/services/standin/fleet"
+)
+
+// TestMain fixes the seed of the random tests, so that CI gives the same verdict
+// each time; "make long" asks for other seeds and more runs.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.checks": "60", "rapid.shrinktime": "10s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	code := m.Run()
+	fmt.Println("random steps taken:", randomSteps)
+	os.Exit(code)
+}
+
+var randomSteps int
+
+var worldCells = []models.CellID{"cell-rack-0", "cell-rack-1"}
+
+// step is one thing that happens to the world, with what it may need.
+type step struct {
+	What         string
+	Daemon       int
+	Cell         models.CellID
+	Worker       models.VMID
+	Number       int
+	Work         models.Milli
+	Unrepeatable bool
+	Urgent       bool
+	Wait         time.Duration
+}
+
+var happenings = []string{
+	"submit", "submit", "cancel", "take", "crash", "pause", "resume", "outage", "end outage", "lose answers",
+	"repeat", "lose replies", "late starts", "late offers", "cut worker", "heal worker", "restart worker", "drain", "cut daemon", "join", "service", "wait",
+}
+
+func drawStep(rt *rapid.T) step {
+	return step{
+		What:         rapid.SampledFrom(happenings).Draw(rt, "what"),
+		Daemon:       rapid.IntRange(0, 3).Draw(rt, "daemon"),
+		Cell:         rapid.SampledFrom(worldCells).Draw(rt, "cell"),
+		Worker:       models.VMID(fmt.Sprintf("worker-%d", rapid.IntRange(0, 3).Draw(rt, "worker"))),
+		Number:       rapid.IntRange(0, 5).Draw(rt, "number"),
+		Work:         models.Milli(rapid.IntRange(100, 6000).Draw(rt, "work")),
+		Unrepeatable: rapid.Bool().Draw(rt, "unrepeatable"),
+		Urgent:       rapid.Bool().Draw(rt, "urgent"),
+		Wait:         time.Duration(rapid.IntRange(1, 60).Draw(rt, "tenths")) * 100 * time.Millisecond,
+	}
+}
+
+// machine runs a script of steps and knows what has to come of it.
+type machine struct {
+	*world
+	specs    map[models.JobID]models.JobSpec // accepted, or perhaps
+	sure     map[models.JobID]bool           // surely accepted
+	refused  map[models.JobID]bool           // not run, as was said
+	canceled map[models.JobID]bool
+	drained  map[models.VMID]bool
+	wanted   int // replicas of the service
+}
+
+// TestRandomInterleavings drives owners, successors, workers and store through
+// random faults, and checks after every step that nothing runs twice and no VM is
+// overcommitted, and in the end that every job has ended as it must.
+func TestRandomInterleavings(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		script := rapid.SliceOfN(rapid.Custom(drawStep), 5, 40).Draw(rt, "script")
+		if failure := in(t, func(t *testing.T, v *verdict) { play(t, v, script) }); failure != "" {
+			rt.Fatalf("%s", failure)
+		}
+	})
+}
+
+// TestNamedScripts plays the scripts of testdata: the failures that random runs
+// have found, and those that the promises name.
+func TestNamedScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/scripts/*.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			require.NoError(t, err)
+			var script []step
+			require.NoError(t, json.Unmarshal(data, &script))
+			require.Empty(t, in(t, func(t *testing.T, v *verdict) { play(t, v, script) }))
+		})
+	}
+}
+
+// play runs a script, ends all faults and checks the outcome.
+func play(t *testing.T, v *verdict, script []step) {
+	m := &machine{
+		world: newWorld(t, v, 4), specs: map[models.JobID]models.JobSpec{}, sure: map[models.JobID]bool{},
+		refused: map[models.JobID]bool{}, canceled: map[models.JobID]bool{}, drained: map[models.VMID]bool{},
+	}
+	for i, cell := range worldCells {
+		_, err := m.take(i, cell)
+		require.NoError(v, err)
+	}
+	m.after(time.Second)
+	for i, s := range script {
+		m.step(i, s)
+		randomSteps++
+	}
+	m.recover()
+}
+
+func (m *machine) step(number int, s step) {
+	switch s.What {
+	case "submit":
+		m.submit(number, s)
+	case "cancel":
+		m.cancel(s)
+	case "take":
+		_, _ = m.tryTake(s.Daemon, s.Cell)
+	case "crash":
+		m.owner(s.Cell).cancel()
+		_, _ = m.tryTake(s.Daemon, s.Cell)
+	case "pause":
+		m.pause(s.Daemon)
+	case "resume":
+		m.resume(s.Daemon)
+	case "outage", "end outage":
+		m.set(func(f *worldFaults) { f.outage = s.What == "outage" })
+	case "lose answers":
+		m.set(func(f *worldFaults) { f.lostAnswers = s.Number })
+	case "repeat":
+		m.set(func(f *worldFaults) { f.repeat = !f.repeat })
+	case "lose replies":
+		m.set(func(f *worldFaults) { f.lostReplies = s.Number })
+	case "late starts":
+		m.set(func(f *worldFaults) { f.lateStarts = s.Number })
+	case "late offers":
+		m.set(func(f *worldFaults) { f.lateOffers = s.Number })
+	case "cut worker":
+		m.control(s.Worker, fleet.ActionCut)
+	case "heal worker":
+		m.control(s.Worker, fleet.ActionHeal)
+	case "restart worker":
+		m.control(s.Worker, fleet.ActionRestart)
+	case "drain":
+		m.drain(s.Worker)
+	case "cut daemon", "join":
+		m.set(func(f *worldFaults) { f.cutFrom[s.Daemon] = s.What == "cut daemon" })
+	case "service":
+		m.replicas(s.Number)
+	case "wait":
+	}
+	m.after(s.Wait)
+}
+
+// tryTake takes over unless the daemon is paused or the store is out.
+func (m *machine) tryTake(daemon int, cell models.CellID) (*testOwner, error) {
+	m.mu.Lock()
+	blocked := m.faults.lateCalls[daemon] != nil || m.faults.outage
+	m.mu.Unlock()
+	if blocked {
+		return nil, ErrNoStore
+	}
+	return m.take(daemon, cell)
+}
+
+func (m *machine) control(vm models.VMID, action fleet.Action) {
+	require.NoError(m.t, m.fleet.Apply(fleet.Control{VM: vm, Action: action}))
+}
+
+func (m *machine) submit(number int, s step) {
+	id := models.JobID(fmt.Sprintf("job-%d", number))
+	spec := testJob(id, s.Number+1, s.Work)
+	spec.Unrepeatable, spec.Urgent = s.Unrepeatable, s.Urgent
+	_, err := m.forward(m.owner(s.Cell), models.ForwardCall{Submit: []models.JobSpec{spec}})
+	if _, notRun := RefusalOf(err); notRun {
+		m.refused[id] = true
+		return
+	}
+	m.specs[id] = spec
+	m.sure[id] = err == nil
+}
+
+func (m *machine) cancel(s step) {
+	for id := range m.specs {
+		if int(id[len(id)-1]-'0')%6 != s.Number {
+			continue
+		}
+		m.canceled[id] = true
+		_, _ = m.forward(m.owner(s.Cell), models.ForwardCall{Cancel: []models.JobID{id}})
+	}
+}
+
+func (m *machine) drain(vm models.VMID) {
+	m.drained[vm] = !m.drained[vm]
+	m.remake()
+}
+
+func (m *machine) replicas(n int) {
+	m.wanted = n
+	m.remake()
+}
+
+// remake makes the configuration anew from what was drawn.
+func (m *machine) remake() {
+	objects := []models.Object{models.Team{Name: "office"}}
+	for vm, drained := range m.drained {
+		if drained {
+			objects = append(objects, models.VMLabels{VM: vm, Labels: map[string]string{models.LabelDrain: "true"}})
+		}
+	}
+	if m.wanted > 0 {
+		objects = append(objects, models.Service{
+			Name: "quotes", Team: "office", Labels: map[string]string{"app": "quotes"}, Replicas: m.wanted,
+			Size: models.Resources{CPU: 1500, Memory: 256}, Target: 100,
+		})
+	}
+	m.setView(config.ViewOf(m.config().Revision()+1, objects...))
+}
+
+// recover ends all faults and checks that everything comes to its end.
+func (m *machine) recover() {
+	m.healAll()
+	m.drained = map[models.VMID]bool{}
+	m.remake()
+	for i, cell := range worldCells {
+		m.until(time.Minute, "a successor takes "+string(cell), func() bool {
+			_, err := m.take(4+i, cell) // a former owner's append may be faster
+			return err == nil
+		})
+	}
+	m.until(10*time.Minute, "every job ends", func() bool {
+		jobs := m.jobs()
+		for id := range m.specs {
+			job, known := jobs[id]
+			if known && job.Ended == 0 || !known && m.sure[id] {
+				return false
+			}
+		}
+		return true
+	})
+	for id, job := range m.jobs() {
+		require.False(m.t, m.refused[id], "job %s was refused as not run and is there", id)
+		m.checkJob(id, job)
+	}
+	m.until(time.Minute, "as many replicas run as are wanted", func() bool { return m.runningReplicas() == m.wanted })
+}
+
+// checkJob compares what the journal says of a job with what really ran.
+func (m *machine) checkJob(id models.JobID, job models.Job) {
+	require.Equal(m.t, job.Tasks, job.Succeeded+job.Failed+job.MayHaveRun+job.Stopped, "job %s: %+v", id, job)
+	finished := 0
+	for i := range job.Tasks {
+		task := models.JobTaskID(id, i)
+		all, kept := m.fleet.FinishedRuns(task)
+		require.LessOrEqual(m.t, kept, 1, "task %s", task)
+		if job.Unrepeatable {
+			require.LessOrEqual(m.t, all, 1, "unrepeatable task %s", task)
+		}
+		finished += all
+	}
+	require.GreaterOrEqual(m.t, finished, job.Succeeded, "job %s: %+v", id, job)
+	if !job.Unrepeatable && !m.canceled[id] {
+		require.Equal(m.t, job.Tasks, job.Succeeded, "job %s: %+v", id, job)
+	}
+}
+
+func (m *machine) runningReplicas() int {
+	n := 0
+	for _, cell := range worldCells {
+		answer, err := m.forward(m.owner(cell), models.ForwardCall{Tasks: true})
+		if err != nil {
+			return -1
+		}
+		for _, t := range answer.Tasks {
+			if t.Kind == models.TaskService && t.State == models.TaskRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/services/cell/spill.go
+++ b/services/cell/spill.go
@@ -211,11 +211,13 @@
 }
 
 func (o *Owner) handleOffered(m offeredMessage) {
-	delete(o.inFlight, flight{models.TaskID(m.call.To), models.Attempt(m.call.Epoch), flightOffer})
 	if m.err != nil {
 		o.config.Scope.Counter("offers_unanswered").Inc(1)
 		return
 	}
+	if len(m.answer.Accepted) == len(m.call.Tasks) { // else those left open are offered again in a while
+		delete(o.inFlight, flight{models.TaskID(m.call.To), models.Attempt(m.call.Epoch), flightOffer})
+	}
 	for _, t := range m.call.Tasks {
 		accepted, final := m.answer.Accepted[t.ID]
 		if !final {
@@ -290,11 +292,13 @@
 }
 
 func (o *Owner) handleReported(m reportedMessage) {
-	delete(o.inFlight, flight{models.TaskID(m.call.To), 0, flightReport})
 	if m.err != nil {
 		o.config.Scope.Counter("reports_unanswered").Inc(1)
 		return
 	}
+	if len(m.answer.Settled) == len(m.call.Tasks) && len(m.call.Cancel) == 0 {
+		delete(o.inFlight, flight{models.TaskID(m.call.To), 0, flightReport})
+	}
 	for _, id := range m.answer.Settled {
 		t, ok := o.working.Tasks[id]
 		if !ok || !t.Foreign() {
--- /dev/null
+++ b/services/cell/world_test.go
@@ -0,0 +1,404 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/setting"
+	"rillsail.example/rillsail/services/config"
+	"rillsail.example/rillsail/services/interference"
+	"rillsail.example/rillsail/services/inventory"
+	"rillsail.example/rillsail/services/journal"
+	"rillsail.example/rillsail/services/platform"
+	"rillsail.example/rillsail/services/standin/fleet"
+	"rillsail.example/rillsail/services/standin/kv"
+)
+
+// world is a store, a fleet and any number of owners in one process on the clock of
+// a synctest bubble. The owners are the real ones; only wires are replaced.
+type world struct {
+	t      require.TestingT
+	ctx    context.Context
+	store  *kv.Service
+	fleet  *fleet.Fleet
+	view   *config.View
+	owners map[models.CellID][]*testOwner // the latest last
+	made   int
+
+	mu     sync.Mutex
+	faults worldFaults
+}
+
+// worldFaults are the faults in force.
+type worldFaults struct {
+	outage      bool
+	lostAnswers int              // of store writes that take effect
+	lateCalls   map[int]chan any // by daemon: its calls wait until the channel closes
+	repeat      bool             // calls to workers arrive twice
+	lostReplies int              // answers of workers
+	lateStarts  int              // calls to workers that arrive after they were given up
+	lateOffers  int              // offers of which another copy arrives later
+	cutFrom     map[int]bool     // daemons that reach no worker
+}
+
+type testOwner struct {
+	*Owner
+	daemon int
+	cancel context.CancelFunc
+}
+
+var testSettings = setting.Cell{
+	Lease: 4 * time.Second, Renew: 200 * time.Millisecond, Append: 50 * time.Millisecond, Tick: 100 * time.Millisecond,
+	RingSlots: 8, KeepJobs: 100, SettleAfter: 500 * time.Millisecond, Policy: "pairs",
+}
+
+func newWorld(t *testing.T, verdict require.TestingT, workers int) *world {
+	t.Helper()
+	f, err := fleet.New(fleet.Config{
+		Run: "test", Workers: workers, PerRack: 2, Worker: models.Resources{CPU: 4000, Memory: 4096},
+		Domains: []string{"south/a", "south/b"}, ListLag: time.Second, ReportLag: 200 * time.Millisecond, Unserved: true,
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	w := &world{
+		t: verdict, ctx: ctx, store: kv.New(kv.Config{}), fleet: f, owners: map[models.CellID][]*testOwner{},
+		view:   config.ViewOf(1, models.Team{Name: "office"}),
+		faults: worldFaults{lateCalls: map[int]chan any{}, cutFrom: map[int]bool{}},
+	}
+	go f.Advance(ctx)
+	t.Cleanup(func() {
+		w.healAll()
+		cancel()
+		time.Sleep(time.Minute) // every goroutine ends
+		synctest.Wait()
+	})
+	return w
+}
+
+func (w *world) config() *config.View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view
+}
+
+func (w *world) setView(v *config.View) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.view = v
+}
+
+func (w *world) set(change func(*worldFaults)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(&w.faults)
+}
+
+// pause lets all calls of a daemon wait, as when its process is frozen.
+func (w *world) pause(daemon int) {
+	w.set(func(f *worldFaults) {
+		if f.lateCalls[daemon] == nil {
+			f.lateCalls[daemon] = make(chan any)
+		}
+	})
+}
+
+func (w *world) resume(daemon int) {
+	w.set(func(f *worldFaults) {
+		if f.lateCalls[daemon] != nil {
+			close(f.lateCalls[daemon])
+			delete(f.lateCalls, daemon)
+		}
+	})
+}
+
+func (w *world) healAll() {
+	for daemon := range 8 {
+		w.resume(daemon)
+	}
+	w.set(func(f *worldFaults) {
+		f.outage, f.lostAnswers, f.repeat, f.lostReplies, f.lateStarts, f.lateOffers = false, 0, false, 0, 0, 0
+		f.cutFrom = map[int]bool{}
+	})
+	for _, vm := range w.fleet.VMs().VMs {
+		_ = w.fleet.Apply(fleet.Control{VM: vm.ID, Action: fleet.ActionHeal})
+		_ = w.fleet.Apply(fleet.Control{VM: vm.ID, Action: fleet.ActionSound})
+	}
+}
+
+// wait lets a call of a paused daemon wait.
+func (w *world) wait(ctx context.Context, daemon int) error {
+	w.mu.Lock()
+	late := w.faults.lateCalls[daemon]
+	w.mu.Unlock()
+	if late == nil {
+		return nil
+	}
+	select {
+	case <-late:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (w *world) storeFor(daemon int) platform.Store {
+	return &kv.Local{Service: w.store, Wait: time.Second, Fault: func(ctx context.Context, write, after bool, _ string) error {
+		if err := w.wait(ctx, daemon); err != nil {
+			return errors.Mark(err, platform.ErrUnknown)
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !after && w.faults.outage {
+			return platform.ErrUnavailable
+		}
+		if after && write && w.faults.lostAnswers > 0 {
+			w.faults.lostAnswers--
+			return platform.ErrUnknown
+		}
+		return nil
+	}}
+}
+
+// lateBy is how late a late call arrives.
+const lateBy = 1500 * time.Millisecond
+
+var errLost = errors.New("answer lost")
+
+func (w *world) workersFor(daemon int) platform.Workers {
+	return &fleet.Local{
+		Fleet: w.fleet,
+		Fault: func(ctx context.Context, after bool, _ string) error {
+			if err := w.wait(ctx, daemon); err != nil {
+				return err
+			}
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.faults.cutFrom[daemon] {
+				return errLost
+			}
+			if after && w.faults.lostReplies > 0 {
+				w.faults.lostReplies--
+				return errLost
+			}
+			return nil
+		},
+		Late: func() time.Duration {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.faults.lateStarts == 0 {
+				return 0
+			}
+			w.faults.lateStarts--
+			return lateBy
+		},
+		Repeat: func() bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.faults.repeat
+		},
+	}
+}
+
+type listFunc func() models.VMList
+
+// VMs implements platform.List.
+func (l listFunc) VMs(context.Context) (models.VMList, error) { return l(), nil }
+
+// take lets a daemon take over a cell. Former owners go on until they find out.
+func (w *world) take(daemon int, cell models.CellID) (*testOwner, error) {
+	store := w.storeFor(daemon)
+	vms := inventory.New(inventory.Config{
+		List: listFunc(w.fleet.VMs), Store: store, Every: 200 * time.Millisecond,
+		Logger: zap.NewNop(), Scope: tally.NoopScope, Changed: func() {},
+	})
+	if err := vms.Refresh(w.ctx); err != nil {
+		return nil, err
+	}
+	j := journal.New(journal.Config{
+		Store: store, Cell: cell, Writer: models.MemberID(fmt.Sprint("daemon-", daemon)), Slots: testSettings.RingSlots, NewID: w.newID,
+	})
+	err := j.Take(w.ctx)
+	for errors.Is(err, journal.ErrPending) {
+		time.Sleep(retryAppend)
+		err = j.Settle(w.ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return w.own(daemon, cell, j, vms, false), nil
+}
+
+func (w *world) own(daemon int, cell models.CellID, j *journal.Journal, vms *inventory.Service, adopted bool) *testOwner {
+	ctx, cancel := context.WithCancel(w.ctx)
+	o := &testOwner{daemon: daemon, cancel: cancel, Owner: NewOwner(OwnerConfig{
+		Cell: cell, Epoch: j.Epoch(), Adopted: adopted, Settings: testSettings, Journal: j, Workers: w.workersFor(daemon), Inventory: vms,
+		View: w.config, Peers: &worldPeers{w}, Learner: interference.New(interference.Config{}), Logger: zap.NewNop(), Scope: tally.NoopScope,
+	})}
+	w.mu.Lock()
+	w.owners[cell] = append(w.owners[cell], o)
+	w.mu.Unlock()
+	go vms.Run(ctx)
+	go o.Run(ctx)
+	return o
+}
+
+func (w *world) newID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.made++
+	return fmt.Sprint("id-", w.made)
+}
+
+// worldPeers reaches the latest owner of each cell.
+type worldPeers struct{ w *world }
+
+// Cells implements Peers.
+func (p *worldPeers) Cells() map[models.CellID]models.CellBeat {
+	cells := map[models.CellID]models.CellBeat{}
+	for _, cell := range worldCells {
+		if beat := p.w.owner(cell).beat.Load(); beat != nil {
+			cells[cell] = *beat
+		}
+	}
+	return cells
+}
+
+// Offer implements Peers.
+func (p *worldPeers) Offer(ctx context.Context, call models.OfferCall) (models.OfferAnswer, error) {
+	reply := make(chan models.OfferAnswer, 1)
+	answer, err := askOwner(ctx, p.w.owner(call.To), offerMessage{call: call, reply: reply}, reply)
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	if p.w.faults.lateOffers > 0 {
+		p.w.faults.lateOffers--
+		time.AfterFunc(lateBy, func() { p.offerAgain(call) })
+	}
+	return answer, err
+}
+
+// offerAgain delivers a late copy of an offer, whose answer nobody waits for.
+func (p *worldPeers) offerAgain(call models.OfferCall) {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	owners := p.w.owners[call.To]
+	select {
+	case owners[len(owners)-1].inbox <- offerMessage{call: call, reply: make(chan models.OfferAnswer, 1)}:
+	default:
+	}
+}
+
+// Report implements Peers.
+func (p *worldPeers) Report(ctx context.Context, call models.ReportCall) (models.ReportAnswer, error) {
+	reply := make(chan models.ReportAnswer, 1)
+	return askOwner(ctx, p.w.owner(call.To), reportMessage{call: call, reply: reply}, reply)
+}
+
+func askOwner[A any](ctx context.Context, o *testOwner, m message, reply <-chan A) (A, error) {
+	var zero A
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if !o.send(ctx, m) {
+		return zero, ErrNotOwner
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+// owner is the latest owner of a cell.
+func (w *world) owner(cell models.CellID) *testOwner {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	owners := w.owners[cell]
+	return owners[len(owners)-1]
+}
+
+func (w *world) forward(o *testOwner, call models.ForwardCall) (models.ForwardAnswer, error) {
+	ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
+	defer cancel()
+	call.Cell = o.config.Cell
+	return forwardTo(ctx, o.Owner, call)
+}
+
+// after lets time pass and checks what must always hold.
+func (w *world) after(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+	require.Empty(w.t, w.fleet.Audit().Violations)
+}
+
+// until lets time pass until the condition holds.
+func (w *world) until(most time.Duration, what string, condition func() bool) {
+	end := time.Now().Add(most)
+	for !condition() {
+		require.True(w.t, time.Now().Before(end), what)
+		w.after(100 * time.Millisecond)
+	}
+}
+
+// jobs lists the jobs of all cells as their latest owners know them.
+func (w *world) jobs() map[models.JobID]models.Job {
+	jobs := map[models.JobID]models.Job{}
+	for _, cell := range slices.Sorted(maps.Keys(w.owners)) {
+		answer, err := w.forward(w.owner(cell), models.ForwardCall{Jobs: true})
+		if err != nil {
+			continue
+		}
+		for _, job := range answer.Jobs {
+			jobs[job.ID] = job
+		}
+	}
+	return jobs
+}
+
+func testJob(id models.JobID, tasks int, work models.Milli) models.JobSpec {
+	return models.JobSpec{
+		ID: id, Team: "office", Labels: map[string]string{"app": "report"}, Tasks: tasks,
+		Size: models.Resources{CPU: 1000, Memory: 256}, Work: work,
+	}
+}
+
+// verdict keeps the first failure of a run and ends the run, so that package rapid
+// can look for a shorter script that fails.
+type verdict struct{ failure string }
+
+type runEnded struct{}
+
+// Errorf implements require.TestingT.
+func (v *verdict) Errorf(format string, args ...any) { v.failure += fmt.Sprintf(format, args...) }
+
+// FailNow implements require.TestingT.
+func (v *verdict) FailNow() { panic(runEnded{}) }
+
+// in runs a script in a bubble of its own and gives the failure, if any.
+func in(t *testing.T, run func(t *testing.T, v *verdict)) string {
+	t.Helper()
+	v := &verdict{}
+	synctest.Test(t, func(t *testing.T) {
+		defer func() {
+			if r := recover(); r != nil && r != any(runEnded{}) {
+				panic(r)
+			}
+		}()
+		run(t, v)
+	})
+	return v.failure
+}
--- a/services/config/view.go
+++ b/services/config/view.go
@@ -31,6 +31,17 @@
 	return newView(models.ConfigHead{Buckets: map[models.BucketName]models.BucketHash{}}, nil, nil)
 }
 
+// ViewOf makes a view of objects alone, for tests and trials without a store.
+func ViewOf(revision models.Revision, objects ...models.Object) *View {
+	buckets := map[models.BucketName]models.Bucket{}
+	for _, object := range objects {
+		bucket := buckets[object.Key().Bucket()]
+		bucket.Objects = append(bucket.Objects, models.ObjectBox{Object: object, Changed: revision})
+		buckets[object.Key().Bucket()] = bucket
+	}
+	return newView(models.ConfigHead{Revision: revision}, buckets, nil)
+}
+
 func newView(head models.ConfigHead, buckets map[models.BucketName]models.Bucket, stored map[models.BucketHash][]byte) *View {
 	v := &View{
 		Head: head, buckets: buckets, stored: stored,
--- a/services/standin/fleet/audit.go
+++ b/services/standin/fleet/audit.go
@@ -36,7 +36,9 @@
 	mu       sync.Mutex
 	audit    Audit
 	running  map[models.TaskID]models.VMID
-	finished map[models.TaskID]int
+	finished map[models.TaskID]int // successes whose result is not lost
+	ever     map[models.TaskID]int // successes
+	starts   map[models.TaskID]int
 	executed map[string]int // runs of a request by its load id
 	ran      map[string]models.VMID
 }
@@ -45,6 +47,8 @@
 	return &auditor{
 		running:  map[models.TaskID]models.VMID{},
 		finished: map[models.TaskID]int{},
+		ever:     map[models.TaskID]int{},
+		starts:   map[models.TaskID]int{},
 		executed: map[string]int{},
 		ran:      map[string]models.VMID{},
 	}
@@ -60,6 +64,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.audit.Starts++
+	a.starts[call.Task]++
 	if other, ok := a.running[call.Task]; ok {
 		a.violation("task %s attempt %d started on %s while it runs on %s", call.Task, call.Attempt, vm, other)
 	}
@@ -84,6 +89,7 @@
 	case models.StatusFinished:
 		a.audit.Finished++
 		a.finished[call.Task]++
+		a.ever[call.Task]++
 	case models.StatusFailed:
 		a.audit.Failed++
 	default:
@@ -91,6 +97,14 @@
 	}
 }
 
+// resultLost notes that a worker died with a result that nobody had taken: a task
+// that may be repeated has to run again.
+func (a *auditor) resultLost(task models.TaskID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.finished[task]--
+}
+
 func (a *auditor) committed(vm models.VM, used models.Resources) {
 	if used.Fits(vm.Capacity) {
 		return
--- a/services/standin/fleet/fleet.go
+++ b/services/standin/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Pairs     PairTable
 	Service   ServiceTimes // of upstreams
 	Tick      time.Duration
+	// Unserved opens no listeners: the workers are reached through Local only.
+	Unserved bool
 }
 
 // PairTable says how much a service is slowed down by each batch task beside it;
@@ -139,6 +141,11 @@
 
 // open listens on the loopback and enters the VM in the list.
 func (f *Fleet) open(vm *models.VM) (net.Listener, error) {
+	if f.config.Unserved {
+		vm.Address = fmt.Sprintf("127.0.0.1:%d", len(f.truth)+1)
+		f.truth = append(f.truth, *vm)
+		return nil, nil
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", vm.ID)
--- /dev/null
+++ b/services/standin/fleet/local.go
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/models"
+)
+
+// Local reaches the fleet's workers within the process as platform.Workers, for
+// tests that run many daemons in one. Fault is asked before and after each call,
+// and may block; Repeat tells that a call arrives twice; Late by how much later a
+// start arrives than its caller gives it up, 0 when it isn't late.
+type Local struct {
+	Fleet  *Fleet
+	Fault  func(ctx context.Context, after bool, address string) error
+	Repeat func() bool
+	Late   func() time.Duration
+}
+
+// errUnreachable is what a call to a VM that is cut or down meets.
+var errUnreachable = errors.New("worker can't be reached")
+
+// Start implements platform.Workers.
+func (l *Local) Start(ctx context.Context, address string, call models.StartCall) (models.StartAnswer, error) {
+	if late := l.Late(); late > 0 {
+		time.AfterFunc(late, func() { _, _ = localCall(ctx, l, address, call, (*worker).start) })
+		return models.StartAnswer{}, errUnreachable
+	}
+	return localCall(ctx, l, address, call, (*worker).start)
+}
+
+// Renew implements platform.Workers.
+func (l *Local) Renew(ctx context.Context, address string, call models.RenewCall) (models.RenewAnswer, error) {
+	return localCall(ctx, l, address, call, (*worker).renew)
+}
+
+// Stop implements platform.Workers.
+func (l *Local) Stop(ctx context.Context, address string, call models.StopCall) (models.StopAnswer, error) {
+	return localCall(ctx, l, address, call, (*worker).stop)
+}
+
+func localCall[C, A any](ctx context.Context, l *Local, address string, call C, perform func(*worker, C) A) (A, error) {
+	var zero A
+	if err := l.Fault(ctx, false, address); err != nil {
+		return zero, err
+	}
+	w, err := l.find(address)
+	if err != nil {
+		return zero, err
+	}
+	answer := perform(w, call)
+	if l.Repeat() {
+		answer = perform(w, call)
+	}
+	return answer, l.Fault(ctx, true, address)
+}
+
+func (l *Local) find(address string) (*worker, error) {
+	for _, w := range l.Fleet.workers {
+		if w.vm.Address != address {
+			continue
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.down || w.cut {
+			return nil, errUnreachable
+		}
+		return w, nil
+	}
+	return nil, errUnreachable
+}
+
+// FinishedRuns is how often the task ended successfully at any worker, in all and
+// without those whose result died with the worker.
+func (f *Fleet) FinishedRuns(task models.TaskID) (all, kept int) {
+	f.audit.mu.Lock()
+	defer f.audit.mu.Unlock()
+	return f.audit.ever[task], f.audit.finished[task]
+}
+
+// StartsOf is how many attempts of the task began at any worker.
+func (f *Fleet) StartsOf(task models.TaskID) int {
+	f.audit.mu.Lock()
+	defer f.audit.mu.Unlock()
+	return f.audit.starts[task]
+}
+
+// Advance lets all tasks run, without Run.
+func (f *Fleet) Advance(ctx context.Context) { f.loop(ctx) }
--- a/services/standin/fleet/worker.go
+++ b/services/standin/fleet/worker.go
@@ -264,8 +264,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, a := range w.attempts {
-		if a.status == models.StatusRunning {
+		switch a.status {
+		case models.StatusRunning:
 			w.finish(a, models.StatusStopped, "killed")
+		case models.StatusFinished:
+			w.fleet.audit.resultLost(a.call.Task)
 		}
 	}
 	w.down = !restart
--- /dev/null
+++ b/services/standin/kv/local.go
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package kv
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"rillsail.example/rillsail/services/platform"
+)
+
+// Local is the stand-in as a platform.Store within the process, for tests that run
+// many daemons in one. Fault is asked before and after each call: an error before
+// keeps the call from taking effect, one after loses its answer. It may also block.
+type Local struct {
+	Service *Service
+	Fault   func(ctx context.Context, write, after bool, key string) error
+	Wait    time.Duration // of a watch
+}
+
+func (l *Local) do(ctx context.Context, write bool, key string, perform func() (platform.StoreAnswer, error)) (platform.StoreAnswer, error) {
+	if err := l.Fault(ctx, write, false, key); err != nil {
+		return platform.StoreAnswer{}, err
+	}
+	answer, err := perform()
+	if err != nil {
+		return answer, err
+	}
+	return answer, l.Fault(ctx, write, true, key)
+}
+
+// Get implements platform.Store.
+func (l *Local) Get(ctx context.Context, key string) (platform.Record, error) {
+	answer, err := l.do(ctx, false, key, func() (platform.StoreAnswer, error) { return l.Service.get(key) })
+	if err != nil {
+		return platform.Record{}, err
+	}
+	return answer.Records[0], nil
+}
+
+// List implements platform.Store.
+func (l *Local) List(ctx context.Context, prefix string) ([]platform.Record, platform.Version, error) {
+	answer, err := l.do(ctx, false, prefix, func() (platform.StoreAnswer, error) { return l.Service.list(prefix), nil })
+	return answer.Records, answer.Version, err
+}
+
+// Swap implements platform.Store.
+func (l *Local) Swap(ctx context.Context, key string, value []byte, expect platform.Version, lease platform.LeaseID) (platform.Version, error) {
+	call := platform.StoreCall{Key: key, Value: value, Expect: expect, Lease: lease}
+	answer, err := l.do(ctx, true, key, func() (platform.StoreAnswer, error) {
+		l.Service.noteWrite(len(value))
+		return l.Service.swap(call)
+	})
+	return answer.Version, err
+}
+
+// Delete implements platform.Store.
+func (l *Local) Delete(ctx context.Context, key string, expect platform.Version) error {
+	_, err := l.do(ctx, true, key, func() (platform.StoreAnswer, error) {
+		return platform.StoreAnswer{}, l.Service.remove(key, expect)
+	})
+	return err
+}
+
+// Watch implements platform.Store.
+func (l *Local) Watch(ctx context.Context, prefix string, after platform.Version) ([]platform.Record, platform.Version, error) {
+	answer, err := l.do(ctx, false, prefix, func() (platform.StoreAnswer, error) {
+		return l.Service.watch(ctx, prefix, after, l.Wait)
+	})
+	return answer.Records, answer.Version, err
+}
+
+// Grant implements platform.Store.
+func (l *Local) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	answer, err := l.do(ctx, true, "", func() (platform.StoreAnswer, error) { return l.Service.grant(ttl), nil })
+	return answer.Lease, err
+}
+
+// KeepAlive implements platform.Store.
+func (l *Local) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+	_, err := l.do(ctx, true, "", func() (platform.StoreAnswer, error) {
+		return platform.StoreAnswer{}, l.Service.keep(lease)
+	})
+	return err
+}
+
+func (s *Service) noteWrite(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Writes++
+	s.stats.BytesIn += int64(bytes)
+}
+
+// NoFault is a Fault that never fails.
+func NoFault(context.Context, bool, bool, string) error { return nil }
+
+// KeysWith lists the keys with a prefix, for checks of what is left behind.
+func (s *Service) KeysWith(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
