Request and configuration promises under failure with real processes

Cause looked for: answers not whole or not one's own, untrue 'not run', a second run of an unrepeatable request, work for a leaving upstream, requests cut by a planned stop, configuration that reverts or misses a daemon.

Found: an operator's call with an oversized body got 500 instead of 413 (TestBadInputChangesNothing failed); the decoder now knows the limiter's error. Tests that failed for a wrong expectation: a key whose home has just died is refused as not run until the home counts as gone, which is the promise.

--- a/modules/wire/wire.go
+++ b/modules/wire/wire.go
@@ -66,6 +66,11 @@
 // or the reader's own.
 func Decode[T Checker](r io.Reader, limit int64) (T, error) {
 	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		var zero T
+		return zero, &Error{Kind: KindOversized, cause: err}
+	}
 	if err != nil {
 		var zero T
 		return zero, errors.Wrap(err, "read input")
--- a/services/standin/fleet/audit.go
+++ b/services/standin/fleet/audit.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 
 	"rillsail.example/rillsail/models"
@@ -22,6 +23,8 @@
 	SlowSamples  int64    `json:"slow_samples"` // services over their target
 	Requests     int64    `json:"requests"`     // run by upstreams
 	SlotOverruns int64    `json:"slot_overruns"`
+	// ByUpstream counts the requests that reached each upstream.
+	ByUpstream map[models.VMID]int64 `json:"by_upstream"`
 	Violations   []string `json:"violations"`
 }
 
@@ -45,6 +48,7 @@
 
 func newAuditor() *auditor {
 	return &auditor{
+		audit:    Audit{ByUpstream: map[models.VMID]int64{}},
 		running:  map[models.TaskID]models.VMID{},
 		finished: map[models.TaskID]int{},
 		ever:     map[models.TaskID]int{},
@@ -123,6 +127,12 @@
 	}
 }
 
+func (a *auditor) reached(vm models.VMID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.audit.ByUpstream[vm]++
+}
+
 func (a *auditor) request(id string, unrepeatable, overrun bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -150,6 +160,7 @@
 	defer a.mu.Unlock()
 	audit := a.audit
 	audit.Running = len(a.running)
+	audit.ByUpstream = maps.Clone(a.audit.ByUpstream)
 	audit.Violations = append([]string{}, a.audit.Violations...)
 	return audit
 }
--- a/services/standin/fleet/upstream.go
+++ b/services/standin/fleet/upstream.go
@@ -96,6 +96,7 @@
 // ServeHTTP runs one request.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b := u.behave()
+	u.fleet.audit.reached(u.vm.ID)
 	if b.leaving {
 		w.Header().Set("Connection", "close")
 	}
--- /dev/null
+++ b/tests/integration/config_faults_test.go
@@ -0,0 +1,157 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/wire"
+	"rillsail.example/rillsail/routers/operator"
+	"rillsail.example/rillsail/services/standin/kv"
+)
+
+func revisionAt(d *daemonProcess) models.Revision {
+	s, err := call[models.Status](d, http.MethodGet, operator.PathStatus, nil)
+	if err != nil {
+		return 0
+	}
+	return s.Revision
+}
+
+// everywhere waits until every daemon has at least the revision, and tells how long
+// that took.
+func (c *cluster) everywhere(revision models.Revision) time.Duration {
+	c.t.Helper()
+	began := time.Now()
+	for _, d := range c.daemons {
+		eventually(c.t, fmt.Sprint(d.id, " has revision ", revision), func() bool { return revisionAt(d) >= revision })
+	}
+	return time.Since(began)
+}
+
+func teamChange(base models.Revision, names ...models.TeamName) models.ConfigChange {
+	change := models.ConfigChange{Base: base}
+	for i, name := range names {
+		team := models.Team{Name: name, Quota: models.Resources{CPU: models.MilliCPU(1000 * (i + 1))}}
+		change.Put = append(change.Put, models.ObjectBox{Object: team})
+	}
+	return change
+}
+
+// TestOperatorsRace lets operators change the same object and different ones at the
+// same time through different daemons: of those on the same base one wins, and no
+// accepted change is lost.
+func TestOperatorsRace(t *testing.T) {
+	c := newCluster(t, clusterConfig{daemons: 3, fleet: smallFleet})
+	accepted := c.apply(c.daemons[0], models.Team{Name: "shared"})
+	c.everywhere(accepted.Revision)
+	const operators = 12
+	outcomes := make([]error, operators)
+	var group sync.WaitGroup
+	for i := range operators {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			change := teamChange(accepted.Revision, "shared")
+			if i%2 == 1 {
+				change = teamChange(accepted.Revision, models.TeamName(fmt.Sprint("own-", i)))
+			}
+			_, outcomes[i] = call[models.ConfigResult](c.daemons[i%3], http.MethodPost, operator.PathConfig, change)
+		}()
+	}
+	group.Wait()
+	won := 0
+	for i, err := range outcomes {
+		var refused *wire.StatusError
+		switch {
+		case i%2 == 1:
+			require.NoError(t, err, "a change of another object")
+		case err == nil:
+			won++
+		default:
+			require.ErrorAs(t, err, &refused)
+			assert.Equal(t, http.StatusConflict, refused.Status)
+			assert.Contains(t, refused.Problem.Error, "team/shared")
+		}
+	}
+	assert.Equal(t, 1, won, "of the operators on the same base one wins")
+	c.everywhere(accepted.Revision + operators/2 + 1)
+	got, err := call[models.Configuration](c.daemons[2], http.MethodGet, operator.PathConfig, nil)
+	require.NoError(t, err)
+	assert.Len(t, got.Objects, 1+operators/2)
+	assert.Equal(t, accepted.Revision+operators/2+1, got.Revision)
+}
+
+// TestConfigurationOutlivesOutage takes the store away right after a change was
+// accepted, and replaces every daemon in and after the outage: the change is in
+// force everywhere within seconds and never reverts.
+func TestConfigurationOutlivesOutage(t *testing.T) {
+	c := newCluster(t, clusterConfig{daemons: 3, fleet: smallFleet})
+	// The store is gone for all but the daemon that accepts: the peers have it from there.
+	slow := c.startDaemon(3, nil)
+	c.daemons = append(c.daemons, slow)
+	eventually(t, "the fourth daemon is there", func() bool {
+		s, err := call[models.Status](slow, http.MethodGet, operator.PathStatus, nil)
+		return err == nil && len(s.Members) == 4
+	})
+	result, err := call[models.ConfigResult](c.daemons[0], http.MethodPost, operator.PathConfig, teamChange(0, "office"))
+	require.NoError(t, err)
+	c.faults(kv.Faults{Outage: true})
+	assert.Less(t, c.everywhere(result.Revision), 7*time.Second)
+	_, err = call[models.ConfigResult](c.daemons[1], http.MethodPost, operator.PathConfig, teamChange(0, "never"))
+	var refused *wire.StatusError
+	require.ErrorAs(t, err, &refused)
+	assert.Equal(t, operator.KindNotRun, refused.Kind)
+	for i := range c.daemons {
+		next := c.startDaemon(10+i, map[string]string{"member.seeds": c.daemons[(i+1)%len(c.daemons)].peer})
+		eventually(t, "a daemon that starts has the revision", func() bool { return revisionAt(next) >= result.Revision })
+		c.daemons[i].kill()
+		c.daemons[i] = next
+	}
+	c.faults(kv.Faults{})
+	again, err := call[models.ConfigResult](c.daemons[2], http.MethodPost, operator.PathConfig, teamChange(0, "after"))
+	require.NoError(t, err)
+	assert.Equal(t, result.Revision+1, again.Revision)
+	assert.Less(t, c.everywhere(again.Revision), 7*time.Second)
+}
+
+// TestLostAnswerOfAConfigurationWrite lets the store swap the head and lose the
+// answer: the operator hears that the change was accepted, once.
+func TestLostAnswerOfAConfigurationWrite(t *testing.T) {
+	c := newCluster(t, clusterConfig{daemons: 2, fleet: smallFleet})
+	c.faults(kv.Faults{LoseAnswers: 1, LosePrefix: "config/head"})
+	result, err := call[models.ConfigResult](c.daemons[0], http.MethodPost, operator.PathConfig, teamChange(0, "office"))
+	require.NoError(t, err)
+	assert.EqualValues(t, 1, result.Revision)
+	assert.Less(t, c.everywhere(1), 7*time.Second)
+	c.faults(kv.Faults{Delay: 300})
+	slow, err := call[models.ConfigResult](c.daemons[1], http.MethodPost, operator.PathConfig, teamChange(0, "second"))
+	require.NoError(t, err)
+	assert.EqualValues(t, 2, slow.Revision, "a slow store changes nothing but the time")
+	assert.Less(t, c.everywhere(2), 7*time.Second)
+}
+
+// TestStoreAtItsLimit submits far more than the store takes in single writes; the
+// stand-in enforces 100 writes and 2,000 reads a second.
+func TestStoreAtItsLimit(t *testing.T) {
+	c := newCluster(t, clusterConfig{daemons: 3, fleet: smallFleet})
+	c.apply(c.daemons[0], testTeam)
+	for i := range 60 {
+		c.submit(c.daemons[i%3], batchJob(models.JobID(fmt.Sprint("many-", i)), 5, 50))
+	}
+	for i := range 60 {
+		job := c.untilDone(c.daemons[0], models.JobID(fmt.Sprint("many-", i)))
+		require.Equal(t, 5, job.Succeeded)
+	}
+	c.noViolations()
+	assert.EqualValues(t, 300, c.audit().Finished)
+}
--- a/tests/integration/harness_test.go
+++ b/tests/integration/harness_test.go
@@ -132,6 +132,7 @@
 	fleetAt   string
 	proxies   *toxiproxy.ApiServer
 	storeGate *toxiproxy.Proxy
+	listGate  *toxiproxy.Proxy
 	daemons   []*daemonProcess
 }
 
@@ -146,8 +147,7 @@
 	c := &cluster{t: t, config: config}
 	_, c.storeAt = startStandin(t, append([]string{"store"}, config.store...)...)
 	_, c.fleetAt = startStandin(t, append([]string{"fleet", "--list-lag", "200ms", "--report-lag", "200ms", "--domains", "south/a,south/b"}, config.fleet...)...)
-	c.proxies = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
-	c.storeGate = c.proxy("store", c.storeAt)
+	c.startGate()
 	for i := range config.daemons {
 		c.daemons = append(c.daemons, c.startDaemon(i, nil))
 	}
@@ -155,6 +155,13 @@
 	return c
 }
 
+// startGate puts proxies before the store and the VM list.
+func (c *cluster) startGate() {
+	c.proxies = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	c.storeGate = c.proxy("store", c.storeAt)
+	c.listGate = c.proxy("list", c.fleetAt)
+}
+
 // proxy puts a fault-injecting proxy before an address.
 func (c *cluster) proxy(name, upstream string) *toxiproxy.Proxy {
 	p := toxiproxy.NewProxy(c.proxies, name, freeAddress(c.t), upstream)
@@ -182,7 +189,7 @@
 		"daemon.id": d.id, "daemon.domain": []string{"south/a", "south/b"}[i%2],
 		"listen.caller": d.caller, "listen.operator": d.operator, "listen.peer": d.peer,
 		"listen.operator_token": operatorToken, "listen.peer_token": peerToken,
-		"platform.store": c.storeGate.Listen, "platform.list": c.fleetAt,
+		"platform.store": c.storeGate.Listen, "platform.list": c.listGate.Listen,
 		"platform.list_every": "200ms", "platform.call_timeout": "1s", "platform.watch_wait": "5s",
 		"member.heartbeat": "100ms", "member.silent_after": "1s", "member.lease": "3s", "member.sync": "500ms",
 		"cell.lease": "4s", "cell.renew": "200ms", "cell.append": "50ms", "cell.tick": "100ms", "cell.settle_after": "500ms",
--- /dev/null
+++ b/tests/integration/request_faults_test.go
@@ -0,0 +1,303 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package integration
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/standin/fleet"
+	"rillsail.example/rillsail/services/standin/load"
+)
+
+var testContract = models.Class{Name: "contract", Selector: "app=contract", Priority: models.PriorityDeferred, Unrepeatable: true, Floor: 10}
+var testWatcher = models.Class{Name: "watcher", Selector: "app=watcher", Priority: models.PriorityDeferred}
+
+func testMix() []load.Kind {
+	return []load.Kind{
+		{Name: "quote", Weight: 5, Labels: "app=quote", Deadline: 5 * time.Second, Bytes: 2000},
+		{Name: "match", Weight: 3, Labels: "app=match", Deadline: 5 * time.Second, Unrepeatable: true},
+		{Name: "contract", Weight: 2, Labels: "app=contract", Unrepeatable: true},
+	}
+}
+
+func (c *cluster) callers() []string {
+	var callers []string
+	for _, d := range c.daemons {
+		callers = append(callers, d.caller)
+	}
+	return callers
+}
+
+// runsOf is how often upstreams ran a request.
+func (c *cluster) runsOf(id string) int {
+	c.t.Helper()
+	response, err := http.Get("http://" + c.fleetAt + fleet.PathRuns + "?id=" + id)
+	require.NoError(c.t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(c.t, err)
+	var runs int
+	_, err = fmt.Sscan(string(body), &runs)
+	require.NoError(c.t, err)
+	return runs
+}
+
+// TestAnswersAreOwnAndWhole lets upstreams cut answers in the middle, answer with
+// another request's id and hang up after running, under load from many callers.
+func TestAnswersAreOwnAndWhole(t *testing.T) {
+	c := newCluster(t, clusterConfig{daemons: 2, fleet: []string{"--workers", "2", "--upstreams", "4"}})
+	c.apply(c.daemons[0], testClass, testMatch, testContract)
+	for i, action := range []fleet.Action{fleet.ActionHalf, fleet.ActionForeign, fleet.ActionHangUp} {
+		c.controlWith(fleet.Control{VM: models.VMID(fmt.Sprint("upstream-", i)), Action: action, Count: 15})
+	}
+	report, err := load.Run(context.Background(), load.Config{
+		Targets: c.callers(), Rate: 200, For: 3 * time.Second, Mix: testMix(), Seed: 1, Run: "whole",
+	})
+	require.NoError(t, err)
+	for name, k := range report.Kinds {
+		assert.Zero(t, k.Wrong, "%s: %+v", name, k)
+		assert.Zero(t, k.Broken, "%s: %+v", name, k)
+	}
+	quotes := report.Kinds["quote"]
+	assert.Equal(t, quotes.Sent, quotes.Right+quotes.Unknown+quotes.NotRun, "%+v", quotes)
+	assert.Positive(t, report.Kinds["match"].Unknown, "an unrepeatable one whose answer was cut is not tried again")
+	c.noViolations()
+}
+
+// TestNotRunIsTrue refuses requests for many reasons; none that was refused as not
+// run may have reached an upstream, and no unrepeatable one runs twice.
+func TestNotRunIsTrue(t *testing.T) {
+	c := newCluster(t, clusterConfig{
+		daemons: 1, fleet: []string{"--workers", "2", "--upstreams", "2", "--slots", "2", "--median", "20ms"},
+		extra: map[string]string{"entry.max_waiting": "10"},
+	})
+	d := c.daemons[0]
+	c.apply(d, testClass, testMatch)
+	var refused, unknown []string
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for i := range 300 {
+		if i%50 == 0 {
+			c.controlWith(fleet.Control{VM: "upstream-0", Action: fleet.ActionHangUp, Count: 3})
+			c.control("upstream-1", []fleet.Action{fleet.ActionCut, fleet.ActionHeal}[i/50%2])
+		}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			id := fmt.Sprint("not-run-", i)
+			labels, key := "app=quote", ""
+			if i%2 == 0 {
+				labels, key = "app=match", id
+			}
+			response, _ := send(t, d, labels, id, key)
+			mu.Lock()
+			defer mu.Unlock()
+			switch response.Header.Get(models.HeaderOutcome) {
+			case string(models.RequestNotRun):
+				refused = append(refused, id)
+				assert.NotEmpty(t, response.Header.Get("Retry-After"), response.Header.Get(models.HeaderReason))
+			case string(models.RequestUnknown):
+				unknown = append(unknown, id)
+			}
+		}()
+		if i%10 == 9 {
+			group.Wait()
+		}
+	}
+	group.Wait()
+	for _, id := range refused {
+		assert.Zero(t, c.runsOf(id), "%s was refused as not run", id)
+	}
+	assert.NotEmpty(t, unknown, "some ran without answer")
+	c.noViolations()
+}
+
+// TestUnreachableUpstreamsAreNotRun ends the upstreams' process: connections are
+// never made, so even unrepeatable requests are refused as not run.
+func TestUnreachableUpstreamsAreNotRun(t *testing.T) {
+	c := &cluster{t: t, config: clusterConfig{daemons: 1}}
+	p, fleetAt := startStandin(t, "fleet", "--workers", "2", "--upstreams", "2")
+	c.fleetAt = fleetAt
+	_, c.storeAt = startStandin(t, "store")
+	c.startGate()
+	c.daemons = append(c.daemons, c.startDaemon(0, nil))
+	c.untilOwned()
+	p.kill()
+	response, body := send(t, c.daemons[0], "app=match", "x", "x")
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Equal(t, string(models.RequestNotRun), response.Header.Get(models.HeaderOutcome), body)
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+}
+
+// TestUnrepeatableThroughAnotherDaemon kills the daemon that took an unrepeatable
+// request while an upstream runs it; its caller sends it again through the others.
+func TestUnrepeatableThroughAnotherDaemon(t *testing.T) {
+	c := newCluster(t, clusterConfig{daemons: 3, fleet: []string{"--workers", "2", "--upstreams", "3", "--median", "300ms", "--sigma", "0"}})
+	c.apply(c.daemons[0], testMatch)
+	var group sync.WaitGroup
+	for i := range 20 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			request, _ := http.NewRequest(http.MethodPost, "http://"+c.daemons[0].caller+"/", strings.NewReader("body"))
+			id := fmt.Sprint("match-", i)
+			request.Header.Set(models.HeaderLabels, "app=match")
+			request.Header.Set(models.HeaderIdempotencyKey, id)
+			request.Header.Set(fleet.HeaderLoadID, id)
+			request.Header.Set(fleet.HeaderUnrepeatable, "1")
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+	}
+	eventually(t, "upstreams run some", func() bool { return c.audit().Requests >= 10 })
+	c.daemons[0].kill()
+	group.Wait()
+	// While the dead daemon still counts as live, keys of which it is a home are
+	// refused as not run; then its place is taken.
+	tried := 0
+	eventually(t, "a fresh key is granted", func() bool {
+		tried++
+		id := fmt.Sprint("fresh-", tried)
+		response, _ := send(t, c.daemons[1], "app=match", id, id)
+		return response.StatusCode == http.StatusOK
+	})
+	for i := range 20 {
+		id := fmt.Sprint("match-", i)
+		for _, d := range c.daemons[1:] {
+			send(t, d, "app=match", id, id)
+		}
+		assert.LessOrEqual(t, c.runsOf(id), 1, id)
+	}
+	c.noViolations()
+	id := fmt.Sprint("fresh-", tried)
+	response, _ := send(t, c.daemons[2], "app=match", id, id)
+	assert.Equal(t, http.StatusConflict, response.StatusCode, "the key was used")
+}
+
+// TestLeavingUpstreamGetsNothingNew lets an upstream leave by the list, and another
+// by its own word alone while the list can't be read.
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	c := newCluster(t, clusterConfig{daemons: 3, fleet: []string{"--workers", "2", "--upstreams", "4", "--list-lag", "1s"}})
+	c.apply(c.daemons[0], testClass)
+	quiet := func(vm models.VMID) {
+		t.Helper()
+		eventually(t, string(vm)+" gets nothing more", func() bool {
+			before := c.audit().ByUpstream[vm]
+			for i := range 60 {
+				send(t, c.daemons[i%3], "app=quote", fmt.Sprint("leave-", i), "")
+			}
+			return c.audit().ByUpstream[vm] == before
+		})
+	}
+	c.control("upstream-0", fleet.ActionLeave)
+	began := time.Now()
+	quiet("upstream-0")
+	assert.Less(t, time.Since(began), 5*time.Second, "a few seconds at most")
+	c.listGate.Stop()
+	c.control("upstream-1", fleet.ActionLeave)
+	began = time.Now()
+	quiet("upstream-1")
+	assert.Less(t, time.Since(began), 5*time.Second, "a few seconds at most")
+}
+
+// TestPlannedStopUnderLoad stops a daemon while short requests, long ones and
+// standing watchers are in flight and more arrive on kept connections.
+func TestPlannedStopUnderLoad(t *testing.T) {
+	c := newCluster(t, clusterConfig{daemons: 2, fleet: []string{"--workers", "2", "--upstreams", "4"}})
+	c.apply(c.daemons[0], testClass, testMatch, testContract, testWatcher)
+	stopping := c.daemons[0]
+	mix := append(testMix(),
+		load.Kind{Name: "watcher", Weight: 1, Labels: "app=watcher", Watch: 2 * time.Second},
+		load.Kind{Name: "long", Weight: 1, Labels: "app=quote", Work: time.Second, Deadline: 10 * time.Second})
+	done := make(chan load.Report, 1)
+	go func() {
+		report, err := load.Run(context.Background(), load.Config{
+			Targets: []string{stopping.caller}, Rate: 50, For: 3 * time.Second, Mix: mix, Seed: 2, Run: "stop",
+		})
+		assert.NoError(t, err)
+		done <- report
+	}()
+	eventually(t, "watchers and others are under way", func() bool { return c.audit().Requests > 30 })
+	stopping.signal(syscall.SIGTERM)
+	eventually(t, "the health check fails", func() bool {
+		response, err := http.Get("http://" + stopping.caller + "/healthz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusServiceUnavailable
+	})
+	report := <-done
+	for name, k := range report.Kinds {
+		assert.Equal(t, k.Sent, k.Right, "%s: %+v", name, k)
+	}
+	stopping.reap()
+	assert.Zero(t, stopping.cmd.ProcessState.ExitCode())
+	c.noViolations()
+}
+
+// TestBadInputChangesNothing sends malformed, oversized and unauthorised calls to
+// every listener.
+func TestBadInputChangesNothing(t *testing.T) {
+	c := newCluster(t, clusterConfig{daemons: 1, fleet: []string{"--workers", "2", "--upstreams", "1"}, extra: map[string]string{"listen.max_body": "4096"}})
+	d := c.daemons[0]
+	for _, bad := range []struct {
+		address, path, token, body string
+		status                     int
+	}{
+		{d.operator, "/v1/jobs", operatorToken, "{", 400},
+		{d.operator, "/v1/jobs", operatorToken, `{"jobs":[]}`, 422},
+		{d.operator, "/v1/jobs", operatorToken, `{"jobs":[{"id":"a","team":"t","tasks":-1,"size":{"cpu_milli":1,"memory_mib":1},"work_ms":1}]}`, 422},
+		{d.operator, "/v1/jobs", operatorToken, `{"jobs":[{"id":"a","team":"t","tasks":1,"size":{"cpu_milli":9223372036854775807,"memory_mib":1},"work_ms":1}]}`, 422},
+		{d.operator, "/v1/jobs", operatorToken, `{"jobs":[{"id":"a","team":"t","tasks":99999999999999999999,"size":{},"work_ms":1}]}`, 400},
+		{d.operator, "/v1/jobs", operatorToken, strings.Repeat("x", 5000), 413},
+		{d.operator, "/v1/config", operatorToken, `{"put":[{"kind":"nonsense","spec":{}}]}`, 400},
+		{d.operator, "/v1/config", operatorToken, `{"put":[{"kind":"team","spec":{"name":"x","quota":{"cpu_milli":-5,"memory_mib":0}}}]}`, 400},
+		{d.operator, "/v1/config", operatorToken, `{"put":[{"kind":"team","spec":{"name":"x","quotas":1}}]}`, 400},
+		{d.operator, "/v1/status", "", "", 401},
+		{d.peer, "/twirp/rillsail.peer.Peer/Heartbeat", "", "", 401},
+		{d.peer, "/twirp/rillsail.peer.Peer/Heartbeat", peerToken, "nonsense", 400},
+	} {
+		request, err := http.NewRequest(http.MethodPost, "http://"+bad.address+bad.path, strings.NewReader(bad.body))
+		require.NoError(t, err)
+		request.Header.Set("Authorization", "Bearer "+bad.token)
+		request.Header.Set("Content-Type", "application/json")
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		assert.Equal(t, bad.status, response.StatusCode, "%s %s", bad.path, bad.body[:min(len(bad.body), 80)])
+	}
+	for _, header := range []struct{ name, value string }{
+		{models.HeaderLabels, "no equals sign"},
+		{models.HeaderDeadline, "-5"},
+		{models.HeaderDeadline, "99999999999999999999"},
+		{models.HeaderIdempotencyKey, strings.Repeat("k", 300)},
+	} {
+		request, err := http.NewRequest(http.MethodPost, "http://"+d.caller+"/", strings.NewReader("body"))
+		require.NoError(t, err)
+		request.Header.Set(header.name, header.value)
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		assert.Equal(t, http.StatusBadRequest, response.StatusCode, header.name)
+		assert.Equal(t, string(models.RequestNotRun), response.Header.Get(models.HeaderOutcome))
+	}
+	assert.Zero(t, c.audit().Requests)
+	status, err := call[models.Status](d, http.MethodGet, "/v1/status", nil)
+	require.NoError(t, err)
+	assert.Zero(t, status.Revision)
+}
