Lending follows peers' slack; capacity is measured with real processes

Change: one request more than an upstream's slots for each eight; parts of slots add up along the list; a peer lends from a fifth of unused share on, followed over its heartbeats, and tells a surge at once.

--- a/services/cell/world_test.go
+++ b/services/cell/world_test.go
@@ -58,9 +58,9 @@
 	repeat      bool             // calls to workers arrive twice
 	lostReplies int              // answers of workers
 	lossy       *rand.Rand       // draws which answers of workers are lost, 3 of 10
-	lateStarts  int          // calls to workers that arrive after they were given up
-	lateOffers  int          // offers of which another copy arrives later
-	cutFrom     map[int]bool // daemons that reach no worker
+	lateStarts  int              // calls to workers that arrive after they were given up
+	lateOffers  int              // offers of which another copy arrives later
+	cutFrom     map[int]bool     // daemons that reach no worker
 }
 
 type testOwner struct {
--- a/services/entry/gate.go
+++ b/services/entry/gate.go
@@ -42,6 +42,7 @@
 	deferred  int     // slots held by deferred requests
 	capacity  int     // slots that are this daemon's to give
 	contended bool    // the own share was used up since the last heartbeat
+	slacks    map[models.MemberID]float64
 	borrow    float64 // part of peers' unused shares that may be used
 }
 
@@ -77,6 +78,7 @@
 	return &gate{
 		config: c, picker: pickerOf(c.Settings.Picker),
 		upstreams: map[models.VMID]*upstream{}, classes: map[models.ClassName]*classQueue{},
+		slacks: map[models.MemberID]float64{},
 	}
 }
 
@@ -349,7 +351,7 @@
 	if g.used() >= g.capacity {
 		g.contended = true
 	}
-	return g.picker.pick(candidates, g.borrow)
+	return g.picker.pick(candidates)
 }
 
 // lastResort is for requests that have tried all healthy upstreams: any that serves.
@@ -372,7 +374,17 @@
 	return used
 }
 
-// adaptBorrowing follows whether the own share was used up since the last heartbeat.
+// Borrowing grows with each heartbeat in which this daemon's own share was used up,
+// so that when all entries meet a surge at once each hears of the others' before it
+// has borrowed much. The rest stays for the lenders' next surge.
+const (
+	borrowStep = 0.3
+	borrowMost = 0.9
+)
+
+// adaptBorrowing follows whether the own share was used up since the last heartbeat,
+// and says how much may be borrowed of each upstream; parts of slots add up along
+// the list.
 func (g *gate) adaptBorrowing() {
 	if g.contended {
 		g.borrow = min(borrowMost, g.borrow+borrowStep)
@@ -380,6 +392,12 @@
 		g.borrow = 0
 	}
 	g.contended = false
+	left := 0.0
+	for _, u := range g.order {
+		left += g.borrow * u.spare
+		u.borrowed = int(left)
+		left -= float64(u.borrowed)
+	}
 }
 
 func (g *gate) take(u *upstream, class models.Class) *slot {
--- a/services/entry/measure_test.go
+++ b/services/entry/measure_test.go
@@ -32,6 +32,8 @@
 	"rillsail.example/rillsail/services/config"
 )
 
+var measureOnly = flag.String("only", "", "part of the names of the scenes to measure")
+
 var measureTo = flag.String("measure", "", "file to write the figures of the whole measurement to")
 
 // trial is one run: the real entries on the clock of a synctest bubble, before fake
@@ -75,6 +77,7 @@
 	factor   float64
 	fails    bool
 	leavesAt time.Time
+	present  int // requests that wait or are served
 	got      int
 	gotLate  int // new requests more than 3 s after it began to leave
 }
@@ -118,18 +121,14 @@
 		return nil, err
 	}
 	work := u.accept()
+	defer u.leave()
 	if u.fails {
 		return r.respond(request, http.StatusInternalServerError), nil
 	}
 	select {
 	case u.slots <- struct{}{}:
-	default:
-		r.count(&r.overruns)
-		select {
-		case u.slots <- struct{}{}:
-		case <-request.Context().Done():
-			return nil, request.Context().Err()
-		}
+	case <-request.Context().Done():
+		return nil, request.Context().Err()
 	}
 	time.Sleep(work) // the upstream goes on when its caller has given up
 	<-u.slots
@@ -145,13 +144,23 @@
 	u.trial.mu.Lock()
 	defer u.trial.mu.Unlock()
 	u.got++
+	u.present++
 	u.trial.reached++
+	if u.present > u.trial.slots+1 {
+		u.trial.overruns++ // one more than there are slots hides the time on the wire
+	}
 	if !u.leavesAt.IsZero() && time.Since(u.leavesAt) > 3*time.Second {
 		u.gotLate++
 	}
 	return time.Duration(float64(trialMedian) * math.Exp(trialSigma*u.trial.random.NormFloat64()) * u.factor)
 }
 
+func (u *fakeUpstream) leave() {
+	u.trial.mu.Lock()
+	defer u.trial.mu.Unlock()
+	u.present--
+}
+
 func (r *trialRun) count(n *int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -389,6 +398,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "| trial | picker | urgent p50 / p99 / p99.9 ms | ordinary p50 / p99 / p99.9 ms | goodput urgent / ordinary / deferred | overruns %% | wasted %% |\n|---|---|---|---|---|---|---|\n")
 	for _, scene := range scenes(seconds) {
+		if !strings.Contains(scene.name, *measureOnly) {
+			continue
+		}
 		for _, picker := range []string{"random", "least-loaded", "two-choices", "divided"} {
 			fmt.Fprint(&b, measureScene(t, scene, picker, seeds))
 		}
--- a/services/entry/pick.go
+++ b/services/entry/pick.go
@@ -9,8 +9,8 @@
 // TwoChoices and Divided; docs/design/routing.md weighs them.
 type Picker interface {
 	// pick gives an upstream with a free slot, or nil. The candidates serve the class
-	// and are healthy; borrow is the part of what peers leave unused that may be used.
-	pick(candidates []*upstream, borrow float64) *upstream
+	// and are healthy.
+	pick(candidates []*upstream) *upstream
 }
 
 type (
@@ -38,7 +38,7 @@
 	}
 }
 
-func (Random) pick(candidates []*upstream, _ float64) *upstream {
+func (Random) pick(candidates []*upstream) *upstream {
 	start := rand.IntN(len(candidates) + 1)
 	for i := range candidates {
 		u := candidates[(start+i)%len(candidates)]
@@ -49,7 +49,7 @@
 	return nil
 }
 
-func (LeastLoaded) pick(candidates []*upstream, _ float64) *upstream {
+func (LeastLoaded) pick(candidates []*upstream) *upstream {
 	return least(candidates, func(u *upstream) (float64, bool) {
 		return float64(u.own), u.own < u.vm.Slots
 	})
@@ -58,7 +58,7 @@
 // twoChoiceTries is how many pairs are drawn before the request waits.
 const twoChoiceTries = 4
 
-func (TwoChoices) pick(candidates []*upstream, _ float64) *upstream {
+func (TwoChoices) pick(candidates []*upstream) *upstream {
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -78,23 +78,15 @@
 // inFlight is what is known to be in flight at the upstream, of all daemons.
 func (u *upstream) inFlight() float64 { return float64(u.own) + u.peers }
 
-// Borrowing grows with each heartbeat in which this daemon's own share was used up,
-// so that when all entries meet a surge at once each hears of the others' before it
-// has borrowed much. The rest stays for the lenders' next surge.
-const (
-	borrowStep = 0.25
-	borrowMost = 0.75
-)
-
-func (Divided) pick(candidates []*upstream, borrow float64) *upstream {
+func (Divided) pick(candidates []*upstream) *upstream {
 	own := least(candidates, func(u *upstream) (float64, bool) {
 		return expectedWait(u), u.own < u.share
 	})
-	if own != nil || borrow == 0 {
+	if own != nil {
 		return own
 	}
 	return least(candidates, func(u *upstream) (float64, bool) {
-		return expectedWait(u), u.own < u.share+int(borrow*u.spare)
+		return expectedWait(u), u.own < u.share+u.borrowed
 	})
 }
 
--- a/services/entry/upstream.go
+++ b/services/entry/upstream.go
@@ -19,12 +19,13 @@
 	labels  map[string]string
 	drained bool
 
-	own     int     // requests of this daemon in flight there
-	use     load    // their number over the last while
-	peers   float64 // the peers' numbers over the last while, as last told
-	spare   float64 // what peers that have no one waiting leave of their shares
-	share   int     // slots that are this daemon's
-	latency average // time to the answer's header, in seconds
+	own      int     // requests of this daemon in flight there
+	use      load    // their number over the last while
+	peers    float64 // the peers' numbers over the last while, as last told
+	spare    float64 // what peers that have no one waiting leave of their shares
+	share    int     // slots that are this daemon's
+	borrowed int     // slots of peers' shares that it may use
+	latency  average // time to the answer's header, in seconds
 
 	failing average   // 1 for a failure, 0 for a success
 	samples int       // since the last ejection
@@ -127,9 +128,14 @@
 	return true
 }
 
-// share divides each upstream's slots among the entries: everyone gets as many, and
-// what is left goes to the first in the upstream's hash order. The sum over the
-// entries is the upstream's slots.
+// ahead is how many requests an upstream gets beyond its slots, as a part of them:
+// the next one is there when a slot becomes free, and no slot is idle while an
+// answer and the next request are on the wire.
+const ahead = 8
+
+// share divides each upstream's slots, and one more for each eight, among the
+// entries: everyone gets as many, and what is left goes to the first in the
+// upstream's hash order.
 func (g *gate) share(live []models.MemberID) {
 	g.capacity = 0
 	for _, u := range g.order {
@@ -142,11 +148,12 @@
 
 func shareOf(vm models.VM, self models.MemberID, live []models.MemberID) int {
 	if len(live) == 0 || !slices.Contains(live, self) {
-		return max(1, vm.Slots/(len(live)+1))
+		return max(1, vm.Slots/(len(live)+1)) // this daemon leaves, or has heard nobody
 	}
-	share := vm.Slots / len(live)
+	slots := vm.Slots + (vm.Slots+ahead-1)/ahead
+	share := slots / len(live)
 	rank := slices.Index(rendezvous.Order(string(vm.ID), live), self)
-	if rank < vm.Slots%len(live) {
+	if rank < slots%len(live) {
 		share++
 	}
 	return share
@@ -159,15 +166,22 @@
 // loadUnit is the part of a slot in which loads are told.
 const loadUnit = 0.01
 
+// lendFrom is the part of its share that a peer must leave unused, on average over
+// all upstreams, before others may borrow of it.
+const lendFrom = 0.2
+
 // hear takes the peers' loads and what they say of leaving upstreams.
 func (g *gate) hear(live []models.MemberID, beats map[models.MemberID]models.Heartbeat) {
 	for _, u := range g.order {
 		u.peers, u.spare = 0, 0
-		for id, beat := range beats {
+	}
+	for id, beat := range beats {
+		lends := beat.Load != nil && beat.Waiting == 0 && slices.Contains(live, id) && g.noteSlack(id, g.slack(beat, len(live))) > lendFrom
+		for _, u := range g.order {
 			told := float64(beat.Load[u.id()]) * loadUnit
 			u.peers += told
-			if beat.Load != nil && beat.Waiting == 0 && slices.Contains(live, id) {
-				u.spare += max(0, float64(shareOf(u.vm, id, live))-told)
+			if lends {
+				u.spare += max(0, evenShare(u, len(live))-told)
 			}
 		}
 	}
@@ -181,6 +195,31 @@
 	}
 }
 
+func evenShare(u *upstream, entries int) float64 { return float64(u.vm.Slots) / float64(entries) }
+
+// slackWeight is the weight of the newest heartbeat in a peer's slack; one quiet
+// moment of a busy peer is no reason to borrow.
+const slackWeight = 0.3
+
+// noteSlack follows a peer's slack over its heartbeats, from none on.
+func (g *gate) noteSlack(id models.MemberID, now float64) float64 {
+	g.slacks[id] += slackWeight * (now - g.slacks[id])
+	return g.slacks[id]
+}
+
+// slack is the part of its share that a peer leaves unused.
+func (g *gate) slack(beat models.Heartbeat, entries int) float64 {
+	share, used := 0.0, 0.0
+	for _, u := range g.order {
+		share += evenShare(u, entries)
+		used += float64(beat.Load[u.id()]) * loadUnit
+	}
+	if share == 0 {
+		return 0
+	}
+	return 1 - used/share
+}
+
 // noteLeaving takes an upstream's own word that it closes its connections. When
 // most of them do so, it says nothing of leaving and is not believed.
 func (g *gate) noteLeaving(u *upstream) {
@@ -208,7 +247,8 @@
 	now := time.Now()
 	for _, u := range g.order {
 		u.use.note(u.own, now)
-		if told := int(u.use.value / loadUnit); told > 0 {
+		// A surge shows in what is in flight now before it shows in the average.
+		if told := int(max(u.use.value, float64(u.own)) / loadUnit); told > 0 {
 			beat.Load[u.id()] = told
 		}
 		if u.ownWord && now.Before(u.leaving) {
--- a/services/standin/fleet/audit.go
+++ b/services/standin/fleet/audit.go
@@ -6,7 +6,11 @@
 import (
 	"fmt"
 	"maps"
+	"strconv"
 	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"rillsail.example/rillsail/models"
 )
@@ -23,6 +27,10 @@
 	SlowSamples  int64 `json:"slow_samples"` // services over their target
 	Requests     int64 `json:"requests"`     // run by upstreams
 	SlotOverruns int64 `json:"slot_overruns"`
+	// StartP50 and StartP99 are the times from submission to start, of tasks that
+	// carry LabelSubmitted.
+	StartP50 models.Milli `json:"start_p50_ms"`
+	StartP99 models.Milli `json:"start_p99_ms"`
 	// ByUpstream counts the requests that reached each upstream.
 	ByUpstream map[models.VMID]int64 `json:"by_upstream"`
 	Violations []string              `json:"violations"`
@@ -34,6 +42,13 @@
 // maxViolations bounds the list; the first ones tell the most.
 const maxViolations = 100
 
+// LabelSubmitted on a task holds when it was submitted, in milliseconds since 1970 by
+// this machine's clock.
+const LabelSubmitted = "submitted-ms"
+
+// mostStartTime bounds what the histogram of start times holds, in milliseconds.
+const mostStartTime = 3_600_000
+
 // auditor watches all tasks and requests of the fleet.
 type auditor struct {
 	mu       sync.Mutex
@@ -43,6 +58,7 @@
 	ever     map[models.TaskID]int // successes
 	starts   map[models.TaskID]int
 	executed map[string]int // runs of a request by its load id
+	starting *hdrhistogram.Histogram
 	ran      map[string]models.VMID
 }
 
@@ -54,6 +70,7 @@
 		ever:     map[models.TaskID]int{},
 		starts:   map[models.TaskID]int{},
 		executed: map[string]int{},
+		starting: hdrhistogram.New(1, mostStartTime, 3),
 		ran:      map[string]models.VMID{},
 	}
 }
@@ -69,6 +86,9 @@
 	defer a.mu.Unlock()
 	a.audit.Starts++
 	a.starts[call.Task]++
+	if submitted, err := strconv.ParseInt(call.Labels[LabelSubmitted], 10, 64); err == nil && call.Attempt == 1 {
+		_ = a.starting.RecordValue(max(1, time.Now().UnixMilli()-submitted)) // beyond an hour isn't counted
+	}
 	if other, ok := a.running[call.Task]; ok {
 		a.violation("task %s attempt %d started on %s while it runs on %s", call.Task, call.Attempt, vm, other)
 	}
@@ -160,6 +180,8 @@
 	defer a.mu.Unlock()
 	audit := a.audit
 	audit.Running = len(a.running)
+	audit.StartP50 = models.Milli(a.starting.ValueAtQuantile(50))
+	audit.StartP99 = models.Milli(a.starting.ValueAtQuantile(99))
 	audit.ByUpstream = maps.Clone(a.audit.ByUpstream)
 	audit.Violations = append([]string{}, a.audit.Violations...)
 	return audit
--- /dev/null
+++ b/tests/integration/measure_test.go
@@ -0,0 +1,261 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/wire"
+	"rillsail.example/rillsail/routers/operator"
+	"rillsail.example/rillsail/services/standin/fleet"
+	"rillsail.example/rillsail/services/standin/kv"
+)
+
+var (
+	measureTo      = flag.String("measure", "", "file to write the figures of the whole measurement to")
+	measureSeconds = flag.Int("seconds", 30, "length of each run of the measurement")
+)
+
+// size is a fleet of a size with the load that belongs to it.
+type size struct {
+	name     string
+	daemons  int
+	workers  int
+	services int     // replicas that run
+	batch    int     // batch tasks that run all the time
+	starts   float64 // tasks started a second
+	changes  float64 // configurations a second
+}
+
+// cost is what a daemon spent over a run.
+type cost struct {
+	cpu      float64 // percent of a core
+	memory   float64 // MB
+	peerRate float64 // bytes a second to and from peers
+}
+
+// capacity is what a run has cost in all.
+type capacity struct {
+	size
+	daemon      cost // mean of the daemons
+	worst       cost // each figure of the worst daemon
+	writes      float64
+	reads       float64
+	storeBytes  float64
+	started     float64
+	startP50    models.Milli
+	startP99    models.Milli
+	byKind      map[string]float64
+	bytesAStart float64
+}
+
+// clockTicks is the unit of processor times in /proc, a hundredth of a second.
+const clockTicks = 100
+
+func processorTime(t *testing.T, p *process) float64 {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	require.NoError(t, err)
+	fields := strings.Fields(string(data[strings.LastIndex(string(data), ")")+2:]))
+	user, err := strconv.ParseFloat(fields[11], 64)
+	require.NoError(t, err)
+	system, err := strconv.ParseFloat(fields[12], 64)
+	require.NoError(t, err)
+	return (user + system) / clockTicks
+}
+
+func residentMB(t *testing.T, p *process) float64 {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(t, err)
+	for _, line := range strings.Split(string(data), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			require.NoError(t, err)
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
+// peerCounts is the part of a dump that tells what calls to peers have cost.
+type peerCounts struct {
+	PeerCalls struct {
+		BytesSent float64 `json:"bytes_sent"`
+		BytesGot  float64 `json:"bytes_got"`
+	} `json:"peer_calls"`
+}
+
+func (d *daemonProcess) peerBytes(t *testing.T) float64 {
+	t.Helper()
+	var counts peerCounts
+	request, err := http.NewRequest(http.MethodGet, "http://"+d.operator+operator.PathDump, nil)
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&counts))
+	return counts.PeerCalls.BytesSent + counts.PeerCalls.BytesGot
+}
+
+func (c *cluster) storeStats() kv.Stats {
+	c.t.Helper()
+	stats, err := wire.Do[kv.Stats](context.Background(), wire.Call{
+		Client: http.DefaultClient, Method: http.MethodGet, URL: "http://" + c.storeAt + kv.PathStats, Limit: limit,
+	}, nil)
+	require.NoError(c.t, err)
+	return stats
+}
+
+// reading is what the counters say at one moment.
+type reading struct {
+	at    time.Time
+	cpu   []float64
+	peers []float64
+	store kv.Stats
+	audit fleet.Audit
+}
+
+func (c *cluster) read() reading {
+	r := reading{at: time.Now(), store: c.storeStats(), audit: c.audit()}
+	for _, d := range c.daemons {
+		r.cpu = append(r.cpu, processorTime(c.t, d.process))
+		r.peers = append(r.peers, d.peerBytes(c.t))
+	}
+	return r
+}
+
+// measure runs a fleet under its load for a time and reads the counters around it.
+func measure(t *testing.T, s size, length time.Duration) capacity {
+	t.Helper()
+	c := newCluster(t, clusterConfig{
+		daemons: s.daemons,
+		fleet:   []string{"--workers", fmt.Sprint(s.workers), "--per-rack", "8", "--upstreams", fmt.Sprint(s.workers), "--tick", "100ms", "--cpu", "64000", "--memory", "256000"},
+		extra: map[string]string{
+			"platform.list_every": "2s", "platform.call_timeout": "2s", "platform.watch_wait": "30s",
+			"member.heartbeat": "1s", "member.silent_after": "4s", "member.lease": "10s", "member.sync": "15s",
+			"cell.lease": "20s", "cell.renew": "3s", "cell.append": "1s", "cell.tick": "1s", "daemon.log_level": "warn",
+		},
+	})
+	service := testService
+	service.Replicas = s.services
+	c.apply(c.daemons[0], testTeam, service)
+	filling := batchJob("filling", s.batch, 3_600_000)
+	c.submit(c.daemons[0], filling)
+	eventually(t, "the fleet is filled", func() bool { return c.audit().Running >= s.services+s.batch })
+	before := c.read()
+	c.drive(s, length)
+	after := c.read()
+	c.noViolations()
+	return c.sum(s, before, after)
+}
+
+// drive submits jobs of ten tasks and changes labels at the size's rates.
+func (c *cluster) drive(s size, length time.Duration) {
+	const perJob = 10
+	end := time.Now().Add(length)
+	jobs := time.NewTicker(time.Duration(perJob / s.starts * float64(time.Second)))
+	defer jobs.Stop()
+	changes := time.NewTicker(time.Duration(float64(time.Second) / s.changes))
+	defer changes.Stop()
+	for n := 0; time.Now().Before(end); n++ {
+		select {
+		case <-jobs.C:
+			job := batchJob(models.JobID(fmt.Sprint("job-", n)), perJob, 2000)
+			job.Urgent = true
+			job.Labels = map[string]string{fleet.LabelSubmitted: fmt.Sprint(time.Now().UnixMilli())}
+			_, err := call[models.JobResults](c.daemons[n%len(c.daemons)], http.MethodPost, operator.PathJobs, models.Submission{Jobs: []models.JobSpec{job}})
+			assert.NoError(c.t, err)
+		case <-changes.C:
+			c.apply(c.daemons[n%len(c.daemons)], models.Team{Name: models.TeamName(fmt.Sprint("team-", n%68)), Quota: models.Resources{CPU: models.MilliCPU(n + 1)}})
+		}
+	}
+}
+
+func (c *cluster) sum(s size, before, after reading) capacity {
+	seconds := after.at.Sub(before.at).Seconds()
+	sum := capacity{
+		size: s, byKind: map[string]float64{},
+		writes: float64(after.store.Writes-before.store.Writes) / seconds, reads: float64(after.store.Reads-before.store.Reads) / seconds,
+		storeBytes: float64(after.store.BytesIn-before.store.BytesIn+after.store.BytesOut-before.store.BytesOut) / seconds,
+		started:    float64(after.audit.Starts-before.audit.Starts) / seconds,
+		startP50:   after.audit.StartP50, startP99: after.audit.StartP99,
+	}
+	for kind, n := range after.store.WritesByKind {
+		sum.byKind[kind] = float64(n-before.store.WritesByKind[kind]) / seconds
+	}
+	sum.bytesAStart = float64(after.store.BytesIn-before.store.BytesIn) / max(1, float64(after.audit.Starts-before.audit.Starts))
+	n := float64(len(c.daemons))
+	for i, d := range c.daemons {
+		own := cost{
+			cpu: 100 * (after.cpu[i] - before.cpu[i]) / seconds, memory: residentMB(c.t, d.process),
+			peerRate: (after.peers[i] - before.peers[i]) / seconds,
+		}
+		sum.daemon.cpu += own.cpu / n
+		sum.daemon.memory += own.memory / n
+		sum.daemon.peerRate += own.peerRate / n
+		sum.worst.cpu = max(sum.worst.cpu, own.cpu)
+		sum.worst.memory = max(sum.worst.memory, own.memory)
+		sum.worst.peerRate = max(sum.worst.peerRate, own.peerRate)
+	}
+	return sum
+}
+
+// row is one line of the table.
+func (c capacity) row() string {
+	return fmt.Sprintf("| %s | %d | %d | %d + %d | %.1f (%.1f) | %.2f (%.2f) | %.0f (%.0f) | %.0f (%.0f) | %.1f (cells %.1f, config %.1f) | %.1f | %.0f | %.0f | %d / %d |\n",
+		c.name, c.daemons, c.workers, c.services, c.batch, c.started, c.starts, c.daemon.cpu, c.worst.cpu, c.daemon.memory, c.worst.memory,
+		c.daemon.peerRate, c.worst.peerRate, c.writes, c.byKind["cells"], c.byKind["config"], c.reads, c.storeBytes, c.bytesAStart, c.startP50, c.startP99)
+}
+
+// sizes are fleets in the proportions of the one that is planned for: 2.9 services
+// and 9.3 batch tasks a worker, and starts and changes by the number of workers.
+func sizes() []size {
+	var all []size
+	for _, workers := range []int{64, 160, 320} {
+		part := float64(workers) / 1500
+		all = append(all, size{
+			name: fmt.Sprint(workers, " workers"), daemons: 6, workers: workers,
+			services: int(4400 * part), batch: int(14_000 * part), starts: 110 * part, changes: 0.2,
+		})
+	}
+	return append(all,
+		size{name: "more starts", daemons: 6, workers: 160, services: 469, batch: 1493, starts: 110, changes: 0.2},
+		size{name: "more daemons", daemons: 12, workers: 160, services: 469, batch: 1493, starts: 11.7, changes: 0.2})
+}
+
+// TestMeasureCapacity is the whole measurement; "make measure" asks for it. Without
+// that it runs one small size, for a few seconds, to keep the measurement working.
+func TestMeasureCapacity(t *testing.T) {
+	if *measureTo == "" {
+		small := measure(t, size{name: "small", daemons: 2, workers: 16, services: 8, batch: 20, starts: 10, changes: 1}, 4*time.Second)
+		assert.Positive(t, small.started)
+		assert.Positive(t, small.startP99)
+		assert.Less(t, small.writes, 100.0)
+		return
+	}
+	table := "| size | daemons | workers | tasks running | starts/s measured (asked) | CPU %% of a core: mean (worst) | MB: mean (worst) | B/s with peers: mean (worst) | store writes/s | store reads/s | store B/s | store B a start | start p50 / p99 ms |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|\n"
+	table = strings.ReplaceAll(table, "%%", "%")
+	for _, s := range sizes() {
+		t.Run(s.name, func(t *testing.T) {
+			table += measure(t, s, time.Duration(*measureSeconds)*time.Second).row()
+		})
+		require.NoError(t, os.WriteFile(filepath.Clean(*measureTo), []byte(table), 0o600))
+	}
+}
