--- a/routers/operator/operator.go
+++ b/routers/operator/operator.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,8 @@
 	PathExplain = "/v1/explain"
 	PathDump    = "/v1/dump"
 	PathMetrics = "/metrics"
+	PathProfile = "/debug/pprof/profile" // processor time, for go tool pprof
+	PathHeap    = "/debug/pprof/heap"
 )
 
 // Config is what the handlers call.
@@ -61,6 +64,8 @@
 	router.GET(PathExplain, h.explain)
 	router.GET(PathDump, h.dump)
 	router.Handler(http.MethodGet, PathMetrics, c.Metrics)
+	router.HandlerFunc(http.MethodGet, PathProfile, pprof.Profile)
+	router.HandlerFunc(http.MethodGet, PathHeap, pprof.Handler("heap").ServeHTTP)
 	return router
 }
 
--- a/routers/peer/peer.go
+++ b/routers/peer/peer.go
@@ -11,10 +11,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
-	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
 
 	"rillsail.example/rillsail/models"
@@ -89,7 +87,11 @@
 
 // serve decodes one call, performs it and encodes the answer.
 func serve[C wire.Checker, A any](s *server, in *peerrpc.Envelope, perform func(C) (A, error)) (*peerrpc.Envelope, error) {
-	call, err := wire.DecodeBytes[C](in.GetBody())
+	plain, err := peerrpc.Unpack(in.GetBody(), peerrpc.MaxBody)
+	if err != nil {
+		return nil, twirp.NewError(twirp.InvalidArgument, "from "+in.GetFrom()+": "+err.Error())
+	}
+	call, err := wire.DecodeBytes[C](plain)
 	if err != nil {
 		return nil, twirp.NewError(twirp.InvalidArgument, "from "+in.GetFrom()+": "+err.Error())
 	}
@@ -97,9 +99,9 @@
 	if err != nil {
 		return nil, refusalOf(err)
 	}
-	data, err := json.Marshal(answer)
+	data, err := peerrpc.Pack(answer)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode answer")
+		return nil, err
 	}
 	return &peerrpc.Envelope{From: string(s.Self), Body: data}, nil
 }
--- a/services/cell/commit.go
+++ b/services/cell/commit.go
@@ -114,7 +114,7 @@
 		return
 	}
 	if wait := time.Until(o.nextAppend); wait > 0 {
-		o.wake.Reset(wait)
+		o.wakeIn(wait)
 		return
 	}
 	change := o.dirty.change(o.working)
--- a/services/cell/link.go
+++ b/services/cell/link.go
@@ -81,16 +81,23 @@
 	}
 }
 
+// retryRenewal is how much sooner than usual a renewal without answer is repeated, so
+// that a few lost messages don't look like a silent worker.
+const retryRenewal = 4
+
 func (l *link) loop(ctx context.Context) {
-	ticker := time.NewTicker(l.config.Renew)
-	defer ticker.Stop()
-	l.renew(ctx)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			l.renew(ctx)
+		case <-timer.C:
+			next := l.config.Renew
+			if !l.renew(ctx) {
+				next /= retryRenewal
+			}
+			timer.Reset(next)
 		case call := <-l.calls:
 			l.perform(ctx, call)
 		}
@@ -109,10 +116,11 @@
 	}
 }
 
-func (l *link) renew(ctx context.Context) {
+// renew prolongs the leases; false when no answer came.
+func (l *link) renew(ctx context.Context) bool {
 	call, ok := l.renewal()
 	if !ok {
-		return
+		return true // nothing is asked of a VM that is not listed
 	}
 	sent := time.Now()
 	answer, err := l.config.Workers.Renew(ctx, l.target(), call)
@@ -120,6 +128,7 @@
 	if err == nil && answer.Refused == "" {
 		l.acknowledged(call.Acknowledge)
 	}
+	return err == nil
 }
 
 // renewal makes the next call; ok is false while the VM is not listed, for the
--- a/services/cell/owner.go
+++ b/services/cell/owner.go
@@ -110,9 +110,12 @@
 	beat         atomic.Pointer[models.CellBeat]
 	decisions    decisions
 	wake         *time.Timer
+	wakeAt       time.Time // zero: not set
+	cycled       time.Time
 	counts       Counts
 	frozen       bool // handed over: does nothing more
 	misses       map[string]miss
+	homed        homed
 	promised     map[models.CellID]models.Resources // offered to other cells, answer open
 	refusals     map[models.CellID]time.Time        // until when no offers go there
 	waiters      []func() bool                      // calls that wait for the journal
@@ -181,7 +184,7 @@
 	defer o.wake.Stop()
 	o.settlePending(ctx)
 	for !o.superseded {
-		o.cycle(ctx)
+		o.cycleWhenDue(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -190,11 +193,35 @@
 			o.handleWaiting()
 		case <-ticker.C:
 		case <-o.wake.C:
+			o.wakeAt = time.Time{}
 		}
 	}
 	o.config.Logger.Info("cell has another owner now", zap.String("cell", string(o.config.Cell)))
 }
 
+// cyclePause is the least time between two cycles, so that a burst of answers costs
+// few of them.
+const cyclePause = 20 * time.Millisecond
+
+func (o *Owner) cycleWhenDue(ctx context.Context) {
+	if wait := time.Until(o.cycled.Add(cyclePause)); wait > 0 {
+		o.wakeIn(wait)
+		return
+	}
+	o.cycled = time.Now()
+	o.cycle(ctx)
+}
+
+// wakeIn lets the loop go on after a while, or earlier if it was to already.
+func (o *Owner) wakeIn(d time.Duration) {
+	at := time.Now().Add(d)
+	if !o.wakeAt.IsZero() && o.wakeAt.Before(at) {
+		return
+	}
+	o.wakeAt = at
+	o.wake.Reset(d)
+}
+
 // handleWaiting takes what else has arrived, so that a burst costs one cycle.
 func (o *Owner) handleWaiting() {
 	for range inboxSize {
--- a/services/cell/replica.go
+++ b/services/cell/replica.go
@@ -11,6 +11,7 @@
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/modules/rendezvous"
+	"rillsail.example/rillsail/services/config"
 )
 
 // ReplicaHome is the cell that keeps a replica: replicas go round the failure
@@ -46,18 +47,10 @@
 	if view.Revision() == 0 {
 		return
 	}
-	cells := o.config.Inventory.Cells()
 	present := o.replicasByKey()
-	for _, service := range view.Services {
-		for replica := range service.Replicas {
-			home, ok := ReplicaHome(service.Name, replica, cells)
-			if !ok || home != o.config.Cell {
-				continue
-			}
-			key := replicaKey(service.Name, replica)
-			o.reconcileReplica(service, replica, present[key])
-			delete(present, key)
-		}
+	for _, r := range o.homedReplicas(view) {
+		o.reconcileReplica(view.Services[r.service], r.replica, present[r.key])
+		delete(present, r.key)
 	}
 	for _, tasks := range present {
 		for _, t := range tasks {
@@ -67,6 +60,37 @@
 	o.relabelForeign()
 }
 
+// homedReplica is a replica whose home is this cell.
+type homedReplica struct {
+	service models.ServiceName
+	replica int
+	key     string
+}
+
+// homed are the replicas of a configuration whose home is this cell. Hashing all
+// replicas over all cells is worth doing only when one of them has changed.
+type homed struct {
+	revision models.Revision
+	cells    int
+	replicas []homedReplica
+}
+
+func (o *Owner) homedReplicas(view *config.View) []homedReplica {
+	cells := o.config.Inventory.Cells()
+	if o.homed.revision == view.Revision() && o.homed.cells == len(cells.Cells) {
+		return o.homed.replicas
+	}
+	o.homed = homed{revision: view.Revision(), cells: len(cells.Cells)}
+	for _, service := range view.Services {
+		for replica := range service.Replicas {
+			if home, ok := ReplicaHome(service.Name, replica, cells); ok && home == o.config.Cell {
+				o.homed.replicas = append(o.homed.replicas, homedReplica{service.Name, replica, replicaKey(service.Name, replica)})
+			}
+		}
+	}
+	return o.homed.replicas
+}
+
 // replicasByKey groups the records of replicas homed here, the oldest first.
 func (o *Owner) replicasByKey() map[string][]models.Task {
 	present := map[string][]models.Task{}
--- /dev/null
+++ b/services/journal/journal_test.go
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package journal
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/platform"
+	"rillsail.example/rillsail/services/standin/kv"
+)
+
+const testSlots = 4
+
+// writers makes journals of one cell that share a store.
+type writers struct {
+	store *kv.Service
+	made  int
+	fault func(ctx context.Context, write, after bool, key string) error
+}
+
+func newWriters() *writers { return &writers{store: kv.New(kv.Config{}), fault: kv.NoFault} }
+
+func (w *writers) journal(name models.MemberID) *Journal {
+	store := &kv.Local{Service: w.store, Fault: func(ctx context.Context, write, after bool, key string) error {
+		return w.fault(ctx, write, after, key)
+	}}
+	return New(Config{Store: store, Cell: "c", Writer: name, Slots: testSlots, NewID: func() string {
+		w.made++
+		return fmt.Sprint(w.made)
+	}})
+}
+
+func changeOf(id string) models.CellChange {
+	return models.CellChange{Tasks: []models.Task{{ID: models.TaskID(id), Kind: models.TaskBatch, State: models.TaskQueued}}}
+}
+
+// TestRingWrapsAndIsReadBack appends many times the ring's size and reads all back.
+func TestRingWrapsAndIsReadBack(t *testing.T) {
+	w := newWriters()
+	first := w.journal("first")
+	require.NoError(t, first.Take(t.Context()))
+	for i := range 10 * testSlots {
+		require.NoError(t, first.Append(t.Context(), changeOf(fmt.Sprint(i))))
+		second := w.journal("second")
+		require.NoError(t, second.Load(t.Context()))
+		assert.Equal(t, first.State(), second.State())
+		assert.Equal(t, first.Sequence(), second.Sequence())
+	}
+	assert.Len(t, w.store.KeysWith(Prefix), testSlots+1, "the ring and one snapshot")
+}
+
+// TestTakeoverFencesTheFormerOwner lets two owners append in turn.
+func TestTakeoverFencesTheFormerOwner(t *testing.T) {
+	w := newWriters()
+	former, next := w.journal("former"), w.journal("next")
+	require.NoError(t, former.Take(t.Context()))
+	require.NoError(t, former.Append(t.Context(), changeOf("a")))
+	require.NoError(t, next.Take(t.Context()))
+	assert.Greater(t, next.Epoch(), former.Epoch())
+	assert.Contains(t, next.State().Tasks, models.TaskID("a"))
+	for range 3 * testSlots {
+		assert.True(t, errors.Is(former.Append(t.Context(), changeOf("late")), ErrSuperseded))
+		require.NoError(t, next.Append(t.Context(), changeOf("b")))
+	}
+	assert.NotContains(t, next.State().Tasks, models.TaskID("late"))
+}
+
+// TestLostAnswerIsSettled loses the answer of an append that took effect, and of one
+// that did not.
+func TestLostAnswerIsSettled(t *testing.T) {
+	for _, tookEffect := range []bool{true, false} {
+		w := newWriters()
+		j := w.journal("one")
+		require.NoError(t, j.Take(t.Context()))
+		lost := true
+		w.fault = func(_ context.Context, write, after bool, _ string) error {
+			if write && after == tookEffect && lost {
+				lost = false
+				return platform.ErrUnknown
+			}
+			return nil
+		}
+		require.True(t, errors.Is(j.Append(t.Context(), changeOf("a")), ErrPending))
+		assert.NotContains(t, j.State().Tasks, models.TaskID("a"), "not acted on before it is read back")
+		require.True(t, errors.Is(j.Append(t.Context(), changeOf("b")), ErrPending), "nothing else before that")
+		require.NoError(t, j.Settle(t.Context()))
+		assert.Contains(t, j.State().Tasks, models.TaskID("a"))
+		other := w.journal("other")
+		require.NoError(t, other.Load(t.Context()))
+		assert.Equal(t, j.State(), other.State())
+	}
+}
+
+// TestUnavailableWritesNothing refuses an append before it takes effect.
+func TestUnavailableWritesNothing(t *testing.T) {
+	w := newWriters()
+	j := w.journal("one")
+	require.NoError(t, j.Take(t.Context()))
+	w.fault = func(context.Context, bool, bool, string) error { return platform.ErrUnavailable }
+	err := j.Append(t.Context(), changeOf("a"))
+	require.True(t, errors.Is(err, platform.ErrUnavailable))
+	assert.False(t, errors.Is(err, ErrPending))
+	w.fault = kv.NoFault
+	require.NoError(t, j.Append(t.Context(), changeOf("b")))
+	assert.NotContains(t, j.State().Tasks, models.TaskID("a"))
+}
+
+// TestHandedOverAppendIsSettledOnce hands over a journal whose last append may have
+// been written; former and next owner both settle it.
+func TestHandedOverAppendIsSettledOnce(t *testing.T) {
+	w := newWriters()
+	former, next := w.journal("former"), w.journal("next")
+	require.NoError(t, former.Take(t.Context()))
+	w.fault = func(_ context.Context, write, after bool, _ string) error {
+		if write && after {
+			return platform.ErrUnknown
+		}
+		return nil
+	}
+	require.True(t, errors.Is(former.Append(t.Context(), changeOf("a")), ErrPending))
+	require.NoError(t, next.Adopt(former.Export()))
+	w.fault = kv.NoFault
+	require.NoError(t, next.Settle(t.Context()))
+	require.NoError(t, next.Append(t.Context(), changeOf("b")))
+	assert.Contains(t, next.State().Tasks, models.TaskID("a"))
+	require.NoError(t, former.Settle(t.Context()), "the entry is there, under its own id")
+	assert.True(t, errors.Is(former.Append(t.Context(), changeOf("c")), ErrSuperseded))
+}
+
+// TestDamageIsSaid overwrites a slot with nonsense.
+func TestDamageIsSaid(t *testing.T) {
+	w := newWriters()
+	j := w.journal("one")
+	require.NoError(t, j.Take(t.Context()))
+	record, err := j.config.Store.Get(t.Context(), j.slotKey(1))
+	require.NoError(t, err)
+	_, err = j.config.Store.Swap(t.Context(), j.slotKey(1), []byte("nonsense"), record.Version, 0)
+	require.NoError(t, err)
+	assert.True(t, errors.Is(w.journal("two").Take(t.Context()), ErrDamaged))
+}
+
+// FuzzDecode feeds stored values to the decoder: it may refuse, but not panic, and
+// what it takes has passed its check.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{"", "j", "j{}", "x{}", `j{"epoch":1,"sequence":1,"writer":"a","write_id":"b","change":{}}`, `j{"epoch":-1}`, "d\x00\x01"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entry, err := decode[Entry](data)
+		if err == nil {
+			require.NoError(t, entry.Check())
+			return
+		}
+		require.True(t, errors.Is(err, ErrDamaged), err)
+	})
+}
--- a/services/member/beat.go
+++ b/services/member/beat.go
@@ -16,16 +16,20 @@
 // is forgotten.
 const forgetAfter = 10
 
+// beatLoop sends heartbeats. A peer that was heard within the period has had this
+// daemon's own with the answer, so of each two daemons one asks and one answers.
 func (s *Service) beatLoop(ctx context.Context) {
 	ticker := time.NewTicker(s.config.Heartbeat)
 	defer ticker.Stop()
+	s.Round(ctx)
 	for {
-		s.Round(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			s.round(ctx, s.addresses(s.config.Heartbeat*9/10))
 		case <-s.nudge:
+			s.Round(ctx)
 		}
 	}
 }
@@ -40,12 +44,14 @@
 }
 
 // Round sends one heartbeat to every peer and waits for the answers.
-func (s *Service) Round(ctx context.Context) {
+func (s *Service) Round(ctx context.Context) { s.round(ctx, s.addresses(0)) }
+
+func (s *Service) round(ctx context.Context, addresses []string) {
 	beat := s.compose()
 	ctx, cancel := context.WithTimeout(ctx, s.config.SilentAfter/2)
 	defer cancel()
 	var group conc.WaitGroup
-	for _, address := range s.addresses() {
+	for _, address := range addresses {
 		group.Go(func() { s.send(ctx, address, beat) })
 	}
 	group.Wait()
--- a/services/member/member.go
+++ b/services/member/member.go
@@ -319,17 +319,19 @@
 	return dump
 }
 
-// addresses lists whom to send heartbeats: all known members and the seeds.
-func (s *Service) addresses() []string {
+// addresses lists whom to send heartbeats: the known members that were not heard
+// within the time, and the seeds that are no known members.
+func (s *Service) addresses(unheardFor time.Duration) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	set := map[string]bool{}
-	for _, k := range s.known {
-		set[k.member.PeerAddress] = true
-	}
 	for _, seed := range s.config.Seeds {
 		set[seed] = true
 	}
+	for _, k := range s.known {
+		set[k.member.PeerAddress] = k.heard.IsZero() || time.Since(k.heard) >= unheardFor
+	}
 	delete(set, s.self.PeerAddress)
+	maps.DeleteFunc(set, func(_ string, wanted bool) bool { return !wanted })
 	return slices.Collect(maps.Keys(set))
 }
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
@@ -126,9 +125,9 @@
 
 func call[A wire.Checker](ctx context.Context, c *Client, step, address string, do method, body any) (A, error) {
 	var zero A
-	data, err := json.Marshal(body)
+	data, err := peerrpc.Pack(body)
 	if err != nil {
-		return zero, errors.Wrapf(err, "encode: %s", step)
+		return zero, errors.Wrap(err, step)
 	}
 	envelope, err := do(c.client(address), ctx, &peerrpc.Envelope{From: string(c.config.Self), Body: data})
 	c.calls.Add(1)
@@ -137,7 +136,11 @@
 		return zero, errstep.Wrap(err, step, address)
 	}
 	c.bytesGot.Add(int64(len(envelope.GetBody())))
-	answer, err := wire.DecodeBytes[A](envelope.GetBody())
+	plain, err := peerrpc.Unpack(envelope.GetBody(), peerrpc.MaxBody)
+	if err != nil {
+		return zero, errstep.Wrap(err, step, address)
+	}
+	answer, err := wire.DecodeBytes[A](plain)
 	return answer, errstep.Wrap(err, step, address)
 }
 
