--- a/services/cell/calls.go
+++ b/services/cell/calls.go
@@ -204,6 +204,10 @@
 
 // publish tells the other daemons of the cell with the next heartbeat.
 func (o *Owner) publish() {
+	if time.Since(o.published) < o.config.Settings.Tick/2 {
+		return
+	}
+	o.published = time.Now()
 	beat := models.CellBeat{Epoch: o.config.Epoch, Teams: o.ownUsage(), Waits: o.waiting()}
 	for _, w := range o.workers() {
 		if !w.Usable {
--- a/services/cell/owner.go
+++ b/services/cell/owner.go
@@ -108,6 +108,7 @@
 	changed      map[models.VMID]time.Time // when the batch tasks there last changed
 	sequence     models.Sequence           // of the last entry known to be journalled
 	beat         atomic.Pointer[models.CellBeat]
+	published    time.Time
 	decisions    decisions
 	wake         *time.Timer
 	wakeAt       time.Time // zero: not set
--- a/services/cell/replica.go
+++ b/services/cell/replica.go
@@ -14,20 +14,35 @@
 	"rillsail.example/rillsail/services/config"
 )
 
-// ReplicaHome is the cell that keeps a replica: replicas go round the failure
+// replicaHomes tells which cell keeps a replica: replicas go round the failure
 // domains, and within a domain to the cell that hashing gives.
-func ReplicaHome(service models.ServiceName, replica int, cells models.CellMap) (models.CellID, bool) {
-	domains := map[models.FailureDomain][]models.CellID{}
-	for _, cell := range slices.Sorted(maps.Keys(cells.Cells)) {
-		domain := cells.Cells[cell]
-		domains[domain] = append(domains[domain], cell)
-	}
-	order := rendezvous.Order(string(service), slices.Sorted(maps.Keys(domains)))
-	if len(order) == 0 {
-		return "", false
-	}
-	domain := order[replica%len(order)]
-	return rendezvous.First(fmt.Sprintf("%s/%d", service, replica), domains[domain])
+type replicaHomes struct {
+	domains []models.FailureDomain
+	cells   map[models.FailureDomain][]models.CellID
+}
+
+func newReplicaHomes(m models.CellMap) replicaHomes {
+	h := replicaHomes{cells: map[models.FailureDomain][]models.CellID{}}
+	for _, cell := range slices.Sorted(maps.Keys(m.Cells)) {
+		domain := m.Cells[cell]
+		h.cells[domain] = append(h.cells[domain], cell)
+	}
+	h.domains = slices.Sorted(maps.Keys(h.cells))
+	return h
+}
+
+// of gives the homes of a service's replicas, in their order; none without cells.
+func (h replicaHomes) of(service models.Service) []models.CellID {
+	if len(h.domains) == 0 {
+		return nil
+	}
+	order := rendezvous.Order(string(service.Name), h.domains)
+	homes := make([]models.CellID, service.Replicas)
+	for replica := range homes {
+		domain := order[replica%len(order)]
+		homes[replica], _ = rendezvous.First(replicaKey(service.Name, replica), h.cells[domain])
+	}
+	return homes
 }
 
 // JobHome is the cell that keeps a job.
@@ -81,9 +96,10 @@
 		return o.homed.replicas
 	}
 	o.homed = homed{revision: view.Revision(), cells: len(cells.Cells)}
+	homes := newReplicaHomes(cells)
 	for _, service := range view.Services {
-		for replica := range service.Replicas {
-			if home, ok := ReplicaHome(service.Name, replica, cells); ok && home == o.config.Cell {
+		for replica, home := range homes.of(service) {
+			if home == o.config.Cell {
 				o.homed.replicas = append(o.homed.replicas, homedReplica{service.Name, replica, replicaKey(service.Name, replica)})
 			}
 		}
--- a/services/entry/gate.go
+++ b/services/entry/gate.go
@@ -378,7 +378,7 @@
 // so that when all entries meet a surge at once each hears of the others' before it
 // has borrowed much. The rest stays for the lenders' next surge.
 const (
-	borrowStep = 0.3
+	borrowStep = 0.45
 	borrowMost = 0.9
 )
 
--- a/services/entry/upstream.go
+++ b/services/entry/upstream.go
@@ -199,7 +199,7 @@
 
 // slackWeight is the weight of the newest heartbeat in a peer's slack; one quiet
 // moment of a busy peer is no reason to borrow.
-const slackWeight = 0.3
+const slackWeight = 0.5
 
 // noteSlack follows a peer's slack over its heartbeats, from none on.
 func (g *gate) noteSlack(id models.MemberID, now float64) float64 {
--- a/services/standin/fleet/upstream.go
+++ b/services/standin/fleet/upstream.go
@@ -154,8 +154,9 @@
 	filling, _ := strconv.Atoi(r.Header.Get(HeaderBytes))
 	text := AnswerFor(r.Header.Get(HeaderLoadID), body, filling)
 	id := r.Header.Get(models.HeaderRequestID)
-	if b.foreign {
+	if b.foreign { // the answer to somebody else
 		id += "-other"
+		text = AnswerFor(r.Header.Get(HeaderLoadID)+"-other", body, filling)
 	}
 	w.Header().Set(models.HeaderRequestID, id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
