--- a/services/cell/act.go
+++ b/services/cell/act.go
@@ -25,12 +25,12 @@
 		if !ok || current.State != t.State || current.Attempt != t.Attempt || current.Cancelled != t.Cancelled {
 			continue
 		}
-		o.take1(t, action, now)
+		o.perform(t, action, now)
 	}
 }
 
-// take1 takes one action unless it was taken a moment ago.
-func (o *Owner) take1(t models.Task, action models.TaskAction, now time.Time) {
+// perform takes one action unless it was taken a moment ago.
+func (o *Owner) perform(t models.Task, action models.TaskAction, now time.Time) {
 	switch action {
 	case models.ActionStart:
 		o.sendStart(t, now)
--- a/services/cell/commit.go
+++ b/services/cell/commit.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/clock"
 	"rillsail.example/rillsail/services/journal"
 )
 
@@ -160,7 +161,7 @@
 		if !o.send(ctx, unsettledMessage{err: err}) {
 			return
 		}
-		sleep(appendContext, retryAppend)
+		clock.Sleep(appendContext, retryAppend)
 		err = o.journal.Settle(appendContext)
 	}
 	o.send(ctx, appendedMessage{change: change, err: err})
@@ -193,6 +194,7 @@
 	}
 	switch {
 	case m.err == nil:
+		o.config.Scope.Counter("appends").Inc(1)
 		o.journalled.Apply(m.change)
 		o.sequence++
 		o.appended()
@@ -258,12 +260,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/services/cell/handover.go
+++ b/services/cell/handover.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/clock"
 	"rillsail.example/rillsail/modules/errstep"
 	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/modules/rendezvous"
@@ -48,7 +49,7 @@
 	deadline := time.Now().Add(wait)
 	for m.someoneMayTake() && time.Now().Before(deadline) {
 		m.leaveSuperseded()
-		sleep(ctx, m.config.Every/4)
+		clock.Sleep(ctx, m.config.Every/4)
 	}
 	for _, cell := range m.OwnedCells() {
 		m.handOver(ctx, cell)
--- a/services/cell/manager.go
+++ b/services/cell/manager.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/clock"
 	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/modules/rendezvous"
 	"rillsail.example/rillsail/modules/setting"
@@ -199,7 +200,7 @@
 	err := j.Take(ctx)
 	for errors.Is(err, journal.ErrPending) && ctx.Err() == nil {
 		m.care(ctx, cell)
-		sleep(ctx, retryAppend)
+		clock.Sleep(ctx, retryAppend)
 		err = j.Settle(ctx)
 	}
 	switch {
--- a/services/cell/route.go
+++ b/services/cell/route.go
@@ -110,14 +110,7 @@
 
 // Offer implements Peers.
 func (m *Manager) Offer(ctx context.Context, call models.OfferCall) (models.OfferAnswer, error) {
-	if _, ok := m.owned(call.To); ok {
-		return m.OfferHere(ctx, call)
-	}
-	holder, _, ok := m.config.Members.OwnerOf(call.To)
-	if !ok {
-		return models.OfferAnswer{}, errstep.Wrap(ErrNotOwner, "find the owner", string(call.To))
-	}
-	return m.config.Client.Offer(ctx, holder.PeerAddress, call)
+	return callOwner(ctx, m, call.To, call, m.OfferHere, m.config.Client.Offer)
 }
 
 // OfferHere serves an offer to a cell owned here.
@@ -128,14 +121,7 @@
 
 // Report implements Peers.
 func (m *Manager) Report(ctx context.Context, call models.ReportCall) (models.ReportAnswer, error) {
-	if _, ok := m.owned(call.To); ok {
-		return m.ReportHere(ctx, call)
-	}
-	holder, _, ok := m.config.Members.OwnerOf(call.To)
-	if !ok {
-		return models.ReportAnswer{}, errstep.Wrap(ErrNotOwner, "find the owner", string(call.To))
-	}
-	return m.config.Client.Report(ctx, holder.PeerAddress, call)
+	return callOwner(ctx, m, call.To, call, m.ReportHere, m.config.Client.Report)
 }
 
 // ReportHere serves a report to a cell owned here.
@@ -144,6 +130,21 @@
 	return ask(ctx, m, call.To, reportMessage{call: call, reply: reply}, reply)
 }
 
+// callOwner calls the owner of a cell, here or at a peer.
+func callOwner[C, A any](ctx context.Context, m *Manager, cell models.CellID, call C,
+	here func(context.Context, C) (A, error), there func(context.Context, string, C) (A, error),
+) (A, error) {
+	if _, ok := m.owned(cell); ok {
+		return here(ctx, call)
+	}
+	holder, _, ok := m.config.Members.OwnerOf(cell)
+	if !ok {
+		var zero A
+		return zero, errstep.Wrap(ErrNotOwner, "find the owner", string(cell))
+	}
+	return there(ctx, holder.PeerAddress, call)
+}
+
 // ask hands a message to the owner of a cell and waits for its reply.
 func ask[A any](ctx context.Context, m *Manager, cell models.CellID, msg message, reply <-chan A) (A, error) {
 	var zero A
--- a/services/config/config.go
+++ b/services/config/config.go
@@ -27,6 +27,7 @@
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/clock"
 	"rillsail.example/rillsail/modules/errstep"
 	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/modules/wire"
@@ -96,7 +97,7 @@
 			}
 		}
 		s.config.Scope.Counter("watch_failed").Inc(1)
-		pause(ctx, s.config.Sync)
+		clock.Sleep(ctx, s.config.Sync)
 	}
 }
 
@@ -249,12 +250,3 @@
 	}
 	return transfer
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -65,7 +65,6 @@
 	repeat    http.RoundTripper // keeps connections
 	once      http.RoundTripper // a new connection for each request, never resent
 	draining  atomic.Bool
-	active    sync.WaitGroup
 	inFlight  atomic.Int64
 	counters  counters
 }
--- a/services/entry/path.go
+++ b/services/entry/path.go
@@ -27,12 +27,8 @@
 
 // ServeHTTP is the path of a request. Each filter either hands it on or refuses.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.active.Add(1)
 	s.inFlight.Add(1)
-	defer func() {
-		s.inFlight.Add(-1)
-		s.active.Done()
-	}()
+	defer s.inFlight.Add(-1)
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close") // the balancer's kept connections end here
 	}
--- a/services/inventory/inventory.go
+++ b/services/inventory/inventory.go
@@ -45,7 +45,8 @@
 
 // Service holds the list and the map.
 type Service struct {
-	config Config
+	config  Config
+	trouble *log.Trouble
 
 	mu      sync.RWMutex
 	list    models.VMList
@@ -54,12 +55,18 @@
 	read    time.Time // of the list, zero before the first
 	cells   models.CellMap
 	version platform.Version // of the map's key
-	failing bool
 }
 
 // New makes a service that knows nothing yet.
 func New(config Config) *Service {
-	return &Service{config: config, vms: map[models.VMID]models.VM{}, gone: map[models.VMID]time.Time{}}
+	return &Service{
+		config: config, vms: map[models.VMID]models.VM{}, gone: map[models.VMID]time.Time{},
+		trouble: log.NewTrouble(log.TroubleConfig{
+			Logger: config.Logger,
+			Began:  "VM list or cell map can't be read; the last one stays in use",
+			Ended:  "VM list and cell map are read again",
+		}),
+	}
 }
 
 // Run reads the list until ctx ends.
@@ -79,19 +86,10 @@
 }
 
 func (s *Service) note(err error) {
-	s.mu.Lock()
-	failing := err != nil
-	changed := failing != s.failing
-	s.failing = failing
-	s.mu.Unlock()
-	if failing {
+	if err != nil {
 		s.config.Scope.Counter("reads_failed").Inc(1)
 	}
-	if changed && failing {
-		s.config.Logger.Warn("VM list or cell map can't be read; the last one stays in use", log.Err(err)...)
-	} else if changed {
-		s.config.Logger.Info("VM list and cell map are read again")
-	}
+	s.trouble.Note(err)
 }
 
 // Refresh reads the list once and enters new racks in the map.
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -65,7 +65,6 @@
 	versions []platform.Version // of the slots
 	snapshot snapshotPosition
 	pending  *pendingEntry
-	counts   Counts
 }
 
 type snapshotPosition struct {
@@ -78,15 +77,6 @@
 	data  []byte
 }
 
-// Counts is what a journal has cost so far.
-type Counts struct {
-	Appends       int64 `json:"appends"`
-	AppendedBytes int64 `json:"appended_bytes"`
-	Snapshots     int64 `json:"snapshots"`
-	SnapshotBytes int64 `json:"snapshot_bytes"`
-	Retries       int64 `json:"retries"`
-}
-
 // New makes a journal that knows nothing yet; call Load or Take next.
 func New(config Config) *Journal {
 	return &Journal{config: config, state: models.NewCellState(), versions: make([]platform.Version, config.Slots)}
@@ -104,9 +94,6 @@
 // Writer is who wrote the last entry known.
 func (j *Journal) Writer() models.MemberID { return j.writer }
 
-// Counts is what the journal has cost so far.
-func (j *Journal) Counts() Counts { return j.counts }
-
 // Load reads the snapshot and the ring.
 func (j *Journal) Load(ctx context.Context) error {
 	records, _, err := j.config.Store.List(ctx, j.prefix())
@@ -151,7 +138,6 @@
 	if j.pending == nil {
 		return nil
 	}
-	j.counts.Retries++
 	err := j.swap(ctx)
 	if err != nil && !errors.Is(err, ErrSuperseded) {
 		// Even a definite refusal says nothing of the first try.
@@ -198,8 +184,6 @@
 	j.versions[slot] = version
 	j.epoch, j.sequence, j.writer = p.entry.Epoch, p.entry.Sequence, p.entry.Writer
 	j.state.Apply(p.entry.Change)
-	j.counts.Appends++
-	j.counts.AppendedBytes += int64(len(p.data))
 	j.pending = nil
 	return nil
 }
@@ -256,8 +240,6 @@
 		return errstep.Wrap(err, "write snapshot of "+string(j.config.Cell), "store")
 	}
 	j.snapshot = snapshotPosition{version: version, sequence: j.sequence}
-	j.counts.Snapshots++
-	j.counts.SnapshotBytes += int64(len(data))
 	return nil
 }
 
--- a/services/member/member.go
+++ b/services/member/member.go
@@ -28,6 +28,7 @@
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/services/peer"
 	"rillsail.example/rillsail/services/platform"
 )
@@ -83,6 +84,11 @@
 	return &Service{
 		config: config, self: config.Self, known: map[models.MemberID]*known{}, lost: map[models.MemberID]time.Time{},
 		nudge: make(chan struct{}, 1), started: time.Now(),
+		registration: registration{trouble: log.NewTrouble(log.TroubleConfig{
+			Logger: config.Logger,
+			Began:  "membership key can't be kept; heartbeats go on without it",
+			Ended:  "membership key is in the store",
+		})},
 	}
 }
 
--- a/services/member/register.go
+++ b/services/member/register.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/clock"
 	"rillsail.example/rillsail/modules/errstep"
 	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/modules/wire"
@@ -28,7 +28,7 @@
 	regMu   sync.Mutex
 	lease   platform.LeaseID
 	version platform.Version
-	failing bool
+	trouble *log.Trouble
 }
 
 func (s *Service) key() string { return Prefix + string(s.config.Self.ID) }
@@ -41,7 +41,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		s.noteRegistration(err)
+		s.trouble.Note(err)
 		select {
 		case <-ctx.Done():
 			return
@@ -50,19 +50,6 @@
 	}
 }
 
-func (s *Service) noteRegistration(err error) {
-	s.regMu.Lock()
-	defer s.regMu.Unlock()
-	if failing := err != nil; failing != s.failing {
-		s.failing = failing
-		if failing {
-			s.config.Logger.Warn("membership key can't be kept; heartbeats go on without it", log.Err(err)...)
-		} else {
-			s.config.Logger.Info("membership key is in the store", zap.String("key", s.key()))
-		}
-	}
-}
-
 func (s *Service) keepRegistered(ctx context.Context) error {
 	if s.Self().Leaving {
 		return nil
@@ -132,7 +119,7 @@
 			}
 		}
 		s.config.Scope.Counter("watch_failed").Inc(1)
-		wait(ctx, min(s.config.Sync, s.config.Heartbeat))
+		clock.Sleep(ctx, min(s.config.Sync, s.config.Heartbeat))
 	}
 }
 
@@ -185,12 +172,3 @@
 		delete(s.known, id)
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/services/standin/fleet/worker.go
+++ b/services/standin/fleet/worker.go
@@ -97,12 +97,12 @@
 		answer.Refused = models.RefusedRoom
 		return answer
 	}
-	w.begin1(call)
+	w.launch(call)
 	return answer
 }
 
-// begin1 starts an attempt; the caller holds the lock.
-func (w *worker) begin1(call models.StartCall) {
+// launch starts an attempt; the caller holds the lock.
+func (w *worker) launch(call models.StartCall) {
 	a := &attempt{call: call, status: models.StatusRunning, share: 1, leaseEnds: time.Now().Add(call.Lease.Duration())}
 	if text, ok := strings.CutPrefix(call.Checkpoint, checkpointPrefix); ok {
 		a.progress, _ = strconv.ParseFloat(text, 64)
--- a/services/standin/kv/handler.go
+++ b/services/standin/kv/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"rillsail.example/rillsail/modules/clock"
 	"rillsail.example/rillsail/modules/wire"
 	"rillsail.example/rillsail/services/platform"
 )
@@ -60,7 +61,7 @@
 	if faults.Outage {
 		panic(http.ErrAbortHandler)
 	}
-	if faults.Delay > 0 && !sleep(r.Context(), time.Duration(faults.Delay)*time.Millisecond) {
+	if faults.Delay > 0 && !clock.Sleep(r.Context(), time.Duration(faults.Delay)*time.Millisecond) {
 		return
 	}
 	if !s.count(path, write, r.ContentLength) {
@@ -152,14 +153,3 @@
 		return http.StatusInternalServerError
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
