Start times are read from job ids, not from a label

Cause: the measurement gave each job a label of its own, so every job was an unknown pair and was tried one task at a time on a worker: 50 of 110 starts a second, p99 2,020 ms.

--- a/services/standin/fleet/audit.go
+++ b/services/standin/fleet/audit.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,8 +28,7 @@
 	SlowSamples  int64 `json:"slow_samples"` // services over their target
 	Requests     int64 `json:"requests"`     // run by upstreams
 	SlotOverruns int64 `json:"slot_overruns"`
-	// StartP50 and StartP99 are the times from submission to start, of tasks that
-	// carry LabelSubmitted.
+	// StartP50 and StartP99 are the times from submission to start of TimedJob's tasks.
 	StartP50 models.Milli `json:"start_p50_ms"`
 	StartP99 models.Milli `json:"start_p99_ms"`
 	// ByUpstream counts the requests that reached each upstream.
@@ -42,9 +42,24 @@
 // maxViolations bounds the list; the first ones tell the most.
 const maxViolations = 100
 
-// LabelSubmitted on a task holds when it was submitted, in milliseconds since 1970 by
-// this machine's clock.
-const LabelSubmitted = "submitted-ms"
+// TimedJob is the id of a job whose tasks' start times are measured: it holds when the
+// job was submitted, by this machine's clock.
+func TimedJob(submitted time.Time, number int) models.JobID {
+	return models.JobID(fmt.Sprintf("%s%d-%d", timedPrefix, submitted.UnixMilli(), number))
+}
+
+const timedPrefix = "timed-"
+
+// submittedAt reads the time out of a task's id; ok is false for other jobs' tasks.
+func submittedAt(task models.TaskID) (ms int64, ok bool) {
+	_, rest, ok := strings.Cut(string(task), "/"+timedPrefix)
+	if !ok {
+		return 0, false
+	}
+	text, _, _ := strings.Cut(rest, "-")
+	ms, err := strconv.ParseInt(text, 10, 64)
+	return ms, err == nil
+}
 
 // mostStartTime bounds what the histogram of start times holds, in milliseconds.
 const mostStartTime = 3_600_000
@@ -86,7 +101,7 @@
 	defer a.mu.Unlock()
 	a.audit.Starts++
 	a.starts[call.Task]++
-	if submitted, err := strconv.ParseInt(call.Labels[LabelSubmitted], 10, 64); err == nil && call.Attempt == 1 {
+	if submitted, ok := submittedAt(call.Task); ok && call.Attempt == 1 {
 		_ = a.starting.RecordValue(max(1, time.Now().UnixMilli()-submitted)) // beyond an hour isn't counted
 	}
 	if other, ok := a.running[call.Task]; ok {
--- a/tests/integration/measure_test.go
+++ b/tests/integration/measure_test.go
@@ -198,9 +198,8 @@
 
 // submitTimed submits an urgent job whose tasks carry when that was.
 func (c *cluster) submitTimed(n, tasks int) {
-	job := batchJob(models.JobID(fmt.Sprint("job-", n)), tasks, 2000)
+	job := batchJob(fleet.TimedJob(time.Now(), n), tasks, 2000)
 	job.Urgent = true
-	job.Labels = map[string]string{fleet.LabelSubmitted: fmt.Sprint(time.Now().UnixMilli())}
 	_, err := call[models.JobResults](c.daemons[n%len(c.daemons)], http.MethodPost, operator.PathJobs, models.Submission{Jobs: []models.JobSpec{job}})
 	assert.NoError(c.t, err)
 }
