Cycles follow the appends' pace: at most four between two appends

Cause: a cell's cycle looks at every task; a profile at 160 workers showed half a daemon's time in cycles, up to 50 a second, of which only what meets an append has an effect. After an append one follows at once, so starts don't wait for it.

--- a/services/cell/commit.go
+++ b/services/cell/commit.go
@@ -195,6 +195,7 @@
 	switch {
 	case m.err == nil:
 		o.config.Scope.Counter("appends").Inc(1)
+		o.cycled = time.Time{} // act on what is journalled at once
 		o.journalled.Apply(m.change)
 		o.sequence++
 		o.appended()
--- a/services/cell/owner.go
+++ b/services/cell/owner.go
@@ -200,12 +200,12 @@
 	o.config.Logger.Info("cell has another owner now", zap.String("cell", string(o.config.Cell)))
 }
 
-// cyclePause is the least time between two cycles, so that a burst of answers costs
-// few of them.
-const cyclePause = 20 * time.Millisecond
+// cyclesAnAppend is how many cycles there are at most between two appends: a cycle
+// looks at every task, and what it decides waits for the next append anyway.
+const cyclesAnAppend = 4
 
 func (o *Owner) cycleWhenDue(ctx context.Context) {
-	if wait := time.Until(o.cycled.Add(cyclePause)); wait > 0 {
+	if wait := time.Until(o.cycled.Add(o.config.Settings.Append / cyclesAnAppend)); wait > 0 {
 		o.wakeIn(wait)
 		return
 	}
