Owner's fields grouped by what they are for; what has passed is forgotten

Read as a newcomer: 45 fields in one list, 'actions' and 'changed' needed explaining, a reason was kept that nobody read. Holds and misses are dropped when they end.

--- a/services/cell/cycle.go
+++ b/services/cell/cycle.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"rillsail.example/rillsail/models"
@@ -58,7 +59,7 @@
 		choice.Reason = "no worker of any cell could hold it even if empty"
 	}
 	o.decide(c.task.ID, "waits", "", choice.Reason)
-	o.noteWaiting(c, choice.Reason)
+	o.noteWaiting(c)
 }
 
 func (o *Owner) request(t models.Task, workers []place.Worker) place.Request {
@@ -148,8 +149,16 @@
 	}
 }
 
-// prune drops the oldest ended jobs beyond what the settings keep.
+// prune forgets what has passed: holds, misses, and the oldest ended jobs beyond what
+// the settings keep.
 func (o *Owner) prune() {
+	now := time.Now()
+	maps.DeleteFunc(o.holds, func(_ models.VMID, h hold) bool { return now.After(h.until) })
+	maps.DeleteFunc(o.misses, func(_ string, until time.Time) bool { return now.After(until) })
+	o.pruneJobs()
+}
+
+func (o *Owner) pruneJobs() {
 	for {
 		var oldest models.Job
 		ended := 0
--- a/services/cell/owner.go
+++ b/services/cell/owner.go
@@ -85,41 +85,51 @@
 	inbox     chan message
 	done      chan struct{} // closed when the loop has ended and nothing more is answered
 
-	working    models.CellState // what the journal will hold
-	journalled models.CellState // what it holds
-	dirty      dirty
-	staged     []staged // operators' calls that wait for the next append
-
+	// The state, and what waits for the journal.
+	working      models.CellState // what the journal will hold
+	journalled   models.CellState // what it holds
+	sequence     models.Sequence  // of the last entry known to be journalled
+	dirty        dirty
+	staged       []staged      // operators' calls that wait for the next append
+	waiters      []func() bool // other cells' calls that wait for the journal
 	appending    bool
+	unsettled    bool // the store hasn't said whether the last append was written
 	cancelAppend context.CancelFunc
-	freezing     chan<- models.HandoverCall // gets the state once the append has been given up
-	storeFails   atomic.Bool                // what failedAt says, for other goroutines
-	unsettled    bool                       // the store hasn't said whether the last append was written
-	failedAt     time.Time                  // of the last failed append; zero when the last one succeeded
 	nextAppend   time.Time
-	superseded   bool
-	links        map[models.VMID]*link
-	group        conc.WaitGroup // links and calls in flight
-	inFlight     map[flight]time.Time
-	offersSeen   map[models.TaskID]models.Attempt // refused in this epoch
-	retired      map[models.TaskID]bool           // homes that were told of a lost replica
-	holds        map[models.VMID]hold
-	actions      map[models.VMID]time.Time // when the last action against slowness was taken
-	changed      map[models.VMID]time.Time // when the batch tasks there last changed
-	sequence     models.Sequence           // of the last entry known to be journalled
-	beat         atomic.Pointer[models.CellBeat]
-	published    time.Time
-	decisions    decisions
-	wake         *time.Timer
-	wakeAt       time.Time // zero: not set
-	cycled       time.Time
-	counts       Counts
-	frozen       bool // handed over: does nothing more
-	misses       map[string]miss
-	homed        homed
-	promised     map[models.CellID]models.Resources // offered to other cells, answer open
-	refusals     map[models.CellID]time.Time        // until when no offers go there
-	waiters      []func() bool                      // calls that wait for the journal
+	failedAt     time.Time   // of the last failed append; zero when the last one succeeded
+	storeFails   atomic.Bool // what failedAt says, for other goroutines
+
+	// The end of the owner.
+	superseded bool
+	frozen     bool                       // handed over: does nothing more
+	freezing   chan<- models.HandoverCall // gets the state once the append has been given up
+
+	// The workers.
+	links             map[models.VMID]*link
+	group             conc.WaitGroup // links and calls in flight
+	inFlight          map[flight]time.Time
+	holds             map[models.VMID]hold
+	actedAt           map[models.VMID]time.Time // when the last action against slowness was taken
+	neighboursChanged map[models.VMID]time.Time // when the batch tasks there last changed
+
+	// The queue and the services.
+	misses    map[string]time.Time // until when a job or task that did not fit is passed over
+	homed     homed
+	decisions decisions
+
+	// The other cells.
+	offersSeen map[models.TaskID]models.Attempt   // in this epoch
+	promised   map[models.CellID]models.Resources // offered to other cells, answer open
+	refusals   map[models.CellID]time.Time        // until when no offers go there
+	retired    map[models.TaskID]bool             // whose homes were told that they are lost
+	beat       atomic.Pointer[models.CellBeat]
+	published  time.Time
+
+	// The pace of the loop.
+	wake   *time.Timer
+	wakeAt time.Time // zero: not set
+	cycled time.Time
+	counts Counts
 }
 
 // hold keeps room on a worker for a task while others are evicted for it.
@@ -156,9 +166,9 @@
 		working: c.Journal.State().Clone(), journalled: c.Journal.State().Clone(), dirty: newDirty(),
 		links: map[models.VMID]*link{}, inFlight: map[flight]time.Time{},
 		offersSeen: map[models.TaskID]models.Attempt{}, retired: map[models.TaskID]bool{},
-		holds: map[models.VMID]hold{}, actions: map[models.VMID]time.Time{},
-		changed: map[models.VMID]time.Time{}, sequence: c.Journal.Sequence(),
-		misses: map[string]miss{}, promised: map[models.CellID]models.Resources{},
+		holds: map[models.VMID]hold{}, actedAt: map[models.VMID]time.Time{},
+		neighboursChanged: map[models.VMID]time.Time{}, sequence: c.Journal.Sequence(),
+		misses: map[string]time.Time{}, promised: map[models.CellID]models.Resources{},
 		refusals: map[models.CellID]time.Time{},
 	}
 	if c.Adopted {
@@ -328,7 +338,7 @@
 // measured before aren't put down to those that run there now.
 func (o *Owner) noteNeighbours(before, after models.Task) {
 	if before.Kind == models.TaskBatch && before.State != after.State && before.Worker+after.Worker != "" {
-		o.changed[max(before.Worker, after.Worker)] = time.Now()
+		o.neighboursChanged[max(before.Worker, after.Worker)] = time.Now()
 	}
 }
 
--- a/services/cell/pressure.go
+++ b/services/cell/pressure.go
@@ -35,7 +35,7 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(o.actions[l.vm.ID]) < o.config.Settings.SettleAfter {
+	if now.Sub(o.actedAt[l.vm.ID]) < o.config.Settings.SettleAfter {
 		return // what is reported now was measured before the last action took hold
 	}
 	switch {
@@ -76,7 +76,7 @@
 			continue // the same figure as before: nothing is done twice on one report
 		}
 		l.observed[r.AttemptRef] = r.Observed
-		if time.Since(o.changed[l.vm.ID]) >= o.config.Settings.SettleAfter {
+		if time.Since(o.neighboursChanged[l.vm.ID]) >= o.config.Settings.SettleAfter {
 			o.config.Learner.Observe(interference.Sample{
 				Service: t.Labels, Batch: neighbours, P99: r.P99.Duration(), Target: target.Duration(), At: time.Now(),
 			})
@@ -96,8 +96,8 @@
 	if !ok {
 		return
 	}
-	o.actions[l.vm.ID] = now
-	o.changed[l.vm.ID] = now
+	o.actedAt[l.vm.ID] = now
+	o.neighboursChanged[l.vm.ID] = now
 	why := string(service.ID) + " is over its target"
 	share := l.shareOf(victim.ID)
 	canEvict := !victim.Unrepeatable && victim.Evictions < maxEvictions
@@ -166,7 +166,7 @@
 			continue
 		}
 		l.setShare(id, min(fullShare, share*2))
-		o.actions[l.vm.ID], o.changed[l.vm.ID] = now, now
+		o.actedAt[l.vm.ID], o.neighboursChanged[l.vm.ID] = now, now
 		o.decide(id, "relaxed", l.vm.ID, "services there are well below their targets")
 		return
 	}
--- a/services/cell/queue.go
+++ b/services/cell/queue.go
@@ -167,31 +167,15 @@
 const waitAfterMiss = 2
 
 // noteWaiting passes over what did not fit for a while.
-func (o *Owner) noteWaiting(c candidate, reason string) {
+func (o *Owner) noteWaiting(c candidate) {
 	key := string(c.task.ID)
 	if c.virtual {
 		key = string(c.task.Job)
 	}
-	o.misses[key] = miss{until: time.Now().Add(waitAfterMiss * o.config.Settings.Tick), reason: reason}
+	o.misses[key] = time.Now().Add(waitAfterMiss * o.config.Settings.Tick)
 }
 
-// miss is a job or task that did not fit.
-type miss struct {
-	until  time.Time
-	reason string
-}
-
-func (o *Owner) paused(key string, now time.Time) bool {
-	m, ok := o.misses[key]
-	if !ok {
-		return false
-	}
-	if now.After(m.until) {
-		delete(o.misses, key)
-		return false
-	}
-	return true
-}
+func (o *Owner) paused(key string, now time.Time) bool { return now.Before(o.misses[key]) }
 
 // linkOrder gives the workers by id, so that choices don't depend on map order.
 func (o *Owner) linkOrder() []models.VMID { return slices.Sorted(maps.Keys(o.links)) }
