--- a/services/cell/measure_test.go
+++ b/services/cell/measure_test.go
@@ -88,6 +88,7 @@
 	finished  int64
 	evictions int64
 	throttles int64
+	failed    int64
 	most      int // evictions of one task
 }
 
@@ -183,7 +184,7 @@
 	after := w.fleet.Audit()
 	f := figures{
 		over:     float64(after.SlowSamples-before.SlowSamples) / float64(max(1, after.Samples-before.Samples)),
-		finished: after.Finished - before.Finished, evictions: o.counts.Evictions, throttles: o.counts.Throttles,
+		finished: after.Finished - before.Finished, failed: after.Failed - before.Failed, evictions: o.counts.Evictions, throttles: o.counts.Throttles,
 	}
 	for _, task := range o.working.Tasks {
 		f.most = max(f.most, task.Evictions)
@@ -216,11 +217,17 @@
 	assert.LessOrEqual(t, results["pairs"].most, maxEvictions)
 }
 
+// quarantineFailures is how many tasks may fail before the worker is quarantined:
+// those that start there before the third job's failure is seen.
+const quarantineFailures = 25
+
 // TestFaultyWorkerAndUnfitJob lets one worker fail all it starts and puts a job in
 // front that no VM can hold: the others go on, and no task is given up for it.
 func TestFaultyWorkerAndUnfitJob(t *testing.T) {
 	settings := trial{policy: "pairs", seed: 2, minutes: 3, faulty: true, unfit: true}
 	f := settings.run(t)
+	t.Log("tasks failed:", f.failed)
+	assert.Less(t, f.failed, int64(quarantineFailures), "the worker gets nothing more once different jobs have failed there")
 	settings.faulty, settings.unfit = false, false
 	sound := settings.run(t)
 	assert.Greater(t, float64(f.finished), 0.6*float64(sound.finished))
