Less garbage: deflating writers are kept, pairs on trial are looked for only to place

Cause: a profile at 320 workers showed a new deflating writer of some hundred KB for each append, and label sets rendered for every pair of tasks at each look at the workers. Both went on without anything to place.

--- a/services/cell/cycle.go
+++ b/services/cell/cycle.go
@@ -63,6 +63,11 @@
 }
 
 func (o *Owner) request(t models.Task, workers []place.Worker) place.Request {
+	if _, pairs := o.policy.(place.Pairs); pairs && t.Kind == models.TaskBatch {
+		for i := range workers {
+			workers[i].Trying = o.trying(workers[i])
+		}
+	}
 	return place.Request{
 		Task: t, Workers: workers, Rules: o.config.View().Rules, Selectors: o.selectors,
 		Policy: o.policy, Predict: o.config.Learner,
@@ -115,9 +120,6 @@
 			workers[i].Tasks = append(workers[i].Tasks, t)
 		}
 	}
-	for i := range workers {
-		workers[i].Trying = o.trying(workers[i])
-	}
 	return workers
 }
 
--- a/services/journal/codec.go
+++ b/services/journal/codec.go
@@ -8,6 +8,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,6 +27,15 @@
 // maxInflated bounds what a stored value may inflate to, in bytes.
 const maxInflated = 64 << 20
 
+// writers are kept, for a new one takes more memory and time than its use.
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a constant that is allowed
+	}
+	return w
+}}
+
 func encode(value any) ([]byte, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
@@ -36,10 +46,9 @@
 	}
 	var out bytes.Buffer
 	out.WriteByte(formatDeflated)
-	writer, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "deflate journal value")
-	}
+	writer, _ := writers.Get().(*flate.Writer)
+	defer writers.Put(writer)
+	writer.Reset(&out)
 	if _, err := writer.Write(data); err != nil {
 		return nil, errors.Wrap(err, "deflate journal value")
 	}
