--- a/services/journal/codec.go
+++ b/services/journal/codec.go
@@ -27,8 +27,8 @@
 // maxInflated bounds what a stored value may inflate to, in bytes.
 const maxInflated = 64 << 20
 
-// writers are kept, for a new one takes more memory and time than its use.
-var writers = sync.Pool{New: func() any {
+// deflaters are kept, for a new one takes more memory and time than its use.
+var deflaters = sync.Pool{New: func() any {
 	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
 	if err != nil {
 		panic(err) // the level is a constant that is allowed
@@ -46,8 +46,8 @@
 	}
 	var out bytes.Buffer
 	out.WriteByte(formatDeflated)
-	writer, _ := writers.Get().(*flate.Writer)
-	defer writers.Put(writer)
+	writer, _ := deflaters.Get().(*flate.Writer)
+	defer deflaters.Put(writer)
 	writer.Reset(&out)
 	if _, err := writer.Write(data); err != nil {
 		return nil, errors.Wrap(err, "deflate journal value")
