Bodies must arrive in time on every listener; teams have defaults for their jobs

Cause: a caller that sent half a body held its connection for ever (TestSlowBodiesEnd failed at 60 s, first for want of a limit, then because lifting the deadline let the server wait for the rest). ReadTimeout is of no use to callers, for it would end standing watchers; the entry sets and lifts a deadline of its own.

--- a/models/operate.go
+++ b/models/operate.go
@@ -54,13 +54,17 @@
 // maxSubmission bounds the jobs of one call.
 const maxSubmission = 1000
 
-// Check checks every job.
+// anyDefaults stand for a team's while a submission is decoded; those of the team are
+// filled in, and the job checked again, before it is accepted.
+var anyDefaults = JobDefaults{Size: Resources{CPU: 1}, Work: 1}
+
+// Check checks every job, but for what its team's defaults may fill in.
 func (s Submission) Check() error {
 	if len(s.Jobs) == 0 || len(s.Jobs) > maxSubmission {
 		return newCountError("jobs", len(s.Jobs), maxSubmission)
 	}
 	for _, job := range s.Jobs {
-		if err := job.Check(); err != nil {
+		if err := anyDefaults.Fill(job).Check(); err != nil {
 			return err
 		}
 	}
--- a/modules/listen/listen.go
+++ b/modules/listen/listen.go
@@ -31,7 +31,10 @@
 	MaxHeader      int // bytes
 	MaxConnections int
 	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// BodyTimeout bounds the reading of a whole request. 0 leaves it to the handler,
+	// which must be so where answers stand for longer.
+	BodyTimeout time.Duration
+	IdleTimeout time.Duration
 }
 
 // Server is an open listener.
@@ -50,7 +53,7 @@
 		listener: netutil.LimitListener(listener, config.MaxConnections),
 		server: &http.Server{
 			Handler: config.Handler, MaxHeaderBytes: config.MaxHeader,
-			ReadHeaderTimeout: config.HeaderTimeout, IdleTimeout: config.IdleTimeout,
+			ReadHeaderTimeout: config.HeaderTimeout, ReadTimeout: config.BodyTimeout, IdleTimeout: config.IdleTimeout,
 		},
 	}, nil
 }
--- a/modules/setting/listen.go
+++ b/modules/setting/listen.go
@@ -17,6 +17,7 @@
 	MaxBody        int // bytes
 	MaxConnections int // of each listener
 	HeaderTimeout  time.Duration
+	BodyTimeout    time.Duration
 	IdleTimeout    time.Duration
 }
 
@@ -26,6 +27,7 @@
 		MaxBody:        4 << 20,
 		MaxConnections: 4096,
 		HeaderTimeout:  5 * time.Second,
+		BodyTimeout:    30 * time.Second,
 		IdleTimeout:    2 * time.Minute,
 	}
 }
@@ -40,6 +42,7 @@
 	r.number("max_body", &l.MaxBody, 1<<10, 1<<30, "bytes of a request's body")
 	r.number("max_connections", &l.MaxConnections, 16, 1<<16, "connections of each listener")
 	r.duration("header_timeout", &l.HeaderTimeout, 100*time.Millisecond, time.Minute, "time for a request's header to arrive")
+	r.duration("body_timeout", &l.BodyTimeout, 100*time.Millisecond, time.Hour, "time for a request's body to arrive")
 	r.duration("idle_timeout", &l.IdleTimeout, time.Second, time.Hour, "time a connection may be idle")
 }
 
--- a/services/cell/message.go
+++ b/services/cell/message.go
@@ -104,6 +104,8 @@
 	ErrNoStore = errors.New("not run: the platform's store can't be written, so nothing is accepted; ask again in 10 seconds")
 	// ErrMaybe says that the answer of the store is missing.
 	ErrMaybe = errors.New("unknown: the store hasn't confirmed the write; submit again with the same id, it is taken only once")
+	// ErrWrong says that the job isn't whole.
+	ErrWrong = errors.New("not run: the job is wrong")
 	// ErrOtherSpec says that the job's id is in use by another job.
 	ErrOtherSpec = errors.New("not run: a job with this id but another content was accepted before")
 )
--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -131,7 +131,7 @@
 	})
 	d.Claims = claim.New(claim.Config{Self: self.ID, Members: d.Members, Client: d.client, Keep: s.Entry.ClaimKeepDone})
 	d.Entry = entry.New(entry.Config{
-		Self: self.ID, Settings: s.Entry, MaxBody: int64(s.Listen.MaxBody), View: d.Config.View, Claims: d.Claims,
+		Self: self.ID, Settings: s.Entry, MaxBody: int64(s.Listen.MaxBody), BodyTimeout: s.Listen.BodyTimeout, View: d.Config.View, Claims: d.Claims,
 		Logger: d.Logger, Scope: scope.SubScope("entry"), NewID: ids.make,
 	})
 	d.Operate = operate.New(operate.Config{
--- a/services/daemon/listeners.go
+++ b/services/daemon/listeners.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/modules/listen"
@@ -29,14 +30,15 @@
 	for _, l := range []struct {
 		address string
 		handler http.Handler
+		body    time.Duration
 	}{
-		{s.Caller, h.Caller},
-		{s.Operator, listen.RequireToken(s.OperatorToken, listen.LimitBody(limit, h.Operator))},
-		{s.Peer, listen.RequireToken(s.PeerToken, listen.LimitBody(limit, h.Peer))},
+		{s.Caller, h.Caller, 0}, // the entry bounds it, for watchers stand longer
+		{s.Operator, listen.RequireToken(s.OperatorToken, listen.LimitBody(limit, h.Operator)), s.BodyTimeout},
+		{s.Peer, listen.RequireToken(s.PeerToken, listen.LimitBody(limit, h.Peer)), s.BodyTimeout},
 	} {
 		server, err := listen.Open(listen.Config{
 			Address: l.address, Handler: l.handler, MaxHeader: s.MaxHeader, MaxConnections: s.MaxConnections,
-			HeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout,
+			HeaderTimeout: s.HeaderTimeout, BodyTimeout: l.body, IdleTimeout: s.IdleTimeout,
 		})
 		if err != nil {
 			return err
--- a/services/entry/decode.go
+++ b/services/entry/decode.go
@@ -26,7 +26,7 @@
 )
 
 // decode reads the whole request, so that half a request never reaches an upstream.
-func (s *Service) decode(r *http.Request) (*request, *refusal) {
+func (s *Service) decode(w http.ResponseWriter, r *http.Request) (*request, *refusal) {
 	req := &request{
 		id: s.config.NewID(), arrived: time.Now(), source: r, class: defaultClass, tried: map[models.VMID]bool{},
 	}
@@ -41,8 +41,7 @@
 	if len(req.key) > models.MaxIdempotencyKey {
 		return req, malformed(errors.Newf("%s is longer than %d bytes", models.HeaderIdempotencyKey, models.MaxIdempotencyKey))
 	}
-	body := http.MaxBytesReader(nil, r.Body, s.config.MaxBody)
-	req.body, err = io.ReadAll(body)
+	req.body, err = s.readBody(w, r)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return req, &refusal{status: http.StatusRequestEntityTooLarge, outcome: models.RequestNotRun, reason: "body is larger than " + strconv.FormatInt(s.config.MaxBody, 10) + " bytes"}
@@ -53,6 +52,19 @@
 	return req, nil
 }
 
+// readBody reads the body within its time and size. The deadline is lifted only from a
+// connection whose request came whole: on others the server would wait for the rest.
+// Connections that can't have a deadline are tests' own.
+func (s *Service) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	limited := s.config.BodyTimeout > 0 && controller.SetReadDeadline(time.Now().Add(s.config.BodyTimeout)) == nil
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.config.MaxBody))
+	if err == nil && limited {
+		err = controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 func malformed(err error) *refusal {
 	return &refusal{status: http.StatusBadRequest, outcome: models.RequestNotRun, reason: err.Error()}
 }
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -49,11 +49,13 @@
 	Self     models.MemberID
 	Settings setting.Entry
 	MaxBody  int64
-	View     func() *config.View
-	Claims   Claimer
-	Logger   *zap.Logger
-	Scope    tally.Scope
-	NewID    func() string
+	// BodyTimeout bounds the arrival of a request's body.
+	BodyTimeout time.Duration
+	View        func() *config.View
+	Claims      Claimer
+	Logger      *zap.Logger
+	Scope       tally.Scope
+	NewID       func() string
 }
 
 // Service is the entry of one daemon.
--- a/services/entry/path.go
+++ b/services/entry/path.go
@@ -32,7 +32,7 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close") // the balancer's kept connections end here
 	}
-	req, refusal := s.decode(r)
+	req, refusal := s.decode(w, r)
 	if refusal != nil {
 		s.refuse(w, req, *refusal)
 		return
--- a/services/operate/operate.go
+++ b/services/operate/operate.go
@@ -55,10 +55,16 @@
 func (s *Service) Submit(ctx context.Context, submission models.Submission) models.JobResults {
 	specs := map[models.JobID]models.JobSpec{}
 	ids := make([]models.JobID, len(submission.Jobs))
+	teams := s.config.View().Teams
+	wrong := map[models.JobID]error{}
 	for i, spec := range submission.Jobs {
+		spec = teams[spec.Team].Jobs.Fill(spec)
 		ids[i], specs[spec.ID] = spec.ID, spec
+		if err := spec.Check(); err != nil {
+			wrong[spec.ID] = errors.Mark(errors.Wrapf(err, "not run: neither the job nor its team %s says so", spec.Team), cell.ErrWrong)
+		}
 	}
-	return s.eachHome(ids, func(home models.CellID, ids []models.JobID) ([]models.Job, error) {
+	return s.eachHome(ids, wrong, func(home models.CellID, ids []models.JobID) ([]models.Job, error) {
 		call := models.ForwardCall{Cell: home}
 		for _, id := range ids {
 			call.Submit = append(call.Submit, specs[id])
@@ -70,19 +76,24 @@
 
 // Cancel hands each cancellation to the owner of the job's home cell.
 func (s *Service) Cancel(ctx context.Context, cancellation models.Cancellation) models.JobResults {
-	return s.eachHome(cancellation.Jobs, func(home models.CellID, ids []models.JobID) ([]models.Job, error) {
+	return s.eachHome(cancellation.Jobs, nil, func(home models.CellID, ids []models.JobID) ([]models.Job, error) {
 		answer, err := s.config.Cells.Forward(ctx, models.ForwardCall{Cell: home, Cancel: ids})
 		return answer.Cancelled, err
 	})
 }
 
-// eachHome groups jobs by home cell and calls once for each group.
-func (s *Service) eachHome(ids []models.JobID, do func(models.CellID, []models.JobID) ([]models.Job, error)) models.JobResults {
+// eachHome groups jobs by home cell and calls once for each group; those that are
+// wrong are refused.
+func (s *Service) eachHome(ids []models.JobID, wrong map[models.JobID]error, do func(models.CellID, []models.JobID) ([]models.Job, error)) models.JobResults {
 	cells := s.config.Inventory.Cells()
 	groups := map[models.CellID][]models.JobID{}
 	results := map[models.JobID]models.JobResult{}
 	for _, id := range ids {
 		home, ok := cell.JobHome(id, cells)
+		if err := wrong[id]; err != nil {
+			results[id] = refused(id, err)
+			continue
+		}
 		if !ok {
 			results[id] = refused(id, errNoCells)
 			continue
--- a/tests/integration/request_faults_test.go
+++ b/tests/integration/request_faults_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -348,3 +349,21 @@
 		assert.Equal(t, before.Cells[i].Epoch, cell.Epoch, "%s has the owner it had", cell.Cell)
 	}
 }
+
+// TestSlowBodiesEnd sends half a body to each listener and then nothing more.
+func TestSlowBodiesEnd(t *testing.T) {
+	c := newCluster(t, clusterConfig{daemons: 1, fleet: []string{"--workers", "2", "--upstreams", "1"}, extra: map[string]string{"listen.body_timeout": "300ms"}})
+	d := c.daemons[0]
+	for _, listener := range []struct{ address, token string }{{d.caller, ""}, {d.operator, operatorToken}, {d.peer, peerToken}} {
+		connection, err := net.Dial("tcp", listener.address)
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(connection, "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", listener.token)
+		require.NoError(t, err)
+		require.NoError(t, connection.SetReadDeadline(time.Now().Add(patience)))
+		answer, err := io.ReadAll(connection)
+		require.NoError(t, err, "the daemon ends the connection")
+		assert.NotContains(t, string(answer), "200 OK")
+		_ = connection.Close()
+	}
+	assert.Zero(t, c.audit().Requests)
+}
