--- a/routers/peer/peer.go
+++ b/routers/peer/peer.go
@@ -87,7 +87,7 @@
 
 // serve decodes one call, performs it and encodes the answer.
 func serve[C wire.Checker, A any](s *server, in *peerrpc.Envelope, perform func(C) (A, error)) (*peerrpc.Envelope, error) {
-	plain, err := peerrpc.Unpack(in.GetBody(), peerrpc.MaxBody)
+	plain, err := peerrpc.Unpack(in.GetBody())
 	if err != nil {
 		return nil, twirp.NewError(twirp.InvalidArgument, "from "+in.GetFrom()+": "+err.Error())
 	}
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -136,7 +136,7 @@
 		return zero, errstep.Wrap(err, step, address)
 	}
 	c.bytesGot.Add(int64(len(envelope.GetBody())))
-	plain, err := peerrpc.Unpack(envelope.GetBody(), peerrpc.MaxBody)
+	plain, err := peerrpc.Unpack(envelope.GetBody())
 	if err != nil {
 		return zero, errstep.Wrap(err, step, address)
 	}
