--- a/cmd/rillsail/main.go
+++ b/cmd/rillsail/main.go
@@ -89,6 +89,7 @@
 		t.simple("tasks", "tasks of all cells", t.tasks),
 		t.simple("dump", "whole state of the asked daemon, as JSON", t.dump),
 		t.named("explain", "<task>", "why a task is where it is, or waits", t.explain),
+		t.simple("refusals", "latest requests that the asked daemon refused, and why", t.refusals),
 		t.named("drain", "<vm>", "keep new work off a VM and move away what it runs", t.drain),
 		t.named("undrain", "<vm>", "let a drained VM take work again", t.undrain),
 		t.labelCommand(),
--- a/cmd/rillsail/show.go
+++ b/cmd/rillsail/show.go
@@ -164,13 +164,30 @@
 	return t.show(l, func() error { return t.taskTable(l.Tasks) }, func() error {
 		return t.table("AT\tDECISION\tWORKER\tREASON", func(w *tabwriter.Writer) {
 			for _, d := range l.Decisions {
-				at := time.UnixMilli(int64(d.At)).UTC().Format(time.RFC3339)
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", at, d.Action, d.Worker, d.Reason)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", clockTime(d.At), d.Action, d.Worker, d.Reason)
 			}
 		})
 	}, func() error { return t.missing(l) })
 }
 
+func (t *tool) refusals(ctx context.Context) error {
+	l, err := get[models.Refusals](ctx, t.client, operator.PathRefused)
+	if err != nil {
+		return err
+	}
+	return t.show(l, func() error {
+		return t.table("AT\tREQUEST\tCLASS\tSTATUS\tOUTCOME\tWAITED MS\tREASON", func(w *tabwriter.Writer) {
+			for _, r := range l.Refusals {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%s\n", clockTime(r.At), r.ID, r.Class, r.Status, r.Outcome, r.Waited, r.Reason)
+			}
+		})
+	})
+}
+
+func clockTime(at models.UnixMilli) string {
+	return time.UnixMilli(int64(at)).UTC().Format(time.RFC3339)
+}
+
 // raw is an answer that is shown as it came.
 type raw struct{ json.RawMessage }
 
--- a/models/operate.go
+++ b/models/operate.go
@@ -118,6 +118,26 @@
 // Check is there for the decoder; every value is allowed.
 func (l Listing) Check() error { return nil }
 
+// RequestRefusal is a request that got no answer of an upstream, as the daemon that
+// refused it remembers it.
+type RequestRefusal struct {
+	ID      string         `json:"id"` // as told to the caller in Rillsail-Request-Id
+	At      UnixMilli      `json:"at"`
+	Class   ClassName      `json:"class"`
+	Status  int            `json:"status"`
+	Outcome RequestOutcome `json:"outcome"`
+	Reason  string         `json:"reason"`
+	Waited  Milli          `json:"waited_ms"`
+}
+
+// Refusals are the latest refusals of one daemon, the oldest first.
+type Refusals struct {
+	Refusals []RequestRefusal `json:"refusals"`
+}
+
+// Check is there for the decoder; every value is allowed.
+func (r Refusals) Check() error { return nil }
+
 // Configuration is the configuration in force, object by object.
 type Configuration struct {
 	Revision Revision    `json:"revision"`
--- a/routers/operator/operator.go
+++ b/routers/operator/operator.go
@@ -33,6 +33,7 @@
 	PathTasks   = "/v1/tasks"
 	PathWorkers = "/v1/workers"
 	PathExplain = "/v1/explain"
+	PathRefused = "/v1/refusals"
 	PathDump    = "/v1/dump"
 	PathMetrics = "/metrics"
 	PathProfile = "/debug/pprof/profile" // processor time, for go tool pprof
@@ -62,6 +63,7 @@
 	router.GET(PathTasks, h.list(models.ForwardCall{Tasks: true}))
 	router.GET(PathWorkers, h.list(models.ForwardCall{Worker: true}))
 	router.GET(PathExplain, h.explain)
+	router.GET(PathRefused, h.refusals)
 	router.GET(PathDump, h.dump)
 	router.Handler(http.MethodGet, PathMetrics, c.Metrics)
 	router.HandlerFunc(http.MethodGet, PathProfile, pprof.Profile)
@@ -171,6 +173,10 @@
 	h.list(models.ForwardCall{Task: task})(w, r, p)
 }
 
+func (h *handlers) refusals(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	wire.Write(w, http.StatusOK, models.Refusals{Refusals: h.Operate.Refusals()})
+}
+
 func (h *handlers) dump(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	ctx, cancel := context.WithTimeout(r.Context(), h.Timeout)
 	defer cancel()
--- a/services/entry/entry.go
+++ b/services/entry/entry.go
@@ -69,6 +69,7 @@
 	draining  atomic.Bool
 	inFlight  atomic.Int64
 	counters  counters
+	refusals  refusals
 }
 
 const idlePerUpstream = 16
--- a/services/entry/refusal.go
+++ b/services/entry/refusal.go
@@ -7,7 +7,9 @@
 	"context"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"rillsail.example/rillsail/models"
@@ -45,6 +47,11 @@
 	} else {
 		c.unknown.Inc(1)
 	}
+	s.refusals.add(models.RequestRefusal{
+		ID: req.id, At: models.UnixMilliOf(time.Now()), Class: req.class.Name, Status: r.status,
+		Outcome: r.outcome, Reason: r.reason, Waited: models.MilliOf(time.Since(req.arrived)),
+	})
+	w.Header().Set(models.HeaderRequestID, req.id)
 	w.Header().Set(models.HeaderOutcome, string(r.outcome))
 	w.Header().Set(models.HeaderReason, r.reason)
 	if r.retry > 0 {
@@ -53,6 +60,34 @@
 	wire.Write(w, r.status, Problem{Outcome: r.outcome, Reason: r.reason, Class: req.class.Name})
 }
 
+// keptRefusals bounds what an entry remembers for operators.
+const keptRefusals = 256
+
+// refusals is a ring of the latest refusals.
+type refusals struct {
+	mu   sync.Mutex
+	ring []models.RequestRefusal
+	next int
+}
+
+func (r *refusals) add(refusal models.RequestRefusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ring) < keptRefusals {
+		r.ring = append(r.ring, refusal)
+		return
+	}
+	r.ring[r.next] = refusal
+	r.next = (r.next + 1) % keptRefusals
+}
+
+// Refusals gives the latest refusals, the oldest first.
+func (s *Service) Refusals() []models.RequestRefusal {
+	s.refusals.mu.Lock()
+	defer s.refusals.mu.Unlock()
+	return append(slices.Clone(s.refusals.ring[s.refusals.next:]), s.refusals.ring[:s.refusals.next]...)
+}
+
 func (c *counters) of(class models.ClassName) classCounters {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/services/operate/operate.go
+++ b/services/operate/operate.go
@@ -177,6 +177,9 @@
 	slices.SortFunc(l.Decisions, func(a, b models.Decision) int { return cmp.Compare(a.At, b.At) })
 }
 
+// Refusals lists the latest requests that this daemon refused.
+func (s *Service) Refusals() []models.RequestRefusal { return s.config.Entry.Refusals() }
+
 // Status sums up this daemon and what it knows of the others.
 func (s *Service) Status() models.Status {
 	members := s.config.Members
--- a/tests/integration/whole_path_test.go
+++ b/tests/integration/whole_path_test.go
@@ -94,6 +94,16 @@
 		assert.Equal(t, 0, code, "%v: %s", args, out)
 		assert.NotEmpty(t, out)
 	}
+	c.control("upstream-0", fleet.ActionLeave)
+	var refused *http.Response
+	eventually(t, "requests are refused", func() bool {
+		refused, _ = send(t, d, "app=quote", "x", "")
+		return refused.StatusCode == http.StatusServiceUnavailable
+	})
+	out, code = tool("", "refusals")
+	assert.Equal(t, 0, code)
+	assert.Contains(t, out, refused.Header.Get(models.HeaderRequestID))
+	assert.Contains(t, out, "no upstream serves class default now")
 	out, code = tool("", "jobs", "list")
 	assert.Equal(t, 0, code)
 	assert.Regexp(t, "j1 +office +done", out)
