A cell is not claimed without a lease in the store

Cause: a daemon looks for free cells while it has a lease, holds back, and reads its lease again when it claims. If the lease ended in between, the claim was written with lease 0, which means: no lease. Ruled out: moves (the old code fails as well), the stand-in store (it kept just what was written).

--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -117,6 +117,9 @@
 	c.mu.Lock()
 	lease := c.lease
 	c.mu.Unlock()
+	if lease == 0 {
+		return false // over since the cell was found free; keys without lease would stay for ever
+	}
 	taken := time.Now()
 	version, err := c.config.Store.Commit(ctx, platform.Txn{
 		Require: []platform.Precondition{{Key: ownerKey(cell)}, {Key: markerKey(cell)}},
--- a/services/control/control_test.go
+++ b/services/control/control_test.go
@@ -414,3 +414,17 @@
 		w.noBreach()
 	})
 }
+
+func TestCellIsNotClaimedWithoutLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, 1, nil)
+		time.Sleep(2 * time.Second)
+		c := w.daemons[0].Cells
+		c.mu.Lock()
+		c.lease = 0 // as after an outage, while a free cell is left to others
+		c.mu.Unlock()
+		require.False(t, c.claim(w.ctx, "other"))
+		_, err := w.daemons[0].config.Store.Get(w.ctx, ownerKey("other"))
+		require.ErrorIs(t, err, platform.ErrNotFound, "nobody would ever remove the key")
+	})
+}
