Waiting work moves between cells

Change: an owner whose work finds no place for 0.4 s asks the owners of the job's other cells how many of its tasks would find one now, and hands those over: waiting tasks of a job that lasts, or a whole job of which nothing was ever started. One transaction of the owner's chain writes the records of both cells; a record names the tasks that its cell has (Part, Tasks). A move without answer is tried again with what the store says then. A cancellation is stored in every cell that has tasks, on condition that the records are as they were read, and bars a move.

--- a/models/jobs/query.go
+++ b/models/jobs/query.go
@@ -17,13 +17,25 @@
 	Pending bool     `json:"pending,omitempty"` // of all queues
 	Learned bool     `json:"learned,omitempty"` // what the cell has learned of images
 	Load    bool     `json:"load,omitempty"`
+	Demands []Demand `json:"demands,omitempty"` // how many places there are for them
 }
 
-// Check rejects queries of too many jobs.
+// Demand is work that looks for a cell with places for it.
+type Demand struct {
+	Pool PoolName `json:"pool"`
+	Step Step     `json:"step"` // its count is the number of tasks
+}
+
+// Check rejects queries of too many jobs, and steps that can't be meant.
 func (q Query) Check() error {
-	if q.Cell == "" || len(q.Jobs) > maxQueryJobs {
+	if q.Cell == "" || len(q.Jobs) > maxQueryJobs || len(q.Demands) > maxQueryJobs {
 		return errors.Newf("query names no cell or more than %d jobs", maxQueryJobs)
 	}
+	for i, demand := range q.Demands {
+		if err := demand.Step.check(MaxSteps); err != nil {
+			return errors.Wrapf(err, "demand %d", i)
+		}
+	}
 	return nil
 }
 
@@ -36,6 +48,7 @@
 	Pending map[QueueName]int `json:"pending,omitempty"`
 	Learned []Learned         `json:"learned,omitempty"`
 	Load    CellLoad          `json:"load"`
+	Places  []int             `json:"places,omitempty"` // as many as there are demands
 }
 
 // Check is there for the decoder; every value is allowed.
--- a/models/jobs/record.go
+++ b/models/jobs/record.go
@@ -37,14 +37,27 @@
 	HasAdviser  bool         `json:"adviser,omitempty"`  // only an adviser knows which workers may run a step
 }
 
-// Record is what the store holds of a job. While the job is active it is written once,
-// by the daemon that accepts it; the owner of its cell replaces it by an ended one.
+// Record is what the store holds of a job in one of its cells. The daemon that accepts the
+// job writes it; the owner of the cell replaces it by an ended one. When an owner hands
+// tasks to another cell, it writes the records of both cells in one transaction.
 type Record struct {
 	Spec     Spec             `json:"spec"`
 	Terms    Terms            `json:"terms"`
 	Accepted models.UnixMilli `json:"accepted"`
 	Ended    State            `json:"ended,omitempty"`    // empty while the job is active
 	EndedAt  models.UnixMilli `json:"end_time,omitempty"` // by the owner's clock
+
+	// Part says that the cell has only those of the job's tasks that Tasks names.
+	Part  bool    `json:"part,omitempty"`
+	Tasks TaskSet `json:"tasks,omitempty"`
+	// Moved says that an active record was written again, so that its age doesn't tell which
+	// owner may have started its tasks.
+	Moved bool `json:"moved,omitempty"`
+	// LeastRun is the highest number of a run that a cell had given before it handed tasks over.
+	LeastRun RunID `json:"least_run,omitempty"`
+
+	// Version is that of the record's key, filled in when it is read; 0: not known.
+	Version uint64 `json:"-"`
 }
 
 // Check rejects a record that holds no valid job, or an end that is none. Ended records
--- a/services/control/callers.go
+++ b/services/control/callers.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -150,79 +151,147 @@
 			return state, nil
 		}
 	}
-	_, state, err := s.stored(ctx, id, layout)
-	return state, err
+	return s.stored(ctx, id, layout)
 }
 
-// stored finds a job in the store.
-func (s *Service) stored(ctx context.Context, id jobs.ID, layout *jobs.Layout) (jobs.CellName, jobs.State, error) {
+// stored finds a job's state in the store.
+func (s *Service) stored(ctx context.Context, id jobs.ID, layout *jobs.Layout) (jobs.State, error) {
+	entries, err := s.entriesOf(ctx, id, layout)
+	if err != nil {
+		return "", err
+	}
+	return entries.state(), nil
+}
+
+// jobEntry is what the store holds of a job in one cell.
+type jobEntry struct {
+	cell      jobs.CellName
+	record    jobs.Record // with version 0 when there is none
+	cancelled bool
+}
+
+// jobEntries are a job's entries in its cells.
+type jobEntries []jobEntry
+
+// entriesOf reads what the store holds of a job; ErrNotFound when it is in none of its cells.
+func (s *Service) entriesOf(ctx context.Context, id jobs.ID, layout *jobs.Layout) (jobEntries, error) {
 	if !s.health.good() {
-		return "", "", platform.ErrUnavailable
+		return nil, platform.ErrUnavailable
 	}
+	var entries jobEntries
 	for _, cell := range cellsOf(id, layout) {
-		state, err := s.storedIn(ctx, cell, id)
-		if !errors.Is(err, platform.ErrNotFound) {
-			return cell, state, err
+		entry, err := s.entryIn(ctx, cell, id)
+		if err != nil {
+			return nil, err
 		}
+		entries = append(entries, entry)
+	}
+	if !entries.known() {
+		return nil, platform.ErrNotFound
 	}
-	return "", "", platform.ErrNotFound
+	return entries, nil
 }
 
-func (s *Service) storedIn(ctx context.Context, cell jobs.CellName, id jobs.ID) (jobs.State, error) {
+func (s *Service) entryIn(ctx context.Context, cell jobs.CellName, id jobs.ID) (jobEntry, error) {
+	entry := jobEntry{cell: cell}
 	records, _, err := s.config.Store.List(ctx, jobKey(cell, id))
 	s.health.note(err)
 	if err != nil {
-		return "", err
+		return entry, err
 	}
-	state := jobs.State("")
-	cancelled := false
 	for _, record := range records {
 		if _, cancel := jobOfKey(cell, record.Key); cancel {
-			cancelled = true
+			entry.cancelled = true
 			continue
 		}
-		stored, err := decode[jobs.Record](record)
-		if err != nil {
-			return "", err
-		}
-		state = jobs.StateQueued
-		if stored.Ended != "" {
-			state = stored.Ended
+		if entry.record, err = decode[jobs.Record](record); err != nil {
+			return entry, err
 		}
+		entry.record.Version = uint64(record.Version)
 	}
-	switch {
-	case state == "":
-		return "", platform.ErrNotFound
-	case cancelled && !state.Ended():
-		return jobs.StateCancelled, nil
-	default:
-		return state, nil
+	return entry, nil
+}
+
+// active tells whether the cell has tasks of the job that has not ended there.
+func (e *jobEntry) active() bool {
+	return e.record.Version != 0 && e.record.Ended == "" && !e.record.Left()
+}
+
+func (e jobEntries) known() bool {
+	return slices.ContainsFunc(e, func(entry jobEntry) bool { return entry.record.Version != 0 })
+}
+
+// state is the job's state as far as the store knows it.
+func (e jobEntries) state() jobs.State {
+	state := jobs.StateQueued // also when one entry was read before a move and one after it
+	for _, entry := range e {
+		switch {
+		case entry.record.Ended != "":
+			state = entry.record.Ended
+		case entry.cancelled:
+			return jobs.StateCancelled
+		}
 	}
+	return state
 }
 
-// Cancel ends a job: the wish is stored, then the owner acts on it.
+// Cancel ends a job: the wish is stored in each cell that has tasks of it, then their owners
+// act on it.
 func (s *Service) Cancel(ctx context.Context, id jobs.ID) error {
 	layout := s.Cells.layout()
 	if layout == nil {
 		return platform.ErrUnavailable
 	}
-	cell, state, err := s.stored(ctx, id, layout)
-	if err != nil || state.Ended() {
-		return err
+	for {
+		entries, err := s.entriesOf(ctx, id, layout)
+		if err != nil {
+			return err
+		}
+		if entries.state().Ended() {
+			return nil // the wish has been stored before, or comes too late
+		}
+		err = s.cancel(ctx, id, entries)
+		if !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+		if ctx.Err() != nil { // tasks move between cells, or the job ends
+			return errors.Mark(err, platform.ErrUnavailable)
+		}
+		sleep(ctx, cancelRetry)
 	}
+}
+
+// cancelRetry is the pause before a cancellation is tried again that met a change of the job.
+const cancelRetry = 20 * time.Millisecond
+
+// cancel stores a job's cancellation on condition that its entries are as they were read.
+func (s *Service) cancel(ctx context.Context, id jobs.ID, entries jobEntries) error {
 	value, err := json.Marshal(jobs.Cancellation{At: models.UnixMilliOf(time.Now())})
 	if err != nil {
 		return errors.Wrap(err, "encode cancellation")
 	}
-	key := cancelKey(cell, id)
-	err = s.write(ctx, platform.Txn{
-		Require: []platform.Precondition{{Key: key}}, Put: []platform.Write{{Key: key, Value: value}},
-	})
-	if err != nil && !errors.Is(err, platform.ErrConflict) { // a conflict: it is cancelled already
+	var txn platform.Txn
+	var cells []string
+	for _, entry := range entries {
+		txn.Require = append(txn.Require, platform.Precondition{
+			Key: jobKey(entry.cell, id), Version: platform.Version(entry.record.Version),
+		})
+		if !entry.active() {
+			continue
+		}
+		key := cancelKey(entry.cell, id)
+		txn.Require = append(txn.Require, platform.Precondition{Key: key})
+		txn.Put = append(txn.Put, platform.Write{Key: key, Value: value})
+		cells = append(cells, string(entry.cell))
+	}
+	if len(txn.Put) == 0 {
+		return platform.ErrConflict // read in the middle of a move
+	}
+	if err := s.write(ctx, txn); err != nil {
 		return err
 	}
 	s.config.Scope.Counter("jobs_cancelled").Inc(1)
-	s.config.Logger.Info("job's cancellation is stored", zap.String("job", string(id)), zap.String("cell", string(cell)))
+	s.config.Logger.Info("job's cancellation is stored", zap.String("job", string(id)), zap.Strings("cells", cells))
 	return nil
 }
 
--- a/services/control/control_test.go
+++ b/services/control/control_test.go
@@ -418,7 +418,7 @@
 func TestCellIsNotClaimedWithoutLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2, 1, nil)
-		time.Sleep(2 * time.Second)
+		time.Sleep(2100 * time.Millisecond) // not when the lease is being renewed
 		c := w.daemons[0].Cells
 		c.mu.Lock()
 		c.lease = 0 // as after an outage, while a free cell is left to others
--- a/services/control/journal.go
+++ b/services/control/journal.go
@@ -84,6 +84,8 @@
 			sleep(ctx, loadRetry)
 		case more:
 			continue
+		default:
+			o.carryOutMoves(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -122,20 +124,38 @@
 
 // commit carries out one transaction of the owner.
 func (o *Owner) commit(ctx context.Context, changes dispatch.Changes) error {
+	txn, err := o.txnOf(changes)
+	if err != nil {
+		return err
+	}
+	_, err = o.chain(ctx, txn)
+	return err
+}
+
+// chain carries out a transaction as the next one of the owner, and gives its version.
+func (o *Owner) chain(ctx context.Context, txn platform.Txn) (platform.Version, error) {
 	o.journal.attempts++
 	entry := journalEntry{Epoch: o.epoch, Attempt: o.journal.attempts}
-	txn, err := o.txnOf(changes, entry)
+	value, err := json.Marshal(entry)
 	if err != nil {
-		return err
+		return 0, errors.Wrap(err, "encode entry of the journal")
 	}
+	txn.Require = append(txn.Require,
+		platform.Precondition{Key: ownerKey(o.cell), Version: platform.Version(o.epoch)},
+		platform.Precondition{Key: journalKey(o.cell), Version: o.journal.version})
+	txn.Put = append(txn.Put, platform.Write{Key: journalKey(o.cell), Value: value})
 	version, err := o.config.Store.Commit(ctx, txn)
 	switch {
 	case err == nil:
 		o.journal.last, o.journal.version = entry, version
-	case errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrConflict):
-		return o.settle(ctx, entry, err)
+	case errors.Is(err, platform.ErrConflict):
+		err = o.settle(ctx, entry, err)
+	case errors.Is(err, platform.ErrUnknown):
+		if err = o.settle(ctx, entry, err); err != nil {
+			err = errors.Mark(err, platform.ErrUnknown)
+		}
 	}
-	return err
+	return o.journal.version, err
 }
 
 // settle finds out what became of a transaction that was not answered, or whose
@@ -155,12 +175,9 @@
 	return cause
 }
 
-func (o *Owner) txnOf(changes dispatch.Changes, entry journalEntry) (platform.Txn, error) {
-	txn := platform.Txn{Require: []platform.Precondition{
-		{Key: ownerKey(o.cell), Version: platform.Version(o.epoch)},
-		{Key: journalKey(o.cell), Version: o.journal.version},
-	}}
-	puts := []put{{journalKey(o.cell), entry}}
+func (o *Owner) txnOf(changes dispatch.Changes) (platform.Txn, error) {
+	var txn platform.Txn
+	var puts []put
 	if changes.Roster != nil {
 		puts = append(puts, put{rosterKey(o.cell), changes.Roster})
 	}
@@ -177,17 +194,12 @@
 			txn.Delete = append(txn.Delete, cancelKey(o.cell, change.ID))
 		}
 	}
-	for _, id := range changes.Forget {
-		txn.Delete = append(txn.Delete, jobKey(o.cell, id))
+	for _, id := range changes.Forget { // also where parts of it were, or it came from
+		txn.Delete = append(txn.Delete, jobKeys(cellsOf(id, o.cells.layout()), id)...)
 	}
-	for _, p := range puts {
-		value, err := json.Marshal(p.value)
-		if err != nil {
-			return txn, errors.Wrapf(err, "encode %s", p.key)
-		}
-		txn.Put = append(txn.Put, platform.Write{Key: p.key, Value: value})
-	}
-	return txn, nil
+	writes, err := encode(puts)
+	txn.Put = writes
+	return txn, err
 }
 
 type put struct {
@@ -195,6 +207,19 @@
 	value any
 }
 
+// encode makes writes of values.
+func encode(puts []put) ([]platform.Write, error) {
+	writes := make([]platform.Write, 0, len(puts))
+	for _, p := range puts {
+		value, err := json.Marshal(p.value)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode %s", p.key)
+		}
+		writes = append(writes, platform.Write{Key: p.key, Value: value})
+	}
+	return writes, nil
+}
+
 // finishTime bounds the last transactions of a planned stop.
 const finishTime = time.Second
 
--- /dev/null
+++ b/services/control/moves_test.go
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// twoCells is a world of two cells with two workers each, of which a job that lasts fills
+// one; full is the number of that cell.
+func twoCells(t *testing.T) (w *world, full int) {
+	t.Helper()
+	w = newWorldOf(t, 4, 3, 2, nil)
+	w.submit(w.daemons[0], lasting(1, 4))
+	w.eventually(10*time.Second, "tasks run", func() bool { return w.grid.Running(jobID(1)) == 4 })
+	if w.busyWorkers(cellName(0)) == 0 {
+		full = 1
+	}
+	require.Len(t, w.workersOfCell(full), 2)
+	return w, full
+}
+
+// ownerOfCell gives the daemon that owns a cell; nil when none does.
+func (w *world) ownerOfCell(cell jobs.CellName) *testDaemon {
+	for _, d := range w.daemons {
+		if d.Cells.Answer(jobs.Query{Cell: cell}).Owner {
+			return d
+		}
+	}
+	return nil
+}
+
+// busyWorkers counts the workers of a cell on which its owner has placed tasks.
+func (w *world) busyWorkers(cell jobs.CellName) int {
+	busy := 0
+	for _, state := range w.ownerOfCell(cell).Cells.owned[cell].core.WorkerStates(time.Now()) {
+		if len(state.Tasks) > 0 {
+			busy++
+		}
+	}
+	return busy
+}
+
+// workersOfCell gives the places in the grid of a cell's workers.
+func (w *world) workersOfCell(number int) []int {
+	list, err := w.grid.JobWorkers(w.ctx)
+	require.NoError(w.t, err)
+	var places []int
+	for place, worker := range list {
+		if w.daemons[0].Cells.layout().Racks[worker.Rack] == number {
+			places = append(places, place)
+		}
+	}
+	return places
+}
+
+// loseWorker cuts a worker with two tasks of the first job off for good.
+func (w *world) loseWorker(place int) {
+	w.grid.SetFaults(place, faultsCut)
+	w.grid.SetListed(place, false)
+	w.eventually(8*time.Second, "what ran there has lapsed", func() bool { return w.grid.Running(jobID(1)) == 2 })
+}
+
+// moved waits until the tasks of the first job that a lost worker ran are run elsewhere.
+func (w *world) moved() {
+	w.t.Helper()
+	w.eventually(5*time.Second, "lost tasks run in the other cell", func() bool { return w.grid.Running(jobID(1)) == 4 })
+	time.Sleep(3 * time.Second)
+	require.Equal(w.t, 4, w.grid.Running(jobID(1)))
+	for _, d := range w.daemons {
+		require.Equal(w.t, jobs.StateRunning, w.state(d, jobID(1)))
+	}
+}
+
+func TestLostTasksOfAFullCellRunInAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, full := twoCells(t)
+		w.loseWorker(w.workersOfCell(full)[0])
+		w.moved()
+		require.NoError(t, w.daemons[2].Cancel(w.ctx, jobID(1)))
+		w.eventually(2*time.Second, "tasks of both cells are stopped", func() bool { return w.grid.Running(jobID(1)) == 0 })
+		for _, d := range w.daemons {
+			require.Equal(t, jobs.StateCancelled, w.state(d, jobID(1)))
+		}
+		w.noBreach()
+	})
+}
+
+// submitTo accepts a job for one of its cells, whatever the loads.
+func (w *world) submitTo(number int, spec jobs.Spec) {
+	w.t.Helper()
+	spec.Queue = testQueue
+	w.grid.Expect(spec, testAttempts)
+	value, err := json.Marshal(jobs.Record{Spec: spec, Terms: testTerms, Accepted: models.UnixMilliOf(time.Now())})
+	require.NoError(w.t, err)
+	d := w.daemons[0]
+	cells := cellsOf(spec.ID, d.Cells.layout())
+	require.NoError(w.t, d.accept(w.ctx, d.Cells.registration(), jobKeys(cells, spec.ID), jobKey(cellName(number), spec.ID), value))
+}
+
+// large is a job of two steps for whose tasks a worker with two lasting ones has no room.
+func large(n int) jobs.Spec {
+	spec := twoSteps(n, time.Second)
+	for i := range spec.Steps {
+		spec.Steps[i].Size = models.Resources{CPU: 1100, Memory: 500}
+	}
+	return spec
+}
+
+func TestJobThatFindsNoPlaceMovesAsAWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, full := twoCells(t)
+		w.submitTo(full, large(2))
+		w.eventually(5*time.Second, "job succeeds in the other cell", func() bool { return w.state(w.daemons[1], jobID(2)) == jobs.StateSucceeded })
+		w.submit(w.daemons[2], large(2)) // accepted before, so that nothing happens
+		time.Sleep(5 * time.Second)
+		for _, d := range w.daemons {
+			require.Equal(t, jobs.StateSucceeded, w.state(d, jobID(2)))
+		}
+		_, err := w.daemons[0].config.Store.Get(w.ctx, jobKey(cellName(full), jobID(2)))
+		require.NoError(t, err, "the record stays, so that no daemon takes the job for unknown in the middle of a move")
+		time.Sleep(170 * time.Second)
+		for n := range 2 {
+			_, err := w.daemons[0].config.Store.Get(w.ctx, jobKey(cellName(n), jobID(2)))
+			require.ErrorIs(t, err, platform.ErrNotFound, "the job is forgotten in both cells")
+		}
+		require.NoError(t, w.daemons[0].Cancel(w.ctx, jobID(1)))
+		w.noBreach()
+	})
+}
+
+func TestMovedJobCanBeCancelledBeforeItStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, full := twoCells(t)
+		w.submitTo(full, large(2))
+		w.eventually(5*time.Second, "job runs", func() bool { return w.grid.Running(jobID(2)) == 3 })
+		require.NoError(t, w.daemons[1].Cancel(w.ctx, jobID(2)))
+		w.eventually(2*time.Second, "tasks are stopped", func() bool { return w.grid.Running(jobID(2)) == 0 })
+		for _, d := range w.daemons {
+			require.Equal(t, jobs.StateCancelled, w.state(d, jobID(2)))
+		}
+		w.noBreach()
+	})
+}
+
+func TestMovedTasksOutliveTheOwners(t *testing.T) {
+	for _, lost := range []string{"owner that handed over", "owner that took over", "all daemons"} {
+		t.Run(lost, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, full := twoCells(t)
+				w.loseWorker(w.workersOfCell(full)[0])
+				w.moved()
+				w.lose(lost, full)
+				w.eventually(15*time.Second, "both cells have owners", func() bool {
+					return w.ownerOfCell(cellName(0)) != nil && w.ownerOfCell(cellName(1)) != nil
+				})
+				w.eventually(15*time.Second, "all tasks run", func() bool { return w.grid.Running(jobID(1)) == 4 })
+				time.Sleep(10 * time.Second)
+				require.Equal(t, 4, w.grid.Running(jobID(1)))
+				d := w.daemons[len(w.daemons)-1]
+				require.Equal(t, jobs.StateRunning, w.state(d, jobID(1)))
+				require.NoError(t, d.Cancel(w.ctx, jobID(1)))
+				w.eventually(2*time.Second, "tasks of both cells are stopped", func() bool { return w.grid.Running(jobID(1)) == 0 })
+				w.noBreach()
+			})
+		})
+	}
+}
+
+// lose kills daemons, and starts new ones when none would be left.
+func (w *world) lose(which string, full int) {
+	switch which {
+	case "owner that handed over":
+		w.ownerOfCell(cellName(full)).kill()
+	case "owner that took over":
+		w.ownerOfCell(cellName(1 - full)).kill()
+	default:
+		for _, d := range w.daemons {
+			d.kill()
+		}
+		w.startDaemon()
+		w.startDaemon()
+	}
+}
+
+// blindWait is somewhat more than the longest time after a takeover in which an owner waits
+// for workers that don't answer.
+const blindWait = 40 * time.Second
+
+func TestMoveWithoutAnswerIsDoneOnce(t *testing.T) {
+	for _, late := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, full := twoCells(t)
+				owner := w.ownerOfCell(cellName(full))
+				w.loseWorker(w.workersOfCell(full)[0])
+				owner.mu.Lock()
+				owner.heldFor = late // from now on its transactions are done so much later
+				owner.mu.Unlock()
+				time.Sleep(late)
+				owner.mu.Lock()
+				owner.heldFor = 0
+				owner.mu.Unlock()
+				// The longer ones cost the owner its lease: the next one waits for the lost worker.
+				w.eventually(blindWait, "all tasks run", func() bool { return w.grid.Running(jobID(1)) == 4 })
+				time.Sleep(10 * time.Second)
+				require.Equal(t, 4, w.grid.Running(jobID(1)))
+				w.noBreach()
+			})
+		})
+	}
+}
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -37,6 +37,7 @@
 	metered dispatch.Counts        // handed to the metrics so far
 
 	journal    journal
+	moves      []*move // work that is being handed to other cells
 	wakeDecide chan struct{}
 	wakeStore  chan struct{}
 	group      conc.WaitGroup
@@ -87,6 +88,7 @@
 	o.group.Go(func() { o.workersLoop(ctx) })
 	o.group.Go(func() { o.storeLoop(ctx) })
 	o.group.Go(func() { o.learnLoop(ctx) })
+	o.group.Go(func() { o.moveLoop(ctx) })
 	o.decideLoop(ctx)
 }
 
@@ -192,7 +194,9 @@
 func (o *Owner) takeRecord(record platform.Record, progress map[jobs.ID]jobs.Progress, now time.Time) {
 	id, cancel := jobOfKey(o.cell, record.Key)
 	switch {
+	case record.Deleted && cancel:
 	case record.Deleted:
+		o.core.Dropped(id)
 	case cancel:
 		o.core.Cancel(id)
 	default:
@@ -201,6 +205,7 @@
 			o.config.Logger.Error("stored job can't be read", append(log.Err(err), zap.String("job", string(id)))...)
 			return
 		}
+		job.Version = uint64(record.Version)
 		o.core.AddJob(job, progress[id], jobs.Epoch(record.Version) > o.epoch, now)
 	}
 }
@@ -434,6 +439,9 @@
 	if query.Learned {
 		answer.Learned = o.core.Learned()
 	}
+	if len(query.Demands) > 0 {
+		answer.Places = o.core.Places(query.Demands, time.Now())
+	}
 	return answer
 }
 
--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -51,7 +51,7 @@
 }
 
 var happenings = []string{
-	"submit", "submit", "submit", "submit lasting", "cancel",
+	"submit", "submit", "submit", "submit lasting", "submit wide", "cancel",
 	"kill daemon", "freeze daemon", "cut daemon from store", "cut daemon from workers", "lose store answers", "heal daemon",
 	"store outage", "store back", "store forgets",
 	"crash worker", "cut worker", "late worker", "lose worker answers", "unlist worker", "heal worker",
@@ -60,6 +60,12 @@
 const (
 	scriptWorkers = 4
 	scriptDaemons = 3
+
+	// wideTasks is how many lasting tasks of a job fill most of a cell of two workers, so that
+	// work moves between cells.
+	wideTasks = 3
+	// mostLasting lasting tasks find room on the four workers, and a step of ordinary ones too.
+	mostLasting = 7
 )
 
 func drawHappening(rt *rapid.T) happening {
@@ -110,6 +116,7 @@
 type scripted struct {
 	*world
 	made      int
+	lasting   int // tasks that last
 	accepted  []jobs.Spec
 	cancelled map[jobs.ID]bool
 	perhaps   map[jobs.ID]bool // the cancellation has no clear answer: either is right
@@ -139,8 +146,9 @@
 		s.made++
 		s.trySubmit(d, twoSteps(s.made, time.Duration(h.Work)*time.Millisecond))
 	case "submit lasting":
-		s.made++
-		s.trySubmit(d, lasting(s.made, 1))
+		s.submitLasting(d, 1)
+	case "submit wide":
+		s.submitLasting(d, wideTasks)
 	case "cancel":
 		s.tryCancel(d, jobID(1+h.Work%max(1, s.made)))
 	case "kill daemon":
@@ -217,6 +225,16 @@
 	}
 }
 
+// submitLasting hands in a job of lasting tasks while there is room for all of them.
+func (s *scripted) submitLasting(d *testDaemon, tasks int) {
+	if s.lasting+tasks > mostLasting {
+		return
+	}
+	s.lasting += tasks
+	s.made++
+	s.trySubmit(d, lasting(s.made, tasks))
+}
+
 func (s *scripted) tryCancel(d *testDaemon, id jobs.ID) {
 	ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
 	defer cancel()
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -70,7 +70,8 @@
 	jobs        map[jobs.ID]*job
 	timed       map[jobs.ID]*job // those that repeat
 	ended       map[jobs.ID]endedJob
-	forgotAt    time.Time // when ended jobs were last looked through
+	left        map[jobs.ID]uint64 // jobs that went to another cell as a whole, by the version of their keys
+	forgotAt    time.Time          // when ended jobs were last looked through
 	workers     map[jobs.WorkerID]*worker
 	order       []*worker // by id
 	queues      map[jobs.QueueName]jobs.Terms
@@ -102,7 +103,7 @@
 // New makes a core without jobs and workers.
 func New(config Config) *Core {
 	return &Core{
-		config: config, jobs: map[jobs.ID]*job{}, timed: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{},
+		config: config, jobs: map[jobs.ID]*job{}, timed: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, left: map[jobs.ID]uint64{},
 		workers: map[jobs.WorkerID]*worker{}, queues: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
 		formerLease: config.LongestLease, blind: true, pressure: newPressure(), usual: map[jobs.QueueName]*speed{},
 	}
@@ -151,7 +152,12 @@
 	if w.info.Pool != c.terms(s.job).Pool {
 		return false
 	}
-	return s.spec.Requires == "" || slices.Contains(w.info.Labels, s.spec.Requires)
+	return w.hasLabel(s.spec.Requires)
+}
+
+// hasLabel tells whether the worker has the label that a step requires; all have none.
+func (w *worker) hasLabel(required string) bool {
+	return required == "" || slices.Contains(w.info.Labels, required)
 }
 
 // due is when a job's objective ends.
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -28,8 +28,10 @@
 	running     int        // tasks that may be on a worker
 	version     uint64     // of the progress
 	stored      uint64
-	hasProgress bool // in the store
-	dirty       bool // in the core's dirty jobs
+	hasProgress bool   // in the store
+	dirty       bool   // in the core's dirty jobs
+	stays       bool   // it can't be moved as a whole
+	recorded    uint64 // version of the record that says which tasks this cell has
 }
 
 // AddJob takes a job that the store holds. Fresh says that it was accepted after this
@@ -40,17 +42,24 @@
 		c.remember(id, record.Ended, now)
 		return
 	}
-	if _, known := c.jobs[id]; known {
+	if j, known := c.jobs[id]; known {
+		c.takeRecord(j, record)
 		return
 	}
 	if _, known := c.ended[id]; known {
 		return
 	}
-	j := newJob(record, fresh)
+	if record.Left() || record.Version > 0 && record.Version <= c.left[id] {
+		c.left[id] = max(c.left[id], record.Version)
+		return
+	}
+	delete(c.left, id)
+	j := newJob(record, fresh && !record.Moved)
 	c.jobs[id] = j
 	if j.spec.Repeat.Count > 0 {
 		c.timed[id] = j
 	}
+	j.keepElsewhere(record)
 	c.applyProgress(j, progress)
 	j.hasProgress = len(progress.Done)+len(progress.Failed) > 0
 	for _, s := range j.steps {
@@ -66,7 +75,7 @@
 func newJob(record jobs.Record, fresh bool) *job {
 	j := &job{
 		spec: record.Spec, terms: record.Terms, accepted: record.Accepted, begins: record.Accepted,
-		chain: record.Spec.Chain(), fresh: fresh,
+		chain: record.Spec.Chain(), fresh: fresh, recorded: record.Version,
 	}
 	for occurrence := range j.spec.Occurrences() {
 		for number := range j.spec.Steps {
--- /dev/null
+++ b/services/dispatch/move.go
@@ -0,0 +1,254 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// Move is work that finds no place here and may go to another cell: waiting tasks of a job
+// that lasts, or a whole job that has not begun.
+type Move struct {
+	Job    jobs.ID
+	Demand jobs.Demand // of those that need a place now
+	Whole  bool        // all tasks of the job go, or none
+	Tasks  jobs.TaskSet
+	// LeastRun is the highest number that a run of the tasks has had.
+	LeastRun jobs.RunID
+}
+
+// offerAfter is how long a step must have found no place before its work is offered to other
+// cells: most wait for less, until something ends.
+const offerAfter = 400 * time.Millisecond
+
+// Movable lists work that other cells may take, at most limit jobs, the most urgent first.
+func (c *Core) Movable(limit int, now time.Time) []Move {
+	if c.blind {
+		return nil
+	}
+	var stuck []candidate
+	for _, s := range c.open {
+		if s.waiting > 0 && !s.stuck.IsZero() && now.Sub(s.stuck) >= offerAfter {
+			stuck = append(stuck, c.candidate(s, now))
+		}
+	}
+	slices.SortFunc(stuck, candidate.before)
+	var moves []Move
+	for _, candidate := range stuck {
+		if move, ok := c.moveOf(candidate.step); ok && len(moves) < limit {
+			moves = append(moves, move)
+		}
+	}
+	return moves
+}
+
+// moveOf is what may be moved of a step's job.
+func (c *Core) moveOf(s *step) (Move, bool) {
+	move := Move{Job: s.job.spec.ID, Demand: jobs.Demand{Pool: c.terms(s.job).Pool, Step: *s.spec}, Tasks: jobs.TaskSet{}}
+	move.Demand.Step.Count = s.waiting
+	switch {
+	case s.job.spec.Repeat.Count > 0 || s.spec.SameRack:
+		return move, false
+	case s.job.lasts():
+		move.add(s)
+		return move, true
+	case s.job.untouched():
+		move.Whole = true
+		for _, each := range s.job.steps {
+			move.add(each)
+		}
+		return move, true
+	default:
+		return move, false
+	}
+}
+
+// add adds a step's waiting tasks.
+func (m *Move) add(s *step) {
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.state == taskWaiting {
+			m.Tasks[s.flat()] = append(m.Tasks[s.flat()], i)
+			m.LeastRun = max(m.LeastRun, t.run)
+		}
+	}
+}
+
+// Limit reduces a move to at most so many tasks.
+func (m *Move) Limit(count int) {
+	for flat, indexes := range m.Tasks {
+		m.Tasks[flat] = indexes[:min(count, len(indexes))]
+	}
+	m.Demand.Step.Count = min(m.Demand.Step.Count, count)
+}
+
+// lasts tells whether all tasks of the job last: each can be run by any cell.
+func (j *job) lasts() bool {
+	for i := range j.spec.Steps {
+		if !j.spec.Steps[i].Lasts {
+			return false
+		}
+	}
+	return true
+}
+
+// untouched tells whether no task of the job has ever been started, by this owner or a
+// former one. A run that was started may have succeeded on a worker that is silent now, and
+// this cell must know the job when that worker reports it.
+func (j *job) untouched() bool {
+	if j.stays || !j.fresh || j.begun || j.running > 0 {
+		return false
+	}
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			if t := &s.tasks[i]; s.spec.Lasts || t.state != taskWaiting || t.starts > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// BeginMove keeps the tasks of a move from being placed; it tells whether they all still
+// wait. The move ends with Moved or KeepMove.
+func (c *Core) BeginMove(move Move) bool {
+	tasks := c.tasksOf(move.Job, move.Tasks)
+	if len(tasks) < move.Tasks.Len() {
+		return false
+	}
+	for _, t := range tasks {
+		if t.state != taskWaiting || t.step.job.cancelled || t.step.job.end != "" {
+			return false
+		}
+	}
+	for _, t := range tasks {
+		t.state = taskMoving
+		t.step.waiting--
+	}
+	return true
+}
+
+// StillMoving takes a job's record as it is just before a move is tried, and tells whether
+// the tasks are still to be moved: an earlier try without answer may have done it.
+func (c *Core) StillMoving(move Move, record jobs.Record) bool {
+	j, ok := c.jobs[move.Job]
+	if !ok {
+		return false
+	}
+	c.takeRecord(j, record)
+	for _, t := range c.tasksOf(move.Job, move.Tasks) {
+		if t.state != taskMoving {
+			return false
+		}
+	}
+	return c.jobs[move.Job] == j
+}
+
+// KeepMove lets the tasks of a move wait here again: it has certainly not been done.
+func (c *Core) KeepMove(move Move) {
+	for _, t := range c.tasksOf(move.Job, move.Tasks) {
+		t.step.job.stays = move.Whole
+		t.step.stuck = time.Time{}
+		if t.state == taskMoving {
+			t.state = taskWaiting
+			t.step.waiting++
+			c.listOpen(t.step)
+		}
+	}
+}
+
+// Moved says that a move is stored, with the version of the job's key.
+func (c *Core) Moved(move Move, version uint64) {
+	j, ok := c.jobs[move.Job]
+	if !ok || j.recorded >= version {
+		return // the watch has told it
+	}
+	j.recorded = version
+	for _, t := range c.tasksOf(move.Job, move.Tasks) {
+		if t.state == taskMoving {
+			t.state = taskElsewhere
+		}
+	}
+	c.config.Logger.Info("work is handed to another cell", zap.String("job", string(move.Job)), zap.Int("tasks", move.Tasks.Len()))
+	c.leaveJob(j)
+}
+
+// tasksOf finds tasks of a job that this cell has.
+func (c *Core) tasksOf(id jobs.ID, set jobs.TaskSet) []*task {
+	j, ok := c.jobs[id]
+	if !ok {
+		return nil
+	}
+	var tasks []*task
+	for flat, indexes := range set {
+		for _, index := range indexes {
+			if flat < len(j.steps) && index < len(j.steps[flat].tasks) {
+				tasks = append(tasks, &j.steps[flat].tasks[index])
+			}
+		}
+	}
+	return tasks
+}
+
+// leaveJob marks a job of which tasks are elsewhere, and drops it when all are.
+func (c *Core) leaveJob(j *job) {
+	j.begun = true // perhaps not here
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			if s.tasks[i].state != taskElsewhere {
+				return
+			}
+		}
+	}
+	delete(c.jobs, j.spec.ID)
+	c.left[j.spec.ID] = j.recorded
+}
+
+// takeRecord takes a newer record of a job that is known: tasks have come from another cell,
+// or the store has carried out a move whose outcome was not known.
+func (c *Core) takeRecord(j *job, record jobs.Record) {
+	if record.Version <= j.recorded {
+		return
+	}
+	j.recorded = record.Version
+	came, went := 0, 0
+	for flat, s := range j.steps {
+		for i := range s.tasks {
+			t := &s.tasks[i]
+			switch holds := record.Holds(flat, i); {
+			case holds && t.state == taskElsewhere:
+				t.run = max(t.run, record.LeastRun)
+				t.state = taskWaiting
+				s.waiting++
+				came++
+			case !holds && t.state == taskMoving:
+				t.state = taskElsewhere
+				went++
+			}
+		}
+		c.listOpen(s)
+	}
+	c.config.Logger.Info("work has moved between cells", zap.String("job", string(j.spec.ID)), zap.Int("came", came), zap.Int("went", went))
+	c.leaveJob(j)
+}
+
+// keepElsewhere marks the tasks of a new job that another cell has.
+func (j *job) keepElsewhere(record jobs.Record) {
+	for flat, s := range j.steps {
+		for i := range s.tasks {
+			s.tasks[i].run = record.LeastRun
+			if !record.Holds(flat, i) {
+				s.tasks[i].state = taskElsewhere
+				j.begun = true // perhaps not here
+			}
+		}
+	}
+}
+
+// Dropped says that the store does not hold a job any more.
+func (c *Core) Dropped(id jobs.ID) { delete(c.left, id) }
--- /dev/null
+++ b/services/dispatch/move_test.go
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// huge is a step whose task finds room on no worker.
+var huge = jobs.Step{Count: 2, Size: models.Resources{CPU: 5000, Memory: 100}, Estimate: 500}
+
+// stuckJob adds a job for which there is no place, and waits until it may be moved.
+func (b *bench) stuckJob(fresh bool, steps ...jobs.Step) {
+	record := b.job(steps...)
+	record.Version = 10
+	b.AddJob(record, jobs.Progress{}, fresh, b.now)
+	b.report(0, jobs.Report{})
+	b.starts()
+	b.now = b.now.Add(offerAfter)
+	b.report(0, jobs.Report{})
+	b.starts()
+}
+
+func TestOnlyWorkWithoutAnyRunIsMoved(t *testing.T) {
+	for name, c := range map[string]struct {
+		fresh   bool
+		steps   []jobs.Step
+		movable bool
+	}{
+		"whole job":                         {true, []jobs.Step{huge}, true},
+		"a former owner may have run it":    {false, []jobs.Step{huge}, false},
+		"part of it runs":                   {true, []jobs.Step{one, huge}, false},
+		"its second step waits for a first": {true, []jobs.Step{huge, {Count: 1, Size: one.Size, After: []int{0}}}, true},
+		"it lasts, whoever had it before":   {false, []jobs.Step{{Count: 2, Size: huge.Size, Lasts: true}}, true},
+		"it lasts in part":                  {true, []jobs.Step{huge, {Count: 1, Size: huge.Size, Lasts: true}}, false},
+		"its tasks want to be on one rack":  {true, []jobs.Step{{Count: 2, Size: huge.Size, SameRack: true}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1)
+			b.stuckJob(c.fresh, c.steps...)
+			require.Equal(t, c.movable, len(b.Movable(10, b.now)) > 0)
+		})
+	}
+}
+
+func TestTaskThatMovesIsNotStarted(t *testing.T) {
+	b := newBench(t, 1)
+	b.stuckJob(true, huge)
+	move := b.Movable(10, b.now)[0]
+	require.True(t, b.BeginMove(move))
+	require.False(t, b.BeginMove(move), "it is on its way already")
+	b.workers["w0"].info.Capacity.CPU = 20_000
+	require.Empty(t, b.starts())
+	b.KeepMove(move)
+	b.now = b.now.Add(scanPause + time.Millisecond)
+	require.Len(t, b.starts(), 2, "it has not moved after all")
+}
+
+func TestRunOfATaskThatMovesIsStopped(t *testing.T) {
+	b := newBench(t, 1)
+	b.stuckJob(true, jobs.Step{Count: 1, Size: huge.Size, Lasts: true})
+	require.True(t, b.BeginMove(b.Movable(10, b.now)[0]))
+	b.report(0, jobs.Report{Running: []jobs.Run{{Task: taskOf(0), Run: 3}}})
+	orders := b.Decide(b.now)
+	require.Len(t, orders, 1, "the other cell may start it")
+	require.IsType(t, StopOrder{}, orders[0])
+}
+
+// movedOut is a core that has handed one of two lasting tasks to another cell, and the
+// record that the store holds since then.
+func movedOut(t *testing.T) (*bench, jobs.Record) {
+	t.Helper()
+	b := newBench(t, 1)
+	b.stuckJob(true, jobs.Step{Count: 2, Size: huge.Size, Lasts: true})
+	move := b.Movable(10, b.now)[0]
+	move.Limit(1)
+	require.True(t, b.BeginMove(move))
+	b.Moved(move, 11)
+	record := b.job(jobs.Step{Count: 2, Size: huge.Size, Lasts: true})
+	record = record.Without(move.Tasks)
+	record.Version = 11
+	return b, record
+}
+
+func TestOldRecordDoesNotBringTasksBack(t *testing.T) {
+	b, record := movedOut(t)
+	old := b.job(jobs.Step{Count: 2, Size: huge.Size, Lasts: true})
+	old.Version = 10
+	b.AddJob(old, jobs.Progress{}, true, b.now)
+	b.AddJob(record, jobs.Progress{}, true, b.now)
+	require.Nil(t, b.find(taskOf(0)), "it is elsewhere")
+	require.NotNil(t, b.find(taskOf(1)))
+}
+
+func TestTasksThatComeBackRunAgain(t *testing.T) {
+	b, record := movedOut(t)
+	back := record.WithTasks(jobs.TaskSet{0: {0}}, 1<<40)
+	back.Version = 12
+	b.AddJob(back, jobs.Progress{}, true, b.now)
+	b.workers["w0"].info.Capacity.CPU = 20_000
+	b.now = b.now.Add(scanPause + time.Millisecond)
+	starts := b.starts()
+	require.Len(t, starts, 2)
+	require.Greater(t, starts[0].Call.Run, jobs.RunID(1<<40), "above the runs in the other cell")
+}
+
+func TestJobThatLeftIsNotTakenAgainFromAnOldRecord(t *testing.T) {
+	b := newBench(t, 1)
+	b.stuckJob(true, huge)
+	move := b.Movable(10, b.now)[0]
+	require.True(t, b.BeginMove(move))
+	b.Moved(move, 11)
+	_, known := b.State(testJob)
+	require.False(t, known, "the other cell knows it")
+	old := b.job(huge)
+	old.Version = 10
+	b.AddJob(old, jobs.Progress{}, true, b.now)
+	require.Empty(t, b.jobs)
+}
+
+func TestPartIsNotTakenForFreshOnceItWasWrittenAgain(t *testing.T) {
+	b := newBench(t, 2)
+	record := b.job(jobs.Step{Count: 2, Size: one.Size, Lasts: true})
+	record = record.NewPart(jobs.TaskSet{0: {0}}, 0)
+	record = record.WithTasks(jobs.TaskSet{0: {1}}, 0)
+	record.Version = 10
+	b.AddJob(record, jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	require.Empty(t, b.starts(), "a former owner may have started the first task on the other worker")
+	b.report(1, jobs.Report{})
+	require.Len(t, b.starts(), 2)
+}
+
+func TestPlacesAreCountedOneDemandAfterTheOther(t *testing.T) {
+	b := newBench(t, 2)
+	b.report(0, jobs.Report{})
+	b.report(1, jobs.Report{})
+	of := func(cpu models.MilliCPU, count, perWorker int) jobs.Demand {
+		size := models.Resources{CPU: cpu, Memory: 10}
+		return jobs.Demand{Pool: testPool, Step: jobs.Step{Count: count, Size: size, PerWorker: perWorker}}
+	}
+	require.Equal(t, []int{2, 1, 0}, b.Places([]jobs.Demand{of(3000, 9, 0), of(1000, 1, 0), of(2000, 1, 0)}, b.now))
+	require.Equal(t, []int{2, 6}, b.Places([]jobs.Demand{of(1000, 9, 1), of(1000, 9, 0)}, b.now))
+	elsewhere := of(1000, 1, 0)
+	elsewhere.Pool = "another"
+	labelled := of(1000, 1, 0)
+	labelled.Step.Requires = "fast"
+	require.Equal(t, []int{0, 0}, b.Places([]jobs.Demand{elsewhere, labelled}, b.now))
+	b.now = b.now.Add(time.Minute)
+	require.Equal(t, []int{0}, b.Places([]jobs.Demand{of(1000, 1, 0)}, b.now), "no worker has been heard of")
+}
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -30,7 +30,6 @@
 // candidates gives the open steps whose tasks may be placed now, the most urgent first, and
 // takes those off the list that have none left.
 func (c *Core) candidates(now time.Time) []candidate {
-	at := models.UnixMilliOf(now)
 	candidates := make([]candidate, 0, len(c.open))
 	kept := c.open[:0]
 	for _, s := range c.open {
@@ -40,16 +39,23 @@
 		}
 		kept = append(kept, s)
 		if now.After(s.backoff) {
-			candidates = append(candidates, candidate{s, c.urgency(s, at)})
+			candidates = append(candidates, c.candidate(s, now))
 		}
 	}
 	c.open = kept
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(a.compare(b.urgency), cmp.Compare(a.step.job.spec.ID, b.step.job.spec.ID), cmp.Compare(a.step.flat(), b.step.flat()))
-	})
+	slices.SortFunc(candidates, candidate.before)
 	return candidates
 }
 
+func (c *Core) candidate(s *step, now time.Time) candidate {
+	return candidate{s, c.urgency(s, models.UnixMilliOf(now))}
+}
+
+// before orders candidates, the most urgent first.
+func (a candidate) before(b candidate) int {
+	return cmp.Or(a.compare(b.urgency), cmp.Compare(a.step.job.spec.ID, b.step.job.spec.ID), cmp.Compare(a.step.flat(), b.step.flat()))
+}
+
 // scanPause is how long a step that found no place for a task waits for the next look at
 // all workers: with many steps waiting, most of the processor time would go there.
 const scanPause = 20 * time.Millisecond
@@ -64,9 +70,10 @@
 			continue
 		}
 		if len(places) == 0 {
-			s.backoff = now.Add(scanPause)
+			s.findNone(now)
 			return
 		}
+		s.stuck = time.Time{}
 		c.start(t, places[0].worker, now)
 		if s.spec.SameRack {
 			places = c.places(s, now) // the first task makes its rack the best one
@@ -76,6 +83,14 @@
 	}
 }
 
+// findNone notes that there is no place for a waiting task of the step.
+func (s *step) findNone(now time.Time) {
+	s.backoff = now.Add(scanPause)
+	if s.stuck.IsZero() {
+		s.stuck = now
+	}
+}
+
 // start puts a task on a worker and orders its run.
 func (c *Core) start(t *task, w *worker, now time.Time) {
 	c.beginRun(t, now)
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -61,7 +61,7 @@
 func (c *Core) seeRun(w *worker, run jobs.Run, now time.Time) {
 	t := c.find(run.Task)
 	switch {
-	case t == nil || t.state == taskDone:
+	case t == nil || t.state == taskDone || t.state == taskMoving:
 		c.stopStray(w, run, now)
 		return
 	case t.worker == nil:
--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -19,10 +19,11 @@
 	tasks      []task
 	done       int
 	waiting    int
-	opened     bool // its earlier steps are done and its time has come
-	listed     bool // in the core's open steps
-	backoff    time.Time
-	own        ownLoad // of a step that serves
+	opened     bool      // its earlier steps are done and its time has come
+	listed     bool      // in the core's open steps
+	backoff    time.Time // no look for places before
+	stuck      time.Time // since when no place is found for a waiting task; zero: one was
+	own        ownLoad   // of a step that serves
 }
 
 // flat is the number of a step over all occurrences, as Progress counts.
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -19,6 +19,8 @@
 	taskRunning
 	taskStopping // the stop is not proved yet
 	taskDone
+	taskMoving    // proved not to run; about to be handed to another cell
+	taskElsewhere // another cell has it
 )
 
 // task is one task of an open or closed step, with its latest run.
@@ -56,7 +58,7 @@
 // initTask lets a task wait, or keeps it from starting while it may run unseen.
 func (c *Core) initTask(t *task) {
 	switch {
-	case t.state == taskDone:
+	case t.state == taskDone, t.state == taskElsewhere:
 	case t.step.job.fresh || !c.blind:
 		t.step.waiting++
 	default:
@@ -105,7 +107,7 @@
 	t.step.job.running--
 }
 
-// find finds a task of an active job; nil when there is none.
+// find finds a task of an active job that this cell has; nil when there is none.
 func (c *Core) find(id jobs.TaskID) *task {
 	j, ok := c.jobs[id.Job]
 	if !ok || id.Step >= len(j.spec.Steps) || id.Occurrence >= j.spec.Occurrences() {
@@ -115,5 +117,8 @@
 	if id.Index >= len(s.tasks) {
 		return nil
 	}
+	if s.tasks[id.Index].state == taskElsewhere {
+		return nil
+	}
 	return &s.tasks[id.Index]
 }
