--- a/models/jobs/part.go
+++ b/models/jobs/part.go
@@ -104,3 +104,11 @@
 	part.Moved = false
 	return part
 }
+
+// Divisible tells whether each cell can run any of the job's tasks for itself: all of them
+// last, at once and wherever they are.
+func (s *Spec) Divisible() bool {
+	return s.Repeat.Count == 0 && !slices.ContainsFunc(s.Steps, func(step Step) bool {
+		return !step.Lasts || step.SameRack
+	})
+}
--- a/services/control/callers.go
+++ b/services/control/callers.go
@@ -145,12 +145,21 @@
 	if layout == nil {
 		return "", platform.ErrUnavailable
 	}
+	known := jobs.State("")
 	for _, cell := range cellsOf(id, layout) {
 		answer, err := s.Cells.ask(ctx, jobs.Query{Cell: cell, Jobs: []jobs.ID{id}})
-		if state, ok := answer.States[id]; err == nil && ok {
+		state, ok := answer.States[id]
+		switch {
+		case err != nil || !ok:
+		case state != jobs.StateQueued:
 			return state, nil
+		default:
+			known = state // tasks in another cell may run
 		}
 	}
+	if known != "" {
+		return known, nil
+	}
 	return s.stored(ctx, id, layout)
 }
 
--- a/services/dispatch/ended.go
+++ b/services/dispatch/ended.go
@@ -58,11 +58,12 @@
 	}
 }
 
-// Pending counts the jobs of each queue that have no task begun.
+// Pending counts the jobs of each queue that have no task begun. A divided job counts where
+// its first task is.
 func (c *Core) Pending() map[jobs.QueueName]int {
 	pending := map[jobs.QueueName]int{}
 	for _, j := range c.jobs {
-		if !j.begun && !j.cancelled && j.end == "" {
+		if !j.begun && !j.cancelled && j.end == "" && j.steps[0].tasks[0].state != taskElsewhere {
 			pending[j.spec.Queue]++
 		}
 	}
--- a/services/dispatch/move.go
+++ b/services/dispatch/move.go
@@ -53,11 +53,11 @@
 	move := Move{Job: s.job.spec.ID, Demand: jobs.Demand{Pool: c.terms(s.job).Pool, Step: *s.spec}, Tasks: jobs.TaskSet{}}
 	move.Demand.Step.Count = s.waiting
 	switch {
-	case s.job.spec.Repeat.Count > 0 || s.spec.SameRack:
-		return move, false
-	case s.job.lasts():
+	case s.job.spec.Divisible():
 		move.add(s)
 		return move, true
+	case s.job.spec.Repeat.Count > 0 || s.spec.SameRack:
+		return move, false
 	case s.job.untouched():
 		move.Whole = true
 		for _, each := range s.job.steps {
@@ -87,16 +87,6 @@
 	m.Demand.Step.Count = min(m.Demand.Step.Count, count)
 }
 
-// lasts tells whether all tasks of the job last: each can be run by any cell.
-func (j *job) lasts() bool {
-	for i := range j.spec.Steps {
-		if !j.spec.Steps[i].Lasts {
-			return false
-		}
-	}
-	return true
-}
-
 // untouched tells whether no task of the job has ever been started, by this owner or a
 // former one. A run that was started may have succeeded on a worker that is silent now, and
 // this cell must know the job when that worker reports it.
@@ -195,9 +185,8 @@
 	return tasks
 }
 
-// leaveJob marks a job of which tasks are elsewhere, and drops it when all are.
+// leaveJob drops a job when all of its tasks are elsewhere.
 func (c *Core) leaveJob(j *job) {
-	j.begun = true // perhaps not here
 	for _, s := range j.steps {
 		for i := range s.tasks {
 			if s.tasks[i].state != taskElsewhere {
@@ -244,7 +233,6 @@
 			s.tasks[i].run = record.LeastRun
 			if !record.Holds(flat, i) {
 				s.tasks[i].state = taskElsewhere
-				j.begun = true // perhaps not here
 			}
 		}
 	}
