A job moves to another cell before a part of it starts

Change: a job that hasn't begun, and for whose first step there are not places for all tasks, is held for up to 100 ms while its owner asks the other cells; one that has places for all takes it. Filling work and layouts of one cell are not concerned.

--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -72,6 +72,12 @@
 	return c.division
 }
 
+// several tells whether the layout has more than one cell.
+func (c *Cells) several() bool {
+	layout := c.layout()
+	return layout != nil && layout.Cells > 1
+}
+
 func (c *Cells) ownerOf(cell jobs.CellName) (jobs.Owner, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/services/control/move.go
+++ b/services/control/move.go
@@ -28,6 +28,8 @@
 const (
 	// moveEvery is how often work without a place is looked for.
 	moveEvery = 200 * time.Millisecond
+	// movePause lets some jobs gather that wait to be offered.
+	movePause = 10 * time.Millisecond
 	// movesAtOnce bounds the jobs that are offered at once: each costs two reads and a
 	// transaction of some milliseconds, between which nothing else of the cell is stored.
 	movesAtOnce = 8
@@ -35,10 +37,20 @@
 
 // moveLoop offers work that finds no place here to the other cells that it may be in.
 func (o *Owner) moveLoop(ctx context.Context) {
+	if !o.cells.several() {
+		return
+	}
+	layout := o.cells.layout()
+	ticker := time.NewTicker(moveEvery)
+	defer ticker.Stop()
 	for ctx.Err() == nil {
-		sleep(ctx, moveEvery)
-		layout := o.cells.layout()
-		if layout.Cells == 1 || !o.cells.health.good() {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-o.wakeMove:
+		}
+		sleep(ctx, movePause)
+		if !o.cells.health.good() {
 			continue
 		}
 		o.mu.Lock()
--- a/services/control/moves_test.go
+++ b/services/control/moves_test.go
@@ -220,3 +220,12 @@
 		})
 	}
 }
+
+func TestJobMovesBeforeAPartOfItStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, full := twoCells(t)
+		w.submitTo(full, twoSteps(2, 5*time.Second)) // two of its three tasks would find a place there
+		w.eventually(time.Second, "all tasks of the first step run", func() bool { return w.grid.Running(jobID(2)) == 3 })
+		w.noBreach()
+	})
+}
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -40,6 +40,7 @@
 	moves      []*move // work that is being handed to other cells
 	wakeDecide chan struct{}
 	wakeStore  chan struct{}
+	wakeMove   chan struct{}
 	group      conc.WaitGroup
 	ended      chan struct{}
 	endOnce    sync.Once
@@ -50,10 +51,11 @@
 	return &Owner{
 		config: c.config, cells: c, cell: cell, epoch: epoch, taken: taken, calling: map[jobs.WorkerID]bool{},
 		core: dispatch.New(dispatch.Config{
-			Epoch: epoch, Taken: taken, Lease: s.WorkerLease, LongestLease: s.LongestLease,
+			Epoch: epoch, Taken: taken, Lease: s.WorkerLease, LongestLease: s.LongestLease, OtherCells: c.several(),
 			Logger: c.config.Logger.With(zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(epoch))),
 		}),
-		wakeDecide: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1), ended: make(chan struct{}),
+		wakeDecide: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1),
+		wakeMove: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 }
 
@@ -344,7 +346,11 @@
 		orders := o.core.Decide(time.Now())
 		superseded := o.core.Superseded()
 		ends := o.core.HasEnds()
+		held := o.core.TakeHeld()
 		o.mu.Unlock()
+		if held {
+			wake(o.wakeMove)
+		}
 		if superseded {
 			o.cells.drop(o.cell, o, "a worker has seen a later owner")
 			return
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -57,7 +57,9 @@
 	// LongestLease is the longest that workers grant; former owners' leases are taken to be
 	// as long when the stored roster doesn't say.
 	LongestLease time.Duration
-	Logger       *zap.Logger
+	// OtherCells says that work may be handed to other cells.
+	OtherCells bool
+	Logger     *zap.Logger
 }
 
 // runsPerEpoch is how many runs of one task an epoch has numbers for: run ids rise over
@@ -79,6 +81,7 @@
 	orders      []Order
 	dirty       []*job
 	formerLease time.Duration // of former owners; LongestLease at most
+	held        bool          // jobs wait to be offered to other cells
 	blind       bool          // a worker may run tasks that were not reported yet
 	answered    int           // workers that reported in this epoch
 	fenced      time.Time     // when most workers had; zero: not yet
--- a/services/dispatch/move.go
+++ b/services/dispatch/move.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
 
@@ -27,6 +28,34 @@
 // cells: most wait for less, until something ends.
 const offerAfter = 400 * time.Millisecond
 
+// holdMost is how long a job that hasn't begun is held back when there are not places for all
+// tasks of its first step: its owner asks the other cells meanwhile, which takes two calls
+// of some milliseconds, and a job that has begun can't be moved as a whole.
+const holdMost = 100 * time.Millisecond
+
+// holds tells whether the step's job is better offered to other cells before any of it
+// starts here.
+func (c *Core) holds(s *step, now time.Time) bool {
+	if !c.config.OtherCells || s.spec.Fills || !s.stuck.IsZero() && now.Sub(s.stuck) > holdMost {
+		return false
+	}
+	if move, ok := c.moveOf(s); !ok || !move.Whole {
+		return false
+	}
+	if c.countPlaces(c.terms(s.job).Pool, s, map[*worker]models.Resources{}, now) >= s.waiting {
+		return false
+	}
+	c.held = true
+	return true
+}
+
+// TakeHeld tells whether jobs have been held back since it was last asked.
+func (c *Core) TakeHeld() bool {
+	held := c.held
+	c.held = false
+	return held
+}
+
 // Movable lists work that other cells may take, at most limit jobs, the most urgent first.
 func (c *Core) Movable(limit int, now time.Time) []Move {
 	if c.blind {
@@ -34,7 +63,7 @@
 	}
 	var stuck []candidate
 	for _, s := range c.open {
-		if s.waiting > 0 && !s.stuck.IsZero() && now.Sub(s.stuck) >= offerAfter {
+		if s.waiting > 0 && !s.stuck.IsZero() && (now.Sub(s.stuck) >= offerAfter || s.job.untouched()) {
 			stuck = append(stuck, c.candidate(s, now))
 		}
 	}
--- a/services/dispatch/move_test.go
+++ b/services/dispatch/move_test.go
@@ -156,3 +156,21 @@
 	b.now = b.now.Add(time.Minute)
 	require.Equal(t, []int{0}, b.Places([]jobs.Demand{of(1000, 1, 0)}, b.now), "no worker has been heard of")
 }
+
+func TestJobIsHeldForAShortWhileOnly(t *testing.T) {
+	for _, others := range []bool{true, false} {
+		b := newBench(t, 1)
+		b.config.OtherCells = others
+		b.AddJob(b.job(jobs.Step{Count: 5, Size: one.Size, Estimate: 500}), jobs.Progress{}, true, b.now)
+		b.report(0, jobs.Report{})
+		if !others {
+			require.Len(t, b.starts(), 4, "nobody else can run it")
+			continue
+		}
+		require.Empty(t, b.starts(), "four of five tasks find a place")
+		require.True(t, b.TakeHeld())
+		require.Len(t, b.Movable(10, b.now), 1)
+		b.now = b.now.Add(holdMost + time.Millisecond)
+		require.Len(t, b.starts(), 4, "no other cell has taken it")
+	}
+}
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -64,6 +64,10 @@
 // are looked up once; only a place that was taken is looked at again.
 func (c *Core) placeStep(s *step, now time.Time) {
 	places := c.places(s, now)
+	if c.holds(s, now) {
+		s.findNone(now)
+		return
+	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != taskWaiting {
