The roster leaves out workers that certainly run nothing

Cause: a successor waits for every worker of the roster that doesn't answer, up to 7.6 s, also for those of which the former owner knew that their leases were over.

Change: an owner takes a worker that is silent until its leases are over out of the roster, and back in before it gets starts; a successor waits only for workers that the roster names. Tests: two that failed before. Two older tests had no stored roster, which can't be when a former owner has started something; they enrol their workers now and check the same.

--- a/services/dispatch/core_test.go
+++ b/services/dispatch/core_test.go
@@ -111,6 +111,7 @@
 
 func TestTaskWaitsForSilentWorkerAfterATakeover(t *testing.T) {
 	b := newBench(t, 3)
+	b.Enrol(jobs.Roster{Workers: b.Workers()}, b.now)
 	b.AddJob(b.job(one), jobs.Progress{}, false, b.now)
 	b.report(0, jobs.Report{})
 	b.report(1, jobs.Report{})
@@ -205,6 +206,49 @@
 	require.NotContains(t, b.workers, drains.ID, "its entry doesn't bring it back")
 }
 
+// TestWorkerThatCertainlyRunsNothingIsNotInTheRoster: the next owner needn't wait for it.
+func TestWorkerThatCertainlyRunsNothingIsNotInTheRoster(t *testing.T) {
+	former := newBench(t, 3)
+	former.report(2, jobs.Report{})
+	silent := former.ids[2]
+	for former.now.Before(former.lapsed(former.workers[silent]).Add(silentAfter)) {
+		former.report(0, jobs.Report{})
+		former.report(1, jobs.Report{})
+		former.starts()
+	}
+	changes := former.TakeChanges(10, former.now)
+	require.NotNil(t, changes.Roster)
+	require.Len(t, changes.Roster.Workers, 2)
+
+	b := newBench(t, 0)
+	b.now = former.now
+	b.Enrol(*changes.Roster, b.now)
+	b.AddJob(b.job(one), jobs.Progress{}, false, b.now)
+	b.ids = former.ids
+	b.SetWorkers(former.Workers(), b.now) // the list still names it
+	b.report(0, jobs.Report{})
+	b.report(1, jobs.Report{})
+	require.Len(t, b.starts(), 1)
+}
+
+func TestWorkerThatComesBackIsInTheRosterBeforeItGetsStarts(t *testing.T) {
+	b := newBench(t, 1)
+	b.report(0, jobs.Report{})
+	b.now = b.lapsed(b.workers[b.ids[0]]).Add(silentAfter)
+	b.starts()
+	without := b.TakeChanges(10, b.now)
+	require.Empty(t, without.Roster.Workers)
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	b.Stored(without, b.now)
+	require.Empty(t, b.starts(), "the stored roster doesn't name it")
+	with := b.TakeChanges(10, b.now)
+	require.Len(t, with.Roster.Workers, 1)
+	b.Stored(with, b.now)
+	b.now = b.now.Add(scanPause + time.Millisecond)
+	require.Len(t, b.starts(), 1)
+}
+
 func TestWaitAfterATakeoverIsAsLongAsTheRosterSays(t *testing.T) {
 	b := newBench(t, 3)
 	b.Enrol(jobs.Roster{Workers: []jobs.Worker{{ID: "silent", Pool: testPool}}, Lease: 4000}, b.now)
--- a/services/dispatch/move_test.go
+++ b/services/dispatch/move_test.go
@@ -131,6 +131,7 @@
 	record = record.NewPart(jobs.TaskSet{0: {0}}, 0)
 	record = record.WithTasks(jobs.TaskSet{0: {1}}, 0)
 	record.Version = 10
+	b.Enrol(jobs.Roster{Workers: b.Workers()}, b.now)
 	b.AddJob(record, jobs.Progress{}, true, b.now)
 	b.report(0, jobs.Report{})
 	require.Empty(t, b.starts(), "a former owner may have started the first task on the other worker")
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -20,6 +20,9 @@
 	}
 	c.now = now
 	first := !w.answered
+	if w.retired {
+		c.reinstate(w)
+	}
 	w.beginReport(report, now)
 	if first {
 		c.noteAnswered(now)
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -22,21 +22,29 @@
 		c.formerLease = min(roster.Lease.Duration(), c.config.LongestLease)
 	}
 	for _, info := range roster.Workers {
-		if _, known := c.workers[info.ID]; !known {
+		w, known := c.workers[info.ID]
+		if !known {
 			// A longer lease than the roster says is given only once the roster says so.
-			w := c.addWorker(info, now)
+			w = c.addWorker(info, now)
 			w.enrolled = c.formerLease >= c.config.Lease
 			if info.Leaves != 0 {
 				w.leaves = info.Leaves.Time()
 			}
 		}
+		w.former = true
 	}
 }
 
 // roster is what has to be stored of the workers that may get starts: its lease never
 // becomes shorter, for former owners' leases may run on.
 func (c *Core) roster() *jobs.Roster {
-	return &jobs.Roster{Workers: c.Workers(), Lease: models.MilliOf(max(c.config.Lease, c.formerLease))}
+	roster := &jobs.Roster{Lease: models.MilliOf(max(c.config.Lease, c.formerLease))}
+	for _, w := range c.order {
+		if !w.retired {
+			roster.Workers = append(roster.Workers, w.info)
+		}
+	}
+	return roster
 }
 
 // formerMargin is how long a former owner may go on after the takeover: it calls all
@@ -65,13 +73,13 @@
 }
 
 // checkBlind ends the time after a takeover in which tasks may run unseen: every worker
-// has reported or has certainly ended what former owners started.
+// that former owners may have used has reported or has certainly ended what they started.
 func (c *Core) checkBlind(now time.Time) {
 	if !c.blind || len(c.order) == 0 {
 		return
 	}
 	for _, w := range c.order {
-		if !w.answered && now.Before(c.lapsed(w)) {
+		if w.former && !w.answered && now.Before(c.lapsed(w)) {
 			return
 		}
 	}
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -23,6 +23,8 @@
 	info     jobs.Worker
 	listed   bool
 	enrolled bool      // the stored roster names it
+	former   bool      // a former owner's roster named it
+	retired  bool      // it was silent until nothing ran there; the roster leaves it out
 	missing  time.Time // since when the list doesn't name it; zero: it does, or was not read yet
 	leaves   time.Time // when a draining worker may leave; zero: it doesn't drain
 	tasks    []*task
