An owner that is stopped in an outage keeps its cell until the store is back

Change: a planned stop asks the store for a key before it leaves its cells, and runs them on for up to 0.6 of the time for the stop, while callers are drained; the whole stop is no longer than before. A handover whose keys are gone is none that failed.

--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -141,13 +141,20 @@
 	}
 }
 
+// releaseLook is how often a daemon that is to stop looks whether the store is back.
+const releaseLook = 50 * time.Millisecond
+
 // Release hands the cells over: their state is stored, then their owner's keys are removed,
-// so that nobody waits for the lease. The daemon keeps its lease to the end, because it
-// still takes jobs from callers that are connected.
+// so that nobody waits for the lease. While the store is down no daemon could take them, so
+// they are run on for as long as ctx allows. The daemon keeps its lease to the end, because
+// it still takes jobs from callers that are connected.
 func (c *Cells) Release(ctx context.Context) error {
 	c.mu.Lock()
 	c.stopping = true
 	c.mu.Unlock()
+	for len(c.ownedCells()) > 0 && ctx.Err() == nil && !c.storeAnswers(ctx) {
+		sleep(ctx, releaseLook)
+	}
 	var failed error
 	for cell, mine := range c.ownedCells() {
 		failed = errors.CombineErrors(failed, c.handOver(ctx, cell, mine, "daemon stops"))
@@ -155,11 +162,22 @@
 	return failed
 }
 
+// storeAnswers asks the store for a key: whether it answered a while ago says too little to
+// leave cells to others.
+func (c *Cells) storeAnswers(ctx context.Context) bool {
+	_, err := c.config.Store.Get(ctx, layoutKey)
+	c.health.note(err)
+	return err == nil
+}
+
 // handOver stores a cell's state and removes its owner's keys, so that another daemon can
 // take it at once.
 func (c *Cells) handOver(ctx context.Context, cell jobs.CellName, mine *Owner, reason string) error {
 	mine.finish(ctx)
 	c.drop(cell, mine, reason)
 	err := c.removeOwner(ctx, cell, platform.Version(mine.epoch))
+	if errors.Is(err, platform.ErrConflict) {
+		return nil // the lease was over meanwhile, and the keys are gone
+	}
 	return errors.Wrapf(err, "hand over cell %s", cell)
 }
--- a/services/control/control_test.go
+++ b/services/control/control_test.go
@@ -166,6 +166,50 @@
 	})
 }
 
+// TestPlannedStopInAnOutageKeepsTheCell holds what day trouble-3 of the grown site of Samferð
+// showed: an owner that was stopped in an outage could not hand its cell over, and left it
+// without any owner until the store was back.
+func TestPlannedStopInAnOutageKeepsTheCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4, 3, nil)
+		w.submit(w.daemons[0], lasting(1, 4))
+		w.submit(w.daemons[0], twoSteps(2, 2*time.Second))
+		w.eventually(10*time.Second, "tasks run", func() bool { return w.grid.Running(jobID(1)) == 4 && w.grid.Running(jobID(2)) == 3 })
+		first := w.owner()
+		w.setOutage(true)
+		time.Sleep(500 * time.Millisecond)
+		released := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(w.ctx, 3600*time.Millisecond)
+			defer cancel()
+			released <- first.Cells.Release(ctx)
+		}()
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 2, w.grid.Running(jobID(2)), "the second step has begun meanwhile")
+		w.setOutage(false)
+		require.NoError(t, <-released)
+		w.eventually(500*time.Millisecond, "another daemon owns the cell", func() bool { o := w.owner(); return o != nil && o != first })
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 4, w.grid.Running(jobID(1)))
+		w.noBreach()
+	})
+}
+
+func TestPlannedStopEndsInALongOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4, 2, nil)
+		time.Sleep(2 * time.Second)
+		w.setOutage(true)
+		time.Sleep(500 * time.Millisecond)
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(w.ctx, 3600*time.Millisecond)
+		defer cancel()
+		require.Error(t, w.owner().Cells.Release(ctx))
+		require.Less(t, time.Since(began), 4*time.Second)
+		require.Nil(t, w.owner())
+	})
+}
+
 func TestLateStartsRunOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 3, 2, nil)
--- a/services/daemon/scheduler.go
+++ b/services/daemon/scheduler.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/modules/graceful"
@@ -69,8 +70,7 @@
 	s.manager.Loop("cells", s.control.Cells.Run)
 	s.manager.Loop("metrics", s.control.Cells.RunMetrics)
 	s.manager.OnStop("ask for no more callers", s.control.BeginStop)
-	s.manager.OnStop("hand over the cells", s.release)
-	s.manager.OnStop("drain the callers", s.drain)
+	s.manager.OnStop("hand over the cells and drain the callers", s.release)
 	return s, nil
 }
 
@@ -117,7 +117,7 @@
 
 // Shares of the time for a planned stop; a fifth of it is left over.
 const (
-	releaseShare  = 0.15 // for handing over the cells
+	releaseShare  = 0.6  // for handing over the cells, and at the same time
 	drainShare    = 0.45 // for callers that are connected, or come until the balancer has noticed
 	shutdownShare = 0.2  // for what is still in flight then
 )
@@ -126,15 +126,19 @@
 	return time.Duration(share * float64(whole))
 }
 
-// release hands over the cells that this daemon owns.
+// release hands over the cells that this daemon owns, and drains the callers meanwhile.
 func (s *Scheduler) release(ctx context.Context) error {
+	var group conc.WaitGroup
+	group.Go(func() { s.drain(ctx) })
 	ctx, cancel := context.WithTimeout(ctx, shareOf(s.settings.Jobs.StopGrace, releaseShare))
 	defer cancel()
-	return s.control.Cells.Release(ctx)
+	err := s.control.Cells.Release(ctx)
+	group.Wait()
+	return err
 }
 
 // drain lets the balancer notice that this daemon is not ready, and callers end.
-func (s *Scheduler) drain(ctx context.Context) error {
+func (s *Scheduler) drain(ctx context.Context) {
 	timer := time.NewTimer(shareOf(s.settings.Jobs.StopGrace, drainShare))
 	defer timer.Stop()
 	s.callers.Drain()
@@ -142,7 +146,6 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return nil
 }
 
 // Run runs the scheduler until ctx ends and the planned stop is over.
