--- a/modules/log/writer.go
+++ b/modules/log/writer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,12 @@
 	syncTime = 200 * time.Millisecond
 )
 
+// droppedLines counts the lines that this process has dropped.
+var droppedLines atomic.Int64
+
+// Dropped is how many lines this process has dropped because nobody read them in time.
+func Dropped() int64 { return droppedLines.Load() }
+
 // writer hands lines on without ever blocking. When its reader is too slow it drops
 // lines and says how many with the next one that fits.
 type writer struct {
@@ -41,6 +48,7 @@
 	defer w.mu.Unlock()
 	if len(w.pending)+len(line) > w.size {
 		w.dropped++
+		droppedLines.Add(1)
 		return len(line), nil
 	}
 	if w.dropped > 0 {
--- a/modules/log/writer_test.go
+++ b/modules/log/writer_test.go
@@ -37,6 +37,7 @@
 func TestReaderThatDoesNotReadNeverBlocks(t *testing.T) {
 	out := &slowReader{let: make(chan struct{})}
 	w := newWriter(out, 1000)
+	before := Dropped()
 	line := []byte(strings.Repeat("x", 99) + "\n")
 	began := time.Now()
 	for range 1000 {
@@ -44,6 +45,7 @@
 		require.NoError(t, err)
 	}
 	require.Less(t, time.Since(began), time.Second)
+	require.Greater(t, Dropped(), before+900, "what is dropped is counted for the metrics")
 	close(out.let)
 	require.Eventually(t, func() bool { return strings.Count(out.String(), "\n") >= 10 }, 10*time.Second, time.Millisecond)
 	_, err := w.Write(line)
--- a/services/control/control_test.go
+++ b/services/control/control_test.go
@@ -472,3 +472,33 @@
 		require.ErrorIs(t, err, platform.ErrNotFound, "nobody would ever remove the key")
 	})
 }
+
+func TestJobsAreCountedByQueueAndOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4, 1, nil)
+		d := w.daemons[0]
+		go d.Cells.RunMetrics(w.ctx)
+		w.submit(d, twoSteps(1, 100*time.Millisecond))
+		w.submit(d, lasting(2, 1))
+		w.eventually(10*time.Second, "the first job ends", func() bool { return w.state(d, jobID(1)) == jobs.StateSucceeded })
+		require.NoError(t, d.Cancel(w.ctx, jobID(2)))
+		w.eventually(10*time.Second, "the second job ends", func() bool { return w.state(d, jobID(2)) == jobs.StateCancelled })
+		time.Sleep(3 * metricsEvery)
+		ended := map[string]int64{}
+		for _, counter := range w.scope.Snapshot().Counters() {
+			if counter.Name() == "jobs_ended" && counter.Tags()["queue"] == testQueue {
+				ended[counter.Tags()["outcome"]] += counter.Value()
+			}
+		}
+		require.Equal(t, map[string]int64{"in_time": 1, "cancelled": 1}, ended)
+		starts := int64(0)
+		for _, histogram := range w.scope.Snapshot().Histograms() {
+			if histogram.Name() == "job_first_start_time" {
+				for _, count := range histogram.Durations() {
+					starts += count
+				}
+			}
+		}
+		require.EqualValues(t, 2, starts)
+	})
+}
--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/modules/metrics"
 	"rillsail.example/rillsail/services/dispatch"
 	"rillsail.example/rillsail/services/platform"
@@ -102,8 +103,12 @@
 
 // RunMetrics hands the owned cells' figures to the metrics until ctx ends.
 func (c *Cells) RunMetrics(ctx context.Context) {
+	dropped := log.Dropped()
 	for ctx.Err() == nil {
 		sleep(ctx, metricsEvery)
+		now := log.Dropped()
+		c.config.Scope.Counter("log_lines_dropped").Inc(now - dropped)
+		dropped = now
 		for cell, owner := range c.ownedCells() {
 			owner.meter(c.config.Scope.Tagged(map[string]string{"cell": string(cell)}))
 		}
@@ -116,7 +121,9 @@
 	counts, summary := o.core.Counts(), o.core.Summary(time.Now())
 	before := o.metered
 	o.metered = counts
+	figures := o.core.TakeJobFigures()
 	o.mu.Unlock()
+	meterJobs(scope, figures)
 	for name, delta := range map[string]int64{
 		"runs_started":      counts.Starts - before.Starts,
 		"runs_succeeded":    counts.Succeeded - before.Succeeded,
@@ -138,6 +145,19 @@
 	}
 }
 
+// meterJobs hands on what has become of jobs, by queue.
+func meterJobs(scope tally.Scope, figures dispatch.JobFigures) {
+	for _, start := range figures.Starts {
+		queue := scope.Tagged(map[string]string{"queue": string(start.Queue)})
+		queue.Histogram("job_first_start_time", metrics.LatencyBuckets).RecordDuration(start.Age)
+	}
+	for _, end := range figures.Ends {
+		queue := scope.Tagged(map[string]string{"queue": string(end.Queue), "outcome": string(end.Outcome)})
+		queue.Counter("jobs_ended").Inc(1)
+		queue.Histogram("job_time", metrics.LatencyBuckets).RecordDuration(end.Age)
+	}
+}
+
 // Dump is a daemon's whole state.
 type Dump struct {
 	Daemon        string                       `json:"daemon"`
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -95,6 +95,7 @@
 	sharedAt      time.Time                 // when observations last came into force
 	usual         map[jobs.QueueName]*speed // how fast tasks progress, in estimates
 	counts        Counts
+	figures       JobFigures
 	placeBuffer   places // reused by Core.places
 }
 
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -30,6 +30,7 @@
 	stored      uint64
 	hasProgress bool   // in the store
 	dirty       bool   // in the core's dirty jobs
+	noted       bool   // its first start is in the figures
 	stays       bool   // it can't be moved as a whole
 	recorded    uint64 // version of the record that says which tasks this cell has
 }
@@ -153,6 +154,7 @@
 func (c *Core) end(j *job, state jobs.State) {
 	j.end = state
 	c.change(j)
+	c.noteEnd(j, state, c.now)
 	c.config.Logger.Info("job ends", zap.String("job", string(j.spec.ID)), zap.String("state", string(state)),
 		zap.Int64("age_ms", int64(models.UnixMilliOf(c.now)-j.accepted)), zap.Int("running", j.running))
 }
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -103,6 +103,7 @@
 	}
 	w.add(t)
 	c.counts.Starts++
+	c.noteFirstStart(t.step.job, now)
 	c.config.Logger.Info("run starts", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
 		zap.String("worker", string(w.info.ID)), zap.Int64("job_age_ms", int64(models.UnixMilliOf(now)-t.step.job.accepted)),
 		zap.Int64("report_age_ms", now.Sub(w.heard).Milliseconds()), zap.Float64("load", w.load))
