--- /dev/null
+++ b/services/control/entries.go
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"slices"
+
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// jobEntry is what the store holds of a job in one cell.
+type jobEntry struct {
+	cell      jobs.CellName
+	record    jobs.Record // with version 0 when there is none
+	cancelled bool
+}
+
+// jobEntries are a job's entries in its cells.
+type jobEntries []jobEntry
+
+// entriesOf reads what the store holds of a job; ErrNotFound when it is in none of its cells.
+func (s *Service) entriesOf(ctx context.Context, id jobs.ID, layout *jobs.Layout) (jobEntries, error) {
+	if !s.health.good() {
+		return nil, platform.ErrUnavailable
+	}
+	var entries jobEntries
+	for _, cell := range cellsOf(id, layout) {
+		entry, err := s.entryIn(ctx, cell, id)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, entry)
+	}
+	if !entries.known() {
+		return nil, platform.ErrNotFound
+	}
+	return entries, nil
+}
+
+// entryIn reads what the store holds of a job in one cell.
+func (s *Service) entryIn(ctx context.Context, cell jobs.CellName, id jobs.ID) (jobEntry, error) {
+	entry := jobEntry{cell: cell}
+	records, _, err := s.config.Store.List(ctx, jobKey(cell, id))
+	s.health.note(err)
+	if err != nil {
+		return entry, err
+	}
+	for _, record := range records {
+		if _, cancel := jobOfKey(cell, record.Key); cancel {
+			entry.cancelled = true
+			continue
+		}
+		if entry.record, err = decode[jobs.Record](record); err != nil {
+			return entry, err
+		}
+		entry.record.Version = uint64(record.Version)
+	}
+	return entry, nil
+}
+
+// active tells whether the cell has tasks of the job that has not ended there.
+func (e *jobEntry) active() bool {
+	return e.record.Version != 0 && e.record.Ended == "" && !e.record.Left()
+}
+
+// known tells whether any cell has a record of the job.
+func (e jobEntries) known() bool {
+	return slices.ContainsFunc(e, func(entry jobEntry) bool { return entry.record.Version != 0 })
+}
+
+// state is the job's state as far as the store knows it.
+func (e jobEntries) state() jobs.State {
+	state := jobs.StateQueued // also when one entry was read before a move and one after it
+	for _, entry := range e {
+		switch {
+		case entry.record.Ended != "":
+			state = entry.record.Ended
+		case entry.cancelled:
+			return jobs.StateCancelled
+		}
+	}
+	return state
+}
--- /dev/null
+++ b/services/control/state.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// State tells the state of a job: its owner knows it best, the store knows it when the
+// owner can't be asked.
+func (s *Service) State(ctx context.Context, id jobs.ID) (jobs.State, error) {
+	layout := s.Cells.layout()
+	if layout == nil {
+		return "", platform.ErrUnavailable
+	}
+	known := jobs.State("")
+	for _, cell := range cellsOf(id, layout) {
+		answer, err := s.Cells.ask(ctx, jobs.Query{Cell: cell, Jobs: []jobs.ID{id}})
+		state, ok := answer.States[id]
+		switch {
+		case err != nil || !ok:
+		case state != jobs.StateQueued:
+			return state, nil
+		default:
+			known = state // tasks in another cell may run
+		}
+	}
+	if known != "" {
+		return known, nil
+	}
+	return s.stored(ctx, id, layout)
+}
+
+// stored finds a job's state in the store.
+func (s *Service) stored(ctx context.Context, id jobs.ID, layout *jobs.Layout) (jobs.State, error) {
+	entries, err := s.entriesOf(ctx, id, layout)
+	if err != nil {
+		return "", err
+	}
+	return entries.state(), nil
+}
+
+// Pending counts a queue's jobs that have no task begun, over all cells.
+func (s *Service) Pending(ctx context.Context, queue jobs.QueueName) (int, error) {
+	layout := s.Cells.layout()
+	if layout == nil {
+		return 0, platform.ErrUnavailable
+	}
+	total := 0
+	for n := range layout.Cells {
+		answer, err := s.Cells.ask(ctx, jobs.Query{Cell: cellName(n), Pending: true})
+		if err != nil {
+			return 0, errors.Mark(err, platform.ErrUnavailable)
+		}
+		total += answer.Pending[queue]
+	}
+	return total, nil
+}
