--- /dev/null
+++ b/services/control/encoding.go
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/modules/wire"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// decode reads a key's value.
+func decode[T wire.Checker](record platform.Record) (T, error) {
+	value, err := wire.DecodeBytes[T](record.Value)
+	return value, errors.Wrapf(err, "key %s", record.Key)
+}
+
+// read reads a key's value; the zero value when the key isn't there.
+func read[T wire.Checker](ctx context.Context, store platform.Store, key string) (T, error) {
+	var zero T
+	record, err := store.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return zero, nil
+	}
+	if err != nil {
+		return zero, err
+	}
+	return decode[T](record)
+}
+
+// put is a value to be written to a key.
+type put struct {
+	key   string
+	value any
+}
+
+// encode makes writes of values.
+func encode(puts []put) ([]platform.Write, error) {
+	writes := make([]platform.Write, 0, len(puts))
+	for _, p := range puts {
+		value, err := json.Marshal(p.value)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode %s", p.key)
+		}
+		writes = append(writes, platform.Write{Key: p.key, Value: value})
+	}
+	return writes, nil
+}
--- /dev/null
+++ b/services/control/learn.go
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"time"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// learnEvery is how often an owner asks the others what they have learned: the factors of
+// images change slowly once they are known.
+const learnEvery = 1500 * time.Millisecond
+
+// learnLoop takes what the owners of the other cells have learned of images.
+func (o *Owner) learnLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, learnEvery)
+		layout := o.cells.layout()
+		for n := range layout.Cells {
+			if cell := cellName(n); cell != o.cell && ctx.Err() == nil {
+				o.learnFrom(ctx, cell)
+			}
+		}
+	}
+}
+
+// learnFrom takes what the owner of one other cell has learned.
+func (o *Owner) learnFrom(ctx context.Context, cell jobs.CellName) {
+	answer, err := o.cells.ask(ctx, jobs.Query{Cell: cell, Learned: true})
+	if err != nil {
+		return // the cell has no owner now; what was learned from it before stays
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.LearnElsewhere(cell, answer.Learned)
+}
--- /dev/null
+++ b/services/control/owner_orders.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/services/dispatch"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// Pauses of the loop that decides: at least decideLeast between two looks, so that what
+// arrives together is looked at once, and at most decideMost.
+const (
+	decideLeast = 5 * time.Millisecond
+	decideMost  = 100 * time.Millisecond
+)
+
+// decideLoop carries out what the core decides.
+func (o *Owner) decideLoop(ctx context.Context) {
+	ticker := time.NewTicker(decideMost)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		o.mu.Lock()
+		orders := o.core.Decide(time.Now())
+		superseded := o.core.Superseded()
+		ends := o.core.HasEnds()
+		held := o.core.TakeHeld()
+		o.mu.Unlock()
+		if held {
+			wake(o.wakeMove)
+		}
+		if superseded {
+			o.cells.drop(o.cell, o, "a worker has seen a later owner")
+			return
+		}
+		if ends {
+			wake(o.wakeStore)
+		}
+		for _, order := range orders {
+			o.group.Go(func() { o.runOrder(ctx, order) })
+		}
+		sleep(ctx, decideLeast)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-o.wakeDecide:
+		}
+	}
+}
+
+// runOrder carries out one order and tells the core what became of it.
+func (o *Owner) runOrder(ctx context.Context, order dispatch.Order) {
+	switch order := order.(type) {
+	case dispatch.StartOrder:
+		_, err := o.config.Workers.StartRun(ctx, order.Worker, order.Call)
+		o.tell(func(now time.Time) { o.core.Started(order, resultOf(err), now) })
+	case dispatch.StopOrder:
+		_, err := o.config.Workers.StopRun(ctx, order.Worker, order.Call)
+		o.tell(func(now time.Time) { o.core.Stopped(order, resultOf(err), now) })
+	case dispatch.PaceOrder:
+		_, err := o.config.Workers.SetPace(ctx, order.Worker, order.Call)
+		o.tell(func(now time.Time) { o.core.Paced(order, resultOf(err), now) })
+	}
+}
+
+// tell tells the core something, and lets it decide.
+func (o *Owner) tell(what func(now time.Time)) {
+	o.mu.Lock()
+	what(time.Now())
+	o.mu.Unlock()
+	wake(o.wakeDecide)
+}
+
+// resultOf tells what an error means for an order.
+func resultOf(err error) dispatch.Result {
+	var refused *platform.RefusedError
+	switch {
+	case err == nil:
+		return dispatch.Result{Outcome: dispatch.OutcomeDone}
+	case errors.As(err, &refused):
+		return dispatch.Result{Outcome: dispatch.OutcomeRefused, Refusal: refused.Reason}
+	case errors.Is(err, platform.ErrIncarnation):
+		return dispatch.Result{Outcome: dispatch.OutcomeIncarnation}
+	case errors.Is(err, platform.ErrOverloaded), errors.Is(err, platform.ErrUnreached):
+		return dispatch.Result{Outcome: dispatch.OutcomeNotDone}
+	default:
+		return dispatch.Result{Outcome: dispatch.OutcomeUnknown}
+	}
+}
--- /dev/null
+++ b/services/control/owner_store.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/modules/log"
+	"rillsail.example/rillsail/services/dispatch"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// jobsPerTxn keeps a transaction within the store's bound: an ended job has three entries
+// at most, and five entries are the owner's own.
+const jobsPerTxn = (platform.MaxTxnEntries - 5) / 3
+
+// storeLoop stores what the core has changed.
+func (o *Owner) storeLoop(ctx context.Context) {
+	ticker := time.NewTicker(o.config.Settings.StoreEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		more, err := o.storeOnce(ctx)
+		switch {
+		case err != nil:
+			sleep(ctx, loadRetry)
+		case more:
+			continue
+		default:
+			o.carryOutMoves(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-o.wakeStore:
+		}
+	}
+}
+
+// storeOnce stores some changes; more tells whether others wait.
+func (o *Owner) storeOnce(ctx context.Context) (more bool, err error) {
+	o.mu.Lock()
+	changes := o.core.TakeChanges(jobsPerTxn, time.Now())
+	o.storing = !changes.Empty()
+	o.mu.Unlock()
+	if changes.Empty() {
+		return false, nil
+	}
+	err = o.commit(ctx, changes)
+	o.cells.health.note(err)
+	o.mu.Lock()
+	if err == nil {
+		o.core.Stored(changes, time.Now())
+	} else {
+		o.core.Unstored(changes)
+	}
+	o.storing = false
+	more = o.core.HasChanges()
+	o.mu.Unlock()
+	wake(o.wakeDecide)
+	if err != nil && !isOutage(err) { // outages are logged once, when they begin and end
+		o.config.Logger.Warn("progress is not stored", append(log.Err(err), zap.String("cell", string(o.cell)), zap.Int("jobs", len(changes.Jobs)))...)
+	}
+	return more, err
+}
+
+// commit carries out one transaction of the owner.
+func (o *Owner) commit(ctx context.Context, changes dispatch.Changes) error {
+	txn, err := o.txnOf(changes)
+	if err != nil {
+		return err
+	}
+	_, err = o.chain(ctx, txn)
+	return err
+}
+
+// txnOf makes the transaction that stores changes.
+func (o *Owner) txnOf(changes dispatch.Changes) (platform.Txn, error) {
+	var txn platform.Txn
+	var puts []put
+	if changes.Roster != nil {
+		puts = append(puts, put{rosterKey(o.cell), changes.Roster})
+	}
+	for _, change := range changes.Jobs {
+		if change.Ended == nil {
+			puts = append(puts, put{progressKey(o.cell, change.ID), change.Progress})
+			continue
+		}
+		puts = append(puts, put{jobKey(o.cell, change.ID), change.Ended})
+		if change.HasProgress {
+			txn.Delete = append(txn.Delete, progressKey(o.cell, change.ID))
+		}
+		if change.Cancelled {
+			txn.Delete = append(txn.Delete, cancelKey(o.cell, change.ID))
+		}
+	}
+	for _, id := range changes.Forget { // also where parts of it were, or it came from
+		txn.Delete = append(txn.Delete, jobKeys(cellsOf(id, o.cells.layout()), id)...)
+	}
+	writes, err := encode(puts)
+	txn.Put = writes
+	return txn, err
+}
+
+// finishTime bounds the last transactions of a planned stop.
+const finishTime = time.Second
+
+// finish stores everything before the cell is handed over.
+func (o *Owner) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, finishTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		o.mu.Lock()
+		more := o.core.HasChanges() || o.storing
+		o.mu.Unlock()
+		if !more {
+			return
+		}
+		wake(o.wakeStore)
+		sleep(ctx, decideLeast)
+	}
+}
