One way to decode a job's record, and to wake a loop

Three places decoded a record and filled in its version; one that forgets the version would make a move or a cancellation without a condition.

--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -118,13 +118,10 @@
 	}
 }
 
-func (c *Cells) nudge() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
+// nudge lets the loop that claims cells look at once.
+func (c *Cells) nudge() { wake(c.wake) }
 
+// drop ends this daemon's owner of a cell; the keys in the store stay.
 func (c *Cells) drop(cell jobs.CellName, mine *Owner, reason string) {
 	c.config.Logger.Warn("cell is lost", zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(mine.epoch)), zap.String("reason", reason))
 	c.mu.Lock()
--- a/services/control/encoding.go
+++ b/services/control/encoding.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/wire"
 	"rillsail.example/rillsail/services/platform"
 )
@@ -32,6 +33,13 @@
 	return decode[T](record)
 }
 
+// decodeRecord reads a job's record, with the version of its key.
+func decodeRecord(stored platform.Record) (jobs.Record, error) {
+	record, err := decode[jobs.Record](stored)
+	record.Version = uint64(stored.Version)
+	return record, err
+}
+
 // put is a value to be written to a key.
 type put struct {
 	key   string
--- a/services/control/entries.go
+++ b/services/control/entries.go
@@ -53,10 +53,9 @@
 			entry.cancelled = true
 			continue
 		}
-		if entry.record, err = decode[jobs.Record](record); err != nil {
+		if entry.record, err = decodeRecord(record); err != nil {
 			return entry, err
 		}
-		entry.record.Version = uint64(record.Version)
 	}
 	return entry, nil
 }
--- a/services/control/move.go
+++ b/services/control/move.go
@@ -214,7 +214,5 @@
 	if err != nil {
 		return jobs.Record{}, err
 	}
-	record, err := decode[jobs.Record](stored)
-	record.Version = uint64(stored.Version)
-	return record, err
+	return decodeRecord(stored)
 }
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -125,12 +125,11 @@
 	case cancel:
 		o.core.Cancel(id)
 	default:
-		job, err := decode[jobs.Record](record)
+		job, err := decodeRecord(record)
 		if err != nil {
 			o.config.Logger.Error("stored job can't be read", append(log.Err(err), zap.String("job", string(id)))...)
 			return
 		}
-		job.Version = uint64(record.Version)
 		o.core.AddJob(job, progress[id], jobs.Epoch(record.Version) > o.epoch, now)
 	}
 }
