Work that may move, moves and records of divided jobs have files of their own

Leaving a worker out of the roster and taking it in again differed in one value only; they are one method now, which says why the worker counts as not enrolled either way.

--- a/services/dispatch/gone.go
+++ b/services/dispatch/gone.go
@@ -25,25 +25,20 @@
 		case len(w.tasks) > 0 && now.Sub(w.heard) > silentAfter:
 			c.config.Logger.Warn("silent worker's tasks have lapsed", zap.String("worker", string(w.info.ID)), zap.Int("tasks", len(w.tasks)))
 			c.freeTasks(w)
-			c.retire(w)
+			c.setRetired(w, true)
 		case !w.retired && now.Sub(w.heard) > silentAfter:
-			c.retire(w)
+			c.setRetired(w, true)
 		}
 	}
 	c.checkBlind(now)
 }
 
-// retire leaves a silent worker that certainly runs nothing out of the roster, so that the
-// next owner needn't wait for it. It gets no starts until the roster names it again.
-func (c *Core) retire(w *worker) {
-	w.retired = true
-	w.enrolled = false
-	c.rosterChanged = true
-}
-
-// reinstate takes a retired worker that has answered into the roster again.
-func (c *Core) reinstate(w *worker) {
-	w.retired = false
+// setRetired leaves a silent worker that certainly runs nothing out of the roster, so that
+// the next owner needn't wait for it, or takes one that has answered into it again. Either
+// way it gets no starts until a roster is stored that names it: one that is being stored now
+// may be older.
+func (c *Core) setRetired(w *worker, retired bool) {
+	w.retired = retired
 	w.enrolled = false
 	c.rosterChanged = true
 }
--- /dev/null
+++ b/services/dispatch/movable.go
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// Move is work that finds no place here and may go to another cell: waiting tasks of a job
+// that lasts, or a whole job that has not begun.
+type Move struct {
+	Job    jobs.ID
+	Demand jobs.Demand // of those that need a place now
+	Whole  bool        // all tasks of the job go, or none
+	Tasks  jobs.TaskSet
+	// LeastRun is the highest number that a run of the tasks has had.
+	LeastRun jobs.RunID
+}
+
+// offerAfter is how long a step must have found no place before its work is offered to other
+// cells: most wait for less, until something ends.
+const offerAfter = 400 * time.Millisecond
+
+// holdMost is how long a job that hasn't begun is held back when there are not places for all
+// tasks of its first step: its owner asks the other cells meanwhile, which takes two calls
+// of some milliseconds, and a job that has begun can't be moved as a whole.
+const holdMost = 100 * time.Millisecond
+
+// holds tells whether the step's job is better offered to other cells before any of it
+// starts here.
+func (c *Core) holds(s *step, now time.Time) bool {
+	if !c.config.OtherCells || s.spec.Fills || !s.stuck.IsZero() && now.Sub(s.stuck) > holdMost {
+		return false
+	}
+	if move, ok := c.moveOf(s); !ok || !move.Whole {
+		return false
+	}
+	if c.countPlaces(c.terms(s.job).Pool, s, map[*worker]models.Resources{}, now) >= s.waiting {
+		return false
+	}
+	c.held = true
+	return true
+}
+
+// TakeHeld tells whether jobs have been held back since it was last asked.
+func (c *Core) TakeHeld() bool {
+	held := c.held
+	c.held = false
+	return held
+}
+
+// Movable lists work that other cells may take, at most limit jobs, the most urgent first.
+func (c *Core) Movable(limit int, now time.Time) []Move {
+	if c.blind {
+		return nil
+	}
+	var stuck []candidate
+	for _, s := range c.open {
+		if s.waiting > 0 && !s.stuck.IsZero() && (now.Sub(s.stuck) >= offerAfter || s.job.untouched()) {
+			stuck = append(stuck, c.candidate(s, now))
+		}
+	}
+	slices.SortFunc(stuck, candidate.before)
+	var moves []Move
+	for _, candidate := range stuck {
+		if move, ok := c.moveOf(candidate.step); ok && len(moves) < limit {
+			moves = append(moves, move)
+		}
+	}
+	return moves
+}
+
+// moveOf is what may be moved of a step's job.
+func (c *Core) moveOf(s *step) (Move, bool) {
+	move := Move{Job: s.job.spec.ID, Demand: jobs.Demand{Pool: c.terms(s.job).Pool, Step: *s.spec}, Tasks: jobs.TaskSet{}}
+	move.Demand.Step.Count = s.waiting
+	switch {
+	case s.job.spec.Divisible():
+		move.add(s)
+		return move, true
+	case s.job.spec.Repeat.Count > 0 || s.spec.SameRack:
+		return move, false
+	case s.job.untouched():
+		move.Whole = true
+		for _, each := range s.job.steps {
+			move.add(each)
+		}
+		return move, true
+	default:
+		return move, false
+	}
+}
+
+// add adds a step's waiting tasks.
+func (m *Move) add(s *step) {
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.state == taskWaiting {
+			m.Tasks[s.flat()] = append(m.Tasks[s.flat()], i)
+			m.LeastRun = max(m.LeastRun, t.run)
+		}
+	}
+}
+
+// Limit reduces a move to at most so many tasks.
+func (m *Move) Limit(count int) {
+	for flat, indexes := range m.Tasks {
+		m.Tasks[flat] = indexes[:min(count, len(indexes))]
+	}
+	m.Demand.Step.Count = min(m.Demand.Step.Count, count)
+}
+
+// untouched tells whether no task of the job has ever been started, by this owner or a
+// former one. A run that was started may have succeeded on a worker that is silent now, and
+// this cell must know the job when that worker reports it.
+func (j *job) untouched() bool {
+	if j.stays || !j.fresh || j.begun || j.running > 0 {
+		return false
+	}
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			if t := &s.tasks[i]; s.spec.Lasts || t.state != taskWaiting || t.starts > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/services/dispatch/parts.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// leaveJob drops a job when all of its tasks are elsewhere.
+func (c *Core) leaveJob(j *job) {
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			if s.tasks[i].state != taskElsewhere {
+				return
+			}
+		}
+	}
+	delete(c.jobs, j.spec.ID)
+	c.left[j.spec.ID] = j.recorded
+}
+
+// takeRecord takes a newer record of a job that is known: tasks have come from another cell,
+// or the store has carried out a move whose outcome was not known.
+func (c *Core) takeRecord(j *job, record jobs.Record) {
+	if record.Version <= j.recorded {
+		return
+	}
+	j.recorded = record.Version
+	came, went := 0, 0
+	for flat, s := range j.steps {
+		for i := range s.tasks {
+			t := &s.tasks[i]
+			switch holds := record.Holds(flat, i); {
+			case holds && t.state == taskElsewhere:
+				t.run = max(t.run, record.LeastRun)
+				t.state = taskWaiting
+				s.waiting++
+				came++
+			case !holds && t.state == taskMoving:
+				t.state = taskElsewhere
+				went++
+			}
+		}
+		c.listOpen(s)
+	}
+	c.config.Logger.Info("work has moved between cells", zap.String("job", string(j.spec.ID)), zap.Int("came", came), zap.Int("went", went))
+	c.leaveJob(j)
+}
+
+// keepElsewhere marks the tasks of a new job that another cell has.
+func (j *job) keepElsewhere(record jobs.Record) {
+	for flat, s := range j.steps {
+		for i := range s.tasks {
+			s.tasks[i].run = record.LeastRun
+			if !record.Holds(flat, i) {
+				s.tasks[i].state = taskElsewhere
+			}
+		}
+	}
+}
+
+// Dropped says that the store does not hold a job any more.
+func (c *Core) Dropped(id jobs.ID) { delete(c.left, id) }
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -21,7 +21,7 @@
 	c.now = now
 	first := !w.answered
 	if w.retired {
-		c.reinstate(w)
+		c.setRetired(w, false)
 	}
 	w.beginReport(report, now)
 	if first {
