--- /dev/null
+++ b/services/dispatch/bench_test.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+const (
+	testJob  = jobs.ID("00000000000000aa")
+	testPool = jobs.PoolName("pool")
+)
+
+// servingStep is a step that serves, alone on its worker.
+var servingStep = jobs.Step{Count: 1, Size: models.Resources{CPU: 2000, Memory: 10}, Lasts: true, Image: "serving", Target: 100}
+
+// bench is a core with workers that have answered, and a clock.
+type bench struct {
+	*Core
+	now time.Time
+	ids []jobs.WorkerID
+}
+
+func newBench(t *testing.T, workers int) *bench {
+	t.Helper()
+	b := &bench{now: time.Unix(1_000_000, 0)}
+	b.Core = New(Config{
+		Epoch: 5, Taken: b.now, Lease: 4 * time.Second, LongestLease: 8 * time.Second, Logger: zap.NewNop(),
+	})
+	var list []jobs.Worker
+	for n := range workers {
+		id := jobs.WorkerID([]string{"w0", "w1", "w2", "w3"}[n])
+		b.ids = append(b.ids, id)
+		list = append(list, jobs.Worker{ID: id, Pool: testPool, Address: string(id), Capacity: models.Resources{CPU: 4000, Memory: 8000}})
+	}
+	b.SetWorkers(list, b.now)
+	b.Stored(b.TakeChanges(10, b.now), b.now) // the roster
+	return b
+}
+
+func (b *bench) report(n int, report jobs.Report) {
+	b.now = b.now.Add(100 * time.Millisecond)
+	report.Clock = models.MilliOf(b.now.Sub(time.Unix(1_000_000, 0)))
+	b.Reported(b.ids[n], b.now.Add(-time.Millisecond), report, b.now)
+}
+
+func (b *bench) job(steps ...jobs.Step) jobs.Record {
+	return jobs.Record{
+		Spec:  jobs.Spec{ID: testJob, Queue: "q", Steps: steps},
+		Terms: jobs.Terms{Pool: testPool, MaxAttempts: 3, Slack: 250, Stretch: 1.5}, Accepted: models.UnixMilliOf(b.now),
+	}
+}
+
+func (b *bench) starts() []StartOrder {
+	var starts []StartOrder
+	for _, order := range b.Decide(b.now) {
+		if start, ok := order.(StartOrder); ok {
+			starts = append(starts, start)
+		}
+	}
+	return starts
+}
+
+var one = jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 100}, Estimate: 500}
+
+func taskOf(index int) jobs.TaskID { return jobs.TaskID{Job: testJob, Index: index} }
--- /dev/null
+++ b/services/dispatch/gone_test.go
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// TestWorkerThatCertainlyRunsNothingIsNotInTheRoster: the next owner needn't wait for it.
+func TestWorkerThatCertainlyRunsNothingIsNotInTheRoster(t *testing.T) {
+	former := newBench(t, 3)
+	former.report(2, jobs.Report{})
+	silent := former.ids[2]
+	for former.now.Before(former.lapsed(former.workers[silent]).Add(silentAfter)) {
+		former.report(0, jobs.Report{})
+		former.report(1, jobs.Report{})
+		former.starts()
+	}
+	changes := former.TakeChanges(10, former.now)
+	require.NotNil(t, changes.Roster)
+	require.Len(t, changes.Roster.Workers, 2)
+
+	b := newBench(t, 0)
+	b.now = former.now
+	b.Enrol(*changes.Roster, b.now)
+	b.AddJob(b.job(one), jobs.Progress{}, false, b.now)
+	b.ids = former.ids
+	b.SetWorkers(former.Workers(), b.now) // the list still names it
+	b.report(0, jobs.Report{})
+	b.report(1, jobs.Report{})
+	require.Len(t, b.starts(), 1)
+}
+
+func TestWorkerThatComesBackIsInTheRosterBeforeItGetsStarts(t *testing.T) {
+	b := newBench(t, 1)
+	b.report(0, jobs.Report{})
+	b.now = b.lapsed(b.workers[b.ids[0]]).Add(silentAfter)
+	b.starts()
+	without := b.TakeChanges(10, b.now)
+	require.Empty(t, without.Roster.Workers)
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	b.Stored(without, b.now)
+	require.Empty(t, b.starts(), "the stored roster doesn't name it")
+	with := b.TakeChanges(10, b.now)
+	require.Len(t, with.Roster.Workers, 1)
+	b.Stored(with, b.now)
+	b.now = b.now.Add(scanPause + time.Millisecond)
+	require.Len(t, b.starts(), 1)
+}
+
+func TestTaskOfLostWorkerRunsOnceItsLeaseIsOver(t *testing.T) {
+	b := newBench(t, 2)
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	b.report(1, jobs.Report{})
+	first := b.starts()
+	require.Len(t, first, 1)
+	b.Started(first[0], Result{Outcome: OutcomeDone}, b.now)
+	other := 1
+	if first[0].Worker.ID == b.ids[1] {
+		other = 0
+	}
+	lost := b.now
+	for range 100 {
+		b.report(other, jobs.Report{})
+		if again := b.starts(); len(again) > 0 {
+			require.Greater(t, b.now.Sub(lost), 4*time.Second, "its lease was 4 s")
+			require.Less(t, b.now.Sub(lost), 6*time.Second)
+			require.Greater(t, again[0].Call.Run, first[0].Call.Run)
+			return
+		}
+	}
+	require.Fail(t, "never run again")
+}
