--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -12,7 +12,8 @@
 //
 // Where to look:
 //
-//   - jobs and steps: job.go, step.go, task.go, ended.go
+//   - jobs and steps: job.go, step.go, task.go, ended.go; those that are divided between
+//     cells: parts.go
 //   - the order of steps and the places of their tasks: urgency.go, place.go, places.go,
 //     score.go
 //   - what orders bring: order.go, outcome.go, stop.go
@@ -20,6 +21,8 @@
 //   - what is stored: changes.go
 //   - workers: worker.go, room.go, speed.go, lease.go; those that go: gone.go
 //   - the time after a takeover: takeover.go
+//   - work that goes to another cell: movable.go (what may go), offer.go (how much of other
+//     cells' work finds a place here), move.go (the tasks while a move is stored)
 //   - how full the cell is: load.go; figures for operators: summary.go
 //   - interference, the model: pressure.go (what filling images add), own_load.go (what
 //     serving tasks have of their own), learn.go (figures into both), sharing.go (between
@@ -152,15 +155,12 @@
 
 // fits tells whether a worker's pool and labels allow a step's tasks.
 func (c *Core) fits(w *worker, s *step) bool {
-	if w.info.Pool != c.terms(s.job).Pool {
-		return false
-	}
-	return w.hasLabel(s.spec.Requires)
+	return w.suits(c.terms(s.job).Pool, s.spec)
 }
 
-// hasLabel tells whether the worker has the label that a step requires; all have none.
-func (w *worker) hasLabel(required string) bool {
-	return required == "" || slices.Contains(w.info.Labels, required)
+// suits tells whether the worker is of the pool and has the label that a step requires.
+func (w *worker) suits(pool jobs.PoolName, spec *jobs.Step) bool {
+	return w.info.Pool == pool && (spec.Requires == "" || slices.Contains(w.info.Labels, spec.Requires))
 }
 
 // due is when a job's objective ends.
--- a/services/dispatch/end.go
+++ b/services/dispatch/end.go
@@ -60,6 +60,7 @@
 	w.ends = append(w.ends, end)
 }
 
+// logEnd logs how a run ended.
 func (c *Core) logEnd(w *worker, t *task, ended jobs.Ended, now time.Time) {
 	fields := []zap.Field{
 		zap.Stringer("task", ended.Task), zap.Uint64("run", uint64(ended.Run)), zap.String("how", string(ended.How)),
--- a/services/dispatch/offer.go
+++ b/services/dispatch/offer.go
@@ -30,7 +30,7 @@
 func (c *Core) countPlaces(pool jobs.PoolName, s *step, promised map[*worker]models.Resources, now time.Time) int {
 	count := 0
 	for _, w := range c.order {
-		if w.info.Pool != pool || !w.hasLabel(s.spec.Requires) || !c.usable(w, now) {
+		if !w.suits(pool, s.spec) || !c.usable(w, now) {
 			continue
 		}
 		for n := w.placesFor(s.spec, promised[w]); n > 0 && count < s.spec.Count; n-- {
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -47,6 +47,7 @@
 	return candidates
 }
 
+// candidate is the step with its urgency now.
 func (c *Core) candidate(s *step, now time.Time) candidate {
 	return candidate{s, c.urgency(s, models.UnixMilliOf(now))}
 }
