--- a/services/control/control.go
+++ b/services/control/control.go
@@ -9,12 +9,24 @@
 //	owner/CELL                jobs.Owner, under its daemon's lease; the version is the epoch
 //	job/CELL/owner            the same, among the cell's jobs
 //	daemon/ID                 jobs.Daemon, under its lease: condition of what it accepts
-//	job/CELL/ID               jobs.Record, written by the daemon that accepts the job
+//	job/CELL/ID               jobs.Record, written by the daemon that accepts the job; see below
 //	job/CELL/ID/cancel        jobs.Cancellation
 //	progress/CELL/ID          jobs.Progress, written by the cell's owner
 //	roster/CELL               jobs.Roster
 //	journal/CELL              which transaction of an owner was the last
 //
+// A job is accepted for one of the cells that its id allows. An owner whose cell has no place
+// for it hands tasks to another of them, so that the job may have a record in each:
+//
+//   - a record without Part: the cell has all tasks of the job
+//   - a part: the cell has the tasks that it names; the other records name the others
+//   - a part without tasks: the cell has handed over all that it had; the record stays until
+//     the job is forgotten, so that the job is known to all daemons also during a move
+//   - an ended record: the job has ended, whatever the other records say
+//
+// One transaction changes both records of a move. A job is accepted, moved or cancelled on
+// condition that all its records are as they were read.
+//
 // # Usage
 //
 //	service := control.New(control.Config{…})
