--- a/services/control/move.go
+++ b/services/control/move.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -25,96 +24,6 @@
 	unsure bool
 }
 
-const (
-	// moveEvery is how often work without a place is looked for.
-	moveEvery = 200 * time.Millisecond
-	// movePause lets some jobs gather that wait to be offered.
-	movePause = 10 * time.Millisecond
-	// movesAtOnce bounds the jobs that are offered at once: each costs two reads and a
-	// transaction of some milliseconds, between which nothing else of the cell is stored.
-	movesAtOnce = 8
-)
-
-// moveLoop offers work that finds no place here to the other cells that it may be in.
-func (o *Owner) moveLoop(ctx context.Context) {
-	if !o.cells.several() {
-		return
-	}
-	layout := o.cells.layout()
-	ticker := time.NewTicker(moveEvery)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		case <-o.wakeMove:
-		}
-		sleep(ctx, movePause)
-		if !o.cells.health.good() {
-			continue
-		}
-		o.mu.Lock()
-		var offers []dispatch.Move
-		if len(o.moves) == 0 {
-			offers = o.core.Movable(movesAtOnce, time.Now())
-		}
-		o.mu.Unlock()
-		for n := range layout.Cells {
-			if cell := cellName(n); cell != o.cell && len(offers) > 0 {
-				offers = o.offer(ctx, cell, offers, layout)
-			}
-		}
-	}
-}
-
-// offer asks the owner of a cell how much of the work finds a place there, begins to move
-// that, and gives the other work.
-func (o *Owner) offer(ctx context.Context, to jobs.CellName, offers []dispatch.Move, layout *jobs.Layout) []dispatch.Move {
-	var fitting, others []dispatch.Move
-	query := jobs.Query{Cell: to}
-	for _, offer := range offers {
-		if !slices.Contains(cellsOf(offer.Job, layout), to) {
-			others = append(others, offer)
-			continue
-		}
-		fitting = append(fitting, offer)
-		query.Demands = append(query.Demands, offer.Demand)
-	}
-	if len(fitting) == 0 {
-		return others
-	}
-	answer, err := o.cells.ask(ctx, query)
-	if err != nil || len(answer.Places) != len(fitting) {
-		return offers // its owner can't be asked now; the work is offered again
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for i, offer := range fitting {
-		if !o.begin(offer, to, answer.Places[i]) {
-			others = append(others, offer)
-		}
-	}
-	if len(o.moves) > 0 {
-		wake(o.wakeStore)
-	}
-	return others
-}
-
-// begin begins to move as much of the work as finds a place in the other cell.
-func (o *Owner) begin(offer dispatch.Move, to jobs.CellName, places int) bool {
-	if places == 0 || offer.Whole && places < offer.Demand.Step.Count {
-		return false
-	}
-	if !offer.Whole {
-		offer.Limit(places)
-	}
-	if !o.core.BeginMove(offer) {
-		return false
-	}
-	o.moves = append(o.moves, &move{Move: offer, to: to})
-	return true
-}
-
 // carryOutMoves stores moves one by one, as part of the owner's chain of transactions.
 func (o *Owner) carryOutMoves(ctx context.Context) {
 	o.mu.Lock()
