--- a/models/jobs/query.go
+++ b/models/jobs/query.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxQueryJobs bounds the jobs of one query.
+// maxQueryJobs bounds the jobs, and the demands, of one query.
 const maxQueryJobs = 1000
 
 // Query asks the owner of a cell about jobs and queues.
@@ -29,7 +29,7 @@
 // Check rejects queries of too many jobs, and steps that can't be meant.
 func (q Query) Check() error {
 	if q.Cell == "" || len(q.Jobs) > maxQueryJobs || len(q.Demands) > maxQueryJobs {
-		return errors.Newf("query names no cell or more than %d jobs", maxQueryJobs)
+		return errors.Newf("query names no cell, or more than %d jobs or demands", maxQueryJobs)
 	}
 	for i, demand := range q.Demands {
 		if err := demand.Step.check(MaxSteps); err != nil {
--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -149,9 +149,7 @@
 	c.mu.Lock()
 	c.stopping = true
 	c.mu.Unlock()
-	for len(c.ownedCells()) > 0 && ctx.Err() == nil && !c.storeAnswers(ctx) {
-		sleep(ctx, releaseLook)
-	}
+	c.awaitStore(ctx)
 	var failed error
 	for cell, mine := range c.ownedCells() {
 		failed = errors.CombineErrors(failed, c.handOver(ctx, cell, mine, "daemon stops"))
@@ -159,6 +157,13 @@
 	return failed
 }
 
+// awaitStore waits until the store answers; not at all when no cell is owned.
+func (c *Cells) awaitStore(ctx context.Context) {
+	for len(c.ownedCells()) > 0 && ctx.Err() == nil && !c.storeAnswers(ctx) {
+		sleep(ctx, releaseLook)
+	}
+}
+
 // storeAnswers asks the store for a key: whether it answered a while ago says too little to
 // leave cells to others.
 func (c *Cells) storeAnswers(ctx context.Context) bool {
--- a/services/daemon/scheduler.go
+++ b/services/daemon/scheduler.go
@@ -115,13 +115,15 @@
 	return mux
 }
 
-// Shares of the time for a planned stop; a fifth of it is left over.
+// Shares of the time for a planned stop; cells are handed over while callers are drained, and
+// a fifth of the time is left over.
 const (
-	releaseShare  = 0.6  // for handing over the cells, and at the same time
+	releaseShare  = 0.6  // for handing over the cells, which waits for the store in an outage
 	drainShare    = 0.45 // for callers that are connected, or come until the balancer has noticed
 	shutdownShare = 0.2  // for what is still in flight then
 )
 
+// shareOf is a part of the time for a planned stop.
 func shareOf(whole time.Duration, share float64) time.Duration {
 	return time.Duration(share * float64(whole))
 }
