--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -118,13 +118,10 @@
 	}
 }
 
-func (c *Cells) nudge() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
+// nudge lets the loop that claims cells look at once.
+func (c *Cells) nudge() { wake(c.wake) }
 
+// drop ends this daemon's owner of a cell; the keys in the store stay.
 func (c *Cells) drop(cell jobs.CellName, mine *Owner, reason string) {
 	c.config.Logger.Warn("cell is lost", zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(mine.epoch)), zap.String("reason", reason))
 	c.mu.Lock()
@@ -152,9 +149,7 @@
 	c.mu.Lock()
 	c.stopping = true
 	c.mu.Unlock()
-	for len(c.ownedCells()) > 0 && ctx.Err() == nil && !c.storeAnswers(ctx) {
-		sleep(ctx, releaseLook)
-	}
+	c.awaitStore(ctx)
 	var failed error
 	for cell, mine := range c.ownedCells() {
 		failed = errors.CombineErrors(failed, c.handOver(ctx, cell, mine, "daemon stops"))
@@ -162,6 +157,13 @@
 	return failed
 }
 
+// awaitStore waits until the store answers; not at all when no cell is owned.
+func (c *Cells) awaitStore(ctx context.Context) {
+	for len(c.ownedCells()) > 0 && ctx.Err() == nil && !c.storeAnswers(ctx) {
+		sleep(ctx, releaseLook)
+	}
+}
+
 // storeAnswers asks the store for a key: whether it answered a while ago says too little to
 // leave cells to others.
 func (c *Cells) storeAnswers(ctx context.Context) bool {
