--- a/models/jobs/query.go
+++ b/models/jobs/query.go
@@ -22,8 +22,10 @@
 
 // Demand is work that looks for a cell with places for it.
 type Demand struct {
-	Pool PoolName `json:"pool"`
-	Step Step     `json:"step"` // its count is the number of tasks
+	Job    ID       `json:"job"`
+	Number int      `json:"number"` // of the step, over all occurrences
+	Pool   PoolName `json:"pool"`
+	Step   Step     `json:"step"` // its count is the number of tasks
 }
 
 // Check rejects queries of too many jobs, and steps that can't be meant.
--- a/services/control/move.go
+++ b/services/control/move.go
@@ -54,7 +54,7 @@
 	case m.unsure && !errors.Is(err, errNotMovable):
 		return
 	default:
-		o.core.KeepMove(m.Move)
+		o.core.KeepMove(m.Move, errors.Is(err, errBeenThere))
 		o.config.Logger.Info("work is not handed to another cell", append(log.Err(err), zap.String("job", string(m.Job)),
 			zap.String("cell", string(m.to)))...)
 	}
@@ -65,6 +65,9 @@
 // still on its way.
 var errNotMovable = errors.New("job is cancelled or has ended")
 
+// errBeenThere says that a job as a whole was in the other cell before.
+var errBeenThere = errors.New("job has been in the other cell before")
+
 // carryOut hands work to another cell: in one transaction the record here loses the tasks
 // and the one there gets them.
 func (o *Owner) carryOut(ctx context.Context, m *move) (platform.Version, error) {
@@ -72,11 +75,7 @@
 	if err != nil {
 		return 0, err
 	}
-	there, err := o.readRecord(ctx, m.to, m.Job)
-	switch {
-	case err != nil:
-		return 0, err
-	case here.Version == 0 || here.Ended != "" || there.Ended != "":
+	if here.Version == 0 || here.Ended != "" {
 		return 0, errNotMovable
 	}
 	o.mu.Lock()
@@ -85,8 +84,14 @@
 	if !still {
 		return platform.Version(here.Version), nil // a transaction without answer has done it
 	}
-	if m.Whole && there.Version != 0 {
-		return 0, errors.Newf("job has been in cell %s before", m.to)
+	there, err := o.readRecord(ctx, m.to, m.Job)
+	switch {
+	case err != nil:
+		return 0, err
+	case there.Ended != "":
+		return 0, errNotMovable
+	case m.Whole && there.Version != 0:
+		return 0, errBeenThere
 	}
 	txn, err := o.moveTxn(m, here, there)
 	if err != nil {
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -28,11 +28,12 @@
 	running     int        // tasks that may be on a worker
 	version     uint64     // of the progress
 	stored      uint64
-	hasProgress bool   // in the store
-	dirty       bool   // in the core's dirty jobs
-	noted       bool   // its first start is in the figures
-	stays       bool   // it can't be moved as a whole
-	recorded    uint64 // version of the record that says which tasks this cell has
+	hasProgress bool      // in the store
+	dirty       bool      // in the core's dirty jobs
+	noted       bool      // its first start is in the figures
+	offered     time.Time // when it was last listed as movable
+	stays       bool      // it can't be moved as a whole
+	recorded    uint64    // version of the record that says which tasks this cell has
 }
 
 // AddJob takes a job that the store holds. Fresh says that it was accepted after this
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -23,7 +23,8 @@
 }
 
 // offerAfter is how long a step must have found no place before its work is offered to other
-// cells: most wait for less, until something ends.
+// cells, and the time between two offers of a job. Chosen, not measured: a task that lasts
+// must run again within some seconds, and most others find a place before.
 const offerAfter = 400 * time.Millisecond
 
 // holdMost is how long a job that hasn't begun is held back when there are not places for all
@@ -34,13 +35,13 @@
 // holds tells whether the step's job is better offered to other cells before any of it
 // starts here.
 func (c *Core) holds(s *step, now time.Time) bool {
-	if !c.config.OtherCells || s.spec.Fills || !s.stuck.IsZero() && now.Sub(s.stuck) > holdMost {
+	if c.blind || !c.config.OtherCells || s.spec.Fills || !s.stuck.IsZero() && now.Sub(s.stuck) > holdMost {
 		return false
 	}
 	if move, ok := c.moveOf(s); !ok || !move.Whole {
 		return false
 	}
-	if c.countPlaces(c.terms(s.job).Pool, s, map[*worker]models.Resources{}, now) >= s.waiting {
+	if c.countPlaces(c.terms(s.job).Pool, s, s.waiting, map[*worker]models.Resources{}, now) >= s.waiting {
 		return false
 	}
 	c.held = true
@@ -54,21 +55,28 @@
 	return held
 }
 
-// Movable lists work that other cells may take, at most limit jobs, the most urgent first.
+// Movable lists work that other cells may take, at most limit jobs, the most urgent first. A
+// job that was listed is left out for a while, so that those behind it are offered as well.
 func (c *Core) Movable(limit int, now time.Time) []Move {
 	if c.blind {
 		return nil
 	}
 	var stuck []candidate
 	for _, s := range c.open {
-		if s.waiting > 0 && !s.stuck.IsZero() && (now.Sub(s.stuck) >= offerAfter || s.job.untouched()) {
+		if s.waiting > 0 && !s.stuck.IsZero() && (now.Sub(s.stuck) >= offerAfter || s.job.untouched()) &&
+			now.Sub(s.job.offered) >= offerAfter {
 			stuck = append(stuck, c.candidate(s, now))
 		}
 	}
 	slices.SortFunc(stuck, candidate.before)
 	var moves []Move
 	for _, candidate := range stuck {
-		if move, ok := c.moveOf(candidate.step); ok && len(moves) < limit {
+		j := candidate.step.job
+		if len(moves) == limit || j.offered.Equal(now) { // listed with another of its steps
+			continue
+		}
+		if move, ok := c.moveOf(candidate.step); ok {
+			j.offered = now
 			moves = append(moves, move)
 		}
 	}
@@ -77,7 +85,7 @@
 
 // moveOf is what may be moved of a step's job.
 func (c *Core) moveOf(s *step) (Move, bool) {
-	move := Move{Job: s.job.spec.ID, Demand: jobs.Demand{Pool: c.terms(s.job).Pool, Step: *s.spec}, Tasks: jobs.TaskSet{}}
+	move := Move{Job: s.job.spec.ID, Demand: jobs.Demand{Job: s.job.spec.ID, Number: s.flat(), Pool: c.terms(s.job).Pool, Step: *s.spec}, Tasks: jobs.TaskSet{}}
 	move.Demand.Step.Count = s.waiting
 	switch {
 	case s.job.spec.Divisible():
--- a/services/dispatch/move.go
+++ b/services/dispatch/move.go
@@ -46,10 +46,11 @@
 	return c.jobs[move.Job] == j
 }
 
-// KeepMove lets the tasks of a move wait here again: it has certainly not been done.
-func (c *Core) KeepMove(move Move) {
+// KeepMove lets the tasks of a move wait here again: it has certainly not been done. With
+// forGood the job isn't offered as a whole again.
+func (c *Core) KeepMove(move Move, forGood bool) {
 	for _, t := range c.tasksOf(move.Job, move.Tasks) {
-		t.step.job.stays = move.Whole
+		t.step.job.stays = t.step.job.stays || forGood
 		t.step.stuck = time.Time{}
 		if t.state == taskMoving {
 			t.state = taskWaiting
--- a/services/dispatch/move_test.go
+++ b/services/dispatch/move_test.go
@@ -58,7 +58,7 @@
 	require.False(t, b.BeginMove(move), "it is on its way already")
 	b.workers["w0"].info.Capacity.CPU = 20_000
 	require.Empty(t, b.starts())
-	b.KeepMove(move)
+	b.KeepMove(move, false)
 	b.now = b.now.Add(scanPause + time.Millisecond)
 	require.Len(t, b.starts(), 2, "it has not moved after all")
 }
@@ -175,3 +175,74 @@
 		require.Len(t, b.starts(), 4, "no other cell has taken it")
 	}
 }
+
+func TestPlacesCountWhatTheCellHasOfTheJob(t *testing.T) {
+	b := newBench(t, 2)
+	record := b.job(jobs.Step{Count: 2, Size: one.Size, Lasts: true, PerWorker: 1})
+	record = record.NewPart(jobs.TaskSet{0: {0}}, 0)
+	b.AddJob(record, jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	b.report(1, jobs.Report{})
+	require.Len(t, b.starts(), 1)
+	demand := jobs.Demand{Job: testJob, Pool: testPool, Step: record.Spec.Steps[0]}
+	require.Equal(t, []int{1}, b.Places([]jobs.Demand{demand}, b.now), "one worker has a task of the step")
+}
+
+func TestJobThatNobodyTakesDoesNotKeepOthersFromBeingOffered(t *testing.T) {
+	b := newBench(t, 1)
+	b.stuckJob(true, huge)
+	other := b.job(huge)
+	other.Spec.ID = "00000000000000bb"
+	b.AddJob(other, jobs.Progress{}, true, b.now)
+	b.now = b.now.Add(scanPause + time.Millisecond)
+	b.starts()
+	var listed []jobs.ID
+	for range 2 {
+		b.now = b.now.Add(time.Millisecond)
+		for _, move := range b.Movable(1, b.now) {
+			listed = append(listed, move.Job)
+		}
+	}
+	require.ElementsMatch(t, []jobs.ID{testJob, other.Spec.ID}, listed)
+	b.now = b.now.Add(offerAfter)
+	require.Len(t, b.Movable(10, b.now), 2, "both are offered again after a while")
+}
+
+func TestJobIsNotHeldWhileTheCellRecovers(t *testing.T) {
+	b := newBench(t, 2)
+	b.config.OtherCells = true
+	b.Enrol(jobs.Roster{Workers: b.Workers()}, b.now)
+	b.AddJob(b.job(jobs.Step{Count: 5, Size: one.Size, Estimate: 500}), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	require.Len(t, b.starts(), 4, "nothing is offered then")
+}
+
+func TestMoveThatFailedIsTriedAgainUnlessForGood(t *testing.T) {
+	for _, forGood := range []bool{false, true} {
+		b := newBench(t, 1)
+		b.stuckJob(true, huge)
+		move := b.Movable(10, b.now)[0]
+		require.True(t, b.BeginMove(move))
+		b.KeepMove(move, forGood)
+		b.now = b.now.Add(offerAfter)
+		b.report(0, jobs.Report{})
+		b.starts()
+		require.Equal(t, forGood, len(b.Movable(10, b.now)) == 0)
+	}
+}
+
+func TestTryWithoutAnswerIsRecognisedByTheRecord(t *testing.T) {
+	b := newBench(t, 1)
+	b.stuckJob(true, jobs.Step{Count: 2, Size: huge.Size, Lasts: true})
+	move := b.Movable(10, b.now)[0]
+	move.Limit(1)
+	require.True(t, b.BeginMove(move))
+	record := b.job(jobs.Step{Count: 2, Size: huge.Size, Lasts: true})
+	record.Version = 10
+	require.True(t, b.StillMoving(move, record))
+	record = record.Without(move.Tasks)
+	record.Version = 11
+	require.False(t, b.StillMoving(move, record))
+	b.KeepMove(move, false)
+	require.Nil(t, b.find(taskOf(0)), "the other cell has it")
+}
--- a/services/dispatch/offer.go
+++ b/services/dispatch/offer.go
@@ -19,21 +19,30 @@
 	}
 	promised := map[*worker]models.Resources{}
 	for i := range demands {
-		demand := &demands[i]
-		counts[i] = c.countPlaces(demand.Pool, &step{spec: &demand.Step}, promised, now)
+		s := c.stepFor(&demands[i])
+		counts[i] = c.countPlaces(demands[i].Pool, s, demands[i].Step.Count, promised, now)
 	}
 	return counts
 }
 
-// countPlaces counts the places for a step's tasks beside what is promised already, and
-// promises them.
-func (c *Core) countPlaces(pool jobs.PoolName, s *step, promised map[*worker]models.Resources, now time.Time) int {
+// stepFor is the step that a demand is about, if this cell has a part of its job; otherwise
+// one like it.
+func (c *Core) stepFor(demand *jobs.Demand) *step {
+	if j, ok := c.jobs[demand.Job]; ok && demand.Number >= 0 && demand.Number < len(j.steps) {
+		return j.steps[demand.Number]
+	}
+	return &step{spec: &demand.Step}
+}
+
+// countPlaces counts the places for so many of a step's tasks beside what is promised
+// already, and promises them.
+func (c *Core) countPlaces(pool jobs.PoolName, s *step, wanted int, promised map[*worker]models.Resources, now time.Time) int {
 	count := 0
 	for _, w := range c.order {
 		if !w.suits(pool, s.spec) || !c.usable(w, now) {
 			continue
 		}
-		for n := w.placesFor(s.spec, promised[w]); n > 0 && count < s.spec.Count; n-- {
+		for n := w.placesFor(s, wanted-count, promised[w]); n > 0; n-- {
 			if s.spec.Fills && !c.mayFill(w, s) {
 				break
 			}
@@ -44,18 +53,22 @@
 	return count
 }
 
-// placesFor is how many tasks of a step find room on the worker beside what is promised.
-// Of filling tasks it is one at most, because each changes the loads there.
-func (w *worker) placesFor(spec *jobs.Step, promised models.Resources) int {
+// placesFor is how many tasks of a step find room on the worker beside what is promised, at
+// most so many. Of filling tasks it is one at most, because each changes the loads there.
+func (w *worker) placesFor(s *step, wanted int, promised models.Resources) int {
+	spec := s.spec
 	if spec.Fills {
-		if promised != (models.Resources{}) || spec.Size.Memory > w.free().Memory {
+		if wanted == 0 || promised != (models.Resources{}) || spec.Size.Memory > w.free().Memory {
 			return 0
 		}
 		return 1
 	}
+	if spec.PerWorker > 0 {
+		wanted = min(wanted, spec.PerWorker-w.count(s))
+	}
 	free := w.free().Sub(promised)
 	n := 0
-	for spec.Size.Fits(free) && n < spec.Count && (spec.PerWorker == 0 || n < spec.PerWorker) {
+	for n < wanted && spec.Size.Fits(free) {
 		free = free.Sub(spec.Size)
 		n++
 	}
