--- a/cmd/rillsail/main.go
+++ b/cmd/rillsail/main.go
@@ -12,7 +12,7 @@
 //	rillsail jobs submit -f jobs.json
 //	rillsail explain job/nightly-1/0
 //	rillsail drain worker-12
-//	rillsail trace 5c0e7a21d94b36f8 daemon-*.log
+//	rillsail explain 5c0e7a21d94b36f8 daemon-*.log
 //
 // Exit status: 0 done; 1 failed, nothing was done; 2 wrong usage; 3 conflict with
 // another operator's change; 4 unknown, it may have been done; 5 refused as wrong.
@@ -89,7 +89,7 @@
 		t.simple("services", "services with their replicas", t.services),
 		t.simple("tasks", "tasks of all cells", t.tasks),
 		t.simple("dump", "whole state of the asked daemon, as JSON", t.dump),
-		t.named("explain", "<task>", "why a task is where it is, or waits", t.explain),
+		t.explainCommand(),
 		t.simple("refusals", "latest requests that the asked daemon refused, and why", t.refusals),
 		t.named("drain", "<vm>", "keep new work off a VM and move away what it runs", t.drain),
 		t.named("undrain", "<vm>", "let a drained VM take work again", t.undrain),
--- a/cmd/rillsail/trace.go
+++ b/cmd/rillsail/trace.go
@@ -29,6 +29,26 @@
 	}
 }
 
+// explainCommand asks a daemon about a task, or the logs when they are given: then no daemon
+// need be alive.
+func (t *tool) explainCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "explain", ShortUsage: "rillsail explain <task> [log file ...]",
+		ShortHelp: "why a task is where it is, or waits; with log files, what happened to a job or task",
+		Exec: func(ctx context.Context, args []string) error {
+			switch len(args) {
+			case 0:
+				return usageError{errors.New("explain needs the id of a task")}
+			case 1:
+				return t.explain(ctx, args[0])
+			default:
+				return t.trace(args[0], args[1:])
+			}
+		},
+	}
+}
+
+// trace shows what the logs say of a job or task.
 func (t *tool) trace(id string, files []string) error {
 	logs, closeAll, err := openLogs(files)
 	if err != nil {
@@ -45,8 +65,9 @@
 	return nil
 }
 
+// openLogs opens log files one after the other; none, or "-": standard input.
 func openLogs(files []string) (io.Reader, func(), error) {
-	if len(files) == 0 {
+	if len(files) == 0 || len(files) == 1 && files[0] == "-" {
 		return os.Stdin, func() {}, nil
 	}
 	var readers []io.Reader
