--- a/services/control/move.go
+++ b/services/control/move.go
@@ -19,7 +19,6 @@
 // move is work on its way to another cell.
 type move struct {
 	dispatch.Move
-	to jobs.CellName
 	// unsure: a transaction without answer may have moved it, or may still do so.
 	unsure bool
 }
@@ -56,7 +55,7 @@
 	default:
 		o.core.KeepMove(m.Move, errors.Is(err, errBeenThere))
 		o.config.Logger.Info("work is not handed to another cell", append(log.Err(err), zap.String("job", string(m.Job)),
-			zap.String("cell", string(m.to)))...)
+			zap.String("cell", string(m.To)))...)
 	}
 	o.moves = slices.DeleteFunc(o.moves, func(other *move) bool { return other == m })
 }
@@ -84,7 +83,7 @@
 	if !still {
 		return platform.Version(here.Version), nil // a transaction without answer has done it
 	}
-	there, err := o.readRecord(ctx, m.to, m.Job)
+	there, err := o.readRecord(ctx, m.To, m.Job)
 	switch {
 	case err != nil:
 		return 0, err
@@ -107,13 +106,13 @@
 	if there.Version != 0 {
 		sum = there.WithTasks(m.Tasks, m.LeastRun)
 	}
-	writes, err := encode([]put{{jobKey(o.cell, m.Job), here.Without(m.Tasks)}, {jobKey(m.to, m.Job), sum}})
+	writes, err := encode([]put{{jobKey(o.cell, m.Job), here.Without(m.Tasks)}, {jobKey(m.To, m.Job), sum}})
 	return platform.Txn{
 		Require: []platform.Precondition{
 			{Key: jobKey(o.cell, m.Job), Version: platform.Version(here.Version)},
-			{Key: jobKey(m.to, m.Job), Version: platform.Version(there.Version)},
+			{Key: jobKey(m.To, m.Job), Version: platform.Version(there.Version)},
 			{Key: cancelKey(o.cell, m.Job)},
-			{Key: cancelKey(m.to, m.Job)},
+			{Key: cancelKey(m.To, m.Job)},
 		},
 		Put: writes,
 	}, err
--- a/services/control/offer.go
+++ b/services/control/offer.go
@@ -108,6 +108,7 @@
 	if !o.core.BeginMove(offer) {
 		return false
 	}
-	o.moves = append(o.moves, &move{Move: offer, to: to})
+	offer.To = to
+	o.moves = append(o.moves, &move{Move: offer})
 	return true
 }
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -15,8 +15,10 @@
 // that lasts, or a whole job that has not begun.
 type Move struct {
 	Job    jobs.ID
-	Demand jobs.Demand // of those that need a place now
-	Whole  bool        // all tasks of the job go, or none
+	Demand jobs.Demand   // of those that need a place now
+	Whole  bool          // all tasks of the job go, or none
+	Stuck  time.Duration // for how long no place was found
+	To     jobs.CellName // the cell that has places; filled in when the move begins
 	Tasks  jobs.TaskSet
 	// LeastRun is the highest number that a run of the tasks has had.
 	LeastRun jobs.RunID
@@ -77,6 +79,7 @@
 		}
 		if move, ok := c.moveOf(candidate.step); ok {
 			j.offered = now
+			move.Stuck = now.Sub(candidate.step.stuck)
 			moves = append(moves, move)
 		}
 	}
--- a/services/dispatch/move.go
+++ b/services/dispatch/move.go
@@ -72,7 +72,8 @@
 			t.state = taskElsewhere
 		}
 	}
-	c.config.Logger.Info("work is handed to another cell", zap.String("job", string(move.Job)), zap.Int("tasks", move.Tasks.Len()))
+	c.config.Logger.Info("work is handed to another cell", zap.String("job", string(move.Job)), zap.String("to", string(move.To)),
+		zap.Int("tasks", move.Tasks.Len()), zap.Int64("no_place_ms", move.Stuck.Milliseconds()))
 	c.leaveJob(j)
 }
 
