--- a/services/control/cancel.go
+++ b/services/control/cancel.go
@@ -72,7 +72,7 @@
 	if err := s.write(ctx, txn); err != nil {
 		return err
 	}
-	s.config.Scope.Counter("jobs_cancelled").Inc(1)
+	s.config.Scope.Counter("jobs_cancelled").Inc(1) // by queue when they have ended
 	s.config.Logger.Info("job's cancellation is stored", zap.String("job", string(id)), zap.Strings("cells", cells))
 	return nil
 }
--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -98,6 +98,11 @@
 	return err
 }
 
+// ofQueue is the scope of figures about one kind of job.
+func (s *Service) ofQueue(queue jobs.QueueName) tally.Scope {
+	return s.config.Scope.Tagged(map[string]string{"queue": string(queue)})
+}
+
 // metricsEvery is how often the owners' figures are handed to the metrics.
 const metricsEvery = time.Second
 
--- a/services/control/submit.go
+++ b/services/control/submit.go
@@ -65,7 +65,7 @@
 		s.config.Logger.Warn("job may be accepted, the store has not said so", zap.String("job", string(spec.ID)), zap.Error(err))
 		return err
 	}
-	s.config.Scope.Counter("jobs_accepted").Inc(1)
+	s.ofQueue(spec.Queue).Counter("jobs_accepted").Inc(1)
 	s.config.Logger.Info("job is accepted", zap.String("job", string(spec.ID)), zap.String("queue", string(spec.Queue)),
 		zap.String("cell", string(cell)), zap.Int64("took_ms", int64(models.UnixMilliOf(time.Now())-record.Accepted)))
 	return nil
@@ -73,7 +73,7 @@
 
 // notTaken counts and logs a refusal, and gives it.
 func (s *Service) notTaken(spec jobs.Spec, err *platform.NotTakenError) error {
-	s.config.Scope.Counter("jobs_refused").Inc(1)
+	s.ofQueue(spec.Queue).Counter("jobs_refused").Inc(1)
 	s.config.Logger.Info("job is refused", zap.String("job", string(spec.ID)), zap.String("queue", string(spec.Queue)),
 		zap.String("reason", err.Reason), zap.Duration("retry_after", err.RetryAfter))
 	return err
