A cell is run until its owner's keys are gone

Its owner was stopped in the tenth of a second in which an outage of the store began: the key was read, the cell left, and the removal of the keys failed. Nobody ran the cell for 4 s.

Change: the keys are removed first, then the cell is left; when that fails the cell is run on and the handover tried again for as long as there is time. The next owner fences a former one in any case.

Test: an outage that begins with the removal; red without the change.

--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -138,8 +138,8 @@
 	}
 }
 
-// releaseLook is how often a daemon that is to stop looks whether the store is back.
-const releaseLook = 50 * time.Millisecond
+// releaseRetry is the pause before a daemon that is to stop tries again to hand a cell over.
+const releaseRetry = 50 * time.Millisecond
 
 // Release hands the cells over: their state is stored, then their owner's keys are removed,
 // so that nobody waits for the lease. While the store is down no daemon could take them, so
@@ -149,37 +149,38 @@
 	c.mu.Lock()
 	c.stopping = true
 	c.mu.Unlock()
-	c.awaitStore(ctx)
 	var failed error
 	for cell, mine := range c.ownedCells() {
-		failed = errors.CombineErrors(failed, c.handOver(ctx, cell, mine, "daemon stops"))
+		failed = errors.CombineErrors(failed, c.release(ctx, cell, mine))
 	}
 	return failed
 }
 
-// awaitStore waits until the store answers; not at all when no cell is owned.
-func (c *Cells) awaitStore(ctx context.Context) {
-	for len(c.ownedCells()) > 0 && ctx.Err() == nil && !c.storeAnswers(ctx) {
-		sleep(ctx, releaseLook)
+// release hands a cell over before ctx ends, or leaves it then.
+func (c *Cells) release(ctx context.Context, cell jobs.CellName, mine *Owner) error {
+	for {
+		err := c.handOver(ctx, cell, mine, "daemon stops")
+		if err == nil {
+			return nil
+		}
+		sleep(ctx, releaseRetry)
+		if ctx.Err() != nil {
+			c.drop(cell, mine, "daemon stops, and the store does not answer")
+			return err
+		}
 	}
 }
 
-// storeAnswers asks the store for a key: whether it answered a while ago says too little to
-// leave cells to others.
-func (c *Cells) storeAnswers(ctx context.Context) bool {
-	_, err := c.config.Store.Get(ctx, layoutKey)
-	c.health.note(err)
-	return err == nil
-}
-
 // handOver stores a cell's state and removes its owner's keys, so that another daemon can
-// take it at once.
+// take it at once. The cell is run until the keys are gone: a store that answered a moment
+// ago may be down now. The next owner fences this one as it would one that was frozen.
 func (c *Cells) handOver(ctx context.Context, cell jobs.CellName, mine *Owner, reason string) error {
 	mine.finish(ctx)
-	c.drop(cell, mine, reason)
 	err := c.removeOwner(ctx, cell, platform.Version(mine.epoch))
-	if errors.Is(err, platform.ErrConflict) {
-		return nil // the lease was over meanwhile, and the keys are gone
+	c.health.note(err)
+	if err != nil && !errors.Is(err, platform.ErrConflict) { // a conflict: the lease was over, and the keys are gone
+		return errors.Wrapf(err, "hand over cell %s", cell)
 	}
-	return errors.Wrapf(err, "hand over cell %s", cell)
+	c.drop(cell, mine, reason)
+	return nil
 }
--- a/services/control/control_test.go
+++ b/services/control/control_test.go
@@ -195,6 +195,32 @@
 	})
 }
 
+// TestPlannedStopJustBeforeAnOutageKeepsTheCell: the store is asked last, and still answers.
+func TestPlannedStopJustBeforeAnOutageKeepsTheCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4, 3, nil)
+		w.submit(w.daemons[0], lasting(1, 4))
+		w.eventually(10*time.Second, "tasks run", func() bool { return w.grid.Running(jobID(1)) == 4 })
+		first := w.owner()
+		first.mu.Lock()
+		first.beforeCommit = func() { w.setOutage(true) } // reads are answered until then
+		first.mu.Unlock()
+		go func() {
+			ctx, cancel := context.WithTimeout(w.ctx, 3600*time.Millisecond)
+			defer cancel()
+			_ = first.Cells.Release(ctx) // it ends after the outage
+		}()
+		time.Sleep(time.Second)
+		require.Same(t, first, w.owner(), "nobody else can take the cell")
+		first.mu.Lock()
+		first.beforeCommit = nil
+		first.mu.Unlock()
+		w.setOutage(false)
+		w.eventually(time.Second, "another daemon owns the cell", func() bool { o := w.owner(); return o != nil && o != first })
+		w.noBreach()
+	})
+}
+
 func TestPlannedStopEndsInALongOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 4, 2, nil)
--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -60,6 +60,8 @@
 	loseWrite *rand.Rand // draws which writes have no answer, 3 of 10
 	workerCut bool
 	heldFor   time.Duration // see testStore
+
+	beforeCommit func() // called before each of its transactions; nil: nothing
 }
 
 type testFeed struct{ configuration jobs.Configuration }
@@ -226,7 +228,11 @@
 func (s *testStore) Commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
 	s.daemon.mu.Lock()
 	held := s.daemon.heldFor
+	before := s.daemon.beforeCommit
 	s.daemon.mu.Unlock()
+	if before != nil {
+		before()
+	}
 	if held == 0 {
 		return s.Local.Commit(ctx, txn)
 	}
