What an owner has learned is stored for its successor

Cause: factors of images, loads of serving steps and usual speeds lived in the owner's memory only.

Change: every two seconds the knowledge goes with a transaction that is made anyway; a successor reads it with the cell, lets it age by the time that has passed, and trusts it a little less than its writer did.

Ruled out: keeping it in every daemon (the loss of all daemons costs it, and bytes between failure domains), handing it over at planned stops only (most takeovers are not planned).

No more calls to the store.

--- /dev/null
+++ b/models/jobs/knowledge.go
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package jobs
+
+import (
+	"math"
+
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/models"
+)
+
+// Knowledge is what the owner of a cell has learned from reports, as it is stored for its
+// successor. All loads and factors are shares of a whole worker.
+type Knowledge struct {
+	// At is when it was taken, by the owner's clock.
+	At models.UnixMilli `json:"at"`
+	// Filling are the filling images, in the order in which Factors lists them.
+	Filling []ImageName      `json:"filling,omitempty"`
+	Factors []ImageKnowledge `json:"factors,omitempty"`
+	Loads   []StepLoad       `json:"loads,omitempty"`
+	Speeds  []QueueSpeed     `json:"speeds,omitempty"`
+}
+
+// ImageKnowledge is how filling images add to the load of one serving image.
+type ImageKnowledge struct {
+	Serving      ImageName `json:"serving"`
+	Mean         []float64 `json:"mean"`
+	Covariance   []float64 `json:"covariance"` // row by row
+	Observations int       `json:"observations"`
+}
+
+// StepLoad is the load that the tasks of a serving step have of their own.
+type StepLoad struct {
+	Job           ID               `json:"job"`
+	Number        int              `json:"number"` // of the step, over all occurrences
+	At            models.UnixMilli `json:"at"`
+	Level         float64          `json:"level"`
+	Slope         float64          `json:"slope"` // per second
+	LevelVariance float64          `json:"level_variance"`
+	SlopeVariance float64          `json:"slope_variance"`
+	Covariance    float64          `json:"covariance"`
+}
+
+// QueueSpeed is how fast the tasks of a queue progress on most workers.
+type QueueSpeed struct {
+	Queue   QueueName `json:"queue"`
+	Mean    float64   `json:"mean"` // estimated time over time taken
+	Samples int       `json:"samples"`
+}
+
+// Check rejects knowledge whose parts don't fit together.
+func (k Knowledge) Check() error {
+	for _, f := range k.Factors {
+		if len(f.Mean) != len(k.Filling) || len(f.Covariance) != len(k.Filling)*len(k.Filling) {
+			return errors.Newf("factors of %s are not those of %d images", f.Serving, len(k.Filling))
+		}
+		for i := range f.Mean {
+			if variance := f.Covariance[i*len(f.Mean)+i]; !(variance >= 0) {
+				return errors.Newf("factor %d of %s has the variance %g", i, f.Serving, variance)
+			}
+		}
+	}
+	for _, l := range k.Loads {
+		if !(l.LevelVariance >= 0) || !(l.SlopeVariance >= 0) || math.IsNaN(l.Level) {
+			return errors.Newf("load of step %d of %s has no valid variance", l.Number, l.Job)
+		}
+	}
+	return nil
+}
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -13,6 +13,7 @@
 //	job/CELL/ID/cancel        jobs.Cancellation
 //	progress/CELL/ID          jobs.Progress, written by the cell's owner
 //	roster/CELL               jobs.Roster
+//	learned/CELL              jobs.Knowledge, what the owner has learned from reports
 //	journal/CELL              which transaction of an owner was the last
 //
 // A job is accepted for one of the cells that its id allows. An owner whose cell has no place
--- a/services/control/keys.go
+++ b/services/control/keys.go
@@ -22,6 +22,7 @@
 	progressPrefix = "progress/"
 	rosterPrefix   = "roster/"
 	journalPrefix  = "journal/"
+	learnedPrefix  = "learned/"
 	daemonPrefix   = "daemon/"
 	cancelSuffix   = "/cancel"
 	markerName     = "owner"
@@ -44,6 +45,7 @@
 
 func ownerKey(cell jobs.CellName) string           { return ownerPrefix + string(cell) }
 func rosterKey(cell jobs.CellName) string          { return rosterPrefix + string(cell) }
+func learnedKey(cell jobs.CellName) string         { return learnedPrefix + string(cell) }
 func journalKey(cell jobs.CellName) string         { return journalPrefix + string(cell) }
 func jobsOf(cell jobs.CellName) string             { return jobPrefix + string(cell) + "/" }
 func progressOf(cell jobs.CellName) string         { return progressPrefix + string(cell) + "/" }
--- /dev/null
+++ b/services/control/knowledge_test.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/platform"
+	"rillsail.example/rillsail/services/standin/kv"
+)
+
+// filling is a job of short tasks of one image that fill beside others.
+func filling(n, tasks int) jobs.Spec {
+	return jobs.Spec{ID: jobID(n), Payload: "filling", Steps: []jobs.Step{{
+		Count: tasks, Size: models.Resources{CPU: 500, Memory: 100}, Image: "filling", Fills: true, Estimate: 500,
+	}}}
+}
+
+// factorOf is what a daemon's owner has learned of the one pair of images.
+func factorOf(d *testDaemon) (learned jobs.Learned, ok bool) {
+	for _, l := range d.Cells.Answer(jobs.Query{Cell: cellName(0), Learned: true}).Learned {
+		if l.Serving == "serving" && l.Filling == "filling" {
+			return l, true
+		}
+	}
+	return jobs.Learned{}, false
+}
+
+// worldThatLearns is a world whose owner has seen the pair of images for twenty seconds.
+func worldThatLearns(t *testing.T) *world {
+	t.Helper()
+	w := newWorld(t, 4, 3, nil)
+	w.submit(w.daemons[0], lasting(1, 4))
+	w.eventually(10*time.Second, "tasks run", func() bool { return w.grid.Running(jobID(1)) == 4 })
+	for n := range 40 {
+		w.submit(w.daemons[0], filling(2+n, 4))
+		time.Sleep(500 * time.Millisecond)
+	}
+	return w
+}
+
+func TestSuccessorOfKilledOwnerHasLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := worldThatLearns(t)
+		former := w.owner()
+		before, ok := factorOf(former)
+		require.True(t, ok)
+		require.Greater(t, before.Observations, 50)
+		former.kill()
+		w.eventually(10*time.Second, "another owner", func() bool { return w.owner() != nil })
+		after, ok := factorOf(w.owner())
+		require.True(t, ok)
+		require.InDelta(t, before.Factor, after.Factor, 0.1)
+		require.Less(t, after.Spread, 2*before.Spread)
+		w.noBreach()
+	})
+}
+
+func TestKnowledgeThatCannotBeReadCostsNoOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := worldThatLearns(t)
+		former := w.owner()
+		former.kill()
+		store := &kv.Local{Service: w.store, Fault: w.daemons[1].storeFault, Wait: time.Second}
+		_, err := store.Commit(w.ctx, platform.Txn{Put: []platform.Write{{Key: learnedKey(cellName(0)), Value: []byte("{")}}})
+		require.NoError(t, err)
+		w.eventually(10*time.Second, "another owner", func() bool { return w.owner() != nil })
+		w.eventually(10*time.Second, "its tasks run", func() bool { return w.grid.Running(jobID(1)) == 4 })
+		w.noBreach()
+	})
+}
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -56,19 +56,43 @@
 	if err != nil {
 		return 0, err
 	}
+	knowledge, err := o.loadKnowledge(ctx)
+	if err != nil {
+		return 0, err
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
 	o.core.Enrol(roster, now)
+	o.core.Restore(knowledge, now)
 	if !o.takeAll(records, progress, now) {
 		return 0, errLost
 	}
 	o.loaded = true
 	o.config.Logger.Info("cell is loaded", zap.String("cell", string(o.cell)), zap.Int("keys", len(records)),
-		zap.Int("roster", len(roster.Workers)), zap.Duration("after", now.Sub(o.taken)))
+		zap.Int("roster", len(roster.Workers)),
+		zap.Int("images_learned", len(knowledge.Factors)), zap.Duration("after", now.Sub(o.taken)))
 	return at, nil
 }
 
+// loadKnowledge reads what the former owner has learned. A value that can't be read costs
+// some seconds of learning, and is no reason to leave the cell without owner.
+func (o *Owner) loadKnowledge(ctx context.Context) (jobs.Knowledge, error) {
+	record, err := o.config.Store.Get(ctx, learnedKey(o.cell))
+	if errors.Is(err, platform.ErrNotFound) {
+		return jobs.Knowledge{}, nil
+	}
+	if err != nil {
+		return jobs.Knowledge{}, err
+	}
+	knowledge, err := decode[jobs.Knowledge](record)
+	if err != nil {
+		o.config.Logger.Error("what the former owner has learned can't be read", append(log.Err(err), zap.String("cell", string(o.cell)))...)
+		return jobs.Knowledge{}, nil
+	}
+	return knowledge, nil
+}
+
 // loadProgress reads the progress of the cell's active jobs.
 func (o *Owner) loadProgress(ctx context.Context) (map[jobs.ID]jobs.Progress, error) {
 	prefix := progressOf(o.cell)
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -84,6 +84,9 @@
 	if changes.Roster != nil {
 		puts = append(puts, put{rosterKey(o.cell), changes.Roster})
 	}
+	if changes.Knowledge != nil {
+		puts = append(puts, put{learnedKey(o.cell), changes.Knowledge})
+	}
 	for _, change := range changes.Jobs {
 		if change.Ended == nil {
 			puts = append(puts, put{progressKey(o.cell, change.ID), change.Progress})
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -17,6 +17,8 @@
 	Jobs   []JobChange
 	Roster *jobs.Roster // nil: unchanged
 	Forget []jobs.ID    // ended jobs whose records have been kept for long enough
+	// Knowledge goes with other changes from time to time; it is no reason to store by itself.
+	Knowledge *jobs.Knowledge
 }
 
 // JobChange is a job's progress, or its end.
@@ -58,6 +60,9 @@
 		}
 	}
 	c.dirty = later
+	if !changes.Empty() {
+		changes.Knowledge = c.takeKnowledge(now)
+	}
 	return changes
 }
 
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -27,6 +27,7 @@
 //   - interference, the model: pressure.go (what filling images add), own_load.go (what
 //     serving tasks have of their own), learn.go (figures into both), sharing.go (between
 //     cells)
+//   - what a successor takes over of both: knowledge.go
 //   - interference, what follows: expect.go (loads to come), filling.go (places and use of
 //     filling tasks), throttle.go (who is slowed down), pace.go (paces ordered and seen)
 //
@@ -99,7 +100,9 @@
 	usual         map[jobs.QueueName]*speed // how fast tasks progress, in estimates
 	counts        Counts
 	figures       JobFigures
-	placeBuffer   places // reused by Core.places
+	placeBuffer   places              // reused by Core.places
+	restored      map[stepKey]ownLoad // of a former owner, until the step is added
+	knowledgeAt   time.Time           // when the knowledge was last taken to be stored
 }
 
 // Counts is what a core has done so far.
@@ -113,6 +116,7 @@
 		config: config, jobs: map[jobs.ID]*job{}, timed: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, left: map[jobs.ID]uint64{},
 		workers: map[jobs.WorkerID]*worker{}, queues: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
 		formerLease: config.LongestLease, blind: true, pressure: newPressure(), usual: map[jobs.QueueName]*speed{},
+		restored: map[stepKey]ownLoad{},
 	}
 }
 
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -58,6 +58,7 @@
 	delete(c.left, id)
 	j := newJob(record, fresh && !record.Moved)
 	c.jobs[id] = j
+	c.restoreLoads(j)
 	if j.spec.Repeat.Count > 0 {
 		c.timed[id] = j
 	}
--- /dev/null
+++ b/services/dispatch/knowledge_test.go
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/wire"
+)
+
+// learnedBench is a core that has learned that "heavy" adds 1.4 and "light" 0.1 to "serving",
+// and that its serving step has a load of 0.65.
+func learnedBench(t *testing.T) *bench {
+	t.Helper()
+	b := newBench(t, 1)
+	b.AddJob(b.job(servingStep), jobs.Progress{}, true, b.now)
+	heavy, light := b.pressure.indexOf("heavy"), b.pressure.indexOf("light")
+	f := b.pressure.factorsOf("serving")
+	for n := range 200 {
+		shares := []float64{0.1, 0.1}
+		shares[n%2] = 0
+		expected, variance, gain := f.expectation(shares)
+		f.correct(1.4*shares[heavy]+0.1*shares[light]-expected, variance+noise*noise, gain)
+	}
+	own := &b.jobs[testJob].steps[0].own
+	for range 50 {
+		b.now = b.now.Add(100 * time.Millisecond)
+		own.advance(b.now)
+		own.correct(0.65-own.level, own.levelVariance+noise*noise)
+	}
+	b.pressure.share()
+	b.usualSpeed("q").add(0.8, usualWeight)
+	return b
+}
+
+// stored is what a successor reads of the knowledge.
+func stored(t *testing.T, knowledge jobs.Knowledge) jobs.Knowledge {
+	t.Helper()
+	value, err := json.Marshal(knowledge)
+	require.NoError(t, err)
+	read, err := wire.DecodeBytes[jobs.Knowledge](value)
+	require.NoError(t, err)
+	return read
+}
+
+func TestSuccessorKnowsWhatItsFormerOwnerLearned(t *testing.T) {
+	former := learnedBench(t)
+	successor := newBench(t, 1)
+	successor.now = former.now.Add(500 * time.Millisecond)
+	successor.Restore(stored(t, former.Knowledge(former.now)), successor.now)
+	successor.AddJob(former.job(servingStep), jobs.Progress{}, false, successor.now)
+	require.InDelta(t, 1.4, successor.pressure.factor("serving", "heavy"), 0.1)
+	require.InDelta(t, 0.1, successor.pressure.factor("serving", "light"), 0.1)
+	load, variance := successor.jobs[testJob].steps[0].own.predict(successor.now)
+	require.InDelta(t, 0.65, load, 0.03)
+	require.Less(t, variance, 0.06*0.06)
+	require.InDelta(t, 0.8, successor.usualSpeed("q").mean, 1e-9)
+	require.Empty(t, successor.restored)
+}
+
+func TestKnowledgeAges(t *testing.T) {
+	former := learnedBench(t)
+	knowledge := stored(t, former.Knowledge(former.now))
+	spreadAfter := func(age time.Duration) float64 {
+		successor := newBench(t, 1)
+		successor.Restore(knowledge, former.now.Add(age))
+		return successor.pressure.factorsOf("serving").spread(successor.pressure.indexOf("heavy"))
+	}
+	soon, later, much := spreadAfter(time.Second), spreadAfter(time.Minute), spreadAfter(time.Hour)
+	require.Less(t, soon, later)
+	require.Greater(t, soon, former.pressure.factorsOf("serving").spread(0), "a successor trusts its own eyes more")
+	require.InDelta(t, startSpread, much, 1e-9, "after an hour nothing is known any more")
+	successor := newBench(t, 1)
+	successor.Restore(knowledge, former.now)
+	successor.AddJob(former.job(servingStep), jobs.Progress{}, false, former.now)
+	load, _ := successor.jobs[testJob].steps[0].own.predict(former.now.Add(time.Minute))
+	require.InDelta(t, startOwn, load, 1e-9, "a load swings within seconds")
+}
+
+func TestKnowledgeIsStoredWithOtherChangesOnly(t *testing.T) {
+	b := learnedBench(t)
+	b.TakeChanges(10, b.now)
+	b.now = b.now.Add(knowledgeEvery)
+	require.False(t, b.HasChanges())
+	require.Nil(t, b.TakeChanges(10, b.now).Knowledge, "a call of its own would cost more than it brings")
+	b.change(b.jobs[testJob])
+	require.NotNil(t, b.TakeChanges(10, b.now).Knowledge)
+	b.change(b.jobs[testJob])
+	require.Nil(t, b.TakeChanges(10, b.now.Add(knowledgeEvery/2)).Knowledge)
+}
+
+func TestKnowledgeThatDoesNotFitTogetherIsRejected(t *testing.T) {
+	for name, knowledge := range map[string]jobs.Knowledge{
+		"a factor too few":    {Filling: []jobs.ImageName{"a"}, Factors: []jobs.ImageKnowledge{{Serving: "s"}}},
+		"a negative variance": {Filling: []jobs.ImageName{"a"}, Factors: []jobs.ImageKnowledge{{Serving: "s", Mean: []float64{1}, Covariance: []float64{-1}}}},
+		"a load's variance":   {At: models.UnixMilli(1), Loads: []jobs.StepLoad{{Job: testJob, LevelVariance: -1}}},
+	} {
+		require.Error(t, knowledge.Check(), name)
+	}
+}
--- a/services/dispatch/pressure.go
+++ b/services/dispatch/pressure.go
@@ -69,6 +69,15 @@
 	shared, sharedVariance []float64
 }
 
+// images are the filling images in the order of their indexes.
+func (p *pressure) images() []jobs.ImageName {
+	images := make([]jobs.ImageName, len(p.index))
+	for image, i := range p.index {
+		images[i] = image
+	}
+	return images
+}
+
 // factorsOf gives the factors beside a serving image; a new one starts with the mean.
 func (p *pressure) factorsOf(serving jobs.ImageName) *factors {
 	f, ok := p.pairs[serving]
