An owner acts only on recent proof that it still is the owner

The owner that thawed took reports for fresh that had waited in its sockets, and leases for lapsed that its successor had prolonged; it started those tasks on a worker that the successor's first call had not reached yet, so that nothing refused it.

Change: orders need a transaction of the owner, or answers of two thirds of the workers, sent within the last two seconds; what ran on a silent worker starts elsewhere only after a transaction that is later than the end of its lease.

Ruled out: the daemon's lease in the store as proof (no starts in outages of the store, and keys may be taken away while the lease is renewed); waiting after each stall (a stall isn't seen from inside, and a cut needs the same proof).

--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -59,7 +59,8 @@
 	storeCut  bool
 	loseWrite *rand.Rand // draws which writes have no answer, 3 of 10
 	workerCut bool
-	heldFor   time.Duration // see testStore
+	cutFrom   map[jobs.WorkerID]bool // workers that it doesn't reach
+	heldFor   time.Duration          // see testStore
 
 	beforeCommit func() // called before each of its transactions; nil: nothing
 }
@@ -126,7 +127,7 @@
 	w.made++
 	name := fmt.Sprintf("daemon-%d", w.made)
 	ctx, cancel := context.WithCancel(w.ctx)
-	d := &testDaemon{world: w, name: name, cancel: cancel, done: make(chan struct{})}
+	d := &testDaemon{world: w, name: name, cancel: cancel, done: make(chan struct{}), cutFrom: map[jobs.WorkerID]bool{}}
 	ids := 0
 	settings := testSettings
 	settings.WorkersPerCell = w.perCell
@@ -255,12 +256,12 @@
 // testWorkers is a daemon's way to the workers.
 type testWorkers struct{ *testDaemon }
 
-func (w *testWorkers) call(ctx context.Context, wait time.Duration, perform func(ctx context.Context) error) error {
+func (w *testWorkers) call(ctx context.Context, to jobs.Worker, wait time.Duration, perform func(ctx context.Context) error) error {
 	w.waitThawed(ctx)
 	ctx, cancel := context.WithTimeout(ctx, callTime+wait)
 	defer cancel()
 	w.mu.Lock()
-	cut := w.workerCut
+	cut := w.workerCut || w.cutFrom[to.ID]
 	w.mu.Unlock()
 	if cut {
 		<-ctx.Done()
@@ -272,7 +273,7 @@
 }
 
 func (w *testWorkers) StartRun(ctx context.Context, to jobs.Worker, call jobs.StartCall) (clock models.Milli, err error) {
-	err = w.call(ctx, 0, func(ctx context.Context) error {
+	err = w.call(ctx, to, 0, func(ctx context.Context) error {
 		clock, err = w.world.grid.StartRun(ctx, to, call)
 		return err
 	})
@@ -280,7 +281,7 @@
 }
 
 func (w *testWorkers) StopRun(ctx context.Context, to jobs.Worker, call jobs.StopCall) (clock models.Milli, err error) {
-	err = w.call(ctx, 0, func(ctx context.Context) error {
+	err = w.call(ctx, to, 0, func(ctx context.Context) error {
 		clock, err = w.world.grid.StopRun(ctx, to, call)
 		return err
 	})
@@ -288,7 +289,7 @@
 }
 
 func (w *testWorkers) SetPace(ctx context.Context, to jobs.Worker, call jobs.PaceCall) (clock models.Milli, err error) {
-	err = w.call(ctx, 0, func(ctx context.Context) error {
+	err = w.call(ctx, to, 0, func(ctx context.Context) error {
 		clock, err = w.world.grid.SetPace(ctx, to, call)
 		return err
 	})
@@ -296,7 +297,7 @@
 }
 
 func (w *testWorkers) ProlongLease(ctx context.Context, to jobs.Worker, call jobs.LeaseCall) (report jobs.Report, err error) {
-	err = w.call(ctx, call.Wait, func(ctx context.Context) error {
+	err = w.call(ctx, to, call.Wait, func(ctx context.Context) error {
 		report, err = w.world.grid.ProlongLease(ctx, to, call)
 		return err
 	})
--- a/services/dispatch/bench_test.go
+++ b/services/dispatch/bench_test.go
@@ -68,6 +68,13 @@
 	return starts
 }
 
+// storedStarts gives the starts of an owner whose store takes all changes at once.
+func (b *bench) storedStarts() []StartOrder {
+	starts := b.starts()
+	b.Stored(b.TakeChanges(10, b.now), b.now)
+	return append(starts, b.starts()...)
+}
+
 var one = jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 100}, Estimate: 500}
 
 func taskOf(index int) jobs.TaskID { return jobs.TaskID{Job: testJob, Index: index} }
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -19,6 +19,10 @@
 	Forget []jobs.ID    // ended jobs whose records have been kept for long enough
 	// Knowledge goes with other changes from time to time; it is no reason to store by itself.
 	Knowledge *jobs.Knowledge
+	// Proof says that the transaction is wanted because it proves the ownership.
+	Proof bool
+
+	taken time.Time
 }
 
 // JobChange is a job's progress, or its end.
@@ -38,7 +42,7 @@
 // TakeChanges takes at most limit changed jobs, ended ones first because callers wait for
 // them. Changes that can't be stored are given back with Unstored.
 func (c *Core) TakeChanges(limit int, now time.Time) Changes {
-	var changes Changes
+	changes := Changes{Proof: c.wantsProof, taken: now}
 	if c.rosterChanged {
 		changes.Roster = c.roster()
 		c.rosterChanged = false
@@ -67,7 +71,7 @@
 }
 
 // Empty tells whether there is nothing to store.
-func (c Changes) Empty() bool { return len(c.Jobs) == 0 && c.Roster == nil && len(c.Forget) == 0 }
+func (c Changes) Empty() bool { return len(c.Jobs) == 0 && c.Roster == nil && len(c.Forget) == 0 && !c.Proof }
 
 // takeForgotten takes the ended jobs to be removed from the store.
 func (c *Core) takeForgotten(limit int) []jobs.ID {
@@ -84,12 +88,12 @@
 			return true
 		}
 	}
-	return c.rosterChanged
+	return c.rosterChanged || c.wantsProof
 }
 
 // HasChanges tells whether there is something to store.
 func (c *Core) HasChanges() bool {
-	return len(c.dirty) > 0 || len(c.forgotten) > 0 || c.rosterChanged
+	return len(c.dirty) > 0 || len(c.forgotten) > 0 || c.rosterChanged || c.wantsProof
 }
 
 // changeOf is what has to be stored of a job now.
@@ -131,6 +135,8 @@
 // Stored says that the changes are stored: ended jobs may be shown as such and workers
 // may forget the ends.
 func (c *Core) Stored(changes Changes, now time.Time) {
+	c.proved = latest(c.proved, changes.taken)
+	c.wantsProof = false
 	for _, change := range changes.Jobs {
 		j := change.job
 		j.stored = max(j.stored, change.version)
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -90,6 +90,11 @@
 	answered    int           // workers that reported in this epoch
 	fenced      time.Time     // when most workers had; zero: not yet
 	superseded  bool
+	proved      time.Time // when the latest transaction that proves the ownership was made; see mayOrder
+	obeyed      time.Time // when two thirds of the workers had been called that have answered
+	countedAt   time.Time // when obeyed was last found out
+	wantsProof  bool      // a transaction is wanted for its proof alone
+	idle        bool      // orders wait for a proof
 	stopping    map[*task]struct{}
 	now         time.Time // of the latest call
 
@@ -115,7 +120,7 @@
 	return &Core{
 		config: config, jobs: map[jobs.ID]*job{}, timed: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, left: map[jobs.ID]uint64{},
 		workers: map[jobs.WorkerID]*worker{}, queues: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
-		formerLease: config.LongestLease, blind: true, pressure: newPressure(), usual: map[jobs.QueueName]*speed{},
+		formerLease: config.LongestLease, blind: true, proved: config.Taken, pressure: newPressure(), usual: map[jobs.QueueName]*speed{},
 		restored: map[stepKey]ownLoad{},
 	}
 }
@@ -148,10 +153,12 @@
 	c.now = now
 	c.expireWorkers(now)
 	c.openDue(now)
-	c.evacuate(now)
-	c.retryStops(now)
-	c.placeAll(now)
-	c.throttle(now)
+	if c.mayOrder(now) {
+		c.evacuate(now)
+		c.retryStops(now)
+		c.placeAll(now)
+		c.throttle(now)
+	}
 	c.forgetEnded(now)
 	orders := c.orders
 	c.orders = nil
--- a/services/dispatch/gone.go
+++ b/services/dispatch/gone.go
@@ -12,27 +12,35 @@
 	"rillsail.example/rillsail/models/jobs"
 )
 
-// expireWorkers drops workers that have gone and certainly run nothing, and frees the
-// tasks of those that stay silent for as long.
+// expireWorkers takes silent workers out of the roster once their leases are over. When that
+// is stored, nobody else has prolonged them: what ran there may start elsewhere, and those
+// that are not listed any more are dropped.
 func (c *Core) expireWorkers(now time.Time) {
 	for _, w := range slices.Clone(c.order) {
-		if now.Before(c.lapsed(w)) {
+		if now.Sub(w.heard) <= silentAfter || now.Before(c.lapsed(w)) {
 			continue
 		}
 		switch {
-		case !w.listed && now.Sub(w.heard) > silentAfter:
+		case !w.retired:
+			c.setRetired(w, true)
+		case !c.hasLapsed(w, now):
+		case !w.listed:
 			c.drop(w, "gone and lapsed")
-		case len(w.tasks) > 0 && now.Sub(w.heard) > silentAfter:
+		case len(w.tasks) > 0:
 			c.config.Logger.Warn("silent worker's tasks have lapsed", zap.String("worker", string(w.info.ID)), zap.Int("tasks", len(w.tasks)))
 			c.freeTasks(w)
-			c.setRetired(w, true)
-		case !w.retired && now.Sub(w.heard) > silentAfter:
-			c.setRetired(w, true)
 		}
 	}
 	c.checkBlind(now)
 }
 
+// hasLapsed tells whether everything on the worker has certainly been ended by its own
+// clock: the lease that was granted is over, and no later owner has granted another.
+func (c *Core) hasLapsed(w *worker, now time.Time) bool {
+	over := c.lapsed(w)
+	return !now.Before(over) && c.proved.After(over)
+}
+
 // setRetired leaves a silent worker that certainly runs nothing out of the roster, so that
 // the next owner needn't wait for it, or takes one that has answered into it again. Either
 // way it gets no starts until a roster is stored that names it: one that is being stored now
--- a/services/dispatch/gone_test.go
+++ b/services/dispatch/gone_test.go
@@ -70,7 +70,7 @@
 	lost := b.now
 	for range 100 {
 		b.report(other, jobs.Report{})
-		if again := b.starts(); len(again) > 0 {
+		if again := b.storedStarts(); len(again) > 0 {
 			require.Greater(t, b.now.Sub(lost), 4*time.Second, "its lease was 4 s")
 			require.Less(t, b.now.Sub(lost), 6*time.Second)
 			require.Greater(t, again[0].Call.Run, first[0].Call.Run)
--- /dev/null
+++ b/services/dispatch/proof_test.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// TestOwnerThatStoodStillWaitsForAProof: it may have a successor that has started what waits
+// here, and workers that the successor hasn't reached would obey.
+func TestOwnerThatStoodStillWaitsForAProof(t *testing.T) {
+	prove := map[string]func(b *bench){
+		"a transaction": func(b *bench) { b.Stored(b.TakeChanges(10, b.now), b.now) },
+		"most workers": func(b *bench) {
+			b.report(1, jobs.Report{})
+			b.report(2, jobs.Report{})
+			b.now = b.now.Add(lookEvery)
+		},
+	}
+	for name, proof := range prove {
+		b := newBench(t, 3)
+		for n := range b.ids {
+			b.report(n, jobs.Report{})
+		}
+		require.Empty(t, b.starts())
+		b.now = b.now.Add(4 * time.Second)
+		b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+		b.report(0, jobs.Report{})
+		require.Empty(t, b.starts(), "one worker of three proves nothing")
+		require.True(t, b.HasChanges(), "a proof is wanted")
+		proof(b)
+		require.Len(t, b.starts(), 1, name)
+	}
+}
+
+// TestLapsedTasksWaitForAProof: the store is away while a worker is silent, and a successor
+// may have prolonged the lease there.
+func TestLapsedTasksWaitForAProof(t *testing.T) {
+	b := newBench(t, 4)
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	for n := range b.ids {
+		b.report(n, jobs.Report{})
+	}
+	first := b.starts()
+	require.Len(t, first, 1)
+	b.Started(first[0], Result{Outcome: OutcomeDone}, b.now)
+	began := b.now
+	for b.now.Sub(began) < 20*time.Second {
+		for n, id := range b.ids {
+			if id != first[0].Worker.ID {
+				b.report(n, jobs.Report{})
+			}
+		}
+		require.Empty(t, b.starts())
+	}
+	b.Stored(b.TakeChanges(10, b.now), b.now)
+	require.Len(t, b.starts(), 1)
+}
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -23,7 +23,7 @@
 	if w.retired {
 		c.setRetired(w, false)
 	}
-	w.beginReport(report, now)
+	w.beginReport(report, sent, now)
 	if first {
 		c.noteAnswered(now)
 	}
@@ -53,9 +53,9 @@
 }
 
 // beginReport notes that the worker has answered.
-func (w *worker) beginReport(report jobs.Report, now time.Time) {
-	w.answered = true
-	w.heard, w.clock = now, report.Clock
+func (w *worker) beginReport(report jobs.Report, sent, now time.Time) {
+	w.answered, w.overdue = true, false
+	w.asked, w.heard, w.clock = sent, now, report.Clock
 	w.reports++
 	w.unseeStrays()
 }
--- a/services/dispatch/takeover_test.go
+++ b/services/dispatch/takeover_test.go
@@ -118,7 +118,7 @@
 		for n := range b.ids {
 			b.report(n, jobs.Report{})
 		}
-		if len(b.starts()) > 0 {
+		if len(b.storedStarts()) > 0 {
 			break
 		}
 		require.Less(t, b.now.Sub(began), 8*time.Second, "the longest lease is 8 s, the roster says 4 s")
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -33,6 +33,8 @@
 	filling  models.MilliCPU  // declared by those that fill
 	answered bool             // reported in this epoch
 	heard    time.Time        // when the last report came
+	asked    time.Time        // when the call was sent that it answers
+	overdue  bool             // the latest call that asked for a report was not answered
 	clock    models.Milli     // of that report
 	granted  models.Milli     // the latest end of a lease that was sent, on its clock
 	unwell   time.Time        // no starts before
