A worker whose calls get lost one by one is not taken for silent

Cause: with three of ten orders unanswered a report call waits 1.7 s for nothing and 0.2 s until the next; two in a row make 2.5 s of silence.

Change: after a call without answer the next report is asked for at once, without waiting for an end; calls to workers have a time limit of their own, 0.4 s.

Ruled out: a shorter limit for all calls (the store's answers may take 0.4 s when it is slow).

--- a/cmd/rillsaild/main.go
+++ b/cmd/rillsaild/main.go
@@ -125,6 +125,7 @@
 func newScheduler(settings *setting.Settings, logger *zap.Logger) (runner, error) {
 	client := platform.NewClient(platform.ClientConfig{
 		CallTimeout: settings.Platform.CallTimeout, DialTimeout: settings.Platform.DialTimeout,
+		WorkerTimeout: settings.Platform.WorkerTimeout,
 	})
 	store := platform.NewStore(platform.StoreConfig{
 		Client: client, Address: settings.Platform.Store, WatchWait: settings.Platform.WatchWait,
--- a/modules/setting/platform.go
+++ b/modules/setting/platform.go
@@ -22,11 +22,16 @@
 	ListEvery   time.Duration
 	CallTimeout time.Duration // of one call to the store, the list or a worker
 	DialTimeout time.Duration // of a connection
-	WatchWait   time.Duration // how long a watch waits at the store
+	// WorkerTimeout is the time limit of one call to a worker on the users' platform.
+	WorkerTimeout time.Duration
+	WatchWait     time.Duration // how long a watch waits at the store
 }
 
 func defaultPlatform() Platform {
-	return Platform{Adapter: AdapterOwn, ListEvery: 2 * time.Second, CallTimeout: 2 * time.Second, DialTimeout: 500 * time.Millisecond, WatchWait: 30 * time.Second}
+	return Platform{
+		Adapter: AdapterOwn, ListEvery: 2 * time.Second, CallTimeout: 2 * time.Second, DialTimeout: 500 * time.Millisecond,
+		WorkerTimeout: time.Second, WatchWait: 30 * time.Second,
+	}
 }
 
 func (p *Platform) register(r *registry) {
@@ -35,6 +40,7 @@
 	r.address("list", &p.List, "the platform's VM list")
 	r.duration("list_every", &p.ListEvery, 50*time.Millisecond, time.Minute, "how often the VM list is read")
 	r.duration("call_timeout", &p.CallTimeout, 50*time.Millisecond, time.Minute, "time limit of one call")
+	r.duration("worker_timeout", &p.WorkerTimeout, 50*time.Millisecond, time.Minute, "time limit of one call to a worker, on the users' platform")
 	r.duration("dial_timeout", &p.DialTimeout, 10*time.Millisecond, time.Minute, "time limit of a connection to the platform")
 	r.duration("watch_wait", &p.WatchWait, 100*time.Millisecond, 10*time.Minute, "how long one watch waits at the store")
 }
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -64,7 +64,7 @@
 		report, err := o.config.Workers.ProlongLease(ctx, worker, call)
 		o.takeReport(worker.ID, sent, report, err)
 		pause := o.config.Settings.ReportPause
-		if err != nil {
+		if err != nil && !errors.Is(err, platform.ErrUnknown) {
 			pause = workerRetry
 		}
 		sleep(ctx, pause)
@@ -86,6 +86,7 @@
 	case result.Outcome == dispatch.OutcomeNotDone:
 		o.core.Unreached(id, errors.Is(err, platform.ErrNobodyListens), time.Now())
 	default:
+		o.core.Overdue(id)
 		changed = false
 	}
 	ends := o.core.HasEnds()
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -71,7 +71,9 @@
 }
 
 // Empty tells whether there is nothing to store.
-func (c Changes) Empty() bool { return len(c.Jobs) == 0 && c.Roster == nil && len(c.Forget) == 0 && !c.Proof }
+func (c Changes) Empty() bool {
+	return len(c.Jobs) == 0 && c.Roster == nil && len(c.Forget) == 0 && !c.Proof
+}
 
 // takeForgotten takes the ended jobs to be removed from the store.
 func (c *Core) takeForgotten(limit int) []jobs.ID {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -31,6 +31,9 @@
 	if !w.over.IsZero() && w.filling > 0 {
 		call.Wait = min(wait, hotWait)
 	}
+	if w.overdue {
+		call.Wait = 0
+	}
 	switch {
 	case !w.answered:
 		call.Wait = 0 // the first report is wanted at once
@@ -40,6 +43,15 @@
 	return call, true
 }
 
+// Overdue notes that a call which prolongs a worker's lease was not answered. Calls get
+// lost one by one as well as with the worker: the next one asks for a report at once, so that
+// several fit into the time after which the worker would count as silent.
+func (c *Core) Overdue(id jobs.WorkerID) {
+	if w, ok := c.workers[id]; ok {
+		w.overdue = true
+	}
+}
+
 // grantWhile is for how long after its last report was due a worker's lease is prolonged.
 // After that the calls only ask for a report, so that the lease runs out in the end.
 const grantWhile = 700 * time.Millisecond
--- a/tests/soak/daemon.go
+++ b/tests/soak/daemon.go
@@ -153,10 +153,11 @@
 
 // Times of the daemons' settings, as on the users' platform (platform/settings.ini).
 const (
-	callTimeout = 700 * time.Millisecond
-	dialTimeout = 300 * time.Millisecond
-	watchWait   = 800 * time.Millisecond
-	workerLease = 4500 * time.Millisecond // less than the longest that workers grant
+	callTimeout   = 700 * time.Millisecond
+	workerTimeout = 400 * time.Millisecond
+	dialTimeout   = 300 * time.Millisecond
+	watchWait     = 800 * time.Millisecond
+	workerLease   = 4500 * time.Millisecond // less than the longest that workers grant
 )
 
 // settings is the daemon's INI.
@@ -167,7 +168,7 @@
 		"peer_advertised = " + d.peers.Listen, "metrics = " + addresses["metrics"],
 		"[platform]", "adapter = users", "store = " + d.store.Listen,
 		fmt.Sprintf("call_timeout = %s", callTimeout), fmt.Sprintf("dial_timeout = %s", dialTimeout),
-		fmt.Sprintf("watch_wait = %s", watchWait),
+		fmt.Sprintf("worker_timeout = %s", workerTimeout), fmt.Sprintf("watch_wait = %s", watchWait),
 		"[jobs]", fmt.Sprintf("worker_lease = %s", workerLease), fmt.Sprintf("longest_lease = %s", longestLease), fmt.Sprintf("stop_grace = %s", grace),
 		fmt.Sprintf("workers_per_cell = %d", s.config.WorkersPerCell), "",
 	}, "\n")
