--- a/services/control/control_test.go
+++ b/services/control/control_test.go
@@ -418,6 +418,8 @@
 		w := newWorld(t, 4, 1, nil)
 		d := w.daemons[0]
 		go d.Cells.RunMetrics(w.ctx)
+		// A job that is accepted before the cell is taken counts no first start.
+		w.eventually(10*time.Second, "the cell is taken", func() bool { return w.owner() != nil })
 		w.submit(d, twoSteps(1, 100*time.Millisecond))
 		w.submit(d, lasting(2, 1))
 		w.eventually(10*time.Second, "the first job ends", func() bool { return w.state(d, jobID(1)) == jobs.StateSucceeded })
