What is learned of tasks that share a worker is a package of its own

services/contention takes figures, gives loads with their uncertainty, and its state can be taken out, aged and put back; services/dispatch asks it and keeps the decisions. Tests moved with the code; those that set estimates by hand go through Restore now.

--- a/services/dispatch/idle_tail.go
+++ b/services/contention/idle_tail.go
@@ -1,14 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright The Rillsail Authors
 
-package dispatch
+package contention
 
-import (
-	"math"
-	"time"
-
-	"rillsail.example/rillsail/models/jobs"
-)
+import "math"
 
 // A tail tells a load only if the tail without load is known, and that one is never seen.
 // Nothing that follows depends on it alone: it sets the unit in which loads, factors and
@@ -39,8 +34,8 @@
 	// rescaleFrom is the relative change of the unit from which on all that is told in it is
 	// told anew: a third of the spread of a factor that is well known.
 	rescaleFrom = 0.03
-	// quietEvery is the most that a single figure counts, in seconds.
-	quietEvery = 1.0
+	// mostAlone is the most that a single figure counts, in seconds.
+	mostAlone = 1.0
 )
 
 func newIdleTail() idleTail {
@@ -68,69 +63,51 @@
 	return min(mostPart, max(leastPart, (1-usualLoad)*i.watched/i.free))
 }
 
-// learnIdle takes a serving task's figure into the unit of its image's loads when nothing
-// has filled beside it for as long as the figure covers.
-func (c *Core) learnIdle(w *worker, t *task, f *factors, now time.Time) {
-	if w.filling > 0 || now.Sub(w.refilled) < figureSpan {
-		return
-	}
-	seconds := min(quietEvery, now.Sub(t.step.quietAt).Seconds())
-	t.step.quietAt = now
-	part := f.idle.see(t.figure, int(t.step.spec.Target), seconds)
-	if math.Abs(part/f.idle.part-1) >= rescaleFrom {
-		c.rescale(t.step.spec.Image, f, part)
-	}
-}
+// TargetLoad is the load at which the service's tail reaches its target.
+func (s *Service) TargetLoad() float64 { return s.idle.targetLoad() }
 
-// rescale changes the unit in which the loads of a serving image are told.
-func (c *Core) rescale(image jobs.ImageName, f *factors, part float64) {
-	scale := part / f.idle.part
-	f.idle.part = part
-	f.rescale(scale)
-	for _, j := range c.jobs {
-		for _, s := range j.steps {
-			if s.spec.Image == image && s.spec.Serves() {
-				s.rescale(scale)
-			}
-		}
+// LoadOf gives the load that a tail shows.
+func (s *Service) LoadOf(tail, target int) float64 { return s.idle.loadOf(tail, target) }
+
+// SeeAlone takes a tail with nothing beside it that counts for so many seconds. When the
+// unit of the service's loads changes, scale is by what all loads below 1 are to be told
+// anew (Rescaled, Load.Rescale); otherwise it is 1.
+func (s *Service) SeeAlone(tail, target int, seconds float64) (scale float64) {
+	part := s.idle.see(tail, target, min(mostAlone, seconds))
+	scale = part / s.idle.part
+	if math.Abs(scale-1) < rescaleFrom {
+		return 1
 	}
+	s.idle.part = part
+	s.rescale(scale)
+	return scale
 }
 
-// rescaled is a load in a unit that is so many times as large for what is free.
-func rescaled(load, scale float64) float64 { return 1 - scale*(1-load) }
+// Rescaled is a load in a unit that is so many times as large for what is free.
+func Rescaled(load, scale float64) float64 { return 1 - scale*(1-load) }
 
 // rescale tells the factors in another unit.
-func (f *factors) rescale(scale float64) {
-	for i := range f.mean {
-		f.mean[i] *= scale
-		f.shared[i] *= scale
-		f.sharedVariance[i] *= scale * scale
-		for j := range f.covariance[i] {
-			f.covariance[i][j] *= scale * scale
+func (s *Service) rescale(scale float64) {
+	for i := range s.mean {
+		s.mean[i] *= scale
+		s.shared[i] *= scale
+		s.sharedVariance[i] *= scale * scale
+		for j := range s.covariance[i] {
+			s.covariance[i][j] *= scale * scale
 		}
 	}
 }
 
-// rescale tells the loads of a serving step in another unit.
-func (s *step) rescale(scale float64) {
-	for i := range s.own.swings {
-		s.own.swings[i].rescale(scale)
-	}
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		t.apart *= scale
-		if t.steady != 0 {
-			t.shown, t.steady = rescaled(t.shown, scale), rescaled(t.steady, scale)
-		}
-		if t.worker != nil {
-			t.worker.expectedValid = false
-		}
+// Rescale tells the load in another unit.
+func (l *Load) Rescale(scale float64) {
+	for i := range l.swings {
+		l.swings[i].rescale(scale)
 	}
 }
 
 // rescale tells the load in another unit.
 func (s *swing) rescale(scale float64) {
-	s.level, s.mean = rescaled(s.level, scale), rescaled(s.mean, scale)
+	s.level, s.mean = Rescaled(s.level, scale), Rescaled(s.mean, scale)
 	s.slope *= scale
 	for i := range s.covariance {
 		for j := range s.covariance[i] {
--- /dev/null
+++ b/services/contention/knowledge.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package contention
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// restoredVariance is added to the variance of a factor that a successor takes over, so
+// that its own observations soon outweigh it.
+const restoredVariance = 0.05 * 0.05
+
+// Knowledge is what was learned here of images; the caller adds the rest.
+func (m *Model) Knowledge() jobs.Knowledge {
+	k := jobs.Knowledge{Filling: m.images()}
+	for serving, s := range m.services {
+		s.grow(len(k.Filling))
+		known := jobs.ImageKnowledge{
+			Serving: serving, Observations: s.observations, Idle: s.idle.part, Free: s.idle.free, Watched: s.idle.watched,
+		}
+		for i, row := range s.covariance {
+			known.Mean = append(known.Mean, rounded(s.mean[i]))
+			for _, covariance := range row {
+				known.Covariance = append(known.Covariance, rounded(covariance))
+			}
+		}
+		k.Factors = append(k.Factors, known)
+	}
+	slices.SortFunc(k.Factors, func(a, b jobs.ImageKnowledge) int { return cmp.Compare(a.Serving, b.Serving) })
+	return k
+}
+
+// rounded leaves five decimals, a hundredth of the least spread that matters.
+func rounded(value float64) float64 { return math.Round(value*1e5) / 1e5 }
+
+// Restore takes the knowledge of a former owner that is so many seconds old.
+func (m *Model) Restore(k jobs.Knowledge, passed float64) {
+	for _, image := range k.Filling {
+		m.Index(image)
+	}
+	n := len(k.Filling)
+	for _, known := range k.Factors {
+		s := m.Service(known.Serving)
+		s.observations = known.Observations
+		s.idle = idleTail{part: known.Idle, free: known.Free, watched: known.Watched}
+		for i := range n {
+			s.mean[i] = known.Mean[i]
+			copy(s.covariance[i], known.Covariance[i*n:(i+1)*n])
+			s.covariance[i][i] += restoredVariance
+		}
+		s.drift(passed)
+	}
+	m.share()
+}
--- a/services/dispatch/own_load.go
+++ b/services/contention/load.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright The Rillsail Authors
 
-package dispatch
+package contention
 
 import (
 	"math"
@@ -11,12 +11,12 @@
 	"rillsail.example/rillsail/models/jobs"
 )
 
-// ownLoad estimates the load that the tasks of a serving step have of their own, that is
+// Load estimates the load that the tasks of a serving step have of their own, that is
 // with nothing filling beside them. They serve the same users, so their loads swing
 // together: all their reports go into one estimate. How fast it swings is not known
 // beforehand, so a bank of filters runs side by side, one for each period of a grid and
 // one without any; what each had expected of the reports says how much it counts.
-type ownLoad struct {
+type Load struct {
 	at      time.Time // of the estimate; zero: nothing is known yet
 	swings  []swing
 	weights []float64 // of swings; their sum is 1
@@ -37,23 +37,23 @@
 	leastWeight = 1e-3
 )
 
-// predict gives the mean and variance of the load at a time.
-func (o *ownLoad) predict(at time.Time) (mean, variance float64) {
-	if o.at.IsZero() {
+// Predict gives the mean and variance of the load at a time.
+func (l *Load) Predict(at time.Time) (mean, variance float64) {
+	if l.at.IsZero() {
 		return startOwn, ownSpread * ownSpread
 	}
-	dt := max(0, at.Sub(o.at).Seconds())
+	dt := max(0, at.Sub(l.at).Seconds())
 	var square float64
-	for i := range o.swings {
-		if o.weights[i] <= 2*leastWeight {
+	for i := range l.swings {
+		if l.weights[i] <= 2*leastWeight {
 			continue // it changes the result by less than a figure's rounding
 		}
-		next := o.swings[i]
+		next := l.swings[i]
 		next.advance(dt)
-		mean += o.weights[i] * next.level
-		square += o.weights[i] * (next.variance() + next.level*next.level)
+		mean += l.weights[i] * next.level
+		square += l.weights[i] * (next.variance() + next.level*next.level)
 	}
-	counted := o.counted()
+	counted := l.counted()
 	mean /= counted
 	variance = square/counted - mean*mean
 	if variance >= ownSpread*ownSpread {
@@ -63,9 +63,9 @@
 }
 
 // counted is the weight of the filters that predict looks at.
-func (o *ownLoad) counted() float64 {
+func (l *Load) counted() float64 {
 	sum := 0.0
-	for _, weight := range o.weights {
+	for _, weight := range l.weights {
 		if weight > 2*leastWeight {
 			sum += weight
 		}
@@ -73,69 +73,72 @@
 	return sum
 }
 
-// advance moves the estimate to a later time.
-func (o *ownLoad) advance(to time.Time) {
-	if o.at.IsZero() {
-		o.reset(to)
+// Advance moves the estimate to a later time.
+func (l *Load) Advance(to time.Time) {
+	if l.at.IsZero() {
+		l.reset(to)
 		return
 	}
-	dt := to.Sub(o.at).Seconds()
+	dt := to.Sub(l.at).Seconds()
 	if dt <= 0 {
 		return
 	}
-	o.at = to
-	for i := range o.swings {
-		o.swings[i].advance(dt)
+	l.at = to
+	for i := range l.swings {
+		l.swings[i].advance(dt)
 	}
-	if _, variance := o.predict(to); variance >= ownSpread*ownSpread {
-		o.reset(to)
+	if _, variance := l.Predict(to); variance >= ownSpread*ownSpread {
+		l.reset(to)
 	}
 }
 
 // reset forgets what was known.
-func (o *ownLoad) reset(at time.Time) {
-	o.at = at
-	o.swings = newSwings()
-	o.weights = make([]float64, len(o.swings))
-	for i := range o.weights {
-		o.weights[i] = 1 / float64(len(o.weights))
+func (l *Load) reset(at time.Time) {
+	l.at = at
+	l.swings = newSwings()
+	l.weights = make([]float64, len(l.swings))
+	for i := range l.weights {
+		l.weights[i] = 1 / float64(len(l.weights))
 	}
 }
 
 // now gives the mean and variance of the load at the time of the estimate.
-func (o *ownLoad) now() (mean, variance float64) { return o.predict(o.at) }
+func (l *Load) now() (mean, variance float64) { return l.Predict(l.at) }
 
-// correct takes an observation of the load, and the variance that it has by itself.
-func (o *ownLoad) correct(seen, variance float64) {
+// Correct takes an observation of the load, and the variance that it has by itself.
+func (l *Load) Correct(seen, variance float64) {
 	sum := 0.0
-	for i := range o.swings {
-		s := &o.swings[i]
+	for i := range l.swings {
+		s := &l.swings[i]
 		difference, expected := seen-s.level, s.variance()+variance
-		o.weights[i] *= math.Exp(-difference*difference/expected/2) / math.Sqrt(expected)
-		sum += o.weights[i]
+		l.weights[i] *= math.Exp(-difference*difference/expected/2) / math.Sqrt(expected)
+		sum += l.weights[i]
 		s.correct(bounded(difference, mostDeviations*math.Sqrt(expected)), expected)
 	}
 	if sum <= 0 || math.IsNaN(sum) {
-		o.reset(o.at)
+		l.reset(l.at)
 		return
 	}
-	for i := range o.weights {
-		o.weights[i] = max(leastWeight, o.weights[i]/sum)
+	for i := range l.weights {
+		l.weights[i] = max(leastWeight, l.weights[i]/sum)
 	}
 }
 
-// summary is what a successor needs of the estimate: the state of the filter that counts
+// Known tells whether anything was observed.
+func (l *Load) Known() bool { return !l.at.IsZero() }
+
+// Summary is what a successor needs of the estimate: the state of the filter that counts
 // most, and how much each counts.
-func (o *ownLoad) summary() jobs.StepLoad {
-	load := jobs.StepLoad{At: models.UnixMilliOf(o.at)}
+func (l *Load) Summary() jobs.StepLoad {
+	load := jobs.StepLoad{At: models.UnixMilliOf(l.at)}
 	most := 0
-	for i, weight := range o.weights {
-		if weight > o.weights[most] {
+	for i, weight := range l.weights {
+		if weight > l.weights[most] {
 			most = i
 		}
 		load.Weights = append(load.Weights, rounded(weight))
 	}
-	s := o.swings[most]
+	s := l.swings[most]
 	load.State = [3]float64{rounded(s.level), rounded(s.slope), rounded(s.mean)}
 	for i, row := range s.covariance {
 		for j, covariance := range row {
@@ -145,17 +148,17 @@
 	return load
 }
 
-// ownLoadOf is the estimate that a summary tells of.
-func ownLoadOf(load jobs.StepLoad) ownLoad {
-	var o ownLoad
-	o.reset(load.At.Time())
-	for i := range o.swings {
-		s := &o.swings[i]
-		s.level, s.slope, s.mean = load.State[0], load.State[1], load.State[2]
-		s.covariance = load.Covariance
-	}
-	if len(load.Weights) == len(o.weights) {
-		copy(o.weights, load.Weights)
-	}
-	return o
+// LoadOf is the estimate that a summary tells of.
+func LoadOf(summary jobs.StepLoad) Load {
+	var l Load
+	l.reset(summary.At.Time())
+	for i := range l.swings {
+		s := &l.swings[i]
+		s.level, s.slope, s.mean = summary.State[0], summary.State[1], summary.State[2]
+		s.covariance = summary.Covariance
+	}
+	if len(summary.Weights) == len(l.weights) {
+		copy(l.weights, summary.Weights)
+	}
+	return l
 }
--- a/services/dispatch/own_load_test.go
+++ b/services/contention/load_test.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright The Rillsail Authors
 
-package dispatch
+package contention
 
 import (
 	"math"
@@ -12,6 +12,12 @@
 	"github.com/stretchr/testify/require"
 )
 
+// Times ahead that callers look at.
+const (
+	lead      = 600 * time.Millisecond
+	laterLead = 1800 * time.Millisecond
+)
+
 // swingOf is a load that swings around a mean, by a part of it to both sides.
 type swingOf struct {
 	mean, part, period float64
@@ -38,17 +44,17 @@
 	} {
 		random := rand.New(rand.NewPCG(1, uint64(load.period)))
 		begin := time.Unix(1_000_000, 0)
-		var own ownLoad
+		var own Load
 		var soon, later, lagged, n float64
 		end := time.Duration(max(60, 5*load.period) * float64(time.Second))
 		for at := time.Duration(0); at < end; at += 100 * time.Millisecond { // six tasks, each heard of twice a second
-			own.advance(begin.Add(at))
-			own.correct(load.at(at)+0.03*random.NormFloat64(), noise*noise)
+			own.Advance(begin.Add(at))
+			own.Correct(load.at(at)+0.03*random.NormFloat64(), noise*noise)
 			if at.Seconds() < max(5, 2*load.period) {
 				continue
 			}
 			square := func(ahead time.Duration, spread float64) float64 {
-				mean, variance := own.predict(begin.Add(at + ahead))
+				mean, variance := own.Predict(begin.Add(at + ahead))
 				require.Less(t, variance, spread*spread, "%v", load)
 				return math.Pow(mean-load.at(at+ahead), 2)
 			}
@@ -70,17 +76,17 @@
 	before, after := swingOf{0.45, 0.5, 20}, swingOf{0.5, 0.4, 8}
 	const change = 40 * time.Second
 	begin := time.Unix(1_000_000, 0)
-	var own ownLoad
+	var own Load
 	var squares, n float64
 	for at := time.Duration(0); at < 2*change; at += 100 * time.Millisecond {
 		load := before
 		if at >= change {
 			load = after
 		}
-		own.advance(begin.Add(at))
-		own.correct(load.at(at), noise*noise)
+		own.Advance(begin.Add(at))
+		own.Correct(load.at(at), noise*noise)
 		if at > change+15*time.Second {
-			mean, _ := own.predict(begin.Add(at + lead))
+			mean, _ := own.Predict(begin.Add(at + lead))
 			squares += math.Pow(mean-load.at(at+lead), 2)
 			n++
 		}
@@ -90,30 +96,14 @@
 
 func TestOwnLoadIsForgottenWithoutReports(t *testing.T) {
 	begin := time.Unix(1_000_000, 0)
-	var own ownLoad
-	own.advance(begin)
+	var own Load
+	own.Advance(begin)
 	for range 20 {
-		own.correct(0.7, noise*noise)
+		own.Correct(0.7, noise*noise)
 	}
-	mean, _ := own.predict(begin)
+	mean, _ := own.Predict(begin)
 	require.InDelta(t, 0.7, mean, 0.05)
-	mean, variance := own.predict(begin.Add(time.Minute))
+	mean, variance := own.Predict(begin.Add(time.Minute))
 	require.InDelta(t, startOwn, mean, 1e-9)
 	require.InDelta(t, ownSpread*ownSpread, variance, 1e-9)
 }
-
-// TestTasksOfAStepTellEachOthersLoad: a worker on which one task of a serving step was just
-// started knows its load from the step's other tasks.
-func TestTasksOfAStepTellEachOthersLoad(t *testing.T) {
-	b := newBench(t, 2)
-	s := &step{spec: &servingStep}
-	begin := b.now
-	for n := range 50 {
-		s.own.advance(begin.Add(time.Duration(n) * 100 * time.Millisecond))
-		s.own.correct(0.65, noise*noise)
-	}
-	b.now = begin.Add(5 * time.Second)
-	b.Core.now = b.now
-	fresh := &task{step: s}
-	require.InDelta(t, 0.65, b.expectTask(fresh, nil).mean, 0.03)
-}
--- /dev/null
+++ b/services/contention/service_test.go
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package contention
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFactorsAreLearnedByPairs(t *testing.T) {
+	m := NewModel()
+	heavy, light := m.Index("heavy"), m.Index("light")
+	f := m.Service("serving")
+	for n := range 200 {
+		shares := []float64{0.1, 0.1}
+		shares[n%2] = 0
+		expected, variance, gain := f.expectation(shares)
+		f.correct(1.4*shares[heavy]+0.1*shares[light]-expected, variance+noise*noise, gain)
+	}
+	m.share()
+	require.InDelta(t, 1.4, m.Service("serving").Factor(heavy), 0.1)
+	require.InDelta(t, 0.1, m.Service("serving").Factor(light), 0.1)
+	require.InDelta(t, startFactor, m.Service("other").Factor(heavy), 1e-9, "another serving image is another pair")
+}
--- a/services/dispatch/sharing.go
+++ b/services/contention/sharing.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright The Rillsail Authors
 
-package dispatch
+package contention
 
 import (
 	"cmp"
@@ -10,16 +10,11 @@
 	"rillsail.example/rillsail/models/jobs"
 )
 
-// LearnElsewhere takes what the owner of another cell has learned.
-func (c *Core) LearnElsewhere(cell jobs.CellName, learned []jobs.Learned) {
-	c.pressure.learnElsewhere(cell, learned)
-}
-
-// Learned lists what this cell has learned by itself of all pairs.
-func (c *Core) Learned() []jobs.Learned {
+// Learned lists what was learned here of all pairs.
+func (m *Model) Learned() []jobs.Learned {
 	var list []jobs.Learned
-	for serving, f := range c.pressure.pairs {
-		for filling, i := range c.pressure.index {
+	for serving, f := range m.services {
+		for filling, i := range m.index {
 			if i < len(f.mean) {
 				list = append(list, jobs.Learned{Serving: serving, Filling: filling, Factor: max(0, f.mean[i]), Spread: f.spread(i), Idle: f.idle.part, Observations: f.observations})
 			}
@@ -31,39 +26,39 @@
 	return list
 }
 
-// learnElsewhere takes what the owner of another cell has learned by itself.
-func (p *pressure) learnElsewhere(cell jobs.CellName, learned []jobs.Learned) {
-	p.elsewhere[cell] = learned
+// LearnElsewhere takes what the owner of another cell has learned by itself.
+func (m *Model) LearnElsewhere(cell jobs.CellName, learned []jobs.Learned) {
+	m.elsewhere[cell] = learned
 	for _, l := range learned {
-		p.factorsOf(l.Serving)
-		p.indexOf(l.Filling)
+		m.Service(l.Serving)
+		m.Index(l.Filling)
 	}
-	p.share()
+	m.share()
 }
 
 // share puts all cells' estimates together, each weighted by its precision. What others
 // send is only what they observed themselves, so nothing comes back to where it began.
-func (p *pressure) share() {
+func (m *Model) share() {
 	type sum struct{ weighted, weights float64 }
 	sums := map[jobs.ImageName][]sum{}
-	for serving, f := range p.pairs {
-		f.grow(len(p.index))
+	for serving, f := range m.services {
+		f.grow(len(m.index))
 		sums[serving] = make([]sum, len(f.mean))
 		for i := range f.mean {
 			precision := 1 / max(f.covariance[i][i], leastVariance)
 			sums[serving][i] = sum{f.mean[i] * precision, precision}
 		}
 	}
-	for _, learned := range p.elsewhere {
+	for _, learned := range m.elsewhere {
 		for _, l := range learned {
-			scale := p.pairs[l.Serving].idle.part / l.Idle
+			scale := m.services[l.Serving].idle.part / l.Idle
 			precision := 1 / max(l.Spread*l.Spread*scale*scale, leastVariance)
-			s := &sums[l.Serving][p.index[l.Filling]]
+			s := &sums[l.Serving][m.index[l.Filling]]
 			s.weighted += l.Factor * scale * precision
 			s.weights += precision
 		}
 	}
-	for serving, f := range p.pairs {
+	for serving, f := range m.services {
 		for i, s := range sums[serving] {
 			f.shared[i] = s.weighted / s.weights
 			f.sharedVariance[i] = 1 / s.weights
--- a/services/dispatch/swing.go
+++ b/services/contention/swing.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright The Rillsail Authors
 
-package dispatch
+package contention
 
 import "math"
 
--- a/services/dispatch/bench_test.go
+++ b/services/dispatch/bench_test.go
@@ -78,3 +78,10 @@
 var one = jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 100}, Estimate: 500}
 
 func taskOf(index int) jobs.TaskID { return jobs.TaskID{Job: testJob, Index: index} }
+
+// adds lets the core know for sure what a filling image adds to the serving one.
+func (b *bench) adds(filling jobs.ImageName, factor float64) {
+	b.Core.model.Restore(jobs.Knowledge{Filling: []jobs.ImageName{filling}, Factors: []jobs.ImageKnowledge{{
+		Serving: servingStep.Image, Idle: 0.2, Free: 1000, Watched: 1000 * 0.2 / 0.55, Mean: []float64{factor}, Covariance: []float64{0},
+	}}}, 0)
+}
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -20,14 +20,12 @@
 //   - reports: report.go, end.go; runs that should not be there: stray.go
 //   - what is stored: changes.go
 //   - workers: worker.go, room.go, speed.go, lease.go; those that go: gone.go
-//   - the time after a takeover: takeover.go
+//   - the time after a takeover: takeover.go; whether this still is the owner: proof.go
 //   - work that goes to another cell: movable.go (what may go), offer.go (how much of other
 //     cells' work finds a place here), move.go (the tasks while a move is stored)
 //   - how full the cell is: load.go; figures for operators: summary.go
-//   - interference, the model: pressure.go (what filling images add), own_load.go (what
-//     serving tasks have of their own), learn.go (figures into both), sharing.go (between
-//     cells)
-//   - what a successor takes over of both: knowledge.go
+//   - interference, the model: package contention; learn.go (figures into it)
+//   - what a successor takes over of it: knowledge.go
 //   - interference, what follows: expect.go (loads to come), filling.go (places and use of
 //     filling tasks), throttle.go (who is slowed down), pace.go (paces ordered and seen)
 //
@@ -49,6 +47,7 @@
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/contention"
 )
 
 // Config is what a core is made of.
@@ -100,14 +99,14 @@
 
 	rosterChanged bool
 	forgotten     []jobs.ID // ended jobs to be removed from the store
-	pressure      *pressure
+	model         *contention.Model
 	sharedAt      time.Time                 // when observations last came into force
 	usual         map[jobs.QueueName]*speed // how fast tasks progress, in estimates
 	counts        Counts
 	figures       JobFigures
-	placeBuffer   places              // reused by Core.places
-	restored      map[stepKey]ownLoad // of a former owner, until the step is added
-	knowledgeAt   time.Time           // when the knowledge was last taken to be stored
+	placeBuffer   places                      // reused by Core.places
+	restored      map[stepKey]contention.Load // of a former owner, until the step is added
+	knowledgeAt   time.Time                   // when the knowledge was last taken to be stored
 }
 
 // Counts is what a core has done so far.
@@ -120,8 +119,8 @@
 	return &Core{
 		config: config, jobs: map[jobs.ID]*job{}, timed: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, left: map[jobs.ID]uint64{},
 		workers: map[jobs.WorkerID]*worker{}, queues: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
-		formerLease: config.LongestLease, blind: true, proved: config.Taken, pressure: newPressure(), usual: map[jobs.QueueName]*speed{},
-		restored: map[stepKey]ownLoad{},
+		formerLease: config.LongestLease, blind: true, proved: config.Taken, model: contention.NewModel(), usual: map[jobs.QueueName]*speed{},
+		restored: map[stepKey]contention.Load{},
 	}
 }
 
--- a/services/dispatch/expect.go
+++ b/services/dispatch/expect.go
@@ -8,12 +8,13 @@
 	"time"
 
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/contention"
 )
 
 // servingTask is a serving task's image with the load that is expected of it.
 type servingTask struct {
 	image    jobs.ImageName
-	factors  *factors
+	service  *contention.Service
 	mean     float64
 	variance float64
 	seen     float64      // in the latest report
@@ -24,7 +25,7 @@
 // excess is by how much the load is over that at the target when some is added, if it is
 // taken to be so many standard deviations higher than its mean.
 func (s servingTask) excess(caution, mean, variance float64) float64 {
-	return s.mean + mean + caution*math.Sqrt(s.variance+variance+restVariance) - s.factors.idle.targetLoad()
+	return s.mean + mean + caution*math.Sqrt(s.variance+variance+restVariance) - s.service.TargetLoad()
 }
 
 const (
@@ -62,9 +63,9 @@
 // images beside it.
 func (c *Core) expectTask(t *task, shares []float64) servingTask {
 	image := t.step.spec.Image
-	f := c.pressure.factorsOf(image)
-	added, variance := f.added(shares)
-	serving := servingTask{image: image, factors: f, mean: t.apart + added, variance: variance, seen: t.shown}
+	service := c.model.Service(image)
+	added, variance := service.Added(shares)
+	serving := servingTask{image: image, service: service, mean: t.apart + added, variance: variance, seen: t.shown}
 	later := serving
 	serving.addOwn(&t.step.own, c.now.Add(lead))
 	later.addOwn(&t.step.own, c.now.Add(laterLead))
@@ -73,8 +74,8 @@
 }
 
 // addOwn adds the load that the step has of its own at a time.
-func (s *servingTask) addOwn(own *ownLoad, at time.Time) {
-	mean, variance := own.predict(at)
+func (s *servingTask) addOwn(own *contention.Load, at time.Time) {
+	mean, variance := own.Predict(at)
 	s.mean += mean
 	s.variance += variance
 	s.over = s.overTarget(0, 0)
@@ -83,7 +84,7 @@
 // overTarget is the probability that the load reaches the target when some is added.
 func (s servingTask) overTarget(mean, variance float64) float64 {
 	spread := math.Sqrt(s.variance + variance + restVariance)
-	return 1 / (1 + math.Exp(logisticSlope*(s.factors.idle.targetLoad()-s.mean-mean)/spread))
+	return 1 / (1 + math.Exp(logisticSlope*(s.service.TargetLoad()-s.mean-mean)/spread))
 }
 
 // logisticSlope lets a logistic curve stand in for the normal one, within 0.01.
--- a/services/dispatch/filling.go
+++ b/services/dispatch/filling.go
@@ -25,9 +25,9 @@
 		return false
 	}
 	share := w.fullShare(s)
-	image := c.pressure.indexOf(s.spec.Image)
+	image := c.model.Index(s.spec.Image)
 	for _, serving := range c.expect(w) {
-		added, variance := serving.factors.addedBy(image, share)
+		added, variance := serving.service.AddedBy(image, share)
 		if serving.excess(placeCaution, added, variance) > 0 || serving.later.excess(laterCaution, added, variance) > 0 {
 			return false
 		}
@@ -46,9 +46,9 @@
 func (c *Core) fillScore(w *worker, s *step) float64 {
 	score := idleWeight * float64(w.unused()-w.filling-s.spec.Size.CPU) / w.capacity()
 	share := w.fullShare(s)
-	image := c.pressure.indexOf(s.spec.Image)
+	image := c.model.Index(s.spec.Image)
 	for _, serving := range c.expect(w) {
-		added, variance := serving.factors.addedBy(image, share)
+		added, variance := serving.service.AddedBy(image, share)
 		soon := serving.overTarget(added, variance) - serving.over
 		later := serving.later.overTarget(added, variance) - serving.later.over
 		score -= harmWeight * (soon + later) / 2
@@ -90,7 +90,7 @@
 
 // share adds what a filling task uses to the share of its image.
 func (c *Core) share(shares []float64, w *worker, t *task, use float64) []float64 {
-	i := c.pressure.indexOf(t.step.spec.Image)
+	i := c.model.Index(t.step.spec.Image)
 	for len(shares) <= i {
 		shares = append(shares, 0)
 	}
--- a/services/dispatch/knowledge_test.go
+++ b/services/dispatch/knowledge_test.go
@@ -13,33 +13,29 @@
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/wire"
+	"rillsail.example/rillsail/services/contention"
 )
 
-// learnedBench is a core that has learned that "heavy" adds 1.4 and "light" 0.1 to "serving",
-// and that its serving step has a load of 0.65.
+// learnedBench is a core that knows that "heavy" adds 1.4 to "serving", and that its serving
+// step has a load of 0.65.
 func learnedBench(t *testing.T) *bench {
 	t.Helper()
 	b := newBench(t, 1)
 	b.AddJob(b.job(servingStep), jobs.Progress{}, true, b.now)
-	heavy, light := b.pressure.indexOf("heavy"), b.pressure.indexOf("light")
-	f := b.pressure.factorsOf("serving")
-	for n := range 200 {
-		shares := []float64{0.1, 0.1}
-		shares[n%2] = 0
-		expected, variance, gain := f.expectation(shares)
-		f.correct(1.4*shares[heavy]+0.1*shares[light]-expected, variance+noise*noise, gain)
-	}
+	b.adds("heavy", 1.4)
 	own := &b.jobs[testJob].steps[0].own
 	for range 50 {
 		b.now = b.now.Add(100 * time.Millisecond)
-		own.advance(b.now)
-		own.correct(0.65, noise*noise)
+		own.Advance(b.now)
+		own.Correct(0.65, 0.05*0.05)
 	}
-	b.pressure.share()
 	b.usualSpeed("q").add(0.8, usualWeight)
 	return b
 }
 
+// factor is what the core believes that "heavy" adds to "serving".
+func (b *bench) factor() jobs.Learned { return b.Learned()[0] }
+
 // stored is what a successor reads of the knowledge.
 func stored(t *testing.T, knowledge jobs.Knowledge) jobs.Knowledge {
 	t.Helper()
@@ -56,9 +52,8 @@
 	successor.now = former.now.Add(500 * time.Millisecond)
 	successor.Restore(stored(t, former.Knowledge(former.now)), successor.now)
 	successor.AddJob(former.job(servingStep), jobs.Progress{}, false, successor.now)
-	require.InDelta(t, 1.4, successor.pressure.factor("serving", "heavy"), 0.1)
-	require.InDelta(t, 0.1, successor.pressure.factor("serving", "light"), 0.1)
-	load, variance := successor.jobs[testJob].steps[0].own.predict(successor.now)
+	require.InDelta(t, 1.4, successor.factor().Factor, 1e-9)
+	load, variance := successor.jobs[testJob].steps[0].own.Predict(successor.now)
 	require.InDelta(t, 0.65, load, 0.03)
 	require.Less(t, variance, 0.06*0.06)
 	require.InDelta(t, 0.8, successor.usualSpeed("q").mean, 1e-9)
@@ -71,17 +66,21 @@
 	spreadAfter := func(age time.Duration) float64 {
 		successor := newBench(t, 1)
 		successor.Restore(knowledge, former.now.Add(age))
-		return successor.pressure.factorsOf("serving").spread(successor.pressure.indexOf("heavy"))
+		return successor.factor().Spread
 	}
 	soon, later, much := spreadAfter(time.Second), spreadAfter(time.Minute), spreadAfter(time.Hour)
 	require.Less(t, soon, later)
-	require.Greater(t, soon, former.pressure.factorsOf("serving").spread(0), "a successor trusts its own eyes more")
-	require.InDelta(t, startSpread, much, 1e-9, "after an hour nothing is known any more")
+	require.Greater(t, soon, former.factor().Spread, "a successor trusts its own eyes more")
+	fresh := newBench(t, 1)
+	fresh.model.Service("serving")
+	fresh.model.Index("heavy")
+	require.InDelta(t, fresh.factor().Spread, much, 1e-9, "after an hour nothing is known any more")
 	successor := newBench(t, 1)
 	successor.Restore(knowledge, former.now)
 	successor.AddJob(former.job(servingStep), jobs.Progress{}, false, former.now)
-	load, _ := successor.jobs[testJob].steps[0].own.predict(former.now.Add(time.Minute))
-	require.InDelta(t, startOwn, load, 1e-9, "a load swings within seconds")
+	load, _ := successor.jobs[testJob].steps[0].own.Predict(former.now.Add(time.Minute))
+	unknown, _ := (&contention.Load{}).Predict(former.now)
+	require.InDelta(t, unknown, load, 1e-9, "a load swings within seconds")
 }
 
 func TestKnowledgeIsStoredWithOtherChangesOnly(t *testing.T) {
--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -4,8 +4,10 @@
 package dispatch
 
 import (
-	"math"
 	"time"
+
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/contention"
 )
 
 // Figures are of the last half second, so they tell the mean of that time.
@@ -14,12 +16,6 @@
 	figureSpan = 600 * time.Millisecond // until a change shows in full, rounding included
 )
 
-// Standard deviations of a figure, as a load.
-const (
-	noise         = 0.05
-	unsettledness = 0.15 // while what fills beside, or its pace, has just changed
-)
-
 // startsServing is for how long the figures of a new serving task say nothing.
 const startsServing = 1500 * time.Millisecond
 
@@ -40,31 +36,57 @@
 // learnServing takes the tail of a serving task into the model; shares are those of the
 // filling images beside it.
 func (c *Core) learnServing(w *worker, t *task, shares []float64, now time.Time) {
-	f := c.pressure.factorsOf(t.step.spec.Image)
-	if now.Sub(t.began) >= startsServing {
-		c.learnIdle(w, t, f, now)
+	service := c.model.Service(t.step.spec.Image)
+	started := now.Sub(t.began) >= startsServing
+	if started {
+		c.learnUnit(w, t, service, now)
 	}
-	load := f.idle.loadOf(t.figure, int(t.step.spec.Target))
+	load := service.LoadOf(t.figure, int(t.step.spec.Target))
 	t.noteShown(load)
 	w.load = max(w.load, load)
-	w.excess = max(w.excess, load-f.idle.targetLoad())
-	w.steady = max(w.steady, t.steady-f.idle.targetLoad())
-	if now.Sub(t.began) < startsServing {
+	w.excess = max(w.excess, load-service.TargetLoad())
+	w.steady = max(w.steady, t.steady-service.TargetLoad())
+	if started {
+		t.apart += service.Observe(&t.step.own, contention.Observation{
+			At: now.Add(-figureAge), Load: load, Shares: shares, Apart: t.apart, Unsettled: now.Sub(w.refilled) < figureSpan,
+		})
+	}
+}
+
+// learnUnit takes a tail with nothing beside it, for as long as the figure covers, into the
+// unit of its service's loads, and tells them anew when the unit changes.
+func (c *Core) learnUnit(w *worker, t *task, service *contention.Service, now time.Time) {
+	if w.filling > 0 || now.Sub(w.refilled) < figureSpan {
 		return
 	}
-	own := &t.step.own
-	own.advance(now.Add(-figureAge))
-	added, addedVariance, gain := f.expectation(shares)
-	level, levelVariance := own.now()
-	difference := min(load, saturated) - level - t.apart - added
-	if load >= saturated && difference < 0 {
-		return // such a tail only says that the load is at least so high
+	seconds := now.Sub(t.step.aloneAt).Seconds()
+	t.step.aloneAt = now
+	scale := service.SeeAlone(t.figure, int(t.step.spec.Target), seconds)
+	if scale == 1 {
+		return
+	}
+	for _, j := range c.jobs {
+		for _, s := range j.steps {
+			if s.spec.Image == t.step.spec.Image && s.spec.Serves() {
+				s.rescale(scale)
+			}
+		}
+	}
+}
+
+// rescale tells the loads of a serving step in another unit.
+func (s *step) rescale(scale float64) {
+	s.own.Rescale(scale)
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		t.apart *= scale
+		if t.steady != 0 {
+			t.shown, t.steady = contention.Rescaled(t.shown, scale), contention.Rescaled(t.steady, scale)
+		}
+		if t.worker != nil {
+			t.worker.expectedValid = false
+		}
 	}
-	variance := levelVariance + apartSpread*apartSpread + addedVariance + w.figureVariance(now)
-	difference = bounded(difference, mostDeviations*math.Sqrt(variance))
-	f.correct(difference, variance, gain)
-	own.correct(level+difference, variance-levelVariance)
-	t.apart += apartSpread * apartSpread / variance * difference
 }
 
 // steadyWeight is that of a new report in the average that says whether a tail stays over
@@ -81,25 +103,6 @@
 	t.steady += steadyWeight * (load - t.steady)
 }
 
-// figureVariance is the variance of a figure of the worker's latest report, as a load.
-func (w *worker) figureVariance(now time.Time) float64 {
-	spread := noise
-	if now.Sub(w.refilled) < figureSpan {
-		spread = unsettledness
-	}
-	return spread * spread
-}
-
-// apartSpread is the standard deviation by which a task's load differs from that of its
-// step's other tasks.
-const apartSpread = 0.02
-
-// mostDeviations bounds what a single figure can change, in standard deviations.
-const mostDeviations = 3
-
-// bounded keeps a value within a bound on both sides.
-func bounded(value, bound float64) float64 { return min(bound, max(-bound, value)) }
-
 // steadyMargin is by how much the average of a load that is at its target may be below it:
 // half of the standard deviation of that average.
 const steadyMargin = 0.0125
@@ -125,8 +128,13 @@
 		return
 	}
 	c.sharedAt = now
-	for _, f := range c.pressure.pairs {
-		f.drift(min(passed, time.Second).Seconds())
-	}
-	c.pressure.share()
+	c.model.Settle(min(passed, time.Second).Seconds())
 }
+
+// LearnElsewhere takes what the owner of another cell has learned.
+func (c *Core) LearnElsewhere(cell jobs.CellName, learned []jobs.Learned) {
+	c.model.LearnElsewhere(cell, learned)
+}
+
+// Learned lists what this cell has learned by itself of all pairs.
+func (c *Core) Learned() []jobs.Learned { return c.model.Learned() }
--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -8,6 +8,7 @@
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/contention"
 )
 
 // step is one step of one occurrence of a job.
@@ -19,12 +20,12 @@
 	tasks      []task
 	done       int
 	waiting    int
-	opened     bool      // its earlier steps are done and its time has come
-	listed     bool      // in the core's open steps
-	backoff    time.Time // no look for places before
-	stuck      time.Time // since when no place is found for a waiting task; zero: one was
-	own        ownLoad   // of a step that serves
-	quietAt    time.Time // when a task of it was last heard of that has nothing beside
+	opened     bool            // its earlier steps are done and its time has come
+	listed     bool            // in the core's open steps
+	backoff    time.Time       // no look for places before
+	stuck      time.Time       // since when no place is found for a waiting task; zero: one was
+	own        contention.Load // of a step that serves
+	aloneAt    time.Time       // when a task of it was last heard of that has nothing beside
 }
 
 // flat is the number of a step over all occurrences, as Progress counts.
--- a/services/dispatch/throttle.go
+++ b/services/dispatch/throttle.go
@@ -85,7 +85,7 @@
 	var list []filler
 	for _, t := range w.tasks {
 		if t.step.spec.Fills && t.state == taskRunning {
-			list = append(list, filler{t, w.fullShare(t.step) * c.pressure.factor(serving, t.step.spec.Image)})
+			list = append(list, filler{t, w.fullShare(t.step) * c.model.Service(serving).Factor(c.model.Index(t.step.spec.Image))})
 		}
 	}
 	slices.SortFunc(list, func(a, b filler) int {
@@ -99,7 +99,7 @@
 func (c *Core) hottest(w *worker, caution float64) (image jobs.ImageName, excess float64) {
 	excess = math.Inf(-1)
 	for _, s := range c.expect(w) {
-		if e := max(s.excess(caution, 0, 0), s.seen-seenMargin-s.factors.idle.targetLoad()); e > excess {
+		if e := max(s.excess(caution, 0, 0), s.seen-seenMargin-s.service.TargetLoad()); e > excess {
 			image, excess = s.image, e
 		}
 	}
--- a/services/dispatch/throttle_test.go
+++ b/services/dispatch/throttle_test.go
@@ -13,22 +13,6 @@
 	"rillsail.example/rillsail/models/jobs"
 )
 
-func TestPressureIsLearnedByPairs(t *testing.T) {
-	p := newPressure()
-	heavy, light := p.indexOf("heavy"), p.indexOf("light")
-	f := p.factorsOf("serving")
-	for n := range 200 {
-		shares := []float64{0.1, 0.1}
-		shares[n%2] = 0
-		expected, variance, gain := f.expectation(shares)
-		f.correct(1.4*shares[heavy]+0.1*shares[light]-expected, variance+noise*noise, gain)
-	}
-	p.share()
-	require.InDelta(t, 1.4, p.factor("serving", "heavy"), 0.1)
-	require.InDelta(t, 0.1, p.factor("serving", "light"), 0.1)
-	require.InDelta(t, startFactor, p.factor("other", "heavy"), 1e-9, "another serving image is another pair")
-}
-
 func TestHeavyFillingTaskIsThrottledAndGivenBack(t *testing.T) {
 	b := newBench(t, 1)
 	serving := servingStep
@@ -156,9 +140,7 @@
 			}
 			running = append(running, jobs.Run{Task: s.Call.Task, Run: s.Call.Run, Figure: figure})
 		}
-		known := b.pressure.factorsOf("serving")
-		i := b.pressure.indexOf("filling")
-		known.mean[i], known.shared[i], known.covariance[i][i] = 0, 0, 0 // as if learned for sure
+		b.adds("filling", 0) // as if learned for sure
 		b.report(0, jobs.Report{Running: running})
 	}
 	report()
@@ -192,9 +174,7 @@
 	figures := []int{104, 97, 106, 95, 102, 98}
 	began := b.now
 	for n := 0; b.now.Sub(began) < 6*time.Second; n++ {
-		known := b.pressure.factorsOf("serving")
-		i := b.pressure.indexOf("filling")
-		known.mean[i], known.shared[i], known.covariance[i][i] = 0, 0, 0 // as if learned for sure
+		b.adds("filling", 0) // as if learned for sure
 		b.now = b.now.Add(200 * time.Millisecond)
 		b.report(0, jobs.Report{Running: []jobs.Run{
 			{Task: starts[0].Call.Task, Run: starts[0].Call.Run, Figure: figures[n%len(figures)]},
