--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -37,15 +37,23 @@
 		c.countedAt = now
 		c.obeyed = c.obeyedSince()
 	}
-	proof := latest(c.proved, c.obeyed)
-	c.wantsProof = now.Sub(proof) > proofWanted
-	may := now.Sub(proof) <= provedFor
-	if may == c.idle {
-		c.idle = !may
-		c.config.Logger.Info("orders "+map[bool]string{true: "go on", false: "wait for a proof that the cell is still owned"}[may],
-			zap.Duration("proof_age", now.Sub(proof)), zap.Int("workers", len(c.order)))
+	age := now.Sub(latest(c.proved, c.obeyed))
+	c.wantsProof = age > proofWanted
+	c.noteIdle(age > provedFor, age)
+	return !c.idle
+}
+
+// noteIdle logs when orders begin to wait for a proof, and when they go on.
+func (c *Core) noteIdle(idle bool, age time.Duration) {
+	if idle == c.idle {
+		return
+	}
+	c.idle = idle
+	message := "orders go on"
+	if idle {
+		message = "orders wait for a proof that this is still the owner"
 	}
-	return may
+	c.config.Logger.Info(message, zap.Duration("proof_age", age), zap.Int("workers", len(c.order)))
 }
 
 // obeyedSince is when the calls were sent, at the latest, that two thirds of the workers have
