Work that is three objectives late is not put behind all other work

Callers of such jobs were kept waiting until nothing else was left; now their priority and due time count as for others.

--- a/services/dispatch/urgency.go
+++ b/services/dispatch/urgency.go
@@ -9,10 +9,6 @@
 	"rillsail.example/rillsail/models"
 )
 
-// lateObjectives is how many objectives late a job may still end and be of use to its
-// caller.
-const lateObjectives = 3
-
 // lastsYield is for how long past its objective a task that lasts leaves room to ordinary
 // work of its priority that may still end in time: that takes the room for a second, the
 // other one for a minute. Where declared room is short, 0.71 instead of 0.68 of the short
@@ -22,32 +18,34 @@
 // urgency is when a step's tasks come in the order of placement; lower comes first.
 type urgency struct {
 	priority int
-	late     int // 0: may end in time, 1: late but of use, 2: neither
+	late     bool // it can't end in time any more, or lasts and still leaves room to short work
 	due      models.UnixMilli
 }
 
-// compare orders by urgency; work of no use any more comes after everything else.
+// compare orders by urgency.
 func (u urgency) compare(o urgency) int {
-	return cmp.Or(cmp.Compare(u.late/2, o.late/2), cmp.Compare(u.priority, o.priority), cmp.Compare(u.late, o.late), cmp.Compare(u.due, o.due))
+	return cmp.Or(cmp.Compare(u.priority, o.priority), compareBool(u.late, o.late), cmp.Compare(u.due, o.due))
+}
+
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // urgency gives the urgency of an open step.
 func (c *Core) urgency(s *step, now models.UnixMilli) urgency {
-	j := s.job
-	u := urgency{priority: c.terms(j).Priority, due: c.due(j)}
+	u := urgency{priority: c.terms(s.job).Priority, due: c.due(s.job)}
 	if s.spec.Lasts {
-		if now < u.due+lastsYield {
-			u.late = 1
-		}
-		return u
-	}
-	end := now + models.UnixMilli(c.rest(s))
-	objective := u.due - j.begins
-	switch {
-	case end > j.begins+lateObjectives*objective:
-		u.late = 2
-	case end > u.due:
-		u.late = 1
+		u.late = now < u.due+lastsYield
+	} else {
+		u.late = now+models.UnixMilli(c.rest(s)) > u.due
 	}
 	return u
 }
