--- a/services/cell/queue.go
+++ b/services/cell/queue.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/compare"
 )
 
 // candidate is a task that may start next.
@@ -98,8 +99,8 @@
 // before tells whether a is to start before b.
 func (o *Owner) before(a, b models.Task, usage map[models.TeamName]models.Resources) bool {
 	order := cmp.Or(
-		-compareBool(a.Kind == models.TaskService, b.Kind == models.TaskService),
-		-compareBool(a.Urgent, b.Urgent),
+		-compare.Bool(a.Kind == models.TaskService, b.Kind == models.TaskService),
+		-compare.Bool(a.Urgent, b.Urgent),
 		cmp.Compare(o.usedShare(a.Team, usage), o.usedShare(b.Team, usage)),
 		cmp.Compare(a.Queued, b.Queued),
 		cmp.Compare(a.ID, b.ID),
@@ -107,17 +108,6 @@
 	return order < 0
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
-
 // usedShare is the part of its quota a team uses, or the processors it uses for a
 // team without.
 func (o *Owner) usedShare(team models.TeamName, usage map[models.TeamName]models.Resources) float64 {
--- a/services/contention/load.go
+++ b/services/contention/load.go
@@ -43,17 +43,17 @@
 		return startOwn, ownSpread * ownSpread
 	}
 	dt := max(0, at.Sub(l.at).Seconds())
-	var square float64
+	var square, counted float64
 	for i := range l.swings {
 		if l.weights[i] <= 2*leastWeight {
 			continue // it changes the result by less than a figure's rounding
 		}
 		next := l.swings[i]
 		next.advance(dt)
+		counted += l.weights[i]
 		mean += l.weights[i] * next.level
 		square += l.weights[i] * (next.variance() + next.level*next.level)
 	}
-	counted := l.counted()
 	mean /= counted
 	variance = square/counted - mean*mean
 	if variance >= ownSpread*ownSpread {
@@ -62,17 +62,6 @@
 	return mean, max(0, variance)
 }
 
-// counted is the weight of the filters that predict looks at.
-func (l *Load) counted() float64 {
-	sum := 0.0
-	for _, weight := range l.weights {
-		if weight > 2*leastWeight {
-			sum += weight
-		}
-	}
-	return sum
-}
-
 // Advance moves the estimate to a later time.
 func (l *Load) Advance(to time.Time) {
 	if l.at.IsZero() {
--- a/services/contention/service.go
+++ b/services/contention/service.go
@@ -3,9 +3,7 @@
 
 package contention
 
-import (
-	"math"
-)
+import "math"
 
 const (
 	startFactor = 0.35 // of a pair that nothing is known of: the mean of the fitted ones
@@ -67,7 +65,7 @@
 	if share == 0 {
 		return 0, 0
 	}
-	mean = max(0, s.shared[i]) * share
+	mean = s.Factor(i) * share
 	return mean, share*share*s.sharedVariance[i] + unevenness*unevenness*mean*mean
 }
 
--- a/services/contention/sharing.go
+++ b/services/contention/sharing.go
@@ -13,10 +13,10 @@
 // Learned lists what was learned here of all pairs.
 func (m *Model) Learned() []jobs.Learned {
 	var list []jobs.Learned
-	for serving, f := range m.services {
+	for serving, service := range m.services {
 		for filling, i := range m.index {
-			if i < len(f.mean) {
-				list = append(list, jobs.Learned{Serving: serving, Filling: filling, Factor: max(0, f.mean[i]), Spread: f.spread(i), Idle: f.idle.part, Observations: f.observations})
+			if i < len(service.mean) {
+				list = append(list, jobs.Learned{Serving: serving, Filling: filling, Factor: max(0, service.mean[i]), Spread: service.spread(i), Idle: service.idle.part, Observations: service.observations})
 			}
 		}
 	}
@@ -41,12 +41,12 @@
 func (m *Model) share() {
 	type sum struct{ weighted, weights float64 }
 	sums := map[jobs.ImageName][]sum{}
-	for serving, f := range m.services {
-		f.grow(len(m.index))
-		sums[serving] = make([]sum, len(f.mean))
-		for i := range f.mean {
-			precision := 1 / max(f.covariance[i][i], leastVariance)
-			sums[serving][i] = sum{f.mean[i] * precision, precision}
+	for serving, service := range m.services {
+		service.grow(len(m.index))
+		sums[serving] = make([]sum, len(service.mean))
+		for i := range service.mean {
+			precision := 1 / max(service.covariance[i][i], leastVariance)
+			sums[serving][i] = sum{service.mean[i] * precision, precision}
 		}
 	}
 	for _, learned := range m.elsewhere {
@@ -58,10 +58,10 @@
 			s.weights += precision
 		}
 	}
-	for serving, f := range m.services {
+	for serving, service := range m.services {
 		for i, s := range sums[serving] {
-			f.shared[i] = s.weighted / s.weights
-			f.sharedVariance[i] = 1 / s.weights
+			service.shared[i] = s.weighted / s.weights
+			service.sharedVariance[i] = 1 / s.weights
 		}
 	}
 }
--- a/services/dispatch/gone.go
+++ b/services/dispatch/gone.go
@@ -23,7 +23,7 @@
 		switch {
 		case !w.retired:
 			c.setRetired(w, true)
-		case !c.hasLapsed(w, now):
+		case !c.hasLapsed(w):
 		case !w.listed:
 			c.drop(w, "gone and lapsed")
 		case len(w.tasks) > 0:
@@ -35,11 +35,9 @@
 }
 
 // hasLapsed tells whether everything on the worker has certainly been ended by its own
-// clock: the lease that was granted is over, and no later owner has granted another.
-func (c *Core) hasLapsed(w *worker, now time.Time) bool {
-	over := c.lapsed(w)
-	return !now.Before(over) && c.proved.After(over)
-}
+// clock: the lease that was granted is over, and at a later time no other owner had granted
+// another.
+func (c *Core) hasLapsed(w *worker) bool { return c.proved.After(c.lapsed(w)) }
 
 // setRetired leaves a silent worker that certainly runs nothing out of the roster, so that
 // the next owner needn't wait for it, or takes one that has answered into it again. Either
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -79,7 +79,7 @@
 		return
 	}
 	for _, w := range c.order {
-		if w.former && !w.answered && !c.hasLapsed(w, now) {
+		if w.former && !w.answered && !c.hasLapsed(w) {
 			return
 		}
 	}
--- a/services/dispatch/throttle.go
+++ b/services/dispatch/throttle.go
@@ -83,9 +83,10 @@
 // those that add most first.
 func (c *Core) fillers(w *worker, serving jobs.ImageName) []filler {
 	var list []filler
+	service := c.model.Service(serving)
 	for _, t := range w.tasks {
 		if t.step.spec.Fills && t.state == taskRunning {
-			list = append(list, filler{t, w.fullShare(t.step) * c.model.Service(serving).Factor(c.model.Index(t.step.spec.Image))})
+			list = append(list, filler{t, w.fullShare(t.step) * service.Factor(c.model.Index(t.step.spec.Image))})
 		}
 	}
 	slices.SortFunc(list, func(a, b filler) int {
--- a/services/dispatch/urgency.go
+++ b/services/dispatch/urgency.go
@@ -7,6 +7,7 @@
 	"cmp"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/compare"
 )
 
 // lastsYield is for how long past its objective a task that lasts leaves room to ordinary
@@ -24,19 +25,7 @@
 
 // compare orders by urgency.
 func (u urgency) compare(o urgency) int {
-	return cmp.Or(cmp.Compare(u.priority, o.priority), compareBool(u.late, o.late), cmp.Compare(u.due, o.due))
-}
-
-// compareBool puts false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
+	return cmp.Or(cmp.Compare(u.priority, o.priority), compare.Bool(u.late, o.late), cmp.Compare(u.due, o.due))
 }
 
 // urgency gives the urgency of an open step.
