--- a/models/jobs/configuration.go
+++ b/models/jobs/configuration.go
@@ -35,6 +35,8 @@
 	Pools   []Pool
 	// MaxBody bounds the bodies of callers' requests, in bytes; 0: the settings do.
 	MaxBody int64
+	// Size is how many bytes the operators have stored; 0 where that is not known.
+	Size int
 }
 
 // Check rejects a configuration whose queues can't be told apart.
--- a/modules/logtrace/logtrace.go
+++ b/modules/logtrace/logtrace.go
@@ -49,6 +49,7 @@
 	"daemon starts": true, "planned stop begins": true, "cell is taken": true, "cell is lost": true, "cell is loaded": true,
 	"cell is recovered": true, "cell can't be loaded yet": true, "store does not answer": true, "store answers again": true,
 	"lease in the store is over": true, "configuration is in force": true, "log lines are dropped": true,
+	"configuration can't be followed": true, "configuration is followed again": true,
 	"progress is not stored": true,
 }
 
--- a/services/control/configuration.go
+++ b/services/control/configuration.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/services/platform"
 )
 
@@ -22,6 +24,33 @@
 	current atomic.Pointer[jobs.Configuration]
 	changed func(*jobs.Configuration)
 	version platform.Version // the store's, to wait from; 0: read first; belongs to the loop
+	trouble *log.Trouble
+	// confirmed is when the store last gave a configuration, or said that there is no newer one.
+	confirmed atomic.Pointer[time.Time]
+}
+
+func newConfigurations(c Config, health *storeHealth) *Configurations {
+	f := &Configurations{config: c, health: health, trouble: log.NewTrouble(log.TroubleConfig{
+		Logger: c.Logger, Began: "configuration can't be followed", Ended: "configuration is followed again",
+	})}
+	f.confirm()
+	return f
+}
+
+func (c *Configurations) confirm() {
+	now := time.Now()
+	c.confirmed.Store(&now)
+}
+
+// age is for how long the store has not confirmed that the configuration in force is the newest.
+func (c *Configurations) age() time.Duration { return time.Since(*c.confirmed.Load()) }
+
+// meter hands on which version is in force, and for how long that is unconfirmed.
+func (c *Configurations) meter(scope tally.Scope) {
+	if current := c.current.Load(); current != nil {
+		scope.Gauge("configuration_version").Update(float64(current.Version))
+	}
+	scope.Gauge("configuration_unconfirmed").Update(c.age().Seconds())
 }
 
 // configurationRetry is the pause after a read that failed.
@@ -30,7 +59,12 @@
 // Run follows the configuration until ctx ends.
 func (c *Configurations) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := c.step(ctx); err != nil {
+		err := c.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		c.trouble.Note(err)
+		if err != nil {
 			c.health.note(err)
 			sleep(ctx, configurationRetry)
 		}
@@ -50,11 +84,13 @@
 	switch {
 	case err == nil:
 		c.health.note(nil)
+		c.confirm()
 		c.version = max(c.version, version)
 		c.accept(&configuration)
 		return nil
 	case c.version > 0 && errors.Is(err, platform.ErrNotFound):
 		c.health.note(nil)
+		c.confirm()
 		c.version = max(c.version, version)
 		return nil // the watch was over
 	case errors.Is(err, platform.ErrCompacted):
@@ -74,7 +110,7 @@
 	}
 	c.current.Store(configuration)
 	c.config.Logger.Info("configuration is in force", zap.Uint64("version", uint64(configuration.Version)),
-		zap.Int("queues", len(configuration.Queues)))
+		zap.Int("queues", len(configuration.Queues)), zap.Int("bytes", configuration.Size))
 	c.changed(configuration)
 }
 
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -81,9 +81,12 @@
 	if c.Peers == nil {
 		c.Peers = newCaller(c.Self)
 	}
-	c.Store = &meteredStore{TxnStore: c.Store, scope: c.Scope}
+	meter := storeMeter{c.Scope}
+	c.Store = &meteredStore{c.Store, meter}
+	c.Feed = &meteredFeed{c.Feed, meter}
+	c.List = &meteredList{c.List, meter}
 	s := &Service{config: c, health: newStoreHealth(c.Logger)}
-	s.Configurations = &Configurations{config: c, health: s.health}
+	s.Configurations = newConfigurations(c, s.health)
 	s.Cells = newCells(c, s.health, s.Configurations)
 	s.Configurations.changed = s.Cells.configure
 	return s
--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -7,97 +7,14 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/modules/metrics"
 	"rillsail.example/rillsail/services/dispatch"
-	"rillsail.example/rillsail/services/platform"
 )
 
-// meteredStore counts the calls to the store by kind and result, with their times. Watches
-// are counted only, for they wait.
-type meteredStore struct {
-	platform.TxnStore
-	scope tally.Scope
-}
-
-func (m *meteredStore) note(call string, began time.Time, err error) {
-	scope := m.scope.Tagged(map[string]string{"call": call, "result": storeResult(err)})
-	scope.Counter("store_calls").Inc(1)
-	if call != "watch" {
-		scope.Histogram("store_call_time", metrics.LatencyBuckets).RecordDuration(time.Since(began))
-	}
-}
-
-// storeResult names the result of a call to the store.
-func storeResult(err error) string {
-	switch {
-	case err == nil:
-		return "ok"
-	case errors.Is(err, platform.ErrLimited):
-		return "limited"
-	case errors.Is(err, platform.ErrUnavailable):
-		return "unavailable"
-	case errors.Is(err, platform.ErrUnknown):
-		return "no_answer"
-	case errors.Is(err, platform.ErrConflict):
-		return "conflict"
-	default:
-		return "other"
-	}
-}
-
-// Get implements platform.Store.
-func (m *meteredStore) Get(ctx context.Context, key string) (platform.Record, error) {
-	began := time.Now()
-	record, err := m.TxnStore.Get(ctx, key)
-	m.note("get", began, err)
-	return record, err
-}
-
-// List implements platform.Store.
-func (m *meteredStore) List(ctx context.Context, prefix string) ([]platform.Record, platform.Version, error) {
-	began := time.Now()
-	records, at, err := m.TxnStore.List(ctx, prefix)
-	m.note("list", began, err)
-	return records, at, err
-}
-
-// Watch implements platform.Store.
-func (m *meteredStore) Watch(ctx context.Context, prefix string, after platform.Version) ([]platform.Record, platform.Version, error) {
-	began := time.Now()
-	records, at, err := m.TxnStore.Watch(ctx, prefix, after)
-	m.note("watch", began, err)
-	return records, at, err
-}
-
-// Swap implements platform.Store.
-func (m *meteredStore) Swap(ctx context.Context, key string, value []byte, expect platform.Version, lease platform.LeaseID) (platform.Version, error) {
-	began := time.Now()
-	version, err := m.TxnStore.Swap(ctx, key, value, expect, lease)
-	m.note("swap", began, err)
-	return version, err
-}
-
-// Commit implements platform.TxnStore.
-func (m *meteredStore) Commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
-	began := time.Now()
-	version, err := m.TxnStore.Commit(ctx, txn)
-	m.note("commit", began, err)
-	return version, err
-}
-
-// KeepAlive implements platform.Store.
-func (m *meteredStore) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
-	began := time.Now()
-	err := m.TxnStore.KeepAlive(ctx, lease)
-	m.note("keep_alive", began, err)
-	return err
-}
-
 // ofQueue is the scope of figures about one kind of job.
 func (s *Service) ofQueue(queue jobs.QueueName) tally.Scope {
 	return s.config.Scope.Tagged(map[string]string{"queue": string(queue)})
@@ -114,6 +31,7 @@
 		now := log.Dropped()
 		c.config.Scope.Counter("log_lines_dropped").Inc(now - dropped)
 		dropped = now
+		c.configurations.meter(c.config.Scope)
 		for cell, owner := range c.ownedCells() {
 			owner.meter(c.config.Scope.Tagged(map[string]string{"cell": string(cell)}))
 		}
--- /dev/null
+++ b/services/control/metered.go
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/metrics"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// storeMeter counts calls to the store by kind and result, with their times.
+type storeMeter struct{ scope tally.Scope }
+
+func (m storeMeter) note(call string, began time.Time, err error) {
+	scope := m.count(call, err)
+	scope.Histogram("store_call_time", metrics.LatencyBuckets).RecordDuration(time.Since(began))
+}
+
+// count counts a call whose time says nothing, for it waits for a change.
+func (m storeMeter) count(call string, err error) tally.Scope {
+	scope := m.scope.Tagged(map[string]string{"call": call, "result": storeResult(err)})
+	scope.Counter("store_calls").Inc(1)
+	return scope
+}
+
+// meteredStore is a store whose calls are counted.
+type meteredStore struct {
+	platform.TxnStore
+	storeMeter
+}
+
+// storeResult names the result of a call to the store.
+func storeResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, platform.ErrLimited):
+		return "limited"
+	case errors.Is(err, platform.ErrUnavailable):
+		return "unavailable"
+	case errors.Is(err, platform.ErrUnknown):
+		return "no_answer"
+	case errors.Is(err, platform.ErrConflict):
+		return "conflict"
+	default:
+		return "other"
+	}
+}
+
+// Get implements platform.Store.
+func (m *meteredStore) Get(ctx context.Context, key string) (platform.Record, error) {
+	began := time.Now()
+	record, err := m.TxnStore.Get(ctx, key)
+	m.note("get", began, err)
+	return record, err
+}
+
+// List implements platform.Store.
+func (m *meteredStore) List(ctx context.Context, prefix string) ([]platform.Record, platform.Version, error) {
+	began := time.Now()
+	records, at, err := m.TxnStore.List(ctx, prefix)
+	m.note("list", began, err)
+	return records, at, err
+}
+
+// Watch implements platform.Store.
+func (m *meteredStore) Watch(ctx context.Context, prefix string, after platform.Version) ([]platform.Record, platform.Version, error) {
+	records, at, err := m.TxnStore.Watch(ctx, prefix, after)
+	m.count("watch", err)
+	return records, at, err
+}
+
+// Swap implements platform.Store.
+func (m *meteredStore) Swap(ctx context.Context, key string, value []byte, expect platform.Version, lease platform.LeaseID) (platform.Version, error) {
+	began := time.Now()
+	version, err := m.TxnStore.Swap(ctx, key, value, expect, lease)
+	m.note("swap", began, err)
+	return version, err
+}
+
+// Commit implements platform.TxnStore.
+func (m *meteredStore) Commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
+	began := time.Now()
+	version, err := m.TxnStore.Commit(ctx, txn)
+	m.note("commit", began, err)
+	return version, err
+}
+
+// KeepAlive implements platform.Store.
+func (m *meteredStore) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+	began := time.Now()
+	err := m.TxnStore.KeepAlive(ctx, lease)
+	m.note("keep_alive", began, err)
+	return err
+}
+
+// meteredFeed is a configuration feed whose calls are counted.
+type meteredFeed struct {
+	platform.ConfigurationFeed
+	storeMeter
+}
+
+// Configuration implements platform.ConfigurationFeed.
+func (m *meteredFeed) Configuration(ctx context.Context) (jobs.Configuration, platform.Version, error) {
+	began := time.Now()
+	configuration, at, err := m.ConfigurationFeed.Configuration(ctx)
+	m.note("read_configuration", began, err)
+	return configuration, at, err
+}
+
+// NextConfiguration implements platform.ConfigurationFeed.
+func (m *meteredFeed) NextConfiguration(ctx context.Context, after platform.Version) (jobs.Configuration, platform.Version, error) {
+	configuration, at, err := m.ConfigurationFeed.NextConfiguration(ctx, after)
+	m.count("watch_configuration", err)
+	return configuration, at, err
+}
+
+// meteredList is a list of workers whose calls are counted.
+type meteredList struct {
+	platform.WorkerList
+	storeMeter
+}
+
+// JobWorkers implements platform.WorkerList.
+func (m *meteredList) JobWorkers(ctx context.Context) ([]jobs.Worker, error) {
+	began := time.Now()
+	workers, err := m.WorkerList.JobWorkers(ctx)
+	m.note("list_workers", began, err)
+	return workers, err
+}
