--- /dev/null
+++ b/services/standin/link/link.go
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package link is a stand-in for the network link of a VM, for tests only: connections
+// in memory that share a bandwidth. It waits on the clock alone, so that in a bubble of
+// testing/synctest a transfer takes exactly its size over what the link has left.
+//
+// # Usage
+//
+//	l := link.New(link.Config{Rate: 1_250_000}) // 10 Mbit/s
+//	go server.Serve(l.Listener())
+//	transport := &http.Transport{DialContext: l.Dial}
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Config says what a link carries.
+type Config struct {
+	Rate int // bytes per second, in each direction
+}
+
+// packet is how much of one connection is sent before another gets its turn, in bytes:
+// sixteen packets of an Ethernet.
+const packet = 16 * 1500
+
+// Link is a VM's link with everything that its connections lead to behind it.
+type Link struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	close    sync.Once
+	up, down direction
+}
+
+// New makes a link.
+func New(config Config) *Link {
+	return &Link{
+		accepted: make(chan net.Conn), closed: make(chan struct{}),
+		up: direction{rate: config.Rate}, down: direction{rate: config.Rate},
+	}
+}
+
+// direction is one of the two ways through a link.
+type direction struct {
+	rate    int
+	mu      sync.Mutex
+	free    time.Time // when what was given to it before has been carried
+	silent  bool
+	carried int64
+}
+
+// carry waits until so many bytes have been carried; false when they never will be.
+func (d *direction) carry(n int) bool {
+	d.mu.Lock()
+	if d.silent {
+		d.mu.Unlock()
+		return false
+	}
+	begin := time.Now()
+	if d.free.After(begin) {
+		begin = d.free
+	}
+	d.free = begin.Add(time.Duration(n) * time.Second / time.Duration(d.rate))
+	d.carried += int64(n)
+	until := d.free
+	d.mu.Unlock()
+	time.Sleep(time.Until(until))
+	return true
+}
+
+// Carried is how many bytes the link has carried to the VM so far.
+func (l *Link) Carried() int64 {
+	l.down.mu.Lock()
+	defer l.down.mu.Unlock()
+	return l.down.carried
+}
+
+// Press carries other traffic to the VM, so many bytes per second, until ctx ends.
+func (l *Link) Press(ctx context.Context, rate int) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		l.down.carry(packet)
+		time.Sleep(time.Until(began.Add(packet * time.Second / time.Duration(rate))))
+	}
+}
+
+// Silence lets everything that is sent to the VM from now on get lost, or no more.
+func (l *Link) Silence(silent bool) {
+	l.down.mu.Lock()
+	defer l.down.mu.Unlock()
+	l.down.silent = silent
+}
+
+// Dial connects the VM with the listener; it fits http.Transport.
+func (l *Link) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.accepted <- &conn{Conn: far, way: &l.down}:
+		return &conn{Conn: near, way: &l.up}, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// conn is one end of a connection; what is written to it goes one way.
+type conn struct {
+	net.Conn
+	way *direction
+}
+
+// Write implements net.Conn. What a silent link loses counts as written.
+func (c *conn) Write(data []byte) (int, error) {
+	written := 0
+	for written < len(data) {
+		n := min(packet, len(data)-written)
+		if !c.way.carry(n) {
+			return len(data), nil
+		}
+		sent, err := c.Conn.Write(data[written : written+n])
+		written += sent
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// Listener accepts the connections; closing it ends the link.
+func (l *Link) Listener() net.Listener { return listener{l} }
+
+type listener struct{ link *Link }
+
+// Accept implements net.Listener.
+func (a listener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-a.link.accepted:
+		return connection, nil
+	case <-a.link.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (a listener) Close() error {
+	a.link.close.Do(func() { close(a.link.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (a listener) Addr() net.Addr { return address{} }
+
+// address is that of everything behind a link.
+type address struct{}
+
+// Network implements net.Addr.
+func (address) Network() string { return "link" }
+
+// String implements net.Addr.
+func (address) String() string { return "link" }
