Calls are bounded by the time in which nothing of them moves, not by their size

Ruled out: a slow store (small calls of the same daemons took milliseconds), lost changes, the processor (0 to 1 %). Now: modules/stall ends a call when its answer does not begin, or nothing more of the call or of its answer has moved, for the time that bounded the whole call before; 30 s at most. Of the scripts of configurations, the one of changes in quick succession still fails: each is fetched in turn, and the daemon falls behind.

--- /dev/null
+++ b/modules/stall/stall.go
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+// Package stall bounds HTTP calls by the time in which nothing of them moves, in place of
+// their whole time. A time limit for a whole call is also one for the size of its answer
+// over what the link has left: past that size every try is ended, begins anew at the first
+// byte, and takes the link from the calls that would succeed. A call that still moves
+// is left alone here; one whose peer or link is silent ends as soon as with a time
+// limit for the whole.
+//
+// # Usage
+//
+//	client := &stall.Client{HTTP: http.DefaultClient, Limits: stall.Limits{Answer: time.Second, Silence: time.Second}}
+//	response, err := client.Do(request)
+//	if errors.Is(err, stall.ErrStalled) { … } // reading response.Body may give it too
+package stall
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrStalled says that a call was ended because nothing of it moved for as long as its
+// limits allow, or because all of it took longer than any call may.
+var ErrStalled = errors.New("call has stalled")
+
+// Limits of one call.
+type Limits struct {
+	// Answer bounds the time until the answer begins, from the start of the call or from
+	// when the last part of its body was handed to the connection.
+	Answer time.Duration
+	// Silence bounds the time between two parts of the answer.
+	Silence time.Duration
+}
+
+// longest bounds a whole call, however steadily it moves: 8 MB, the largest answer that any
+// caller reads, take 30 s at 2 Mbit/s, a fifth of the narrowest link in use.
+const longest = 30 * time.Second
+
+// Client makes calls that all have the same limits.
+type Client struct {
+	HTTP   *http.Client
+	Limits Limits
+}
+
+// Do makes a call; see the function Do.
+func (c *Client) Do(request *http.Request) (*http.Response, error) {
+	return Do(c.HTTP, request, c.Limits)
+}
+
+// Do makes a call within limits. The answer's body must be closed, as always. Errors are
+// those of client, or ErrStalled.
+func Do(client *http.Client, request *http.Request, limits Limits) (*http.Response, error) {
+	ctx, cancel := context.WithCancelCause(request.Context())
+	w := &watchdog{cancel: cancel, ctx: ctx, end: time.Now().Add(longest)}
+	w.timer = time.AfterFunc(limits.Answer, w.bark)
+	response, err := client.Do(w.guard(request, limits.Answer))
+	if err != nil {
+		w.stop()
+		return nil, w.explain(err)
+	}
+	w.moved(limits.Silence)
+	response.Body = &body{ReadCloser: response.Body, watchdog: w, limit: limits.Silence}
+	return response, nil
+}
+
+// watchdog ends a call that does not move.
+type watchdog struct {
+	ctx    context.Context // of the call
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+	end    time.Time // of the call, also when it moves
+}
+
+// bark ends the call.
+func (w *watchdog) bark() { w.cancel(ErrStalled) }
+
+// moved leaves the call as much time again.
+func (w *watchdog) moved(limit time.Duration) {
+	w.timer.Reset(min(limit, time.Until(w.end)))
+}
+
+func (w *watchdog) stop() {
+	w.timer.Stop()
+	w.cancel(nil)
+}
+
+// explain says of an error whether it came about because the call had stalled.
+func (w *watchdog) explain(err error) error {
+	if errors.Is(context.Cause(w.ctx), ErrStalled) {
+		return errors.Mark(errors.Wrap(err, ErrStalled.Error()), ErrStalled)
+	}
+	return err
+}
+
+// guard lets the watchdog see the parts of the call's own body that are sent.
+func (w *watchdog) guard(request *http.Request, limit time.Duration) *http.Request {
+	request = request.WithContext(w.ctx)
+	if request.Body == nil || request.Body == http.NoBody {
+		return request
+	}
+	request.Body = &body{ReadCloser: request.Body, watchdog: w, limit: limit, ours: true}
+	if again := request.GetBody; again != nil {
+		request.GetBody = func() (io.ReadCloser, error) {
+			reader, err := again()
+			return &body{ReadCloser: reader, watchdog: w, limit: limit, ours: true}, err
+		}
+	}
+	return request
+}
+
+// body is a body whose reading shows that the call moves.
+type body struct {
+	io.ReadCloser
+	watchdog *watchdog
+	limit    time.Duration
+	ours     bool // the call's, not the answer's
+}
+
+// Read implements io.Reader.
+func (b *body) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if n > 0 {
+		b.watchdog.moved(b.limit)
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = b.watchdog.explain(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer. Closing the answer's body ends the call.
+func (b *body) Close() error {
+	if !b.ours {
+		defer b.watchdog.stop()
+	}
+	return b.ReadCloser.Close()
+}
