A watch that was not answered is taken up again where it was, without reading everything

Cause: after any failed call the configuration was read whole, by every daemon, also when nothing had changed: up to 1.1 MB on each of their links just when the store is back. The watch goes on from the store's version and misses nothing; where its changes are no longer kept the store says so. An invalid configuration is passed over in the same way, and read once.

--- a/services/control/configuration.go
+++ b/services/control/configuration.go
@@ -81,18 +81,17 @@
 		}
 	}
 	configuration, version, err := read()
+	c.version = max(c.version, version)
 	switch {
 	case err == nil:
 		c.health.note(nil)
 		c.confirm()
-		c.version = max(c.version, version)
 		c.accept(&configuration)
 		return nil
-	case c.version > 0 && errors.Is(err, platform.ErrNotFound):
+	case version > 0 && errors.Is(err, platform.ErrNotFound):
 		c.health.note(nil)
 		c.confirm()
-		c.version = max(c.version, version)
-		return nil // the watch was over
+		return nil // there is none yet, or none newer
 	case mustReadAnew(err):
 		// Of several changes only the last matters. On a link on which one takes 0.9 s, fetching
 		// each in turn fell 5 s behind changes that came every 0.33 s, and further with each.
@@ -100,7 +99,8 @@
 		c.version = 0
 		return nil
 	default:
-		c.version = 0 // a watch that fell silent may have missed something
+		// The next watch brings what has changed since the version, and costs nothing when
+		// nothing has; a read would bring the whole each time the store has not answered.
 		return err
 	}
 }
