Calls to other daemons, to the product's own platform and from the tool are bounded by standstill too

The same cause elsewhere: an owner's answer about what it has learned, the pages and watches of the product's own store, configurations fetched from peers and state dumps grow with the deployment and were ended by a limit for the whole call. An answer of 20,000 factors, over 10 Mbit/s: failed each time before, comes now (new test, red without). Settings keep their names and say what they mean now.

--- a/cmd/rillsail/client.go
+++ b/cmd/rillsail/client.go
@@ -13,6 +13,7 @@
 	"os"
 	"time"
 
+	"rillsail.example/rillsail/modules/stall"
 	"rillsail.example/rillsail/modules/wire"
 	"rillsail.example/rillsail/routers/operator"
 )
@@ -52,10 +53,9 @@
 }
 
 func call[T wire.Checker](ctx context.Context, c client, method, path string, body any) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	answer, err := wire.Do[T](ctx, wire.Call{
 		Client: http.DefaultClient, Method: method, URL: "http://" + c.daemon + path, Token: c.token, Limit: maxAnswer,
+		Timeouts: stall.Evenly(c.timeout),
 	}, body)
 	if err != nil {
 		return answer, c.explain(err, method == http.MethodPost)
--- a/modules/stall/stall.go
+++ b/modules/stall/stall.go
@@ -28,7 +28,7 @@
 // limits allow, or because all of it took longer than any call may.
 var ErrStalled = errors.New("call has stalled")
 
-// Limits of one call.
+// Limits of one call; the zero value sets none.
 type Limits struct {
 	// Answer bounds the time until the answer begins, from the start of the call or from
 	// when the last part of its body was handed to the connection.
@@ -37,6 +37,9 @@
 	Silence time.Duration
 }
 
+// Evenly are limits that allow the same time for each part of a call.
+func Evenly(limit time.Duration) Limits { return Limits{Answer: limit, Silence: limit} }
+
 // longest bounds a whole call, however steadily it moves: 8 MB, the largest answer that any
 // caller reads, take 30 s at 2 Mbit/s, a fifth of the narrowest link in use.
 const longest = 30 * time.Second
@@ -55,6 +58,9 @@
 // Do makes a call within limits. The answer's body must be closed, as always. Errors are
 // those of client, or ErrStalled.
 func Do(client *http.Client, request *http.Request, limits Limits) (*http.Response, error) {
+	if limits == (Limits{}) {
+		return client.Do(request)
+	}
 	ctx, cancel := context.WithCancelCause(request.Context())
 	w := &watchdog{cancel: cancel, ctx: ctx, end: time.Now().Add(longest)}
 	w.timer = time.AfterFunc(limits.Answer, w.bark)
--- a/modules/wire/wire.go
+++ b/modules/wire/wire.go
@@ -23,6 +23,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/modules/stall"
 )
 
 // Checker is a wire type; Check says what is wrong with a decoded value.
@@ -143,6 +145,8 @@
 	URL    string
 	Token  string // bearer token; empty sends none
 	Limit  int64  // bytes of the answer
+	// Timeouts end a call that does not move.
+	Timeouts stall.Limits
 }
 
 // Do sends body (none when nil) and decodes the answer. Errors of the peer are
@@ -169,7 +173,7 @@
 	if call.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+call.Token)
 	}
-	response, err := call.Client.Do(request)
+	response, err := stall.Do(call.Client, request, call.Timeouts)
 	if err != nil {
 		return zero, err
 	}
--- a/services/control/peers.go
+++ b/services/control/peers.go
@@ -14,10 +14,11 @@
 
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/peerrpc"
+	"rillsail.example/rillsail/modules/stall"
 )
 
-// peerTimeout bounds a question to the owner of a cell: daemons are a millisecond apart,
-// and the store is asked instead when it is over.
+// peerTimeout ends a question to the owner of a cell of which nothing moves: daemons are a
+// millisecond apart, and the store is asked instead when it is over.
 const peerTimeout = 400 * time.Millisecond
 
 // Peers reaches the other daemons.
@@ -29,7 +30,7 @@
 // caller calls the other daemons over the network.
 type caller struct {
 	self    string
-	http    *http.Client
+	http    *stall.Client
 	mu      sync.Mutex
 	clients map[string]peerrpc.Owner
 }
@@ -43,7 +44,10 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	return &caller{self: self, http: &http.Client{Transport: transport, Timeout: peerTimeout}, clients: map[string]peerrpc.Owner{}}
+	return &caller{
+		self: self, clients: map[string]peerrpc.Owner{},
+		http: &stall.Client{HTTP: &http.Client{Transport: transport}, Limits: stall.Evenly(peerTimeout)},
+	}
 }
 
 // Jobs implements Peers.
--- /dev/null
+++ b/services/control/peers_test.go
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/peerrpc"
+	"rillsail.example/rillsail/services/standin/link"
+)
+
+// knowingOwner answers every query with what it has learned.
+type knowingOwner struct{ learned []jobs.Learned }
+
+// Jobs implements peerrpc.Owner.
+func (k *knowingOwner) Jobs(_ context.Context, in *peerrpc.Envelope) (*peerrpc.Envelope, error) {
+	return peerrpc.Serve("owner", in, func(jobs.Query) (jobs.Answer, error) {
+		return jobs.Answer{Owner: true, Learned: k.learned}, nil
+	})
+}
+
+// TestLargeAnswerOfAPeerOverANarrowLink asks an owner for what it has learned of so many
+// images that the answer takes longer than a question may stay without one.
+func TestLargeAnswerOfAPeerOverANarrowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		draw := rand.New(rand.NewPCG(1, 1)) // figures that hardly compress
+		owner := &knowingOwner{}
+		for i := range 20_000 {
+			owner.learned = append(owner.learned, jobs.Learned{
+				Serving: jobs.ImageName(fmt.Sprintf("serving-%d", i)), Filling: jobs.ImageName(fmt.Sprintf("filling-%d", i)),
+				Factor: draw.Float64(), Spread: draw.Float64(), Idle: draw.Float64() + 1, Observations: draw.IntN(1000),
+			})
+		}
+		const narrow = 1_250_000 // bytes per second, 10 Mbit/s
+		l := link.New(link.Config{Rate: narrow})
+		server := &http.Server{Handler: peerrpc.NewOwnerServer(owner), ReadHeaderTimeout: time.Minute}
+		var group conc.WaitGroup
+		group.Go(func() { _ = server.Serve(l.Listener()) }) // ends with Shutdown
+		peers := newCaller("asker")
+		peers.http.HTTP.Transport.(*http.Transport).DialContext = l.Dial
+		began := time.Now()
+		answer, err := peers.Jobs(t.Context(), "owner:80", jobs.Query{Cell: "0", Learned: true})
+		took := time.Since(began)
+		peers.http.HTTP.CloseIdleConnections()
+		require.NoError(t, server.Shutdown(context.Background()))
+		group.Wait()
+		require.NoError(t, err)
+		require.Len(t, answer.Learned, len(owner.learned))
+		require.Greater(t, took, peerTimeout)
+	})
+}
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -20,6 +20,7 @@
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/modules/peerrpc"
+	"rillsail.example/rillsail/modules/stall"
 	"rillsail.example/rillsail/modules/wire"
 )
 
@@ -27,13 +28,13 @@
 type Config struct {
 	Self    models.MemberID
 	Token   string
-	Timeout time.Duration // of one call
+	Timeout time.Duration // of a call that does not move
 }
 
 // Client calls any peer by its address.
 type Client struct {
 	config  Config
-	http    *http.Client
+	http    *stall.Client
 	mu      sync.Mutex
 	clients map[string]peerrpc.Peer
 
@@ -60,7 +61,10 @@
 	}
 	return &Client{
 		config:  config,
-		http:    &http.Client{Transport: bearer{token: config.Token, next: transport}, Timeout: config.Timeout},
+		http: &stall.Client{
+			HTTP:   &http.Client{Transport: bearer{token: config.Token, next: transport}},
+			Limits: stall.Evenly(config.Timeout),
+		},
 		clients: map[string]peerrpc.Peer{},
 	}
 }
--- a/services/platform/http_store.go
+++ b/services/platform/http_store.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/stall"
 	"rillsail.example/rillsail/modules/wire"
 )
 
@@ -72,7 +73,7 @@
 // HTTPConfig says how to reach a service of the platform.
 type HTTPConfig struct {
 	Address     string        // IP and port
-	CallTimeout time.Duration // of one call
+	CallTimeout time.Duration // of a call that does not move
 	WatchWait   time.Duration // of one watch at the store
 	Client      *http.Client  // shared; a new one when nil
 }
@@ -108,7 +109,7 @@
 
 // Get implements Store.
 func (s *HTTPStore) Get(ctx context.Context, key string) (Record, error) {
-	answer, err := s.do(ctx, PathGet, StoreCall{Key: key}, s.timeout)
+	answer, err := s.do(ctx, PathGet, StoreCall{Key: key}, 0)
 	if err != nil {
 		return Record{}, readError(err)
 	}
@@ -120,45 +121,47 @@
 
 // List implements Store.
 func (s *HTTPStore) List(ctx context.Context, prefix string) ([]Record, Version, error) {
-	answer, err := s.do(ctx, PathList, StoreCall{Prefix: prefix}, s.timeout)
+	answer, err := s.do(ctx, PathList, StoreCall{Prefix: prefix}, 0)
 	return answer.Records, answer.Version, readError(err)
 }
 
 // Swap implements Store.
 func (s *HTTPStore) Swap(ctx context.Context, key string, value []byte, expect Version, lease LeaseID) (Version, error) {
-	answer, err := s.do(ctx, PathSwap, StoreCall{Key: key, Value: value, Expect: expect, Lease: lease}, s.timeout)
+	answer, err := s.do(ctx, PathSwap, StoreCall{Key: key, Value: value, Expect: expect, Lease: lease}, 0)
 	return answer.Version, writeError(err)
 }
 
 // Delete implements Store.
 func (s *HTTPStore) Delete(ctx context.Context, key string, expect Version) error {
-	_, err := s.do(ctx, PathDelete, StoreCall{Key: key, Expect: expect}, s.timeout)
+	_, err := s.do(ctx, PathDelete, StoreCall{Key: key, Expect: expect}, 0)
 	return writeError(err)
 }
 
 // Watch implements Store.
 func (s *HTTPStore) Watch(ctx context.Context, prefix string, after Version) ([]Record, Version, error) {
 	call := StoreCall{Prefix: prefix, After: after, Wait: models.MilliOf(s.wait)}
-	answer, err := s.do(ctx, PathWatch, call, s.wait+s.timeout)
+	answer, err := s.do(ctx, PathWatch, call, s.wait)
 	return answer.Records, answer.Version, readError(err)
 }
 
 // Grant implements Store.
 func (s *HTTPStore) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
-	answer, err := s.do(ctx, PathGrant, StoreCall{TTL: models.MilliOf(ttl)}, s.timeout)
+	answer, err := s.do(ctx, PathGrant, StoreCall{TTL: models.MilliOf(ttl)}, 0)
 	return answer.Lease, writeError(err)
 }
 
 // KeepAlive implements Store.
 func (s *HTTPStore) KeepAlive(ctx context.Context, lease LeaseID) error {
-	_, err := s.do(ctx, PathKeep, StoreCall{Lease: lease}, s.timeout)
+	_, err := s.do(ctx, PathKeep, StoreCall{Lease: lease}, 0)
 	return writeError(err)
 }
 
-func (s *HTTPStore) do(ctx context.Context, path string, call StoreCall, timeout time.Duration) (StoreAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return wire.Do[StoreAnswer](ctx, wire.Call{Client: s.client, URL: s.base + path, Limit: maxStoreAnswer}, call)
+// do makes a call whose answer may wait for so long at the store.
+func (s *HTTPStore) do(ctx context.Context, path string, call StoreCall, wait time.Duration) (StoreAnswer, error) {
+	return wire.Do[StoreAnswer](ctx, wire.Call{
+		Client: s.client, URL: s.base + path, Limit: maxStoreAnswer,
+		Timeouts: stall.Limits{Answer: s.timeout + wait, Silence: s.timeout},
+	}, call)
 }
 
 // readError maps an error of a call that changes nothing.
--- a/services/platform/http_vms.go
+++ b/services/platform/http_vms.go
@@ -10,6 +10,7 @@
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/modules/errstep"
+	"rillsail.example/rillsail/modules/stall"
 	"rillsail.example/rillsail/modules/wire"
 )
 
@@ -35,9 +36,9 @@
 
 // VMs implements List.
 func (l *HTTPList) VMs(ctx context.Context) (models.VMList, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.timeout)
-	defer cancel()
-	call := wire.Call{Client: l.client, Method: http.MethodGet, URL: l.url, Limit: maxListAnswer}
+	call := wire.Call{
+		Client: l.client, Method: http.MethodGet, URL: l.url, Limit: maxListAnswer, Timeouts: stall.Evenly(l.timeout),
+	}
 	list, err := wire.Do[models.VMList](ctx, call, nil)
 	return list, errstep.Wrap(err, "read VM list", "list")
 }
@@ -69,8 +70,8 @@
 }
 
 func workerCall[T wire.Checker](ctx context.Context, w *HTTPWorkers, step, address, path string, body any) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.timeout)
-	defer cancel()
-	answer, err := wire.Do[T](ctx, wire.Call{Client: w.client, URL: "http://" + address + path, Limit: maxWorkerAnswer}, body)
+	answer, err := wire.Do[T](ctx, wire.Call{
+		Client: w.client, URL: "http://" + address + path, Limit: maxWorkerAnswer, Timeouts: stall.Evenly(w.timeout),
+	}, body)
 	return answer, errstep.Wrap(err, step, address)
 }
