--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -60,7 +60,7 @@
 		IdleConnTimeout:     time.Minute,
 	}
 	return &Client{
-		config:  config,
+		config: config,
 		http: &stall.Client{
 			HTTP:   &http.Client{Transport: bearer{token: config.Token, next: transport}},
 			Limits: stall.Evenly(config.Timeout),
