Tests that fail: an owner that gives its orders late, or hears of changes late, starts what it may not

Two ways by which an owner that can't keep up breaks rules whatever began it: its starts are obeyed seconds after they were decided (on workers that have drained meanwhile), and it starts tasks of jobs whose cancellation was stored seconds ago while only its watches are not answered.

--- /dev/null
+++ b/services/control/late_test.go
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// An owner that can't keep up gives its orders late and hears of changes late. What it
+// orders must do no harm then, whatever its load: starts are refused at the worker once
+// they are old, and an owner that knows that its news are old gives none.
+
+// TestStartThatIsLateIsRefused lets an owner's orders reach the workers three seconds
+// late. Meanwhile the worker begins to drain: nothing may start there then.
+func TestStartThatIsLateIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, 1, nil)
+		d := w.daemons[0]
+		w.eventually(10*time.Second, "cell has an owner", func() bool { return w.owner() == d })
+		time.Sleep(time.Second)
+		d.set(func() { d.slowFor = 3 * time.Second })
+		w.submit(d, twoSteps(1, time.Second))
+		time.Sleep(200 * time.Millisecond)
+		for place := range 2 {
+			w.grid.Drain(place, time.Minute)
+		}
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			require.Zero(t, w.grid.Running(jobID(1)), "a start was done that was three seconds old")
+		}
+		d.set(func() { d.slowFor = 0 })
+		for place := range 2 {
+			w.grid.StopDraining(place)
+		}
+		w.eventually(20*time.Second, "job succeeds", func() bool { return w.state(d, jobID(1)) == jobs.StateSucceeded })
+		w.noBreach()
+	})
+}
+
+// TestOwnerWithoutNewsStartsNothing lets no change reach an owner whose lease in the store
+// is renewed and whose workers answer. A job waits for room and is cancelled through
+// another daemon; then room becomes free.
+func TestOwnerWithoutNewsStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const whole = 5 * time.Second
+		w := newWorld(t, 1, 2, func(jobs.TaskID, jobs.RunID) (time.Duration, jobs.End) { return whole, jobs.EndSucceeded })
+		w.eventually(10*time.Second, "cell has an owner", func() bool { return w.owner() != nil })
+		owner, other := w.daemons[0], w.daemons[1]
+		if w.owner() == other {
+			owner, other = other, owner
+		}
+		large := func(n int) jobs.Spec {
+			return jobs.Spec{ID: jobID(n), Payload: "large", Steps: []jobs.Step{{
+				Count: 1, Size: models.Resources{CPU: 4000, Memory: 500}, Estimate: models.MilliOf(whole),
+			}}}
+		}
+		w.submit(other, large(1))
+		w.eventually(5*time.Second, "first job runs", func() bool { return w.grid.Running(jobID(1)) == 1 })
+		w.submit(other, large(2))
+		time.Sleep(500 * time.Millisecond)
+		owner.set(func() { owner.noNews = true })
+		time.Sleep(100 * time.Millisecond)
+		require.NoError(t, other.Cancel(t.Context(), jobID(2)))
+		time.Sleep(2 * whole)
+		require.False(t, w.grid.Ran(jobID(2)), "it was started seconds after its cancellation was stored")
+		owner.set(func() { owner.noNews = false })
+		w.submit(other, large(3))
+	w.eventually(5*time.Second, "third job runs", func() bool { return w.grid.Running(jobID(3)) == 1 })
+		require.False(t, w.grid.Ran(jobID(2)))
+		w.noBreach()
+	})
+}
+
+// TestStartsGoOnInAnOutage lets the store answer nobody: nothing can have changed there
+// that an owner would have to hear of.
+func TestStartsGoOnInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, 1, func(jobs.TaskID, jobs.RunID) (time.Duration, jobs.End) { return 4 * time.Second, jobs.EndSucceeded })
+		d := w.daemons[0]
+		w.eventually(10*time.Second, "cell has an owner", func() bool { return w.owner() == d })
+		w.submit(d, twoSteps(1, 4*time.Second))
+		w.eventually(5*time.Second, "first step runs", func() bool { return w.grid.Running(jobID(1)) == 3 })
+		w.setOutage(true)
+		w.eventually(6*time.Second, "second step runs", func() bool { return w.grid.Running(jobID(1)) == 2 })
+		w.setOutage(false)
+		w.eventually(10*time.Second, "job succeeds", func() bool { return w.state(d, jobID(1)) == jobs.StateSucceeded })
+		w.noBreach()
+	})
+}
+
+// set changes what a daemon's connections do.
+func (d *testDaemon) set(change func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change()
+}
--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -61,6 +61,8 @@
 	workerCut bool
 	cutFrom   map[jobs.WorkerID]bool // workers that it doesn't reach
 	heldFor   time.Duration          // see testStore
+	slowFor   time.Duration          // its orders reach the workers so much later, unanswered in time
+	noNews    bool                   // changes in the store don't reach it, while its other calls are answered
 
 	beforeCommit func() // called before each of its transactions; nil: nothing
 }
@@ -226,6 +228,28 @@
 	daemon *testDaemon
 }
 
+// deaf tells whether no news reaches the daemon now, after the time of a call.
+func (d *testDaemon) deaf(ctx context.Context) bool {
+	d.mu.Lock()
+	deaf := d.noNews
+	d.mu.Unlock()
+	if deaf {
+		sleep(ctx, callTime)
+	}
+	return deaf
+}
+
+func (s *testStore) Watch(ctx context.Context, prefix string, after platform.Version) ([]platform.Record, platform.Version, error) {
+	if s.daemon.deaf(ctx) {
+		return nil, 0, platform.ErrUnknown
+	}
+	records, at, err := s.Local.Watch(ctx, prefix, after)
+	if s.daemon.deaf(ctx) {
+		return nil, 0, platform.ErrUnknown
+	}
+	return records, at, err
+}
+
 func (s *testStore) Commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
 	s.daemon.mu.Lock()
 	held := s.daemon.heldFor
@@ -272,8 +296,21 @@
 	return err
 }
 
+// order is call for what may be held up on its way.
+func (w *testWorkers) order(ctx context.Context, to jobs.Worker, perform func(ctx context.Context) error) error {
+	w.mu.Lock()
+	slow := w.slowFor
+	w.mu.Unlock()
+	if slow == 0 {
+		return w.call(ctx, to, 0, perform)
+	}
+	time.AfterFunc(slow, func() { _ = perform(context.Background()) }) // nobody hears of it
+	sleep(ctx, callTime)
+	return platform.ErrUnknown
+}
+
 func (w *testWorkers) StartRun(ctx context.Context, to jobs.Worker, call jobs.StartCall) (clock models.Milli, err error) {
-	err = w.call(ctx, to, 0, func(ctx context.Context) error {
+	err = w.order(ctx, to, func(ctx context.Context) error {
 		clock, err = w.world.grid.StartRun(ctx, to, call)
 		return err
 	})
@@ -281,7 +318,7 @@
 }
 
 func (w *testWorkers) StopRun(ctx context.Context, to jobs.Worker, call jobs.StopCall) (clock models.Milli, err error) {
-	err = w.call(ctx, to, 0, func(ctx context.Context) error {
+	err = w.order(ctx, to, func(ctx context.Context) error {
 		clock, err = w.world.grid.StopRun(ctx, to, call)
 		return err
 	})
@@ -310,6 +347,9 @@
 	if err := l.storeFault(ctx, false, false, ""); err != nil {
 		return nil, err
 	}
+	if l.deaf(ctx) {
+		return nil, platform.ErrUnknown
+	}
 	return l.world.grid.JobWorkers(ctx)
 }
 
