Starts expire at the worker after 2 s, and none is given on old news

Cause: an owner was safe by being in time. A start was obeyed until the lease that it carried was over (4.5 s), however long it had waited in the owner or on its way; and an owner whose watches were not answered went on starting for as long as its other calls were. Now: a start carries a time 2 s after it was decided, on the worker's clock, after which the worker refuses it; nothing starts while the news of jobs or workers are older than 2 s against the store's latest answer to anything, so that starts go on in an outage.

--- a/services/control/control.go
+++ b/services/control/control.go
@@ -110,7 +110,8 @@
 // for calls that are known to fail.
 type storeHealth struct {
 	logger  *zap.Logger
-	failing atomic.Int64 // since when, in nanoseconds of the steady clock; 0: not
+	failing atomic.Int64 // since when, in nanoseconds since start; 0: not
+	heard   atomic.Int64 // when the store last answered, in nanoseconds since start
 	start   time.Time
 }
 
@@ -125,6 +126,7 @@
 // note takes the result of a call to the store.
 func (h *storeHealth) note(err error) {
 	if err == nil || !isOutage(err) {
+		h.heard.Store(int64(time.Since(h.start)))
 		if since := h.failing.Swap(0); since != 0 {
 			h.logger.Info("store answers again", zap.Duration("after", time.Since(h.start)-time.Duration(since)))
 		}
@@ -135,6 +137,9 @@
 	}
 }
 
+// answeredAt is when the store last answered a call of this daemon.
+func (h *storeHealth) answeredAt() time.Time { return h.start.Add(time.Duration(h.heard.Load())) }
+
 func (h *storeHealth) good() bool {
 	since := h.failing.Load()
 	return since == 0 || time.Since(h.start)-time.Duration(since) < downAfter
--- a/services/control/late_test.go
+++ b/services/control/late_test.go
@@ -73,7 +73,7 @@
 		require.False(t, w.grid.Ran(jobID(2)), "it was started seconds after its cancellation was stored")
 		owner.set(func() { owner.noNews = false })
 		w.submit(other, large(3))
-	w.eventually(5*time.Second, "third job runs", func() bool { return w.grid.Running(jobID(3)) == 1 })
+		w.eventually(5*time.Second, "third job runs", func() bool { return w.grid.Running(jobID(3)) == 1 })
 		require.False(t, w.grid.Ran(jobID(2)))
 		w.noBreach()
 	})
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -52,6 +52,7 @@
 	if err != nil {
 		return 0, err
 	}
+	sent := time.Now()
 	records, at, err := store.List(ctx, jobsOf(o.cell))
 	if err != nil {
 		return 0, err
@@ -68,6 +69,7 @@
 	if !o.takeAll(records, progress, now) {
 		return 0, errLost
 	}
+	o.core.JobsKnown(sent)
 	o.loaded = true
 	o.config.Logger.Info("cell is loaded", zap.String("cell", string(o.cell)), zap.Int("keys", len(records)),
 		zap.Int("roster", len(roster.Workers)),
@@ -166,6 +168,7 @@
 func (o *Owner) jobsLoop(ctx context.Context, at platform.Version) {
 	for ctx.Err() == nil {
 		take := o.takeRecords
+		sent := time.Now()
 		records, next, err := o.config.Store.Watch(ctx, jobsOf(o.cell), at)
 		if mustReadAnew(err) {
 			take = o.takeAll
@@ -180,6 +183,7 @@
 		o.mu.Lock()
 		now := time.Now()
 		mine := take(records, nil, now)
+		o.core.JobsKnown(sent)
 		o.mu.Unlock()
 		if !mine {
 			o.cells.drop(o.cell, o, "its key among the jobs names another owner, or none")
--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -26,6 +26,7 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		o.mu.Lock()
+		o.core.StoreAnswered(o.cells.health.answeredAt())
 		orders := o.core.Decide(time.Now())
 		superseded := o.core.Superseded()
 		ends := o.core.HasEnds()
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -18,12 +18,14 @@
 func (o *Owner) workersLoop(ctx context.Context) {
 	o.callWorkers(ctx)
 	for ctx.Err() == nil {
+		sent := time.Now()
 		list, err := o.config.List.JobWorkers(ctx)
 		o.cells.health.note(err)
 		layout := o.cells.layout()
 		if err == nil && layout != nil {
 			o.mu.Lock()
 			o.core.SetWorkers(workersOf(o.cell, layout, list), time.Now())
+			o.core.WorkersKnown(sent)
 			o.mu.Unlock()
 			o.callWorkers(ctx)
 			wake(o.wakeDecide)
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -58,7 +58,25 @@
 
 // grant gives the end of a lease that begins now, on the worker's clock.
 func (c *Core) grant(w *worker, now time.Time) models.Milli {
-	until := w.clock + models.MilliOf(now.Sub(w.heard)+c.config.Lease)
+	return w.grantFor(c.config.Lease, now)
+}
+
+// startWithin is how old a start may be when it is done: twice the time after which one
+// without answer is repeated, and as much again for the age of the report that tells the
+// worker's clock. It bounds by construction what an owner can do that is slow, or whose
+// calls are held up: later than that the worker refuses. With the lease of some seconds in
+// its place, a start that was three seconds old ran on a worker that had begun to drain.
+const startWithin = 2 * time.Second
+
+// startUntil gives the time, on the worker's clock, after which a start that is decided now
+// is refused. The run's lease is the worker's, which the calls that prolong it keep longer.
+func (c *Core) startUntil(w *worker, now time.Time) models.Milli {
+	return w.grantFor(min(startWithin, c.config.Lease), now)
+}
+
+// grantFor gives a time on the worker's clock, at which a lease that was granted may end.
+func (w *worker) grantFor(span time.Duration, now time.Time) models.Milli {
+	until := w.clock + models.MilliOf(now.Sub(w.heard)+span)
 	w.granted = max(w.granted, until)
 	return until
 }
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -67,7 +67,7 @@
 // unanswered repeats a start that got no answer once; after that the run is barred.
 func (c *Core) unanswered(t *task, order StartOrder, now time.Time) {
 	c.counts.Unanswered++
-	if !t.retried && now.Sub(t.worker.heard) < silentAfter && !t.step.job.cancelled {
+	if !t.retried && now.Sub(t.worker.heard) < silentAfter && !t.step.job.cancelled && c.mayStart() {
 		t.retried = true
 		t.tried = now
 		c.orders = append(c.orders, order)
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -110,7 +110,7 @@
 		zap.Int64("report_age_ms", now.Sub(w.heard).Milliseconds()), zap.Float64("load", w.load))
 	c.orders = append(c.orders, StartOrder{Worker: w.info, Call: jobs.StartCall{
 		Task: t.id(), Run: t.run, Epoch: c.config.Epoch, Payload: t.step.job.spec.Payload,
-		Until: c.grant(w, now), Checkpoint: t.checkpoint,
+		Until: c.startUntil(w, now), Checkpoint: t.checkpoint,
 	}})
 }
 
