--- a/services/control/services_test.go
+++ b/services/control/services_test.go
@@ -28,6 +28,10 @@
 	Heavy   int     `json:"heavy"`
 	// LeastUse is the share of the workers that filling work must use on average.
 	LeastUse float64 `json:"least_use"`
+	// Plays is how many plays LeastUse is the mean of; 0: one. The order of what happens at
+	// the same moment differs between plays, and with it the use, by 0.018 (standard
+	// deviation of 40 plays with high loads).
+	Plays int `json:"plays"`
 }
 
 // Figures of the services played.
@@ -46,12 +50,22 @@
 	var cases []servicesCase
 	require.NoError(t, json.Unmarshal(data, &cases))
 	for _, c := range cases {
-		t.Run(c.Name, func(t *testing.T) { synctest.Test(t, c.play) })
+		t.Run(c.Name, func(t *testing.T) {
+			plays := max(1, c.Plays)
+			sum := 0.0
+			for range plays {
+				synctest.Test(t, func(t *testing.T) { sum += c.play(t) })
+			}
+			share := sum / float64(plays)
+			t.Logf("filling work uses %.3f of the workers", share)
+			require.GreaterOrEqual(t, share, c.LeastUse)
+		})
 	}
 }
 
-// play runs services and more filling work than there is room for.
-func (c servicesCase) play(t *testing.T) {
+// play runs services and more filling work than there is room for. It gives the share of
+// the workers that the filling work uses.
+func (c servicesCase) play(t *testing.T) float64 {
 	w := newWorld(t, 6, 2, nil)
 	w.grid.SetServices(grid.Services{Idle: c.Idle, Load: c.Load, Swing: c.Swing, Period: time.Duration(c.PeriodS * float64(time.Second)), Heavy: c.Heavy})
 	for n := range 4 {
@@ -79,10 +93,8 @@
 			samples++
 		}
 	}
-	share := float64(use) / float64(samples) / float64(6*4000)
-	t.Logf("filling work uses %.2f of the workers", share)
-	require.GreaterOrEqual(t, share, c.LeastUse)
 	w.noBreach()
+	return float64(use) / float64(samples) / float64(6*4000)
 }
 
 // noteHarm counts for how long services have been harmed without a break.
