The time limit of calls to workers is learned from their answers

Cause: an owner whose answers came later than 0.4 s gave up every call and made it again at once, on a new connection: more work than before, which kept it late after whatever had begun it. Now the limit doubles, up to 2 s, when four of five calls get no answer in time or most answers take more than half of it, and shrinks when answers are quick. Calls that get lost one by one, half of all at most, leave it at 0.4 s, so that asking again at once keeps its gain. Sight: worker_call_limit, worker_calls_lost, and a line when calls begin to take long and when they are quick again.

--- a/cmd/rillsaild/main.go
+++ b/cmd/rillsaild/main.go
@@ -32,6 +32,7 @@
 	"rillsail.example/rillsail/modules/setting"
 	"rillsail.example/rillsail/platform"
 	"rillsail.example/rillsail/routers"
+	"rillsail.example/rillsail/services/control"
 	"rillsail.example/rillsail/services/daemon"
 	interfaces "rillsail.example/rillsail/services/platform"
 )
@@ -123,16 +124,17 @@
 
 // newScheduler makes a daemon that reaches the users' platform through its adapter.
 func newScheduler(settings *setting.Settings, logger *zap.Logger) (runner, error) {
+	workerCalls := control.NewWorkerCalls(settings.Platform.WorkerTimeout)
 	client := platform.NewClient(platform.ClientConfig{
 		CallTimeout: settings.Platform.CallTimeout, DialTimeout: settings.Platform.DialTimeout,
-		WorkerTimeout: settings.Platform.WorkerTimeout,
+		WorkerTimeout: workerCalls.Current,
 	})
 	store := platform.NewStore(platform.StoreConfig{
 		Client: client, Address: settings.Platform.Store, WatchWait: settings.Platform.WatchWait,
 	})
 	list := platform.NewList(platform.ListConfig{Store: store, Logger: logger})
 	return daemon.NewScheduler(daemon.SchedulerConfig{
-		Settings: settings, Logger: logger, Store: store, Workers: platform.NewWorkers(client), List: list, Feed: list,
+		Settings: settings, Logger: logger, Store: store, Workers: platform.NewWorkers(client), WorkerCalls: workerCalls, List: list, Feed: list,
 		Callers: func(callers interfaces.Callers) http.Handler {
 			return platform.CallerHandler(platform.CallerConfig{
 				Callers: callers, MaxBody: int64(settings.Listen.MaxBody), Patience: settings.Entry.Deadline,
--- /dev/null
+++ b/modules/calltime/calltime_test.go
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package calltime_test
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/modules/calltime"
+)
+
+// limitCase is an entry of testdata/limits.json.
+type limitCase struct {
+	Name   string  `json:"name"`
+	Phases []phase `json:"phases"`
+}
+
+// phase is a time in which peers answer alike.
+type phase struct {
+	For    int64   `json:"for_ms"`
+	Answer int64   `json:"answer_ms"`
+	Lost   float64 `json:"lost"`     // share of the calls
+	Limit  int64   `json:"limit_ms"` // at the end
+}
+
+// TestLimits plays testdata/limits.json: a hundred callers, each of which calls again when
+// its call was answered or given up.
+func TestLimits(t *testing.T) {
+	data, err := os.ReadFile("testdata/limits.json")
+	require.NoError(t, err)
+	var cases []limitCase
+	require.NoError(t, json.Unmarshal(data, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) { synctest.Test(t, c.play) })
+	}
+}
+
+func (c limitCase) play(t *testing.T) {
+	limit := calltime.New(calltime.Config{Least: 400 * time.Millisecond, Most: 2 * time.Second})
+	for _, p := range c.Phases {
+		p.play(limit)
+		require.Equal(t, time.Duration(p.Limit)*time.Millisecond, limit.Current())
+	}
+}
+
+func (p phase) play(limit *calltime.Limit) {
+	const callers = 100
+	deadline := time.Now().Add(time.Duration(p.For) * time.Millisecond)
+	done := make(chan struct{})
+	for caller := range callers {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for call := caller; time.Now().Before(deadline); call++ {
+				p.call(limit, float64((31*caller+17*call)%callers) < p.Lost*callers)
+			}
+		}()
+	}
+	for range callers {
+		<-done
+	}
+}
+
+// call makes one call, which may get lost.
+func (p phase) call(limit *calltime.Limit, lost bool) {
+	takes := time.Duration(p.Answer) * time.Millisecond
+	patience := limit.Current()
+	answered := !lost && takes <= patience
+	if !answered {
+		takes = patience
+	}
+	time.Sleep(takes)
+	limit.Note(calltime.Call{Took: takes, Answered: answered})
+}
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -45,6 +45,7 @@
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/calltime"
 	"rillsail.example/rillsail/modules/setting"
 	"rillsail.example/rillsail/services/platform"
 )
@@ -56,12 +57,14 @@
 	Settings setting.Jobs
 	Store    platform.TxnStore
 	Workers  platform.JobWorkers
-	List     platform.WorkerList
-	Feed     platform.ConfigurationFeed
-	Peers    Peers // nil: calls over the network
-	NewID    func() string
-	Logger   *zap.Logger
-	Scope    tally.Scope
+	// WorkerCalls is the time limit of the calls of Workers, which this service teaches.
+	WorkerCalls *calltime.Limit
+	List        platform.WorkerList
+	Feed        platform.ConfigurationFeed
+	Peers       Peers // nil: calls over the network
+	NewID       func() string
+	Logger      *zap.Logger
+	Scope       tally.Scope
 }
 
 // Service serves callers and owns cells.
--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -26,12 +26,14 @@
 // RunMetrics hands the owned cells' figures to the metrics until ctx ends.
 func (c *Cells) RunMetrics(ctx context.Context) {
 	dropped := log.Dropped()
+	calls := newCallsNote(c.config)
 	for ctx.Err() == nil {
 		sleep(ctx, metricsEvery)
 		now := log.Dropped()
 		c.config.Scope.Counter("log_lines_dropped").Inc(now - dropped)
 		dropped = now
 		c.configurations.meter(c.config.Scope)
+		calls.note()
 		for cell, owner := range c.ownedCells() {
 			owner.meter(c.config.Scope.Tagged(map[string]string{"cell": string(cell)}))
 		}
--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -56,23 +56,26 @@
 
 // runOrder carries out one order and tells the core what became of it.
 func (o *Owner) runOrder(ctx context.Context, order dispatch.Order) {
+	sent := time.Now()
 	switch order := order.(type) {
 	case dispatch.StartOrder:
 		_, err := o.config.Workers.StartRun(ctx, order.Worker, order.Call)
-		o.tell(func(now time.Time) { o.core.Started(order, resultOf(err), now) })
+		o.ordered(sent, err, func(result dispatch.Result, now time.Time) { o.core.Started(order, result, now) })
 	case dispatch.StopOrder:
 		_, err := o.config.Workers.StopRun(ctx, order.Worker, order.Call)
-		o.tell(func(now time.Time) { o.core.Stopped(order, resultOf(err), now) })
+		o.ordered(sent, err, func(result dispatch.Result, now time.Time) { o.core.Stopped(order, result, now) })
 	case dispatch.PaceOrder:
 		_, err := o.config.Workers.SetPace(ctx, order.Worker, order.Call)
-		o.tell(func(now time.Time) { o.core.Paced(order, resultOf(err), now) })
+		o.ordered(sent, err, func(result dispatch.Result, now time.Time) { o.core.Paced(order, result, now) })
 	}
 }
 
-// tell tells the core something, and lets it decide.
-func (o *Owner) tell(what func(now time.Time)) {
+// ordered tells the core what became of an order that was sent then, and lets it decide.
+func (o *Owner) ordered(sent time.Time, err error, what func(result dispatch.Result, now time.Time)) {
+	result := resultOf(err)
+	o.noteCall(sent, 0, result.Outcome)
 	o.mu.Lock()
-	what(time.Now())
+	what(result, time.Now())
 	o.mu.Unlock()
 	wake(o.wakeDecide)
 }
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -64,6 +64,7 @@
 			return
 		}
 		report, err := o.config.Workers.ProlongLease(ctx, worker, call)
+		o.noteCall(sent, call.Wait, resultOf(err).Outcome)
 		o.takeReport(worker.ID, sent, report, err)
 		pause := o.config.Settings.ReportPause
 		if err != nil && !errors.Is(err, platform.ErrUnknown) {
--- a/services/daemon/scheduler.go
+++ b/services/daemon/scheduler.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"rillsail.example/rillsail/modules/calltime"
 	"rillsail.example/rillsail/modules/graceful"
 	"rillsail.example/rillsail/modules/listen"
 	"rillsail.example/rillsail/modules/metrics"
@@ -28,8 +29,10 @@
 	Logger   *zap.Logger
 	Store    platform.TxnStore
 	Workers  platform.JobWorkers
-	List     platform.WorkerList
-	Feed     platform.ConfigurationFeed
+	// WorkerCalls is the time limit of the calls of Workers.
+	WorkerCalls *calltime.Limit
+	List        platform.WorkerList
+	Feed        platform.ConfigurationFeed
 	// Callers and Ready make the handlers that speak the platform's form.
 	Callers func(platform.Callers) http.Handler
 	Ready   func(ready func() bool) http.Handler
@@ -60,7 +63,7 @@
 	advertised := cmp.Or(c.Settings.Listen.PeerAdvertised, c.Settings.Listen.Peer)
 	s.control = control.New(control.Config{
 		Self: c.Settings.Daemon.ID, Address: advertised, Settings: c.Settings.Jobs,
-		Store: c.Store, Workers: c.Workers, List: c.List, Feed: c.Feed, NewID: ids.make,
+		Store: c.Store, Workers: c.Workers, WorkerCalls: c.WorkerCalls, List: c.List, Feed: c.Feed, NewID: ids.make,
 		Logger: c.Logger, Scope: s.metrics.Scope.SubScope("control"),
 	})
 	if err := s.open(c); err != nil {
