Metrics that tell an owner that can't keep up from workers that don't answer

loops_late, report_age, worker_calls_in_flight, connections_opened beside worker_call_limit and worker_calls_lost. The connections were counted by the users' side only when an owner drowned.

--- a/modules/calltime/calltime.go
+++ b/modules/calltime/calltime.go
@@ -53,7 +53,9 @@
 }
 
 // New makes a limit.
-func New(config Config) *Limit { return &Limit{config: config, current: config.Least, looked: time.Now()} }
+func New(config Config) *Limit {
+	return &Limit{config: config, current: config.Least, looked: time.Now()}
+}
 
 // Least is the limit as long as all is well.
 func (l *Limit) Least() time.Duration { return l.config.Least }
--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -7,6 +7,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,8 @@
 
 	group conc.WaitGroup
 	wake  chan struct{}
+
+	workerCalls atomic.Int64 // in flight
 }
 
 type ownerRecord struct {
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -59,6 +59,7 @@
 	Workers  platform.JobWorkers
 	// WorkerCalls is the time limit of the calls of Workers, which this service teaches.
 	WorkerCalls *calltime.Limit
+	Connections func() int64 // opened so far to the store and the workers; nil: not counted
 	List        platform.WorkerList
 	Feed        platform.ConfigurationFeed
 	Peers       Peers // nil: calls over the network
--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -26,14 +26,15 @@
 // RunMetrics hands the owned cells' figures to the metrics until ctx ends.
 func (c *Cells) RunMetrics(ctx context.Context) {
 	dropped := log.Dropped()
-	calls := newCallsNote(c.config)
+	calls := newCallsNote(c)
 	for ctx.Err() == nil {
+		wanted := time.Now().Add(metricsEvery)
 		sleep(ctx, metricsEvery)
+		calls.note(time.Since(wanted))
 		now := log.Dropped()
 		c.config.Scope.Counter("log_lines_dropped").Inc(now - dropped)
 		dropped = now
 		c.configurations.meter(c.config.Scope)
-		calls.note()
 		for cell, owner := range c.ownedCells() {
 			owner.meter(c.config.Scope.Tagged(map[string]string{"cell": string(cell)}))
 		}
@@ -68,6 +69,7 @@
 	} {
 		scope.Gauge(name).Update(float64(value))
 	}
+	scope.Gauge("report_age").Update(summary.ReportAge.Duration().Seconds())
 }
 
 // meterJobs hands on what has become of jobs, by queue.
--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -56,7 +56,7 @@
 
 // runOrder carries out one order and tells the core what became of it.
 func (o *Owner) runOrder(ctx context.Context, order dispatch.Order) {
-	sent := time.Now()
+	sent := o.beginCall()
 	switch order := order.(type) {
 	case dispatch.StartOrder:
 		_, err := o.config.Workers.StartRun(ctx, order.Worker, order.Call)
@@ -73,7 +73,7 @@
 // ordered tells the core what became of an order that was sent then, and lets it decide.
 func (o *Owner) ordered(sent time.Time, err error, what func(result dispatch.Result, now time.Time)) {
 	result := resultOf(err)
-	o.noteCall(sent, 0, result.Outcome)
+	o.endCall(sent, 0, result.Outcome)
 	o.mu.Lock()
 	what(result, time.Now())
 	o.mu.Unlock()
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -53,9 +53,8 @@
 // workerLoop prolongs a worker's lease and takes its reports until the worker is gone.
 func (o *Owner) workerLoop(ctx context.Context, worker jobs.Worker) {
 	for ctx.Err() == nil {
-		sent := time.Now()
 		o.mu.Lock()
-		call, known := o.core.LeaseCall(worker.ID, o.config.Settings.ReportWait, sent)
+		call, known := o.core.LeaseCall(worker.ID, o.config.Settings.ReportWait, time.Now())
 		if !known {
 			delete(o.calling, worker.ID)
 		}
@@ -63,8 +62,9 @@
 		if !known {
 			return
 		}
+		sent := o.beginCall()
 		report, err := o.config.Workers.ProlongLease(ctx, worker, call)
-		o.noteCall(sent, call.Wait, resultOf(err).Outcome)
+		o.endCall(sent, call.Wait, resultOf(err).Outcome)
 		o.takeReport(worker.ID, sent, report, err)
 		pause := o.config.Settings.ReportPause
 		if err != nil && !errors.Is(err, platform.ErrUnknown) {
--- a/services/control/worker_calls.go
+++ b/services/control/worker_calls.go
@@ -27,42 +27,62 @@
 }
 
 // callsNote says in metrics and logs how the calls to workers go: an owner that can't keep up
-// has a long time limit, workers that don't answer leave it as it is.
+// has a long time limit, late loops and old reports; of workers that don't answer only the
+// reports are old.
 type callsNote struct {
-	config  Config
+	cells   *Cells
 	trouble *log.Trouble
+	opened  int64 // connections, as counted last
 }
 
-func newCallsNote(c Config) *callsNote {
-	return &callsNote{config: c, trouble: log.NewTrouble(log.TroubleConfig{
-		Logger: c.Logger, Began: "calls to workers take long", Ended: "calls to workers are quick again",
+func newCallsNote(c *Cells) *callsNote {
+	return &callsNote{cells: c, trouble: log.NewTrouble(log.TroubleConfig{
+		Logger: c.config.Logger, Began: "calls to workers take long", Ended: "calls to workers are quick again",
 	})}
 }
 
-// note looks at the time limit once.
-func (n *callsNote) note() {
-	if n.config.WorkerCalls == nil {
-		return
+// note looks once, so much later than it was to.
+func (n *callsNote) note(late time.Duration) {
+	config := n.cells.config
+	config.Scope.Gauge("loops_late").Update(late.Seconds())
+	config.Scope.Gauge("worker_calls_in_flight").Update(float64(n.cells.workerCalls.Load()))
+	if config.Connections != nil {
+		opened := config.Connections()
+		config.Scope.Counter("connections_opened").Inc(opened - n.opened)
+		n.opened = opened
+	}
+	if config.WorkerCalls != nil {
+		n.noteLimit(config.WorkerCalls)
 	}
-	limit := n.config.WorkerCalls.Current()
-	n.config.Scope.Gauge("worker_call_limit").Update(limit.Seconds())
-	if limit > n.config.WorkerCalls.Least() {
+}
+
+func (n *callsNote) noteLimit(calls *calltime.Limit) {
+	limit := calls.Current()
+	n.cells.config.Scope.Gauge("worker_call_limit").Update(limit.Seconds())
+	if limit > calls.Least() {
 		n.trouble.Note(errors.Newf("their time limit is %s", limit))
 		return
 	}
 	n.trouble.Note(nil)
 }
 
-// noteCall teaches the time limit what became of a call to a worker that was sent then, and
+// beginCall notes that a call to a worker is sent now.
+func (o *Owner) beginCall() time.Time {
+	o.cells.workerCalls.Add(1)
+	return time.Now()
+}
+
+// endCall teaches the time limit what became of a call to a worker that was sent then, and
 // whose answer might wait. Calls that were not done, or ended early, say nothing of it.
-func (o *Owner) noteCall(sent time.Time, wait time.Duration, outcome dispatch.Outcome) {
-	took := time.Since(sent) - wait
-	if took < 0 || outcome == dispatch.OutcomeNotDone || o.config.WorkerCalls == nil {
-		return
-	}
+func (o *Owner) endCall(sent time.Time, wait time.Duration, outcome dispatch.Outcome) {
+	o.cells.workerCalls.Add(-1)
 	answered := outcome != dispatch.OutcomeUnknown
 	if !answered {
 		o.config.Scope.Counter("worker_calls_lost").Inc(1)
 	}
+	took := time.Since(sent) - wait
+	if took < 0 || outcome == dispatch.OutcomeNotDone || o.config.WorkerCalls == nil {
+		return
+	}
 	o.config.WorkerCalls.Note(calltime.Call{Took: took, Answered: answered})
 }
--- a/services/daemon/scheduler.go
+++ b/services/daemon/scheduler.go
@@ -31,6 +31,7 @@
 	Workers  platform.JobWorkers
 	// WorkerCalls is the time limit of the calls of Workers.
 	WorkerCalls *calltime.Limit
+	Connections func() int64 // opened so far by the calls of Store, Workers, List and Feed
 	List        platform.WorkerList
 	Feed        platform.ConfigurationFeed
 	// Callers and Ready make the handlers that speak the platform's form.
@@ -63,7 +64,7 @@
 	advertised := cmp.Or(c.Settings.Listen.PeerAdvertised, c.Settings.Listen.Peer)
 	s.control = control.New(control.Config{
 		Self: c.Settings.Daemon.ID, Address: advertised, Settings: c.Settings.Jobs,
-		Store: c.Store, Workers: c.Workers, WorkerCalls: c.WorkerCalls, List: c.List, Feed: c.Feed, NewID: ids.make,
+		Store: c.Store, Workers: c.Workers, WorkerCalls: c.WorkerCalls, Connections: c.Connections, List: c.List, Feed: c.Feed, NewID: ids.make,
 		Logger: c.Logger, Scope: s.metrics.Scope.SubScope("control"),
 	})
 	if err := s.open(c); err != nil {
--- a/services/dispatch/summary.go
+++ b/services/dispatch/summary.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"rillsail.example/rillsail/models"
@@ -21,6 +22,8 @@
 	Usable    int  `json:"usable"`     // that may get new tasks
 	Unstored  int  `json:"unstored"`   // jobs with changes to store
 	Blind     bool `json:"recovering"` // some tasks wait for workers that haven't reported since the takeover
+	// ReportAge is how old the reports of workers are, the middle one of those in the list.
+	ReportAge models.Milli `json:"report_age_ms"`
 }
 
 // Summary sums the core up.
@@ -29,7 +32,11 @@
 	for _, step := range c.open {
 		s.Waiting += step.waiting
 	}
+	ages := make([]time.Duration, 0, len(c.order))
 	for _, w := range c.order {
+		if w.listed {
+			ages = append(ages, now.Sub(w.heard))
+		}
 		if c.usable(w, now) {
 			s.Usable++
 		}
@@ -43,6 +50,10 @@
 			}
 		}
 	}
+	if len(ages) > 0 {
+		slices.Sort(ages)
+		s.ReportAge = models.MilliOf(ages[len(ages)/2])
+	}
 	return s
 }
 
