Starts expire after 1 s, and need a lease that the worker has confirmed

With news that are 2 s old a start that was 2 s old came later than a worker that drains may be given one (3 s); with 1 s both keep within it, whatever the owner's load. A start that came too late is not repeated for 0.3 s: with the clock that is known of the worker the next would come too late as well (TestStartThatWasLateIsNotRepeatedAtOnce, red before). Traced: a worker that was cut off between a start and the first call that prolongs its lease let its tasks end after the start's 1 s, and the owner waited for the lease that it had sent in vain.

--- a/services/dispatch/bench_test.go
+++ b/services/dispatch/bench_test.go
@@ -48,7 +48,17 @@
 func (b *bench) report(n int, report jobs.Report) {
 	b.now = b.now.Add(100 * time.Millisecond)
 	report.Clock = models.MilliOf(b.now.Sub(time.Unix(1_000_000, 0)))
-	b.Reported(b.ids[n], b.now.Add(-time.Millisecond), report, b.now)
+	b.call(n, report)
+	if w := b.workers[b.ids[n]]; w != nil && !w.leased {
+		b.call(n, report) // the first answer has told the worker's clock
+	}
+}
+
+// call asks a worker for a report, and prolongs its lease, as an owner does all the time.
+func (b *bench) call(n int, report jobs.Report) {
+	sent := b.now.Add(-time.Millisecond)
+	b.LeaseCall(b.ids[n], time.Second, sent)
+	b.Reported(b.ids[n], sent, report, b.now)
 }
 
 func (b *bench) job(steps ...jobs.Step) jobs.Record {
--- a/services/dispatch/core_test.go
+++ b/services/dispatch/core_test.go
@@ -42,6 +42,20 @@
 	require.Len(t, b.starts(), 6)
 }
 
+func TestStartThatWasLateIsNotRepeatedAtOnce(t *testing.T) {
+	b := newBench(t, 1)
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	b.now = b.now.Add(time.Second)
+	b.Started(starts[0], Result{Outcome: OutcomeRefused, Refusal: jobs.RefusedLate}, b.now)
+	require.Empty(t, b.starts(), "the next would be as late: the worker's clock is known from the same report")
+	b.now = b.now.Add(fullPause)
+	b.report(0, jobs.Report{})
+	require.Len(t, b.starts(), 1)
+}
+
 func TestStalledWorkerIsLeftAlone(t *testing.T) {
 	b := newBench(t, 3)
 	b.AddJob(b.job(jobs.Step{Count: 3, Size: models.Resources{CPU: 3000, Memory: 10}, Estimate: 20_000, Checkpoints: true}), jobs.Progress{}, true, b.now)
--- a/services/dispatch/gone_test.go
+++ b/services/dispatch/gone_test.go
@@ -63,8 +63,6 @@
 	first := b.starts()
 	require.Len(t, first, 1)
 	b.Started(first[0], Result{Outcome: OutcomeDone}, b.now)
-	call, _ := b.LeaseCall(first[0].Worker.ID, time.Second, b.now) // the start itself is good for less
-	require.NotZero(t, call.Until)
 	other := 1
 	if first[0].Worker.ID == b.ids[1] {
 		other = 0
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -31,15 +31,13 @@
 	if !w.over.IsZero() && w.filling > 0 {
 		call.Wait = min(wait, hotWait)
 	}
-	if w.overdue {
-		call.Wait = 0
+	if w.overdue || !w.leased {
+		call.Wait = 0 // nothing starts there before the answer
 	}
-	switch {
-	case !w.answered:
-		call.Wait = 0 // the first report is wanted at once
-	case now.Sub(w.heard) < grantWhile+wait:
+	if w.answered && now.Sub(w.heard) < grantWhile+wait { // its clock is known from the answer
 		call.Until = c.grant(w, now)
 	}
+	w.granting = call.Until != 0
 	return call, true
 }
 
@@ -62,11 +60,12 @@
 }
 
 // startWithin is how old a start may be when it is done: twice the time after which one
-// without answer is repeated, and as much again for the age of the report that tells the
-// worker's clock. It bounds by construction what an owner can do that is slow, or whose
-// calls are held up: later than that the worker refuses. With the lease of some seconds in
-// its place, a start that was three seconds old ran on a worker that had begun to drain.
-const startWithin = 2 * time.Second
+// without answer is repeated, and somewhat for the age of the report that tells the worker's
+// clock. It bounds by construction what an owner can do that is slow, or whose calls are
+// held up: later than that the worker refuses. With newsFor it keeps within the three
+// seconds after which nothing may start on a worker that drains. With the lease of some
+// seconds in its place, a start that was three seconds old ran on such a worker.
+const startWithin = time.Second
 
 // startUntil gives the time, on the worker's clock, after which a start that is decided now
 // is refused. The run's lease is the worker's, which the calls that prolong it keep longer.
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -42,7 +42,7 @@
 // Pauses after which a worker or a step is tried again.
 const (
 	unwellPause = 700 * time.Millisecond // the worker did nothing because it is not well
-	fullPause   = 300 * time.Millisecond // the worker has less room than counted
+	fullPause   = 300 * time.Millisecond // the worker has less room, or a later clock, than counted
 	stepPause   = time.Second            // the start was refused for a reason of its own
 )
 
@@ -55,9 +55,8 @@
 	case jobs.RefusedRun: // it is there or has ended; the next report says which
 		t.settled = now
 		return
-	case jobs.RefusedRoom:
+	case jobs.RefusedRoom, jobs.RefusedLate: // with what is known of the worker, the next start would be refused as well
 		w.unwell = now.Add(fullPause)
-	case jobs.RefusedLate:
 	default:
 		t.step.backoff = now.Add(stepPause)
 	}
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -37,6 +37,8 @@
 	overdue  bool             // the latest call that asked for a report was not answered
 	clock    models.Milli     // of that report
 	granted  models.Milli     // the latest end of a lease that was sent, on its clock
+	granting bool             // the latest call that asked for a report prolongs the lease
+	leased   bool             // the latest report answers a call that prolonged the lease
 	unwell   time.Time        // no starts before
 	ends     []keptEnd
 	lastEnd  uint64 // highest number applied
@@ -148,7 +150,7 @@
 // usable tells whether new tasks may start on the worker.
 func (c *Core) usable(w *worker, now time.Time) bool {
 	stays := w.listed && w.enrolled && !w.info.Draining
-	heard := w.answered && now.Sub(w.heard) < silentAfter
+	heard := w.leased && now.Sub(w.heard) < silentAfter // a start alone carries no more than startWithin
 	well := !w.failing(now) && now.After(w.unwell) && now.After(w.stalledUntil)
 	return stays && heard && well && len(w.strays) == 0
 }
