--- a/modules/calltime/calltime_test.go
+++ b/modules/calltime/calltime_test.go
@@ -4,8 +4,6 @@
 package calltime_test
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rillsail.example/rillsail/modules/calltime"
+	"rillsail.example/rillsail/modules/casefile"
 )
 
 // limitCase is an entry of testdata/limits.json.
@@ -32,11 +31,7 @@
 // TestLimits plays testdata/limits.json: a hundred callers, each of which calls again when
 // its call was answered or given up.
 func TestLimits(t *testing.T) {
-	data, err := os.ReadFile("testdata/limits.json")
-	require.NoError(t, err)
-	var cases []limitCase
-	require.NoError(t, json.Unmarshal(data, &cases))
-	for _, c := range cases {
+	for _, c := range casefile.Read[[]limitCase](t, "testdata/limits.json") {
 		t.Run(c.Name, func(t *testing.T) { synctest.Test(t, c.play) })
 	}
 }
--- a/modules/stall/stall_test.go
+++ b/modules/stall/stall_test.go
@@ -5,10 +5,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"rillsail.example/rillsail/modules/casefile"
 	"rillsail.example/rillsail/modules/stall"
 )
 
@@ -32,11 +31,7 @@
 
 // TestCalls plays the calls of testdata/calls.json with limits of one second.
 func TestCalls(t *testing.T) {
-	data, err := os.ReadFile("testdata/calls.json")
-	require.NoError(t, err)
-	var cases []callCase
-	require.NoError(t, json.Unmarshal(data, &cases))
-	for _, c := range cases {
+	for _, c := range casefile.Read[[]callCase](t, "testdata/calls.json") {
 		t.Run(c.Name, func(t *testing.T) { synctest.Test(t, c.play) })
 	}
 }
--- a/services/cell/random_test.go
+++ b/services/cell/random_test.go
@@ -5,12 +5,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/casefile"
 	"rillsail.example/rillsail/services/config"
 	"rillsail.example/rillsail/services/standin/fleet"
 )
@@ -98,18 +96,9 @@
 // TestNamedScripts plays the scripts of testdata: the failures that random runs
 // have found, and those that the promises name.
 func TestNamedScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/scripts/*.json")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
-			data, err := os.ReadFile(file)
-			require.NoError(t, err)
-			var script []step
-			require.NoError(t, json.Unmarshal(data, &script))
-			require.Empty(t, in(t, func(t *testing.T, v *verdict) { play(t, v, script) }))
-		})
-	}
+	casefile.Each(t, "testdata/scripts/*.json", func(t *testing.T, script []step) {
+		require.Empty(t, in(t, func(t *testing.T, v *verdict) { play(t, v, script) }))
+	})
 }
 
 // play runs a script, ends all faults and checks the outcome.
--- a/services/control/peers.go
+++ b/services/control/peers.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,41 +28,40 @@
 
 // caller calls the other daemons over the network.
 type caller struct {
-	self    string
-	http    *stall.Client
-	mu      sync.Mutex
-	clients map[string]peerrpc.Owner
+	self      string
+	transport *http.Transport
+	owners    *peerrpc.Clients[peerrpc.Owner]
 }
 
 const peerConnections = 8
 
 func newCaller(self string) *caller {
+	return newCallerOver(self, (&net.Dialer{Timeout: peerTimeout, KeepAlive: -1}).DialContext)
+}
+
+// newCallerOver makes a caller whose connections dial opens.
+func newCallerOver(self string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *caller {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: peerTimeout, KeepAlive: -1}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: peerConnections,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	return &caller{
-		self: self, clients: map[string]peerrpc.Owner{},
-		http: &stall.Client{HTTP: &http.Client{Transport: transport}, Limits: stall.Evenly(peerTimeout)},
-	}
+	client := &stall.Client{HTTP: &http.Client{Transport: transport}, Limits: stall.Evenly(peerTimeout)}
+	return &caller{self: self, transport: transport, owners: peerrpc.NewClients(ownerClient, client)}
 }
 
 // Jobs implements Peers.
 func (p *caller) Jobs(ctx context.Context, address string, query jobs.Query) (jobs.Answer, error) {
-	return peerrpc.Call[jobs.Answer](ctx, p.self, "ask owner", address, p.client(address).Jobs, query)
+	return peerrpc.Call[jobs.Answer](ctx, p.self, "ask owner", address, p.owners.At(address).Jobs, query)
 }
 
-func (p *caller) client(address string) peerrpc.Owner {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	client, ok := p.clients[address]
-	if !ok {
-		client = peerrpc.NewOwnerProtobufClient("http://"+address, p.http)
-		p.clients[address] = client
-	}
-	return client
+// close closes the connections that no call uses.
+func (p *caller) close() { p.transport.CloseIdleConnections() }
+
+// ownerClient makes a client without options.
+func ownerClient(base string, http peerrpc.HTTPClient) peerrpc.Owner {
+	return peerrpc.NewOwnerProtobufClient(base, http)
 }
 
 // Handler serves the other daemons.
--- a/services/control/peers_test.go
+++ b/services/control/peers_test.go
@@ -47,12 +47,11 @@
 		server := &http.Server{Handler: peerrpc.NewOwnerServer(owner), ReadHeaderTimeout: time.Minute}
 		var group conc.WaitGroup
 		group.Go(func() { _ = server.Serve(l.Listen("owner:80")) }) // ends with Shutdown
-		peers := newCaller("asker")
-		peers.http.HTTP.Transport.(*http.Transport).DialContext = l.Dial
+		peers := newCallerOver("asker", l.Dial)
 		began := time.Now()
 		answer, err := peers.Jobs(t.Context(), "owner:80", jobs.Query{Cell: "0", Learned: true})
 		took := time.Since(began)
-		peers.http.HTTP.CloseIdleConnections()
+		peers.close()
 		require.NoError(t, server.Shutdown(context.Background()))
 		group.Wait()
 		require.NoError(t, err)
--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +19,7 @@
 	"pgregory.net/rapid"
 
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/casefile"
 	"rillsail.example/rillsail/services/platform"
 	"rillsail.example/rillsail/services/standin/grid"
 )
@@ -98,18 +98,10 @@
 
 // TestNamedScripts plays the scripts of testdata: failures that random runs have found.
 func TestNamedScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/scripts/*.json")
-	require.NoError(t, err)
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			data, err := os.ReadFile(file)
-			require.NoError(t, err)
-			var script []happening
-			require.NoError(t, json.Unmarshal(data, &script))
-			require.Empty(t, playScript(t, script, scriptWorkers))
-			require.Empty(t, playScript(t, script, scriptWorkers/2))
-		})
-	}
+	casefile.Each(t, "testdata/scripts/*.json", func(t *testing.T, script []happening) {
+		require.Empty(t, playScript(t, script, scriptWorkers))
+		require.Empty(t, playScript(t, script, scriptWorkers/2))
+	})
 }
 
 // scripted is what a script has brought about so far.
--- a/services/control/services_test.go
+++ b/services/control/services_test.go
@@ -4,9 +4,7 @@
 package control
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +13,7 @@
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/casefile"
 	"rillsail.example/rillsail/services/standin/grid"
 )
 
@@ -45,11 +44,7 @@
 // TestServicesKeepTheirTargets lets work fill beside services that differ from the users' in
 // every figure: none may stay over its target for long, and the work must get its room.
 func TestServicesKeepTheirTargets(t *testing.T) {
-	data, err := os.ReadFile("testdata/services.json")
-	require.NoError(t, err)
-	var cases []servicesCase
-	require.NoError(t, json.Unmarshal(data, &cases))
-	for _, c := range cases {
+	for _, c := range casefile.Read[[]servicesCase](t, "testdata/services.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			plays := max(1, c.Plays)
 			sum := 0.0
--- a/services/control/stop_test.go
+++ b/services/control/stop_test.go
@@ -28,9 +28,9 @@
 	})
 }
 
-// TestPlannedStopInAnOutageKeepsTheCell holds what day trouble-3 of the grown site of Samferð
-// showed: an owner that was stopped in an outage could not hand its cell over, and left it
-// without any owner until the store was back.
+// TestPlannedStopInAnOutageKeepsTheCell holds what was seen when a planned stop
+// met an outage: an owner that was stopped could not hand its cell over, and left it without
+// any owner until the store was back.
 func TestPlannedStopInAnOutageKeepsTheCell(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 4, 3, nil)
--- a/services/dispatch/takeover_test.go
+++ b/services/dispatch/takeover_test.go
@@ -78,9 +78,9 @@
 	require.Len(t, b.starts(), 1)
 }
 
-// TestStaleEntryOfADrainedWorkerIsNotWaitedFor holds what cost 7 s of 1,172 tasks on day
-// trouble-3 of the grown site of Samferð: workers had drained and left during an outage of
-// the store, whose list went on naming them, with the rest of time that they had before it.
+// TestStaleEntryOfADrainedWorkerIsNotWaitedFor holds what cost 1,172 tasks 7 s each:
+// workers had drained and left during an outage of the store, whose list went on naming
+// them, with the rest of time that they had before it.
 func TestStaleEntryOfADrainedWorkerIsNotWaitedFor(t *testing.T) {
 	former := newBench(t, 3)
 	drains := former.workers[former.ids[2]].info
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -14,7 +14,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,10 +32,8 @@
 
 // Client calls any peer by its address.
 type Client struct {
-	config  Config
-	http    *stall.Client
-	mu      sync.Mutex
-	clients map[string]peerrpc.Peer
+	config Config
+	peers  *peerrpc.Clients[peerrpc.Peer]
 
 	calls     atomic.Int64
 	bytesSent atomic.Int64
@@ -59,14 +56,16 @@
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &Client{
-		config: config,
-		http: &stall.Client{
-			HTTP:   &http.Client{Transport: bearer{token: config.Token, next: transport}},
-			Limits: stall.Evenly(config.Timeout),
-		},
-		clients: map[string]peerrpc.Peer{},
+	client := &stall.Client{
+		HTTP:   &http.Client{Transport: bearer{token: config.Token, next: transport}},
+		Limits: stall.Evenly(config.Timeout),
 	}
+	return &Client{config: config, peers: peerrpc.NewClients(peerClient, client)}
+}
+
+// peerClient makes a client without options.
+func peerClient(base string, http peerrpc.HTTPClient) peerrpc.Peer {
+	return peerrpc.NewPeerProtobufClient(base, http)
 }
 
 // bearer adds the peers' token to each call.
@@ -126,7 +125,7 @@
 
 func call[A wire.Checker](ctx context.Context, c *Client, step, address string, do method, body any) (A, error) {
 	counted := func(ctx context.Context, in *peerrpc.Envelope) (*peerrpc.Envelope, error) {
-		out, err := do(c.client(address), ctx, in)
+		out, err := do(c.peers.At(address), ctx, in)
 		c.calls.Add(1)
 		c.bytesSent.Add(int64(len(in.GetBody())))
 		c.bytesGot.Add(int64(len(out.GetBody())))
@@ -134,14 +133,3 @@
 	}
 	return peerrpc.Call[A](ctx, string(c.config.Self), step, address, counted, body)
 }
-
-func (c *Client) client(address string) peerrpc.Peer {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	client, ok := c.clients[address]
-	if !ok {
-		client = peerrpc.NewPeerProtobufClient("http://"+address, c.http)
-		c.clients[address] = client
-	}
-	return client
-}
--- a/services/place/place_test.go
+++ b/services/place/place_test.go
@@ -4,14 +4,13 @@
 package place
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/casefile"
 	"rillsail.example/rillsail/modules/selector"
 )
 
@@ -25,11 +24,7 @@
 
 // TestRules reads which tasks may share a VM under which rules.
 func TestRules(t *testing.T) {
-	data, err := os.ReadFile("testdata/rules.json")
-	require.NoError(t, err)
-	var cases []ruleCase
-	require.NoError(t, json.Unmarshal(data, &cases))
-	for _, c := range cases {
+	for _, c := range casefile.Read[[]ruleCase](t, "testdata/rules.json") {
 		for _, rule := range c.Rules {
 			require.NoError(t, rule.Check(), c.Name)
 		}
