--- a/modules/stall/stall.go
+++ b/modules/stall/stall.go
@@ -63,7 +63,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(request.Context())
 	w := &watchdog{cancel: cancel, ctx: ctx, end: time.Now().Add(longest)}
-	w.timer = time.AfterFunc(limits.Answer, w.bark)
+	w.timer = time.AfterFunc(limits.Answer, w.expire)
 	response, err := client.Do(w.guard(request, limits.Answer))
 	if err != nil {
 		w.stop()
@@ -82,8 +82,8 @@
 	end    time.Time // of the call, also when it moves
 }
 
-// bark ends the call.
-func (w *watchdog) bark() { w.cancel(ErrStalled) }
+// expire ends the call.
+func (w *watchdog) expire() { w.cancel(ErrStalled) }
 
 // moved leaves the call as much time again.
 func (w *watchdog) moved(limit time.Duration) {
--- a/services/control/late_test.go
+++ b/services/control/late_test.go
@@ -14,9 +14,9 @@
 	"rillsail.example/rillsail/models/jobs"
 )
 
-// An owner that can't keep up gives its orders late and hears of changes late. What it
+// An owner that can't keep up gives its orders late and learns of changes late. What it
 // orders must do no harm then, whatever its load: starts are refused at the worker once
-// they are old, and an owner that knows that its news are old gives none.
+// they are old, and an owner whose knowledge is stale gives none.
 
 // TestStartThatIsLateIsRefused lets an owner's orders reach the workers three seconds
 // late. Meanwhile the worker begins to drain: nothing may start there then.
@@ -45,10 +45,10 @@
 	})
 }
 
-// TestOwnerWithoutNewsStartsNothing lets no change reach an owner whose lease in the store
+// TestOwnerWithStaleKnowledgeStartsNothing lets no change reach an owner whose lease in the store
 // is renewed and whose workers answer. A job waits for room and is cancelled through
 // another daemon; then room becomes free.
-func TestOwnerWithoutNewsStartsNothing(t *testing.T) {
+func TestOwnerWithStaleKnowledgeStartsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const whole = 5 * time.Second
 		w := newWorld(t, 1, 2, func(jobs.TaskID, jobs.RunID) (time.Duration, jobs.End) { return whole, jobs.EndSucceeded })
@@ -66,12 +66,12 @@
 		w.eventually(5*time.Second, "first job runs", func() bool { return w.grid.Running(jobID(1)) == 1 })
 		w.submit(other, large(2))
 		time.Sleep(500 * time.Millisecond)
-		owner.set(func() { owner.noNews = true })
+		owner.set(func() { owner.watchLost = true })
 		time.Sleep(100 * time.Millisecond)
 		require.NoError(t, other.Cancel(t.Context(), jobID(2)))
 		time.Sleep(2 * whole)
 		require.False(t, w.grid.Ran(jobID(2)), "it was started seconds after its cancellation was stored")
-		owner.set(func() { owner.noNews = false })
+		owner.set(func() { owner.watchLost = false })
 		w.submit(other, large(3))
 		w.eventually(5*time.Second, "third job runs", func() bool { return w.grid.Running(jobID(3)) == 1 })
 		require.False(t, w.grid.Ran(jobID(2)))
--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -62,7 +62,7 @@
 	cutFrom   map[jobs.WorkerID]bool // workers that it doesn't reach
 	heldFor   time.Duration          // see testStore
 	slowFor   time.Duration          // its orders reach the workers so much later, unanswered in time
-	noNews    bool                   // changes in the store don't reach it, while its other calls are answered
+	watchLost bool                   // changes in the store don't reach it, while its other calls are answered
 
 	beforeCommit func() // called before each of its transactions; nil: nothing
 }
@@ -228,23 +228,23 @@
 	daemon *testDaemon
 }
 
-// deaf tells whether no news reaches the daemon now, after the time of a call.
-func (d *testDaemon) deaf(ctx context.Context) bool {
+// losesWatch tells whether changes don't reach the daemon now, after the time of a call.
+func (d *testDaemon) losesWatch(ctx context.Context) bool {
 	d.mu.Lock()
-	deaf := d.noNews
+	lost := d.watchLost
 	d.mu.Unlock()
-	if deaf {
+	if lost {
 		sleep(ctx, callTime)
 	}
-	return deaf
+	return lost
 }
 
 func (s *testStore) Watch(ctx context.Context, prefix string, after platform.Version) ([]platform.Record, platform.Version, error) {
-	if s.daemon.deaf(ctx) {
+	if s.daemon.losesWatch(ctx) {
 		return nil, 0, platform.ErrUnknown
 	}
 	records, at, err := s.Local.Watch(ctx, prefix, after)
-	if s.daemon.deaf(ctx) {
+	if s.daemon.losesWatch(ctx) {
 		return nil, 0, platform.ErrUnknown
 	}
 	return records, at, err
@@ -347,7 +347,7 @@
 	if err := l.storeFault(ctx, false, false, ""); err != nil {
 		return nil, err
 	}
-	if l.deaf(ctx) {
+	if l.losesWatch(ctx) {
 		return nil, platform.ErrUnknown
 	}
 	return l.world.grid.JobWorkers(ctx)
--- a/services/control/yield_test.go
+++ b/services/control/yield_test.go
@@ -33,8 +33,8 @@
 	})
 }
 
-// TestOwnerOfTwoCellsLeavesOneToADaemonWithNone holds how an owner came to drown in its
-// calls. One daemon took both cells when others were away, and kept them when they were
+// TestOwnerOfTwoCellsLeavesOneToADaemonWithNone holds how an owner came to be late with all
+// of its calls. One daemon took both cells when others were away, and kept them when they were
 // back: with 490 workers its answers came later than its calls' time limit, each call was
 // repeated on a new connection (85,000 in 70 s, 7,000 on other days), and it heard of
 // changes, stored ends and renewed its lease seconds late. It was proved by letting just
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -21,7 +21,7 @@
 //   - what is stored: changes.go
 //   - workers: worker.go, room.go, speed.go, lease.go; those that go: gone.go
 //   - the time after a takeover: takeover.go; whether this still is the owner: proof.go;
-//     whether it knows enough to start something: news.go
+//     whether what it knows is recent enough to start something: stale.go
 //   - work that goes to another cell: movable.go (what may go), offer.go (how much of other
 //     cells' work finds a place here), move.go (the tasks while a move is stored)
 //   - how full the cell is: load.go; figures for operators: summary.go
@@ -95,7 +95,7 @@
 	countedAt   time.Time // when obeyed was last found out
 	wantsProof  bool      // a transaction is wanted for its proof alone
 	idle        bool      // orders wait for a proof
-	news        news
+	known       known
 	stopping    map[*task]struct{}
 	now         time.Time // of the latest call
 
@@ -122,7 +122,7 @@
 		config: config, jobs: map[jobs.ID]*job{}, timed: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, left: map[jobs.ID]uint64{},
 		workers: map[jobs.WorkerID]*worker{}, queues: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
 		formerLease: config.LongestLease, blind: true, proved: config.Taken, model: contention.NewModel(), usual: map[jobs.QueueName]*speed{},
-		restored: map[stepKey]contention.Load{}, news: news{jobs: config.Taken, workers: config.Taken},
+		restored: map[stepKey]contention.Load{}, known: known{jobs: config.Taken, workers: config.Taken},
 	}
 }
 
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -62,7 +62,7 @@
 // startWithin is how old a start may be when it is done: twice the time after which one
 // without answer is repeated, and somewhat for the age of the report that tells the worker's
 // clock. It bounds by construction what an owner can do that is slow, or whose calls are
-// held up: later than that the worker refuses. With newsFor it keeps within the three
+// held up: later than that the worker refuses. With staleAfter it keeps within the three
 // seconds after which nothing may start on a worker that drains. With the lease of some
 // seconds in its place, a start that was three seconds old ran on such a worker.
 const startWithin = time.Second
