--- a/services/control/peers_test.go
+++ b/services/control/peers_test.go
@@ -46,7 +46,8 @@
 		l := link.New(link.Config{Rate: narrow})
 		server := &http.Server{Handler: peerrpc.NewOwnerServer(owner), ReadHeaderTimeout: time.Minute}
 		var group conc.WaitGroup
-		group.Go(func() { _ = server.Serve(l.Listen("owner:80")) }) // ends with Shutdown
+		listener := l.Listen("owner:80")
+		group.Go(func() { _ = server.Serve(listener) }) // ends with Shutdown
 		peers := newCallerOver("asker", l.Dial)
 		began := time.Now()
 		answer, err := peers.Jobs(t.Context(), "owner:80", jobs.Query{Cell: "0", Learned: true})
