--- a/modules/setting/platform.go
+++ b/modules/setting/platform.go
@@ -22,7 +22,8 @@
 	ListEvery   time.Duration
 	CallTimeout time.Duration // for how long a call to the store, the list or a worker may not move
 	DialTimeout time.Duration // of a connection
-	// WorkerTimeout is the same of a call to a worker on the users' platform.
+	// WorkerTimeout is the least of the same for a call to a worker on the users' platform; it
+	// grows while answers come late.
 	WorkerTimeout time.Duration
 	WatchWait     time.Duration // how long a watch waits at the store
 }
@@ -40,7 +41,7 @@
 	r.address("list", &p.List, "the platform's VM list")
 	r.duration("list_every", &p.ListEvery, 50*time.Millisecond, time.Minute, "how often the VM list is read")
 	r.duration("call_timeout", &p.CallTimeout, 50*time.Millisecond, time.Minute, "for how long a call may not move: no answer, or an answer that does not go on")
-	r.duration("worker_timeout", &p.WorkerTimeout, 50*time.Millisecond, time.Minute, "the same of a call to a worker, on the users' platform")
+	r.duration("worker_timeout", &p.WorkerTimeout, 50*time.Millisecond, time.Minute, "the same of a call to a worker on the users' platform, at least; it grows while answers come late")
 	r.duration("dial_timeout", &p.DialTimeout, 10*time.Millisecond, time.Minute, "time limit of a connection to the platform")
 	r.duration("watch_wait", &p.WatchWait, 100*time.Millisecond, 10*time.Minute, "how long one watch waits at the store")
 }
