--- a/services/control/submit.go
+++ b/services/control/submit.go
@@ -13,6 +13,7 @@
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/errstep"
+	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/services/platform"
 )
 
@@ -57,7 +58,9 @@
 	case err != nil:
 		s.doubts.add(spec.ID, registered)
 		s.Cells.unregistered(registered)
-		s.config.Logger.Warn("job may be accepted, the store has not said so", zap.String("job", string(spec.ID)), zap.Error(err))
+		s.config.Logger.Warn("job may be accepted, the store has not said so", zap.String("job", string(spec.ID)), zap.Error(err),
+			zap.Bool("unknown", errors.Is(err, platform.ErrUnknown)), zap.Bool("unavailable", errors.Is(err, platform.ErrUnavailable)),
+			zap.Bool("limited", errors.Is(err, platform.ErrLimited)))
 		return err
 	}
 	s.ofQueue(spec.Queue).Counter("jobs_accepted").Inc(1)
@@ -112,9 +115,13 @@
 func (s *Service) write(ctx context.Context, txn platform.Txn) error {
 	unsure := false
 	began := time.Now()
-	for {
+	for try := 1; ; try++ {
 		_, err := s.config.Store.Commit(ctx, txn)
 		s.health.note(err)
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			s.config.Logger.Info("write is not confirmed", append(log.Err(err), zap.String("key", txn.Put[0].Key), zap.Int("try", try),
+				zap.Bool("unknown", errors.Is(err, platform.ErrUnknown)))...)
+		}
 		switch {
 		case err == nil, errors.Is(err, platform.ErrConflict):
 			return err
