--- /dev/null
+++ b/services/control/refusals_test.go
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// A caller that hears "not done" acts on it: it gives the work to somebody else, or tells
+// its own user that nothing will happen. So a refusal has to be true for all writes of the
+// daemon that gives it, also those that were not answered or are still on their way.
+
+var testQueueTerms = jobs.Queue{Name: testQueue, Terms: testTerms}
+
+// newTwoDaemons makes a world with two daemons that take jobs, and gives one that owns nothing.
+func newTwoDaemons(t *testing.T) (w *world, idle, owner *testDaemon) {
+	t.Helper()
+	w = newWorld(t, 2, 2, nil)
+	w.submit(w.daemons[0], lasting(1, 1))
+	w.eventually(5*time.Second, "a daemon owns the cell", func() bool { return w.owner() != nil })
+	idle, owner = w.daemons[1], w.owner()
+	if owner == idle {
+		idle = w.daemons[0]
+	}
+	w.eventually(5*time.Second, "the other takes jobs", func() bool { return idle.Ready() && idle.Cells.registration() != 0 })
+	return w, idle, owner
+}
+
+// expected is a job of which the workers may be asked to run tasks.
+func (w *world) expected(n int) jobs.Spec {
+	spec := twoSteps(n, time.Second)
+	spec.Queue = testQueue
+	w.grid.Expect(spec, testAttempts)
+	return spec
+}
+
+// holdUp lets the daemon's transactions reach the store so much later, without an answer.
+func (d *testDaemon) holdUp(by time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heldFor = by
+}
+
+// cutStore lets the daemon's calls to the store fail before they reach it.
+func (d *testDaemon) cutStore(cut bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storeCut = cut
+}
+
+func TestNoSuchJobHoldsForWritesOnTheirWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, owner := newTwoDaemons(t)
+		spec := w.expected(2)
+		idle.holdUp(1200 * time.Millisecond)
+		go idle.Submit(w.ctx, spec, testQueueTerms)
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, noSuchJob, owner.Cancel(w.ctx, spec.ID))
+		require.Equal(t, noSuchJob, owner.Cancel(w.ctx, spec.ID), "also when asked again")
+		idle.holdUp(0)
+		time.Sleep(15 * time.Second)
+		require.False(t, w.grid.Ran(spec.ID), "nothing of it runs")
+		_, err := owner.State(w.ctx, spec.ID)
+		require.ErrorIs(t, err, platform.ErrNotFound)
+		outcome := idle.Submit(w.ctx, spec, testQueueTerms)
+		require.IsType(t, platform.NotDone{}, outcome)
+		require.Equal(t, platform.RefusedUnfit, outcome.(platform.NotDone).Why, "no use to come back soon")
+		w.noBreach()
+	})
+}
+
+func TestBarredJobIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		require.Equal(t, noSuchJob, idle.Cancel(w.ctx, jobID(2)))
+		require.Len(t, w.store.KeysWith(jobKey(cellName(0), jobID(2))), 1)
+		w.eventually(doubtKept+10*time.Second, "its record is removed", func() bool {
+			return len(w.store.KeysWith(jobKey(cellName(0), jobID(2)))) == 0
+		})
+		require.Equal(t, platform.Done{}, idle.Submit(w.ctx, w.expected(2), testQueueTerms))
+		w.noBreach()
+	})
+}
+
+func TestTriesOfAJobAtOneDaemonAreOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		spec := w.expected(2)
+		idle.holdUp(600 * time.Millisecond)
+		first := make(chan platform.Outcome, 1)
+		go func() { first <- idle.Submit(w.ctx, spec, testQueueTerms) }()
+		time.Sleep(100 * time.Millisecond)
+		idle.cutStore(true) // the store is down for every other call
+		time.Sleep(time.Second)
+		require.IsType(t, platform.MaybeDone{}, idle.Submit(w.ctx, spec, testQueueTerms), "a write of it is under way")
+		require.IsType(t, platform.MaybeDone{}, <-first)
+	})
+}
+
+func TestJobInDoubtIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		spec := w.expected(2)
+		idle.holdUp(900 * time.Millisecond) // done, and nobody hears of it
+		require.IsType(t, platform.MaybeDone{}, idle.Submit(w.ctx, spec, testQueueTerms))
+		idle.holdUp(0)
+		w.eventually(3*time.Second, "the daemon is registered again", func() bool { return idle.Cells.registration() != 0 })
+		idle.cutStore(true)
+		require.IsType(t, platform.MaybeDone{}, idle.Submit(w.ctx, spec, testQueueTerms), "the store can't be read")
+		time.Sleep(time.Second)
+		require.IsType(t, platform.MaybeDone{}, idle.Submit(w.ctx, spec, testQueueTerms), "the store is known to be down")
+		require.IsType(t, platform.NotDone{}, idle.Submit(w.ctx, w.expected(3), testQueueTerms), "another job is refused")
+		idle.cutStore(false)
+		w.submit(idle, spec)
+		w.eventually(20*time.Second, "success", func() bool { return w.state(idle, spec.ID) == jobs.StateSucceeded })
+		w.noBreach()
+	})
+}
+
+func TestCallerThatLeavesDoesNotCutTheWriteOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		spec := w.expected(2)
+		left, leave := context.WithCancel(w.ctx)
+		idle.mu.Lock()
+		idle.beforeCommit = leave // it leaves while the write is on its way
+		idle.mu.Unlock()
+		require.Equal(t, platform.Done{}, idle.Submit(left, spec, testQueueTerms))
+		require.NotZero(t, idle.Cells.registration(), "the daemon takes other jobs")
+	})
+}
+
+func TestJobIsAcceptedByADaemonThatHasRegisteredAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		var once bool
+		idle.mu.Lock()
+		idle.beforeCommit = func() { // its key is written again just before the job's record is
+			if once {
+				return
+			}
+			once = true
+			idle.Cells.mu.Lock()
+			lease := idle.Cells.lease
+			idle.Cells.mu.Unlock()
+			idle.Cells.register(w.ctx, lease)
+		}
+		idle.mu.Unlock()
+		require.Equal(t, platform.Done{}, idle.Submit(w.ctx, w.expected(2), testQueueTerms))
+	})
+}
