--- a/models/cell.go
+++ b/models/cell.go
@@ -63,17 +63,10 @@
 
 // Check checks every record.
 func (c CellChange) Check() error {
-	for _, t := range c.Tasks {
-		if err := t.Check(); err != nil {
-			return err
-		}
-	}
-	for _, j := range c.Jobs {
-		if err := j.Check(); err != nil {
-			return err
-		}
+	if err := checkAll(c.Tasks); err != nil {
+		return err
 	}
-	return nil
+	return checkAll(c.Jobs)
 }
 
 // Apply changes s in place.
--- a/models/config_change.go
+++ b/models/config_change.go
@@ -37,12 +37,7 @@
 		}
 		seen[key] = true
 	}
-	for _, box := range c.Put {
-		if err := box.Check(); err != nil {
-			return err
-		}
-	}
-	return nil
+	return checkAll(c.Put)
 }
 
 // Keys lists all objects touched.
--- a/models/ids.go
+++ b/models/ids.go
@@ -18,11 +18,7 @@
 // and applies them with CellState.Apply.
 package models
 
-import (
-	"time"
-
-	"github.com/cockroachdb/errors"
-)
+import "time"
 
 // MemberID names one daemon; it is written in that daemon's settings.
 type MemberID string
@@ -87,15 +83,3 @@
 
 // Time is the time it counts.
 func (t UnixMilli) Time() time.Time { return time.UnixMilli(int64(t)) }
-
-// Limits on the length of names, in bytes.
-const (
-	maxNameLength   = 200
-	maxLabels       = 64
-	maxLabelsLength = 4096
-)
-
-// newCountError refuses a list with too few or too many entries.
-func newCountError(what string, n, most int) error {
-	return errors.Newf("1 to %d %s are allowed in one call, these are %d", most, what, n)
-}
--- a/models/operate.go
+++ b/models/operate.go
@@ -146,10 +146,5 @@
 
 // Check checks every object.
 func (c Configuration) Check() error {
-	for _, box := range c.Objects {
-		if err := box.Check(); err != nil {
-			return err
-		}
-	}
-	return nil
+	return checkAll(c.Objects)
 }
--- a/models/peer.go
+++ b/models/peer.go
@@ -44,12 +44,7 @@
 
 // Check checks every task reported.
 func (c ReportCall) Check() error {
-	for _, t := range c.Tasks {
-		if err := t.Check(); err != nil {
-			return err
-		}
-	}
-	return nil
+	return checkAll(c.Tasks)
 }
 
 // ReportAnswer lists the tasks whose report is journalled, or that are not known.
@@ -151,12 +146,7 @@
 
 // Check checks every job submitted.
 func (c ForwardCall) Check() error {
-	for _, j := range c.Submit {
-		if err := j.Check(); err != nil {
-			return err
-		}
-	}
-	return nil
+	return checkAll(c.Submit)
 }
 
 // WorkerStatus is a worker as its owner sees it.
--- /dev/null
+++ b/models/team.go
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package models
+
+import (
+	"maps"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Team owns services and jobs, up to a quota.
+type Team struct {
+	Name  TeamName    `json:"name"`
+	Quota Resources   `json:"quota"`         // zero parts are not limited
+	Jobs  JobDefaults `json:"jobs,omitzero"` // for what its jobs don't say
+}
+
+func (Team) object() {}
+
+// Key implements Object.
+func (o Team) Key() ObjectKey { return ObjectKey{Kind: ObjectTeam, Name: string(o.Name)} }
+
+// Check implements Object.
+func (o Team) Check() error {
+	if err := checkName("team", string(o.Name)); err != nil {
+		return err
+	}
+	if err := o.Jobs.Check(); err != nil {
+		return errors.Wrapf(err, "team %s: jobs", o.Name)
+	}
+	return errors.Wrapf(o.Quota.Check(), "team %s: quota", o.Name)
+}
+
+// JobDefaults are what a team's jobs have when they don't say otherwise.
+type JobDefaults struct {
+	Labels map[string]string `json:"labels,omitempty"` // a job's own go before them, label by label
+	Size   Resources         `json:"size,omitzero"`
+	Work   Milli             `json:"work_ms,omitempty"`
+}
+
+// Check rejects impossible amounts.
+func (d JobDefaults) Check() error {
+	if d.Work < 0 {
+		return errors.Newf("work_ms %d is negative", d.Work)
+	}
+	if err := checkLabels(d.Labels); err != nil {
+		return err
+	}
+	return d.Size.Check()
+}
+
+// Fill gives the job what it doesn't say.
+func (d JobDefaults) Fill(job JobSpec) JobSpec {
+	if len(d.Labels) > 0 {
+		labels := maps.Clone(d.Labels)
+		maps.Copy(labels, job.Labels)
+		job.Labels = labels
+	}
+	if job.Size.IsZero() {
+		job.Size = d.Size
+	}
+	if job.Work == 0 {
+		job.Work = d.Work
+	}
+	return job
+}
--- a/models/vm.go
+++ b/models/vm.go
@@ -89,32 +89,3 @@
 	}
 	return nil
 }
-
-func checkName(what, name string) error {
-	if name == "" || len(name) > maxNameLength {
-		return errors.Newf("%s %q must have 1 to %d bytes", what, name, maxNameLength)
-	}
-	for _, c := range name {
-		if c <= ' ' || c == 0x7f {
-			return errors.Newf("%s %q holds a space or control character", what, name)
-		}
-	}
-	return nil
-}
-
-func checkLabels(labels map[string]string) error {
-	if len(labels) > maxLabels {
-		return errors.Newf("%d labels, at most %d are allowed", len(labels), maxLabels)
-	}
-	size := 0
-	for k, v := range labels {
-		if k == "" {
-			return errors.New("a label has an empty key")
-		}
-		size += len(k) + len(v)
-	}
-	if size > maxLabelsLength {
-		return errors.Newf("labels take %d bytes, at most %d are allowed", size, maxLabelsLength)
-	}
-	return nil
-}
--- a/models/worker.go
+++ b/models/worker.go
@@ -125,12 +125,7 @@
 
 // Check checks every report.
 func (a RenewAnswer) Check() error {
-	for _, r := range a.Attempts {
-		if err := r.Check(); err != nil {
-			return err
-		}
-	}
-	return nil
+	return checkAll(a.Attempts)
 }
 
 // StopCall stops an attempt, or bars it for good if it has not come yet.
