--- a/services/member/beat.go
+++ b/services/member/beat.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -68,6 +70,32 @@
 	s.hear(answer)
 }
 
+// compose makes this daemon's heartbeat with the parts of all sources.
+func (s *Service) compose() models.Heartbeat {
+	beat := models.Heartbeat{Member: s.Self(), Uptime: models.MilliOf(time.Since(s.started))}
+	for _, source := range s.sources {
+		source(&beat)
+	}
+	return beat
+}
+
+// addresses lists whom to send heartbeats: the known members that were not heard
+// within the time, and the seeds that are no known members.
+func (s *Service) addresses(unheardFor time.Duration) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set := map[string]bool{}
+	for _, seed := range s.config.Seeds {
+		set[seed] = true
+	}
+	for _, k := range s.known {
+		set[k.member.PeerAddress] = k.heard.IsZero() || time.Since(k.heard) >= unheardFor
+	}
+	delete(set, s.self.PeerAddress)
+	maps.DeleteFunc(set, func(_ string, wanted bool) bool { return !wanted })
+	return slices.Collect(maps.Keys(set))
+}
+
 // sweep logs who fell silent and forgets who was silent for long.
 func (s *Service) sweep() {
 	s.mu.Lock()
--- /dev/null
+++ b/services/member/dump.go
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package member
+
+import "rillsail.example/rillsail/models"
+
+// Dump is the service's whole state.
+type Dump struct {
+	Self    models.Member                        `json:"self"`
+	Members map[models.MemberID]models.Heartbeat `json:"members"`
+	Silent  map[models.MemberID]models.Member    `json:"silent"`
+}
+
+// Dump gives the whole state for operators.
+func (s *Service) Dump() Dump {
+	dump := Dump{Self: s.Self(), Members: s.Beats(), Silent: map[models.MemberID]models.Member{}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, k := range s.known {
+		if !s.isLive(k) {
+			dump.Silent[id] = k.member
+		}
+	}
+	return dump
+}
--- a/services/member/register.go
+++ b/services/member/register.go
@@ -153,7 +153,7 @@
 		return
 	}
 	s.mu.Lock()
-	k := s.knownOf(m.ID)
+	k := s.stateOf(m.ID)
 	isNew := k.member.PeerAddress != m.PeerAddress
 	if k.heard.IsZero() || isNew {
 		k.member = m
@@ -163,12 +163,3 @@
 		s.Nudge()
 	}
 }
-
-func (s *Service) forget(id models.MemberID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if k, ok := s.known[id]; ok && !s.isLive(k) {
-		s.noteLost(k)
-		delete(s.known, id)
-	}
-}
