--- /dev/null
+++ b/tests/integration/standin_test.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package integration
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/wire"
+	"rillsail.example/rillsail/services/standin/fleet"
+	"rillsail.example/rillsail/services/standin/kv"
+)
+
+// callStandin calls the stand-in at an address; a read has no body.
+func callStandin[T wire.Checker](c *cluster, method, address, path string, body any) T {
+	c.t.Helper()
+	answer, err := wire.Do[T](context.Background(), wire.Call{
+		Client: http.DefaultClient, Method: method, URL: "http://" + address + path, Limit: limit,
+	}, body)
+	require.NoError(c.t, err)
+	return answer
+}
+
+// audit is what the fleet has seen.
+func (c *cluster) audit() fleet.Audit {
+	c.t.Helper()
+	return callStandin[fleet.Audit](c, http.MethodGet, c.fleetAt, fleet.PathAudit, nil)
+}
+
+// noViolations checks what the fleet itself has seen.
+func (c *cluster) noViolations() {
+	c.t.Helper()
+	require.Empty(c.t, c.audit().Violations)
+}
+
+// control does something to a VM of the fleet.
+func (c *cluster) control(vm models.VMID, action fleet.Action) {
+	c.t.Helper()
+	c.controlWith(fleet.Control{VM: vm, Action: action})
+}
+
+func (c *cluster) controlWith(control fleet.Control) {
+	c.t.Helper()
+	callStandin[fleet.Control](c, http.MethodPost, c.fleetAt, fleet.PathControl, control)
+}
+
+// faults sets the faults of the store; no faults end those that were set.
+func (c *cluster) faults(faults kv.Faults) {
+	c.t.Helper()
+	callStandin[kv.Faults](c, http.MethodPost, c.storeAt, kv.PathFaults, faults)
+}
+
+// storeStats is what the store has counted.
+func (c *cluster) storeStats() kv.Stats {
+	c.t.Helper()
+	return callStandin[kv.Stats](c, http.MethodGet, c.storeAt, kv.PathStats, nil)
+}
