Measurement of routing: trial, fake upstream, tests and table in files of their own

Long functions are split: one counts an answer, one sends, one draws a request; what a table's row needs are methods on the runs of its scene.

--- /dev/null
+++ b/services/entry/fake_upstream_test.go
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package entry
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// fakeUpstream has slots, before which requests wait in order.
+type fakeUpstream struct {
+	trial    *trialRun
+	slots    chan struct{}
+	factor   float64
+	fails    bool
+	leavesAt time.Time
+	present  int // requests that wait or are served
+	got      int
+	gotLate  int // new requests more than 3 s after it began to leave
+}
+
+// accept counts a request and draws its service time.
+func (u *fakeUpstream) accept() time.Duration {
+	u.trial.mu.Lock()
+	defer u.trial.mu.Unlock()
+	u.got++
+	u.present++
+	u.trial.reached++
+	if u.present > u.trial.slots+1 {
+		u.trial.overruns++ // one more than there are slots hides the time on the wire
+	}
+	if !u.leavesAt.IsZero() && time.Since(u.leavesAt) > 3*time.Second {
+		u.gotLate++
+	}
+	return time.Duration(float64(trialMedian) * math.Exp(trialSigma*u.trial.random.NormFloat64()) * u.factor)
+}
+
+func (u *fakeUpstream) leave() {
+	u.trial.mu.Lock()
+	defer u.trial.mu.Unlock()
+	u.present--
+}
+
+// RoundTrip implements http.RoundTripper: the wire, the slots and the service.
+func (r *trialRun) RoundTrip(request *http.Request) (*http.Response, error) {
+	number, err := strconv.Atoi(strings.TrimPrefix(request.URL.Host, "10.0.0.1:"))
+	if err != nil {
+		return nil, err
+	}
+	u := r.upstreams[number-1]
+	if trace := httptrace.ContextClientTrace(request.Context()); trace != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	if err := wait(request.Context(), trialOneWay); err != nil {
+		return nil, err
+	}
+	work := u.accept()
+	defer u.leave()
+	if u.fails {
+		return u.respond(request, http.StatusInternalServerError), nil
+	}
+	select {
+	case u.slots <- struct{}{}:
+	case <-request.Context().Done():
+		return nil, request.Context().Err()
+	}
+	time.Sleep(work) // the upstream goes on when its caller has given up
+	<-u.slots
+	if err := wait(request.Context(), trialOneWay); err != nil {
+		r.count(&r.wasted)
+		return nil, err
+	}
+	return u.respond(request, http.StatusOK), nil
+}
+
+// respond answers; an upstream that leaves says so by closing the connection.
+func (u *fakeUpstream) respond(request *http.Request, status int) *http.Response {
+	leaving := !u.leavesAt.IsZero() && !time.Now().Before(u.leavesAt)
+	return &http.Response{
+		StatusCode: status, Header: http.Header{}, ContentLength: 2, Body: io.NopCloser(strings.NewReader("ok")),
+		Request: request, Close: leaving,
+	}
+}
+
+// wait lets time pass unless ctx ends before.
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
