--- a/modules/setting/listen.go
+++ b/modules/setting/listen.go
@@ -58,16 +58,14 @@
 		return checkUsersListen(s.Listen)
 	}
 	l := s.Listen
-	for _, given := range []struct{ key, value string }{
+	if err := checkGiven("listen", []given{
 		{"caller", l.Caller},
 		{"operator", l.Operator},
 		{"peer", l.Peer},
 		{"operator_token", l.OperatorToken},
 		{"peer_token", l.PeerToken},
-	} {
-		if given.value == "" {
-			return &Error{Section: "listen", Key: given.key, Allowed: "must be given"}
-		}
+	}); err != nil {
+		return err
 	}
 	if l.Caller == l.Operator || l.Caller == l.Peer {
 		return &Error{Section: "listen", Key: "caller", Value: l.Caller, Allowed: "must differ from operator and peer"}
@@ -84,14 +82,12 @@
 // checkUsersListen checks the listeners of a daemon on the users' platform: its network
 // is closed, its operators write to the store, so there are no tokens.
 func checkUsersListen(l Listen) *Error {
-	for _, given := range []struct{ key, value string }{
+	if err := checkGiven("listen", []given{
 		{"caller", l.Caller},
 		{"peer", l.Peer},
 		{"ready", l.Ready},
-	} {
-		if given.value == "" {
-			return &Error{Section: "listen", Key: given.key, Allowed: "must be given"}
-		}
+	}); err != nil {
+		return err
 	}
 	if l.Caller == l.Peer || l.Caller == l.Ready {
 		return &Error{Section: "listen", Key: "caller", Value: l.Caller, Allowed: "must differ from peer and ready"}
--- a/modules/setting/platform.go
+++ b/modules/setting/platform.go
@@ -47,11 +47,9 @@
 }
 
 func checkPlatform(s *Settings) *Error {
-	switch {
-	case s.Platform.Store == "":
-		return &Error{Section: "platform", Key: "store", Allowed: "must be given"}
-	case s.Platform.List == "" && s.Platform.Adapter == AdapterOwn:
-		return &Error{Section: "platform", Key: "list", Allowed: "must be given"}
+	keys := []given{{"store", s.Platform.Store}}
+	if s.Platform.Adapter == AdapterOwn {
+		keys = append(keys, given{"list", s.Platform.List})
 	}
-	return nil
+	return checkGiven("platform", keys)
 }
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -97,6 +97,19 @@
 	return nil
 }
 
+// given is a key that has no default, with its value.
+type given struct{ key, value string }
+
+// checkGiven refuses the first key of a section that has no value.
+func checkGiven(section string, keys []given) *Error {
+	for _, g := range keys {
+		if g.value == "" {
+			return &Error{Section: section, Key: g.key, Allowed: "must be given"}
+		}
+	}
+	return nil
+}
+
 // parseINI hands each key of the file to set; an unknown one is an error.
 func (r *registry) parseINI(file io.Reader, set func(name, value string) error) error {
 	data, err := io.ReadAll(file)
--- a/services/interference/learner.go
+++ b/services/interference/learner.go
@@ -17,6 +17,7 @@
 package interference
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -30,7 +31,8 @@
 	Noise float64
 	// Drift is by how much a pair's variance grows in a minute.
 	Drift float64
-	// Floor follows the latency alone upwards by this part per observation.
+	// Rise is the part by which the latency alone follows a higher one upwards, per
+	// observation.
 	Rise float64
 }
 
@@ -62,6 +64,7 @@
 	Share  float64 // of processor time it was allowed, 1 when not throttled
 }
 
+// estimate is the slowdown of a pair with its uncertainty.
 type estimate struct {
 	Mean     float64   `json:"mean"`
 	Variance float64   `json:"variance"`
@@ -69,6 +72,7 @@
 	Samples  int       `json:"samples"`
 }
 
+// baseline is what is known of a service without batch tasks beside it.
 type baseline struct {
 	Alone   float64 `json:"alone_ms"`
 	Target  float64 `json:"target_ms"`
@@ -112,20 +116,20 @@
 	if len(s.Batch) == 0 {
 		return
 	}
-	observed := s.P99.Seconds()*1000/base.Alone - 1
+	observed := milliseconds(s.P99)/base.Alone - 1
 	l.learnPairs(service, s, observed)
 }
 
 // learnBaseline follows the latency alone: at once when the service was alone or
 // faster than thought, slowly upwards otherwise only when alone.
 func (l *Learner) learnBaseline(service string, s Sample) *baseline {
-	ms := s.P99.Seconds() * 1000
+	ms := milliseconds(s.P99)
 	base, ok := l.baselines[service]
 	if !ok {
 		base = &baseline{Alone: ms}
 		l.baselines[service] = base
 	}
-	base.Target = s.Target.Seconds() * 1000
+	base.Target = milliseconds(s.Target)
 	base.Samples++
 	switch {
 	case ms < base.Alone:
@@ -175,6 +179,7 @@
 	return e
 }
 
+// makeRoom forgets the pair longest unseen when there are too many.
 func (l *Learner) makeRoom() {
 	if len(l.pairs) < maxPairs {
 		return
@@ -189,7 +194,7 @@
 	delete(l.pairs, oldest)
 }
 
-// Slowdown implements place.Predictor: the mean and one standard deviation.
+// Slowdown implements place.Predictor: the mean, once its variance is low enough.
 func (l *Learner) Slowdown(service, batch map[string]string) (fraction float64, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -225,16 +230,7 @@
 			parts[i] = (e.Mean + e.Variance) * n.Share
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		switch {
-		case parts[a] > parts[b]:
-			return -1
-		case parts[a] < parts[b]:
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(parts[b], parts[a]) })
 	return order
 }
 
@@ -258,6 +254,8 @@
 	return dump
 }
 
+func milliseconds(d time.Duration) float64 { return d.Seconds() * 1000 }
+
 // labelKey renders a label set in one way.
 func labelKey(labels map[string]string) string {
 	keys := slices.Sorted(maps.Keys(labels))
