--- a/services/standin/load/load.go
+++ b/services/standin/load/load.go
@@ -13,16 +13,13 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
@@ -44,9 +41,8 @@
 
 // Config says what to send where.
 type Config struct {
-	Targets []string // of callers' listeners; Weights gives their shares
-	Weights []int
-	Rate    float64 // requests a second
+	Targets []string // callers' listeners; each gets the same share
+	Rate    float64  // requests a second
 	For     time.Duration
 	Mix     []Kind
 	Seed    uint64
@@ -55,43 +51,6 @@
 	Retries int
 }
 
-// Report is the result, by kind.
-type Report struct {
-	Kinds map[string]*KindReport `json:"kinds"`
-}
-
-// KindReport counts what became of the requests of one kind. Times are in
-// milliseconds.
-type KindReport struct {
-	Sent    int64   `json:"sent"`
-	Right   int64   `json:"right"`   // whole, own and in time
-	Late    int64   `json:"late"`    // right but after the deadline
-	Wrong   int64   `json:"wrong"`   // not whole or not its own: must never be
-	NotRun  int64   `json:"not_run"` // refused, not run
-	Unknown int64   `json:"unknown"` // refused, may have run
-	Broken  int64   `json:"broken"`  // the connection ended
-	Resent  int64   `json:"resent"`
-	P50     float64 `json:"p50_ms"`
-	P99     float64 `json:"p99_ms"`
-	P999    float64 `json:"p999_ms"`
-	Goodput float64 `json:"goodput"` // right / sent
-
-	histogram *hdrhistogram.Histogram
-}
-
-// String is a table of the report.
-func (r Report) String() string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%-12s %7s %7s %6s %6s %7s %7s %6s %9s %9s %9s %8s\n",
-		"kind", "sent", "right", "late", "wrong", "notrun", "unknown", "broken", "p50 ms", "p99 ms", "p99.9 ms", "goodput")
-	for _, name := range slices.Sorted(maps.Keys(r.Kinds)) {
-		k := r.Kinds[name]
-		fmt.Fprintf(&b, "%-12s %7d %7d %6d %6d %7d %7d %6d %9.1f %9.1f %9.1f %8.4f\n",
-			name, k.Sent, k.Right, k.Late, k.Wrong, k.NotRun, k.Unknown, k.Broken, k.P50, k.P99, k.P999, k.Goodput)
-	}
-	return b.String()
-}
-
 type runner struct {
 	config Config
 	client *http.Client
@@ -100,13 +59,7 @@
 	next   int
 }
 
-// Latencies are kept from 10 microseconds to 10 minutes in three digits.
-const (
-	lowest  = 10
-	highest = 600_000_000
-	digits  = 3
-)
-
+// connections are kept to each target.
 const connections = 512
 
 // Run sends until the time is over and waits for the last answer.
@@ -119,21 +72,16 @@
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections}},
 	}
 	for _, kind := range config.Mix {
-		r.report.Kinds[kind.Name] = &KindReport{histogram: hdrhistogram.New(lowest, highest, digits)}
+		r.report.Kinds[kind.Name] = newKindReport()
 	}
 	r.loop(ctx)
 	r.client.CloseIdleConnections()
 	for _, k := range r.report.Kinds {
-		k.P50, k.P99, k.P999 = k.quantile(50), k.quantile(99), k.quantile(99.9)
-		k.Goodput = float64(k.Right) / float64(max(k.Sent, 1))
+		k.sumUp()
 	}
 	return r.report, nil
 }
 
-func (k *KindReport) quantile(q float64) float64 {
-	return float64(k.histogram.ValueAtQuantile(q)) / 1000
-}
-
 // loop sends each request at its time, late ones at once.
 func (r *runner) loop(ctx context.Context) {
 	random := rand.New(rand.NewPCG(r.config.Seed, 1))
@@ -162,6 +110,7 @@
 	return time.Duration(random.ExpFloat64() / r.config.Rate * float64(time.Second))
 }
 
+// draw chooses the kind of the next request, each as often as its weight says.
 func (r *runner) draw(random *rand.Rand) Kind {
 	total := 0
 	for _, kind := range r.config.Mix {
@@ -176,35 +125,12 @@
 	return r.config.Mix[0]
 }
 
+// target chooses the listener that the next request is sent to.
 func (r *runner) target(random *rand.Rand) string {
-	if len(r.config.Weights) != len(r.config.Targets) {
-		return r.config.Targets[random.IntN(len(r.config.Targets))]
-	}
-	total := 0
-	for _, w := range r.config.Weights {
-		total += w
-	}
-	n := random.IntN(total)
-	for i, w := range r.config.Weights {
-		if n -= w; n < 0 {
-			return r.config.Targets[i]
-		}
-	}
-	return r.config.Targets[0]
+	return r.config.Targets[random.IntN(len(r.config.Targets))]
 }
 
-// result is what became of one request.
-type result int
-
-const (
-	right result = iota
-	late
-	wrong
-	notRun
-	unknown
-	broken
-)
-
+// run sends one request, again while it is refused, and counts it.
 func (r *runner) run(ctx context.Context, kind Kind, target, id string, meant time.Time) {
 	var got result
 	resent := int64(0)
@@ -217,25 +143,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	k := r.report.Kinds[kind.Name]
-	k.Sent++
-	k.Resent += resent
-	switch got {
-	case right:
-		k.Right++
-		_ = k.histogram.RecordValue(max(lowest, time.Since(meant).Microseconds())) // out of range is beyond 10 minutes
-	case late:
-		k.Late++
-		_ = k.histogram.RecordValue(max(lowest, time.Since(meant).Microseconds()))
-	case wrong:
-		k.Wrong++
-	case notRun:
-		k.NotRun++
-	case unknown:
-		k.Unknown++
-	case broken:
-		k.Broken++
-	}
+	r.report.Kinds[kind.Name].count(got, resent, time.Since(meant))
 }
 
 func (r *runner) send(ctx context.Context, kind Kind, target, id string, meant time.Time) result {
@@ -275,6 +183,7 @@
 	}
 }
 
+// judge tells what became of a request by its answer.
 func judge(response *http.Response, text string, err error, kind Kind, id, body string, meant time.Time) result {
 	switch {
 	case err != nil:
