--- a/services/daemon/daemon.go
+++ b/services/daemon/daemon.go
@@ -99,6 +99,7 @@
 	return d, nil
 }
 
+// assemble makes the parts and connects them.
 func (d *Daemon) assemble(ids *idMaker) {
 	s := d.Settings
 	self := models.Member{
@@ -222,8 +223,8 @@
 	d.sync()
 }
 
-// configFromPeers asks the peers one after the other, those with the highest
-// revision first, and all of them when nobody has told one yet.
+// configFromPeers asks the peer that has told the highest revision, if that is newer
+// than the query's. It gives nothing when nobody has a newer one or the call fails.
 func (d *Daemon) configFromPeers(ctx context.Context, query models.ConfigQuery) models.ConfigTransfer {
 	var best models.Heartbeat
 	for _, beat := range d.Members.Beats() {
--- a/services/inventory/inventory.go
+++ b/services/inventory/inventory.go
@@ -14,24 +14,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
-	"rillsail.example/rillsail/modules/errstep"
 	"rillsail.example/rillsail/modules/log"
-	"rillsail.example/rillsail/modules/wire"
 	"rillsail.example/rillsail/services/platform"
 )
 
-// CellMapKey is the store's key of the map of cells.
-const CellMapKey = "cellmap"
-
 // Config says where list and map come from.
 type Config struct {
 	List   platform.List
@@ -129,85 +122,6 @@
 	return changed
 }
 
-// refreshCells makes sure that the map holds every rack of the list.
-func (s *Service) refreshCells(ctx context.Context, list models.VMList) error {
-	for {
-		cells, version := s.cellMap()
-		next, missing := cells.With(list)
-		if !missing {
-			return nil
-		}
-		// Read first: another daemon may have entered the racks.
-		found, foundVersion, err := s.readCells(ctx)
-		if err != nil {
-			return err
-		}
-		if foundVersion != version {
-			s.setCells(found, foundVersion)
-			continue
-		}
-		version, err = s.writeCells(ctx, next, version)
-		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown) {
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		s.setCells(next, version)
-		return nil
-	}
-}
-
-func (s *Service) readCells(ctx context.Context) (models.CellMap, platform.Version, error) {
-	record, err := s.config.Store.Get(ctx, CellMapKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return models.CellMap{}, 0, nil
-	}
-	if err != nil {
-		return models.CellMap{}, 0, errstep.Wrap(err, "read cell map", "store")
-	}
-	cells, err := wire.DecodeBytes[models.CellMap](record.Value)
-	return cells, record.Version, errstep.Wrap(err, "decode cell map", "store")
-}
-
-func (s *Service) writeCells(ctx context.Context, cells models.CellMap, version platform.Version) (platform.Version, error) {
-	value, err := json.Marshal(cells)
-	if err != nil {
-		return 0, errors.Wrap(err, "encode cell map")
-	}
-	version, err = s.config.Store.Swap(ctx, CellMapKey, value, version, 0)
-	return version, errstep.Wrap(err, "write cell map", "store")
-}
-
-func (s *Service) cellMap() (models.CellMap, platform.Version) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.cells, s.version
-}
-
-func (s *Service) setCells(cells models.CellMap, version platform.Version) {
-	s.mu.Lock()
-	s.cells, s.version = cells, version
-	s.mu.Unlock()
-	s.config.Logger.Info("cell map is in force", zap.Int("cells", len(cells.Cells)), zap.Int("racks", len(cells.Racks)))
-	s.config.Changed()
-}
-
-// Offer takes a peer's map when this daemon has none, as during a store outage.
-func (s *Service) Offer(cells models.CellMap) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.version == 0 && len(s.cells.Cells) < len(cells.Cells) {
-		s.cells = cells
-	}
-}
-
-// Cells is the map of cells.
-func (s *Service) Cells() models.CellMap {
-	cells, _ := s.cellMap()
-	return cells
-}
-
 // VMs is the list as last read.
 func (s *Service) VMs() models.VMList {
 	s.mu.RLock()
--- a/services/standin/fleet/worker.go
+++ b/services/standin/fleet/worker.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,25 +13,6 @@
 	"rillsail.example/rillsail/models"
 )
 
-// attempt is one attempt of a task at a worker.
-type attempt struct {
-	call      models.StartCall
-	status    models.AttemptStatus
-	progress  float64 // 0..1
-	share     float64 // of processor time, 1 when not throttled
-	leaseEnds time.Time
-	ended     string
-	// samples are the latencies of a service, oldest first; the report lags by
-	// reading an older one.
-	samples  []sample
-	observed uint64
-}
-
-type sample struct {
-	at  time.Time
-	p99 time.Duration
-}
-
 // worker is the agent of one worker VM.
 type worker struct {
 	mu          sync.Mutex
@@ -115,8 +95,6 @@
 	w.fleet.audit.committed(w.vm, w.used())
 }
 
-const checkpointPrefix = "progress="
-
 func (w *worker) used() models.Resources {
 	var used models.Resources
 	for _, a := range w.attempts {
@@ -162,28 +140,6 @@
 	return answer
 }
 
-func (w *worker) report(a *attempt) models.AttemptReport {
-	report := models.AttemptReport{
-		AttemptRef: a.call.AttemptRef,
-		Status:     a.status,
-		Reason:     a.ended,
-		Progress:   int(a.progress * 100),
-		Usage:      scale(a.call.Size, w.fleet.sizeFactor(a.call)),
-	}
-	if a.status == models.StatusStopped && a.call.Work > 0 {
-		report.Checkpoint = checkpointPrefix + strconv.FormatFloat(a.progress, 'f', 4, 64)
-	}
-	before := time.Now().Add(-w.fleet.config.ReportLag)
-	for i := len(a.samples) - 1; i >= 0; i-- {
-		if !a.samples[i].at.After(before) {
-			report.P99 = models.MilliOf(a.samples[i].p99)
-			report.Observed = a.observed - uint64(len(a.samples)-1-i)
-			break
-		}
-	}
-	return report
-}
-
 func (w *worker) stop(call models.StopCall) models.StopAnswer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -207,58 +163,6 @@
 	return answer
 }
 
-// advance lets the worker's tasks run for a while.
-func (w *worker) advance(now time.Time, passed time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.down {
-		return
-	}
-	for _, a := range w.attempts {
-		if a.status != models.StatusRunning {
-			continue
-		}
-		switch {
-		case now.After(a.leaseEnds):
-			w.finish(a, models.StatusStopped, "lease lapsed")
-		case w.faulty:
-			w.finish(a, models.StatusFailed, "worker is faulty")
-		case a.call.Kind == models.TaskService:
-			w.observe(a, now)
-		default:
-			w.work(a, passed)
-		}
-	}
-}
-
-func (w *worker) work(a *attempt, passed time.Duration) {
-	needed := a.call.Work.Duration().Seconds() * w.fleet.sizeFactor(a.call)
-	a.progress += passed.Seconds() * a.share / max(needed, 0.001)
-	if a.progress >= 1 {
-		a.progress = 1
-		w.finish(a, models.StatusFinished, "")
-	}
-}
-
-// sampleLimit is how many latencies are kept for lagging reports.
-const sampleLimit = 256
-
-func (w *worker) observe(a *attempt, now time.Time) {
-	slowdown := 1.0
-	for _, other := range w.attempts {
-		if other.call.Kind == models.TaskBatch && other.status == models.StatusRunning {
-			slowdown += other.share * w.fleet.config.Pairs.Slowdown(a.call.Labels[appLabel], other.call.Labels[appLabel])
-		}
-	}
-	base := a.call.Target.Duration() / 2
-	a.samples = append(a.samples, sample{at: now, p99: time.Duration(float64(base) * slowdown)})
-	if len(a.samples) > sampleLimit {
-		a.samples = a.samples[len(a.samples)-sampleLimit:]
-	}
-	a.observed++
-	w.fleet.audit.latency(slowdown > 2)
-}
-
 // kill ends everything that runs, as when the VM dies; restart begins anew.
 func (w *worker) kill(restart bool) {
 	w.mu.Lock()
@@ -274,19 +178,3 @@
 	w.down = !restart
 	w.begin()
 }
-
-// scale multiplies an amount by a factor.
-func scale(r models.Resources, factor float64) models.Resources {
-	return models.Resources{
-		CPU:          models.MilliCPU(float64(r.CPU) * factor),
-		Memory:       models.MiB(float64(r.Memory) * factor),
-		Accelerators: r.Accelerators,
-	}
-}
-
-// spread gives a number in 0..1 that depends on the text alone.
-func spread(text string) float64 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(text)) // never fails
-	return float64(h.Sum32()%10_000) / 10_000
-}
