--- /dev/null
+++ b/services/control/owner_fate_test.go
@@ -0,0 +1,219 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/dispatch"
+	"rillsail.example/rillsail/services/platform"
+	"rillsail.example/rillsail/services/standin/kv"
+)
+
+// The cells of the tests below, which no daemon claims.
+const (
+	cellHere  jobs.CellName = "here"
+	cellThere jobs.CellName = "there"
+)
+
+// scriptedStore is a store whose next calls a test can replace.
+type scriptedStore struct {
+	*kv.Local
+	commit func(txn platform.Txn) (platform.Version, error) // nil: done as asked
+	get    func(key string) error                           // called before each read; nil: nothing
+}
+
+func (s *scriptedStore) Commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
+	if s.commit != nil {
+		return s.commit(txn)
+	}
+	return s.Local.Commit(ctx, txn)
+}
+
+func (s *scriptedStore) Get(ctx context.Context, key string) (platform.Record, error) {
+	if s.get != nil {
+		if err := s.get(key); err != nil {
+			return platform.Record{}, err
+		}
+	}
+	return s.Local.Get(ctx, key)
+}
+
+// handDriven is an owner of the cell cellHere without loops: the test makes its calls.
+type handDriven struct {
+	*Owner
+	t     *testing.T
+	store *scriptedStore
+}
+
+func newHandDriven(t *testing.T) *handDriven {
+	t.Helper()
+	store := &scriptedStore{Local: &kv.Local{Service: kv.New(kv.Config{}), Fault: kv.NoFault}}
+	service := New(Config{
+		Self: "daemon", Settings: testSettings, Store: store, Logger: zap.NewNop(), Scope: tally.NoopScope,
+	})
+	epoch, err := store.Swap(t.Context(), ownerKey(cellHere), []byte("{}"), 0, 0)
+	require.NoError(t, err)
+	return &handDriven{newOwner(service.Cells, cellHere, jobs.Epoch(epoch), time.Now()), t, store}
+}
+
+// put stores a job's record in a cell, whatever is there.
+func (h *handDriven) put(cell jobs.CellName, record jobs.Record) platform.Version {
+	h.t.Helper()
+	writes, err := encode([]put{{jobKey(cell, record.Spec.ID), record}})
+	require.NoError(h.t, err)
+	version, err := h.store.Local.Commit(h.t.Context(), platform.Txn{Put: writes})
+	require.NoError(h.t, err)
+	return version
+}
+
+// beginMove accepts a job here and begins to move it to cellThere as a whole.
+func (h *handDriven) beginMove() jobs.Spec {
+	h.t.Helper()
+	spec := twoSteps(1, time.Second)
+	spec.Queue = testQueue
+	record := jobs.Record{Spec: spec, Terms: testTerms, Accepted: models.UnixMilliOf(time.Now())}
+	record.Version = uint64(h.put(cellHere, record))
+	h.core.AddJob(record, jobs.Progress{}, true, time.Now())
+	whole := dispatch.Move{Job: spec.ID, Whole: true, To: cellThere, Tasks: record.Held()}
+	require.True(h.t, h.core.BeginMove(whole))
+	h.moves = append(h.moves, &move{Move: whole})
+	return spec
+}
+
+// withholdCommit lets the next transaction have no answer, and gives what does it late.
+func (h *handDriven) withholdCommit(answer error) (late func()) {
+	var held platform.Txn
+	h.store.commit = func(txn platform.Txn) (platform.Version, error) {
+		held, h.store.commit = txn, nil
+		return 0, answer
+	}
+	return func() {
+		_, err := h.store.Local.Commit(h.t.Context(), held)
+		require.NoError(h.t, err)
+	}
+}
+
+// TestMoveDoneLateIsNotTakenBackAfterTheOtherCellHasEndedTheJob: the first try has no answer and
+// is done while a second one looks where the job is; the other cell runs the job at once.
+func TestMoveDoneLateIsNotTakenBackAfterTheOtherCellHasEndedTheJob(t *testing.T) {
+	h := newHandDriven(t)
+	spec := h.beginMove()
+	late := h.withholdCommit(platform.ErrUnknown)
+	h.carryOutMoves(t.Context())
+	require.Len(t, h.moves, 1, "its outcome is not known")
+	h.store.get = func(key string) error {
+		if key == jobKey(cellThere, spec.ID) {
+			h.store.get = nil
+			late()
+			h.put(cellThere, jobs.Record{Spec: spec, Ended: jobs.StateSucceeded})
+		}
+		return nil
+	}
+	h.carryOutMoves(t.Context())
+	h.carryOutMoves(t.Context())
+	require.Empty(t, h.moves)
+	_, known := h.core.State(spec.ID)
+	require.False(t, known, "its tasks would run again here")
+}
+
+// TestForgottenJobIsNotTakenBack: a move without answer was done, and the other cell has run and
+// forgotten the job by the next try.
+func TestForgottenJobIsNotTakenBack(t *testing.T) {
+	h := newHandDriven(t)
+	spec := h.beginMove()
+	late := h.withholdCommit(platform.ErrUnknown)
+	h.carryOutMoves(t.Context())
+	late()
+	_, err := h.store.Local.Commit(t.Context(), platform.Txn{Delete: jobKeys([]jobs.CellName{cellHere, cellThere}, spec.ID)})
+	require.NoError(t, err)
+	h.carryOutMoves(t.Context())
+	require.Empty(t, h.moves)
+	_, known := h.core.State(spec.ID)
+	require.False(t, known, "its tasks would run again here")
+}
+
+// TestMoveIsOffOnlyIfTheStoreSaysSo: an error that names no class may be that of a write that
+// was or will be done.
+func TestMoveIsOffOnlyIfTheStoreSaysSo(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer error
+		open   int
+	}{
+		"no answer":       {platform.ErrUnknown, 1},
+		"no class":        {errors.New("answered Internal Server Error"), 1},
+		"too large":       {platform.ErrTooLarge, 1},
+		"caller has left": {context.Canceled, 1},
+		"turned away":     {platform.ErrUnavailable, 0},
+		"too many":        {platform.ErrLimited, 0},
+		"conflict":        {platform.ErrConflict, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHandDriven(t)
+			spec := h.beginMove()
+			h.withholdCommit(c.answer)
+			h.carryOutMoves(t.Context())
+			require.Len(t, h.moves, c.open)
+			require.Equal(t, 1, h.core.Pending()[spec.Queue])
+		})
+	}
+}
+
+// TestMoveStaysOpenWhenItsNextTryIsTurnedAway: that says nothing of the first one.
+func TestMoveStaysOpenWhenItsNextTryIsTurnedAway(t *testing.T) {
+	for _, second := range []error{platform.ErrUnavailable, platform.ErrLimited, platform.ErrConflict} {
+		h := newHandDriven(t)
+		spec := h.beginMove()
+		late := h.withholdCommit(platform.ErrUnknown)
+		h.carryOutMoves(t.Context())
+		h.withholdCommit(second)
+		h.carryOutMoves(t.Context())
+		require.Len(t, h.moves, 1, "%v", second)
+		late()
+		h.carryOutMoves(t.Context())
+		require.Empty(t, h.moves)
+		_, known := h.core.State(spec.ID)
+		require.False(t, known)
+	}
+}
+
+// TestTransactionOfUnknownFateIsNothingElse: the read that should tell what became of it says
+// nothing of the transaction when it is turned away itself.
+func TestTransactionOfUnknownFateIsNothingElse(t *testing.T) {
+	h := newHandDriven(t)
+	h.withholdCommit(platform.ErrUnknown)
+	h.store.get = func(string) error { return platform.ErrUnavailable }
+	_, err := h.chain(t.Context(), platform.Txn{})
+	require.True(t, errors.Is(err, platform.ErrUnknown), "%v", err)
+	require.False(t, errors.Is(err, platform.ErrUnavailable), "%v", err)
+}
+
+// TestWorkerThatSaysThatItIsNotWellHasNotLeft: a worker that drains may stay longer than it has
+// said, and its entry may be lost; what runs there may start elsewhere only once it is gone.
+func TestWorkerThatSaysThatItIsNotWellHasNotLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHandDriven(t)
+		worker := jobs.Worker{ID: "w", Pool: testPool}
+		h.core.SetWorkers([]jobs.Worker{worker}, time.Now())
+		h.takeReport(worker.ID, time.Now(), jobs.Report{}, nil)
+		worker.Draining, worker.Remaining = true, time.Second
+		h.core.SetWorkers([]jobs.Worker{worker}, time.Now())
+		h.core.SetWorkers(nil, time.Now())
+		time.Sleep(2 * time.Second)
+		h.takeReport(worker.ID, time.Now(), jobs.Report{}, platform.ErrOverloaded)
+		require.Len(t, h.core.Workers(), 1, "it has answered")
+		h.takeReport(worker.ID, time.Now(), jobs.Report{}, platform.ErrUnreached)
+		require.Empty(t, h.core.Workers(), "it is not reached any more")
+	})
+}
--- /dev/null
+++ b/services/dispatch/fate_test.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// stops gives the stops that are ordered now.
+func (b *bench) stops() []StopOrder {
+	var stops []StopOrder
+	for _, order := range b.Decide(b.now) {
+		if stop, ok := order.(StopOrder); ok {
+			stops = append(stops, stop)
+		}
+	}
+	return stops
+}
+
+// TestStopThatIsRefusedBarsNothing: a start without answer is barred by a stop. As long as none
+// is carried out, the start may still be done, and the task must not start anew.
+func TestStopThatIsRefusedBarsNothing(t *testing.T) {
+	b := newBench(t, 1)
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	b.Started(starts[0], Result{Outcome: OutcomeUnknown}, b.now)
+	b.Started(starts[0], Result{Outcome: OutcomeUnknown}, b.now)
+	stops := b.stops()
+	require.Len(t, stops, 1)
+	for _, refusal := range []jobs.Refusal{jobs.RefusedOther, jobs.RefusedRoom, jobs.RefusedLate} {
+		b.Stopped(stops[0], Result{Outcome: OutcomeRefused, Refusal: refusal}, b.now)
+		b.report(0, jobs.Report{})
+		b.now = b.now.Add(stopPause)
+		b.report(0, jobs.Report{})
+		orders := b.Decide(b.now)
+		require.Len(t, orders, 1, "%s", refusal)
+		require.IsType(t, StopOrder{}, orders[0], "%s", refusal)
+	}
+	b.Stopped(stops[0], Result{Outcome: OutcomeDone}, b.now)
+	b.report(0, jobs.Report{})
+	require.Len(t, b.starts(), 1, "the run is barred")
+}
+
+// TestProgressThatMayBeStoredGoesWithTheEnd: a transaction without answer may have stored it. A
+// job that is handed in under the same id later on must not find it.
+func TestProgressThatMayBeStoredGoesWithTheEnd(t *testing.T) {
+	b := newBench(t, 1)
+	two := one
+	two.Count = 2
+	b.AddJob(b.job(two), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	starts := b.starts()
+	require.Len(t, starts, 2)
+	ended := func(n int) jobs.Ended {
+		return jobs.Ended{Number: uint64(n + 1), Task: starts[n].Call.Task, Run: starts[n].Call.Run, How: jobs.EndSucceeded}
+	}
+	b.report(0, jobs.Report{Ended: []jobs.Ended{ended(0)}})
+	first := b.TakeChanges(10, b.now)
+	require.Len(t, first.Jobs, 1)
+	b.Unstored(first)
+	b.report(0, jobs.Report{Ended: []jobs.Ended{ended(0), ended(1)}})
+	second := b.TakeChanges(10, b.now)
+	require.Len(t, second.Jobs, 1)
+	require.NotNil(t, second.Jobs[0].Ended)
+	require.True(t, second.Jobs[0].HasProgress)
+}
+
+// TestLeaseOfAFormerOwnerRunsOnAtAWorkerThatHasAnswered: the worker refuses the former owner from
+// the first answer on, but what it was granted before holds. The former owner's setting was twice
+// as long.
+func TestLeaseOfAFormerOwnerRunsOnAtAWorkerThatHasAnswered(t *testing.T) {
+	const formerLease = 8 * time.Second
+	b := newBench(t, 2)
+	b.Enrol(jobs.Roster{Workers: b.Workers(), Lease: models.MilliOf(formerLease)}, b.now)
+	b.AddJob(b.job(one), jobs.Progress{}, false, b.now)
+	run := jobs.Run{Task: taskOf(0), Run: 3}
+	b.report(0, jobs.Report{Running: []jobs.Run{run}})
+	answered := b.now
+	for range 150 {
+		b.report(1, jobs.Report{})
+		if len(b.storedStarts()) > 0 {
+			require.GreaterOrEqual(t, b.now.Sub(answered), formerLease)
+			require.Less(t, b.now.Sub(answered), formerLease+2*time.Second)
+			return
+		}
+	}
+	require.Fail(t, "never run again")
+}
+
+// TestHaltWithoutAnswerIsRepeated: the pace that was ordered may not be in force.
+func TestHaltWithoutAnswerIsRepeated(t *testing.T) {
+	b := newBench(t, 1)
+	filling := jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 10}, Estimate: 60_000, Image: "filling", Fills: true}
+	b.AddJob(b.job(servingStep, filling), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	starts := b.starts()
+	require.Len(t, starts, 2)
+	halts := 0
+	for range 50 {
+		b.report(0, jobs.Report{Running: []jobs.Run{
+			{Task: starts[0].Call.Task, Run: starts[0].Call.Run, Figure: map[int]int{0: 150, 1: 900}[starts[0].Call.Task.Step]},
+			{Task: starts[1].Call.Task, Run: starts[1].Call.Run, Figure: map[int]int{0: 150, 1: 900}[starts[1].Call.Task.Step]},
+		}})
+		for _, order := range b.Decide(b.now) {
+			pace, ok := order.(PaceOrder)
+			if !ok {
+				continue
+			}
+			result := Result{Outcome: OutcomeDone}
+			if pace.Call.Pace == 0 {
+				halts++
+				result.Outcome = OutcomeUnknown
+				if halts%2 == 0 {
+					result.Outcome = OutcomeNotDone // says nothing of the one before
+				}
+			}
+			b.Paced(pace, result, b.now)
+		}
+	}
+	require.GreaterOrEqual(t, halts, 3, "the tail stays over its target")
+}
