A try that was not done says nothing of the others: moves, orders, paces, statuses

A definite answer about one try was taken for the fate of the whole in several places:

- What became of a move is a closed set of outcomes over all its tries.
The record of the other cell is read before the one here: in the other order a move that was done late between the reads, and whose job ended at once, counted as one that can't be done, and the job ran again.
A job that the store has forgotten is not taken back.
- The chain of an owner's transactions takes only what the store names for 'not done'; an unknown transaction is nothing else, however the reads that should settle it end.
- Only a dial that failed counts as 'not reached', not each error with that cause.
- A worker that answers that it is not well no longer counts as not reached, from which it followed that a draining one had left.
- A stop that was refused for a reason of its own does not bar the run: it is ordered again.
- Progress in a transaction of unknown fate goes with the job's end.
- A lease that a former owner granted holds on at a worker that has answered since.
- A pace whose order had no answer is ordered again: a lost halt was never repeated.

--- a/services/control/journal.go
+++ b/services/control/journal.go
@@ -60,32 +60,62 @@
 		platform.Precondition{Key: journalKey(o.cell), Version: o.journal.version})
 	txn.Put = append(txn.Put, platform.Write{Key: journalKey(o.cell), Value: value})
 	version, err := o.config.Store.Commit(ctx, txn)
+	switch fateOf(err) {
+	case fateDone:
+		o.journal.last, o.journal.version = entry, version
+		return version, nil
+	case fateTurnedAway:
+		return 0, err
+	case fateConflict:
+		return o.settle(ctx, entry, err)
+	default:
+		// The reads that settle it may be turned away, which says nothing of the transaction.
+		version, err = o.settle(ctx, entry, err)
+		return version, platform.Unknown(err)
+	}
+}
+
+// fate is what a transaction's answer says of it. Only what the store names is a denial: an
+// error of no class, as one of a call that its caller has given up, leaves all open.
+type fate uint8
+
+const (
+	fateUnknown    fate = iota // it may have been done, or may still be
+	fateDone                   // it is stored
+	fateConflict               // not done: a condition failed
+	fateTurnedAway             // not done: the store did not look at it
+)
+
+func fateOf(err error) fate {
 	switch {
 	case err == nil:
-		o.journal.last, o.journal.version = entry, version
+		return fateDone
+	case errors.Is(err, platform.ErrUnknown): // first, whatever else the error says
+		return fateUnknown
 	case errors.Is(err, platform.ErrConflict):
-		err = o.settle(ctx, entry, err)
-	case errors.Is(err, platform.ErrUnknown):
-		if err = o.settle(ctx, entry, err); err != nil {
-			err = errors.Mark(err, platform.ErrUnknown)
-		}
+		return fateConflict
+	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrLimited, platform.ErrNoLease):
+		return fateTurnedAway
+	default:
+		return fateUnknown
 	}
-	return o.journal.version, err
 }
 
 // settle finds out what became of a transaction that was not answered, or whose
-// conditions failed: an earlier one may have been done late, or the cell is lost.
-func (o *Owner) settle(ctx context.Context, attempted journalEntry, cause error) error {
+// conditions failed: an earlier one may have been done late, or the cell is lost. It gives the
+// version of the transaction if it was done, and otherwise its cause; how the reads ended is
+// written beside that and is no part of it.
+func (o *Owner) settle(ctx context.Context, attempted journalEntry, cause error) (platform.Version, error) {
 	if err := o.journal.load(ctx, o.config.Store, o.cell); err != nil {
-		return err
+		return 0, errors.WithSecondaryError(cause, err)
 	}
 	if o.journal.last == attempted {
-		return nil
+		return o.journal.version, nil
 	}
 	record, err := o.config.Store.Get(ctx, ownerKey(o.cell))
 	switch {
 	case errors.Is(err, platform.ErrNotFound), err == nil && record.Version != platform.Version(o.epoch):
 		o.cells.drop(o.cell, o, "store names another owner, or none")
 	}
-	return cause
+	return 0, errors.WithSecondaryError(cause, err)
 }
--- a/services/control/move.go
+++ b/services/control/move.go
@@ -23,16 +23,53 @@
 	unsure bool
 }
 
+// moveOutcome is what became of all tries of a move together: moveDone, moveGone, moveOff or
+// moveOpen. The set is closed, and a value is one of them only, so that the denial of the last
+// try can't be taken for that of an earlier one without answer.
+type moveOutcome interface {
+	// cause is the error of the last try, if it had one.
+	cause() error
+}
+
+// moveDone: the move is stored, with that version of the job's key.
+type moveDone struct{ version platform.Version }
+
+// moveGone: the store does not hold the job any more; it has ended, here or there.
+type moveGone struct{}
+
+// moveOff: no try has done it, and none that is still on its way can.
+type moveOff struct {
+	why error
+	// forGood: the job can't be moved there as a whole.
+	forGood bool
+}
+
+// moveOpen: a try may have done it, or may still do so.
+type moveOpen struct{ why error }
+
+func (moveDone) cause() error   { return nil }
+func (moveGone) cause() error   { return nil }
+func (o moveOff) cause() error  { return o.why }
+func (o moveOpen) cause() error { return o.why }
+
+// failed is the outcome after a try that was certainly not done.
+func (m *move) failed(err error) moveOutcome {
+	if m.unsure {
+		return moveOpen{err}
+	}
+	return moveOff{why: err}
+}
+
 // carryOutMoves stores moves one by one, as part of the owner's chain of transactions.
 func (o *Owner) carryOutMoves(ctx context.Context) {
 	o.mu.Lock()
 	moves := slices.Clone(o.moves)
 	o.mu.Unlock()
 	for _, m := range moves {
-		version, err := o.carryOut(ctx, m)
-		o.cells.health.note(err)
+		outcome := o.carryOut(ctx, m)
+		o.cells.health.note(outcome.cause())
 		o.mu.Lock()
-		o.finishMove(m, version, err)
+		o.finishMove(m, outcome)
 		o.mu.Unlock()
 	}
 	if len(moves) > 0 {
@@ -42,61 +79,79 @@
 
 // finishMove draws from the outcome of a move where the work is now. A move whose outcome
 // isn't known stays, and is tried again with what the store says then.
-func (o *Owner) finishMove(m *move, version platform.Version, err error) {
-	switch {
-	case err == nil:
-		o.core.Moved(m.Move, uint64(version))
-		o.config.Scope.Counter("jobs_moved").Inc(1)
-	case errors.Is(err, platform.ErrUnknown):
-		m.unsure = true
+func (o *Owner) finishMove(m *move, outcome moveOutcome) {
+	switch outcome := outcome.(type) {
+	case moveOpen:
 		return
-	case m.unsure && !errors.Is(err, errNotMovable):
-		return
-	default:
-		o.core.KeepMove(m.Move, errors.Is(err, errBeenThere))
-		o.config.Logger.Info("work is not handed to another cell", append(log.Err(err), zap.String("job", string(m.Job)),
+	case moveDone:
+		o.core.Moved(m.Move, uint64(outcome.version))
+		o.config.Scope.Counter("jobs_moved").Inc(1)
+	case moveGone:
+		o.core.MoveGone(m.Move)
+	case moveOff:
+		o.core.KeepMove(m.Move, outcome.forGood)
+		o.config.Logger.Info("work is not handed to another cell", append(log.Err(outcome.why), zap.String("job", string(m.Job)),
 			zap.String("cell", string(m.To)))...)
 	}
 	o.moves = slices.DeleteFunc(o.moves, func(other *move) bool { return other == m })
 }
 
-// errNotMovable says that a move can't be done any more, also by a transaction that is
-// still on its way.
-var errNotMovable = errors.New("job is cancelled or has ended")
+// errNotMovable says that a job has ended in one of the cells.
+var errNotMovable = errors.New("job has ended")
 
 // errBeenThere says that a job as a whole was in the other cell before.
 var errBeenThere = errors.New("job has been in the other cell before")
 
 // carryOut hands work to another cell: in one transaction the record here loses the tasks
 // and the one there gets them.
-func (o *Owner) carryOut(ctx context.Context, m *move) (platform.Version, error) {
-	here, err := o.readRecord(ctx, o.cell, m.Job)
+func (o *Owner) carryOut(ctx context.Context, m *move) moveOutcome {
+	// The record there is read before the one here: if it bars the move, no earlier try can be
+	// done from then on, and the record here shows afterwards whether one was done before. In the
+	// other order, one that is done between the reads, and whose work ends at once, would be
+	// taken for one that can't be done.
+	there, err := o.readRecord(ctx, m.To, m.Job)
 	if err != nil {
-		return 0, err
-	}
-	if here.Version == 0 || here.Ended != "" {
-		return 0, errNotMovable
+		return m.failed(err)
 	}
-	o.mu.Lock()
-	still := o.core.StillMoving(m.Move, here)
-	o.mu.Unlock()
-	if !still {
-		return platform.Version(here.Version), nil // a transaction without answer has done it
-	}
-	there, err := o.readRecord(ctx, m.To, m.Job)
+	here, err := o.readRecord(ctx, o.cell, m.Job)
 	switch {
 	case err != nil:
-		return 0, err
+		return m.failed(err)
+	case here.Version == 0:
+		return moveGone{}
+	case here.Ended != "": // by this owner: the job was cancelled here, which bars all tries
+		return moveOff{why: errNotMovable}
+	case !o.stillMoving(m, here):
+		return moveDone{platform.Version(here.Version)} // a transaction without answer has done it
 	case there.Ended != "":
-		return 0, errNotMovable
+		return moveOff{why: errNotMovable}
 	case m.Whole && there.Version != 0:
-		return 0, errBeenThere
+		return moveOff{why: errBeenThere, forGood: true}
 	}
+	return o.tryMove(ctx, m, here, there)
+}
+
+// stillMoving tells whether the tasks of a move are still here, by the record as it is now.
+func (o *Owner) stillMoving(m *move, here jobs.Record) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core.StillMoving(m.Move, here)
+}
+
+// tryMove tries a move between the records as they were read.
+func (o *Owner) tryMove(ctx context.Context, m *move, here, there jobs.Record) moveOutcome {
 	txn, err := o.moveTxn(m, here, there)
 	if err != nil {
-		return 0, err
+		return m.failed(err)
+	}
+	version, err := o.chain(ctx, txn)
+	switch {
+	case err == nil:
+		return moveDone{version}
+	case errors.Is(err, platform.ErrUnknown):
+		m.unsure = true
 	}
-	return o.chain(ctx, txn)
+	return m.failed(err)
 }
 
 // moveTxn is the transaction of a move. A cancellation, here or there, bars it: the daemon
--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -86,12 +86,16 @@
 	switch {
 	case err == nil:
 		return dispatch.Result{Outcome: dispatch.OutcomeDone}
+	case errors.Is(err, platform.ErrUnknown): // first, whatever else the error says
+		return dispatch.Result{Outcome: dispatch.OutcomeUnknown}
 	case errors.As(err, &refused):
 		return dispatch.Result{Outcome: dispatch.OutcomeRefused, Refusal: refused.Reason}
 	case errors.Is(err, platform.ErrIncarnation):
 		return dispatch.Result{Outcome: dispatch.OutcomeIncarnation}
-	case errors.Is(err, platform.ErrOverloaded), errors.Is(err, platform.ErrUnreached):
+	case errors.Is(err, platform.ErrOverloaded):
 		return dispatch.Result{Outcome: dispatch.OutcomeNotDone}
+	case errors.Is(err, platform.ErrUnreached):
+		return dispatch.Result{Outcome: dispatch.OutcomeUnreached}
 	default:
 		return dispatch.Result{Outcome: dispatch.OutcomeUnknown}
 	}
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -86,7 +86,7 @@
 		o.core.Replaced(id)
 	case result.Refusal == jobs.RefusedEpoch:
 		o.core.Supersede()
-	case result.Outcome == dispatch.OutcomeNotDone:
+	case result.Outcome == dispatch.OutcomeUnreached: // one that answers that it is not well has not left
 		o.core.Unreached(id, errors.Is(err, platform.ErrNobodyListens), time.Now())
 	default:
 		o.core.Overdue(id)
--- a/services/control/worker_calls.go
+++ b/services/control/worker_calls.go
@@ -81,7 +81,8 @@
 		o.config.Scope.Counter("worker_calls_lost").Inc(1)
 	}
 	took := time.Since(sent) - wait
-	if took < 0 || outcome == dispatch.OutcomeNotDone || o.config.WorkerCalls == nil {
+	notDone := outcome == dispatch.OutcomeNotDone || outcome == dispatch.OutcomeUnreached
+	if took < 0 || notDone || o.config.WorkerCalls == nil {
 		return
 	}
 	o.config.WorkerCalls.Note(calltime.Call{Took: took, Answered: answered})
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -159,9 +159,11 @@
 	}
 }
 
-// Unstored gives back changes that were not stored.
+// Unstored gives back changes that are not known to be stored. Progress among them may be, or
+// may be yet, so it goes with the job's end.
 func (c *Core) Unstored(changes Changes) {
 	for _, change := range changes.Jobs {
+		change.job.hasProgress = change.job.hasProgress || change.Ended == nil
 		if j := change.job; !j.dirty {
 			j.dirty = true
 			c.dirty = append(c.dirty, j)
--- a/services/dispatch/move.go
+++ b/services/dispatch/move.go
@@ -60,6 +60,23 @@
 	}
 }
 
+// MoveGone says that the store does not hold the job of a move any more. It has ended and was
+// forgotten since then, so the tasks must not start here.
+func (c *Core) MoveGone(move Move) {
+	j, ok := c.jobs[move.Job]
+	if !ok {
+		return
+	}
+	for _, t := range c.tasksOf(move.Job, move.Tasks) {
+		if t.state == taskMoving {
+			t.state = taskElsewhere
+		}
+	}
+	c.config.Logger.Warn("job that was to be handed to another cell is forgotten", zap.String("job", string(move.Job)),
+		zap.String("to", string(move.To)), zap.Int("tasks", move.Tasks.Len()))
+	c.leaveJob(j)
+}
+
 // Moved says that a move is stored, with the version of the job's key.
 func (c *Core) Moved(move Move, version uint64) {
 	j, ok := c.jobs[move.Job]
--- a/services/dispatch/order.go
+++ b/services/dispatch/order.go
@@ -40,7 +40,8 @@
 const (
 	OutcomeDone        Outcome = iota
 	OutcomeRefused             // see the refusal
-	OutcomeNotDone             // the worker was not reached, or not well
+	OutcomeNotDone             // the worker answered that it did nothing, it is not well
+	OutcomeUnreached           // no connection came about, nothing was done
 	OutcomeIncarnation         // another incarnation is at the address
 	OutcomeUnknown             // no answer; it may have been done or may still be
 )
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -31,7 +31,7 @@
 		c.confirm(t, now)
 	case OutcomeUnknown:
 		c.unanswered(t, order, now)
-	case OutcomeNotDone:
+	case OutcomeNotDone, OutcomeUnreached:
 		w.unwell = now.Add(unwellPause)
 		c.wait(t)
 	default:
@@ -75,7 +75,9 @@
 	c.stop(t, "its start is not answered")
 }
 
-// Stopped takes the outcome of a stop. The next report proves what it says.
+// Stopped takes the outcome of a stop. The next report proves what it says. A stop that was
+// refused bars nothing, and a start without answer may still be done: it is ordered again,
+// unless it was refused because the run has ended or is barred already.
 func (c *Core) Stopped(order StopOrder, result Result, now time.Time) {
 	if c.overtaken(order.Worker.ID, result, now) {
 		return
@@ -84,7 +86,7 @@
 	if t == nil || t.worker == nil || t.worker.info.ID != order.Worker.ID || t.run != order.Call.Run || t.state != taskStopping {
 		return
 	}
-	if result.Outcome == OutcomeDone || result.Outcome == OutcomeRefused {
+	if result.Outcome == OutcomeDone || result.Outcome == OutcomeRefused && result.Refusal == jobs.RefusedRun {
 		t.settled = now
 	}
 }
@@ -96,15 +98,18 @@
 		return
 	}
 	t := c.find(order.Call.Task)
-	if t == nil || t.worker == nil || t.run != order.Call.Run || result.Outcome == OutcomeDone {
-		return
-	}
-	if t.pace != order.Call.Pace {
-		return // a newer order has been given
+	if t == nil || t.worker == nil || t.run != order.Call.Run || t.pace != order.Call.Pace {
+		return // its run is over, or a newer order has been given
 	}
-	t.pace = order.Before // the next look decides anew
-	if result.Outcome == OutcomeUnknown {
-		t.pace = min(t.pace, order.Call.Pace) // it may be in force, and must not stay so for ever
+	switch result.Outcome {
+	case OutcomeDone:
+		t.paceOpen = false
+		return
+	case OutcomeUnknown: // it may be in force, and must not stay so for ever
+		t.pace = min(order.Before, order.Call.Pace)
+		t.paceOpen = true
+	default: // that of an earlier order without answer stays open
+		t.pace = order.Before // the next look decides anew
 	}
 	t.worker.expectedValid = false
 }
--- a/services/dispatch/pace.go
+++ b/services/dispatch/pace.go
@@ -14,10 +14,13 @@
 // leastChange is the least change of a pace that is worth a call.
 const leastChange jobs.Percent = 8
 
-// setPace orders a pace, unless it hardly differs from the one in force.
+// setPace orders a pace, unless it hardly differs from the one in force. One whose order had
+// no answer may not be in force and is ordered again: a halt that got lost would harm what
+// serves beside it for ever, since the task seems to stand still already.
 func (c *Core) setPace(w *worker, t *task, pace jobs.Percent, now time.Time) {
 	change := pace - t.pace
-	if change == 0 || (change < leastChange && change > -leastChange && pace != 0 && pace != jobs.FullSpeed) {
+	small := change == 0 || (change < leastChange && change > -leastChange && pace != 0 && pace != jobs.FullSpeed)
+	if small && !t.paceOpen {
 		return
 	}
 	c.config.Logger.Info("run is throttled", zap.Stringer("task", t.id()), zap.Int("from", int(t.pace)), zap.Int("to", int(pace)),
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -123,7 +123,7 @@
 	t.state = taskStarting
 	t.settled, t.sampled = time.Time{}, time.Time{}
 	t.tried, t.began, t.paced = now, now, now
-	t.retried = false
+	t.retried, t.paceOpen = false, false
 	t.pace = jobs.FullSpeed
 	t.apart, t.shown, t.steady, t.figure = 0, 0, 0, 0
 }
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
 
@@ -24,6 +25,10 @@
 		c.setRetired(w, false)
 	}
 	w.beginReport(report, sent, now)
+	if first && w.former {
+		// The worker refuses former owners from now on, but what they granted holds.
+		w.granted = max(w.granted, report.Clock+models.MilliOf(c.formerLease))
+	}
 	if first {
 		c.noteAnswered(now)
 	}
@@ -98,7 +103,7 @@
 	t.run = run.Run
 	t.settled = c.now
 	t.began = c.now
-	t.pace = shownPace(t.step.spec, run.Figure)
+	t.pace, t.paceOpen = shownPace(t.step.spec, run.Figure), false
 	t.paced = c.now
 	t.step.job.running++
 	t.step.job.begun = true
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -42,6 +42,7 @@
 	checkpoint string
 	pace       jobs.Percent // as ordered
 	paced      time.Time    // when it began or its pace was last changed
+	paceOpen   bool         // an order had no answer: the pace in force may be higher
 	figure     int          // as last reported
 
 	sampled         time.Time // when sampledProgress was taken for the worker's speed
