--- a/services/control/owner_fate_test.go
+++ b/services/control/owner_fate_test.go
@@ -217,3 +217,16 @@
 		require.Empty(t, h.core.Workers(), "it is not reached any more")
 	})
 }
+
+// TestRemovalOfAFormerOwnersKeyLosesNoCell: a watch that is behind tells of it after the cell was
+// taken.
+func TestRemovalOfAFormerOwnersKeyLosesNoCell(t *testing.T) {
+	h := newHandDriven(t)
+	h.cells.owned[cellHere] = h.Owner
+	removed := platform.Record{Key: ownerKey(cellHere), Version: platform.Version(h.epoch) - 1, Deleted: true}
+	h.cells.noteOwner(removed)
+	require.Contains(t, h.cells.ownedCells(), cellHere)
+	removed.Version = platform.Version(h.epoch) + 1
+	h.cells.noteOwner(removed)
+	require.NotContains(t, h.cells.ownedCells(), cellHere)
+}
