--- a/services/control/watch.go
+++ b/services/control/watch.go
@@ -93,7 +93,9 @@
 		c.owners[cell] = ownerRecord{Owner: owner, version: record.Version}
 	}
 	mine := c.owned[cell]
-	lost := mine != nil && (record.Deleted || record.Version > platform.Version(mine.epoch))
+	// A watch that is behind tells of the keys of former owners, whose end says nothing of this one.
+	lost := mine != nil && record.Version >= platform.Version(mine.epoch) &&
+		(record.Deleted || record.Version > platform.Version(mine.epoch))
 	c.mu.Unlock()
 	if lost {
 		c.drop(cell, mine, "store names another owner, or none")
