--- a/services/control/journal.go
+++ b/services/control/journal.go
@@ -60,13 +60,13 @@
 		platform.Precondition{Key: journalKey(o.cell), Version: o.journal.version})
 	txn.Put = append(txn.Put, platform.Write{Key: journalKey(o.cell), Value: value})
 	version, err := o.config.Store.Commit(ctx, txn)
-	switch fateOf(err) {
-	case fateDone:
+	switch verdictOn(err) {
+	case verdictDone:
 		o.journal.last, o.journal.version = entry, version
 		return version, nil
-	case fateTurnedAway:
+	case verdictTurnedAway:
 		return 0, err
-	case fateConflict:
+	case verdictConflict:
 		return o.settle(ctx, entry, err)
 	default:
 		// The reads that settle it may be turned away, which says nothing of the transaction.
@@ -75,29 +75,29 @@
 	}
 }
 
-// fate is what a transaction's answer says of it. Only what the store names is a denial: an
+// verdict is what a transaction's answer says of it. Only what the store names is a denial: an
 // error of no class, as one of a call that its caller has given up, leaves all open.
-type fate uint8
+type verdict uint8
 
 const (
-	fateUnknown    fate = iota // it may have been done, or may still be
-	fateDone                   // it is stored
-	fateConflict               // not done: a condition failed
-	fateTurnedAway             // not done: the store did not look at it
+	verdictOpen       verdict = iota // it may have been done, or may still be
+	verdictDone                      // it is stored
+	verdictConflict                  // not done: a condition failed
+	verdictTurnedAway                // not done: the store did not look at it
 )
 
-func fateOf(err error) fate {
+func verdictOn(err error) verdict {
 	switch {
 	case err == nil:
-		return fateDone
+		return verdictDone
 	case errors.Is(err, platform.ErrUnknown): // first, whatever else the error says
-		return fateUnknown
+		return verdictOpen
 	case errors.Is(err, platform.ErrConflict):
-		return fateConflict
+		return verdictConflict
 	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrLimited, platform.ErrNoLease):
-		return fateTurnedAway
+		return verdictTurnedAway
 	default:
-		return fateUnknown
+		return verdictOpen
 	}
 }
 
