--- a/services/control/journal.go
+++ b/services/control/journal.go
@@ -103,11 +103,11 @@
 
 // settle finds out what became of a transaction that was not answered, or whose
 // conditions failed: an earlier one may have been done late, or the cell is lost. It gives the
-// version of the transaction if it was done, and otherwise its cause; how the reads ended is
-// written beside that and is no part of it.
+// version of the transaction if it was done, and otherwise the cause; how a read of its own
+// failed is told in the text alone, for it is no answer to the transaction.
 func (o *Owner) settle(ctx context.Context, attempted journalEntry, cause error) (platform.Version, error) {
 	if err := o.journal.load(ctx, o.config.Store, o.cell); err != nil {
-		return 0, errors.WithSecondaryError(cause, err)
+		return 0, errors.Wrapf(cause, "journal can't be read (%v)", err)
 	}
 	if o.journal.last == attempted {
 		return o.journal.version, nil
@@ -116,6 +116,8 @@
 	switch {
 	case errors.Is(err, platform.ErrNotFound), err == nil && record.Version != platform.Version(o.epoch):
 		o.cells.drop(o.cell, o, "store names another owner, or none")
+	case err != nil:
+		return 0, errors.Wrapf(cause, "owner's key can't be read (%v)", err)
 	}
-	return 0, errors.WithSecondaryError(cause, err)
+	return 0, cause
 }
--- a/services/control/metered.go
+++ b/services/control/metered.go
@@ -41,12 +41,12 @@
 	switch {
 	case err == nil:
 		return "ok"
+	case errors.Is(err, platform.ErrUnknown): // first, whatever else the error says
+		return "no_answer"
 	case errors.Is(err, platform.ErrLimited):
 		return "limited"
 	case errors.Is(err, platform.ErrUnavailable):
 		return "unavailable"
-	case errors.Is(err, platform.ErrUnknown):
-		return "no_answer"
 	case errors.Is(err, platform.ErrConflict):
 		return "conflict"
 	default:
--- a/services/control/owner_fate_test.go
+++ b/services/control/owner_fate_test.go
@@ -199,6 +199,23 @@
 	require.False(t, errors.Is(err, platform.ErrUnavailable), "%v", err)
 }
 
+// TestConflictIsNothingElse: likewise, a read without answer leaves no doubt about a transaction
+// whose conditions failed.
+func TestConflictIsNothingElse(t *testing.T) {
+	h := newHandDriven(t)
+	spec := h.beginMove()
+	h.withholdCommit(platform.ErrConflict)
+	h.store.get = func(key string) error {
+		if key == journalKey(cellHere) {
+			return platform.ErrUnknown
+		}
+		return nil
+	}
+	h.carryOutMoves(t.Context())
+	require.Empty(t, h.moves)
+	require.Equal(t, 1, h.core.Pending()[spec.Queue], "it waits here again")
+}
+
 // TestWorkerThatSaysThatItIsNotWellHasNotLeft: a worker that drains may stay longer than it has
 // said, and its entry may be lost; what runs there may start elsewhere only once it is gone.
 func TestWorkerThatSaysThatItIsNotWellHasNotLeft(t *testing.T) {
