--- a/services/dispatch/takeover_test.go
+++ b/services/dispatch/takeover_test.go
@@ -126,3 +126,21 @@
 	require.Greater(t, b.now.Sub(began), 7*time.Second, "the former owner may have gone on for 3 s")
 	require.EqualValues(t, 4000, b.roster().Lease)
 }
+
+// TestFailuresOfASilentWorkerAreWaitedForAfterATakeover holds what a played day showed: a run
+// that a successor had taken over failed, and the task was started a fourth time. Two of its
+// three failures were known only to the former owner, which could not store them, and to a
+// worker that had not answered yet.
+func TestFailuresOfASilentWorkerAreWaitedForAfterATakeover(t *testing.T) {
+	b := newBench(t, 2)
+	b.Enrol(jobs.Roster{Workers: b.Workers()}, b.now)
+	b.AddJob(b.job(one), jobs.Progress{}, false, b.now)
+	b.report(0, jobs.Report{Running: []jobs.Run{{Task: taskOf(0), Run: 3}}})
+	b.report(0, jobs.Report{Ended: []jobs.Ended{{Number: 1, Task: taskOf(0), Run: 3, How: jobs.EndFailed}}})
+	require.Empty(t, b.starts(), "the other worker may know of more failures")
+	b.report(1, jobs.Report{Ended: []jobs.Ended{
+		{Number: 1, Task: taskOf(0), Run: 1, How: jobs.EndFailed}, {Number: 2, Task: taskOf(0), Run: 2, How: jobs.EndFailed},
+	}})
+	require.Empty(t, b.starts(), "it has failed as often as it may")
+	require.Equal(t, jobs.StateFailed, b.jobs[testJob].end)
+}
