A job in doubt is unknown to nobody once its write can't follow any more

TestWriteThatIsHeldUpIsNotDoneAfterARefusal failed in one of some runs: it asked the daemon that had the doubt itself, which answered "ask again" for 150 s.

--- a/services/control/hand_in.go
+++ b/services/control/hand_in.go
@@ -96,9 +96,18 @@
 	}
 }
 
-// knows tells whether a write of the job is under way or in doubt.
-func (h *handIns) knows(id jobs.ID) bool {
+// doubtAbout gives the version that a write of the job in doubt depends on; 0: a write is under
+// way. It tells whether there is either.
+func (h *handIns) doubtAbout(id jobs.ID) (doubt platform.Version, open bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.open[id] != nil
+	hand := h.open[id]
+	switch {
+	case hand == nil:
+		return 0, false
+	case hand.under != nil:
+		return 0, true
+	default:
+		return hand.doubt, true
+	}
 }
--- a/services/control/state.go
+++ b/services/control/state.go
@@ -45,13 +45,19 @@
 		return "", err
 	case entries.known():
 		return entries.state(), nil
-	case s.handIns.knows(id): // it may be stored a moment later
+	case s.mayBeStored(ctx, id):
 		return "", errors.Mark(errors.New("job is being handed in, or its acceptance is in doubt"), platform.ErrUnavailable)
 	default:
 		return "", platform.ErrNotFound
 	}
 }
 
+// mayBeStored tells of a job that was not found whether a write of this daemon may store it yet.
+func (s *Service) mayBeStored(ctx context.Context, id jobs.ID) bool {
+	doubt, open := s.handIns.doubtAbout(id)
+	return open && (doubt == 0 || s.fateOf(ctx, id, doubt) != fateAbsent)
+}
+
 // Pending counts a queue's jobs that have no task begun, over all cells.
 func (s *Service) Pending(ctx context.Context, queue jobs.QueueName) (int, error) {
 	layout := s.Cells.layout()
