A task whose run ends after a takeover starts again once all workers have been heard

Cause: a successor counted only the failures that it had heard of; the others were listed by a worker that had not answered yet. Ruled out: a store that lost progress (an end is not acknowledged before it is stored). Tasks that last have no bound of failures and don't wait.

--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -61,13 +61,17 @@
 func (c *Core) initTask(t *task) {
 	switch {
 	case t.state == taskDone, t.state == taskElsewhere:
-	case t.step.job.fresh || !c.blind:
-		t.step.waiting++
-	default:
+	case c.unseen(t):
 		t.state = taskUnknown
+	default:
+		t.step.waiting++
 	}
 }
 
+// unseen tells whether a worker that has not answered since the takeover may know of runs of
+// the task.
+func (c *Core) unseen(t *task) bool { return c.blind && !t.step.job.fresh }
+
 // finishTask marks a task as succeeded; it must not be on a worker.
 func (c *Core) finishTask(t *task) {
 	if t.state == taskDone {
@@ -87,11 +91,20 @@
 	if t.state == taskDone {
 		return
 	}
+	t.pace = jobs.FullSpeed
+	// That this run has ended says nothing of those before it: a worker that has not answered
+	// may know of failures that leave the task no attempt. Tasks that last have no such bound.
+	if c.unseen(t) && !t.step.spec.Lasts {
+		if t.state == taskWaiting {
+			t.step.waiting--
+		}
+		t.state = taskUnknown
+		return
+	}
 	if t.state != taskWaiting {
 		t.step.waiting++
 	}
 	t.state = taskWaiting
-	t.pace = jobs.FullSpeed
 	c.listOpen(t.step)
 	c.settle(t.step.job)
 }
