--- /dev/null
+++ b/services/cell/refusal_test.go
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+)
+
+// A refusal speaks of the job and not of the call that it answers: the job won't run,
+// whatever earlier calls with it have done.
+
+// told is what a call is told of a job.
+type told string
+
+const (
+	toldAccepted told = "accepted"
+	toldRefused  told = "refused"
+	toldUnknown  told = "unknown"
+)
+
+type forwarded struct {
+	answer models.ForwardAnswer
+	err    error
+}
+
+// of gives what is told of one job.
+func (f forwarded) of(id models.JobID) told {
+	for _, job := range append(f.answer.Submitted, f.answer.Cancelled...) {
+		if job.ID == id {
+			return toldAccepted
+		}
+	}
+	if _, refused := RefusalOf(f.err); refused {
+		return toldRefused
+	}
+	return toldUnknown
+}
+
+// refusalWorld is a cell with one owner, daemon 0.
+func refusalWorld(t *testing.T) (*world, *testOwner) {
+	w := newWorld(t, t, 4)
+	o, err := w.take(0, worldCells[0])
+	require.NoError(t, err)
+	w.after(time.Second)
+	return w, o
+}
+
+func (w *world) submit(o *testOwner, specs ...models.JobSpec) forwarded {
+	answer, err := w.forward(o, models.ForwardCall{Submit: specs})
+	return forwarded{answer, err}
+}
+
+func (w *world) cancelJob(o *testOwner, id models.JobID) forwarded {
+	answer, err := w.forward(o, models.ForwardCall{Cancel: []models.JobID{id}})
+	return forwarded{answer, err}
+}
+
+// beside makes a call that is under way when it returns.
+func (w *world) beside(call func() forwarded) <-chan forwarded {
+	result := make(chan forwarded, 1)
+	go func() { result <- call() }()
+	w.after(200 * time.Millisecond)
+	return result
+}
+
+// untilJob waits until the owner holds the job.
+func (w *world) untilJob(o *testOwner, id models.JobID) {
+	w.until(10*time.Second, "job "+string(id)+" is there", func() bool {
+		answer, err := w.forward(o, models.ForwardCall{Jobs: true})
+		for _, job := range answer.Jobs {
+			if job.ID == id {
+				return err == nil
+			}
+		}
+		return false
+	})
+}
+
+// TestRepeatBesideLostAnswer submits a job again while the append that holds it is under
+// way, and then loses the answer of the append.
+func TestRepeatBesideLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, o := refusalWorld(t)
+		spec, other := testJob("first", 1, 100), testJob("other", 1, 100)
+		w.pause(0)
+		first := w.beside(func() forwarded { return w.submit(o, spec) })
+		again := w.beside(func() forwarded { return w.submit(o, spec) })
+		mixed := w.beside(func() forwarded { return w.submit(o, spec, other) })
+		w.set(func(f *worldFaults) { f.lostAnswers = 1 })
+		w.resume(0)
+		require.Equal(t, toldUnknown, (<-first).of("first"))
+		require.Equal(t, toldUnknown, (<-again).of("first"), "the job is written")
+		require.Equal(t, toldUnknown, (<-mixed).of("first"), "the job is written")
+		w.untilJob(o, "first")
+	})
+}
+
+// TestRepeatInOutage submits a job again that was accepted before, alone and beside
+// another, while nothing can be written.
+func TestRepeatInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, o := refusalWorld(t)
+		spec, other := testJob("first", 1, 100), testJob("other", 1, 100)
+		require.Equal(t, toldAccepted, w.submit(o, spec).of("first"))
+		w.set(func(f *worldFaults) { f.outage = true })
+		require.Equal(t, toldRefused, w.submit(o, other).of("other"))
+		require.NotEqual(t, toldRefused, w.submit(o, spec).of("first"), "the job is there")
+		mixed := w.submit(o, spec, other)
+		require.NotEqual(t, toldRefused, mixed.of("first"), "the job is there")
+	})
+}
+
+// TestRepeatWithWrongJob submits an accepted job beside one whose id is in use.
+func TestRepeatWithWrongJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, o := refusalWorld(t)
+		first, second := testJob("first", 1, 100), testJob("second", 1, 100)
+		require.Equal(t, toldAccepted, w.submit(o, first, second).of("first"))
+		changed := testJob("second", 2, 100)
+		require.Equal(t, toldRefused, w.submit(o, changed).of("second"))
+		require.NotEqual(t, toldRefused, w.submit(o, first, changed).of("first"), "the job is there")
+	})
+}
+
+// TestRepeatAtFrozenOwner submits a job again at an owner that has handed the cell over.
+func TestRepeatAtFrozenOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, o := refusalWorld(t)
+		spec, open := testJob("first", 1, 100), testJob("open", 1, 100)
+		require.Equal(t, toldAccepted, w.submit(o, spec).of("first"))
+		w.set(func(f *worldFaults) { f.lostAnswers = 1 })
+		require.Equal(t, toldUnknown, w.submit(o, open).of("open"))
+		reply := make(chan models.HandoverCall, 1)
+		_, err := await(w.ctx, o.Owner, freezeMessage{reply: reply}, reply)
+		require.NoError(t, err)
+		require.NotEqual(t, toldRefused, w.submit(o, spec).of("first"), "the job is there")
+		require.NotEqual(t, toldRefused, w.submit(o, open).of("open"), "the job is handed over")
+	})
+}
+
+// TestRepeatAtEndingOwner ends an owner with a call in its inbox that repeats a job of the
+// append under way.
+func TestRepeatAtEndingOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		vms, j, err := w.equip(0, worldCells[0])
+		require.NoError(t, err)
+		require.NoError(t, j.Take(w.ctx))
+		o := NewOwner(OwnerConfig{
+			Cell: worldCells[0], Epoch: j.Epoch(), Settings: w.settings, Journal: j, Workers: w.workersFor(0), Inventory: vms,
+			View: w.config, Peers: &worldPeers{w}, Learner: w.learner(), Logger: zap.NewNop(), Scope: tally.NoopScope,
+		})
+		call := models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}
+		w.pause(0)
+		first, again := make(chan forwardReply, 1), make(chan forwardReply, 1)
+		o.handleForward(forwardMessage{call: call, reply: first})
+		o.commit(w.ctx)
+		o.inbox <- forwardMessage{call: call, reply: again}
+		o.refuseWaiting()
+		require.Equal(t, toldUnknown, ofReply(<-first).of("first"), "the job may be written")
+		require.Equal(t, toldUnknown, ofReply(<-again).of("first"), "the job may be written")
+	})
+}
+
+func ofReply(r forwardReply) forwarded { return forwarded{r.answer, r.err} }
+
+// TestRepeatedCancellation cancels a job again whose first cancellation has lost its
+// answer or is stored, while nothing can be written.
+func TestRepeatedCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, o := refusalWorld(t)
+		require.Equal(t, toldAccepted, w.submit(o, testJob("first", 1, 100_000), testJob("second", 1, 100_000)).of("first"))
+		require.Equal(t, toldAccepted, w.cancelJob(o, "first").of("first"))
+		w.set(func(f *worldFaults) { f.lostAnswers = 1 })
+		w.pause(0)
+		lost := w.beside(func() forwarded { return w.cancelJob(o, "second") })
+		w.resume(0)
+		require.Equal(t, toldUnknown, (<-lost).of("second"))
+		w.set(func(f *worldFaults) { f.outage = true })
+		require.NotEqual(t, toldRefused, w.cancelJob(o, "second").of("second"), "it is cancelled")
+		require.NotEqual(t, toldRefused, w.cancelJob(o, "first").of("first"), "it was cancelled before")
+	})
+}
+
+// TestUnansweredMessage hands an owner that is ending a message that it never answers.
+func TestUnansweredMessage(t *testing.T) {
+	ended := &Owner{inbox: make(chan message, inboxSize), done: make(chan struct{})}
+	var unheard message = forwardMessage{call: models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}}
+	go func() {
+		<-ended.inbox
+		close(ended.done)
+	}()
+	_, err := await(context.Background(), ended, unheard, make(chan forwardReply))
+	_, refused := RefusalOf(err)
+	require.False(t, refused, "the loop has taken the message and may have done it: %v", err)
+}
