--- a/services/cell/refusal_test.go
+++ b/services/cell/refusal_test.go
@@ -148,18 +148,23 @@
 	})
 }
 
+// idleOwner is an owner without a loop of its own: the test takes its steps.
+func (w *world) idleOwner(daemon int) *Owner {
+	vms, j, err := w.equip(daemon, worldCells[0])
+	require.NoError(w.t, err)
+	require.NoError(w.t, j.Take(w.ctx))
+	return NewOwner(OwnerConfig{
+		Cell: worldCells[0], Epoch: j.Epoch(), Settings: w.settings, Journal: j, Workers: w.workersFor(daemon), Inventory: vms,
+		View: w.config, Peers: &worldPeers{w}, Learner: w.learner(), Logger: zap.NewNop(), Scope: tally.NoopScope,
+	})
+}
+
 // TestRepeatAtEndingOwner ends an owner with a call in its inbox that repeats a job of the
 // append under way.
 func TestRepeatAtEndingOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, t, 4)
-		vms, j, err := w.equip(0, worldCells[0])
-		require.NoError(t, err)
-		require.NoError(t, j.Take(w.ctx))
-		o := NewOwner(OwnerConfig{
-			Cell: worldCells[0], Epoch: j.Epoch(), Settings: w.settings, Journal: j, Workers: w.workersFor(0), Inventory: vms,
-			View: w.config, Peers: &worldPeers{w}, Learner: w.learner(), Logger: zap.NewNop(), Scope: tally.NoopScope,
-		})
+		o := w.idleOwner(0)
 		call := models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}
 		w.pause(0)
 		first, again := make(chan forwardReply, 1), make(chan forwardReply, 1)
@@ -172,6 +177,54 @@
 	})
 }
 
+// TestAppendCutOff ends the context of an append that is under way, as the end of its owner
+// does, and lets the owner take up the result before it ends.
+func TestAppendCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		call := models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}
+		w.pause(0)
+		first := make(chan forwardReply, 1)
+		o.handleForward(forwardMessage{call: call, reply: first})
+		o.commit(w.ctx)
+		o.cancelAppend()
+		o.handle(<-o.inbox)
+		o.refuseWaiting()
+		require.Equal(t, toldUnknown, ofReply(<-first).of("first"), "the job may be written")
+	})
+}
+
+// TestOverwrittenEntry loses the answer of an append, lets other owners write over its
+// place in the ring, and submits the job again at the owner that can't see its entry any
+// more.
+func TestOverwrittenEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		call := models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}
+		first, again := make(chan forwardReply, 1), make(chan forwardReply, 1)
+		o.handleForward(forwardMessage{call: call, reply: first})
+		w.set(func(f *worldFaults) { f.lostAnswers = 1 })
+		o.commit(w.ctx)
+		o.handle(<-o.inbox) // the answer is lost
+		w.pause(0)
+		require.Equal(t, toldUnknown, ofReply(<-first).of("first"))
+		for range w.settings.RingSlots + 1 {
+			_, j, err := w.equip(1, worldCells[0])
+			require.NoError(t, err)
+			require.NoError(t, j.Take(w.ctx))
+			require.NoError(t, j.Append(w.ctx, models.CellChange{}))
+		}
+		w.resume(0)
+		for !o.superseded {
+			o.handle(<-o.inbox)
+		}
+		o.handleForward(forwardMessage{call: call, reply: again})
+		require.Equal(t, toldUnknown, ofReply(<-again).of("first"), "the job was written")
+	})
+}
+
 func ofReply(r forwardReply) forwarded { return forwarded{r.answer, r.err} }
 
 // TestRepeatedCancellation cancels a job again whose first cancellation has lost its
