A cell answers each job by what is journalled and what is being written

A refusal of a whole call was taken for each of its jobs, also for those that an earlier call had brought in: accepted before, part of the append under way, or of one whose fate is unknown. The fate of a job, and the result of an append, are closed sets now, made in one place each; errors that say 'may have been done' hide whatever they were before.

--- a/models/peer.go
+++ b/models/peer.go
@@ -149,6 +149,9 @@
 	Worker bool      `json:"workers,omitempty"` // list workers
 }
 
+// Changes tells whether the call asks for a change.
+func (c ForwardCall) Changes() bool { return len(c.Submit)+len(c.Cancel) > 0 }
+
 // Check checks every job submitted.
 func (c ForwardCall) Check() error {
 	for _, j := range c.Submit {
@@ -172,14 +175,16 @@
 	State       string      `json:"state"` // live, leaving, draining, silent, quarantined, unknown
 }
 
-// ForwardAnswer is the owner's answer; only the parts asked for are filled.
+// ForwardAnswer is the owner's answer; only the parts asked for are filled. Of a job of the
+// call that is neither submitted, cancelled nor refused, the owner doesn't know.
 type ForwardAnswer struct {
-	Submitted []Job          `json:"submitted,omitempty"`
-	Cancelled []Job          `json:"cancelled,omitempty"`
-	Jobs      []Job          `json:"jobs,omitempty"`
-	Tasks     []Task         `json:"tasks,omitempty"`
-	Workers   []WorkerStatus `json:"workers,omitempty"`
-	Decisions []Decision     `json:"decisions,omitempty"`
+	Submitted []Job            `json:"submitted,omitempty"`
+	Cancelled []Job            `json:"cancelled,omitempty"`
+	Refused   map[JobID]string `json:"refused,omitempty"` // with the reason
+	Jobs      []Job            `json:"jobs,omitempty"`
+	Tasks     []Task           `json:"tasks,omitempty"`
+	Workers   []WorkerStatus   `json:"workers,omitempty"`
+	Decisions []Decision       `json:"decisions,omitempty"`
 }
 
 // Check is there for the decoder; the owner fills it from checked records.
--- a/services/cell/calls.go
+++ b/services/cell/calls.go
@@ -6,105 +6,51 @@
 import (
 	"cmp"
 	"maps"
-	"reflect"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"rillsail.example/rillsail/models"
 )
 
-// handleForward takes an operator's call. Submissions and cancellations are
-// answered once they are journalled; everything else at once.
+// handleForward takes an operator's call. Submissions and cancellations are answered once
+// they are journalled, and at once while nothing can be; everything else at once.
 func (o *Owner) handleForward(m forwardMessage) {
-	if o.frozen || o.superseded {
-		m.reply <- forwardReply{err: ErrNotOwner}
-		return
-	}
 	switch {
-	case len(m.call.Submit) > 0:
-		o.submit(m)
-	case len(m.call.Cancel) > 0:
-		o.cancelJobs(m)
-	default:
+	case o.frozen || o.superseded:
+		m.reply <- o.refuseCall(m.call)
+	case !m.call.Changes():
 		m.reply <- forwardReply{answer: o.look(m.call)}
+	case o.storeFails.Load():
+		m.reply <- o.fates(m.call, ErrNoStore)
+	default:
+		o.stage(m)
 	}
 }
 
-// submit stages new jobs. A job that was accepted before is answered with its first
-// outcome; one that is being accepted waits for the same append.
-func (o *Owner) submit(m forwardMessage) {
-	var fresh []models.Job
-	for _, spec := range m.call.Submit {
-		known, ok := o.knownJob(spec.ID)
-		if ok && !reflect.DeepEqual(known.JobSpec, spec) {
-			m.reply <- forwardReply{err: errors.Wrapf(ErrOtherSpec, "job %s", spec.ID)}
-			return
-		}
-		if !ok {
-			fresh = append(fresh, models.Job{JobSpec: spec, State: models.JobActive, Submitted: models.UnixMilliOf(time.Now())})
-		}
-	}
-	switch {
-	case o.storeFails.Load() && len(fresh) > 0:
-		m.reply <- forwardReply{err: ErrNoStore}
-		return
-	case o.unsettled:
-		m.reply <- forwardReply{err: ErrMaybe}
-		return
+// refuseCall answers a call that this owner can do nothing about any more.
+func (o *Owner) refuseCall(call models.ForwardCall) forwardReply {
+	if !call.Changes() {
+		return forwardReply{err: ErrNotOwner}
 	}
-	o.stage(staged{jobs: fresh}, m.reply, func() models.ForwardAnswer {
-		var answer models.ForwardAnswer
-		for _, spec := range m.call.Submit {
-			answer.Submitted = append(answer.Submitted, o.working.Jobs[spec.ID])
-		}
-		return answer
-	})
+	return o.fates(call, ErrNotOwner)
 }
 
-func (o *Owner) knownJob(id models.JobID) (models.Job, bool) {
-	if job, ok := o.working.Jobs[id]; ok {
-		return job, true
-	}
-	for _, s := range o.staged {
-		for _, job := range s.jobs {
-			if job.ID == id {
-				return job, true
-			}
+// stage lets a call wait for the next append. Of submitted jobs it adds those that are new.
+func (o *Owner) stage(m forwardMessage) {
+	s := staged{call: m.call, reply: m.reply}
+	now := models.UnixMilliOf(time.Now())
+	for _, spec := range m.call.Submit {
+		if !o.knownJob(spec.ID) {
+			s.jobs = append(s.jobs, models.Job{JobSpec: spec, State: models.JobActive, Submitted: now})
 		}
 	}
-	return models.Job{}, false
-}
-
-// cancelJobs stages the cancellation of jobs: one record for each job, however many
-// tasks it has.
-func (o *Owner) cancelJobs(m forwardMessage) {
-	if o.storeFails.Load() {
-		m.reply <- forwardReply{err: ErrNoStore}
-		return
-	}
-	o.stage(staged{cancel: m.call.Cancel}, m.reply, func() models.ForwardAnswer {
-		var answer models.ForwardAnswer
-		for _, id := range m.call.Cancel {
-			if job, ok := o.working.Jobs[id]; ok {
-				answer.Cancelled = append(answer.Cancelled, job)
-			}
-		}
-		return answer
-	})
+	o.staged = append(o.staged, s)
 }
 
-func (o *Owner) stage(s staged, reply chan<- forwardReply, result func() models.ForwardAnswer) {
-	s.answer = func(err error) {
-		if err != nil {
-			reply <- forwardReply{err: err}
-			return
-		}
-		reply <- forwardReply{answer: result()}
-	}
-	o.staged = append(o.staged, s)
+func (o *Owner) knownJob(id models.JobID) bool {
+	_, ok := o.working.Jobs[id]
+	return ok || slices.ContainsFunc(o.staged, func(s staged) bool { return s.submits(id) })
 }
 
 // look answers the calls that change nothing.
--- a/services/cell/commit.go
+++ b/services/cell/commit.go
@@ -91,16 +91,20 @@
 // staged is an operator's call that is answered when its records are journalled.
 // Its records join the working state only then, so that a refusal is true.
 type staged struct {
-	jobs   []models.Job   // submitted
-	cancel []models.JobID // of jobs in the working state
-	answer func(error)
-	sent   bool // part of the append under way
+	call  models.ForwardCall
+	jobs  []models.Job        // those submitted that are new
+	reply chan<- forwardReply // nil: nobody waits any more
+	sent  bool                // part of the append under way
+}
+
+func (s staged) submits(id models.JobID) bool {
+	return slices.ContainsFunc(s.jobs, func(j models.Job) bool { return j.ID == id })
 }
 
 // records are the job records that the append has to hold for the call.
 func (s staged) records(state models.CellState, now models.UnixMilli) []models.Job {
 	records := slices.Clone(s.jobs)
-	for _, id := range s.cancel {
+	for _, id := range s.call.Cancel {
 		if job, ok := state.Jobs[id]; ok {
 			records = append(records, job.Cancel(now))
 		}
@@ -108,6 +112,20 @@
 	return records
 }
 
+// early tells whether a staged call cancels a job whose submission, by another, isn't
+// journalled yet. It waits for the append after that, so that its answer says what is
+// journalled.
+func (o *Owner) early(call int) bool {
+	return slices.ContainsFunc(o.staged[call].call.Cancel, func(id models.JobID) bool {
+		for i, other := range o.staged {
+			if i != call && other.submits(id) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // commit starts an append of all that is dirty or staged, at most one at a time
 // and not faster than the settings say.
 func (o *Owner) commit(ctx context.Context) {
@@ -121,6 +139,9 @@
 	change := o.dirty.change(o.working)
 	o.dirty = newDirty()
 	for i := range o.staged {
+		if o.early(i) {
+			continue
+		}
 		o.staged[i].sent = true
 		change.Jobs = append(change.Jobs, o.staged[i].records(o.working, models.UnixMilliOf(time.Now()))...)
 	}
@@ -130,7 +151,7 @@
 
 // beginAppend lets an append, or the settling of one, go on beside the loop.
 func (o *Owner) beginAppend(ctx context.Context, change models.CellChange, write appendFunc) {
-	o.appending = true
+	o.appending, o.underWay = true, change
 	appendContext, cancel := context.WithCancel(ctx)
 	o.cancelAppend = cancel
 	o.group.Go(func() { o.runAppend(ctx, appendContext, change, write) })
@@ -154,66 +175,114 @@
 const retryAppend = 200 * time.Millisecond
 
 // runAppend writes one entry and, when its answer is lost, goes on until the
-// journal tells whether it was written, or the append is given up with ErrPending.
+// journal tells whether it was written, or the append is given up.
 func (o *Owner) runAppend(ctx, appendContext context.Context, change models.CellChange, write appendFunc) {
-	err := write(appendContext, change)
-	for errors.Is(err, journal.ErrPending) && appendContext.Err() == nil {
-		if !o.send(ctx, unsettledMessage{err: err}) {
+	result := resultOf(write(appendContext, change))
+	for {
+		open, ok := result.(appendOpen)
+		if !ok || appendContext.Err() != nil {
+			break
+		}
+		if !o.send(ctx, unsettledMessage(open)) {
 			return
 		}
 		clock.Sleep(appendContext, retryAppend)
-		err = o.journal.Settle(appendContext)
+		result = resultOf(o.journal.Settle(appendContext))
 	}
-	o.send(ctx, appendedMessage{change: change, err: err})
+	o.send(ctx, appendedMessage{change: change, result: result})
 }
 
-// handleUnsettled answers those who wait: nobody knows yet whether their records
-// are journalled. What has not been part of the append surely is not.
+// appendResult is what became of an append. The set is closed, and a value is one of them
+// only: what is still open is never taken for what failed.
+type appendResult interface{ appendResult() }
+
+type (
+	appendDone   struct{}
+	appendFailed struct{ err error } // nothing of it was written
+	appendLost   struct{ err error } // another daemon owns the cell
+	appendOpen   struct{ err error } // it may have been written, or may still be
+)
+
+func (appendDone) appendResult()   {}
+func (appendFailed) appendResult() {}
+func (appendLost) appendResult()   {}
+func (appendOpen) appendResult()   {}
+
+func resultOf(err error) appendResult {
+	switch {
+	case err == nil:
+		return appendDone{}
+	case errors.Is(err, journal.ErrPending):
+		return appendOpen{err}
+	case isSuperseded(err):
+		return appendLost{err}
+	default:
+		return appendFailed{err}
+	}
+}
+
+// handleUnsettled answers those who wait: nobody knows yet what of their jobs is
+// journalled that is part of the append. What isn't surely won't be.
 func (o *Owner) handleUnsettled(m unsettledMessage) {
 	o.noteStoreFailure(m.err)
 	o.unsettled = true
 	var sent []staged
 	for _, s := range o.staged {
-		if !s.sent {
-			s.answer(ErrNoStore)
-			continue
+		o.answer(s, ErrNoStore)
+		if s.sent {
+			s.reply = nil
+			sent = append(sent, s)
 		}
-		s.answer(ErrMaybe)
-		s.answer = func(error) {} // it is known later, but nobody waits any more
-		sent = append(sent, s)
 	}
 	o.staged = sent
 }
 
 func (o *Owner) handleAppended(m appendedMessage) {
-	o.appending, o.unsettled = false, false
 	o.cancelAppend()
 	if o.frozen {
-		o.finishFreeze()
+		o.finishFreeze() // the successor gets the append; what it holds stays doubtful here
 		return
 	}
-	switch {
-	case m.err == nil:
-		o.config.Scope.Counter("appends").Inc(1)
-		o.cycled = time.Time{} // act on what is journalled at once
-		o.journalled.Apply(m.change)
-		o.sequence++
-		o.appended()
-		o.runWaiters()
-		// The store works again: what was handed over is now taken over properly, in
-		// an epoch whose offers nobody else has seen.
-		o.superseded = o.config.Adopted
-	case isSuperseded(m.err):
+	switch r := m.result.(type) {
+	case appendDone:
+		o.endAppend()
+		o.takeAppended(m.change)
+	case appendLost:
+		// An append of unknown fate may have been written and its place in the ring be taken
+		// by later entries, so what it holds stays doubtful.
+		if !o.unsettled {
+			o.endAppend()
+		}
 		o.superseded = true
 		o.answerStaged(ErrNotOwner)
-	default:
-		o.noteStoreFailure(m.err)
+	case appendFailed:
+		o.endAppend()
+		o.noteStoreFailure(r.err)
 		o.answerStaged(ErrNoStore)
 		o.takeBack(m.change)
 		o.nextAppend = time.Now().Add(max(o.config.Settings.Append, retryAppend))
+	case appendOpen:
+		// Given up because this owner ends: it stays under way, and what it holds doubtful.
+		o.noteStoreFailure(r.err)
 	}
 }
 
+func (o *Owner) endAppend() {
+	o.appending, o.unsettled, o.underWay = false, false, models.CellChange{}
+}
+
+func (o *Owner) takeAppended(change models.CellChange) {
+	o.config.Scope.Counter("appends").Inc(1)
+	o.cycled = time.Time{} // act on what is journalled at once
+	o.journalled.Apply(change)
+	o.sequence++
+	o.appended()
+	o.runWaiters()
+	// The store works again: what was handed over is now taken over properly, in
+	// an epoch whose offers nobody else has seen.
+	o.superseded = o.config.Adopted
+}
+
 // takeBack names the records of a failed append again; staged jobs were never part
 // of the working state and are forgotten.
 func (o *Owner) takeBack(change models.CellChange) {
@@ -239,7 +308,7 @@
 		for _, j := range s.jobs {
 			o.working.Jobs[j.ID] = j
 		}
-		for _, id := range s.cancel {
+		for _, id := range s.call.Cancel {
 			if job, ok := o.working.Jobs[id]; ok {
 				o.putJob(job.Cancel(models.UnixMilliOf(time.Now())))
 			}
@@ -248,15 +317,22 @@
 	o.answerStaged(nil)
 }
 
-// answerStaged answers the calls that were part of the append.
-func (o *Owner) answerStaged(err error) {
+// answerStaged answers the calls that were part of the append. cause is why it is not
+// written; nil when it is.
+func (o *Owner) answerStaged(cause error) {
 	waiting := o.staged
 	o.staged = nil
 	for _, s := range waiting {
 		if s.sent {
-			s.answer(err)
+			o.answer(s, cause)
 		} else {
 			o.staged = append(o.staged, s)
 		}
 	}
 }
+
+func (o *Owner) answer(s staged, cause error) {
+	if s.reply != nil {
+		s.reply <- o.fates(s.call, cause)
+	}
+}
--- a/services/cell/message.go
+++ b/services/cell/message.go
@@ -62,11 +62,10 @@
 
 // Results of what the owner set going.
 type (
-	// appendedMessage is the result of an append; on errors other than
-	// ErrSuperseded nothing of it was written.
+	// appendedMessage is the result of an append.
 	appendedMessage struct {
 		change models.CellChange
-		err    error
+		result appendResult
 	}
 	// unsettledMessage says that the store doesn't tell whether an append was written.
 	unsettledMessage struct{ err error }
@@ -96,7 +95,8 @@
 func (offeredMessage) message()   {}
 func (reportedMessage) message()  {}
 
-// Errors that an operator's call can meet. All but ErrMaybe say that nothing was done.
+// Errors that an operator's call can meet. All but ErrMaybe say that nothing was done; no
+// error is two of them, see surely and maybe.
 var (
 	// ErrNotOwner says that this daemon doesn't own the cell (any more).
 	ErrNotOwner = errors.New("not run: this daemon doesn't own the cell; ask again in a second")
@@ -108,7 +108,16 @@
 	ErrWrong = errors.New("not run: the job is wrong")
 	// ErrOtherSpec says that the job's id is in use by another job.
 	ErrOtherSpec = errors.New("not run: a job with this id but another content was accepted before")
+	// ErrNoJob says that a job to be cancelled isn't there.
+	ErrNoJob = errors.New("not run: no such job is known in its home cell")
 )
 
 // refusalErrors are those that say that nothing was done.
-var refusalErrors = []error{ErrNotOwner, ErrNoStore, ErrOtherSpec, ErrWrong}
+var refusalErrors = []error{ErrNotOwner, ErrNoStore, ErrOtherSpec, ErrWrong, ErrNoJob}
+
+// surely makes of any error one that says that nothing was done, and why. The classes that
+// err had are hidden, so that it can't say ErrMaybe, or another refusal, besides.
+func surely(err, refusal error) error { return errors.Mark(errors.Handled(err), refusal) }
+
+// maybe makes of any error one that says only that what was asked for may have been done.
+func maybe(err error) error { return errors.Mark(errors.Handled(err), ErrMaybe) }
--- a/services/cell/owner.go
+++ b/services/cell/owner.go
@@ -93,7 +93,8 @@
 	staged       []staged      // operators' calls that wait for the next append
 	waiters      []func() bool // other cells' calls that wait for the journal
 	appending    bool
-	unsettled    bool // the store hasn't said whether the last append was written
+	underWay     models.CellChange // what it holds; kept when this owner ends without knowing its fate
+	unsettled    bool              // the store hasn't said whether the last append was written
 	cancelAppend context.CancelFunc
 	nextAppend   time.Time
 	storeFails   atomic.Bool // the last append failed; other goroutines read it too
@@ -246,13 +247,13 @@
 // refuseWaiting tells callers that wait for a reply that this daemon isn't the owner.
 func (o *Owner) refuseWaiting() {
 	for _, s := range o.staged {
-		s.answer(ErrMaybe)
+		o.answer(s, ErrNotOwner)
 	}
 	o.staged = nil
 	for {
 		select {
 		case m := <-o.inbox:
-			refuse(m)
+			o.refuse(m)
 		default:
 			return
 		}
@@ -260,10 +261,10 @@
 }
 
 // refuse answers a call that no loop will handle.
-func refuse(m message) {
+func (o *Owner) refuse(m message) {
 	switch m := m.(type) {
 	case forwardMessage:
-		m.reply <- forwardReply{err: ErrNotOwner}
+		m.reply <- o.refuseCall(m.call)
 	case offerMessage:
 		m.reply <- models.OfferAnswer{}
 	case reportMessage:
--- a/services/cell/refusal_test.go
+++ b/services/cell/refusal_test.go
@@ -40,6 +40,9 @@
 			return toldAccepted
 		}
 	}
+	if _, refused := f.answer.Refused[id]; refused {
+		return toldRefused
+	}
 	if _, refused := RefusalOf(f.err); refused {
 		return toldRefused
 	}
@@ -100,7 +103,9 @@
 		w.resume(0)
 		require.Equal(t, toldUnknown, (<-first).of("first"))
 		require.Equal(t, toldUnknown, (<-again).of("first"), "the job is written")
-		require.Equal(t, toldUnknown, (<-mixed).of("first"), "the job is written")
+		both := <-mixed
+		require.Equal(t, toldUnknown, both.of("first"), "the job is written")
+		require.Equal(t, toldRefused, both.of("other"), "no append has held it")
 		w.untilJob(o, "first")
 	})
 }
@@ -114,9 +119,10 @@
 		require.Equal(t, toldAccepted, w.submit(o, spec).of("first"))
 		w.set(func(f *worldFaults) { f.outage = true })
 		require.Equal(t, toldRefused, w.submit(o, other).of("other"))
-		require.NotEqual(t, toldRefused, w.submit(o, spec).of("first"), "the job is there")
+		require.Equal(t, toldAccepted, w.submit(o, spec).of("first"), "the job is there")
 		mixed := w.submit(o, spec, other)
-		require.NotEqual(t, toldRefused, mixed.of("first"), "the job is there")
+		require.Equal(t, toldAccepted, mixed.of("first"), "the job is there")
+		require.Equal(t, toldRefused, mixed.of("other"))
 	})
 }
 
@@ -128,7 +134,9 @@
 		require.Equal(t, toldAccepted, w.submit(o, first, second).of("first"))
 		changed := testJob("second", 2, 100)
 		require.Equal(t, toldRefused, w.submit(o, changed).of("second"))
-		require.NotEqual(t, toldRefused, w.submit(o, first, changed).of("first"), "the job is there")
+		mixed := w.submit(o, first, changed)
+		require.Equal(t, toldAccepted, mixed.of("first"), "the job is there")
+		require.Equal(t, toldRefused, mixed.of("second"))
 	})
 }
 
@@ -143,7 +151,7 @@
 		reply := make(chan models.HandoverCall, 1)
 		_, err := await(w.ctx, o.Owner, freezeMessage{reply: reply}, reply)
 		require.NoError(t, err)
-		require.NotEqual(t, toldRefused, w.submit(o, spec).of("first"), "the job is there")
+		require.Equal(t, toldAccepted, w.submit(o, spec).of("first"), "the job is there")
 		require.NotEqual(t, toldRefused, w.submit(o, open).of("open"), "the job is handed over")
 	})
 }
@@ -241,7 +249,31 @@
 		require.Equal(t, toldUnknown, (<-lost).of("second"))
 		w.set(func(f *worldFaults) { f.outage = true })
 		require.NotEqual(t, toldRefused, w.cancelJob(o, "second").of("second"), "it is cancelled")
-		require.NotEqual(t, toldRefused, w.cancelJob(o, "first").of("first"), "it was cancelled before")
+		require.Equal(t, toldAccepted, w.cancelJob(o, "first").of("first"), "it was cancelled before")
+	})
+}
+
+// TestCancellationBesideSubmission cancels a job while it waits for its append: the answer
+// comes when the cancellation is journalled too. One of a job that was never there is refused.
+func TestCancellationBesideSubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		submitted, cancelled := make(chan forwardReply, 1), make(chan forwardReply, 1)
+		cancel := models.ForwardCall{Cancel: []models.JobID{"first", "none"}}
+		o.handleForward(forwardMessage{call: models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}, reply: submitted})
+		o.handleForward(forwardMessage{call: cancel, reply: cancelled})
+		o.commit(w.ctx)
+		o.handle(<-o.inbox)
+		require.Equal(t, toldAccepted, ofReply(<-submitted).of("first"))
+		require.Empty(t, cancelled, "nothing of it is journalled yet")
+		w.after(w.settings.Append)
+		o.commit(w.ctx)
+		o.handle(<-o.inbox)
+		answer := ofReply(<-cancelled)
+		require.Equal(t, toldAccepted, answer.of("first"))
+		require.Equal(t, toldRefused, answer.of("none"))
+		require.Equal(t, models.JobCancelled, o.journal.State().Jobs["first"].State)
 	})
 }
 
--- a/services/cell/route.go
+++ b/services/cell/route.go
@@ -39,18 +39,17 @@
 func forwardTo(ctx context.Context, owner *Owner, call models.ForwardCall) (models.ForwardAnswer, error) {
 	reply := make(chan forwardReply, 1)
 	r, err := await(ctx, owner, forwardMessage{call: call, reply: reply}, reply)
-	switch {
-	case err == nil:
-		return r.answer, r.err
-	case errors.Is(err, ErrNotOwner):
+	if err != nil {
 		return models.ForwardAnswer{}, err
-	default:
-		return models.ForwardAnswer{}, errors.Mark(err, ErrMaybe)
 	}
+	return r.answer, r.err
 }
 
-// await hands a message to an owner and waits for its reply. ErrNotOwner means that
-// the owner ended without having handled it.
+// errEnded says that an owner's loop ended before it gave an answer.
+var errEnded = errors.New("the owner ended without an answer")
+
+// await hands a message to an owner and waits for its reply. Of a message that was handed
+// over nothing but the reply tells what became of it; ErrNotOwner means that it wasn't.
 func await[A any](ctx context.Context, owner *Owner, msg message, reply <-chan A) (A, error) {
 	var zero A
 	if !owner.send(ctx, msg) {
@@ -60,18 +59,18 @@
 	case answer := <-reply:
 		return answer, nil
 	case <-ctx.Done():
-		return zero, ctx.Err()
+		return zero, maybe(ctx.Err())
 	case <-owner.done:
 	}
 	select {
 	case answer := <-reply:
 		return answer, nil
 	default:
-		return zero, ErrNotOwner
+		return zero, maybe(errEnded)
 	}
 }
 
-// truthful marks the error of a call to a peer with what is known of its outcome:
+// truthful says of the error of a call to a peer what is known of its outcome:
 // only the peer's own word, or a connection that was never made, says "not run".
 func truthful(call models.ForwardCall, err error) error {
 	if err == nil {
@@ -81,16 +80,16 @@
 	if errors.As(err, &failed) {
 		for _, known := range refusalErrors {
 			if failed.Meta(MetaRefusal) == known.Error() {
-				return errors.Mark(err, known)
+				return surely(err, known)
 			}
 		}
 	}
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
-		return errors.Mark(err, ErrNotOwner)
+		return surely(err, ErrNotOwner)
 	}
-	if len(call.Submit)+len(call.Cancel) > 0 {
-		return errors.Mark(err, ErrMaybe)
+	if call.Changes() {
+		return maybe(err)
 	}
 	return err
 }
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -137,12 +137,15 @@
 	}
 	err := j.swap(ctx)
 	if err != nil && !errors.Is(err, ErrSuperseded) {
-		// Even a definite refusal says nothing of the first try.
-		return errors.Mark(err, ErrPending)
+		return pending(err)
 	}
 	return err
 }
 
+// pending makes of any error one that says only that the entry may be written. The classes
+// that err had are hidden: a try that was refused for sure says nothing of the first one.
+func pending(err error) error { return errors.Mark(errors.Handled(err), ErrPending) }
+
 func (j *Journal) write(ctx context.Context, epoch models.Epoch, change models.CellChange) error {
 	entry := Entry{
 		Epoch: epoch, Sequence: j.sequence + 1, Writer: j.config.Writer, WriteID: j.config.NewID(), Change: change,
@@ -158,7 +161,7 @@
 		return err
 	}
 	if err != nil {
-		return errors.Mark(err, ErrPending)
+		return pending(err)
 	}
 	return nil
 }
@@ -194,7 +197,7 @@
 	}
 	if err != nil {
 		// The conflict is certain but its cause isn't: stay pending.
-		return 0, errors.Mark(err, platform.ErrUnknown)
+		return 0, platform.Unknown(err)
 	}
 	found, err := decode[Entry](record.Value)
 	if err != nil {
--- a/services/operate/operate.go
+++ b/services/operate/operate.go
@@ -64,27 +64,25 @@
 			wrong[spec.ID] = errors.Mark(errors.Wrapf(err, "not run: neither the job nor its team %s says so", spec.Team), cell.ErrWrong)
 		}
 	}
-	return s.eachHome(ids, wrong, func(home models.CellID, ids []models.JobID) ([]models.Job, error) {
+	return s.eachHome(ids, wrong, func(home models.CellID, ids []models.JobID) (models.ForwardAnswer, error) {
 		call := models.ForwardCall{Cell: home}
 		for _, id := range ids {
 			call.Submit = append(call.Submit, specs[id])
 		}
-		answer, err := s.config.Cells.Forward(ctx, call)
-		return answer.Submitted, err
+		return s.config.Cells.Forward(ctx, call)
 	})
 }
 
 // Cancel hands each cancellation to the owner of the job's home cell.
 func (s *Service) Cancel(ctx context.Context, cancellation models.Cancellation) models.JobResults {
-	return s.eachHome(cancellation.Jobs, nil, func(home models.CellID, ids []models.JobID) ([]models.Job, error) {
-		answer, err := s.config.Cells.Forward(ctx, models.ForwardCall{Cell: home, Cancel: ids})
-		return answer.Cancelled, err
+	return s.eachHome(cancellation.Jobs, nil, func(home models.CellID, ids []models.JobID) (models.ForwardAnswer, error) {
+		return s.config.Cells.Forward(ctx, models.ForwardCall{Cell: home, Cancel: ids})
 	})
 }
 
 // eachHome groups jobs by home cell and calls once for each group; those that are
 // wrong are refused.
-func (s *Service) eachHome(ids []models.JobID, wrong map[models.JobID]error, do func(models.CellID, []models.JobID) ([]models.Job, error)) models.JobResults {
+func (s *Service) eachHome(ids []models.JobID, wrong map[models.JobID]error, do func(models.CellID, []models.JobID) (models.ForwardAnswer, error)) models.JobResults {
 	cells := s.config.Inventory.Cells()
 	groups := map[models.CellID][]models.JobID{}
 	results := map[models.JobID]models.JobResult{}
@@ -104,11 +102,11 @@
 	calls := pool.New().WithMaxGoroutines(maxCellCalls)
 	for home, group := range groups {
 		calls.Go(func() {
-			jobs, err := do(home, group)
+			answer, err := do(home, group)
 			mu.Lock()
 			defer mu.Unlock()
 			for _, id := range group {
-				results[id] = resultOf(id, jobs, err)
+				results[id] = resultOf(id, answer, err)
 			}
 		})
 	}
@@ -120,15 +118,20 @@
 	return ordered
 }
 
-func resultOf(id models.JobID, jobs []models.Job, err error) models.JobResult {
+// resultOf takes what became of one job out of the answer for all jobs of its home.
+func resultOf(id models.JobID, answer models.ForwardAnswer, err error) models.JobResult {
 	if err != nil {
 		return refused(id, err)
 	}
-	i := slices.IndexFunc(jobs, func(j models.Job) bool { return j.ID == id })
-	if i < 0 {
-		return models.JobResult{ID: id, Error: "no such job is known in its home cell"}
+	for _, job := range append(answer.Submitted, answer.Cancelled...) {
+		if job.ID == id {
+			return models.JobResult{ID: id, Job: &job}
+		}
+	}
+	if reason, ok := answer.Refused[id]; ok {
+		return models.JobResult{ID: id, Outcome: models.RequestNotRun, Error: reason}
 	}
-	return models.JobResult{ID: id, Job: &jobs[i]}
+	return refused(id, cell.ErrMaybe)
 }
 
 // refused says of an error whether the job may have been accepted.
