--- /dev/null
+++ b/cmd/rillsail/answer_test.go
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/wire"
+	"rillsail.example/rillsail/routers/operator"
+)
+
+// at runs a command line against a daemon that answers every call like this.
+func at(t *testing.T, answer http.HandlerFunc, args ...string) (int, string) {
+	t.Helper()
+	daemon := httptest.NewServer(answer)
+	defer daemon.Close()
+	return command(t, append([]string{"--daemon", strings.TrimPrefix(daemon.URL, "http://")}, args...)...)
+}
+
+// TestErrorAnswerCutOff cuts the answer off that says that a change may be in force, right
+// after its status.
+func TestErrorAnswerCutOff(t *testing.T) {
+	code, out := at(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}, "config", "delete", "team/office")
+	require.Equal(t, exitUnknown, code, out)
+	require.NotContains(t, out, "nothing was done")
+}
+
+// TestErrorAnswerOfSomebodyElse lets something between tool and daemon answer a change.
+func TestErrorAnswerOfSomebodyElse(t *testing.T) {
+	code, out := at(t, func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "upstream has gone", http.StatusBadGateway)
+	}, "jobs", "cancel", "nightly")
+	require.Equal(t, exitUnknown, code, out)
+	require.NotContains(t, out, "nothing was done")
+}
+
+// TestNotRunIsSaid keeps the daemon's own word that nothing was done.
+func TestNotRunIsSaid(t *testing.T) {
+	code, out := at(t, func(w http.ResponseWriter, _ *http.Request) {
+		wire.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "store unavailable", Kind: operator.KindNotRun})
+	}, "config", "delete", "team/office")
+	require.Equal(t, exitFailed, code, out)
+	require.Contains(t, out, "nothing was done")
+}
+
+// TestUnknownBesideRefusal answers one job as refused and the next as unknown.
+func TestUnknownBesideRefusal(t *testing.T) {
+	code, out := at(t, func(w http.ResponseWriter, _ *http.Request) {
+		wire.Write(w, http.StatusOK, models.JobResults{Results: []models.JobResult{
+			{ID: "first", Outcome: models.RequestNotRun, Error: "not run: not now"},
+			{ID: "second", Outcome: models.RequestUnknown, Error: "unknown: no answer came"},
+		}})
+	}, "jobs", "cancel", "first", "second")
+	require.Equal(t, exitUnknown, code, out)
+	require.Contains(t, out, "first")
+	require.Contains(t, out, "second")
+}
--- /dev/null
+++ b/services/entry/notrun_test.go
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package entry
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/setting"
+	"rillsail.example/rillsail/services/config"
+)
+
+// forgetful is an upstream that answers the first request, runs the second and closes its
+// connection without a word, and refuses all others without running them.
+type forgetful struct {
+	mu   sync.Mutex
+	seen int
+	ran  int
+}
+
+// ServeHTTP implements http.Handler.
+func (f *forgetful) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen++
+	w.Header().Set(models.HeaderRequestID, r.Header.Get(models.HeaderRequestID))
+	switch f.seen {
+	case 1:
+		w.WriteHeader(http.StatusNoContent)
+	case 2:
+		f.ran++
+		panic(http.ErrAbortHandler)
+	default:
+		w.Header().Set(models.HeaderOutcome, string(models.RequestNotRun))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// entryFor is an entry with one upstream.
+func entryFor(t *testing.T, upstream http.Handler, class models.Class) *Service {
+	server := httptest.NewServer(upstream)
+	t.Cleanup(server.Close)
+	made := 0
+	s := New(Config{
+		Self: "e0", Settings: setting.Defaults().Entry, MaxBody: 1 << 20,
+		View:   func() *config.View { return config.ViewOf(1, class) },
+		Logger: zap.NewNop(), Scope: tally.NoopScope,
+		NewID: func() string {
+			made++
+			return "id-" + strconv.Itoa(made)
+		},
+	})
+	address := server.Listener.Addr().(*net.TCPAddr).String()
+	vm := models.VM{ID: "u0", Kind: models.KindUpstream, State: models.VMLive, Address: address, Slots: 4, MaxConns: 8}
+	s.Sync([]models.VM{vm}, []models.MemberID{"e0"}, nil)
+	return s
+}
+
+// TestRequestSentTwiceByTheTransport lets the HTTP library send a request again by itself,
+// when a kept connection ends without answer: the refusal of the second sending says nothing
+// of the first.
+func TestRequestSentTwiceByTheTransport(t *testing.T) {
+	upstream := &forgetful{}
+	s := entryFor(t, upstream, models.Class{Name: "quotes", Priority: models.PriorityOrdinary})
+	get := func() *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		s.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/quote", nil))
+		return recorder
+	}
+	require.Equal(t, http.StatusNoContent, get().Code)
+	answer := get()
+	require.Equal(t, 1, upstream.ran)
+	require.Equal(t, string(models.RequestUnknown), answer.Header().Get(models.HeaderOutcome), "an upstream has run it")
+}
