Nothing is said to be undone unless its maker says so

Errors of a configuration change are one of four, and an error without a class is answered as unknown; the tool goes by the daemon's own word and by the job of which the least is known; each sending that the HTTP library makes by itself counts as one that may have run.

--- a/cmd/rillsail/client.go
+++ b/cmd/rillsail/client.go
@@ -70,16 +70,20 @@
 	var dial *net.OpError
 	switch {
 	case errors.As(err, &answered):
-		e.advice, e.status = adviceFor(answered)
+		e.advice, e.status = adviceFor(answered, changes)
 	case errors.As(err, &dial) && dial.Op == "dial":
 		e.advice = "nothing was done; ask another daemon with --daemon"
 	case changes:
-		e.advice, e.status = "it may have been done: look at the state, then do it again if it was not", exitUnknown
+		e.advice, e.status = adviceMaybe, exitUnknown
 	}
 	return e
 }
 
-func adviceFor(answered *wire.StatusError) (advice string, status int) {
+const adviceMaybe = "it may have been done: look at the state, then do it again if it was not"
+
+// adviceFor goes by the daemon's own word. An error status without it may come from something
+// between, or be all that is left of an answer that was cut off.
+func adviceFor(answered *wire.StatusError, changes bool) (advice string, status int) {
 	switch {
 	case answered.Status == http.StatusUnauthorized:
 		return "nothing was done; give the operators' token with --token or RILLSAIL_TOKEN", exitFailed
@@ -91,6 +95,8 @@
 		return "nothing was done; try again in 10 seconds", exitFailed
 	case answered.Status < http.StatusInternalServerError:
 		return "nothing was done; correct the input", exitRefused
+	case changes:
+		return adviceMaybe, exitUnknown
 	default:
 		return "nothing was done; look at the daemon's log", exitFailed
 	}
--- a/cmd/rillsail/jobs.go
+++ b/cmd/rillsail/jobs.go
@@ -8,6 +8,8 @@
 	"errors"
 	"flag"
 	"fmt"
+	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -74,26 +76,56 @@
 	return t.showResults(results, err)
 }
 
-// showResults shows what became of each job; one refusal makes the call a failure.
+// showResults shows what became of each job; one refusal makes the call a failure, and one
+// job of unknown fate makes it unknown.
 func (t *tool) showResults(results models.JobResults, err error) error {
 	if err != nil {
 		return err
 	}
 	var jobs []models.Job
-	var failed error
+	var failed jobErrors
 	for _, r := range results.Results {
 		if r.Job != nil {
 			jobs = append(jobs, *r.Job)
 			continue
 		}
-		e := &callError{daemon: t.client.daemon, cause: fmt.Errorf("job %s: %s", r.ID, r.Error), advice: "the other jobs are not affected", status: exitFailed}
-		if r.Outcome == models.RequestUnknown {
-			e.status = exitUnknown
-		}
-		failed = errors.Join(failed, e)
+		failed = append(failed, t.jobError(r))
 	}
 	if err := t.show(results, func() error { return t.jobTable(jobs) }); err != nil {
 		return err
 	}
+	if len(failed) == 0 {
+		return nil
+	}
 	return failed
 }
+
+// jobError is what a daemon says of a job that it didn't take. Only its own word "not run"
+// says that nothing was done.
+func (t *tool) jobError(r models.JobResult) *callError {
+	e := &callError{daemon: t.client.daemon, cause: fmt.Errorf("job %s: %s", r.ID, r.Error), advice: "the other jobs are not affected", status: exitUnknown}
+	if r.Outcome == models.RequestNotRun {
+		e.status = exitFailed
+	}
+	return e
+}
+
+// jobErrors are the jobs of a call that were not taken.
+type jobErrors []*callError
+
+// Error says a line for each job.
+func (e jobErrors) Error() string {
+	lines := make([]string, len(e))
+	for i, job := range e {
+		lines[i] = job.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// status is that of the job of which the least is known.
+func (e jobErrors) status() int {
+	if slices.ContainsFunc(e, func(job *callError) bool { return job.status == exitUnknown }) {
+		return exitUnknown
+	}
+	return exitFailed
+}
--- a/cmd/rillsail/main.go
+++ b/cmd/rillsail/main.go
@@ -14,8 +14,9 @@
 //	rillsail drain worker-12
 //	rillsail explain 5c0e7a21d94b36f8 daemon-*.log
 //
-// Exit status: 0 done; 1 failed, nothing was done; 2 wrong usage; 3 conflict with
-// another operator's change; 4 unknown, it may have been done; 5 refused as wrong.
+// Exit status: 0 done; 1 failed, nothing was done (of several jobs: of those that are
+// named on standard error); 2 wrong usage; 3 conflict with another operator's change;
+// 4 unknown, it, or one of several jobs, may have been done; 5 refused as wrong.
 package main
 
 import (
@@ -136,6 +137,7 @@
 func status(errOut io.Writer, err error) int {
 	var usage usageError
 	var call *callError
+	var jobs jobErrors
 	switch {
 	case err == nil:
 		return 0
@@ -144,6 +146,9 @@
 	case errors.As(err, &usage):
 		fmt.Fprintln(errOut, "rillsail:", err)
 		return exitUsage
+	case errors.As(err, &jobs):
+		fmt.Fprintln(errOut, "rillsail:", err)
+		return jobs.status()
 	case errors.As(err, &call):
 		fmt.Fprintln(errOut, "rillsail:", err)
 		return call.status
--- a/routers/operator/operator.go
+++ b/routers/operator/operator.go
@@ -114,10 +114,10 @@
 		return KindConflict
 	case errors.As(err, &refused):
 		return KindRefused
-	case errors.Is(err, config.ErrMaybeApplied):
-		return KindUnknown
-	default:
+	case errors.Is(err, config.ErrNotApplied):
 		return KindNotRun
+	default: // nothing is known of an error that doesn't say so itself
+		return KindUnknown
 	}
 }
 
@@ -127,10 +127,10 @@
 		return http.StatusConflict
 	case KindRefused:
 		return http.StatusUnprocessableEntity
-	case KindUnknown:
-		return http.StatusGatewayTimeout
-	default:
+	case KindNotRun:
 		return http.StatusServiceUnavailable
+	default:
+		return http.StatusGatewayTimeout
 	}
 }
 
--- a/services/config/apply.go
+++ b/services/config/apply.go
@@ -13,6 +13,7 @@
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/modules/errstep"
+	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/modules/wire"
 	"rillsail.example/rillsail/services/platform"
 )
@@ -32,6 +33,18 @@
 // ErrMaybeApplied says that the store didn't say whether the change took effect.
 var ErrMaybeApplied = errors.New("the change may have been accepted; look at the configuration in force and apply again if it was not")
 
+// ErrNotApplied says that nothing is in force of the change, and nothing of it will be.
+var ErrNotApplied = errors.New("nothing of the change is in force")
+
+// notApplied makes of any error one that says only that. The classes that err had, of the
+// store's single calls, are hidden.
+func notApplied(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Mark(errors.Handled(err), ErrNotApplied)
+}
+
 // Bounds on what heads and buckets keep of the past.
 const (
 	keptWrites    = 64
@@ -42,7 +55,8 @@
 
 // Apply accepts a change, all of it or nothing. It retries when another operator
 // changed other objects meanwhile; when the same ones changed since the change's
-// base, it gives *models.ConflictError.
+// base, it gives *models.ConflictError. Other errors are *RefusedError, ErrNotApplied or
+// ErrMaybeApplied, and one of them only.
 func (s *Service) Apply(ctx context.Context, change models.ConfigChange) (models.ConfigResult, error) {
 	writeID := s.config.NewID()
 	if change.Base == 0 {
@@ -54,13 +68,13 @@
 			return result, err
 		}
 	}
-	return models.ConfigResult{}, errors.New("apply configuration: other changes were faster every time; nothing was changed, try again")
+	return models.ConfigResult{}, notApplied(errors.New("apply configuration: other changes were faster every time; nothing was changed, try again"))
 }
 
 func (s *Service) tryApply(ctx context.Context, change models.ConfigChange, writeID string) (models.ConfigResult, error) {
 	version, err := s.refresh(ctx)
 	if err != nil {
-		return models.ConfigResult{}, err
+		return models.ConfigResult{}, notApplied(err)
 	}
 	view := s.View()
 	if err := conflicts(view, change); err != nil {
@@ -140,7 +154,7 @@
 		bucket.Name, bucket.WriteID = name, writeID
 		data, hash, err := bucket.Encode()
 		if err != nil {
-			return plan{}, err
+			return plan{}, notApplied(err)
 		}
 		if len(data) > platform.MaxValue {
 			return plan{}, &RefusedError{Problems: []string{"bucket " + string(name) + " would outgrow the store's largest value"}}
@@ -229,12 +243,12 @@
 		_, err := s.config.Store.Swap(ctx, bucketKey(name, hash), p.stored[hash], 0, 0)
 		// A conflict means that a lost try wrote it: the key holds the write's id.
 		if err != nil && !errors.Is(err, platform.ErrConflict) {
-			return errstep.Wrap(err, "write bucket "+string(name)+"; nothing is in force of the change", "store")
+			return notApplied(errstep.Wrap(err, "write bucket "+string(name)+"; nothing is in force of the change", "store"))
 		}
 	}
 	value, err := json.Marshal(p.head)
 	if err != nil {
-		return errors.Wrap(err, "encode configuration head")
+		return notApplied(errors.Wrap(err, "encode configuration head"))
 	}
 	_, err = s.config.Store.Swap(ctx, HeadKey, value, version, 0)
 	switch {
@@ -247,7 +261,7 @@
 		s.discard(ctx, p)
 		return errstep.Wrap(err, "swap configuration head", "store")
 	default:
-		return errstep.Wrap(err, "swap configuration head; nothing is in force of the change", "store")
+		return notApplied(errstep.Wrap(err, "swap configuration head; nothing is in force of the change", "store"))
 	}
 	s.removeExpired(ctx, p.expired)
 	return nil
@@ -256,25 +270,37 @@
 // settleTries bounds how often the head is read back after a lost answer.
 const settleTries = 3
 
-// settle finds out whether a change whose answer was lost took effect.
+// settle finds out whether a change whose answer was lost took effect. It gives no error
+// when it did and ErrMaybeApplied otherwise: a read that fails, or a head that can't be
+// read, says nothing of the write, and one that doesn't name it may be overtaken by it.
 func (s *Service) settle(ctx context.Context, writeID string) error {
 	for range settleTries {
-		record, err := s.config.Store.Get(ctx, HeadKey)
-		if err != nil {
-			continue
-		}
-		head, err := wire.DecodeBytes[models.ConfigHead](record.Value)
-		if err != nil {
-			return err
-		}
-		if _, ok := head.Writes[writeID]; ok {
+		applied, err := s.names(ctx, writeID)
+		if applied {
 			return nil
 		}
-		break // not there, but the write may still be on its way
+		if err == nil {
+			break
+		}
+		s.config.Logger.Warn("can't read back whether a change is in force", log.Err(err)...)
 	}
 	return errstep.Wrap(ErrMaybeApplied, "swap configuration head", "store")
 }
 
+// names tells whether the head names a write.
+func (s *Service) names(ctx context.Context, writeID string) (bool, error) {
+	record, err := s.config.Store.Get(ctx, HeadKey)
+	if err != nil {
+		return false, errstep.Wrap(err, "read configuration head", "store")
+	}
+	head, err := wire.DecodeBytes[models.ConfigHead](record.Value)
+	if err != nil {
+		return false, errstep.Wrap(err, "decode configuration head", "store")
+	}
+	_, ok := head.Writes[writeID]
+	return ok, nil
+}
+
 // discard deletes the buckets of a change that lost the race; a key that stays
 // behind does no harm.
 func (s *Service) discard(ctx context.Context, p plan) {
--- a/services/entry/send.go
+++ b/services/entry/send.go
@@ -62,17 +62,17 @@
 // send sends the request once and waits for the answer's header, or for the whole
 // answer when it is short.
 func (s *Service) send(ctx context.Context, req *request, slot *slot) (*answer, *failure) {
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	// The transport may send a repeatable request again by itself, on another connection:
+	// each is a sending of its own, and the answer on the last says nothing of the others.
+	connections := 0
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connections++ }}
 	sending, id := s.outgoing(httptrace.WithClientTrace(ctx, trace), req, slot.upstream.vm.Address)
 	began := time.Now()
 	response, err := s.transportFor(req).RoundTrip(sending)
-	if connected {
-		req.sent++
-	}
+	req.sent += connections
 	peer := string(slot.upstream.id())
 	if err != nil {
-		return nil, &failure{err: errstep.Wrap(err, "send request", peer), notRun: !connected, caller: ctx.Err() != nil}
+		return nil, &failure{err: errstep.Wrap(err, "send request", peer), notRun: connections == 0, caller: ctx.Err() != nil}
 	}
 	if response.Close && !req.class.Unrepeatable {
 		s.gate.noteLeaving(slot.upstream)
