--- a/services/operate/operate.go
+++ b/services/operate/operate.go
@@ -29,9 +29,18 @@
 	"rillsail.example/rillsail/services/member"
 )
 
+// Cells reaches the owners of cells; cell.Manager does.
+type Cells interface {
+	// Forward carries a call to the owner of a cell, here or at a peer.
+	Forward(ctx context.Context, call models.ForwardCall) (models.ForwardAnswer, error)
+	// Cells tells what is known of all owned cells, OwnedCells which are owned here.
+	Cells() map[models.CellID]models.CellBeat
+	OwnedCells() []models.CellID
+}
+
 // Config is what the service works with.
 type Config struct {
-	Cells     *cell.Manager
+	Cells     Cells
 	Inventory *inventory.Service
 	Members   *member.Service
 	View      func() *config.View
--- /dev/null
+++ b/services/operate/operate_test.go
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package operate
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/services/cell"
+	"rillsail.example/rillsail/services/config"
+	"rillsail.example/rillsail/services/inventory"
+	"rillsail.example/rillsail/services/platform"
+	"rillsail.example/rillsail/services/standin/fleet"
+	"rillsail.example/rillsail/services/standin/kv"
+)
+
+// owners stand for the cells' owners: each call is answered as the test says.
+type owners struct {
+	answer func(models.ForwardCall) (models.ForwardAnswer, error)
+}
+
+// Forward implements Cells.
+func (o *owners) Forward(_ context.Context, call models.ForwardCall) (models.ForwardAnswer, error) {
+	return o.answer(call)
+}
+
+// Cells implements Cells.
+func (o *owners) Cells() map[models.CellID]models.CellBeat { return nil }
+
+// OwnedCells implements Cells.
+func (o *owners) OwnedCells() []models.CellID { return nil }
+
+// always answers every call with the error.
+func always(err error) func(models.ForwardCall) (models.ForwardAnswer, error) {
+	return func(models.ForwardCall) (models.ForwardAnswer, error) { return models.ForwardAnswer{}, err }
+}
+
+// done answers every call as done.
+func done(call models.ForwardCall) (models.ForwardAnswer, error) {
+	var answer models.ForwardAnswer
+	for _, spec := range call.Submit {
+		answer.Submitted = append(answer.Submitted, models.Job{JobSpec: spec})
+	}
+	for _, id := range call.Cancel {
+		answer.Cancelled = append(answer.Cancelled, models.Job{JobSpec: models.JobSpec{ID: id}})
+	}
+	return answer, nil
+}
+
+type listFunc func() models.VMList
+
+// VMs implements platform.List.
+func (l listFunc) VMs(context.Context) (models.VMList, error) { return l(), nil }
+
+type trialDaemon struct {
+	*Service
+	owners *owners
+	view   *config.View
+	t      *testing.T
+}
+
+// newTrialDaemon is a daemon that knows one cell.
+func newTrialDaemon(t *testing.T) *trialDaemon {
+	f, err := fleet.New(fleet.Config{
+		Run: "test", Workers: 1, PerRack: 1, Worker: models.Resources{CPU: 4000, Memory: 4096}, Domains: []string{"south/a"}, Unserved: true,
+	})
+	require.NoError(t, err)
+	var store platform.Store = &kv.Local{Service: kv.New(kv.Config{}), Fault: kv.NoFault}
+	vms := inventory.New(inventory.Config{
+		List: listFunc(f.VMs), Store: store, Logger: zap.NewNop(), Scope: tally.NoopScope, Changed: func() {},
+	})
+	require.NoError(t, vms.Refresh(t.Context()))
+	require.NotEmpty(t, vms.Cells().Cells)
+	d := &trialDaemon{owners: &owners{answer: done}, t: t}
+	d.view = config.ViewOf(1, models.Team{Name: "office"})
+	d.Service = New(Config{Cells: d.owners, Inventory: vms, View: func() *config.View { return d.view }})
+	return d
+}
+
+func jobSpec(id models.JobID) models.JobSpec {
+	return models.JobSpec{ID: id, Team: "office", Tasks: 1, Size: models.Resources{CPU: 1000, Memory: 256}, Work: 1000}
+}
+
+func (d *trialDaemon) submit(spec models.JobSpec) models.JobResult {
+	return d.Submit(d.t.Context(), models.Submission{Jobs: []models.JobSpec{spec}}).Results[0]
+}
+
+func (d *trialDaemon) cancel(id models.JobID) models.JobResult {
+	return d.Cancel(d.t.Context(), models.Cancellation{Jobs: []models.JobID{id}}).Results[0]
+}
+
+// TestRefusalAfterDoubt lets a call end without answer, and the next with the same job
+// reach nobody: that it was not run says nothing of the first.
+func TestRefusalAfterDoubt(t *testing.T) {
+	d := newTrialDaemon(t)
+	d.owners.answer = always(cell.ErrMaybe)
+	require.Equal(t, models.RequestUnknown, d.submit(jobSpec("first")).Outcome)
+	require.Equal(t, models.RequestUnknown, d.cancel("other").Outcome)
+	d.owners.answer = always(cell.ErrNotOwner)
+	require.Equal(t, models.RequestUnknown, d.submit(jobSpec("first")).Outcome, "the first call may have been done")
+	require.Equal(t, models.RequestUnknown, d.cancel("other").Outcome, "the first call may have been done")
+	wrong := jobSpec("first")
+	wrong.Work = 0
+	require.Equal(t, models.RequestUnknown, d.submit(wrong).Outcome, "the first call may have been done")
+}
+
+// TestRefusalAfterAcceptance submits a job again that was accepted, as one does whose
+// answer was lost on its way to the caller.
+func TestRefusalAfterAcceptance(t *testing.T) {
+	d := newTrialDaemon(t)
+	require.NotNil(t, d.submit(jobSpec("first")).Job)
+	d.owners.answer = always(cell.ErrNotOwner)
+	require.Equal(t, models.RequestUnknown, d.submit(jobSpec("first")).Outcome, "the job was accepted")
+}
+
+// TestRefusalBesideCallUnderWay submits a job again while the first call with it waits.
+func TestRefusalBesideCallUnderWay(t *testing.T) {
+	d := newTrialDaemon(t)
+	arrived, goOn, first := make(chan bool), make(chan bool), make(chan models.JobResult, 1)
+	d.owners.answer = func(call models.ForwardCall) (models.ForwardAnswer, error) {
+		arrived <- true
+		<-goOn
+		return done(call)
+	}
+	go func() { first <- d.submit(jobSpec("first")) }()
+	<-arrived
+	d.owners.answer = always(cell.ErrNotOwner)
+	require.Equal(t, models.RequestUnknown, d.submit(jobSpec("first")).Outcome, "the first call is under way")
+	close(goOn)
+	require.NotNil(t, (<-first).Job)
+}
+
+// TestNoSuchJobAfterDoubt cancels a job whose submission may still be on its way.
+func TestNoSuchJobAfterDoubt(t *testing.T) {
+	d := newTrialDaemon(t)
+	d.owners.answer = always(cell.ErrMaybe)
+	require.Equal(t, models.RequestUnknown, d.submit(jobSpec("first")).Outcome)
+	d.owners.answer = always(cell.ErrNoJob)
+	require.Equal(t, models.RequestUnknown, d.cancel("first").Outcome, "the submission may still arrive")
+	require.Equal(t, models.RequestNotRun, d.cancel("never").Outcome)
+}
+
+// TestRefusalsOfNewJobsStand refuses a job time and again that no call has brought in.
+func TestRefusalsOfNewJobsStand(t *testing.T) {
+	d := newTrialDaemon(t)
+	for _, refusal := range []error{cell.ErrNotOwner, cell.ErrNoStore, cell.ErrOtherSpec} {
+		d.owners.answer = always(refusal)
+		require.Equal(t, models.RequestNotRun, d.submit(jobSpec("first")).Outcome, "%v", refusal)
+	}
+	wrong := jobSpec("first")
+	wrong.Work = 0
+	require.Equal(t, models.RequestNotRun, d.submit(wrong).Outcome)
+}
