A daemon refuses a job only if no other call with it may have been done

Whoever finds no owner, or reaches none, knows of its own call only. Operate remembers what became of the calls that went through the daemon, and answers 'unknown' where one of them may have brought the job in.

--- a/models/peer.go
+++ b/models/peer.go
@@ -178,13 +178,20 @@
 // ForwardAnswer is the owner's answer; only the parts asked for are filled. Of a job of the
 // call that is neither submitted, cancelled nor refused, the owner doesn't know.
 type ForwardAnswer struct {
-	Submitted []Job            `json:"submitted,omitempty"`
-	Cancelled []Job            `json:"cancelled,omitempty"`
-	Refused   map[JobID]string `json:"refused,omitempty"` // with the reason
-	Jobs      []Job            `json:"jobs,omitempty"`
-	Tasks     []Task           `json:"tasks,omitempty"`
-	Workers   []WorkerStatus   `json:"workers,omitempty"`
-	Decisions []Decision       `json:"decisions,omitempty"`
+	Submitted []Job                `json:"submitted,omitempty"`
+	Cancelled []Job                `json:"cancelled,omitempty"`
+	Refused   map[JobID]JobRefusal `json:"refused,omitempty"`
+	Jobs      []Job                `json:"jobs,omitempty"`
+	Tasks     []Task               `json:"tasks,omitempty"`
+	Workers   []WorkerStatus       `json:"workers,omitempty"`
+	Decisions []Decision           `json:"decisions,omitempty"`
+}
+
+// JobRefusal says why an owner doesn't do what is asked of a job. Kind is the text of one of
+// its errors, Reason that with what led to it.
+type JobRefusal struct {
+	Kind   string `json:"kind"`
+	Reason string `json:"reason"`
 }
 
 // Check is there for the decoder; the owner fills it from checked records.
--- a/services/cell/fate.go
+++ b/services/cell/fate.go
@@ -113,9 +113,10 @@
 		*done = append(*done, f.job)
 	case refused:
 		if r.answer.Refused == nil {
-			r.answer.Refused = map[models.JobID]string{}
+			r.answer.Refused = map[models.JobID]models.JobRefusal{}
 		}
-		r.answer.Refused[id] = f.cause.Error()
+		kind, _ := RefusalOf(f.cause)
+		r.answer.Refused[id] = models.JobRefusal{Kind: kind, Reason: f.cause.Error()}
 		r.refused = append(r.refused, f.cause)
 	case doubtful:
 	}
--- a/services/operate/operate.go
+++ b/services/operate/operate.go
@@ -48,10 +48,16 @@
 }
 
 // Service answers operators.
-type Service struct{ config Config }
+type Service struct {
+	config        Config
+	submissions   *memory
+	cancellations *memory
+}
 
 // New makes the service.
-func New(config Config) *Service { return &Service{config: config} }
+func New(config Config) *Service {
+	return &Service{config: config, submissions: newMemory(), cancellations: newMemory()}
+}
 
 // maxCellCalls bounds the owners asked at a time.
 const maxCellCalls = 8
@@ -73,39 +79,58 @@
 			wrong[spec.ID] = errors.Mark(errors.Wrapf(err, "not run: neither the job nor its team %s says so", spec.Team), cell.ErrWrong)
 		}
 	}
-	return s.eachHome(ids, wrong, func(home models.CellID, ids []models.JobID) (models.ForwardAnswer, error) {
+	s.submissions.begin(slices.Collect(maps.Keys(specs)))
+	fates := s.eachHome(ids, wrong, func(home models.CellID, ids []models.JobID) (models.ForwardAnswer, error) {
 		call := models.ForwardCall{Cell: home}
 		for _, id := range ids {
 			call.Submit = append(call.Submit, specs[id])
 		}
 		return s.config.Cells.Forward(ctx, call)
 	})
+	for id, f := range fates {
+		fates[id] = s.submissions.end(id, f)
+	}
+	return inOrder(ids, fates)
 }
 
 // Cancel hands each cancellation to the owner of the job's home cell.
 func (s *Service) Cancel(ctx context.Context, cancellation models.Cancellation) models.JobResults {
-	return s.eachHome(cancellation.Jobs, nil, func(home models.CellID, ids []models.JobID) (models.ForwardAnswer, error) {
+	ids := slices.Compact(slices.Sorted(slices.Values(cancellation.Jobs)))
+	s.cancellations.begin(ids)
+	fates := s.eachHome(ids, nil, func(home models.CellID, ids []models.JobID) (models.ForwardAnswer, error) {
 		return s.config.Cells.Forward(ctx, models.ForwardCall{Cell: home, Cancel: ids})
 	})
+	for id, f := range fates {
+		fates[id] = s.unlessSubmitted(id, s.cancellations.end(id, f))
+	}
+	return inOrder(cancellation.Jobs, fates)
+}
+
+// unlessSubmitted lets a job that isn't there be unknown while a submission of it may still
+// be done.
+func (s *Service) unlessSubmitted(id models.JobID, f fate) fate {
+	if r, ok := f.(refused); ok && r.kind == noJob && s.submissions.open(id) {
+		return r.doubt()
+	}
+	return f
 }
 
 // eachHome groups jobs by home cell and calls once for each group; those that are
 // wrong are refused.
-func (s *Service) eachHome(ids []models.JobID, wrong map[models.JobID]error, do func(models.CellID, []models.JobID) (models.ForwardAnswer, error)) models.JobResults {
+func (s *Service) eachHome(ids []models.JobID, wrong map[models.JobID]error, do func(models.CellID, []models.JobID) (models.ForwardAnswer, error)) map[models.JobID]fate {
 	cells := s.config.Inventory.Cells()
 	groups := map[models.CellID][]models.JobID{}
-	results := map[models.JobID]models.JobResult{}
+	fates := map[models.JobID]fate{}
 	for _, id := range ids {
 		home, ok := cell.JobHome(id, cells)
-		if err := wrong[id]; err != nil {
-			results[id] = refused(id, err)
-			continue
-		}
-		if !ok {
-			results[id] = refused(id, errNoCells)
-			continue
+		switch err := wrong[id]; {
+		case err != nil:
+			fates[id] = failed(err)
+		case !ok:
+			fates[id] = failed(errNoCells)
+		default:
+			groups[home] = append(groups[home], id)
 		}
-		groups[home] = append(groups[home], id)
 	}
 	var mu sync.Mutex
 	calls := pool.New().WithMaxGoroutines(maxCellCalls)
@@ -115,43 +140,22 @@
 			mu.Lock()
 			defer mu.Unlock()
 			for _, id := range group {
-				results[id] = resultOf(id, answer, err)
+				fates[id] = fateOf(id, answer, err)
 			}
 		})
 	}
 	calls.Wait()
+	return fates
+}
+
+func inOrder(ids []models.JobID, fates map[models.JobID]fate) models.JobResults {
 	var ordered models.JobResults
 	for _, id := range ids {
-		ordered.Results = append(ordered.Results, results[id])
+		ordered.Results = append(ordered.Results, resultOf(id, fates[id]))
 	}
 	return ordered
 }
 
-// resultOf takes what became of one job out of the answer for all jobs of its home.
-func resultOf(id models.JobID, answer models.ForwardAnswer, err error) models.JobResult {
-	if err != nil {
-		return refused(id, err)
-	}
-	for _, job := range append(answer.Submitted, answer.Cancelled...) {
-		if job.ID == id {
-			return models.JobResult{ID: id, Job: &job}
-		}
-	}
-	if reason, ok := answer.Refused[id]; ok {
-		return models.JobResult{ID: id, Outcome: models.RequestNotRun, Error: reason}
-	}
-	return refused(id, cell.ErrMaybe)
-}
-
-// refused says of an error whether the job may have been accepted.
-func refused(id models.JobID, err error) models.JobResult {
-	outcome := models.RequestUnknown
-	if _, known := cell.RefusalOf(err); known {
-		outcome = models.RequestNotRun
-	}
-	return models.JobResult{ID: id, Outcome: outcome, Error: err.Error()}
-}
-
 // List asks the owners of all cells and puts their answers together.
 func (s *Service) List(ctx context.Context, call models.ForwardCall) models.Listing {
 	cells := slices.Sorted(maps.Keys(s.config.Inventory.Cells().Cells))
