--- a/services/cell/refusal_test.go
+++ b/services/cell/refusal_test.go
@@ -277,6 +277,71 @@
 	})
 }
 
+// TestOfferForSuccessor offers a task to an owner in the epoch of its successor, and lets
+// another cell's report come in: that the owner holds no such task is no acceptance.
+func TestOfferForSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		offered := models.Job{JobSpec: testJob("away", 1, 100)}.NewTask(0)
+		offered.State, offered.Attempt = models.TaskOffered, 1
+		offers, reports := make(chan models.OfferAnswer, 1), make(chan models.ReportAnswer, 1)
+		o.handleOffer(offerMessage{reply: offers, call: models.OfferCall{
+			From: worldCells[1], To: worldCells[0], Epoch: o.config.Epoch + 1, Tasks: []models.Task{offered},
+		}})
+		o.handleReport(reportMessage{reply: reports, call: models.ReportCall{To: worldCells[0]}})
+		select {
+		case answer := <-offers:
+			require.Empty(t, answer.Accepted, "nobody has taken the task")
+		default:
+		}
+	})
+}
+
+// TestReportToFormerHome reports the end of a task to an owner that has been superseded,
+// doesn't know it, and has never heard of the task.
+func TestReportToFormerHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		_, j, err := w.equip(1, worldCells[0])
+		require.NoError(t, err)
+		require.NoError(t, j.Take(w.ctx))
+		moved := models.Job{JobSpec: testJob("away", 1, 100)}.NewTask(0)
+		moved.State, moved.Attempt, moved.Peer = models.TaskMoved, 1, worldCells[1]
+		require.NoError(t, j.Append(w.ctx, models.CellChange{Tasks: []models.Task{moved}}))
+		ended := moved
+		ended.State, ended.Attempt, ended.Outcome, ended.Home, ended.Peer = models.TaskDone, 2, models.OutcomeSucceeded, worldCells[0], ""
+		reports := make(chan models.ReportAnswer, 1)
+		o.handleReport(reportMessage{reply: reports, call: models.ReportCall{To: worldCells[0], Tasks: []models.Task{ended}}})
+		o.commit(w.ctx)
+		w.after(time.Second)
+		for len(o.inbox) > 0 {
+			o.handle(<-o.inbox)
+		}
+		require.Empty(t, reports, "the home's owner has not heard of the end")
+	})
+}
+
+// TestReportOfForgottenTask reports the end of a task a second time: the home has settled it
+// and says so again.
+func TestReportOfForgottenTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		ended := models.Job{JobSpec: testJob("away", 1, 100)}.NewTask(0)
+		ended.State, ended.Attempt, ended.Outcome, ended.Home = models.TaskDone, 2, models.OutcomeSucceeded, worldCells[0]
+		reports := make(chan models.ReportAnswer, 1)
+		o.handleReport(reportMessage{reply: reports, call: models.ReportCall{To: worldCells[0], Tasks: []models.Task{ended}}})
+		o.commit(w.ctx)
+		w.after(time.Second)
+		for len(o.inbox) > 0 {
+			o.handle(<-o.inbox)
+		}
+		require.Equal(t, []models.TaskID{ended.ID}, (<-reports).Settled)
+	})
+}
+
 // TestUnansweredMessage hands an owner that is ending a message that it never answers.
 func TestUnansweredMessage(t *testing.T) {
 	ended := &Owner{inbox: make(chan message, inboxSize), done: make(chan struct{})}
