--- a/models/worker.go
+++ b/models/worker.go
@@ -27,7 +27,7 @@
 	RefusedEpoch       Refusal = "epoch"       // a later owner has spoken
 	RefusedIncarnation Refusal = "incarnation" // meant for the worker's former self
 	RefusedBarred      Refusal = "barred"      // this attempt was stopped before it came
-	RefusedRoom        Refusal = "room"        // the worker's own count is full
+	RefusedRoom        Refusal = "room"        // the worker's own count is full; the attempt is barred from now on
 	RefusedAttempt     Refusal = "attempt"     // a later attempt of the task was seen
 )
 
--- a/services/cell/spill.go
+++ b/services/cell/spill.go
@@ -162,24 +162,31 @@
 	}
 	o.waiters = append(o.waiters, func() bool {
 		for _, t := range open {
-			_, open := o.working.Tasks[t.ID]
-			kept, ok := o.journalled.Tasks[t.ID]
-			if open && (!ok || kept.Attempt <= t.Attempt) {
+			if _, placed := o.working.Tasks[t.ID]; placed && !o.holdsOffered(t) {
 				return false
 			}
 		}
 		for _, t := range open {
-			answer.Accepted[t.ID] = true
+			if o.holdsOffered(t) { // one that was never placed here stays open
+				answer.Accepted[t.ID] = true
+			}
 		}
 		m.reply <- answer
 		return true
 	})
+	o.runWaiters()
+}
+
+// holdsOffered tells whether the journal holds that an offer was accepted.
+func (o *Owner) holdsOffered(t models.Task) bool {
+	kept, ok := o.journalled.Tasks[t.ID]
+	return ok && kept.Foreign() && kept.Attempt > t.Attempt
 }
 
 // considerOffer says what is final about an offered task; one that was just placed
 // becomes final with the next append.
 func (o *Owner) considerOffer(call models.OfferCall, t models.Task) (accepted, final bool) {
-	if kept, ok := o.journalled.Tasks[t.ID]; ok && kept.Foreign() && kept.Attempt > t.Attempt {
+	if o.holdsOffered(t) {
 		return true, true
 	}
 	if kept, ok := o.working.Tasks[t.ID]; ok && kept.Foreign() && kept.Attempt > t.Attempt {
@@ -245,10 +252,12 @@
 	for _, t := range m.call.Tasks {
 		o.takeReport(t)
 	}
+	arrived := o.sequence
+	o.probeFor(m.call.Tasks)
 	o.waiters = append(o.waiters, func() bool {
 		var answer models.ReportAnswer
 		for _, t := range m.call.Tasks {
-			if !o.reportSettled(t) {
+			if !o.reportSettled(t, arrived) {
 				return false
 			}
 			answer.Settled = append(answer.Settled, t.ID)
@@ -273,12 +282,23 @@
 	}
 }
 
-// reportSettled tells whether the journal no longer waits for the report.
-func (o *Owner) reportSettled(t models.Task) bool {
+// probeFor asks the journal on behalf of reported tasks that it doesn't hold here.
+func (o *Owner) probeFor(tasks []models.Task) {
+	for _, t := range tasks {
+		if _, ok := o.journalled.Tasks[t.ID]; !ok {
+			o.dirty.generations[probeKey] = true
+		}
+	}
+}
+
+// reportSettled tells whether the journal no longer waits for a report that arrived after
+// that entry. Of a task that isn't there only an append since then says so: without one, a
+// later owner's journal may hold it.
+func (o *Owner) reportSettled(t models.Task, arrived models.Sequence) bool {
 	kept, ok := o.journalled.Tasks[t.ID]
 	switch {
 	case !ok:
-		return true
+		return o.sequence > arrived
 	case t.State == models.TaskLost:
 		return kept.Cancelled
 	default:
