--- a/services/cell/link.go
+++ b/services/cell/link.go
@@ -9,7 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/errstep"
 	"rillsail.example/rillsail/services/platform"
 )
 
@@ -33,7 +36,8 @@
 
 	mu       sync.Mutex
 	address  string
-	paused   bool // the VM is not listed any more
+	paused   bool      // the VM is not listed any more
+	asked    time.Time // when the last call left that may begin or prolong a lease
 	acks     map[models.AttemptRef]bool
 	throttle map[models.TaskID]int
 
@@ -41,7 +45,6 @@
 	vm          models.VM
 	incarnation models.Incarnation
 	answered    time.Time // last answer of any call
-	asked       time.Time // last renewal sent while the VM was listed
 	report      models.RenewAnswer
 	observed    map[models.AttemptRef]uint64 // last lagging figure taken, by attempt
 	shares      map[models.TaskID]int
@@ -108,7 +111,7 @@
 	address := l.target()
 	switch c := call.(type) {
 	case startCall:
-		answer, err := l.config.Workers.Start(ctx, address, c.StartCall)
+		answer, err := l.start(ctx, address, c.StartCall)
 		l.config.Send(ctx, startedMessage{vm: l.config.VM.ID, ref: c.AttemptRef, answer: answer, err: err})
 	case stopCall:
 		answer, err := l.config.Workers.Stop(ctx, address, c.StopCall)
@@ -116,27 +119,53 @@
 	}
 }
 
+// errUnlisted says that a VM is not asked to start anything.
+var errUnlisted = errors.New("the VM is not listed any more")
+
+func (l *link) start(ctx context.Context, address string, call models.StartCall) (models.StartAnswer, error) {
+	if !l.mayAsk() {
+		return models.StartAnswer{}, errstep.Wrap(errUnlisted, "start task", string(l.config.VM.ID))
+	}
+	return l.config.Workers.Start(ctx, address, call)
+}
+
+// mayAsk notes that a call leaves that brings a lease; false while the VM is not listed, for
+// the proof that nothing runs there needs a whole lease without such a call.
+func (l *link) mayAsk() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.paused {
+		return false
+	}
+	l.asked = time.Now()
+	return true
+}
+
+func (l *link) lastAsked() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.asked
+}
+
 // renew prolongs the leases; false when no answer came.
 func (l *link) renew(ctx context.Context) bool {
-	call, ok := l.renewal()
-	if !ok {
-		return true // nothing is asked of a VM that is not listed
+	if !l.mayAsk() {
+		return true
 	}
-	sent := time.Now()
+	call := l.renewal()
 	answer, err := l.config.Workers.Renew(ctx, l.target(), call)
-	l.config.Send(ctx, renewedMessage{vm: l.config.VM.ID, sent: sent, answer: answer, err: err})
+	l.config.Send(ctx, renewedMessage{vm: l.config.VM.ID, answer: answer, err: err})
 	if err == nil && answer.Refused == "" {
 		l.acknowledged(call.Acknowledge)
 	}
 	return err == nil
 }
 
-// renewal makes the next call; ok is false while the VM is not listed, for the
-// proof that nothing runs there needs a whole lease without renewal.
-func (l *link) renewal() (call models.RenewCall, ok bool) {
+// renewal makes the next call.
+func (l *link) renewal() models.RenewCall {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	call = models.RenewCall{
+	call := models.RenewCall{
 		Guard:    models.Guard{Cell: l.config.Cell, Epoch: l.config.Epoch},
 		Lease:    models.MilliOf(l.config.Lease),
 		Throttle: maps.Clone(l.throttle),
@@ -144,7 +173,7 @@
 	for ref := range l.acks {
 		call.Acknowledge = append(call.Acknowledge, ref)
 	}
-	return call, !l.paused
+	return call
 }
 
 func (l *link) acknowledged(refs []models.AttemptRef) {
--- a/services/cell/message.go
+++ b/services/cell/message.go
@@ -4,8 +4,6 @@
 package cell
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 
 	"rillsail.example/rillsail/models"
@@ -42,7 +40,6 @@
 type (
 	renewedMessage struct {
 		vm     models.VMID
-		sent   time.Time
 		answer models.RenewAnswer
 		err    error
 	}
--- a/services/cell/observe.go
+++ b/services/cell/observe.go
@@ -42,14 +42,14 @@
 func (o *Owner) silent(l *link, now time.Time) bool { return now.Sub(l.answered) > o.silence() }
 
 // provedGone tells whether nothing can run on the VM any more: the list has dropped
-// it, and for a whole lease since nobody here has renewed anything there.
+// it, and for a whole lease since nobody here has started or renewed anything there.
 func (o *Owner) provedGone(vm models.VMID, l *link, now time.Time) bool {
 	listed, since := o.config.Inventory.Listed(vm)
 	if listed {
 		return false
 	}
-	if l != nil && l.asked.After(since) {
-		since = l.asked
+	if l != nil && l.lastAsked().After(since) {
+		since = l.lastAsked()
 	}
 	return now.Sub(since) > o.config.Settings.Lease
 }
@@ -116,10 +116,8 @@
 	}
 	if m.err != nil {
 		o.config.Scope.Counter("renewals_failed").Inc(1)
-		l.asked = m.sent // it may have arrived all the same
 		return
 	}
-	l.asked = m.sent
 	if m.answer.Refused == models.RefusedEpoch {
 		o.suspect(m.answer.Epoch)
 		return
