--- a/services/cell/random_test.go
+++ b/services/cell/random_test.go
@@ -7,10 +7,13 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -52,7 +55,7 @@
 }
 
 var happenings = []string{
-	"submit", "submit", "cancel", "take", "crash", "hand over", "pause", "resume", "outage", "end outage", "lose answers",
+	"submit", "submit", "submit again", "cancel", "take", "crash", "hand over", "pause", "resume", "outage", "end outage", "lose answers",
 	"repeat", "lose replies", "late starts", "late offers", "cut worker", "heal worker", "restart worker", "drain", "cut daemon", "join", "service", "wait",
 }
 
@@ -74,6 +77,7 @@
 type machine struct {
 	*world
 	specs    map[models.JobID]models.JobSpec // accepted, or perhaps
+	homes    map[models.JobID]models.CellID  // of those
 	sure     map[models.JobID]bool           // surely accepted
 	refused  map[models.JobID]bool           // not run, as was said
 	canceled map[models.JobID]bool
@@ -104,7 +108,7 @@
 // play runs a script, ends all faults and checks the outcome.
 func play(t *testing.T, v *verdict, script []step) {
 	m := &machine{
-		world: newWorld(t, v, 4), specs: map[models.JobID]models.JobSpec{}, sure: map[models.JobID]bool{},
+		world: newWorld(t, v, 4), specs: map[models.JobID]models.JobSpec{}, homes: map[models.JobID]models.CellID{}, sure: map[models.JobID]bool{},
 		refused: map[models.JobID]bool{}, canceled: map[models.JobID]bool{}, drained: map[models.VMID]bool{},
 	}
 	for i, cell := range worldCells {
@@ -123,6 +127,8 @@
 	switch s.What {
 	case "submit":
 		m.submit(number, s)
+	case "submit again":
+		m.submitAgain(number, s)
 	case "cancel":
 		m.cancel(s)
 	case "take":
@@ -208,10 +214,39 @@
 		m.refused[id] = true
 		return
 	}
-	m.specs[id] = spec
+	m.specs[id], m.homes[id] = spec, s.Cell
 	m.sure[id] = err == nil
 }
 
+// submitAgain submits a job once more that may be there, beside a new one, in one call. A
+// daemon that doesn't own the cell knows nothing of the first: its refusal is of the call.
+func (m *machine) submitAgain(number int, s step) {
+	ids := slices.Sorted(maps.Keys(m.specs))
+	if len(ids) == 0 {
+		return
+	}
+	known := m.specs[ids[s.Number%len(ids)]]
+	fresh := testJob(models.JobID(fmt.Sprintf("job-%d", number)), s.Number+1, s.Work)
+	// The job's home is the cell that it was first submitted to.
+	answer, err := m.forward(m.owner(m.homes[known.ID]), models.ForwardCall{Submit: []models.JobSpec{known, fresh}})
+	told := forwarded{answer, err}
+	m.homes[fresh.ID] = m.homes[known.ID]
+	switch told.of(known.ID) {
+	case toldAccepted:
+		m.sure[known.ID] = true
+	case toldRefused:
+		m.refused[known.ID] = m.refused[known.ID] || !errors.Is(err, ErrNotOwner)
+	case toldUnknown:
+	}
+	switch told.of(fresh.ID) {
+	case toldRefused:
+		m.refused[fresh.ID] = true
+	default:
+		m.specs[fresh.ID] = fresh
+		m.sure[fresh.ID] = told.of(fresh.ID) == toldAccepted
+	}
+}
+
 func (m *machine) cancel(s step) {
 	for id := range m.specs {
 		if int(id[len(id)-1]-'0')%6 != s.Number {
