--- a/cmd/rillsail/answer_test.go
+++ b/cmd/rillsail/answer_test.go
@@ -65,3 +65,15 @@
 	require.Contains(t, out, "first")
 	require.Contains(t, out, "second")
 }
+
+// TestExplainWithoutAllCells asks for a task while a cell gives no answer.
+func TestExplainWithoutAllCells(t *testing.T) {
+	listing := models.Listing{Missing: map[models.CellID]string{"cell-rack-1": "no owner is known"}}
+	code, out := at(t, func(w http.ResponseWriter, _ *http.Request) { wire.Write(w, http.StatusOK, listing) }, "explain", "job/nightly/0")
+	require.Zero(t, code)
+	require.NotContains(t, out, "never was", "the cell that gave no answer may keep it")
+	require.Contains(t, out, "cell-rack-1")
+	listing.Missing = nil
+	_, out = at(t, func(w http.ResponseWriter, _ *http.Request) { wire.Write(w, http.StatusOK, listing) }, "explain", "job/nightly/0")
+	require.Contains(t, out, "never was")
+}
--- a/services/operate/operate_test.go
+++ b/services/operate/operate_test.go
@@ -67,20 +67,25 @@
 
 // newTrialDaemon is a daemon that knows one cell.
 func newTrialDaemon(t *testing.T) *trialDaemon {
+	vms := newVMs(t)
+	require.NoError(t, vms.Refresh(t.Context()))
+	require.NotEmpty(t, vms.Cells().Cells)
+	d := &trialDaemon{owners: &owners{answer: done}, t: t}
+	d.view = config.ViewOf(1, models.Team{Name: "office"})
+	d.Service = New(Config{Cells: d.owners, Inventory: vms, View: func() *config.View { return d.view }})
+	return d
+}
+
+// newVMs is an inventory that has read nothing yet.
+func newVMs(t *testing.T) *inventory.Service {
 	f, err := fleet.New(fleet.Config{
 		Run: "test", Workers: 1, PerRack: 1, Worker: models.Resources{CPU: 4000, Memory: 4096}, Domains: []string{"south/a"}, Unserved: true,
 	})
 	require.NoError(t, err)
 	var store platform.Store = &kv.Local{Service: kv.New(kv.Config{}), Fault: kv.NoFault}
-	vms := inventory.New(inventory.Config{
+	return inventory.New(inventory.Config{
 		List: listFunc(f.VMs), Store: store, Logger: zap.NewNop(), Scope: tally.NoopScope, Changed: func() {},
 	})
-	require.NoError(t, vms.Refresh(t.Context()))
-	require.NotEmpty(t, vms.Cells().Cells)
-	d := &trialDaemon{owners: &owners{answer: done}, t: t}
-	d.view = config.ViewOf(1, models.Team{Name: "office"})
-	d.Service = New(Config{Cells: d.owners, Inventory: vms, View: func() *config.View { return d.view }})
-	return d
 }
 
 func jobSpec(id models.JobID) models.JobSpec {
@@ -157,3 +162,9 @@
 	wrong.Work = 0
 	require.Equal(t, models.RequestNotRun, d.submit(wrong).Outcome)
 }
+
+// TestListBeforeAnyCellIsKnown lists at a daemon that has read neither list nor map.
+func TestListBeforeAnyCellIsKnown(t *testing.T) {
+	s := New(Config{Cells: &owners{answer: done}, Inventory: newVMs(t)})
+	require.NotEmpty(t, s.List(t.Context(), models.ForwardCall{Jobs: true}).Missing, "an empty list says that there is nothing")
+}
