--- a/cmd/rillsail/client.go
+++ b/cmd/rillsail/client.go
@@ -88,7 +88,7 @@
 	case answered.Status == http.StatusUnauthorized:
 		return "nothing was done; give the operators' token with --token or RILLSAIL_TOKEN", exitFailed
 	case answered.Kind == operator.KindConflict:
-		return "nothing was done; get the configuration, look at the other change, and apply yours again", exitConflict
+		return "nothing was done; get the configuration, look at the other change, which may be an earlier try of yours, and apply yours again if it is still needed", exitConflict
 	case answered.Kind == operator.KindUnknown:
 		return "get the configuration to see whether it is in force", exitUnknown
 	case answered.Kind == operator.KindNotRun:
--- a/cmd/rillsail/show.go
+++ b/cmd/rillsail/show.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	if len(l.Tasks)+len(l.Decisions) == 0 && t.output != "json" {
+	if len(l.Tasks)+len(l.Decisions)+len(l.Missing) == 0 && t.output != "json" { // else a cell that wasn't heard may keep it
 		fmt.Fprintf(t.out, "no record and no decision is kept of task %s; it ended long ago, waits as part of its job, or never was\n", task)
 	}
 	return t.show(l, func() error { return t.taskTable(l.Tasks) }, func() error {
--- a/models/operate.go
+++ b/models/operate.go
@@ -105,8 +105,11 @@
 // Check is there for the decoder; every value is allowed.
 func (r JobResults) Check() error { return nil }
 
+// AnyCell stands in a listing for cells that aren't known.
+const AnyCell CellID = "*"
+
 // Listing answers the calls that list what all cells hold. Missing names the cells
-// that gave no answer, with the reason.
+// that gave no answer, with the reason; AnyCell when it isn't known which cells there are.
 type Listing struct {
 	Jobs      []Job             `json:"jobs,omitempty"`
 	Tasks     []Task            `json:"tasks,omitempty"`
--- a/services/operate/operate.go
+++ b/services/operate/operate.go
@@ -161,6 +161,9 @@
 	cells := slices.Sorted(maps.Keys(s.config.Inventory.Cells().Cells))
 	var mu sync.Mutex
 	listing := models.Listing{Missing: map[models.CellID]string{}}
+	if len(cells) == 0 { // that there is nothing is not known
+		listing.Missing[models.AnyCell] = errNoCells.Error()
+	}
 	calls := pool.New().WithMaxGoroutines(maxCellCalls)
 	for _, id := range cells {
 		calls.Go(func() {
