--- a/services/operate/operate_test.go
+++ b/services/operate/operate_test.go
@@ -65,11 +65,11 @@
 	t      *testing.T
 }
 
-// newTrialDaemon is a daemon that knows one cell.
+// newTrialDaemon is a daemon that knows two cells.
 func newTrialDaemon(t *testing.T) *trialDaemon {
 	vms := newVMs(t)
 	require.NoError(t, vms.Refresh(t.Context()))
-	require.NotEmpty(t, vms.Cells().Cells)
+	require.Len(t, vms.Cells().Cells, 2)
 	d := &trialDaemon{owners: &owners{answer: done}, t: t}
 	d.view = config.ViewOf(1, models.Team{Name: "office"})
 	d.Service = New(Config{Cells: d.owners, Inventory: vms, View: func() *config.View { return d.view }})
@@ -79,7 +79,7 @@
 // newVMs is an inventory that has read nothing yet.
 func newVMs(t *testing.T) *inventory.Service {
 	f, err := fleet.New(fleet.Config{
-		Run: "test", Workers: 1, PerRack: 1, Worker: models.Resources{CPU: 4000, Memory: 4096}, Domains: []string{"south/a"}, Unserved: true,
+		Run: "test", Workers: 2, PerRack: 1, Worker: models.Resources{CPU: 4000, Memory: 4096}, Domains: []string{"south/a"}, Unserved: true,
 	})
 	require.NoError(t, err)
 	var store platform.Store = &kv.Local{Service: kv.New(kv.Config{}), Fault: kv.NoFault}
@@ -168,3 +168,23 @@
 	s := New(Config{Cells: &owners{answer: done}, Inventory: newVMs(t)})
 	require.NotEmpty(t, s.List(t.Context(), models.ForwardCall{Jobs: true}).Missing, "an empty list says that there is nothing")
 }
+
+// TestCancelAfterCellsWereAdded cancels a job whose home was another cell when it was
+// accepted: the map of cells has grown since.
+func TestCancelAfterCellsWereAdded(t *testing.T) {
+	d := newTrialDaemon(t)
+	home, ok := cell.JobHome("first", d.config.Inventory.Cells())
+	require.True(t, ok)
+	elsewhere := done
+	d.owners.answer = func(call models.ForwardCall) (models.ForwardAnswer, error) {
+		if call.Cell == home {
+			return models.ForwardAnswer{}, cell.ErrNoJob
+		}
+		return elsewhere(call)
+	}
+	require.NotNil(t, d.cancel("first").Job, "its former home has it")
+	elsewhere = always(cell.ErrNotOwner)
+	require.Equal(t, models.RequestUnknown, d.cancel("first").Outcome, "its former home gave no answer")
+	elsewhere = always(cell.ErrNoJob)
+	require.Equal(t, models.RequestNotRun, d.cancel("first").Outcome)
+}
