A job is said to be nowhere only when every cell has said so

The home follows from the cells that are known, and changes for some jobs when cells are added. The test asks now that an unreached cell is not passed over in the reason: the cancellation itself was surely not done there, so 'not run' is true, and 'unknown' stays for a cell that gave no answer.

--- a/services/cell/message.go
+++ b/services/cell/message.go
@@ -106,7 +106,7 @@
 	// ErrOtherSpec says that the job's id is in use by another job.
 	ErrOtherSpec = errors.New("not run: a job with this id but another content was accepted before")
 	// ErrNoJob says that a job to be cancelled isn't there.
-	ErrNoJob = errors.New("not run: no such job is known in its home cell")
+	ErrNoJob = errors.New("not run: no such job is known in the cell")
 )
 
 // refusalErrors are those that say that nothing was done.
--- a/services/operate/fate.go
+++ b/services/operate/fate.go
@@ -149,6 +149,31 @@
 	noJob     = cell.ErrNoJob.Error()
 )
 
+func isNoJob(f fate) bool {
+	r, ok := f.(refused)
+	return ok && r.kind == noJob
+}
+
+// joined is the fate of a job over the calls to two cells, of which either may have it: that
+// it isn't there is said only when neither says anything else.
+func joined(a, b fate) fate {
+	switch {
+	case isAccepted(a), isNoJob(b):
+		return a
+	case isAccepted(b), isNoJob(a):
+		return b
+	}
+	if _, ok := b.(doubtful); ok {
+		return b
+	}
+	return a
+}
+
+func isAccepted(f fate) bool {
+	_, ok := f.(accepted)
+	return ok
+}
+
 // doubt is the fate of a job that a call has refused and another may have brought in.
 func (r refused) doubt() fate {
 	return doubtful{"unknown: another call with this job may have been done; this one was not: " + r.reason}
--- a/services/operate/operate.go
+++ b/services/operate/operate.go
@@ -93,31 +93,60 @@
 	return inOrder(ids, fates)
 }
 
-// Cancel hands each cancellation to the owner of the job's home cell.
+// Cancel hands each cancellation to the owner of the job's home cell, and to all others when
+// the job isn't there: its home may have been another before cells were added.
 func (s *Service) Cancel(ctx context.Context, cancellation models.Cancellation) models.JobResults {
 	ids := slices.Compact(slices.Sorted(slices.Values(cancellation.Jobs)))
 	s.cancellations.begin(ids)
-	fates := s.eachHome(ids, nil, func(home models.CellID, ids []models.JobID) (models.ForwardAnswer, error) {
-		return s.config.Cells.Forward(ctx, models.ForwardCall{Cell: home, Cancel: ids})
-	})
+	call := func(cell models.CellID, ids []models.JobID) (models.ForwardAnswer, error) {
+		return s.config.Cells.Forward(ctx, models.ForwardCall{Cell: cell, Cancel: ids})
+	}
+	fates := s.eachHome(ids, nil, call)
+	s.askOthers(fates, call)
 	for id, f := range fates {
 		fates[id] = s.unlessSubmitted(id, s.cancellations.end(id, f))
 	}
 	return inOrder(cancellation.Jobs, fates)
 }
 
+// askOthers asks the other cells for the jobs that their homes don't have. No cell speaks
+// for the others: a job is nowhere when each has said so.
+func (s *Service) askOthers(fates map[models.JobID]fate, do cellCall) {
+	cells := s.config.Inventory.Cells()
+	groups := map[models.CellID][]models.JobID{}
+	for id, f := range fates {
+		home, _ := cell.JobHome(id, cells)
+		if !isNoJob(f) {
+			continue
+		}
+		for other := range cells.Cells {
+			if other != home {
+				groups[other] = append(groups[other], id)
+			}
+		}
+	}
+	for id, others := range callEach(groups, do) {
+		for _, f := range others {
+			fates[id] = joined(fates[id], f)
+		}
+	}
+}
+
 // unlessSubmitted lets a job that isn't there be unknown while a submission of it may still
 // be done.
 func (s *Service) unlessSubmitted(id models.JobID, f fate) fate {
-	if r, ok := f.(refused); ok && r.kind == noJob && s.submissions.open(id) {
-		return r.doubt()
+	if isNoJob(f) && s.submissions.open(id) {
+		return doubtful{"unknown: a submission of this job may still be done; it isn't there yet"}
 	}
 	return f
 }
 
+// cellCall calls the owner of a cell for some jobs.
+type cellCall func(models.CellID, []models.JobID) (models.ForwardAnswer, error)
+
 // eachHome groups jobs by home cell and calls once for each group; those that are
 // wrong are refused.
-func (s *Service) eachHome(ids []models.JobID, wrong map[models.JobID]error, do func(models.CellID, []models.JobID) (models.ForwardAnswer, error)) map[models.JobID]fate {
+func (s *Service) eachHome(ids []models.JobID, wrong map[models.JobID]error, do cellCall) map[models.JobID]fate {
 	cells := s.config.Inventory.Cells()
 	groups := map[models.CellID][]models.JobID{}
 	fates := map[models.JobID]fate{}
@@ -132,15 +161,24 @@
 			groups[home] = append(groups[home], id)
 		}
 	}
+	for id, f := range callEach(groups, do) {
+		fates[id] = f[0]
+	}
+	return fates
+}
+
+// callEach calls once for each group, and gives for each job what all calls have done.
+func callEach(groups map[models.CellID][]models.JobID, do cellCall) map[models.JobID][]fate {
+	fates := map[models.JobID][]fate{}
 	var mu sync.Mutex
 	calls := pool.New().WithMaxGoroutines(maxCellCalls)
-	for home, group := range groups {
+	for cell, group := range groups {
 		calls.Go(func() {
-			answer, err := do(home, group)
+			answer, err := do(cell, group)
 			mu.Lock()
 			defer mu.Unlock()
 			for _, id := range group {
-				fates[id] = fateOf(id, answer, err)
+				fates[id] = append(fates[id], fateOf(id, answer, err))
 			}
 		})
 	}
--- a/services/operate/operate_test.go
+++ b/services/operate/operate_test.go
@@ -173,18 +173,19 @@
 // accepted: the map of cells has grown since.
 func TestCancelAfterCellsWereAdded(t *testing.T) {
 	d := newTrialDaemon(t)
-	home, ok := cell.JobHome("first", d.config.Inventory.Cells())
-	require.True(t, ok)
 	elsewhere := done
 	d.owners.answer = func(call models.ForwardCall) (models.ForwardAnswer, error) {
-		if call.Cell == home {
+		if h, _ := cell.JobHome(call.Cancel[0], d.config.Inventory.Cells()); call.Cell == h {
 			return models.ForwardAnswer{}, cell.ErrNoJob
 		}
 		return elsewhere(call)
 	}
 	require.NotNil(t, d.cancel("first").Job, "its former home has it")
-	elsewhere = always(cell.ErrNotOwner)
+	elsewhere = always(cell.ErrMaybe)
 	require.Equal(t, models.RequestUnknown, d.cancel("first").Outcome, "its former home gave no answer")
+	elsewhere = always(cell.ErrNotOwner)
+	require.NotContains(t, d.cancel("first").Error, "no such job", "its former home was not reached")
+	require.NotContains(t, d.cancel("other").Error, "no such job", "its former home was not reached")
 	elsewhere = always(cell.ErrNoJob)
-	require.Equal(t, models.RequestNotRun, d.cancel("first").Outcome)
+	require.Equal(t, models.RequestNotRun, d.cancel("other").Outcome)
 }
