--- /dev/null
+++ b/services/cell/refusal_test.go
@@ -0,0 +1,356 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+)
+
+// A refusal speaks of the job and not of the call that it answers: the job won't run,
+// whatever earlier calls with it have done.
+
+// told is what a call is told of a job.
+type told string
+
+const (
+	toldAccepted told = "accepted"
+	toldRefused  told = "refused"
+	toldUnknown  told = "unknown"
+)
+
+type forwarded struct {
+	answer models.ForwardAnswer
+	err    error
+}
+
+// of gives what is told of one job.
+func (f forwarded) of(id models.JobID) told {
+	for _, job := range append(f.answer.Submitted, f.answer.Cancelled...) {
+		if job.ID == id {
+			return toldAccepted
+		}
+	}
+	if _, refused := f.answer.Refused[id]; refused {
+		return toldRefused
+	}
+	if _, refused := RefusalOf(f.err); refused {
+		return toldRefused
+	}
+	return toldUnknown
+}
+
+// refusalWorld is a cell with one owner, daemon 0.
+func refusalWorld(t *testing.T) (*world, *testOwner) {
+	w := newWorld(t, t, 4)
+	o, err := w.take(0, worldCells[0])
+	require.NoError(t, err)
+	w.after(time.Second)
+	return w, o
+}
+
+func (w *world) submit(o *testOwner, specs ...models.JobSpec) forwarded {
+	answer, err := w.forward(o, models.ForwardCall{Submit: specs})
+	return forwarded{answer, err}
+}
+
+func (w *world) cancelJob(o *testOwner, id models.JobID) forwarded {
+	answer, err := w.forward(o, models.ForwardCall{Cancel: []models.JobID{id}})
+	return forwarded{answer, err}
+}
+
+// beside makes a call that is under way when it returns.
+func (w *world) beside(call func() forwarded) <-chan forwarded {
+	result := make(chan forwarded, 1)
+	go func() { result <- call() }()
+	w.after(200 * time.Millisecond)
+	return result
+}
+
+// untilJob waits until the owner holds the job.
+func (w *world) untilJob(o *testOwner, id models.JobID) {
+	w.until(10*time.Second, "job "+string(id)+" is there", func() bool {
+		answer, err := w.forward(o, models.ForwardCall{Jobs: true})
+		for _, job := range answer.Jobs {
+			if job.ID == id {
+				return err == nil
+			}
+		}
+		return false
+	})
+}
+
+// TestRepeatBesideLostAnswer submits a job again while the append that holds it is under
+// way, and then loses the answer of the append.
+func TestRepeatBesideLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, o := refusalWorld(t)
+		spec, other := testJob("first", 1, 100), testJob("other", 1, 100)
+		w.pause(0)
+		first := w.beside(func() forwarded { return w.submit(o, spec) })
+		again := w.beside(func() forwarded { return w.submit(o, spec) })
+		mixed := w.beside(func() forwarded { return w.submit(o, spec, other) })
+		w.set(func(f *worldFaults) { f.lostAnswers = 1 })
+		w.resume(0)
+		require.Equal(t, toldUnknown, (<-first).of("first"))
+		require.Equal(t, toldUnknown, (<-again).of("first"), "the job is written")
+		both := <-mixed
+		require.Equal(t, toldUnknown, both.of("first"), "the job is written")
+		require.Equal(t, toldRefused, both.of("other"), "no append has held it")
+		w.untilJob(o, "first")
+	})
+}
+
+// TestRepeatInOutage submits a job again that was accepted before, alone and beside
+// another, while nothing can be written.
+func TestRepeatInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, o := refusalWorld(t)
+		spec, other := testJob("first", 1, 100), testJob("other", 1, 100)
+		require.Equal(t, toldAccepted, w.submit(o, spec).of("first"))
+		w.set(func(f *worldFaults) { f.outage = true })
+		require.Equal(t, toldRefused, w.submit(o, other).of("other"))
+		require.Equal(t, toldAccepted, w.submit(o, spec).of("first"), "the job is there")
+		mixed := w.submit(o, spec, other)
+		require.Equal(t, toldAccepted, mixed.of("first"), "the job is there")
+		require.Equal(t, toldRefused, mixed.of("other"))
+	})
+}
+
+// TestRepeatWithWrongJob submits an accepted job beside one whose id is in use.
+func TestRepeatWithWrongJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, o := refusalWorld(t)
+		first, second := testJob("first", 1, 100), testJob("second", 1, 100)
+		require.Equal(t, toldAccepted, w.submit(o, first, second).of("first"))
+		changed := testJob("second", 2, 100)
+		require.Equal(t, toldRefused, w.submit(o, changed).of("second"))
+		mixed := w.submit(o, first, changed)
+		require.Equal(t, toldAccepted, mixed.of("first"), "the job is there")
+		require.Equal(t, toldRefused, mixed.of("second"))
+	})
+}
+
+// TestRepeatAtFrozenOwner submits a job again at an owner that has handed the cell over.
+func TestRepeatAtFrozenOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, o := refusalWorld(t)
+		spec, open := testJob("first", 1, 100), testJob("open", 1, 100)
+		require.Equal(t, toldAccepted, w.submit(o, spec).of("first"))
+		w.set(func(f *worldFaults) { f.lostAnswers = 1 })
+		require.Equal(t, toldUnknown, w.submit(o, open).of("open"))
+		reply := make(chan models.HandoverCall, 1)
+		_, err := await(w.ctx, o.Owner, freezeMessage{reply: reply}, reply)
+		require.NoError(t, err)
+		require.Equal(t, toldAccepted, w.submit(o, spec).of("first"), "the job is there")
+		require.NotEqual(t, toldRefused, w.submit(o, open).of("open"), "the job is handed over")
+	})
+}
+
+// idleOwner is an owner without a loop of its own: the test takes its steps.
+func (w *world) idleOwner(daemon int) *Owner {
+	vms, j, err := w.equip(daemon, worldCells[0])
+	require.NoError(w.t, err)
+	require.NoError(w.t, j.Take(w.ctx))
+	return NewOwner(OwnerConfig{
+		Cell: worldCells[0], Epoch: j.Epoch(), Settings: w.settings, Journal: j, Workers: w.workersFor(daemon), Inventory: vms,
+		View: w.config, Peers: &worldPeers{w}, Learner: w.learner(), Logger: zap.NewNop(), Scope: tally.NoopScope,
+	})
+}
+
+// TestRepeatAtEndingOwner ends an owner with a call in its inbox that repeats a job of the
+// append under way.
+func TestRepeatAtEndingOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		call := models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}
+		w.pause(0)
+		first, again := make(chan forwardReply, 1), make(chan forwardReply, 1)
+		o.handleForward(forwardMessage{call: call, reply: first})
+		o.commit(w.ctx)
+		o.inbox <- forwardMessage{call: call, reply: again}
+		o.refuseWaiting()
+		require.Equal(t, toldUnknown, ofReply(<-first).of("first"), "the job may be written")
+		require.Equal(t, toldUnknown, ofReply(<-again).of("first"), "the job may be written")
+	})
+}
+
+// TestAppendCutOff ends the context of an append that is under way, as the end of its owner
+// does, and lets the owner take up the result before it ends.
+func TestAppendCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		call := models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}
+		w.pause(0)
+		first := make(chan forwardReply, 1)
+		o.handleForward(forwardMessage{call: call, reply: first})
+		o.commit(w.ctx)
+		o.cancelAppend()
+		o.handle(<-o.inbox)
+		o.refuseWaiting()
+		require.Equal(t, toldUnknown, ofReply(<-first).of("first"), "the job may be written")
+	})
+}
+
+// TestOverwrittenEntry loses the answer of an append, lets other owners write over its
+// place in the ring, and submits the job again at the owner that can't see its entry any
+// more.
+func TestOverwrittenEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		call := models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}
+		first, again := make(chan forwardReply, 1), make(chan forwardReply, 1)
+		o.handleForward(forwardMessage{call: call, reply: first})
+		w.set(func(f *worldFaults) { f.lostAnswers = 1 })
+		o.commit(w.ctx)
+		o.handle(<-o.inbox) // the answer is lost
+		w.pause(0)
+		require.Equal(t, toldUnknown, ofReply(<-first).of("first"))
+		for range w.settings.RingSlots + 1 {
+			_, j, err := w.equip(1, worldCells[0])
+			require.NoError(t, err)
+			require.NoError(t, j.Take(w.ctx))
+			require.NoError(t, j.Append(w.ctx, models.CellChange{}))
+		}
+		w.resume(0)
+		for !o.superseded {
+			o.handle(<-o.inbox)
+		}
+		o.handleForward(forwardMessage{call: call, reply: again})
+		require.Equal(t, toldUnknown, ofReply(<-again).of("first"), "the job was written")
+	})
+}
+
+func ofReply(r forwardReply) forwarded { return forwarded{r.answer, r.err} }
+
+// TestRepeatedCancellation cancels a job again whose first cancellation has lost its
+// answer or is stored, while nothing can be written.
+func TestRepeatedCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, o := refusalWorld(t)
+		require.Equal(t, toldAccepted, w.submit(o, testJob("first", 1, 100_000), testJob("second", 1, 100_000)).of("first"))
+		require.Equal(t, toldAccepted, w.cancelJob(o, "first").of("first"))
+		w.set(func(f *worldFaults) { f.lostAnswers = 1 })
+		w.pause(0)
+		lost := w.beside(func() forwarded { return w.cancelJob(o, "second") })
+		w.resume(0)
+		require.Equal(t, toldUnknown, (<-lost).of("second"))
+		w.set(func(f *worldFaults) { f.outage = true })
+		require.NotEqual(t, toldRefused, w.cancelJob(o, "second").of("second"), "it is cancelled")
+		require.Equal(t, toldAccepted, w.cancelJob(o, "first").of("first"), "it was cancelled before")
+	})
+}
+
+// TestCancellationBesideSubmission cancels a job while it waits for its append: the answer
+// comes when the cancellation is journalled too. One of a job that was never there is refused.
+func TestCancellationBesideSubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		submitted, cancelled := make(chan forwardReply, 1), make(chan forwardReply, 1)
+		cancel := models.ForwardCall{Cancel: []models.JobID{"first", "none"}}
+		o.handleForward(forwardMessage{call: models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}, reply: submitted})
+		o.handleForward(forwardMessage{call: cancel, reply: cancelled})
+		o.commit(w.ctx)
+		o.handle(<-o.inbox)
+		require.Equal(t, toldAccepted, ofReply(<-submitted).of("first"))
+		require.Empty(t, cancelled, "nothing of it is journalled yet")
+		w.after(w.settings.Append)
+		o.commit(w.ctx)
+		o.handle(<-o.inbox)
+		answer := ofReply(<-cancelled)
+		require.Equal(t, toldAccepted, answer.of("first"))
+		require.Equal(t, toldRefused, answer.of("none"))
+		require.Equal(t, models.JobCancelled, o.journal.State().Jobs["first"].State)
+	})
+}
+
+// TestOfferForSuccessor offers a task to an owner in the epoch of its successor, and lets
+// another cell's report come in: that the owner holds no such task is no acceptance.
+func TestOfferForSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		offered := models.Job{JobSpec: testJob("away", 1, 100)}.NewTask(0)
+		offered.State, offered.Attempt = models.TaskOffered, 1
+		offers, reports := make(chan models.OfferAnswer, 1), make(chan models.ReportAnswer, 1)
+		o.handleOffer(offerMessage{reply: offers, call: models.OfferCall{
+			From: worldCells[1], To: worldCells[0], Epoch: o.config.Epoch + 1, Tasks: []models.Task{offered},
+		}})
+		o.handleReport(reportMessage{reply: reports, call: models.ReportCall{To: worldCells[0]}})
+		select {
+		case answer := <-offers:
+			require.Empty(t, answer.Accepted, "nobody has taken the task")
+		default:
+		}
+	})
+}
+
+// TestReportToFormerHome reports the end of a task to an owner that has been superseded,
+// doesn't know it, and has never heard of the task.
+func TestReportToFormerHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		_, j, err := w.equip(1, worldCells[0])
+		require.NoError(t, err)
+		require.NoError(t, j.Take(w.ctx))
+		moved := models.Job{JobSpec: testJob("away", 1, 100)}.NewTask(0)
+		moved.State, moved.Attempt, moved.Peer = models.TaskMoved, 1, worldCells[1]
+		require.NoError(t, j.Append(w.ctx, models.CellChange{Tasks: []models.Task{moved}}))
+		ended := moved
+		ended.State, ended.Attempt, ended.Outcome, ended.Home, ended.Peer = models.TaskDone, 2, models.OutcomeSucceeded, worldCells[0], ""
+		reports := make(chan models.ReportAnswer, 1)
+		o.handleReport(reportMessage{reply: reports, call: models.ReportCall{To: worldCells[0], Tasks: []models.Task{ended}}})
+		o.commit(w.ctx)
+		w.after(time.Second)
+		for len(o.inbox) > 0 {
+			o.handle(<-o.inbox)
+		}
+		require.Empty(t, reports, "the home's owner has not heard of the end")
+	})
+}
+
+// TestReportOfForgottenTask reports the end of a task a second time: the home has settled it
+// and says so again.
+func TestReportOfForgottenTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t, 4)
+		o := w.idleOwner(0)
+		ended := models.Job{JobSpec: testJob("away", 1, 100)}.NewTask(0)
+		ended.State, ended.Attempt, ended.Outcome, ended.Home = models.TaskDone, 2, models.OutcomeSucceeded, worldCells[0]
+		reports := make(chan models.ReportAnswer, 1)
+		o.handleReport(reportMessage{reply: reports, call: models.ReportCall{To: worldCells[0], Tasks: []models.Task{ended}}})
+		o.commit(w.ctx)
+		w.after(time.Second)
+		for len(o.inbox) > 0 {
+			o.handle(<-o.inbox)
+		}
+		require.Equal(t, []models.TaskID{ended.ID}, (<-reports).Settled)
+	})
+}
+
+// TestUnansweredMessage hands an owner that is ending a message that it never answers.
+func TestUnansweredMessage(t *testing.T) {
+	ended := &Owner{inbox: make(chan message, inboxSize), done: make(chan struct{})}
+	var unheard message = forwardMessage{call: models.ForwardCall{Submit: []models.JobSpec{testJob("first", 1, 100)}}}
+	go func() {
+		<-ended.inbox
+		close(ended.done)
+	}()
+	_, err := await(context.Background(), ended, unheard, make(chan forwardReply))
+	_, refused := RefusalOf(err)
+	require.False(t, refused, "the loop has taken the message and may have done it: %v", err)
+}
--- a/services/operate/operate.go
+++ b/services/operate/operate.go
@@ -29,9 +29,18 @@
 	"rillsail.example/rillsail/services/member"
 )
 
+// Cells reaches the owners of cells; cell.Manager does.
+type Cells interface {
+	// Forward carries a call to the owner of a cell, here or at a peer.
+	Forward(ctx context.Context, call models.ForwardCall) (models.ForwardAnswer, error)
+	// Cells tells what is known of all owned cells, OwnedCells which are owned here.
+	Cells() map[models.CellID]models.CellBeat
+	OwnedCells() []models.CellID
+}
+
 // Config is what the service works with.
 type Config struct {
-	Cells     *cell.Manager
+	Cells     Cells
 	Inventory *inventory.Service
 	Members   *member.Service
 	View      func() *config.View
@@ -39,10 +48,16 @@
 }
 
 // Service answers operators.
-type Service struct{ config Config }
+type Service struct {
+	config        Config
+	submissions   *memory
+	cancellations *memory
+}
 
 // New makes the service.
-func New(config Config) *Service { return &Service{config: config} }
+func New(config Config) *Service {
+	return &Service{config: config, submissions: newMemory(), cancellations: newMemory()}
+}
 
 // maxCellCalls bounds the owners asked at a time.
 const maxCellCalls = 8
@@ -64,87 +79,129 @@
 			wrong[spec.ID] = errors.Mark(errors.Wrapf(err, "not run: neither the job nor its team %s says so", spec.Team), cell.ErrWrong)
 		}
 	}
-	return s.eachHome(ids, wrong, func(home models.CellID, ids []models.JobID) ([]models.Job, error) {
+	s.submissions.begin(slices.Collect(maps.Keys(specs)))
+	fates := s.eachHome(ids, wrong, func(home models.CellID, ids []models.JobID) (models.ForwardAnswer, error) {
 		call := models.ForwardCall{Cell: home}
 		for _, id := range ids {
 			call.Submit = append(call.Submit, specs[id])
 		}
-		answer, err := s.config.Cells.Forward(ctx, call)
-		return answer.Submitted, err
+		return s.config.Cells.Forward(ctx, call)
 	})
+	for id, f := range fates {
+		fates[id] = s.submissions.end(id, f)
+	}
+	return inOrder(ids, fates)
 }
 
-// Cancel hands each cancellation to the owner of the job's home cell.
+// Cancel hands each cancellation to the owner of the job's home cell, and to all others when
+// the job isn't there: its home may have been another before cells were added.
 func (s *Service) Cancel(ctx context.Context, cancellation models.Cancellation) models.JobResults {
-	return s.eachHome(cancellation.Jobs, nil, func(home models.CellID, ids []models.JobID) ([]models.Job, error) {
-		answer, err := s.config.Cells.Forward(ctx, models.ForwardCall{Cell: home, Cancel: ids})
-		return answer.Cancelled, err
-	})
+	ids := slices.Compact(slices.Sorted(slices.Values(cancellation.Jobs)))
+	s.cancellations.begin(ids)
+	call := func(cell models.CellID, ids []models.JobID) (models.ForwardAnswer, error) {
+		return s.config.Cells.Forward(ctx, models.ForwardCall{Cell: cell, Cancel: ids})
+	}
+	fates := s.eachHome(ids, nil, call)
+	s.askOthers(fates, call)
+	for id, f := range fates {
+		fates[id] = s.unlessSubmitted(id, s.cancellations.end(id, f))
+	}
+	return inOrder(cancellation.Jobs, fates)
+}
+
+// askOthers asks the other cells for the jobs that their homes don't have. No cell speaks
+// for the others: a job is nowhere when each has said so.
+func (s *Service) askOthers(fates map[models.JobID]fate, do cellCall) {
+	cells := s.config.Inventory.Cells()
+	groups := map[models.CellID][]models.JobID{}
+	for id, f := range fates {
+		home, _ := cell.JobHome(id, cells)
+		if !isNoJob(f) {
+			continue
+		}
+		for other := range cells.Cells {
+			if other != home {
+				groups[other] = append(groups[other], id)
+			}
+		}
+	}
+	for id, others := range callEach(groups, do) {
+		for _, f := range others {
+			fates[id] = joined(fates[id], f)
+		}
+	}
 }
 
+// unlessSubmitted lets a job that isn't there be unknown while a submission of it may still
+// be done.
+func (s *Service) unlessSubmitted(id models.JobID, f fate) fate {
+	if isNoJob(f) && s.submissions.open(id) {
+		return doubtful{"unknown: a submission of this job may still be done; it isn't there yet"}
+	}
+	return f
+}
+
+// cellCall calls the owner of a cell for some jobs.
+type cellCall func(models.CellID, []models.JobID) (models.ForwardAnswer, error)
+
 // eachHome groups jobs by home cell and calls once for each group; those that are
 // wrong are refused.
-func (s *Service) eachHome(ids []models.JobID, wrong map[models.JobID]error, do func(models.CellID, []models.JobID) ([]models.Job, error)) models.JobResults {
+func (s *Service) eachHome(ids []models.JobID, wrong map[models.JobID]error, do cellCall) map[models.JobID]fate {
 	cells := s.config.Inventory.Cells()
 	groups := map[models.CellID][]models.JobID{}
-	results := map[models.JobID]models.JobResult{}
+	fates := map[models.JobID]fate{}
 	for _, id := range ids {
 		home, ok := cell.JobHome(id, cells)
-		if err := wrong[id]; err != nil {
-			results[id] = refused(id, err)
-			continue
-		}
-		if !ok {
-			results[id] = refused(id, errNoCells)
-			continue
+		switch err := wrong[id]; {
+		case err != nil:
+			fates[id] = failed(err)
+		case !ok:
+			fates[id] = failed(errNoCells)
+		default:
+			groups[home] = append(groups[home], id)
 		}
-		groups[home] = append(groups[home], id)
 	}
+	for id, f := range callEach(groups, do) {
+		fates[id] = f[0]
+	}
+	return fates
+}
+
+// callEach calls once for each group, and gives for each job what all calls have done.
+func callEach(groups map[models.CellID][]models.JobID, do cellCall) map[models.JobID][]fate {
+	fates := map[models.JobID][]fate{}
 	var mu sync.Mutex
 	calls := pool.New().WithMaxGoroutines(maxCellCalls)
-	for home, group := range groups {
+	for cell, group := range groups {
 		calls.Go(func() {
-			jobs, err := do(home, group)
+			answer, err := do(cell, group)
 			mu.Lock()
 			defer mu.Unlock()
 			for _, id := range group {
-				results[id] = resultOf(id, jobs, err)
+				fates[id] = append(fates[id], fateOf(id, answer, err))
 			}
 		})
 	}
 	calls.Wait()
+	return fates
+}
+
+func inOrder(ids []models.JobID, fates map[models.JobID]fate) models.JobResults {
 	var ordered models.JobResults
 	for _, id := range ids {
-		ordered.Results = append(ordered.Results, results[id])
+		ordered.Results = append(ordered.Results, resultOf(id, fates[id]))
 	}
 	return ordered
 }
 
-func resultOf(id models.JobID, jobs []models.Job, err error) models.JobResult {
-	if err != nil {
-		return refused(id, err)
-	}
-	i := slices.IndexFunc(jobs, func(j models.Job) bool { return j.ID == id })
-	if i < 0 {
-		return models.JobResult{ID: id, Error: "no such job is known in its home cell"}
-	}
-	return models.JobResult{ID: id, Job: &jobs[i]}
-}
-
-// refused says of an error whether the job may have been accepted.
-func refused(id models.JobID, err error) models.JobResult {
-	outcome := models.RequestUnknown
-	if _, known := cell.RefusalOf(err); known {
-		outcome = models.RequestNotRun
-	}
-	return models.JobResult{ID: id, Outcome: outcome, Error: err.Error()}
-}
-
 // List asks the owners of all cells and puts their answers together.
 func (s *Service) List(ctx context.Context, call models.ForwardCall) models.Listing {
 	cells := slices.Sorted(maps.Keys(s.config.Inventory.Cells().Cells))
 	var mu sync.Mutex
 	listing := models.Listing{Missing: map[models.CellID]string{}}
+	if len(cells) == 0 { // that there is nothing is not known
+		listing.Missing[models.AnyCell] = errNoCells.Error()
+	}
 	calls := pool.New().WithMaxGoroutines(maxCellCalls)
 	for _, id := range cells {
 		calls.Go(func() {
