--- a/services/control/cancel.go
+++ b/services/control/cancel.go
@@ -28,12 +28,18 @@
 // cancel tries until the job's entries do not change between a read and the write.
 func (s *Service) cancel(ctx context.Context, id jobs.ID) platform.Outcome {
 	layout := s.Cells.layout()
-	if layout == nil {
+	switch {
+	case id.Check() != nil: // its keys could be those of something else
+		return noSuchJob
+	case layout == nil:
 		return platform.NotDone{Reason: "cells are not laid out yet", RetryAfter: retrySoon}
 	}
+	unsure := false // an earlier write of this call may have been done: what is read next tells
 	for {
 		entries, err := s.entriesOf(ctx, id, layout)
 		switch {
+		case err != nil && unsure:
+			return platform.MaybeDone{Cause: err}
 		case err != nil:
 			return platform.NotDone{Reason: "store can't be read: " + err.Error(), RetryAfter: retrySoon}
 		case entries.known() && entries.state().Ended():
@@ -41,10 +47,11 @@
 		case !entries.known() && entries.barred():
 			return noSuchJob
 		}
-		outcome, settled := s.tryCancel(ctx, id, entries)
-		if settled {
+		outcome, met := s.tryCancel(ctx, id, entries)
+		if outcome != nil {
 			return outcome
 		}
+		unsure = met.unsure
 		if ctx.Err() != nil { // tasks move between cells, or the job ends
 			return platform.MaybeDone{Cause: errChanging}
 		}
@@ -62,9 +69,9 @@
 // a move, which is one transaction of some milliseconds, is over by then.
 const cancelRetry = 20 * time.Millisecond
 
-// tryCancel cancels or bars a job whose entries are as they were read; false: they have
-// changed.
-func (s *Service) tryCancel(ctx context.Context, id jobs.ID, entries jobEntries) (platform.Outcome, bool) {
+// tryCancel cancels or bars a job whose entries are as they were read. Without an outcome they
+// have changed.
+func (s *Service) tryCancel(ctx context.Context, id jobs.ID, entries jobEntries) (platform.Outcome, conflicting) {
 	var txn platform.Txn
 	var err error
 	var done platform.Outcome = platform.Done{}
@@ -75,21 +82,22 @@
 		done = noSuchJob
 	}
 	if err != nil {
-		return platform.NotDone{Reason: err.Error(), Why: platform.RefusedUnfit}, true
+		return platform.NotDone{Reason: err.Error(), Why: platform.RefusedUnfit}, conflicting{}
 	}
 	if len(txn.Put) == 0 {
-		return nil, false // read in the middle of a move
+		return nil, conflicting{} // read in the middle of a move
 	}
 	switch w := s.write(ctx, txn).(type) {
 	case committed:
-		return done, true
+		return done, conflicting{}
 	case turnedAway:
-		return refusalOf(w), true
+		return refusalOf(w), conflicting{}
+	case conflicting:
+		return nil, w
 	case unsettled:
-		return platform.MaybeDone{Cause: w.cause}, true
-	default:
-		return nil, false
+		return platform.MaybeDone{Cause: w.cause}, conflicting{}
 	}
+	return platform.MaybeDone{Cause: platform.ErrUnknown}, conflicting{} // the set is closed
 }
 
 // cancellationOf stores a job's cancellation on condition that its entries are as they were read.
--- /dev/null
+++ b/services/control/cancel_test.go
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// firstAnswerLost is a store that does the first write and loses its answer. It answers the
+// second; from then on it turns reads of jobs away.
+type firstAnswerLost struct {
+	platform.TxnStore
+	writes int
+	mended bool
+}
+
+func (s *firstAnswerLost) Commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
+	s.writes++
+	version, err := s.TxnStore.Commit(ctx, txn)
+	if s.writes == 1 && err == nil {
+		return 0, platform.ErrUnknown
+	}
+	return version, err
+}
+
+func (s *firstAnswerLost) List(ctx context.Context, prefix string) ([]platform.Record, platform.Version, error) {
+	if s.writes > 1 && !s.mended {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return s.TxnStore.List(ctx, prefix)
+}
+
+// loseFirstAnswer puts such a store before a daemon's callers.
+func (d *testDaemon) loseFirstAnswer() *firstAnswerLost {
+	store := &firstAnswerLost{TxnStore: d.config.Store}
+	d.config.Store = store
+	return store
+}
+
+func TestCancellationThatMeetsItselfIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, owner := newTwoDaemons(t)
+		w.submit(idle, lasting(2, 1))
+		idle.loseFirstAnswer()
+		require.IsType(t, platform.MaybeDone{}, idle.Cancel(w.ctx, jobID(2)))
+		w.eventually(5*time.Second, "it was done", func() bool { return w.state(owner, jobID(2)) == jobs.StateCancelled })
+		w.noBreach()
+	})
+}
+
+func TestBarThatMeetsItselfIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, owner := newTwoDaemons(t)
+		store := idle.loseFirstAnswer()
+		require.IsType(t, platform.MaybeDone{}, idle.Cancel(w.ctx, jobID(2)))
+		require.IsType(t, platform.NotDone{}, owner.Submit(w.ctx, w.expected(2), testQueueTerms), "the job is barred")
+		store.mended = true
+		require.Equal(t, noSuchJob, idle.Cancel(w.ctx, jobID(2)))
+	})
+}
+
+func TestUnsettledCancellationIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, owner := newTwoDaemons(t)
+		w.submit(idle, lasting(2, 1))
+		idle.holdUp(1500 * time.Millisecond)
+		require.IsType(t, platform.MaybeDone{}, idle.Cancel(w.ctx, jobID(2)))
+		w.eventually(5*time.Second, "it is done late", func() bool { return w.state(owner, jobID(2)) == jobs.StateCancelled })
+		w.noBreach()
+	})
+}
+
+func TestCallerThatLeavesDoesNotCutTheCancellationOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		w.submit(idle, lasting(2, 1))
+		left, leave := context.WithCancel(w.ctx)
+		idle.mu.Lock()
+		idle.beforeCommit = leave
+		idle.mu.Unlock()
+		require.Equal(t, platform.Done{}, idle.Cancel(left, jobID(2)))
+	})
+}
+
+// TestCancellationOfWhatIsNoIDWritesNothing asks for ids under whose keys other things are:
+// the marker of a cell's owner, without which the cell could not be claimed, and the
+// cancellation of another job.
+func TestCancellationOfWhatIsNoIDWritesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, owner := newTwoDaemons(t)
+		w.submit(idle, lasting(2, 1))
+		w.cores = 0.4 // it holds back from a cell that is free
+		weak := w.startDaemon()
+		w.eventually(10*time.Second, "ready", weak.Ready)
+		idle.kill()
+		owner.kill()
+		w.eventually(10*time.Second, "no owner", func() bool { return len(w.store.KeysWith(markerKey(cellName(0)))) == 0 })
+		before := w.store.KeysWith(jobPrefix)
+		for _, id := range []jobs.ID{"owner", jobID(2) + cancelSuffix, "favicon.ico", ""} {
+			require.Equal(t, noSuchJob, weak.Cancel(w.ctx, id), "%q", id)
+			_, err := weak.State(w.ctx, id)
+			require.ErrorIs(t, err, platform.ErrNotFound, "%q", id)
+		}
+		require.ElementsMatch(t, before, w.store.KeysWith(jobPrefix))
+		w.eventually(10*time.Second, "the cell has an owner", func() bool { return w.owner() == weak })
+		w.eventually(30*time.Second, "its task runs", func() bool { return w.grid.Running(jobID(2)) == 1 })
+	})
+}
+
+// heldJobs is a store that does the writes of jobs late and without an answer, and takes no
+// registration of a daemon.
+type heldJobs struct {
+	platform.TxnStore
+	by time.Duration
+}
+
+func (s *heldJobs) Commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
+	switch key := txn.Put[0].Key; {
+	case strings.HasPrefix(key, jobPrefix) && !strings.HasSuffix(key, markerName):
+		time.AfterFunc(s.by, func() { _, _ = s.TxnStore.Commit(context.Background(), txn) }) // nobody hears of it
+		sleep(ctx, callTime)
+		return 0, platform.ErrUnknown
+	case strings.HasPrefix(key, daemonPrefix):
+		return 0, platform.ErrUnavailable
+	}
+	return s.TxnStore.Commit(ctx, txn)
+}
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -75,7 +75,7 @@
 	Cells          *Cells
 	health         *storeHealth
 	stopping       atomic.Bool
-	handIns        *handIns
+	submissions    *submissions
 }
 
 var _ platform.Callers = (*Service)(nil)
@@ -89,7 +89,7 @@
 	c.Store = &meteredStore{c.Store, meter}
 	c.Feed = &meteredFeed{c.Feed, meter}
 	c.List = &meteredList{c.List, meter}
-	s := &Service{config: c, health: newStoreHealth(c.Logger), handIns: newHandIns()}
+	s := &Service{config: c, health: newStoreHealth(c.Logger), submissions: newSubmissions()}
 	s.Configurations = newConfigurations(c, s.health)
 	s.Cells = newCells(c, s.health, s.Configurations)
 	s.Configurations.changed = s.Cells.configure
--- a/services/control/fate.go
+++ b/services/control/fate.go
@@ -27,14 +27,14 @@
 
 // result is what a caller is told of a job that is not certainly absent, given the version
 // that a write in doubt depends on.
-func (f fate) result(doubt platform.Version) handInResult {
+func (f fate) result(doubt platform.Version) submitResult {
 	switch f {
 	case fateStored:
-		return handInResult{outcome: platform.Done{}}
+		return submitResult{outcome: platform.Done{}}
 	case fateBarred:
 		return unfit("job was cancelled before it was accepted")
 	default:
-		return handInResult{outcome: platform.MaybeDone{Cause: errInDoubt}, doubt: doubt}
+		return submitResult{outcome: platform.MaybeDone{Cause: errInDoubt}, doubt: doubt}
 	}
 }
 
--- a/services/control/refusals_test.go
+++ b/services/control/refusals_test.go
@@ -83,7 +83,7 @@
 		w, idle, _ := newTwoDaemons(t)
 		require.Equal(t, noSuchJob, idle.Cancel(w.ctx, jobID(2)))
 		require.Len(t, w.store.KeysWith(jobKey(cellName(0), jobID(2))), 1)
-		w.eventually(doubtKept+10*time.Second, "its record is removed", func() bool {
+		w.eventually(submissionKept+10*time.Second, "its record is removed", func() bool {
 			return len(w.store.KeysWith(jobKey(cellName(0), jobID(2)))) == 0
 		})
 		require.Equal(t, platform.Done{}, idle.Submit(w.ctx, w.expected(2), testQueueTerms))
@@ -106,6 +106,110 @@
 	})
 }
 
+func TestTriesBesideEachOtherWriteOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		spec := w.expected(2)
+		writes := 0
+		idle.mu.Lock()
+		idle.beforeCommit = func() {
+			writes++
+			time.Sleep(100 * time.Millisecond)
+		}
+		idle.mu.Unlock()
+		outcomes := make(chan platform.Outcome, 3)
+		for range cap(outcomes) {
+			go func() { outcomes <- idle.Submit(w.ctx, spec, testQueueTerms) }()
+		}
+		for range cap(outcomes) {
+			require.Equal(t, platform.Done{}, <-outcomes)
+		}
+		require.Equal(t, platform.Done{}, idle.Submit(w.ctx, spec, testQueueTerms), "also later")
+		require.Equal(t, 1, writes)
+	})
+}
+
+func TestAcceptedJobIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		spec := w.expected(2)
+		require.Equal(t, platform.Done{}, idle.Submit(w.ctx, spec, testQueueTerms))
+		idle.cutStore(true)
+		time.Sleep(time.Second)
+		require.Equal(t, platform.Done{}, idle.Submit(w.ctx, spec, testQueueTerms))
+	})
+}
+
+// TestDoubtLastsUntilTheKeyHasChanged lets a write of the daemon's own key fail, so that its
+// write of the job, which is done late, is not barred by it.
+func TestDoubtLastsUntilTheKeyHasChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		spec := w.expected(2)
+		store := &heldJobs{TxnStore: idle.config.Store, by: 4 * time.Second}
+		idle.config.Store, idle.Cells.config.Store = store, store
+		require.IsType(t, platform.MaybeDone{}, idle.Submit(w.ctx, spec, testQueueTerms))
+		time.Sleep(500 * time.Millisecond)
+		idle.health.note(nil) // as after a watch that is answered
+		require.IsType(t, platform.MaybeDone{}, idle.Submit(w.ctx, spec, testQueueTerms))
+		time.Sleep(10 * time.Second)
+		require.True(t, w.grid.Ran(spec.ID), "the write was done late")
+	})
+}
+
+func TestCallWithoutTimeSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		ctx, cancel := context.WithTimeout(w.ctx, time.Nanosecond)
+		defer cancel()
+		time.Sleep(time.Millisecond)
+		before := idle.Cells.registration()
+		require.IsType(t, platform.NotDone{}, idle.Submit(ctx, w.expected(2), testQueueTerms))
+		time.Sleep(time.Second)
+		require.Equal(t, before, idle.Cells.registration(), "the daemon's key need not change")
+	})
+}
+
+func TestPanicOfACallHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		spec := w.expected(2)
+		idle.mu.Lock()
+		idle.beforeCommit = func() { panic("a fault") }
+		idle.mu.Unlock()
+		require.Panics(t, func() { idle.Submit(w.ctx, spec, testQueueTerms) })
+		idle.mu.Lock()
+		idle.beforeCommit = nil
+		idle.mu.Unlock()
+		began := time.Now()
+		require.IsType(t, platform.MaybeDone{}, idle.Submit(w.ctx, spec, testQueueTerms))
+		require.Less(t, time.Since(began), time.Second)
+	})
+}
+
+// TestDoubtEndsForWhoeverAsks lets a write of a job fail for good: once the daemon has
+// registered anew, the job is known to be nowhere, also when nobody hands it in again.
+func TestDoubtEndsForWhoeverAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, idle, _ := newTwoDaemons(t)
+		spec := w.expected(2)
+		idle.holdUp(8 * time.Second)
+		require.IsType(t, platform.MaybeDone{}, idle.Submit(w.ctx, spec, testQueueTerms))
+		_, err := idle.State(w.ctx, spec.ID)
+		require.Error(t, err)
+		require.NotErrorIs(t, err, platform.ErrNotFound, "it may be stored yet")
+		idle.holdUp(0)
+		w.eventually(3*time.Second, "the daemon is registered again", func() bool { return idle.Cells.registration() != 0 })
+		_, err = idle.State(w.ctx, spec.ID)
+		require.ErrorIs(t, err, platform.ErrNotFound)
+		time.Sleep(submissionKept + 2*pruneEvery)
+		w.submit(idle, twoSteps(3, time.Second))
+		idle.submissions.mu.Lock()
+		defer idle.submissions.mu.Unlock()
+		require.Len(t, idle.submissions.byID, 1, "the doubt is not kept for ever")
+	})
+}
+
 func TestJobInDoubtIsNotRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w, idle, _ := newTwoDaemons(t)
--- a/services/control/state.go
+++ b/services/control/state.go
@@ -15,6 +15,9 @@
 // State tells the state of a job: its owner knows it best, the store knows it when the
 // owner can't be asked.
 func (s *Service) State(ctx context.Context, id jobs.ID) (jobs.State, error) {
+	if id.Check() != nil {
+		return "", platform.ErrNotFound
+	}
 	layout := s.Cells.layout()
 	if layout == nil {
 		return "", platform.ErrUnavailable
@@ -39,25 +42,21 @@
 
 // stored finds a job's state in the store.
 func (s *Service) stored(ctx context.Context, id jobs.ID, layout *jobs.Layout) (jobs.State, error) {
+	// Asked before the store is read: a write that ends in between is in what is read.
+	follows, doubt := s.submissions.open(id)
 	entries, err := s.entriesOf(ctx, id, layout)
 	switch {
 	case err != nil:
 		return "", err
 	case entries.known():
 		return entries.state(), nil
-	case s.mayBeStored(ctx, id):
+	case follows == followsNow, follows == followsInDoubt && s.fateOf(ctx, id, doubt) != fateAbsent:
 		return "", errors.Mark(errors.New("job is being handed in, or its acceptance is in doubt"), platform.ErrUnavailable)
 	default:
 		return "", platform.ErrNotFound
 	}
 }
 
-// mayBeStored tells of a job that was not found whether a write of this daemon may store it yet.
-func (s *Service) mayBeStored(ctx context.Context, id jobs.ID) bool {
-	doubt, open := s.handIns.doubtAbout(id)
-	return open && (doubt == 0 || s.fateOf(ctx, id, doubt) != fateAbsent)
-}
-
 // Pending counts a queue's jobs that have no task begun, over all cells.
 func (s *Service) Pending(ctx context.Context, queue jobs.QueueName) (int, error) {
 	layout := s.Cells.layout()
--- a/services/control/submit.go
+++ b/services/control/submit.go
@@ -25,17 +25,21 @@
 // again, also at another daemon, the job meets its own key.
 func (s *Service) Submit(ctx context.Context, spec jobs.Spec, queue jobs.Queue) platform.Outcome {
 	began := time.Now()
-	try, doubt, first := s.handIns.begin(spec.ID)
+	call, doubt, first := s.submissions.begin(spec.ID)
 	if !first {
-		return try.wait(ctx)
+		return call.wait(ctx)
 	}
 	// A caller that leaves ends its own wait, not the write: cut off, the write's answer would
 	// be lost, and with it what to tell the caller when it comes back.
 	ctx, cancel := detached(ctx)
 	defer cancel()
-	result := s.handIn(ctx, spec, queue, doubt)
-	s.handIns.finish(spec.ID, result)
-	s.noteHandIn(spec, result, time.Since(began))
+	// Should the call end by a panic, others must not wait for it, nor take it for a refusal.
+	result := fateUnknown.result(max(doubt, s.Cells.registration()))
+	defer func() {
+		s.submissions.finish(spec.ID, result)
+		s.noteSubmit(spec, result, time.Since(began))
+	}()
+	result = s.submit(ctx, spec, queue, doubt)
 	return result.outcome
 }
 
@@ -47,8 +51,8 @@
 	return context.WithCancel(context.WithoutCancel(ctx))
 }
 
-// handInResult is what became of a job that was handed in.
-type handInResult struct {
+// submitResult is what became of a job that was handed in.
+type submitResult struct {
 	outcome platform.Outcome
 	// doubt is the version of this daemon's key that a write without answer depends on; 0: no
 	// write is in doubt.
@@ -57,18 +61,18 @@
 }
 
 // refused is the result of a job of which nothing was written.
-func refused(reason string, after time.Duration) handInResult {
-	return handInResult{outcome: platform.NotDone{Reason: reason, RetryAfter: after}}
+func refused(reason string, after time.Duration) submitResult {
+	return submitResult{outcome: platform.NotDone{Reason: reason, RetryAfter: after}}
 }
 
 // unfit is the result of a job that can never be run.
-func unfit(reason string) handInResult {
-	return handInResult{outcome: platform.NotDone{Reason: reason, Why: platform.RefusedUnfit}}
+func unfit(reason string) submitResult {
+	return submitResult{outcome: platform.NotDone{Reason: reason, Why: platform.RefusedUnfit}}
 }
 
-// handIn accepts or refuses a job, given the version that an earlier write of it in doubt
+// submit accepts or refuses a job, given the version that an earlier write of it in doubt
 // depends on. Nothing is refused before that doubt has ended.
-func (s *Service) handIn(ctx context.Context, spec jobs.Spec, queue jobs.Queue, doubt platform.Version) handInResult {
+func (s *Service) submit(ctx context.Context, spec jobs.Spec, queue jobs.Queue, doubt platform.Version) submitResult {
 	if doubt != 0 {
 		if fate := s.fateOf(ctx, spec.ID, doubt); fate != fateAbsent {
 			return fate.result(doubt)
@@ -94,7 +98,7 @@
 
 // accept writes a job on condition that it is in none of its cells, and that this daemon's
 // own key is as it was: once the key has changed, no write that depends on it can follow.
-func (s *Service) accept(ctx context.Context, id jobs.ID, absent []string, job put) handInResult {
+func (s *Service) accept(ctx context.Context, id jobs.ID, absent []string, job put) submitResult {
 	writes, err := encode([]put{job})
 	if err != nil {
 		return unfit(err.Error())
@@ -106,12 +110,9 @@
 		}
 		switch w := s.write(ctx, acceptance(daemonKey(s.config.Self), registered, absent, writes)).(type) {
 		case committed:
-			return handInResult{outcome: platform.Done{}}
+			return submitResult{outcome: platform.Done{}}
 		case turnedAway:
-			return handInResult{outcome: refusalOf(w)}
-		case unsettled:
-			s.Cells.unregistered(registered)
-			return handInResult{outcome: platform.MaybeDone{Cause: w.cause}, doubt: registered}
+			return submitResult{outcome: refusalOf(w)}
 		case conflicting:
 			fate := s.fateOf(ctx, id, registered)
 			if fate == fateStored || fate == fateBarred {
@@ -122,6 +123,9 @@
 				return fate.result(registered)
 			}
 			// The key has changed and the job is nowhere: tried again if it has been written anew.
+		case unsettled:
+			s.Cells.unregistered(registered)
+			return submitResult{outcome: platform.MaybeDone{Cause: w.cause}, doubt: registered}
 		}
 	}
 }
@@ -137,14 +141,18 @@
 
 // refusalOf is what a caller is told of a change that the store turned away.
 func refusalOf(w turnedAway) platform.NotDone {
-	if errors.Is(w.cause, platform.ErrLimited) {
+	switch {
+	case errors.Is(w.cause, platform.ErrLimited):
 		return platform.NotDone{Reason: "store's rate limit is reached", RetryAfter: retrySoon}
+	case errors.Is(w.cause, context.DeadlineExceeded):
+		return platform.NotDone{Reason: "deadline passed before anything was sent", RetryAfter: retrySoon}
+	default:
+		return platform.NotDone{Reason: "store is down", RetryAfter: retryOutage}
 	}
-	return platform.NotDone{Reason: "store is down", RetryAfter: retryOutage}
 }
 
-// noteHandIn counts and logs what became of a job that was handed in.
-func (s *Service) noteHandIn(spec jobs.Spec, result handInResult, took time.Duration) {
+// noteSubmit counts and logs what became of a job that was handed in.
+func (s *Service) noteSubmit(spec jobs.Spec, result submitResult, took time.Duration) {
 	scope := s.ofQueue(spec.Queue)
 	fields := []zap.Field{
 		zap.String("job", string(spec.ID)), zap.String("queue", string(spec.Queue)),
--- a/services/control/write.go
+++ b/services/control/write.go
@@ -31,9 +31,12 @@
 type (
 	// committed says that it is done.
 	committed struct{}
-	// conflicting says that a condition does not hold; an earlier try may have been done.
-	conflicting struct{}
-	// turnedAway says that it was sent once, and that the store did nothing.
+	// conflicting says that a condition does not hold.
+	conflicting struct {
+		// unsure: an earlier try had no answer, and may have been done.
+		unsure bool
+	}
+	// turnedAway says that it was sent once, and that the store did nothing, or not at all.
 	turnedAway struct{ cause error }
 	// unsettled says that a try may have been done, or may still be.
 	unsettled struct{ cause error }
@@ -47,16 +50,21 @@
 // write carries out a transaction. Once a try has had no answer it is repeated for a while:
 // only the transaction itself, or its conditions, can tell then what became of it.
 func (s *Service) write(ctx context.Context, txn platform.Txn) written {
+	if ctx.Err() != nil {
+		return turnedAway{errstep.Wrap(ctx.Err(), "write", "store")}
+	}
 	began := time.Now()
 	var first error // of the tries of unknown outcome
 	for tries := 1; ; tries++ {
 		_, err := s.config.Store.Commit(ctx, txn)
-		s.health.note(err)
+		if ctx.Err() == nil { // a call that its caller's deadline has ended says nothing of the store
+			s.health.note(err)
+		}
 		switch {
 		case err == nil:
 			return committed{}
 		case errors.Is(err, platform.ErrConflict):
-			return conflicting{}
+			return conflicting{unsure: first != nil}
 		case first == nil && didNothing(err):
 			return turnedAway{errstep.Wrap(err, "write", "store")}
 		case first == nil:
--- a/services/dispatch/ended.go
+++ b/services/dispatch/ended.go
@@ -15,12 +15,12 @@
 	until time.Time
 }
 
-// remembered is how long the state of an ended job is kept at least.
-const remembered = 150 * time.Second
+// Remembered is how long the state of an ended job is kept at least.
+const Remembered = 150 * time.Second
 
 // remember keeps the state of a job that has ended.
 func (c *Core) remember(id jobs.ID, state jobs.State, now time.Time) {
-	c.ended[id] = endedJob{state: state, until: now.Add(remembered)}
+	c.ended[id] = endedJob{state: state, until: now.Add(Remembered)}
 }
 
 // forgetEvery is how often ended jobs are looked through.
