--- a/services/standin/grid/audit.go
+++ b/services/standin/grid/audit.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
@@ -12,20 +13,20 @@
 
 // audit knows what was accepted and what really ran.
 type audit struct {
-	specs    map[jobs.ID]jobs.Spec
-	attempts map[jobs.ID]int
-	where    map[jobs.TaskID]map[jobs.WorkerID]jobs.RunID // under way
-	done     map[jobs.TaskID]bool
-	ran      map[jobs.ID]bool     // some task of the job was started
-	settled  map[jobs.TaskID]bool // succeeded, and the end was acknowledged
-	failed   map[jobs.TaskID]int  // failed runs whose ends were acknowledged
-	failures map[jobs.TaskID]int  // failed runs
-	breaches []string
+	specs     map[jobs.ID]jobs.Spec
+	attempts  map[jobs.ID]int
+	where     map[jobs.TaskID]map[jobs.WorkerID]jobs.RunID // under way
+	done      map[jobs.TaskID]bool
+	lastStart map[jobs.ID]time.Time // when a task of the job was started last
+	settled   map[jobs.TaskID]bool  // succeeded, and the end was acknowledged
+	failed    map[jobs.TaskID]int   // failed runs whose ends were acknowledged
+	failures  map[jobs.TaskID]int   // failed runs
+	breaches  []string
 }
 
 func newAudit() *audit {
 	return &audit{
-		specs: map[jobs.ID]jobs.Spec{}, attempts: map[jobs.ID]int{}, ran: map[jobs.ID]bool{},
+		specs: map[jobs.ID]jobs.Spec{}, attempts: map[jobs.ID]int{}, lastStart: map[jobs.ID]time.Time{},
 		where: map[jobs.TaskID]map[jobs.WorkerID]jobs.RunID{}, done: map[jobs.TaskID]bool{}, failures: map[jobs.TaskID]int{},
 		settled: map[jobs.TaskID]bool{}, failed: map[jobs.TaskID]int{},
 	}
@@ -50,7 +51,7 @@
 
 // started checks everything that must hold when a run begins.
 func (a *audit) started(w *incarnation, r *run, call jobs.StartCall) {
-	a.ran[r.task.Job] = true
+	a.lastStart[r.task.Job] = time.Now()
 	step := a.step(r.task)
 	if step == nil {
 		a.breach("%s was never accepted and runs on %s", r.task, w.info.ID)
--- a/services/standin/grid/seen.go
+++ b/services/standin/grid/seen.go
@@ -4,15 +4,20 @@
 package grid
 
 import (
+	"time"
+
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
 
 // Ran tells whether any task of the job was ever started.
-func (g *Grid) Ran(id jobs.ID) bool {
+func (g *Grid) Ran(id jobs.ID) bool { return !g.LastStart(id).IsZero() }
+
+// LastStart is when a task of the job was started last; zero: none ever was.
+func (g *Grid) LastStart(id jobs.ID) time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.audit.ran[id]
+	return g.audit.lastStart[id]
 }
 
 // Succeeded tells whether all tasks of a job have succeeded.
--- a/tests/soak/callers.go
+++ b/tests/soak/callers.go
@@ -47,15 +47,16 @@
 // submitLoop hands in jobs at a steady rate, whether answers come or not.
 func (r *run) submitLoop(ctx context.Context) {
 	random := rand.New(rand.NewPCG(r.plan.Seed, submitStream))
+	habits := rand.New(rand.NewPCG(r.plan.Seed, habitStream))
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / r.config.Rate))
 	defer ticker.Stop()
 	var group conc.WaitGroup
 	defer group.Wait()
 	for n := 1; ; n++ {
 		spec := draftJob(random, r.plan.Seed, n)
-		first := random.IntN(len(r.site.daemons))
+		v := newVisit(habits, spec, random.IntN(len(r.site.daemons)), len(r.site.daemons))
 		r.site.emulator.Grid.Expect(spec, attempts)
-		group.Go(func() { r.submit(ctx, spec, first) })
+		group.Go(func() { r.submit(ctx, v) })
 		select {
 		case <-ctx.Done():
 			return
@@ -64,27 +65,78 @@
 	}
 }
 
-// submit hands a job in, at another daemon each time, until it is accepted.
-func (r *run) submit(ctx context.Context, spec jobs.Spec, first int) {
-	outcome := outcomeRefused
-	for try := range tries {
-		d := r.site.daemons[(first+try)%len(r.site.daemons)]
-		began := time.Now()
-		answer, err := callerOf(prefix).Submit(ctx, d.callers.Listen, spec)
+// submit lets a caller hand in its job, and do what it does afterwards.
+func (r *run) submit(ctx context.Context, v visit) {
+	j := &job{spec: v.spec}
+	if v.twice {
+		var group conc.WaitGroup
+		group.Go(func() { r.try(ctx, j, r.daemon(v.first), answerWithin) })
+		group.Go(func() { r.try(ctx, j, r.daemon(v.other), answerWithin) })
+		group.Wait()
+	} else {
+		r.handIn(ctx, j, v)
+	}
+	switch outcome := r.record.outcome(j); {
+	case outcome == outcomeAccepted && v.again && pause(ctx, v.after):
+		r.try(ctx, j, r.daemon(v.other), answerWithin)
+		r.try(ctx, j, r.daemon(v.first), answerWithin)
+	case outcome == outcomeUnknown && v.withdraws:
+		r.withdraw(ctx, j, v.other)
+	}
+}
+
+// handIn hands a job in until it is accepted or its caller has had enough.
+func (r *run) handIn(ctx context.Context, j *job, v visit) {
+	for n := range v.tries {
+		t := r.try(ctx, j, r.daemon(v.first+n*v.step), v.stays(n))
+		if t.accepted() || t.refused() && v.meek || !pause(ctx, betweenTries) {
+			return
+		}
+	}
+}
+
+// daemon gives a daemon by its number, counted on from the first one after the last.
+func (r *run) daemon(number int) *daemon { return r.site.daemons[number%len(r.site.daemons)] }
+
+// try hands a job in once.
+func (r *run) try(ctx context.Context, j *job, d *daemon, stay time.Duration) try {
+	ctx, cancel := context.WithTimeout(ctx, stay)
+	defer cancel()
+	t := try{daemon: d, began: time.Now()}
+	before, _ := d.running()
+	answer, err := callerOf(prefix).Submit(ctx, d.callers.Listen, j.spec)
+	t.ended = time.Now()
+	if after, _ := d.running(); before == after {
+		t.life = before
+	}
+	if err == nil {
+		t.status = answer.Status
+	}
+	r.record.tried(j, t)
+	if t.refused() {
+		r.checkRefusal(d, answer, t.ended.Sub(t.began))
+	}
+	return t
+}
+
+// withdraw cancels a job whose caller does not know what became of it, and does not hand it
+// in again.
+func (r *run) withdraw(ctx context.Context, j *job, first int) {
+	for n := range tries {
+		r.record.cancelling(j)
+		answer, err := callerOf(prefix).Cancel(ctx, r.daemon(first+n).callers.Listen, j.spec.ID)
 		switch {
 		case err == nil && answer.Status == http.StatusOK:
-			r.record.outcome(spec, outcomeAccepted)
+			r.record.cancelled(j)
+			return
+		case err == nil && answer.Status == http.StatusGone:
+			r.record.noSuchJob(j)
 			return
-		case err == nil && (answer.Status == http.StatusTooManyRequests || answer.Status == http.StatusServiceUnavailable):
-			r.checkRefusal(d, answer, time.Since(began))
-		default:
-			outcome = outcomeUnknown // it may have been accepted
 		}
 		if !pause(ctx, betweenTries) {
-			break
+			return
 		}
 	}
-	r.record.outcome(spec, outcome)
 }
 
 // askLoop asks for the states of accepted jobs, and cancels some.
@@ -135,9 +187,13 @@
 
 // cancel cancels a job and notes whether a daemon has confirmed it.
 func (r *run) cancel(ctx context.Context, j *job, d *daemon) {
+	age := time.Since(j.answered)
 	r.record.cancelling(j)
 	answer, err := callerOf(prefix).Cancel(ctx, d.callers.Listen, j.spec.ID)
-	if err == nil && answer.Status == http.StatusOK {
+	switch {
+	case err == nil && answer.Status == http.StatusOK:
 		r.record.cancelled(j)
+	case err == nil && answer.Status == http.StatusGone && age > visibleAfter:
+		r.broken("%s can't be cancelled at %s, which says %s after it was accepted that there is none", j.spec.ID, d.name, age)
 	}
 }
--- a/tests/soak/check.go
+++ b/tests/soak/check.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -62,6 +63,7 @@
 			return
 		}
 	}
+	pause(ctx, time.Until(r.site.storeFaults.heldUntil().Add(startsWithin)))
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	checks := pool.New().WithMaxGoroutines(checksAtOnce)
@@ -75,14 +77,10 @@
 func (r *run) checkEnd(ctx context.Context, j *job) {
 	workers := r.site.emulator.Grid
 	switch {
-	case j.outcome == outcomeRefused:
-		if workers.Ran(j.spec.ID) {
-			r.broken("%s was refused each time and has run", j.spec.ID)
-		}
-	case j.outcome == outcomeUnknown:
-		return // it may run or not
-	case j.cancelled:
+	case j.cancelled, !j.gone.IsZero():
 		r.until(ctx, j, "nothing of it runs after its cancellation", func() bool { return workers.Running(j.spec.ID) == 0 })
+	case j.outcome != outcomeAccepted:
+		return // checkPromises says what may not happen
 	case j.mayBeCancelled:
 		return // nobody knows whether the cancellation came about
 	case j.spec.Steps[0].Lasts:
@@ -110,8 +108,75 @@
 func (r *run) until(ctx context.Context, j *job, what string, condition func() bool) {
 	for !condition() {
 		if !pause(ctx, look) {
-			r.broken("%s, accepted: %s did not come about", j.spec.ID, what)
+			r.broken("%s, %s: %s did not come about", j.spec.ID, j.outcome, what)
 			return
 		}
 	}
 }
+
+const (
+	// startsWithin is when a job has begun whose write was held up, once all faults are mended.
+	startsWithin = 1500 * time.Millisecond
+	// cancelBound is how long tasks may be started after a cancellation was answered.
+	cancelBound = 3 * time.Second
+)
+
+// checkPromises checks, at the very end, what daemons have said would not happen.
+func (r *run) checkPromises() {
+	for _, j := range r.record.jobs {
+		r.checkNeverRan(j)
+		r.checkKnownToRefuser(j)
+	}
+}
+
+// checkNeverRan checks that a job that was refused each time has not run, and that nothing of
+// one that was said not to be there was started much later.
+func (r *run) checkNeverRan(j *job) {
+	last := r.site.emulator.Grid.LastStart(j.spec.ID)
+	if j.outcome == outcomeRefused && !last.IsZero() {
+		r.broken("%s was refused each time and has run", j.spec.ID)
+	}
+	if late := last.Sub(j.gone); !j.gone.IsZero() && late > cancelBound {
+		r.broken("%s was said not to be there when it was cancelled, and was started %s later", j.spec.ID, late)
+	}
+}
+
+// checkKnownToRefuser checks that no daemon has refused a job that the same process of it has
+// written, before or afterwards, without having been asked anew.
+func (r *run) checkKnownToRefuser(j *job) {
+	for _, t := range j.tries {
+		if !t.refused() {
+			continue
+		}
+		for _, w := range r.site.storeFaults.witness.of(j.spec.ID) {
+			if w.daemon == t.daemon && w.life == t.life && w.arrived.Before(j.nextTry(t)) {
+				r.broken("%s is refused by %s with %d at %s, which %s", j.spec.ID, t.daemon.name, t.status, r.at(t.ended), r.wrote(j, t, w))
+			}
+		}
+	}
+}
+
+// nextTry is when the job was handed in again at the daemon of a try.
+func (j *job) nextTry(t try) time.Time {
+	next := time.Now()
+	for _, other := range j.tries {
+		if other.daemon == t.daemon && other.began.After(t.began) && other.began.Before(next) {
+			next = other.began
+		}
+	}
+	return next
+}
+
+// wrote says how the daemon of a refusal has written the job.
+func (r *run) wrote(j *job, refusal try, w acceptance) string {
+	text := fmt.Sprintf("wrote it itself (received at %s, done at %s, answered by the store: %t)", r.at(w.arrived), r.at(w.done), w.answered)
+	for _, t := range j.tries {
+		if t.accepted() && t.daemon == refusal.daemon && t.ended.Before(refusal.began) {
+			return text + fmt.Sprintf(" and accepted it at %s", r.at(t.ended))
+		}
+	}
+	return text
+}
+
+// at is a time since the run began.
+func (r *run) at(t time.Time) time.Duration { return t.Sub(r.begin).Round(time.Millisecond) }
--- a/tests/soak/daemon.go
+++ b/tests/soak/daemon.go
@@ -147,7 +147,11 @@
 	if d.peers, err = s.proxy(d.name+" peers", addresses["peer"]); err != nil {
 		return err
 	}
-	d.store, err = s.proxy(d.name+" store", s.storeAt)
+	atStore, err := s.listenForStore(d)
+	if err != nil {
+		return err
+	}
+	d.store, err = s.proxy(d.name+" store", atStore)
 	return err
 }
 
--- a/tests/soak/inject.go
+++ b/tests/soak/inject.go
@@ -8,17 +8,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"sync"
 	"syscall"
 	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/sourcegraph/conc"
 
-	"rillsail.example/rillsail/services/platform"
 	"rillsail.example/rillsail/services/standin/grid"
-	"rillsail.example/rillsail/services/standin/kv"
 )
 
 // injectLoop brings the planned faults about. Each is mended by a goroutine of its own,
@@ -33,15 +29,18 @@
 }
 
 // inject brings one fault about and mends it. It doesn't begin when another fault has what
-// it would disturb: the first of them to end would mend both.
+// it would disturb: the first of them to end would mend both. Those that go over
+// others are mended each for itself.
 func (r *run) inject(ctx context.Context, fault Fault) {
 	d := r.site.daemons[fault.Target%len(r.site.daemons)]
 	place := fault.Target % r.config.Workers
 	what := disturbed(fault, d, place)
-	if !r.site.take(what) {
-		return
+	if !fault.Over {
+		if !r.site.take(what) {
+			return
+		}
+		defer r.site.release(what)
 	}
-	defer r.site.release(what)
 	began := time.Since(r.begin)
 	if r.bringAbout(ctx, fault, d, place) {
 		r.record.fault(began, time.Since(r.begin), fault)
@@ -77,7 +76,7 @@
 		r.disturbProcess(ctx, fault, d)
 	case Reconfigure:
 		return r.site.reconfigure(ctx) == nil
-	case StoreDown, StoreSlow, StoreLossy, StoreLate, StoreForgets:
+	case StoreDown, StoreSlow, StoreLossy, StoreLate, StoreForgets, StoreBusy, StoreLimited, StoreBlind:
 		r.disturbStore(ctx, fault)
 	case CutStore, CutStoreHalf, CutPeer, CutCallers, SlowWorker, ResetWorker:
 		r.disturbConnections(ctx, fault, d, place)
@@ -110,50 +109,6 @@
 	}
 }
 
-// Figures of the store's faults: slow answers come within callTimeout, late writes
-// are done after it.
-const (
-	slowBy      = 150 * time.Millisecond
-	loseOneIn   = 3 // calls
-	lateAtLeast = time.Second
-	lateAtMost  = 5 * time.Second
-)
-
-// disturbStore lets calls to the store go wrong for all daemons.
-func (r *run) disturbStore(ctx context.Context, fault Fault) {
-	if fault.Kind == StoreForgets {
-		r.site.emulator.Store.Forget()
-		return
-	}
-	r.site.emulator.SetFault(storeFault(fault.Kind, r.plan.Seed))
-	pause(ctx, fault.For)
-	r.site.emulator.SetFault(kv.NoFault)
-}
-
-// storeFault is what the emulator asks before and after each call.
-func storeFault(kind Kind, seed uint64) kv.Fault {
-	var mu sync.Mutex
-	random := rand.New(rand.NewPCG(seed, storeStream))
-	draw := func(n int64) int64 {
-		mu.Lock()
-		defer mu.Unlock()
-		return random.Int64N(n)
-	}
-	return func(_ context.Context, write, after bool, _ string) error {
-		switch {
-		case kind == StoreDown && !after:
-			return platform.ErrUnavailable
-		case kind == StoreSlow && !after:
-			time.Sleep(slowBy)
-		case kind == StoreLossy && write && after && draw(loseOneIn) == 0:
-			return platform.ErrUnknown
-		case kind == StoreLate && write && !after && draw(loseOneIn) == 0:
-			time.Sleep(lateAtLeast + time.Duration(draw(int64(lateAtMost-lateAtLeast)))) // then it is done, and nobody waits any more
-		}
-		return nil
-	}
-}
-
 // disturbConnections lets a proxy misbehave.
 func (r *run) disturbConnections(ctx context.Context, fault Fault, d *daemon, place int) {
 	switch fault.Kind {
--- a/tests/soak/plan.go
+++ b/tests/soak/plan.go
@@ -24,6 +24,9 @@
 	StoreSlow    Kind = "store is slow"
 	StoreLossy   Kind = "store loses answers"
 	StoreLate    Kind = "store does writes late"
+	StoreBusy    Kind = "store turns calls away"
+	StoreLimited Kind = "store limits calls"
+	StoreBlind   Kind = "store turns reads away"
 	StoreForgets Kind = "store forgets its history"
 	CutStore     Kind = "daemon is cut from the store"
 	CutStoreHalf Kind = "daemon's calls reach the store, the answers don't come back"
@@ -39,8 +42,8 @@
 	DrainWorker  Kind = "worker drains and leaves"
 )
 
-// kinds lists them all with their weights: what daemons must survive most often comes
-// most often.
+// kinds lists those that come by themselves with their weights: what daemons must survive
+// most often comes most often.
 var kinds = []struct {
 	kind   Kind
 	weight int
@@ -75,6 +78,10 @@
 	For    time.Duration `json:"for"` // until it is mended; for a daemon, until it runs again
 	Kind   Kind          `json:"kind"`
 	Target int           `json:"target"` // number of the daemon or worker
+	// Over says that a fault of the store comes over its other ones.
+	Over bool `json:"over,omitempty"`
+	// Every restricts a fault of the store to one daemon in so many, counted from Target; 0: all.
+	Every int `json:"every,omitempty"`
 }
 
 // Plan is what one seed brings.
@@ -113,6 +120,7 @@
 		}
 		at += time.Duration(random.Int64N(int64(longestPause)))
 	}
+	plan.Faults = append(plan.Faults, overlaps(seed, length)...)
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -134,3 +142,37 @@
 	}
 	return fault
 }
+
+// Faults of the store that come one over the other: one that leaves a daemon without an
+// answer, and, beside it or right behind it, one that turns it away.
+var (
+	unanswered = []Kind{StoreLossy, StoreLate}
+	turnedAway = []Kind{StoreDown, StoreBusy, StoreLimited, StoreBlind}
+)
+
+const (
+	longestCalm    = 2 * time.Second // between two overlaps
+	longestOverlap = 3 * time.Second // of either fault
+	mostEvery      = 3               // an overlap hits at least one daemon in so many
+)
+
+// overlaps draws them from a stream of its own.
+func overlaps(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, overlapStream))
+	lasts := func() time.Duration {
+		return shortestFault + time.Duration(random.Int64N(int64(longestOverlap-shortestFault)))
+	}
+	var faults []Fault
+	for at := firstFault; at < length; at += time.Duration(random.Int64N(int64(longestCalm))) {
+		first := Fault{
+			At: at, For: lasts(), Kind: unanswered[random.IntN(len(unanswered))], Over: true,
+			Target: random.IntN(mostEvery), Every: 1 + random.IntN(mostEvery),
+		}
+		second := first
+		second.At += time.Duration(random.Int64N(int64(first.For)))
+		second.For, second.Kind = lasts(), turnedAway[random.IntN(len(turnedAway))]
+		faults = append(faults, first, second)
+		at = second.At
+	}
+	return faults
+}
--- a/tests/soak/record.go
+++ b/tests/soak/record.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -20,6 +21,24 @@
 	cancelled bool      // a cancellation was confirmed
 	// mayBeCancelled says that a cancellation was sent, confirmed or not.
 	mayBeCancelled bool
+	gone           time.Time // when a daemon answered a cancellation with "no such job"; zero: none did
+	tries          []try
+}
+
+// try is one time that a job was handed in.
+type try struct {
+	daemon       *daemon
+	life         int // of the daemon's process; 0: more than one
+	began, ended time.Time
+	status       int // 0: no answer
+}
+
+// accepted tells whether the job was accepted.
+func (t try) accepted() bool { return t.status == http.StatusOK }
+
+// refused tells whether the job was refused.
+func (t try) refused() bool {
+	return t.status == http.StatusTooManyRequests || t.status == http.StatusServiceUnavailable
 }
 
 // outcome is what a caller knows of a job that it handed in.
@@ -41,6 +60,7 @@
 	asks     int
 	unheard  int // asks without answer
 	late     int // refusals
+	gone     int // cancellations answered with "no such job"
 	samples  []sample
 	faults   []happened
 	breaches []Breach
@@ -62,16 +82,32 @@
 // newRecord makes an empty record.
 func newRecord() *record { return &record{counts: map[outcome]int{}} }
 
-// outcome notes what came of a job.
-func (r *record) outcome(spec jobs.Spec, o outcome) {
+// tried notes a try.
+func (r *record) tried(j *job, t try) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.tries = append(j.tries, t)
+}
+
+// outcome notes and gives what came of a job by the tries so far.
+func (r *record) outcome(j *job) outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	j := &job{spec: spec, outcome: o, answered: time.Now()}
+	j.answered, j.outcome = time.Now(), outcomeRefused
+	for _, t := range j.tries {
+		switch {
+		case t.accepted():
+			j.outcome = outcomeAccepted
+		case !t.refused() && j.outcome != outcomeAccepted:
+			j.outcome = outcomeUnknown // it may have been accepted
+		}
+	}
 	r.jobs = append(r.jobs, j)
-	r.counts[o]++
-	if o == outcomeAccepted {
+	r.counts[j.outcome]++
+	if j.outcome == outcomeAccepted {
 		r.accepted = append(r.accepted, j)
 	}
+	return j.outcome
 }
 
 // some draws an accepted job; nil: there is none yet.
@@ -98,6 +134,14 @@
 	j.cancelled = true
 }
 
+// noSuchJob notes that a cancellation was answered with "no such job".
+func (r *record) noSuchJob(j *job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.gone = time.Now()
+	r.gone++
+}
+
 // mayBeCancelled tells whether a cancellation was sent.
 func (r *record) mayBeCancelled(j *job) bool {
 	r.mu.Lock()
--- a/tests/soak/report.go
+++ b/tests/soak/report.go
@@ -28,6 +28,8 @@
 	Unheard  int             `json:"unheard"`  // of them, without answer
 	Checked  int             `json:"checked"`  // jobs, at the end
 	Late     int             `json:"late"`     // refusals that took longer than they should
+	Gone     int             `json:"gone"`     // cancellations of jobs without answer that were told there is no such job
+	Lost     int             `json:"lost"`     // writes of jobs that the store did without answering
 	Took     time.Duration   `json:"took"`     // from the first fault to the last check
 	Breaches []Breach        `json:"breaches"` // none: all promises were kept
 }
@@ -43,6 +45,7 @@
 	r.report.Asked, r.report.Unheard = r.record.asks, r.record.unheard
 	r.report.Checked = len(r.record.jobs)
 	r.report.Late = r.record.late
+	r.report.Gone, r.report.Lost = r.record.gone, r.site.storeFaults.witness.lost
 	r.report.Took = time.Since(r.begin)
 	r.report.Breaches = r.record.breaches
 }
--- a/tests/soak/site.go
+++ b/tests/soak/site.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -48,19 +47,21 @@
 	workers  []*toxiproxy.Proxy // by place
 	emulator *emulator.Emulator
 	store    *http.Server
-	storeAt  string
 	daemons  []*daemon
 	cancel   context.CancelFunc
 	group    conc.WaitGroup
 
+	storeFaults storeFaults
+
 	mu      sync.Mutex
-	taken   map[string]bool // what a fault has now
-	version int             // of the configuration that was written last
+	atStore map[string]*daemon // by address
+	taken   map[string]bool    // what a fault has now
+	version int                // of the configuration that was written last
 }
 
 // newSite starts the platform and the daemons, and waits until they take callers.
 func newSite(ctx context.Context, config Config) (*site, error) {
-	s := &site{taken: map[string]bool{}, config: config, proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()), version: 1}
+	s := &site{taken: map[string]bool{}, atStore: map[string]*daemon{}, config: config, proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()), version: 1}
 	var err error
 	s.emulator, err = emulator.New(emulator.Config{
 		Grid: grid.Config{
@@ -72,9 +73,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.startStore(ctx); err != nil {
-		return nil, err
-	}
+	s.startStore()
+	running, cancel := context.WithCancel(ctx)
+	s.cancel = cancel
+	s.group.Go(func() { _ = s.emulator.Run(running) }) // its first write can't fail in this process
 	return s, s.startDaemons(ctx)
 }
 
@@ -88,20 +90,6 @@
 	return p.Listen, nil
 }
 
-// startStore serves the store and runs the workers until close.
-func (s *site) startStore(ctx context.Context) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return errors.Wrap(err, "listen for the store")
-	}
-	s.storeAt = listener.Addr().String()
-	s.store = &http.Server{Handler: s.emulator.Handler(), ReadHeaderTimeout: time.Minute}
-	ctx, s.cancel = context.WithCancel(ctx)
-	s.group.Go(func() { _ = s.store.Serve(listener) }) // ends with close
-	s.group.Go(func() { _ = s.emulator.Run(ctx) })     // its first write can't fail in this process
-	return nil
-}
-
 // startDaemons starts all daemons and waits until they take callers.
 func (s *site) startDaemons(ctx context.Context) error {
 	for number := range s.config.Daemons {
@@ -154,7 +142,7 @@
 
 // mend ends all faults: connections are whole, workers are well, daemons run.
 func (s *site) mend() {
-	s.emulator.SetFault(kv.NoFault)
+	s.storeFaults.clear()
 	for _, p := range s.all {
 		p.Toxics.ResetToxics(context.Background())
 		_ = p.Start() // it may run
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -11,9 +11,11 @@
 //	report, err := soak.Run(ctx, soak.Config{Daemon: "bin/rillsaild", Seed: 7, Length: 30 * time.Second, Folder: dir, …})
 //
 // Where to look: what may go wrong and when in plan.go, what is started in site.go and
-// daemon.go, how faults are brought about in inject.go, what jobs are like in jobs.go,
-// callers in callers.go and what they know in record.go, versions of the configuration in
-// configuration.go, what must hold in check.go, what a run leaves in report.go and plot.go.
+// daemon.go, how faults are brought about in inject.go, those of the store in store.go and
+// what it sees of acceptances in witness.go, what jobs are like in jobs.go, callers in
+// callers.go, how they behave in habits.go and what they know in record.go, versions of the
+// configuration in configuration.go, what must hold in check.go, what a run leaves in
+// report.go and plot.go.
 package soak
 
 import (
@@ -77,6 +79,9 @@
 	storeStream  = 1
 	submitStream = 2
 	askStream    = 3
+	habitStream  = 4
+	// overlapStream is not the length of any run, which is the plan's stream.
+	overlapStream = 1<<63 + 5
 )
 
 // run is one seed being played.
@@ -106,6 +111,7 @@
 func (r *run) finish(ctx context.Context) {
 	r.site.mend()
 	r.checkEnds(ctx)
+	r.checkPromises()
 	r.checkStops()
 	for _, breach := range r.site.emulator.Grid.Breaches() {
 		r.record.broken(time.Since(r.begin), "workers", "%s", breach)
--- /dev/null
+++ b/tests/soak/witness.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"path"
+	"strings"
+	"sync"
+	"time"
+
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/platform/emulator"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// witness knows from the store which daemons have written which jobs down for the first
+// time. It is safe for concurrent use.
+type witness struct {
+	mu     sync.Mutex
+	writes map[jobs.ID][]acceptance
+	lost   int // writes of jobs whose answers the store has lost
+}
+
+// acceptance is a write by which a daemon accepts a job, done by the store.
+type acceptance struct {
+	connection
+	arrived  time.Time // at the store
+	done     time.Time
+	answered bool // by the store; the answer may be lost on its way
+}
+
+// newWitness makes a witness that has seen nothing.
+func newWitness() *witness { return &witness{writes: map[jobs.ID][]acceptance{}} }
+
+// done looks at a write that was done.
+func (w *witness) done(ctx context.Context, answered bool) {
+	txn, _ := emulator.TxnOf(ctx)
+	id := accepted(txn)
+	if id == "" {
+		return
+	}
+	from, _ := ctx.Value(connectionKey{}).(connection)
+	arrived, _ := ctx.Value(arrivalKey{}).(time.Time)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writes[id] = append(w.writes[id], acceptance{from, arrived, time.Now(), answered})
+	if !answered {
+		w.lost++
+	}
+}
+
+// of gives the writes of a job.
+func (w *witness) of(id jobs.ID) []acceptance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.writes[id]
+}
+
+// jobKeys is the prefix of the keys of jobs: job/CELL/ID.
+const jobKeys = "job/"
+
+// accepted gives the job that a transaction accepts; empty: it does something else. An
+// acceptance writes an active record, on condition that the job is nowhere; the parts of a
+// job that moves to another cell depend on its record there.
+func accepted(txn platform.Txn) jobs.ID {
+	if len(txn.Put) == 0 || !strings.HasPrefix(txn.Put[0].Key, jobKeys) {
+		return ""
+	}
+	var record jobs.Record
+	if json.Unmarshal(txn.Put[0].Value, &record) != nil || record.Ended != "" {
+		return ""
+	}
+	id := path.Base(txn.Put[0].Key)
+	absent := false
+	for _, p := range txn.Require {
+		switch {
+		case path.Base(p.Key) != id:
+		case p.Version != 0:
+			return ""
+		case p.Key == txn.Put[0].Key:
+			absent = true
+		}
+	}
+	if !absent {
+		return ""
+	}
+	return jobs.ID(id)
+}
