--- a/tests/soak/witness.go
+++ b/tests/soak/witness.go
@@ -74,6 +74,9 @@
 		return ""
 	}
 	id := path.Base(txn.Put[0].Key)
+	if jobs.ID(id).Check() != nil {
+		return ""
+	}
 	absent := false
 	for _, p := range txn.Require {
 		switch {
