--- a/services/control/control.go
+++ b/services/control/control.go
@@ -24,9 +24,13 @@
 //   - a part without tasks: the cell has handed over all that it had; the record stays until
 //     the job is forgotten, so that the job is known to all daemons also during a move
 //   - an ended record: the job has ended, whatever the other records say
+//   - an ended record with the state jobs.StateBarred: the job was cancelled before it was
+//     stored; it is shown to nobody, and keeps writes that are on their way from storing it
 //
 // One transaction changes both records of a move. A job is accepted, moved or cancelled on
-// condition that all its records are as they were read.
+// condition that all its records are as they were read; accepted also on condition that the
+// key of the daemon that accepts it is as it was, so that no write without answer is done
+// once that key has been written anew.
 //
 // # Usage
 //
