Tests of daemons in one process: peers are looked up under a lock

The race detector reported claim_without_lease: a script replaces daemons while others ask their peers.

--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -44,6 +44,7 @@
 
 	mu     sync.Mutex
 	outage bool
+	byName map[string]*testDaemon // all that were ever started
 }
 
 // testDaemon is one daemon with the faults of its own connections.
@@ -103,6 +104,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	w := &world{
 		t: t, ctx: ctx, store: kv.New(kv.Config{}), perCell: perCell, scope: tally.NewTestScope("", nil),
+		byName: map[string]*testDaemon{},
 		grid: grid.New(grid.Config{
 			Workers: workers, PerRack: 2, Pool: testPool, Capacity: models.Resources{CPU: 4000, Memory: 8000},
 			LongestLease: testSettings.LongestLease, StopTime: 300 * time.Millisecond, Slow: 0.02, Work: work,
@@ -147,6 +149,9 @@
 		Logger: zap.New(w.logs).With(zap.String("id", name)), Scope: w.scope,
 	})
 	w.daemons = append(w.daemons, d)
+	w.mu.Lock()
+	w.byName[name] = d
+	w.mu.Unlock()
 	go d.run(ctx)
 	return d
 }
@@ -187,6 +192,12 @@
 	}
 }
 
+func (d *testDaemon) isFrozen() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.frozen != nil
+}
+
 func (d *testDaemon) waitThawed(ctx context.Context) {
 	d.mu.Lock()
 	frozen := d.frozen
@@ -357,15 +368,13 @@
 type testPeers struct{ *world }
 
 func (p *testPeers) Jobs(_ context.Context, address string, query jobs.Query) (jobs.Answer, error) {
-	for _, d := range p.daemons {
-		d.mu.Lock()
-		frozen := d.frozen != nil
-		d.mu.Unlock()
-		if d.name == address && !frozen {
-			return d.Cells.Answer(query), nil
-		}
+	p.mu.Lock()
+	d := p.byName[address]
+	p.mu.Unlock()
+	if d == nil || d.isFrozen() {
+		return jobs.Answer{}, errNoOwner
 	}
-	return jobs.Answer{}, errNoOwner
+	return d.Cells.Answer(query), nil
 }
 
 func (w *world) setOutage(outage bool) {
