--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -41,6 +41,8 @@
 	cores   float64 // of daemons that are started from now on; 0: those of testSettings
 	logs    zapcore.Core
 	written *observer.ObservedLogs
+	// wrapStore puts more faults on the way to the store of daemons that are started from now on; nil: none.
+	wrapStore func(d *testDaemon, store platform.TxnStore) platform.TxnStore
 
 	mu     sync.Mutex
 	outage bool
@@ -136,9 +138,12 @@
 	if w.cores > 0 {
 		settings.Processor = w.cores
 	}
+	var store platform.TxnStore = &testStore{&kv.Local{Service: w.store, Fault: d.storeFault, Wait: time.Second}, d}
+	if w.wrapStore != nil {
+		store = w.wrapStore(d, store)
+	}
 	d.Service = New(Config{
-		Self: name, Address: name, Settings: settings,
-		Store:   &testStore{&kv.Local{Service: w.store, Fault: d.storeFault, Wait: time.Second}, d},
+		Self: name, Address: name, Settings: settings, Store: store,
 		Workers: &testWorkers{d}, List: &testList{d}, Feed: w.feed, Peers: &testPeers{w},
 		NewID: func() string {
 			ids++
