--- a/services/control/fated_store_test.go
+++ b/services/control/fated_store_test.go
@@ -84,11 +84,16 @@
 	return fatedWork, jobs.EndSucceeded
 }
 
-// records are the keys of a job's records, in all cells.
+// records are the keys of a job's records in all cells, without those that bar it.
 func (l *ledger) records(id jobs.ID) []string {
+	local := &kv.Local{Service: l.store, Fault: kv.NoFault}
 	var keys []string
 	for _, key := range l.store.KeysWith(jobPrefix) {
-		if strings.HasSuffix(key, "/"+string(id)) {
+		if !strings.HasSuffix(key, "/"+string(id)) {
+			continue
+		}
+		record, err := read[jobs.Record](context.Background(), local, key)
+		if err != nil || record.Ended != jobs.StateBarred {
 			keys = append(keys, key)
 		}
 	}
@@ -128,7 +133,7 @@
 		if id == "" || strings.HasSuffix(key, cancelSuffix) {
 			continue
 		}
-		if entries := l.stored(id, d.Cells.layout()); entries != nil && !entries.state().Ended() {
+		if entries := l.stored(id, d.Cells.layout()); entries.known() && !entries.state().Ended() {
 			l.removed = append(l.removed, id)
 		}
 	}
@@ -193,6 +198,8 @@
 	if s.weather != weather {
 		s.weather, s.since = weather, time.Now()
 	}
+	// The list of the workers is the store's as well.
+	s.daemon.set(func() { s.daemon.storeCut = weather == fateAway || weather == fateSilent })
 }
 
 // useless tells whether the store has done nothing for the daemon for so long.
--- a/services/control/refusals_random_test.go
+++ b/services/control/refusals_random_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"os"
 	"slices"
 	"sync"
@@ -15,7 +14,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -54,17 +52,15 @@
 	return replyOf(s.Cancel(ctx, id))
 }
 
-func replyOf(err error) reply {
-	var notTaken *platform.NotTakenError
-	switch {
-	case err == nil:
+func replyOf(outcome platform.Outcome) reply {
+	switch o := outcome.(type) {
+	case platform.Done:
 		return reply{saidDone, true}
-	case errors.As(err, &notTaken):
-		return reply{saidNotDone, notTaken.Unfit || notTaken.RetryAfter > 0}
-	case errors.Is(err, platform.ErrNotFound):
-		return reply{saidNoJob, true}
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrLimited):
-		return reply{saidNotDone, true} // the callers' listener answers "come back" to these
+	case platform.NotDone:
+		if o.Why == platform.RefusedNoJob {
+			return reply{saidNoJob, true}
+		}
+		return reply{saidNotDone, o.Why == platform.RefusedUnfit || o.RetryAfter > 0}
 	default:
 		return reply{saidMaybe, true}
 	}
@@ -152,22 +148,23 @@
 	find  func(p *refusalPlay) string // what happened; empty: nothing
 }
 
-// refusalChecks are what the tests look for.
-var refusalChecks = map[string][]refusalCheck{
-	"refusals": {
+var (
+	refusalChecks = []refusalCheck{
 		{"a call is refused that has stored its job", (*refusalPlay).refusedThoughStored},
 		{"a daemon refuses a job that it may have stored, or may still store", (*refusalPlay).refusedThoughUnknown},
 		{"a daemon refuses a job that it stores for another call", (*refusalPlay).refusedBesideAnother},
-		{"a daemon refuses a job that it has accepted", (*refusalPlay).refusedThoughAccepted},
 		{"a job that all callers were refused is stored or has run", (*refusalPlay).refusedAndStored},
 		{"a refusal comes late, or does not say when to come back", (*refusalPlay).slowRefusals},
 		{"an accepted job is not stored, or does not end", (*refusalPlay).lostJobs},
-	},
-	"cancellations": {
+	}
+	cancellationChecks = []refusalCheck{
 		{"a job starts after its cancellation was told that there is no such job", (*refusalPlay).startedThoughUnknown},
 		{"a cancellation that is done does not hold", (*refusalPlay).startedThoughCancelled},
-	},
-}
+	}
+	acceptanceChecks = []refusalCheck{
+		{"a daemon refuses a job that it has accepted", (*refusalPlay).refusedThoughAccepted},
+	}
+)
 
 // refusalCells are how many workers a cell may have: one cell, and two.
 var refusalCells = []int{scriptWorkers, scriptWorkers / 2}
@@ -177,24 +174,35 @@
 // refused by all never runs, and what is said to be done is so.
 func TestRandomRefusals(t *testing.T) {
 	t.Run("scripts", func(t *testing.T) {
-		casefile.Each(t, "testdata/refusals/*.json", func(t *testing.T, script []refusalStep) {
-			for _, perCell := range refusalCells {
-				for _, checks := range refusalChecks {
-					fault, found := playRefusalScript(t, script, perCell, checks)
-					require.Empty(t, fault, found)
-				}
-			}
-		})
+		playRefusalScripts(t, "testdata/refusals/*.json", slices.Concat(refusalChecks, cancellationChecks))
 	})
 	for _, perCell := range refusalCells {
-		for _, about := range slices.Sorted(maps.Keys(refusalChecks)) {
-			t.Run(fmt.Sprintf("%s with %d workers to a cell", about, perCell), func(t *testing.T) {
-				playRefusals(t, perCell, refusalChecks[about])
-			})
-		}
+		t.Run(fmt.Sprintf("refusals with %d workers to a cell", perCell), func(t *testing.T) { playRefusals(t, perCell, refusalChecks) })
+		t.Run(fmt.Sprintf("cancellations with %d workers to a cell", perCell), func(t *testing.T) { playRefusals(t, perCell, cancellationChecks) })
+	}
+}
+
+// TestRandomRefusalsOfAcceptedJobs looks for daemons that accepted a job and refuse it when it
+// is handed in again.
+func TestRandomRefusalsOfAcceptedJobs(t *testing.T) {
+	t.Run("scripts", func(t *testing.T) {
+		playRefusalScripts(t, "testdata/refusals/accepted/*.json", acceptanceChecks)
+	})
+	for _, perCell := range refusalCells {
+		t.Run(fmt.Sprintf("%d workers to a cell", perCell), func(t *testing.T) { playRefusals(t, perCell, acceptanceChecks) })
 	}
 }
 
+// playRefusalScripts plays scripts of data files: failures that random runs have found.
+func playRefusalScripts(t *testing.T, files string, checks []refusalCheck) {
+	casefile.Each(t, files, func(t *testing.T, script []refusalStep) {
+		for _, perCell := range refusalCells {
+			fault, found := playRefusalScript(t, script, perCell, checks)
+			require.Empty(t, fault, found)
+		}
+	})
+}
+
 func playRefusals(t *testing.T, perCell int, checks []refusalCheck) {
 	rapid.Check(t, func(rt *rapid.T) {
 		script := slices.Concat(rapid.SliceOfN(rapid.SliceOfN(rapid.Custom(drawRefusalStep), 1, 8), 1, 6).Draw(rt, "script")...)
@@ -339,12 +347,11 @@
 
 // make makes a call and notes what came of it.
 func (p *refusalPlay) make(d *testDaemon, step refusalStep, try *refusalTry) {
-	patience := callerPatience
+	ctx, cancel := context.WithTimeout(context.WithValue(p.ctx, tryOfContext{}, try), callerPatience)
+	defer cancel()
 	if step.Leaves > 0 {
-		patience = step.Leaves
+		defer time.AfterFunc(step.Leaves, cancel).Stop()
 	}
-	ctx, cancel := context.WithTimeout(context.WithValue(p.ctx, tryOfContext{}, try), patience)
-	defer cancel()
 	try.beginAt = time.Now()
 	if try.what == stepHandIn {
 		try.reply = submitted(ctx, d.Service, refusalJob(step.Job))
@@ -353,7 +360,7 @@
 	}
 	try.endAt = time.Now()
 	try.gone = p.stores[d.name].killed()
-	try.heard = !try.gone && (step.Leaves == 0 || ctx.Err() == nil)
+	try.heard = !try.gone && (step.Leaves == 0 || try.took() < step.Leaves)
 	if try.reply.verdict == saidDone {
 		try.broken = p.notStored(d, try)
 	}
@@ -363,7 +370,7 @@
 // notStored tells what the store lacks of a change that is said to be done.
 func (p *refusalPlay) notStored(d *testDaemon, try *refusalTry) string {
 	entries := p.ledger.stored(try.job, d.Cells.layout())
-	if entries == nil {
+	if !entries.known() {
 		return "there is no record of it"
 	}
 	open := func(entry jobEntry) bool { return entry.active() && !entry.cancelled }
@@ -376,8 +383,8 @@
 // settle ends all faults and waits until every job has ended that the store knows.
 func (p *refusalPlay) settle() {
 	for _, store := range p.stores {
+		store.setWeather(fateDone)
 		store.mu.Lock()
-		store.weather = fateDone
 		clear(store.writes)
 		clear(store.reads)
 		store.mu.Unlock()
@@ -405,16 +412,23 @@
 	return ""
 }
 
-// refusedThoughAccepted finds refusals by a daemon that had accepted the job.
+// refusedThoughAccepted finds refusals by a daemon that had stored the job and said so.
 func (p *refusalPlay) refusedThoughAccepted() string {
-	return p.falseRefusal(func(refusal, by *refusalTry) bool { return by.ended < refusal.ended && by.reply.verdict == saidDone })
+	return p.falseRefusal(func(refusal, by *refusalTry) bool { return by.ended < refusal.ended && p.saidSo(refusal) })
 }
 
 // refusedThoughUnknown finds refusals by a daemon that had left open whether it accepted the
 // job, and had stored it, or did so later by a write that was on its way.
 func (p *refusalPlay) refusedThoughUnknown() string {
 	return p.falseRefusal(func(refusal, by *refusalTry) bool {
-		return by != refusal && by.ended < refusal.ended && by.reply.verdict != saidDone
+		return by != refusal && by.ended < refusal.ended && !p.saidSo(refusal)
+	})
+}
+
+// saidSo tells whether a daemon had told another caller that a job is accepted that it refuses.
+func (p *refusalPlay) saidSo(refusal *refusalTry) bool {
+	return slices.ContainsFunc(p.tries, func(t *refusalTry) bool {
+		return t.what == stepHandIn && t.job == refusal.job && t.daemon == refusal.daemon && t.ended < refusal.ended && t.reply.verdict == saidDone
 	})
 }
 
