--- a/services/control/journal.go
+++ b/services/control/journal.go
@@ -60,32 +60,64 @@
 		platform.Precondition{Key: journalKey(o.cell), Version: o.journal.version})
 	txn.Put = append(txn.Put, platform.Write{Key: journalKey(o.cell), Value: value})
 	version, err := o.config.Store.Commit(ctx, txn)
+	switch verdictOn(err) {
+	case verdictDone:
+		o.journal.last, o.journal.version = entry, version
+		return version, nil
+	case verdictTurnedAway:
+		return 0, err
+	case verdictConflict:
+		return o.settle(ctx, entry, err)
+	default:
+		// The reads that settle it may be turned away, which says nothing of the transaction.
+		version, err = o.settle(ctx, entry, err)
+		return version, platform.Unknown(err)
+	}
+}
+
+// verdict is what a transaction's answer says of it. Only what the store names is a denial: an
+// error of no class, as one of a call that its caller has given up, leaves all open.
+type verdict uint8
+
+const (
+	verdictOpen       verdict = iota // it may have been done, or may still be
+	verdictDone                      // it is stored
+	verdictConflict                  // not done: a condition failed
+	verdictTurnedAway                // not done: the store did not look at it
+)
+
+func verdictOn(err error) verdict {
 	switch {
 	case err == nil:
-		o.journal.last, o.journal.version = entry, version
+		return verdictDone
+	case errors.Is(err, platform.ErrUnknown): // first, whatever else the error says
+		return verdictOpen
 	case errors.Is(err, platform.ErrConflict):
-		err = o.settle(ctx, entry, err)
-	case errors.Is(err, platform.ErrUnknown):
-		if err = o.settle(ctx, entry, err); err != nil {
-			err = errors.Mark(err, platform.ErrUnknown)
-		}
+		return verdictConflict
+	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrLimited, platform.ErrNoLease):
+		return verdictTurnedAway
+	default:
+		return verdictOpen
 	}
-	return o.journal.version, err
 }
 
 // settle finds out what became of a transaction that was not answered, or whose
-// conditions failed: an earlier one may have been done late, or the cell is lost.
-func (o *Owner) settle(ctx context.Context, attempted journalEntry, cause error) error {
+// conditions failed: an earlier one may have been done late, or the cell is lost. It gives the
+// version of the transaction if it was done, and otherwise the cause; how a read of its own
+// failed is told in the text alone, for it is no answer to the transaction.
+func (o *Owner) settle(ctx context.Context, attempted journalEntry, cause error) (platform.Version, error) {
 	if err := o.journal.load(ctx, o.config.Store, o.cell); err != nil {
-		return err
+		return 0, errors.Wrapf(cause, "journal can't be read (%v)", err)
 	}
 	if o.journal.last == attempted {
-		return nil
+		return o.journal.version, nil
 	}
 	record, err := o.config.Store.Get(ctx, ownerKey(o.cell))
 	switch {
 	case errors.Is(err, platform.ErrNotFound), err == nil && record.Version != platform.Version(o.epoch):
 		o.cells.drop(o.cell, o, "store names another owner, or none")
+	case err != nil:
+		return 0, errors.Wrapf(cause, "owner's key can't be read (%v)", err)
 	}
-	return cause
+	return 0, cause
 }
