--- a/services/control/refusals_random_test.go
+++ b/services/control/refusals_random_test.go
@@ -24,20 +24,20 @@
 	"rillsail.example/rillsail/services/standin/kv"
 )
 
-// verdict is what a caller was told of a change.
-type verdict string
+// said is what a caller was told of a change.
+type said string
 
 const (
-	saidDone    verdict = "done"
-	saidNotDone verdict = "not done"
-	saidMaybe   verdict = "maybe"
-	saidNoJob   verdict = "no such job"
+	saidDone    said = "done"
+	saidNotDone said = "not done"
+	saidMaybe   said = "maybe"
+	saidNoJob   said = "no such job"
 )
 
 // reply is the verdict on a change, and whether the caller was told when to come back, or
 // that it is no use.
 type reply struct {
-	verdict verdict
+	verdict said
 	advised bool
 }
 
