--- a/services/control/fated_store_test.go
+++ b/services/control/fated_store_test.go
@@ -25,6 +25,8 @@
 	fateAway    storeFate = "unavailable" // not done, and the answer says so
 	fateLimited storeFate = "limited"     // likewise
 	fateLate    storeFate = "late"        // held up and done later, without answer
+	// fateWrites is of the weather only: writes are limited, and reads are done.
+	fateWrites storeFate = "writes limited"
 )
 
 // refuses tells whether the store does nothing of a call with this fate.
@@ -222,15 +224,19 @@
 }
 
 // fateOf takes the fate of the next call; id is empty when it is about no job.
-func (s *fatedStore) fateOf(plans map[jobs.ID][]plannedCall, id jobs.ID) plannedCall {
+func (s *fatedStore) fateOf(plans map[jobs.ID][]plannedCall, id jobs.ID, write bool) plannedCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	planned := plans[id]
 	switch {
 	case s.dead:
 		return plannedCall{Fate: fateAway}
-	case s.weather != fateDone || id == "" || len(planned) == 0:
+	case s.weather == fateWrites && write:
+		return plannedCall{Fate: fateLimited}
+	case s.weather != fateDone && s.weather != fateWrites:
 		return plannedCall{Fate: s.weather}
+	case id == "" || len(planned) == 0:
+		return plannedCall{Fate: fateDone}
 	}
 	plans[id] = planned[1:]
 	return planned[0]
@@ -289,14 +295,14 @@
 	if !ok {
 		by = &refusalTry{ended: sent} // no call waits for it
 	}
-	return fated(ctx, s, s.fateOf(s.writes, jobOfTxn(txn)), func() (platform.Version, error) {
+	return fated(ctx, s, s.fateOf(s.writes, jobOfTxn(txn), true), func() (platform.Version, error) {
 		return s.ledger.commit(s.daemon, by, sent, txn)
 	})
 }
 
 // Get implements platform.Store.
 func (s *fatedStore) Get(ctx context.Context, key string) (platform.Record, error) {
-	return fated(ctx, s, s.fateOf(s.reads, jobOfStoreKey(key)), func() (platform.Record, error) {
+	return fated(ctx, s, s.fateOf(s.reads, jobOfStoreKey(key), false), func() (platform.Record, error) {
 		return s.TxnStore.Get(context.Background(), key)
 	})
 }
@@ -309,7 +315,7 @@
 
 // List implements platform.Store.
 func (s *fatedStore) List(ctx context.Context, prefix string) ([]platform.Record, platform.Version, error) {
-	f, err := fated(ctx, s, s.fateOf(s.reads, jobOfStoreKey(prefix)), func() (found, error) {
+	f, err := fated(ctx, s, s.fateOf(s.reads, jobOfStoreKey(prefix), false), func() (found, error) {
 		records, at, err := s.TxnStore.List(context.Background(), prefix)
 		return found{records, at}, err
 	})
@@ -318,7 +324,7 @@
 
 // Watch implements platform.Store.
 func (s *fatedStore) Watch(ctx context.Context, prefix string, after platform.Version) ([]platform.Record, platform.Version, error) {
-	f, err := fated(ctx, s, s.fateOf(s.reads, ""), func() (found, error) {
+	f, err := fated(ctx, s, s.fateOf(s.reads, "", false), func() (found, error) {
 		records, at, err := s.TxnStore.Watch(ctx, prefix, after)
 		return found{records, at}, err
 	})
@@ -335,14 +341,14 @@
 
 // Grant implements platform.Store.
 func (s *fatedStore) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	return fated(ctx, s, s.fateOf(s.writes, ""), func() (platform.LeaseID, error) {
+	return fated(ctx, s, s.fateOf(s.writes, "", true), func() (platform.LeaseID, error) {
 		return s.TxnStore.Grant(context.Background(), ttl)
 	})
 }
 
 // KeepAlive implements platform.Store.
 func (s *fatedStore) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
-	_, err := fated(ctx, s, s.fateOf(s.writes, ""), func() (struct{}, error) {
+	_, err := fated(ctx, s, s.fateOf(s.reads, "", false), func() (struct{}, error) {
 		return struct{}{}, s.TxnStore.KeepAlive(context.Background(), lease)
 	})
 	return err
--- a/services/control/refusals_random_test.go
+++ b/services/control/refusals_random_test.go
@@ -90,7 +90,7 @@
 var refusalSteps = []string{
 	stepHandIn, stepHandIn, stepHandIn, stepHandIn, stepHandIn, stepHandIn, stepCancel, stepCancel, stepCancel,
 	stepLapse, stepKill, stepForget,
-	string(fateDone), string(fateDone), string(fateAway), string(fateLimited), string(fateSilent), string(fateLost),
+	string(fateDone), string(fateDone), string(fateAway), string(fateLimited), string(fateSilent), string(fateLost), string(fateWrites),
 }
 
 const (
