--- a/services/control/state.go
+++ b/services/control/state.go
@@ -15,6 +15,9 @@
 // State tells the state of a job: its owner knows it best, the store knows it when the
 // owner can't be asked.
 func (s *Service) State(ctx context.Context, id jobs.ID) (jobs.State, error) {
+	if id.Check() != nil {
+		return "", platform.ErrNotFound
+	}
 	layout := s.Cells.layout()
 	if layout == nil {
 		return "", platform.ErrUnavailable
@@ -39,13 +42,15 @@
 
 // stored finds a job's state in the store.
 func (s *Service) stored(ctx context.Context, id jobs.ID, layout *jobs.Layout) (jobs.State, error) {
+	// Asked before the store is read: a write that ends in between is in what is read.
+	follows, doubt := s.submissions.open(id)
 	entries, err := s.entriesOf(ctx, id, layout)
 	switch {
 	case err != nil:
 		return "", err
 	case entries.known():
 		return entries.state(), nil
-	case s.handIns.knows(id): // it may be stored a moment later
+	case follows == followsNow, follows == followsInDoubt && s.fateOf(ctx, id, doubt) != fateAbsent:
 		return "", errors.Mark(errors.New("job is being handed in, or its acceptance is in doubt"), platform.ErrUnavailable)
 	default:
 		return "", platform.ErrNotFound
