--- a/services/control/cancel.go
+++ b/services/control/cancel.go
@@ -47,11 +47,11 @@
 		case !entries.known() && entries.barred():
 			return noSuchJob
 		}
-		outcome, met := s.tryCancel(ctx, id, entries)
+		outcome, conflict := s.tryCancel(ctx, id, entries)
 		if outcome != nil {
 			return outcome
 		}
-		unsure = met.unsure
+		unsure = conflict.unsure
 		if ctx.Err() != nil { // tasks move between cells, or the job ends
 			return platform.MaybeDone{Cause: errChanging}
 		}
