Soak: a paused daemon reads what has gathered in any order; names; a call whose caller has left sends nothing

The check leaves out just this: a write that came after the refusal, a try without answer at the same daemon, and a pause in between; a test holds the six cases beside it. The daemon sends nothing any more for a caller that it knows to have left.

--- a/services/control/submit.go
+++ b/services/control/submit.go
@@ -25,6 +25,9 @@
 // again, also at another daemon, the job meets its own key.
 func (s *Service) Submit(ctx context.Context, spec jobs.Spec, queue jobs.Queue) platform.Outcome {
 	began := time.Now()
+	if ctx.Err() != nil { // a request that was read late: its caller has left, and may have asked again
+		return refused("caller has left before anything was sent", retrySoon).outcome
+	}
 	call, doubt, first := s.submissions.begin(spec.ID)
 	if !first {
 		return call.wait(ctx)
--- a/tests/soak/witness_test.go
+++ b/tests/soak/acceptances_test.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -41,6 +43,47 @@
 	}
 }
 
+// TestRefusalBesideARequestThatIsReadLater holds what seed 502012 showed: three tries of a job
+// waited at a daemon that was paused, which refused the last of them first and accepted another
+// 4 ms later. Without the pause, or with a write that came before the refusal, it is a fault.
+func TestRefusalBesideARequestThatIsReadLater(t *testing.T) {
+	begin := time.Now().Add(-time.Minute)
+	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+	d, other := &daemon{name: "front-0"}, &daemon{name: "front-1"}
+	tests := map[string]struct {
+		pause            int // when the daemon's process goes on; it was paused at 4,600
+		unanswered       *daemon
+		arrived          int
+		breaches, status int
+	}{
+		"read after a pause":                      {8120, d, 8133, 0, 0},
+		"no pause":                                {0, d, 8133, 1, 0},
+		"the pause was over":                      {6000, d, 8133, 1, 0},
+		"the write came before the refusal":       {8120, d, 8125, 1, 0},
+		"the try without answer was at another":   {8120, other, 8133, 1, 0},
+		"there is no try without answer":          {8120, d, 8133, 1, http.StatusServiceUnavailable},
+		"the pause was before the unanswered try": {6500, d, 8133, 1, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &run{begin: begin, record: newRecord(), site: &site{daemons: []*daemon{d, other}}}
+			r.site.storeFaults.accepted = newAcceptances()
+			if test.pause > 0 {
+				r.record.fault(at(4600).Sub(begin), at(test.pause).Sub(begin), Fault{Kind: PauseDaemon})
+			}
+			j := &job{spec: jobs.Spec{ID: "0000000100000001"}}
+			j.tries = []try{
+				{daemon: test.unanswered, life: 1, began: at(7000), ended: at(7300), status: test.status},
+				{daemon: d, life: 1, began: at(7600), ended: at(8129), status: http.StatusServiceUnavailable},
+			}
+			write := acceptance{connection: connection{d, 1}, arrived: at(test.arrived), done: at(test.arrived), answered: true}
+			r.site.storeFaults.accepted.writes[j.spec.ID] = []acceptance{write}
+			r.checkKnownToRefuser(j)
+			require.Len(t, r.record.breaches, test.breaches)
+		})
+	}
+}
+
 // TestOverlapsFollowFromTheSeed checks that a seed brings the same overlaps again, in pairs.
 func TestOverlapsFollowFromTheSeed(t *testing.T) {
 	const seed = 31001
