--- a/services/cell/message.go
+++ b/services/cell/message.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/errclass"
 )
 
 // message is what reaches an owner's loop. The set is closed.
@@ -114,7 +115,7 @@
 
 // surely makes of any error one that says that nothing was done, and why. The classes that
 // err had are hidden, so that it can't say ErrMaybe, or another refusal, besides.
-func surely(err, refusal error) error { return errors.Mark(errors.Handled(err), refusal) }
+func surely(err, refusal error) error { return errclass.Only(err, refusal) }
 
 // maybe makes of any error one that says only that what was asked for may have been done.
-func maybe(err error) error { return errors.Mark(errors.Handled(err), ErrMaybe) }
+func maybe(err error) error { return errclass.Only(err, ErrMaybe) }
--- a/services/config/apply.go
+++ b/services/config/apply.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/errclass"
 	"rillsail.example/rillsail/modules/errstep"
 	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/modules/wire"
@@ -42,7 +43,7 @@
 	if err == nil {
 		return nil
 	}
-	return errors.Mark(errors.Handled(err), ErrNotApplied)
+	return errclass.Only(err, ErrNotApplied)
 }
 
 // Bounds on what heads and buckets keep of the past.
--- a/services/control/journal.go
+++ b/services/control/journal.go
@@ -75,32 +75,6 @@
 	}
 }
 
-// verdict is what a transaction's answer says of it. Only what the store names is a denial: an
-// error of no class, as one of a call that its caller has given up, leaves all open.
-type verdict uint8
-
-const (
-	verdictOpen       verdict = iota // it may have been done, or may still be
-	verdictDone                      // it is stored
-	verdictConflict                  // not done: a condition failed
-	verdictTurnedAway                // not done: the store did not look at it
-)
-
-func verdictOn(err error) verdict {
-	switch {
-	case err == nil:
-		return verdictDone
-	case errors.Is(err, platform.ErrUnknown): // first, whatever else the error says
-		return verdictOpen
-	case errors.Is(err, platform.ErrConflict):
-		return verdictConflict
-	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrLimited, platform.ErrNoLease):
-		return verdictTurnedAway
-	default:
-		return verdictOpen
-	}
-}
-
 // settle finds out what became of a transaction that was not answered, or whose
 // conditions failed: an earlier one may have been done late, or the cell is lost. It gives the
 // version of the transaction if it was done, and otherwise the cause; how a read of its own
--- a/services/control/write.go
+++ b/services/control/write.go
@@ -60,15 +60,19 @@
 		if ctx.Err() == nil { // a call that its caller's deadline has ended says nothing of the store
 			s.health.note(err)
 		}
-		switch {
-		case err == nil:
+		switch verdictOn(err) {
+		case verdictDone:
 			return committed{}
-		case errors.Is(err, platform.ErrConflict):
+		case verdictConflict:
 			return conflicting{unsure: first != nil}
-		case first == nil && didNothing(err):
-			return turnedAway{errstep.Wrap(err, "write", "store")}
-		case first == nil:
-			first = err
+		case verdictTurnedAway:
+			if first == nil {
+				return turnedAway{errstep.Wrap(err, "write", "store")}
+			}
+		case verdictOpen:
+			if first == nil {
+				first = err
+			}
 		}
 		if time.Since(began) > writeMost || ctx.Err() != nil {
 			s.config.Logger.Info("write is not settled", zap.Int("tries", tries), zap.NamedError("first", first), zap.NamedError("last", err))
@@ -78,7 +82,29 @@
 	}
 }
 
-// didNothing tells whether the store has said of a call that it did nothing.
-func didNothing(err error) bool {
-	return !errors.Is(err, platform.ErrUnknown) && (errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrLimited))
+// verdict is what a transaction's answer says of it. Only what the store names is a denial: an
+// error of no class, as one of a call that its caller has given up, leaves all open.
+type verdict uint8
+
+const (
+	verdictOpen       verdict = iota // it may have been done, or may still be
+	verdictDone                      // it is stored
+	verdictConflict                  // not done: a condition failed
+	verdictTurnedAway                // not done: the store did not look at it
+)
+
+// verdictOn draws the verdict from one answer.
+func verdictOn(err error) verdict {
+	switch {
+	case err == nil:
+		return verdictDone
+	case errors.Is(err, platform.ErrUnknown): // first, whatever else the error says
+		return verdictOpen
+	case errors.Is(err, platform.ErrConflict):
+		return verdictConflict
+	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrLimited, platform.ErrNoLease):
+		return verdictTurnedAway
+	default:
+		return verdictOpen
+	}
 }
--- a/services/dispatch/bench_test.go
+++ b/services/dispatch/bench_test.go
@@ -21,6 +21,9 @@
 // servingStep is a step that serves, alone on its worker.
 var servingStep = jobs.Step{Count: 1, Size: models.Resources{CPU: 2000, Memory: 10}, Lasts: true, Image: "serving", Target: 100}
 
+// fillingStep is a step of one task that fills what others leave unused, for a minute.
+var fillingStep = jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 10}, Estimate: 60_000, Image: "filling", Fills: true}
+
 // bench is a core with workers that have answered, and a clock.
 type bench struct {
 	*Core
--- a/services/dispatch/fate_test.go
+++ b/services/dispatch/fate_test.go
@@ -99,8 +99,7 @@
 // TestHaltWithoutAnswerIsRepeated: the pace that was ordered may not be in force.
 func TestHaltWithoutAnswerIsRepeated(t *testing.T) {
 	b := newBench(t, 1)
-	filling := jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 10}, Estimate: 60_000, Image: "filling", Fills: true}
-	b.AddJob(b.job(servingStep, filling), jobs.Progress{}, true, b.now)
+	b.AddJob(b.job(servingStep, fillingStep), jobs.Progress{}, true, b.now)
 	b.report(0, jobs.Report{})
 	starts := b.starts()
 	require.Len(t, starts, 2)
--- a/services/dispatch/throttle_test.go
+++ b/services/dispatch/throttle_test.go
@@ -16,8 +16,7 @@
 func TestHeavyFillingTaskIsThrottledAndGivenBack(t *testing.T) {
 	b := newBench(t, 1)
 	serving := servingStep
-	filling := jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 10}, Estimate: 60_000, Image: "filling", Fills: true}
-	b.AddJob(b.job(serving, filling), jobs.Progress{}, true, b.now)
+	b.AddJob(b.job(serving, fillingStep), jobs.Progress{}, true, b.now)
 	b.report(0, jobs.Report{})
 	starts := b.starts()
 	require.Len(t, starts, 2)
@@ -53,8 +52,7 @@
 
 func TestOutcomeOfAnOlderOrderChangesNoPace(t *testing.T) {
 	b := newBench(t, 1)
-	filling := jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 10}, Estimate: 60_000, Image: "filling", Fills: true}
-	b.AddJob(b.job(filling), jobs.Progress{}, true, b.now)
+	b.AddJob(b.job(fillingStep), jobs.Progress{}, true, b.now)
 	b.report(0, jobs.Report{})
 	starts := b.starts()
 	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
@@ -99,8 +97,7 @@
 // the one that gave the speed back.
 func TestRunThatAnOldOrderThrottledGoesOn(t *testing.T) {
 	b := newBench(t, 1)
-	filling := jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 10}, Estimate: 60_000, Image: "filling", Fills: true}
-	b.AddJob(b.job(filling), jobs.Progress{}, true, b.now)
+	b.AddJob(b.job(fillingStep), jobs.Progress{}, true, b.now)
 	b.report(0, jobs.Report{})
 	starts := b.starts()
 	require.Len(t, starts, 1)
@@ -166,8 +163,7 @@
 // differ to both sides, as they do: one below the target between two above it is no end.
 func TestTailAtItsTargetEndsInTime(t *testing.T) {
 	b := newBench(t, 1)
-	filling := jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 10}, Estimate: 60_000, Image: "filling", Fills: true}
-	b.AddJob(b.job(servingStep, filling), jobs.Progress{}, true, b.now)
+	b.AddJob(b.job(servingStep, fillingStep), jobs.Progress{}, true, b.now)
 	b.report(0, jobs.Report{})
 	starts := b.starts()
 	require.Len(t, starts, 2)
--- a/services/journal/journal.go
+++ b/services/journal/journal.go
@@ -30,6 +30,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/errclass"
 	"rillsail.example/rillsail/modules/errstep"
 	"rillsail.example/rillsail/services/platform"
 )
@@ -144,7 +145,7 @@
 
 // pending makes of any error one that says only that the entry may be written. The classes
 // that err had are hidden: a try that was refused for sure says nothing of the first one.
-func pending(err error) error { return errors.Mark(errors.Handled(err), ErrPending) }
+func pending(err error) error { return errclass.Only(err, ErrPending) }
 
 func (j *Journal) write(ctx context.Context, epoch models.Epoch, change models.CellChange) error {
 	entry := Entry{
--- a/services/platform/fate.go
+++ b/services/platform/fate.go
@@ -6,19 +6,14 @@
 import (
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"rillsail.example/rillsail/modules/errclass"
 )
 
 // Unknown makes of any error one that says only that a write may have taken effect, or may
 // still do so. The classes that err had are hidden: a later try that was turned away says
 // nothing of an earlier one without answer, and an error that is both ErrUnknown and
 // ErrUnavailable is taken for either by whoever asks first.
-func Unknown(err error) error {
-	if err == nil {
-		return nil
-	}
-	return errors.Mark(errors.Handled(err), ErrUnknown)
-}
+func Unknown(err error) error { return errclass.Only(err, ErrUnknown) }
 
 // Outcome is what became of a change that a caller asked for: Done, NotDone or MaybeDone.
 // The set is closed, and a value is one of them only, so that no answer can take a change
