--- a/modules/setting/jobs.go
+++ b/modules/setting/jobs.go
@@ -12,7 +12,6 @@
 	LongestLease   time.Duration // that a worker grants to anybody
 	ReportWait     time.Duration // how long a worker's report may wait for an end
 	ReportPause    time.Duration // between two reports of one worker
-	ListEvery      time.Duration // how often an owner reads the list of workers
 	StoreEvery     time.Duration // how often progress is stored
 	StopGrace      time.Duration // between the order to stop and the end of the process
 	WorkersPerCell int
@@ -26,7 +25,6 @@
 		LongestLease:   10 * time.Second,
 		ReportWait:     time.Second,
 		ReportPause:    50 * time.Millisecond,
-		ListEvery:      700 * time.Millisecond,
 		StoreEvery:     250 * time.Millisecond,
 		StopGrace:      6 * time.Second,
 		WorkersPerCell: 250,
@@ -40,7 +38,6 @@
 	r.duration("longest_lease", &j.LongestLease, time.Second, time.Hour, "longest lease that a worker grants")
 	r.duration("report_wait", &j.ReportWait, 50*time.Millisecond, 2*time.Second, "how long a worker's report may wait for an end")
 	r.duration("report_pause", &j.ReportPause, 0, 2*time.Second, "pause between two reports of one worker")
-	r.duration("list_every", &j.ListEvery, 50*time.Millisecond, time.Minute, "how often an owner reads the list of workers")
 	r.duration("store_every", &j.StoreEvery, 10*time.Millisecond, 10*time.Second, "how often progress of jobs is stored")
 	r.duration("stop_grace", &j.StopGrace, time.Second, time.Hour, "time between the order to stop and the end of the process")
 	r.fraction("processor", &j.Processor, 0.01, 1024, "cores that this daemon may use; daemons with few leave cells to others")
--- a/services/control/layout.go
+++ b/services/control/layout.go
@@ -69,7 +69,7 @@
 func (c *Cells) settledWorkers(ctx context.Context) ([]jobs.Worker, error) {
 	var workers []jobs.Worker
 	for began := time.Now(); ; {
-		list, err := c.config.List.JobWorkers(ctx)
+		list, _, err := c.config.List.JobWorkers(ctx)
 		if err != nil {
 			return nil, err
 		}
--- a/services/control/metered.go
+++ b/services/control/metered.go
@@ -129,9 +129,16 @@
 }
 
 // JobWorkers implements platform.WorkerList.
-func (m *meteredList) JobWorkers(ctx context.Context) ([]jobs.Worker, error) {
+func (m *meteredList) JobWorkers(ctx context.Context) ([]jobs.Worker, platform.Version, error) {
 	began := time.Now()
-	workers, err := m.WorkerList.JobWorkers(ctx)
+	workers, at, err := m.WorkerList.JobWorkers(ctx)
 	m.note("list_workers", began, err)
-	return workers, err
+	return workers, at, err
+}
+
+// WorkerChanges implements platform.WorkerList.
+func (m *meteredList) WorkerChanges(ctx context.Context, after platform.Version) ([]platform.WorkerChange, platform.Version, error) {
+	changes, at, err := m.WorkerList.WorkerChanges(ctx, after)
+	m.count("watch_workers", err)
+	return changes, at, err
 }
--- a/services/control/move_test.go
+++ b/services/control/move_test.go
@@ -52,7 +52,7 @@
 
 // workersOfCell gives the places in the grid of a cell's workers.
 func (w *world) workersOfCell(number int) []int {
-	list, err := w.grid.JobWorkers(w.ctx)
+	list, _, err := w.grid.JobWorkers(w.ctx)
 	require.NoError(w.t, err)
 	var places []int
 	for place, worker := range list {
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,25 +15,53 @@
 	"rillsail.example/rillsail/services/platform"
 )
 
+// listPause lets some changes of the list gather between two looks at them; it delays the
+// news that a worker drains by half of it on average.
+const listPause = 50 * time.Millisecond
+
 // workersLoop follows the list of workers and gives each new one a loop.
 func (o *Owner) workersLoop(ctx context.Context) {
 	o.callWorkers(ctx)
+	list := newWorkerList(o.config.List)
 	for ctx.Err() == nil {
 		sent := time.Now()
-		list, err := o.config.List.JobWorkers(ctx)
+		err := list.follow(ctx)
 		o.cells.health.note(err)
-		layout := o.cells.layout()
-		if err == nil && layout != nil {
-			o.mu.Lock()
-			o.core.SetWorkers(workersOf(o.cell, layout, list), time.Now())
-			o.core.WorkersKnown(sent)
-			o.mu.Unlock()
-			o.callWorkers(ctx)
-			wake(o.wakeDecide)
-			wake(o.wakeStore)
+		if err != nil {
+			sleep(ctx, loadRetry)
+			continue
 		}
-		sleep(ctx, o.config.Settings.ListEvery)
+		o.takeWorkers(list, sent)
+		o.callWorkers(ctx)
+		wake(o.wakeDecide)
+		wake(o.wakeStore)
+		sleep(ctx, listPause)
+	}
+}
+
+// takeWorkers tells the core what the list said then. Without a configuration no pool is
+// known; then nothing may start, and workers that former owners used are called anyway.
+func (o *Owner) takeWorkers(list *workerList, known time.Time) {
+	configuration := o.cells.configurations.current.Load()
+	layout := o.cells.layout()
+	if configuration == nil || layout == nil {
+		return
+	}
+	workers := workersOf(o.cell, layout, inPools(configuration, list.all()))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.SetWorkers(workers, time.Now())
+	o.core.WorkersKnown(known)
+}
+
+// inPools picks the workers whose pools the configuration names: an entry that names another
+// pool may not be a worker's own, and its address is not called.
+func inPools(configuration *jobs.Configuration, workers []jobs.Worker) []jobs.Worker {
+	pools := map[jobs.PoolName]bool{}
+	for _, pool := range configuration.Pools {
+		pools[pool.Name] = true
 	}
+	return slices.DeleteFunc(workers, func(w jobs.Worker) bool { return !pools[w.Pool] })
 }
 
 // callWorkers gives each worker that has none a loop.
--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -83,7 +83,7 @@
 
 var testSettings = setting.Jobs{
 	OwnerLease: 2 * time.Second, WorkerLease: 6 * time.Second, LongestLease: 6 * time.Second,
-	ReportWait: time.Second, ReportPause: 20 * time.Millisecond, ListEvery: 500 * time.Millisecond,
+	ReportWait: time.Second, ReportPause: 20 * time.Millisecond,
 	StoreEvery: 200 * time.Millisecond, StopGrace: 6 * time.Second, WorkersPerCell: 100, Processor: 1,
 }
 
@@ -359,14 +359,33 @@
 
 type testList struct{ *testDaemon }
 
-func (l *testList) JobWorkers(ctx context.Context) ([]jobs.Worker, error) {
+func (l *testList) JobWorkers(ctx context.Context) ([]jobs.Worker, platform.Version, error) {
+	if err := l.fault(ctx); err != nil {
+		return nil, 0, err
+	}
+	return l.world.grid.JobWorkers(ctx)
+}
+
+func (l *testList) WorkerChanges(ctx context.Context, after platform.Version) ([]platform.WorkerChange, platform.Version, error) {
+	if err := l.fault(ctx); err != nil {
+		return nil, 0, err
+	}
+	changes, at, err := l.world.grid.WorkerChanges(ctx, after)
+	if failed := l.fault(ctx); failed != nil {
+		return nil, 0, failed // the answer is lost
+	}
+	return changes, at, err
+}
+
+// fault is what keeps the daemon from the list now.
+func (l *testList) fault(ctx context.Context) error {
 	if err := l.storeFault(ctx, false, false, ""); err != nil {
-		return nil, err
+		return err
 	}
 	if l.losesWatch(ctx) {
-		return nil, platform.ErrUnknown
+		return platform.ErrUnknown
 	}
-	return l.world.grid.JobWorkers(ctx)
+	return nil
 }
 
 // testPeers reaches the other daemons of the world.
--- a/services/platform/jobs.go
+++ b/services/platform/jobs.go
@@ -79,9 +79,22 @@
 	ProlongLease(ctx context.Context, worker jobs.Worker, call jobs.LeaseCall) (jobs.Report, error)
 }
 
-// WorkerList is the platform's list of job workers.
+// WorkerChange is a worker that has joined or says something new of itself, or one that the
+// list doesn't name any more.
+type WorkerChange struct {
+	Worker jobs.Worker // of one that is gone, the id alone
+	Gone   bool
+}
+
+// WorkerList is the platform's list of job workers. An entry that is not a worker's own, or
+// can't be understood, names no worker; the others hold.
 type WorkerList interface {
-	JobWorkers(ctx context.Context) ([]jobs.Worker, error)
+	// JobWorkers reads the whole list, and gives the version to follow it from.
+	JobWorkers(ctx context.Context) ([]jobs.Worker, Version, error)
+	// WorkerChanges waits until the list changes after the version, and gives the changes in
+	// their order, or none when the wait is over, and the version to go on from.
+	// ErrCompacted and ErrTooLarge say that the list has to be read.
+	WorkerChanges(ctx context.Context, after Version) ([]WorkerChange, Version, error)
 }
 
 // ConfigurationFeed is where operators' configuration comes from.
--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -33,6 +33,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.unlisted[g.slots[place]] = !listed
+	g.noteChange(g.slots[place])
 }
 
 // Drain lets the worker in a place say that it leaves after some time.
@@ -40,6 +41,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining[g.slots[place]] = time.Now().Add(remaining)
+	g.noteChange(g.slots[place])
 }
 
 // StopDraining lets the worker in a place say that it stays.
@@ -47,6 +49,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.draining, g.slots[place])
+	g.noteChange(g.slots[place])
 }
 
 // Crash ends the worker in a place with all that runs there; another incarnation comes
@@ -61,7 +64,10 @@
 		g.audit.ended(w.info.ID, r.task, jobs.EndLapsed)
 	}
 	w.runs = map[jobs.TaskID]*run{}
+	former := g.slots[place]
 	g.slots[place] = g.boot(place)
+	g.noteChange(former)
+	g.noteChange(g.slots[place])
 }
 
 // reach finds the worker that a call is meant for and applies its faults. The order is
--- a/services/standin/grid/grid.go
+++ b/services/standin/grid/grid.go
@@ -16,7 +16,6 @@
 package grid
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"sync"
@@ -55,6 +54,8 @@
 	audit    *audit
 	unlisted map[jobs.WorkerID]bool
 	draining map[jobs.WorkerID]time.Time // when the worker leaves
+	changes  []jobs.WorkerID             // of the list, in their order
+	changed  chan struct{}               // closed and renewed with each of them
 }
 
 var (
@@ -84,7 +85,7 @@
 	}
 	g := &Grid{
 		config: config, workers: map[jobs.WorkerID]*incarnation{}, begin: time.Now(), audit: newAudit(),
-		unlisted: map[jobs.WorkerID]bool{}, draining: map[jobs.WorkerID]time.Time{},
+		unlisted: map[jobs.WorkerID]bool{}, draining: map[jobs.WorkerID]time.Time{}, changed: make(chan struct{}),
 	}
 	for n := range config.Workers {
 		g.slots = append(g.slots, g.boot(n))
@@ -114,25 +115,6 @@
 	return slices.Clone(g.slots)
 }
 
-// JobWorkers lists the workers.
-func (g *Grid) JobWorkers(context.Context) ([]jobs.Worker, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var list []jobs.Worker
-	for _, id := range g.slots {
-		if g.unlisted[id] {
-			continue
-		}
-		info := g.workers[id].info
-		if leaves, ok := g.draining[id]; ok {
-			info.Draining = true
-			info.Remaining = max(0, time.Until(leaves))
-		}
-		list = append(list, info)
-	}
-	return list, nil
-}
-
 // clock is the worker's own.
 func (g *Grid) clock(now time.Time) models.Milli {
 	return models.MilliOf(time.Duration(float64(now.Sub(g.begin)) * (1 - g.config.Slow)))
--- /dev/null
+++ b/services/standin/grid/list.go
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package grid
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// listWait is how long the list waits for a change when nobody looks at its clock.
+const listWait = 500 * time.Millisecond
+
+// JobWorkers lists the workers. The version counts the changes of the list.
+func (g *Grid) JobWorkers(context.Context) ([]jobs.Worker, platform.Version, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []jobs.Worker
+	for _, id := range g.slots {
+		if worker, listed := g.listed(id); listed {
+			list = append(list, worker)
+		}
+	}
+	return list, platform.Version(len(g.changes)), nil
+}
+
+// WorkerChanges waits for changes of the list.
+func (g *Grid) WorkerChanges(ctx context.Context, after platform.Version) ([]platform.WorkerChange, platform.Version, error) {
+	g.mu.Lock()
+	changed := g.changed
+	waits := int(after) == len(g.changes)
+	g.mu.Unlock()
+	if waits {
+		select {
+		case <-changed:
+		case <-time.After(listWait):
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var changes []platform.WorkerChange
+	for _, id := range g.changes[after:] {
+		worker, listed := g.listed(id)
+		changes = append(changes, platform.WorkerChange{Worker: worker, Gone: !listed})
+	}
+	return changes, platform.Version(len(g.changes)), nil
+}
+
+// listed is what the list says of a worker now, and whether it names it.
+func (g *Grid) listed(id jobs.WorkerID) (jobs.Worker, bool) {
+	worker := g.workers[id].info
+	if leaves, ok := g.draining[id]; ok {
+		worker.Draining = true
+		worker.Remaining = max(0, time.Until(leaves))
+	}
+	return worker, !g.unlisted[id] && slices.Contains(g.slots, id)
+}
+
+// noteChange says that the list says something new of a worker.
+func (g *Grid) noteChange(id jobs.WorkerID) {
+	g.changes = append(g.changes, id)
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
