An owner that can't keep up does as much as its link carries

Cause: an owner sent every start at once. At 1.5 times of what its link carries each call waited behind the others, was given up at its limit and made again on a new connection; leases in the store and at workers waited with them. Not the processor: the busiest daemon used 0.03 to 0.06 of its 0.12 cores; the link of 2 Mbit/s was full.

Change: starts under way are bounded by what is answered in time (additive increase, multiplicative decrease) and wait with the core; one that was held up isn't sent; reports become fewer while orders take long; repetitions are paid for by answers; a call to a worker that is given up keeps its connection while its answer may come.

--- a/modules/stall/stall.go
+++ b/modules/stall/stall.go
@@ -133,10 +133,10 @@
 	if n > 0 {
 		b.watchdog.moved(b.limit)
 	}
-	if err != nil && !errors.Is(err, io.EOF) {
-		err = b.watchdog.explain(err)
+	if err == nil || err == io.EOF { // readers give the bare value at their end
+		return n, err
 	}
-	return n, err
+	return n, b.watchdog.explain(err)
 }
 
 // Close implements io.Closer. Closing the answer's body ends the call.
--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/inflight"
 	"rillsail.example/rillsail/services/platform"
 )
 
@@ -42,6 +43,7 @@
 	wakeLease chan struct{} // this daemon's key has to be written
 
 	workerCalls atomic.Int64 // in flight
+	starts      *inflight.Limit
 }
 
 type ownerRecord struct {
@@ -54,6 +56,7 @@
 		config: c, health: health, configurations: configurations,
 		owners: map[jobs.CellName]ownerRecord{}, owned: map[jobs.CellName]*Owner{},
 		loads: map[jobs.CellName]jobs.CellLoad{}, wake: make(chan struct{}, 1), wakeLease: make(chan struct{}, 1),
+		starts: newStarts(),
 	}
 }
 
--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"rillsail.example/rillsail/modules/inflight"
 	"rillsail.example/rillsail/services/dispatch"
 	"rillsail.example/rillsail/services/platform"
 )
@@ -27,7 +28,9 @@
 	for ctx.Err() == nil {
 		o.mu.Lock()
 		o.core.StoreAnswered(o.cells.health.answeredAt())
-		orders := o.core.Decide(time.Now())
+		o.core.AllowStarts(o.cells.starts.Free())
+		decided := time.Now()
+		orders := o.core.Decide(decided)
 		superseded := o.core.Superseded()
 		ends := o.core.HasEnds()
 		held := o.core.TakeHeld()
@@ -43,7 +46,8 @@
 			wake(o.wakeStore)
 		}
 		for _, order := range orders {
-			o.group.Go(func() { o.runOrder(ctx, order) })
+			o.cells.starts.Begin()
+			o.group.Go(func() { o.runOrder(ctx, order, decided) })
 		}
 		sleep(ctx, decideLeast)
 		select {
@@ -54,26 +58,43 @@
 	}
 }
 
-// runOrder carries out one order and tells the core what became of it.
-func (o *Owner) runOrder(ctx context.Context, order dispatch.Order) {
+// runOrder carries out one order that was decided then, and tells the core what became of it.
+func (o *Owner) runOrder(ctx context.Context, order dispatch.Order, decided time.Time) {
 	sent := o.beginCall()
+	if tooOld(order, decided) {
+		o.notSent(order.(dispatch.StartOrder), sent)
+		return
+	}
 	switch order := order.(type) {
 	case dispatch.StartOrder:
 		_, err := o.config.Workers.StartRun(ctx, order.Worker, order.Call)
-		o.ordered(sent, err, func(result dispatch.Result, now time.Time) { o.core.Started(order, result, now) })
+		o.ordered(sent, decided, err, func(result dispatch.Result, now time.Time) { o.core.Started(order, result, now) })
 	case dispatch.StopOrder:
 		_, err := o.config.Workers.StopRun(ctx, order.Worker, order.Call)
-		o.ordered(sent, err, func(result dispatch.Result, now time.Time) { o.core.Stopped(order, result, now) })
+		o.ordered(sent, decided, err, func(result dispatch.Result, now time.Time) { o.core.Stopped(order, result, now) })
 	case dispatch.PaceOrder:
 		_, err := o.config.Workers.SetPace(ctx, order.Worker, order.Call)
-		o.ordered(sent, err, func(result dispatch.Result, now time.Time) { o.core.Paced(order, result, now) })
+		o.ordered(sent, decided, err, func(result dispatch.Result, now time.Time) { o.core.Paced(order, result, now) })
 	}
 }
 
-// ordered tells the core what became of an order that was sent then, and lets it decide.
-func (o *Owner) ordered(sent time.Time, err error, what func(result dispatch.Result, now time.Time)) {
+// notSent tells the core that a start was not sent, for it had become too old.
+func (o *Owner) notSent(order dispatch.StartOrder, now time.Time) {
+	o.config.Scope.Counter("starts_not_sent").Inc(1)
+	o.cells.workerCalls.Add(-1)
+	o.cells.starts.End(inflight.Call{Took: startsOldest, Answered: true}) // it says that this daemon is late
+	o.mu.Lock()
+	o.core.Started(order, dispatch.Result{Outcome: dispatch.OutcomeNotSent}, now)
+	o.mu.Unlock()
+	wake(o.wakeDecide)
+}
+
+// ordered tells the core what became of an order that was decided and sent then, and lets it
+// decide.
+func (o *Owner) ordered(sent, decided time.Time, err error, what func(result dispatch.Result, now time.Time)) {
 	result := resultOf(err)
 	o.endCall(sent, 0, result.Outcome)
+	o.cells.starts.End(inflight.Call{Took: time.Since(decided), Answered: result.Outcome != dispatch.OutcomeUnknown})
 	o.mu.Lock()
 	what(result, time.Now())
 	o.mu.Unlock()
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -95,7 +95,7 @@
 		report, err := o.config.Workers.ProlongLease(ctx, worker, call)
 		o.endCall(sent, call.Wait, resultOf(err).Outcome)
 		o.takeReport(worker.ID, sent, report, err)
-		pause := o.config.Settings.ReportPause
+		pause := o.reportPause()
 		if err != nil && !errors.Is(err, platform.ErrUnknown) {
 			pause = workerRetry
 		}
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -41,6 +41,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -104,6 +105,8 @@
 	model         *contention.Model
 	sharedAt      time.Time                 // when observations last came into force
 	usual         map[jobs.QueueName]*speed // how fast tasks progress, in estimates
+	repeats       repeats
+	startsLeft    int // that Decide may still order
 	counts        Counts
 	figures       JobFigures
 	placeBuffer   places                      // reused by Core.places
@@ -123,12 +126,17 @@
 		workers: map[jobs.WorkerID]*worker{}, queues: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
 		formerLease: config.LongestLease, blind: true, proved: config.Taken, model: contention.NewModel(), usual: map[jobs.QueueName]*speed{},
 		restored: map[stepKey]contention.Load{}, known: known{jobs: config.Taken, workers: config.Taken},
+		repeats: newRepeats(), startsLeft: math.MaxInt,
 	}
 }
 
 // Superseded tells whether a worker has seen a later owner.
 func (c *Core) Superseded() bool { return c.superseded }
 
+// AllowStarts bounds the starts that Decide may order from now on; the most urgent go first, and
+// tasks that get none wait. Without a call there is no bound.
+func (c *Core) AllowStarts(n int) { c.startsLeft = n }
+
 // Counts is what the core has done so far.
 func (c *Core) Counts() Counts { return c.counts }
 
--- a/services/dispatch/order.go
+++ b/services/dispatch/order.go
@@ -44,6 +44,7 @@
 	OutcomeUnreached           // no connection came about, nothing was done
 	OutcomeIncarnation         // another incarnation is at the address
 	OutcomeUnknown             // no answer; it may have been done or may still be
+	OutcomeNotSent             // nobody has sent it
 )
 
 // Result is the outcome of an order with its reason.
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -21,6 +21,10 @@
 	if t == nil || w == nil || t.worker != w || t.run != order.Call.Run || t.state != taskStarting {
 		return
 	}
+	if result.Outcome == OutcomeNotSent {
+		c.unsent(t)
+		return
+	}
 	known := result.Outcome == OutcomeDone || result.Outcome == OutcomeRefused && result.Refusal == jobs.RefusedRun
 	if t.retried && !known {
 		c.stop(t, "its first start is not answered, the second was not done")
@@ -28,6 +32,7 @@
 	}
 	switch result.Outcome {
 	case OutcomeDone:
+		c.repeats.earn()
 		c.confirm(t, now)
 	case OutcomeUnknown:
 		c.unanswered(t, order, now)
@@ -39,6 +44,16 @@
 	}
 }
 
+// unsent lets a task whose start was not sent wait again; a repetition of a start that may be
+// done is barred.
+func (c *Core) unsent(t *task) {
+	if t.retried {
+		c.stop(t, "its first start is not answered, the second was not sent")
+		return
+	}
+	c.wait(t)
+}
+
 // Pauses after which a worker or a step is tried again.
 const (
 	unwellPause = 700 * time.Millisecond // the worker did nothing because it is not well
@@ -66,7 +81,8 @@
 // unanswered repeats a start that got no answer once; after that the run is barred.
 func (c *Core) unanswered(t *task, order StartOrder, now time.Time) {
 	c.counts.Unanswered++
-	if !t.retried && now.Sub(t.worker.heard) < silentAfter && !t.step.job.cancelled && c.mayStart() {
+	mayRepeat := !t.retried && now.Sub(t.worker.heard) < silentAfter && !t.step.job.cancelled && c.mayStart()
+	if mayRepeat && c.repeats.take() {
 		t.retried = true
 		t.tried = now
 		c.orders = append(c.orders, order)
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -23,6 +23,9 @@
 // placeAll gives waiting tasks their places, the most urgent first.
 func (c *Core) placeAll(now time.Time) {
 	for _, candidate := range c.candidates(now) {
+		if c.startsLeft <= 0 {
+			return
+		}
 		c.placeStep(candidate.step, now)
 	}
 }
@@ -74,6 +77,9 @@
 		if t.state != taskWaiting {
 			continue
 		}
+		if c.startsLeft <= 0 {
+			return
+		}
 		if len(places) == 0 {
 			s.findNone(now)
 			return
@@ -103,6 +109,7 @@
 		w.refilled = now
 	}
 	w.add(t)
+	c.startsLeft--
 	c.counts.Starts++
 	c.noteFirstStart(t.step.job, now)
 	c.config.Logger.Info("run starts", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
--- /dev/null
+++ b/services/dispatch/repeats.go
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+// repeats is a budget of starts that are sent again, earned by starts that are answered: when
+// answers get lost one by one each start may be repeated, when hardly any comes repeating
+// would double what the owner or its link can't carry already.
+type repeats struct{ left float64 }
+
+const (
+	// repeatShare is how many repetitions an answered start pays for. With half of all answers
+	// lost, the most seen on the users' sites, half of the first tries are repeated for two
+	// thirds as many answers.
+	repeatShare = 0.7
+	// mostRepeats bounds what is saved up: a burst of lost answers, not an outage.
+	mostRepeats = 50
+)
+
+func newRepeats() repeats { return repeats{left: mostRepeats} }
+
+// earn notes a start that was answered.
+func (r *repeats) earn() { r.left = min(mostRepeats, r.left+repeatShare) }
+
+// take tells whether a start may be repeated, and pays for it.
+func (r *repeats) take() bool {
+	if r.left < 1 {
+		return false
+	}
+	r.left--
+	return true
+}
--- a/services/standin/grid/audit.go
+++ b/services/standin/grid/audit.go
@@ -21,6 +21,7 @@
 	settled   map[jobs.TaskID]bool  // succeeded, and the end was acknowledged
 	failed    map[jobs.TaskID]int   // failed runs whose ends were acknowledged
 	failures  map[jobs.TaskID]int   // failed runs
+	lapsed    int                   // runs that nobody prolonged
 	breaches  []string
 }
 
@@ -110,6 +111,8 @@
 		a.done[task] = true
 	case jobs.EndFailed:
 		a.failures[task]++
+	case jobs.EndLapsed:
+		a.lapsed++
 	}
 }
 
--- a/services/standin/grid/seen.go
+++ b/services/standin/grid/seen.go
@@ -34,6 +34,20 @@
 	return true
 }
 
+// Done counts the tasks that have succeeded.
+func (g *Grid) Done() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.audit.done)
+}
+
+// Lapsed counts the runs that ended because nobody prolonged their lease, or with their worker.
+func (g *Grid) Lapsed() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.audit.lapsed
+}
+
 // MostFailures is how often the task of the job that failed most has failed.
 func (g *Grid) MostFailures(id jobs.ID) int {
 	g.mu.Lock()
