Cells are laid out for what the daemons carry

Cause: the number of workers a cell came from the settings alone, so that a daemon with 2 Mbit/s owned 144 workers. A worker's starts and reports take 40 kbit/s each way.

Change: daemons register their link beside their processor; a layout has as few cells as there are daemons for, with as many to spare, that carry each. A daemon holds back from a free cell by what it lacks to carry it, so that daemons of 0.4 cores take a cell of 66 workers 0.5 s sooner.

--- a/models/jobs/query.go
+++ b/models/jobs/query.go
@@ -81,6 +81,8 @@
 type Layout struct {
 	Cells int               `json:"cells"`
 	Racks map[RackLabel]int `json:"racks,omitempty"`
+	// Workers is how many there were when the layout was made; 0: not known.
+	Workers int `json:"workers,omitempty"`
 }
 
 // maxCells bounds the cells of a layout.
@@ -101,12 +103,14 @@
 	ID string `json:"id"`
 	// Processor is how many cores the daemon may use; weaker owners leave cells to it.
 	Processor float64 `json:"processor,omitempty"`
+	// Link is how many Mbit/s its VM may send and receive; 0: not known.
+	Link float64 `json:"link,omitempty"`
 }
 
 // Check rejects an impossible amount.
 func (d Daemon) Check() error {
-	if d.Processor < 0 {
-		return errors.Newf("daemon %s: processor is negative", d.ID)
+	if d.Processor < 0 || d.Link < 0 {
+		return errors.Newf("daemon %s: processor or link is negative", d.ID)
 	}
 	return nil
 }
--- a/modules/setting/jobs.go
+++ b/modules/setting/jobs.go
@@ -16,6 +16,7 @@
 	StopGrace      time.Duration // between the order to stop and the end of the process
 	WorkersPerCell int
 	Processor      float64 // cores that this daemon may use
+	Link           float64 // Mbit/s that this daemon may send and receive; 0: not known
 }
 
 func defaultJobs() Jobs {
@@ -41,7 +42,8 @@
 	r.duration("store_every", &j.StoreEvery, 10*time.Millisecond, 10*time.Second, "how often progress of jobs is stored")
 	r.duration("stop_grace", &j.StopGrace, time.Second, time.Hour, "time between the order to stop and the end of the process")
 	r.fraction("processor", &j.Processor, 0.01, 1024, "cores that this daemon may use; daemons with few leave cells to others")
-	r.number("workers_per_cell", &j.WorkersPerCell, 1, 10_000, "workers of one cell, when the cells are laid out")
+	r.fraction("link", &j.Link, 0, 1_000_000, "Mbit/s that this daemon may send and receive; 0 when not known; cells are laid out for what the daemons carry")
+	r.number("workers_per_cell", &j.WorkersPerCell, 1, 10_000, "most workers of one cell, when the cells are laid out")
 }
 
 func checkJobs(s *Settings) *Error {
--- a/services/control/cancel_test.go
+++ b/services/control/cancel_test.go
@@ -99,7 +99,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w, idle, owner := newTwoDaemons(t)
 		w.submit(idle, lasting(2, 1))
-		w.cores = 0.4 // it holds back from a cell that is free
+		w.cores = 0.001 // it carries no worker, and holds back from a cell that is free
 		weak := w.startDaemon()
 		w.eventually(10*time.Second, "ready", weak.Ready)
 		idle.kill()
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -38,18 +38,15 @@
 // that cells spread.
 const claimStep = 150 * time.Millisecond
 
-// A daemon with less than enoughProcessor cores holds back as well, up to weakHold: the
-// owner of 70 workers uses a tenth of a core on average and several times as much in bursts.
-// After an outage of the store it takes about a second until all daemons are back.
-const (
-	enoughProcessor = 0.7
-	weakHold        = 1200 * time.Millisecond
-)
+// weakHold is for how long a daemon leaves a free cell to others that carries nothing of it:
+// after an outage of the store it takes about a second until all daemons are back.
+const weakHold = 1200 * time.Millisecond
 
-// holdBack is how long this daemon leaves a free cell to others.
+// holdBack is how long this daemon leaves a free cell to others: the less of it it carries,
+// the longer, so that a cell goes to one that carries it when there is any.
 func (c *Cells) holdBack(owned int) time.Duration {
-	weak := max(0, enoughProcessor-c.config.Settings.Processor) / enoughProcessor
-	return time.Duration(owned)*claimStep + time.Duration(weak*float64(weakHold))
+	lacks := max(0, 1-float64(carries(c.self()))/float64(c.cellSize()))
+	return time.Duration(owned)*claimStep + time.Duration(lacks*float64(weakHold))
 }
 
 func (c *Cells) claimFree(ctx context.Context) {
--- a/services/control/layout.go
+++ b/services/control/layout.go
@@ -53,7 +53,11 @@
 	if err != nil {
 		return err
 	}
-	layout := divide(workers, c.config.Settings.WorkersPerCell)
+	daemons, err := c.registeredDaemons(ctx)
+	if err != nil {
+		return err
+	}
+	layout := divide(workers, cellsFor(len(workers), c.config.Settings.WorkersPerCell, daemons))
 	value, err := json.Marshal(layout)
 	if err != nil {
 		return errors.Wrap(err, "encode layout")
@@ -85,9 +89,9 @@
 	}
 }
 
-// divide spreads the racks over as few cells as hold the workers, evenly by capacity.
-func divide(workers []jobs.Worker, perCell int) jobs.Layout {
-	layout := jobs.Layout{Cells: max(1, (len(workers)+perCell-1)/perCell), Racks: map[jobs.RackLabel]int{}}
+// divide spreads the racks over so many cells, evenly by capacity.
+func divide(workers []jobs.Worker, cells int) jobs.Layout {
+	layout := jobs.Layout{Cells: cells, Racks: map[jobs.RackLabel]int{}, Workers: len(workers)}
 	capacity := map[jobs.RackLabel]int64{}
 	for _, w := range workers {
 		capacity[w.Rack] += int64(w.Capacity.CPU)
--- a/services/control/lease.go
+++ b/services/control/lease.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/services/platform"
 )
@@ -67,7 +66,7 @@
 
 // register writes this daemon's own key.
 func (c *Cells) register(ctx context.Context, lease platform.LeaseID) {
-	value, err := json.Marshal(jobs.Daemon{ID: c.config.Self, Processor: c.config.Settings.Processor})
+	value, err := json.Marshal(c.self())
 	if err != nil {
 		c.config.Logger.Error("daemon's key can't be encoded", log.Err(err)...)
 		return
--- a/services/control/yield.go
+++ b/services/control/yield.go
@@ -11,11 +11,13 @@
 
 	"go.uber.org/zap"
 
-	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/log"
 )
 
 const (
+	// enoughProcessor is that of a daemon, in cores, that need not leave its only cell to
+	// another one.
+	enoughProcessor = 0.7
 	// yieldLook is how often an owner looks for a daemon that has more for one of its cells.
 	yieldLook = time.Second
 	// yieldPause is the least time between two handovers, in case nobody takes the cells.
@@ -51,19 +53,14 @@
 	if owned == 1 && c.config.Settings.Processor >= enoughProcessor {
 		return false
 	}
-	records, _, err := c.config.Store.List(ctx, daemonPrefix)
+	daemons, err := c.registeredDaemons(ctx)
 	c.health.note(err)
 	if err != nil {
 		return false // looked for again in a second
 	}
 	cells := c.cellsByDaemon()
 	mine := c.config.Settings.Processor / float64(owned)
-	for _, record := range records {
-		daemon, err := decode[jobs.Daemon](record)
-		if err != nil {
-			c.config.Logger.Error("stored daemon can't be read", append(log.Err(err), zap.String("key", record.Key))...)
-			continue
-		}
+	for _, daemon := range daemons {
 		theirs := daemon.Processor / float64(cells[daemon.ID]+1)
 		able := owned > 1 || daemon.Processor >= enoughProcessor
 		if daemon.ID != c.config.Self && able && theirs >= farMore*mine {
