A cell leaves a daemon whose link is narrow as it does one with little processor time

Cause: handing a cell over went by processor time alone; a daemon with a whole core behind 2 Mbit/s kept a cell of any size. Change: it goes by the workers that each daemon carries. Where links are wide it decides as before. Test: TestOwnerBehindANarrowLinkLeavesItsCell (failed before).

--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -39,6 +39,7 @@
 	perCell int
 	scope   tally.TestScope
 	cores   float64 // of daemons that are started from now on; 0: those of testSettings
+	mbit    float64 // of their links; 0: not known
 	logs    zapcore.Core
 	written *observer.ObservedLogs
 	// wrapStore puts more faults on the way to the store of daemons that are started from now on; nil: none.
@@ -140,6 +141,7 @@
 	if w.cores > 0 {
 		settings.Processor = w.cores
 	}
+	settings.Link = w.mbit
 	var store platform.TxnStore = &testStore{&kv.Local{Service: w.store, Fault: d.storeFault, Wait: time.Second}, d}
 	if w.wrapStore != nil {
 		store = w.wrapStore(d, store)
--- a/services/control/yield.go
+++ b/services/control/yield.go
@@ -15,21 +15,21 @@
 )
 
 const (
-	// enoughProcessor is that of a daemon, in cores, that need not leave its only cell to
-	// another one.
-	enoughProcessor = 0.7
+	// enoughWorkers is how many a daemon carries that need not leave its only cell to another
+	// one: somewhat more than the largest cells have.
+	enoughWorkers = 420
 	// yieldLook is how often an owner looks for a daemon that has more for one of its cells.
 	yieldLook = time.Second
 	// yieldPause is the least time between two handovers, in case nobody takes the cells.
 	yieldPause = 5 * time.Second
-	// farMore is how many times the processor time that an owner has for each of its cells
-	// another daemon must have for one more: a handover costs the cell 0.2 s of work (logs of
+	// farMore is how many times the workers that an owner carries for each of its cells
+	// another daemon must carry for one more: a handover costs the cell 0.2 s of work (logs of
 	// planned stops) and is not made for little.
 	farMore = 2.0
 )
 
-// yieldLoop hands a cell over when another daemon has far more processor time for it:
-// holding back when a cell is free is not enough after an outage, when daemons come back
+// yieldLoop hands a cell over when another daemon has far more processor time, or a far wider
+// link, for it: holding back when a cell is free is not enough after an outage, when daemons come back
 // one after the other. That goes for a weak daemon as for one that took several cells: 0.8
 // cores were too few for two of 245 workers, and tasks ran twice (6) or on workers that drained
 // (3) in a day that began so; none did once the second cell was handed over.
@@ -41,16 +41,17 @@
 			continue
 		}
 		cell := slices.Min(slices.Collect(maps.Keys(owned)))
-		err := c.handOver(ctx, cell, owned[cell], "another daemon has far more processor time for it")
+		err := c.handOver(ctx, cell, owned[cell], "another daemon carries far more")
 		c.config.Logger.Info("cell is handed over", append(log.Err(err), zap.String("cell", string(cell)))...)
 		sleep(ctx, yieldPause)
 	}
 }
 
-// betterIsThere tells whether a daemon that is registered now would have far more processor
-// time for a cell than this one has for each of those that it owns.
+// betterIsThere tells whether a daemon that is registered now would carry far more for a cell
+// than this one does for each of those that it owns.
 func (c *Cells) betterIsThere(ctx context.Context, owned int) bool {
-	if owned == 1 && c.config.Settings.Processor >= enoughProcessor {
+	self := carries(c.self())
+	if owned == 1 && self >= enoughWorkers {
 		return false
 	}
 	daemons, err := c.registeredDaemons(ctx)
@@ -59,10 +60,10 @@
 		return false // looked for again in a second
 	}
 	cells := c.cellsByDaemon()
-	mine := c.config.Settings.Processor / float64(owned)
+	mine := float64(self) / float64(owned)
 	for _, daemon := range daemons {
-		theirs := daemon.Processor / float64(cells[daemon.ID]+1)
-		able := owned > 1 || daemon.Processor >= enoughProcessor
+		theirs := float64(carries(daemon)) / float64(cells[daemon.ID]+1)
+		able := owned > 1 || carries(daemon) >= enoughWorkers
 		if daemon.ID != c.config.Self && able && theirs >= farMore*mine {
 			return true
 		}
--- a/services/control/yield_test.go
+++ b/services/control/yield_test.go
@@ -33,6 +33,23 @@
 	})
 }
 
+// TestOwnerBehindANarrowLinkLeavesItsCell holds the same of links: one of 2 Mbit/s carries the
+// starts of some twenty workers, whatever the processor.
+func TestOwnerBehindANarrowLinkLeavesItsCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, 0, nil)
+		w.mbit = 2
+		narrow := w.startDaemon()
+		w.eventually(10*time.Second, "the daemon behind the narrow link owns the cell", func() bool { return w.owner() == narrow })
+		w.mbit = 200
+		wide := w.startDaemon()
+		w.eventually(4*time.Second, "the other one owns the cell", func() bool { return w.owner() == wide })
+		time.Sleep(2 * yieldPause)
+		require.Equal(t, wide, w.owner(), "it stays there")
+		w.noBreach()
+	})
+}
+
 // TestOwnerOfTwoCellsLeavesOneToADaemonWithNone holds how an owner came to be late with all
 // of its calls. One daemon took both cells when others were away, and kept them when they were
 // back: with 490 workers its answers came later than its calls' time limit, each call was
