A cell whose owner's process has ended has another owner within some tenths of a second

Cause: the key of an owner that was killed stays until its lease runs out, 2 s later; short jobs that came in that time were late. Change: who asks the owner is told that nobody listens, asks again after 50 ms, and removes the key; each owner once, and none within its first 5 s, so that a cut that looks the same changes the owner seldom.

--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -48,7 +48,10 @@
 
 type ownerRecord struct {
 	jobs.Owner
-	version platform.Version
+	version   platform.Version
+	since     time.Time // when this daemon first heard of it
+	suspected bool      // nobody listened at its address
+	asked     bool      // that was confirmed, and its key removed, or tried to
 }
 
 func newCells(c Config, health *storeHealth, configurations *Configurations) *Cells {
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -51,6 +51,7 @@
 
 func (c *Cells) claimFree(ctx context.Context) {
 	c.releaseStale(ctx)
+	c.removeAbandoned(ctx)
 	c.mu.Lock()
 	var free []jobs.CellName
 	if c.division != nil && c.synced && c.lease != 0 && !c.stopping {
@@ -160,7 +161,7 @@
 	c.config.Scope.Counter("cells_taken").Inc(1)
 	mine := newOwner(c, cell, jobs.Epoch(version), taken)
 	c.mu.Lock()
-	c.owners[cell] = ownerRecord{Owner: owner, version: version}
+	c.owners[cell] = ownerRecord{Owner: owner, version: version, since: taken}
 	c.owned[cell] = mine
 	c.mu.Unlock()
 	c.group.Go(func() { c.runOwner(ctx, cell, mine) })
--- a/services/control/peers.go
+++ b/services/control/peers.go
@@ -89,6 +89,9 @@
 		return jobs.Answer{}, errNoOwner
 	}
 	answer, err := c.config.Peers.Jobs(ctx, owner.Address, query)
+	if nobodyListens(err) {
+		c.suspect(query.Cell, owner.Claim)
+	}
 	if err == nil && !answer.Owner {
 		err = errNoOwner
 	}
--- a/services/control/watch.go
+++ b/services/control/watch.go
@@ -89,8 +89,8 @@
 	c.mu.Lock()
 	if record.Deleted {
 		delete(c.owners, cell)
-	} else {
-		c.owners[cell] = ownerRecord{Owner: owner, version: record.Version}
+	} else if c.owners[cell].version != record.Version {
+		c.owners[cell] = ownerRecord{Owner: owner, version: record.Version, since: time.Now()}
 	}
 	mine := c.owned[cell]
 	// A watch that is behind tells of the keys of former owners, whose end says nothing of this one.
--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -7,8 +7,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -68,6 +71,8 @@
 	slowFor   time.Duration          // its orders reach the workers so much later, unanswered in time
 	watchLost bool                   // changes in the store don't reach it, while its other calls are answered
 
+	ended bool // its process is gone from a VM that is there: nobody listens at its address
+
 	beforeCommit func() // called before each of its transactions; nil: nothing
 }
 
@@ -181,6 +186,18 @@
 	<-d.done
 }
 
+// end ends a daemon as a signal does that ends its process at once: its VM refuses connections.
+func (d *testDaemon) end() {
+	d.kill()
+	d.set(func() { d.ended = true })
+}
+
+func (d *testDaemon) hasEnded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ended
+}
+
 // freeze lets all calls of a daemon wait, as they do in a process that stands still.
 func (d *testDaemon) freeze() {
 	d.mu.Lock()
@@ -397,6 +414,9 @@
 	p.mu.Lock()
 	d := p.byName[address]
 	p.mu.Unlock()
+	if d != nil && d.hasEnded() {
+		return jobs.Answer{}, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	}
 	if d == nil || d.isFrozen() {
 		return jobs.Answer{}, errNoOwner
 	}
