--- a/services/control/peers.go
+++ b/services/control/peers.go
@@ -53,7 +53,11 @@
 
 // Jobs implements Peers.
 func (p *caller) Jobs(ctx context.Context, address string, query jobs.Query) (jobs.Answer, error) {
-	return peerrpc.Call[jobs.Answer](ctx, p.self, "ask owner", address, p.owners.At(address).Jobs, query)
+	answer, err := peerrpc.Call[jobs.Answer](ctx, p.self, "ask owner", address, p.owners.At(address).Jobs, query)
+	if errors.Is(err, stall.ErrStalled) {
+		p.transport.CloseIdleConnections() // they may have gone silent with the one that was used
+	}
+	return answer, err
 }
 
 // close closes the connections that no call uses.
--- a/services/standin/link/link.go
+++ b/services/standin/link/link.go
@@ -16,6 +16,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +39,8 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	up, down  direction
+	// dialed counts the connections; those up to silenced are silent for good.
+	dialed, silenced atomic.Int64
 }
 
 // New makes a link.
@@ -98,6 +101,10 @@
 	l.down.silent = silent
 }
 
+// SilenceOpen lets the connections that there are go silent for good, without a reset; later
+// ones work.
+func (l *Link) SilenceOpen() { l.silenced.Store(l.dialed.Load()) }
+
 // Dial connects the VM with a listener; it fits http.Transport.
 func (l *Link) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	l.mu.Lock()
@@ -111,9 +118,10 @@
 		return nil, &net.OpError{Op: "dial", Net: "link", Err: ctx.Err()}
 	}
 	near, far := net.Pipe()
+	number := l.dialed.Add(1)
 	select {
-	case to.accepted <- &conn{Conn: far, way: &l.down}:
-		return &conn{Conn: near, way: &l.up}, nil
+	case to.accepted <- &conn{Conn: far, way: &l.down, link: l, number: number}:
+		return &conn{Conn: near, way: &l.up, link: l, number: number}, nil
 	case <-to.closed:
 		return nil, &net.OpError{Op: "dial", Net: "link", Err: net.ErrClosed}
 	case <-ctx.Done():
@@ -124,13 +132,18 @@
 // conn is one end of a connection; what is written to it goes one way.
 type conn struct {
 	net.Conn
-	way *direction
+	way    *direction
+	link   *Link
+	number int64
 }
 
 // Write implements net.Conn. What a silent link loses counts as written.
 func (c *conn) Write(data []byte) (int, error) {
 	written := 0
 	for written < len(data) {
+		if c.number <= c.link.silenced.Load() {
+			return len(data), nil
+		}
 		n := min(packet, len(data)-written)
 		if !c.way.carry(n) {
 			return len(data), nil
--- a/tests/soak/inject.go
+++ b/tests/soak/inject.go
@@ -78,6 +78,9 @@
 		return r.site.reconfigure(ctx) == nil
 	case StoreDown, StoreSlow, StoreLossy, StoreLate, StoreForgets, StoreBusy, StoreLimited, StoreReadsFail:
 		r.disturbStore(ctx, fault)
+	case SilenceDaemon, SilenceWorker:
+		r.silenceAll(fault, d, place)
+		pause(ctx, fault.For)
 	case CutStore, CutStoreHalf, CutPeer, CutCallers, SlowWorker, ResetWorker:
 		r.disturbConnections(ctx, fault, d, place)
 	default:
--- a/tests/soak/plan.go
+++ b/tests/soak/plan.go
@@ -40,6 +40,8 @@
 	CrashWorker    Kind = "worker is replaced"
 	HideWorker     Kind = "worker is missing in the list"
 	DrainWorker    Kind = "worker drains and leaves"
+	SilenceDaemon  Kind = "daemon's open connections are silent for good"
+	SilenceWorker  Kind = "open connections to a worker are silent for good"
 )
 
 // kinds lists those that come by themselves with their weights: what daemons must survive
@@ -121,6 +123,7 @@
 		at += time.Duration(random.Int64N(int64(longestPause)))
 	}
 	plan.Faults = append(plan.Faults, overlaps(seed, length)...)
+	plan.Faults = append(plan.Faults, drawSilences(seed, length, daemons*workers)...)
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
