A daemon that leaves its cell to one that carries more holds back from it

Cause: since daemons hold back by the workers that they carry, a weak one carries a small cell and held back no more: it was the first to see that the cell it had just handed over was free. Change: for 5 s after it has left a cell a daemon holds back as one that carries nothing.

--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -44,6 +44,7 @@
 
 	workerCalls atomic.Int64 // in flight
 	starts      *inflight.Limit
+	yielded     atomic.Pointer[time.Time] // when this daemon last left a cell to one that carries more
 }
 
 type ownerRecord struct {
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -43,9 +43,13 @@
 const weakHold = 1200 * time.Millisecond
 
 // holdBack is how long this daemon leaves a free cell to others: the less of it it carries,
-// the longer, so that a cell goes to one that carries it when there is any.
+// the longer, so that a cell goes to one that carries it when there is any. One that has just
+// left a cell to another daemon would be the first to see that it is free.
 func (c *Cells) holdBack(owned int) time.Duration {
 	lacks := max(0, 1-float64(carries(c.self()))/float64(c.cellSize()))
+	if since := c.yielded.Load(); since != nil && time.Since(*since) < yieldPause {
+		lacks = 1
+	}
 	return time.Duration(owned)*claimStep + time.Duration(lacks*float64(weakHold))
 }
 
--- a/services/control/yield.go
+++ b/services/control/yield.go
@@ -41,6 +41,8 @@
 			continue
 		}
 		cell := slices.Min(slices.Collect(maps.Keys(owned)))
+		now := time.Now()
+		c.yielded.Store(&now)
 		err := c.handOver(ctx, cell, owned[cell], "another daemon carries far more")
 		c.config.Logger.Info("cell is handed over", append(log.Err(err), zap.String("cell", string(cell)))...)
 		sleep(ctx, yieldPause)
