Tasks that last leave room to short work for some seconds

Change: for 5 s from when it waits a task that lasts takes only room beyond 1.5 times what short work has needed in the last 3 s, at most a quarter of the cell; moves to other cells likewise. Tests: TestTasksThatLostTheirWorkerLeaveRoomToShortWork (failed before), TestTasksThatLastTakeRoomThatNobodyElseNeeds, TestDemandOfShortWorkIsForgotten.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -106,6 +106,7 @@
 	sharedAt      time.Time                 // when observations last came into force
 	usual         map[jobs.QueueName]*speed // how fast tasks progress, in estimates
 	repeats       repeats
+	short         shortWork
 	startsLeft    int // that Decide may still order
 	counts        Counts
 	figures       JobFigures
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -39,6 +39,7 @@
 // AddJob takes a job that the store holds. Fresh says that it was accepted after this
 // cell was taken, so that nobody else has started any of it.
 func (c *Core) AddJob(record jobs.Record, progress jobs.Progress, fresh bool, now time.Time) {
+	c.now = now
 	id := record.Spec.ID
 	if record.Ended != "" {
 		c.remember(id, record.Ended, now)
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -22,7 +22,11 @@
 
 // placeAll gives waiting tasks their places, the most urgent first.
 func (c *Core) placeAll(now time.Time) {
-	for _, candidate := range c.candidates(now) {
+	candidates := c.candidates(now)
+	if len(candidates) > 0 {
+		c.lookAtShortWork(now)
+	}
+	for _, candidate := range candidates {
 		if c.startsLeft <= 0 {
 			return
 		}
@@ -84,6 +88,10 @@
 			s.findNone(now)
 			return
 		}
+		if s.spec.Lasts && !c.leavesRoom(t, now) {
+			s.findNone(now)
+			continue // others of the step may have waited for longer
+		}
 		s.stuck = time.Time{}
 		c.start(t, places[0].worker, now)
 		if s.spec.SameRack {
@@ -109,6 +117,7 @@
 		w.refilled = now
 	}
 	w.add(t)
+	c.takeRoom(t)
 	c.startsLeft--
 	c.counts.Starts++
 	c.noteFirstStart(t.step.job, now)
--- /dev/null
+++ b/services/dispatch/reserve_test.go
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// The pattern: workers leave at short notice, all tasks that last and were there look for
+// another place at once, and short jobs go on coming. The figures are those of the users' days
+// in small: of each worker's room tasks that last take three quarters, short work an eighth, and a
+// quarter of the workers leaves.
+
+// shortage is a core of four workers with tasks that last on all of them and short work.
+type shortage struct {
+	*bench
+	t    *testing.T
+	made int
+}
+
+const (
+	lastingID = testJob
+	// each worker of the bench has 4000 thousandths of a core
+	lastingCPU = 1000
+	shortCPU   = 1000
+)
+
+func newShortage(t *testing.T) *shortage {
+	s := &shortage{bench: newBench(t, 4), t: t}
+	for n := range 4 {
+		s.report(n, jobs.Report{})
+	}
+	lasting := servingStep
+	lasting.Count, lasting.Size.CPU, lasting.Target = 12, lastingCPU, 0
+	s.AddJob(s.job(lasting), jobs.Progress{}, true, s.now)
+	for _, start := range s.starts() {
+		s.Started(start, Result{Outcome: OutcomeDone}, s.now)
+	}
+	require.Equal(t, 12, s.running(lastingID))
+	return s
+}
+
+// running counts the tasks of a job that are on workers.
+func (s *shortage) running(id jobs.ID) int {
+	n := 0
+	for _, w := range s.workers {
+		for _, t := range w.tasks {
+			if t.step.job.spec.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// hand adds a short job of so many tasks.
+func (s *shortage) hand(tasks int) jobs.ID {
+	s.made++
+	record := s.job(jobs.Step{Count: tasks, Size: models.Resources{CPU: shortCPU, Memory: 10}, Estimate: 800})
+	record.Spec.ID = jobs.ID(string(testJob[:14]) + []string{"b0", "b1", "b2", "b3"}[s.made])
+	s.AddJob(record, jobs.Progress{}, true, s.now)
+	return record.Spec.ID
+}
+
+// look lets time pass in which the workers report what runs, and places what waits.
+func (s *shortage) look(passed time.Duration) {
+	for end := s.now.Add(passed); s.now.Before(end); {
+		for n := range s.ids {
+			if w := s.workers[s.ids[n]]; w != nil {
+				s.report(n, jobs.Report{Running: s.rows(w)})
+			}
+		}
+		for _, start := range s.starts() {
+			s.Started(start, Result{Outcome: OutcomeDone}, s.now)
+		}
+	}
+}
+
+// rows are the runs on a worker as it reports them.
+func (s *shortage) rows(w *worker) []jobs.Run {
+	var rows []jobs.Run
+	for _, t := range w.tasks {
+		rows = append(rows, jobs.Run{Task: t.id(), Run: t.run})
+	}
+	return rows
+}
+
+// TestTasksThatLostTheirWorkerLeaveRoomToShortWork lets a worker go that tasks that last had
+// filled. Of the three that are left two are full of them, and short work has half of the third.
+func TestTasksThatLostTheirWorkerLeaveRoomToShortWork(t *testing.T) {
+	s := newShortage(t)
+	first := s.hand(2)
+	s.look(400 * time.Millisecond)
+	require.Equal(t, 2, s.running(first))
+	s.Replaced(s.ids[0])
+	lost := 12 - s.running(lastingID)
+	require.Positive(t, lost)
+	s.look(time.Second)
+	require.Less(t, s.running(lastingID), 12, "they don't take all room that is left")
+	second := s.hand(1)
+	s.look(400 * time.Millisecond)
+	require.Equal(t, 1, s.running(second), "short work that comes finds a place")
+	s.look(lastsLeaves)
+	require.Greater(t, s.running(lastingID), 12-lost, "they have waited for long enough")
+}
+
+// TestTasksThatLastTakeRoomThatNobodyElseNeeds loses a worker when there is no short work.
+func TestTasksThatLastTakeRoomThatNobodyElseNeeds(t *testing.T) {
+	s := newShortage(t)
+	s.Replaced(s.ids[0])
+	s.look(400 * time.Millisecond)
+	require.Equal(t, 12, s.running(lastingID))
+}
+
+// TestDemandOfShortWorkIsForgotten: room is left for as long as it may be needed again.
+func TestDemandOfShortWorkIsForgotten(t *testing.T) {
+	s := newShortage(t)
+	s.short.demand = 4000
+	for range 100 {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.lookAtShortWork(s.now)
+	}
+	require.Less(t, s.short.demand, 200.0)
+}
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -37,6 +37,7 @@
 	settled    time.Time // when the order in flight was answered; zero while it is not
 	tried      time.Time // when the last order was given
 	retried    bool      // the start was repeated
+	waits      time.Time // since when it waits, while it does; zero: for long, or for another cell
 	began      time.Time // when the run was ordered, then when it was known to be under way
 	seen       uint64    // the worker's report that last showed it
 	checkpoint string
@@ -65,6 +66,9 @@
 		t.state = taskUnknown
 	default:
 		t.step.waiting++
+		if t.step.job.fresh {
+			t.waits = c.now
+		}
 	}
 }
 
@@ -103,6 +107,7 @@
 	}
 	if t.state != taskWaiting {
 		t.step.waiting++
+		t.waits = c.now
 	}
 	t.state = taskWaiting
 	c.listOpen(t.step)
