--- a/services/control/carry.go
+++ b/services/control/carry.go
@@ -77,6 +77,7 @@
 // divideUp divides and rounds up.
 func divideUp(n, by int) int { return (n + by - 1) / by }
 
+// count is how many daemons are such.
 func count(daemons []jobs.Daemon, which func(jobs.Daemon) bool) int {
 	return len(slices.DeleteFunc(slices.Clone(daemons), func(d jobs.Daemon) bool { return !which(d) }))
 }
--- a/services/control/starts.go
+++ b/services/control/starts.go
@@ -16,12 +16,24 @@
 // and stay with the core until they are sent, so that the most urgent goes next and none grows
 // old on its way. Then reports become fewer.
 
-// newStarts makes the bound of a daemon's orders under way, of all its cells together, for they
-// share its link. It begins above what any owner needs whose calls are answered within some
-// milliseconds. Late is well below the time limit of a call to the store, which shares the
-// link: 33 starts of 1.5 kB take 0.2 s at 2 Mbit/s.
+// The bound of a daemon's orders under way, of all its cells together, for they share its link.
+const (
+	// leastStarts keeps work going whatever is seen: 12 kB, or 50 ms of 2 Mbit/s.
+	leastStarts = 8
+	// firstStarts is above what an owner needs whose calls are answered within some milliseconds.
+	firstStarts = 64
+	// mostStarts is some times as many as an owner of 300 workers was seen to have in a burst.
+	mostStarts = 512
+	// An answer is late well below the time limit of a call to the store, which shares the link:
+	// 33 starts of 1.5 kB take 0.2 s at 2 Mbit/s.
+	quickAnswer = 100 * time.Millisecond
+	tardyAnswer = 200 * time.Millisecond
+)
+
 func newStarts() *inflight.Limit {
-	return inflight.New(inflight.Config{Least: 8, First: 64, Most: 512, Quick: 100 * time.Millisecond, Late: 200 * time.Millisecond})
+	return inflight.New(inflight.Config{
+		Least: leastStarts, First: firstStarts, Most: mostStarts, Quick: quickAnswer, Late: tardyAnswer,
+	})
 }
 
 // startsOldest is how old a start may be when it is sent: later than that it would reach the
--- a/services/control/worker_calls.go
+++ b/services/control/worker_calls.go
@@ -32,12 +32,15 @@
 type callsNote struct {
 	cells   *Cells
 	trouble *log.Trouble
+	behind  *log.Trouble
 	opened  int64 // connections, as counted last
 }
 
 func newCallsNote(c *Cells) *callsNote {
 	return &callsNote{cells: c, trouble: log.NewTrouble(log.TroubleConfig{
 		Logger: c.config.Logger, Began: "calls to workers take long", Ended: "calls to workers are quick again",
+	}), behind: log.NewTrouble(log.TroubleConfig{
+		Logger: c.config.Logger, Began: "starts wait, answers come late", Ended: "starts wait no more for late answers",
 	})}
 }
 
@@ -46,6 +49,7 @@
 	config := n.cells.config
 	config.Scope.Gauge("loops_late").Update(late.Seconds())
 	config.Scope.Gauge("worker_calls_in_flight").Update(float64(n.cells.workerCalls.Load()))
+	n.noteStarts(n.cells.starts.Current())
 	if config.Connections != nil {
 		opened := config.Connections()
 		config.Scope.Counter("connections_opened").Inc(opened - n.opened)
@@ -56,6 +60,17 @@
 	}
 }
 
+// noteStarts says whether this daemon has more to start than it can: the bound is below where it
+// began, and all of it is taken.
+func (n *callsNote) noteStarts(bound int) {
+	n.cells.config.Scope.Gauge("starts_bound").Update(float64(bound))
+	if bound < firstStarts && n.cells.starts.Free() == 0 {
+		n.behind.Note(errors.Newf("%d may be under way", bound))
+		return
+	}
+	n.behind.Note(nil)
+}
+
 func (n *callsNote) noteLimit(calls *calltime.Limit) {
 	limit := calls.Current()
 	n.cells.config.Scope.Gauge("worker_call_limit").Update(limit.Seconds())
