Room that is left to short work is offered to tasks of other cells, which have waited

Change: the room is offered; a task that leaves room is not offered elsewhere. Tests: TestRoomLeftToShortWorkIsOfferedToOtherCells, TestTaskThatLeavesRoomIsNotOfferedToOtherCells (both failed before).

--- a/services/dispatch/offer.go
+++ b/services/dispatch/offer.go
@@ -17,7 +17,6 @@
 	if c.blind {
 		return counts
 	}
-	c.lookAtShortWork(now)
 	promised := map[*worker]models.Resources{}
 	for i := range demands {
 		s := c.stepFor(&demands[i])
@@ -39,9 +38,6 @@
 // already, and promises them.
 func (c *Core) countPlaces(pool jobs.PoolName, s *step, wanted int, promised map[*worker]models.Resources, now time.Time) int {
 	count := 0
-	if s.spec.Lasts {
-		wanted = min(wanted, c.besideShortWork(s.spec.Size.CPU))
-	}
 	for _, w := range c.order {
 		if !w.suits(pool, s.spec) || !c.usable(w, now) {
 			continue
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -89,8 +89,8 @@
 			return
 		}
 		if s.spec.Lasts && !c.leavesRoom(t, now) {
-			s.findNone(now)
-			continue // others of the step may have waited for longer
+			s.backoff = now.Add(scanPause) // it has a place, and isn't stuck
+			continue                       // others of the step may have waited for longer
 		}
 		s.stuck = time.Time{}
 		c.start(t, places[0].worker, now)
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -70,18 +70,13 @@
 }
 
 // leavesRoom tells whether a task that lasts may start now: it has waited for long enough, or
-// short work has room enough beside it.
+// short work has room enough beside it. Tasks that come from another cell have waited there.
 func (c *Core) leavesRoom(t *task, now time.Time) bool {
 	if now.Sub(t.waits) >= lastsLeaves {
 		return true
 	}
-	return c.besideShortWork(t.step.spec.Size.CPU) > 0
-}
-
-// besideShortWork is how many tasks of a size that last leave short work its room.
-func (c *Core) besideShortWork(size models.MilliCPU) int {
 	left := min(shortRoom*c.short.demand, mostShortRoom*float64(c.short.whole))
-	return max(0, int((float64(c.short.room)-left)/float64(max(1, size))))
+	return float64(c.short.room-t.step.spec.Size.CPU) >= left
 }
 
 // takeRoom notes that a task that lasts takes room.
--- a/services/dispatch/reserve_test.go
+++ b/services/dispatch/reserve_test.go
@@ -129,3 +129,30 @@
 	}
 	require.Less(t, s.short.demand, 200.0)
 }
+
+// TestRoomLeftToShortWorkIsOfferedToOtherCells: a task of another cell that found no place there
+// has waited, and may not be kept from the only room that there is. With the room kept back from
+// it as well, tasks that had lost their workers waited for 15 s.
+func TestRoomLeftToShortWorkIsOfferedToOtherCells(t *testing.T) {
+	s := newShortage(t)
+	s.hand(2)
+	s.look(400 * time.Millisecond)
+	s.short.demand = 16_000
+	step := servingStep
+	step.Size.CPU = lastingCPU
+	demand := jobs.Demand{Job: "00000000000000cc", Pool: testPool, Step: step}
+	require.Equal(t, []int{1}, s.Places([]jobs.Demand{demand}, s.now))
+}
+
+// TestTaskThatLeavesRoomIsNotOfferedToOtherCells: it has a place here, once it has waited.
+func TestTaskThatLeavesRoomIsNotOfferedToOtherCells(t *testing.T) {
+	s := newShortage(t)
+	s.hand(2)
+	s.look(400 * time.Millisecond)
+	s.Replaced(s.ids[0])
+	s.look(time.Second)
+	require.Less(t, s.running(lastingID), 12)
+	for _, step := range s.jobs[lastingID].steps {
+		require.Zero(t, step.stuck)
+	}
+}
