--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -38,7 +38,7 @@
 	whole  models.MilliCPU // of all workers that may be used, as of at
 }
 
-// look takes what short work takes and waits for now.
+// lookAtShortWork takes the room that there is for short work, and what it takes and waits for.
 func (c *Core) lookAtShortWork(now time.Time) {
 	s := &c.short
 	passed := now.Sub(s.at)
@@ -52,9 +52,9 @@
 		s.room += w.info.Capacity.CPU - w.lasting
 		taken += w.used.CPU - w.lasting
 	}
-	now64 := float64(taken + c.waitingShort())
+	current := float64(taken + c.waitingShort())
 	fades := min(1, passed.Seconds()/demandSpan.Seconds())
-	s.demand = max(now64, s.demand+fades*(now64-s.demand))
+	s.demand = max(current, s.demand+fades*(current-s.demand))
 	s.at = now
 }
 
--- a/tests/soak/inject.go
+++ b/tests/soak/inject.go
@@ -148,21 +148,26 @@
 // poison adds a toxic to the streams of a proxy and removes it again.
 func (r *run) poison(ctx context.Context, fault Fault, p *toxiproxy.Proxy, toxic string, streams ...string) {
 	for _, stream := range streams {
-		body, err := json.Marshal(map[string]any{
-			"name": toxic + " " + stream, "type": toxic, "stream": stream, "attributes": map[string]int{"latency": delayBy, "jitter": delayJitter},
-		})
-		if err == nil {
-			_, err = p.Toxics.AddToxicJson(bytes.NewReader(body))
+		name := toxic + " " + stream
+		if r.addToxic(p, name, toxic, stream, map[string]int{"latency": delayBy, "jitter": delayJitter}) {
+			defer func() { _ = p.Toxics.RemoveToxic(context.Background(), name) }() // mend may have removed it
 		}
-		if err != nil {
-			r.record.broken(time.Since(r.begin), "soak", "%s can't be disturbed: %v", p.Name, err)
-			continue
-		}
-		defer func() { _ = p.Toxics.RemoveToxic(context.Background(), toxic+" "+stream) }() // mend may have removed it
 	}
 	pause(ctx, fault.For)
 }
 
+// addToxic adds a toxic of some type to a stream of a proxy.
+func (r *run) addToxic(p *toxiproxy.Proxy, name, toxic, stream string, attributes any) bool {
+	body, err := json.Marshal(map[string]any{"name": name, "type": toxic, "stream": stream, "attributes": attributes})
+	if err == nil {
+		_, err = p.Toxics.AddToxicJson(bytes.NewReader(body))
+	}
+	if err != nil {
+		r.record.broken(time.Since(r.begin), "soak", "%s can't be disturbed: %v", p.Name, err)
+	}
+	return err == nil
+}
+
 // disturbWorker lets a worker misbehave.
 func (r *run) disturbWorker(ctx context.Context, fault Fault, place int) {
 	g := r.site.emulator.Grid
--- a/tests/soak/silence.go
+++ b/tests/soak/silence.go
@@ -4,8 +4,6 @@
 package soak
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -65,16 +63,8 @@
 func (r *run) silence(p *toxiproxy.Proxy) {
 	now := time.Now()
 	for _, stream := range []string{"upstream", "downstream"} {
-		body, err := json.Marshal(map[string]any{
-			"name": fmt.Sprint("silent since ", now.UnixNano(), " ", stream), "type": toxicSilentConnections, "stream": stream,
-			"attributes": map[string]int64{"added": now.UnixMilli()},
-		})
-		if err == nil {
-			_, err = p.Toxics.AddToxicJson(bytes.NewReader(body))
-		}
-		if err != nil {
-			r.record.broken(time.Since(r.begin), "soak", "connections through %s can't be silenced: %v", p.Name, err)
-		}
+		name := fmt.Sprint("silent since ", now.UnixNano(), " ", stream)
+		r.addToxic(p, name, toxicSilentConnections, stream, map[string]int64{"added": now.UnixMilli()})
 	}
 }
 
