--- a/models/jobs/spec.go
+++ b/models/jobs/spec.go
@@ -55,7 +55,7 @@
 type Spec struct {
 	ID      ID        `json:"id"`
 	Queue   QueueName `json:"queue"`
-	Payload string    `json:"payload"` // handed to each task unchanged
+	Payload Text      `json:"payload"` // handed to each task unchanged
 	Steps   []Step    `json:"steps"`
 	Repeat  Repeat    `json:"repeat"`
 }
--- a/models/jobs/worker.go
+++ b/models/jobs/worker.go
@@ -61,7 +61,7 @@
 type Run struct {
 	Task       TaskID
 	Run        RunID
-	Checkpoint string  // the latest; empty: none
+	Checkpoint Text    // the latest; empty: none
 	Progress   Percent // of its work; 100 for a task that lasts and is at work
 	// Figure lags by half a second: the tail latency in milliseconds of a task that
 	// lasts, thousandths of a core in use of any other.
@@ -75,7 +75,7 @@
 	Task       TaskID
 	Run        RunID
 	How        End
-	Checkpoint string
+	Checkpoint Text
 }
 
 // Report is a worker's answer to a prolonged lease.
@@ -101,9 +101,9 @@
 	Task       TaskID
 	Run        RunID
 	Epoch      Epoch
-	Payload    string
+	Payload    Text
 	Until      models.Milli // lease, on the worker's clock
-	Checkpoint string
+	Checkpoint Text
 	Ticket     string
 }
 
--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -305,14 +305,14 @@
 // twoSteps is a job whose second step waits for the first.
 func twoSteps(n int, work time.Duration) jobs.Spec {
 	size := models.Resources{CPU: 1000, Memory: 500}
-	return jobs.Spec{ID: jobID(n), Payload: fmt.Sprint("payload ", n), Steps: []jobs.Step{
+	return jobs.Spec{ID: jobID(n), Payload: jobs.Text(fmt.Sprint("payload ", n)), Steps: []jobs.Step{
 		{Count: 3, Size: size, Estimate: models.MilliOf(work)},
 		{Count: 2, Size: size, Estimate: models.MilliOf(work), After: []int{0}},
 	}}
 }
 
 func lasting(n, tasks int) jobs.Spec {
-	return jobs.Spec{ID: jobID(n), Payload: fmt.Sprint("payload ", n), Steps: []jobs.Step{{
+	return jobs.Spec{ID: jobID(n), Payload: jobs.Text(fmt.Sprint("payload ", n)), Steps: []jobs.Step{{
 		Count: tasks, Size: models.Resources{CPU: 1500, Memory: 1000}, Lasts: true, Image: "serving", Target: 100,
 	}}}
 }
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -44,7 +44,7 @@
 	waits      time.Time // since when it waits, while it does; zero: for long, or for another cell
 	began      time.Time // when the run was ordered, then when it was known to be under way
 	seen       uint64    // the worker's report that last showed it
-	checkpoint string
+	checkpoint jobs.Text
 	pace       jobs.Percent // as ordered
 	paced      time.Time    // when it began or its pace was last changed
 	paceOpen   bool         // an order had no answer: the pace in force may be higher
--- a/tests/soak/jobs.go
+++ b/tests/soak/jobs.go
@@ -44,7 +44,7 @@
 
 // draftJob draws a job: most have two steps, some fill, some last.
 func draftJob(random *rand.Rand, seed uint64, n int) jobs.Spec {
-	spec := jobs.Spec{ID: jobID(seed, n), Payload: fmt.Sprint("payload ", n)}
+	spec := jobs.Spec{ID: jobID(seed, n), Payload: jobs.Text(fmt.Sprint("payload ", n))}
 	step := jobs.Step{
 		Size:     models.Resources{CPU: models.MilliCPU(leastCPU + random.IntN(cpuSpread)), Memory: memory},
 		Estimate: models.MilliOf(estimate),
