Owners count the time in which their VM was suspended

Callers saw: a task that ran twice, after its owner's VM had been suspended for longer than the owner's lease. Cause: leases, proofs and the age of knowledge were judged by the steady clock, which stands still meanwhile; the proof looked as recent as before, a worker that the successor had not reached yet obeyed. The class: a time limit judged by a clock that isn't that of whoever relies on it. The owner's times now count suspensions, read right before what they permit.

--- a/modules/clock/clock.go
+++ b/modules/clock/clock.go
@@ -1,13 +1,15 @@
 // SPDX-License-Identifier: Apache-2.0
 // Copyright The Rillsail Authors
 
-// Package clock waits.
+// Package clock waits, and tells the time by which leases are judged.
 //
 // # Usage
 //
 //	if !clock.Sleep(ctx, time.Second) {
 //		return // ctx has ended
 //	}
+//	lease := clock.New(clock.Config{})
+//	if lease.Read().Before(end) { … } // also right after the VM was suspended
 package clock
 
 import (
--- /dev/null
+++ b/modules/clock/suspension_test.go
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// setMeter is a meter that tests set.
+type setMeter struct {
+	suspended time.Duration
+	err       error
+}
+
+func (m *setMeter) Suspended() (time.Duration, error) { return m.suspended, m.err }
+
+func TestClockCountsSuspensions(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	meter := &setMeter{}
+	var seen []time.Duration
+	c := New(Config{Steady: func() time.Time { return start }, Meter: meter, Seen: func(d time.Duration) { seen = append(seen, d) }})
+	before := c.Read()
+	meter.suspended = 5 * time.Second
+	require.Equal(t, before, c.Now(), "not read yet")
+	require.Equal(t, before.Add(5*time.Second), c.Read())
+	require.Equal(t, 5*time.Second, c.Since(before))
+	require.Equal(t, []time.Duration{5 * time.Second}, seen)
+	require.Equal(t, start, c.TimeOfDay(c.Now()), "the time of day has counted it already")
+}
+
+func TestClockNeverGoesBack(t *testing.T) {
+	meter := &setMeter{suspended: time.Second}
+	c := New(Config{Steady: func() time.Time { return time.Unix(7, 0) }, Meter: meter})
+	first := c.Read()
+	meter.suspended = time.Second - 3*time.Millisecond // the readings of two threads, in another order
+	require.Equal(t, first, c.Read())
+}
+
+func TestClockWithoutMeterGoesOn(t *testing.T) {
+	heard := 0
+	c := New(Config{
+		Steady: func() time.Time { return time.Unix(7, 0) }, Meter: &setMeter{err: errors.New("not told")},
+		Note: func(error) { heard++ },
+	})
+	require.Equal(t, time.Unix(7, 0), c.Read())
+	require.Equal(t, 1, heard)
+}
+
+// TestMeterOfThisVM: a VM that isn't suspended meanwhile shows nothing, however often it is read.
+func TestMeterOfThisVM(t *testing.T) {
+	m := newVMMeter()
+	for range 1000 {
+		suspended, err := m.Suspended()
+		require.NoError(t, err)
+		require.Zero(t, suspended)
+	}
+}
+
+// TestShortPausesAreNoSuspensions: what lies between two readings is left out.
+func TestShortPausesAreNoSuspensions(t *testing.T) {
+	require.Zero(t, atLeast(leastSuspension, leastSuspension-1))
+	require.Zero(t, atLeast(leastSuspension, -time.Second))
+	require.Equal(t, time.Minute, atLeast(leastSuspension, time.Minute))
+}
--- a/services/control/abandoned.go
+++ b/services/control/abandoned.go
@@ -39,7 +39,7 @@
 func (c *Cells) suspect(cell jobs.CellName, claim string) {
 	c.mu.Lock()
 	record, ok := c.owners[cell]
-	news := ok && record.Claim == claim && !record.suspected && time.Since(record.since) >= settledOwner
+	news := ok && record.Claim == claim && !record.suspected && c.config.Clock.Since(record.since) >= settledOwner
 	if news {
 		record.suspected = true
 		c.owners[cell] = record
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -47,7 +47,7 @@
 // left a cell to another daemon would be the first to see that it is free.
 func (c *Cells) holdBack(owned int) time.Duration {
 	lacks := max(0, 1-float64(carries(c.self()))/float64(c.cellSize()))
-	if since := c.yielded.Load(); since != nil && time.Since(*since) < yieldPause {
+	if since := c.yielded.Load(); since != nil && c.config.Clock.Since(*since) < yieldPause {
 		lacks = 1
 	}
 	return time.Duration(owned)*claimStep + time.Duration(lacks*float64(weakHold))
@@ -122,7 +122,7 @@
 	if lease == 0 {
 		return false // over since the cell was found free; keys without lease would stay for ever
 	}
-	taken := time.Now()
+	taken := c.config.Clock.Read()
 	version, err := c.config.Store.Commit(ctx, platform.Txn{
 		Require: []platform.Precondition{{Key: ownerKey(cell)}, {Key: markerKey(cell)}},
 		Put: []platform.Write{
--- /dev/null
+++ b/services/control/clock_uses_test.go
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/modules/casefile"
+)
+
+// steadyUses are the functions of package time that tell a time which stands still while the VM
+// is suspended.
+var steadyUses = map[string]bool{"Now": true, "Since": true, "Until": true}
+
+// TestLeasesAreJudgedByTheClock: here and in package dispatch the time comes from the clock that
+// counts suspensions, but for the uses that testdata/clock_uses.json lists with their reasons.
+func TestLeasesAreJudgedByTheClock(t *testing.T) {
+	allowed := casefile.Read[map[string]string](t, "testdata/clock_uses.json")
+	found := map[string]bool{}
+	for _, pattern := range []string{"*.go", "../dispatch/*.go"} {
+		files, err := filepath.Glob(pattern)
+		require.NoError(t, err)
+		for _, file := range files {
+			if !strings.HasSuffix(file, "_test.go") {
+				findSteadyUses(t, file, found)
+			}
+		}
+	}
+	for use := range found {
+		assert.NotEmpty(t, allowed[use], "%s reads a clock that stands still while the VM is suspended", use)
+	}
+	for use := range allowed {
+		assert.True(t, found[use], "%s is listed and not there", use)
+	}
+}
+
+// findSteadyUses notes the functions of a file that use such a time, as FILE FUNCTION.
+func findSteadyUses(t *testing.T, file string, found map[string]bool) {
+	t.Helper()
+	parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+	require.NoError(t, err)
+	for _, declaration := range parsed.Decls {
+		name := "declaration"
+		if function, ok := declaration.(*ast.FuncDecl); ok {
+			name = function.Name.Name
+		}
+		ast.Inspect(declaration, func(node ast.Node) bool {
+			selector, ok := node.(*ast.SelectorExpr)
+			if !ok {
+				return true
+			}
+			if of, ok := selector.X.(*ast.Ident); ok && of.Name == "time" && steadyUses[selector.Sel.Name] {
+				found[filepath.Base(file)+" "+name] = true
+			}
+			return true
+		})
+	}
+}
--- a/services/control/configuration.go
+++ b/services/control/configuration.go
@@ -38,12 +38,12 @@
 }
 
 func (c *Configurations) confirm() {
-	now := time.Now()
+	now := c.config.Clock.Now()
 	c.confirmed.Store(&now)
 }
 
 // age is for how long the store has not confirmed that the configuration in force is the newest.
-func (c *Configurations) age() time.Duration { return time.Since(*c.confirmed.Load()) }
+func (c *Configurations) age() time.Duration { return c.config.Clock.Since(*c.confirmed.Load()) }
 
 // meter hands on which version is in force, and for how long that is unconfirmed.
 func (c *Configurations) meter(scope tally.Scope) {
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -50,6 +50,7 @@
 
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/calltime"
+	"rillsail.example/rillsail/modules/clock"
 	"rillsail.example/rillsail/modules/setting"
 	"rillsail.example/rillsail/services/platform"
 )
@@ -70,6 +71,7 @@
 	NewID       func() string
 	Logger      *zap.Logger
 	Scope       tally.Scope
+	Clock       *clock.Clock // nil: that of this VM
 }
 
 // Service serves callers and owns cells.
@@ -86,6 +88,9 @@
 
 // New makes a service.
 func New(c Config) *Service {
+	if c.Clock == nil {
+		c.Clock = newClock(c)
+	}
 	if c.Peers == nil {
 		c.Peers = newCaller(c.Self)
 	}
@@ -93,7 +98,7 @@
 	c.Store = &meteredStore{c.Store, meter}
 	c.Feed = &meteredFeed{c.Feed, meter}
 	c.List = &meteredList{c.List, meter}
-	s := &Service{config: c, health: newStoreHealth(c.Logger), submissions: newSubmissions()}
+	s := &Service{config: c, health: newStoreHealth(c.Logger, c.Clock), submissions: newSubmissions()}
 	s.Configurations = newConfigurations(c, s.health)
 	s.Cells = newCells(c, s.health, s.Configurations)
 	s.Configurations.changed = s.Cells.configure
@@ -118,6 +123,7 @@
 // for calls that are known to fail.
 type storeHealth struct {
 	logger  *zap.Logger
+	clock   *clock.Clock
 	failing atomic.Int64 // since when, in nanoseconds since start; 0: not
 	heard   atomic.Int64 // when the store last answered, in nanoseconds since start
 	start   time.Time
@@ -127,20 +133,20 @@
 // longer than a lost answer's repetition.
 const downAfter = 400 * time.Millisecond
 
-func newStoreHealth(logger *zap.Logger) *storeHealth {
-	return &storeHealth{logger: logger, start: time.Now()}
+func newStoreHealth(logger *zap.Logger, clock *clock.Clock) *storeHealth {
+	return &storeHealth{logger: logger, clock: clock, start: clock.Now()}
 }
 
 // note takes the result of a call to the store.
 func (h *storeHealth) note(err error) {
 	if err == nil || !isOutage(err) {
-		h.heard.Store(int64(time.Since(h.start)))
+		h.heard.Store(int64(h.clock.Since(h.start)))
 		if since := h.failing.Swap(0); since != 0 {
-			h.logger.Info("store answers again", zap.Duration("after", time.Since(h.start)-time.Duration(since)))
+			h.logger.Info("store answers again", zap.Duration("after", h.clock.Since(h.start)-time.Duration(since)))
 		}
 		return
 	}
-	if h.failing.CompareAndSwap(0, int64(time.Since(h.start))) {
+	if h.failing.CompareAndSwap(0, int64(h.clock.Since(h.start))) {
 		h.logger.Warn("store does not answer", zap.Error(err))
 	}
 }
@@ -150,5 +156,5 @@
 
 func (h *storeHealth) good() bool {
 	since := h.failing.Load()
-	return since == 0 || time.Since(h.start)-time.Duration(since) < downAfter
+	return since == 0 || h.clock.Since(h.start)-time.Duration(since) < downAfter
 }
--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -44,7 +44,7 @@
 // meter hands an owner's figures on: what has been counted since the last time.
 func (o *Owner) meter(scope tally.Scope) {
 	o.mu.Lock()
-	counts, summary := o.core.Counts(), o.core.Summary(time.Now())
+	counts, summary := o.core.Counts(), o.core.Summary(o.config.Clock.Now())
 	before := o.metered
 	o.metered = counts
 	figures := o.core.TakeJobFigures()
@@ -110,7 +110,8 @@
 }
 
 // Dump gives the whole state for operators.
-func (s *Service) Dump(now time.Time) Dump {
+func (s *Service) Dump() Dump {
+	now := s.config.Clock.Now()
 	d := Dump{
 		Daemon: s.config.Self, Ready: s.Ready(), StoreAnswers: s.health.good(), Layout: s.Cells.layout(),
 		Owners: s.Cells.knownOwners(), Cells: map[jobs.CellName]CellDump{},
--- a/services/control/lease.go
+++ b/services/control/lease.go
@@ -31,7 +31,7 @@
 }
 
 func (c *Cells) keepLease(ctx context.Context) {
-	sent := time.Now()
+	sent := c.config.Clock.Read()
 	c.mu.Lock()
 	lease := c.lease
 	c.mu.Unlock()
--- a/services/control/offer.go
+++ b/services/control/offer.go
@@ -61,7 +61,7 @@
 	if len(o.moves) > 0 {
 		return nil
 	}
-	return o.core.Movable(movesAtOnce, time.Now())
+	return o.core.Movable(movesAtOnce, o.config.Clock.Now())
 }
 
 // offer asks the owner of a cell how much of the work finds a place there, begins to move
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -47,6 +47,7 @@
 		config: c.config, cells: c, cell: cell, epoch: epoch, taken: taken, calling: map[jobs.WorkerID]bool{},
 		core: dispatch.New(dispatch.Config{
 			Epoch: epoch, Taken: taken, Lease: s.WorkerLease, LongestLease: s.LongestLease, OtherCells: c.several(),
+			Ahead:  c.config.Clock.Counted,
 			Logger: c.config.Logger.With(zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(epoch))),
 		}),
 		wakeDecide: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1),
@@ -126,13 +127,13 @@
 		answer.Pending = o.core.Pending()
 	}
 	if query.Load {
-		answer.Load = o.core.Load(time.Now())
+		answer.Load = o.core.Load(o.config.Clock.Now())
 	}
 	if query.Learned {
 		answer.Learned = o.core.Learned()
 	}
 	if len(query.Demands) > 0 {
-		answer.Places = o.core.Places(query.Demands, time.Now())
+		answer.Places = o.core.Places(query.Demands, o.config.Clock.Now())
 	}
 	return answer
 }
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return 0, err
 	}
-	sent := time.Now()
+	sent := o.config.Clock.Now()
 	records, at, err := store.List(ctx, jobsOf(o.cell))
 	if err != nil {
 		return 0, err
@@ -63,7 +63,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := time.Now()
+	now := o.config.Clock.Now()
 	o.core.Enrol(roster, now)
 	o.core.Restore(knowledge, now)
 	if !o.takeAll(records, progress, now) {
@@ -168,7 +168,7 @@
 func (o *Owner) jobsLoop(ctx context.Context, at platform.Version) {
 	for ctx.Err() == nil {
 		take := o.takeRecords
-		sent := time.Now()
+		sent := o.config.Clock.Now()
 		records, next, err := o.config.Store.Watch(ctx, jobsOf(o.cell), at)
 		if mustReadAnew(err) {
 			take = o.takeAll
@@ -181,7 +181,7 @@
 		}
 		at = next
 		o.mu.Lock()
-		now := time.Now()
+		now := o.config.Clock.Now()
 		mine := take(records, nil, now)
 		o.core.JobsKnown(sent)
 		o.mu.Unlock()
--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -29,7 +29,7 @@
 		o.mu.Lock()
 		o.core.StoreAnswered(o.cells.health.answeredAt())
 		o.core.AllowStarts(o.cells.starts.Free())
-		decided := time.Now()
+		decided := o.config.Clock.Read()
 		orders := o.core.Decide(decided)
 		superseded := o.core.Superseded()
 		ends := o.core.HasEnds()
@@ -61,7 +61,7 @@
 // runOrder carries out one order that was decided then, and tells the core what became of it.
 func (o *Owner) runOrder(ctx context.Context, order dispatch.Order, decided time.Time) {
 	sent := o.beginCall()
-	if tooOld(order, decided) {
+	if o.tooOld(order, decided) {
 		o.notSent(order.(dispatch.StartOrder), sent)
 		return
 	}
@@ -94,9 +94,9 @@
 func (o *Owner) ordered(sent, decided time.Time, err error, what func(result dispatch.Result, now time.Time)) {
 	result := resultOf(err)
 	o.endCall(sent, 0, result.Outcome)
-	o.cells.starts.End(inflight.Call{Took: time.Since(decided), Answered: result.Outcome != dispatch.OutcomeUnknown})
+	o.cells.starts.End(inflight.Call{Took: o.config.Clock.Since(decided), Answered: result.Outcome != dispatch.OutcomeUnknown})
 	o.mu.Lock()
-	what(result, time.Now())
+	what(result, o.config.Clock.Now())
 	o.mu.Unlock()
 	wake(o.wakeDecide)
 }
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -44,7 +44,7 @@
 // storeOnce stores some changes; more tells whether others wait.
 func (o *Owner) storeOnce(ctx context.Context) (more bool, err error) {
 	o.mu.Lock()
-	changes := o.core.TakeChanges(jobsPerTxn, time.Now())
+	changes := o.core.TakeChanges(jobsPerTxn, o.config.Clock.Now())
 	o.storing = !changes.Empty()
 	o.mu.Unlock()
 	if changes.Empty() {
@@ -54,7 +54,7 @@
 	o.cells.health.note(err)
 	o.mu.Lock()
 	if err == nil {
-		o.core.Stored(changes, time.Now())
+		o.core.Stored(changes, o.config.Clock.Now())
 	} else {
 		o.core.Unstored(changes)
 	}
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -24,7 +24,7 @@
 	o.callWorkers(ctx)
 	list := newWorkerList(o.config.List)
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent := o.config.Clock.Now()
 		err := list.follow(ctx)
 		o.cells.health.note(err)
 		if err != nil {
@@ -50,7 +50,7 @@
 	workers := workersOf(o.cell, layout, inPools(configuration, list.all()))
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.core.SetWorkers(workers, time.Now())
+	o.core.SetWorkers(workers, o.config.Clock.Now())
 	o.core.WorkersKnown(known)
 }
 
@@ -83,7 +83,7 @@
 func (o *Owner) workerLoop(ctx context.Context, worker jobs.Worker) {
 	for ctx.Err() == nil {
 		o.mu.Lock()
-		call, known := o.core.LeaseCall(worker.ID, o.config.Settings.ReportWait, time.Now())
+		call, known := o.core.LeaseCall(worker.ID, o.config.Settings.ReportWait, o.config.Clock.Read())
 		if !known {
 			delete(o.calling, worker.ID)
 		}
@@ -110,15 +110,15 @@
 	changed := true
 	switch {
 	case err == nil:
-		changed = o.core.Reported(id, sent, report, time.Now())
+		changed = o.core.Reported(id, sent, report, o.config.Clock.Now())
 	case result.Outcome == dispatch.OutcomeIncarnation:
-		o.core.Replaced(id, time.Now())
+		o.core.Replaced(id, o.config.Clock.Now())
 	case result.Refusal == jobs.RefusedEpoch:
 		o.core.Supersede()
 	case result.Outcome == dispatch.OutcomeUnreached: // one that answers that it is not well has not left
-		o.core.Unreached(id, errors.Is(err, platform.ErrNobodyListens), time.Now())
+		o.core.Unreached(id, errors.Is(err, platform.ErrNobodyListens), o.config.Clock.Now())
 	default:
-		o.core.Overdue(id, time.Now())
+		o.core.Overdue(id, o.config.Clock.Now())
 		changed = false
 	}
 	ends := o.core.HasEnds()
--- a/services/control/starts.go
+++ b/services/control/starts.go
@@ -41,10 +41,11 @@
 const startsOldest = 500 * time.Millisecond
 
 // tooOld tells whether an order that was decided then is not worth sending any more. A stop
-// always is, and a throttling order is not bounded in time by its worker.
-func tooOld(order dispatch.Order, decided time.Time) bool {
+// always is, and a throttling order is not bounded in time by its worker. The VM may have been
+// suspended since.
+func (o *Owner) tooOld(order dispatch.Order, decided time.Time) bool {
 	_, start := order.(dispatch.StartOrder)
-	return start && time.Since(decided) > startsOldest
+	return start && o.config.Clock.Read().Sub(decided) > startsOldest
 }
 
 // How reports become fewer while orders take longer than those of an owner that keeps up do:
--- a/services/control/watch.go
+++ b/services/control/watch.go
@@ -90,7 +90,7 @@
 	if record.Deleted {
 		delete(c.owners, cell)
 	} else if c.owners[cell].version != record.Version {
-		c.owners[cell] = ownerRecord{Owner: owner, version: record.Version, since: time.Now()}
+		c.owners[cell] = ownerRecord{Owner: owner, version: record.Version, since: c.config.Clock.Now()}
 	}
 	mine := c.owned[cell]
 	// A watch that is behind tells of the keys of former owners, whose end says nothing of this one.
--- a/services/control/worker_calls.go
+++ b/services/control/worker_calls.go
@@ -84,7 +84,7 @@
 // beginCall notes that a call to a worker is sent now.
 func (o *Owner) beginCall() time.Time {
 	o.cells.workerCalls.Add(1)
-	return time.Now()
+	return o.config.Clock.Now()
 }
 
 // endCall teaches the time limit what became of a call to a worker that was sent then, and
@@ -95,7 +95,7 @@
 	if !answered {
 		o.config.Scope.Counter("worker_calls_lost").Inc(1)
 	}
-	took := time.Since(sent) - wait
+	took := o.config.Clock.Since(sent) - wait
 	notDone := outcome == dispatch.OutcomeNotDone || outcome == dispatch.OutcomeUnreached
 	if took < 0 || notDone || o.config.WorkerCalls == nil {
 		return
--- a/services/control/world_test.go
+++ b/services/control/world_test.go
@@ -20,6 +20,7 @@
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/clock"
 	"rillsail.example/rillsail/modules/setting"
 	"rillsail.example/rillsail/services/platform"
 	"rillsail.example/rillsail/services/standin/grid"
@@ -68,6 +69,8 @@
 	slowFor   time.Duration          // its orders reach the workers so much later, unanswered in time
 	watchLost bool                   // changes in the store don't reach it, while its other calls are answered
 
+	suspended *suspension // of its VM
+
 	ended bool // its process is gone from a VM that is there: nobody listens at its address
 
 	beforeCommit func() // called before each of its transactions; nil: nothing
@@ -141,7 +144,7 @@
 	w.made++
 	name := fmt.Sprintf("daemon-%d", w.made)
 	ctx, cancel := context.WithCancel(w.ctx)
-	d := &testDaemon{world: w, name: name, cancel: cancel, done: make(chan struct{}), cutFrom: map[jobs.WorkerID]bool{}}
+	d := &testDaemon{world: w, name: name, cancel: cancel, done: make(chan struct{}), cutFrom: map[jobs.WorkerID]bool{}, suspended: &suspension{}}
 	ids := 0
 	settings := testSettings
 	settings.WorkersPerCell = w.perCell
@@ -155,6 +158,7 @@
 	}
 	d.Service = New(Config{
 		Self: name, Address: name, Settings: settings, Store: store,
+		Clock:   clock.New(clock.Config{Steady: d.suspended.steady, Meter: d.suspended}),
 		Workers: &testWorkers{d}, List: &testList{d}, Feed: w.feed, Peers: &testPeers{w},
 		NewID: func() string {
 			ids++
--- a/services/control/write.go
+++ b/services/control/write.go
@@ -53,7 +53,7 @@
 	if ctx.Err() != nil {
 		return turnedAway{errstep.Wrap(ctx.Err(), "write", "store")}
 	}
-	began := time.Now()
+	began := s.config.Clock.Now()
 	var first error // of the tries of unknown outcome
 	for tries := 1; ; tries++ {
 		_, err := s.config.Store.Commit(ctx, txn)
@@ -74,7 +74,7 @@
 				first = err
 			}
 		}
-		if time.Since(began) > writeMost || ctx.Err() != nil {
+		if s.config.Clock.Since(began) > writeMost || ctx.Err() != nil {
 			s.config.Logger.Info("write is not settled", zap.Int("tries", tries), zap.NamedError("first", first), zap.NamedError("last", err))
 			return unsettled{errstep.Wrap(platform.Unknown(first), "write", "store")}
 		}
--- a/services/control/yield.go
+++ b/services/control/yield.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		cell := slices.Min(slices.Collect(maps.Keys(owned)))
-		now := time.Now()
+		now := c.config.Clock.Now()
 		c.yielded.Store(&now)
 		err := c.handOver(ctx, cell, owned[cell], "another daemon carries far more")
 		c.config.Logger.Info("cell is handed over", append(log.Err(err), zap.String("cell", string(cell)))...)
--- a/services/daemon/scheduler.go
+++ b/services/daemon/scheduler.go
@@ -114,7 +114,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.metrics.Handler)
 	mux.HandleFunc("/state", func(w http.ResponseWriter, _ *http.Request) {
-		wire.Write(w, http.StatusOK, s.control.Dump(time.Now()))
+		wire.Write(w, http.StatusOK, s.control.Dump())
 	})
 	return mux
 }
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
 
@@ -61,7 +60,7 @@
 				continue
 			}
 			j.dirty = false
-			changes.Jobs = append(changes.Jobs, changeOf(j, now))
+			changes.Jobs = append(changes.Jobs, c.changeOf(j, now))
 		}
 	}
 	c.dirty = later
@@ -101,12 +100,12 @@
 }
 
 // changeOf is what has to be stored of a job now.
-func changeOf(j *job, now time.Time) JobChange {
+func (c *Core) changeOf(j *job, now time.Time) JobChange {
 	change := JobChange{ID: j.spec.ID, job: j, version: j.version, Cancelled: j.cancelled, HasProgress: j.hasProgress}
 	if j.end != "" {
 		change.Ended = &jobs.Record{
 			Spec: jobs.Spec{ID: j.spec.ID, Queue: j.spec.Queue}, Accepted: j.accepted,
-			Ended: j.end, EndedAt: models.UnixMilliOf(now),
+			Ended: j.end, EndedAt: c.timeOfDay(now),
 		}
 		return change
 	}
--- a/services/dispatch/figures.go
+++ b/services/dispatch/figures.go
@@ -58,7 +58,7 @@
 		return
 	}
 	j.noted = true
-	c.figures.Starts = append(c.figures.Starts, FirstStart{j.spec.Queue, ageOf(j, now)})
+	c.figures.Starts = append(c.figures.Starts, FirstStart{j.spec.Queue, ageOf(j, c.timeOfDay(now))})
 }
 
 // noteEnd notes the end of a job.
@@ -72,13 +72,13 @@
 		outcome = JobFailed
 	case state == jobs.StateCancelled:
 		outcome = JobCancelled
-	case models.UnixMilliOf(now) > c.due(j):
+	case c.timeOfDay(now) > c.due(j):
 		outcome = JobLate
 	}
-	c.figures.Ends = append(c.figures.Ends, JobEnd{j.spec.Queue, outcome, ageOf(j, now)})
+	c.figures.Ends = append(c.figures.Ends, JobEnd{j.spec.Queue, outcome, ageOf(j, c.timeOfDay(now))})
 }
 
 // ageOf is how long ago a job was accepted, by another daemon's clock perhaps.
-func ageOf(j *job, now time.Time) time.Duration {
-	return max(0, time.Duration(models.UnixMilliOf(now)-j.accepted)*time.Millisecond)
+func ageOf(j *job, now models.UnixMilli) time.Duration {
+	return max(0, time.Duration(now-j.accepted)*time.Millisecond)
 }
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -165,7 +165,7 @@
 	c.change(j)
 	c.noteEnd(j, state, c.now)
 	c.config.Logger.Info("job ends", zap.String("job", string(j.spec.ID)), zap.String("state", string(state)),
-		zap.Int64("age_ms", int64(models.UnixMilliOf(c.now)-j.accepted)), zap.Int("running", j.running))
+		zap.Int64("age_ms", int64(c.timeOfDay(c.now)-j.accepted)), zap.Int("running", j.running))
 }
 
 // changeSoon notes that a job's progress has to be stored, and should not wait.
--- a/services/dispatch/knowledge.go
+++ b/services/dispatch/knowledge.go
@@ -37,9 +37,9 @@
 // Knowledge is what the core has learned from its own workers' reports.
 func (c *Core) Knowledge(now time.Time) jobs.Knowledge {
 	k := c.model.Knowledge()
-	k.At = models.UnixMilliOf(now)
+	k.At = c.timeOfDay(now)
 	for _, j := range c.jobs {
-		k.Loads = append(k.Loads, loadsOf(j)...)
+		k.Loads = append(k.Loads, c.loadsOf(j)...)
 	}
 	for queue, usual := range c.usual {
 		k.Speeds = append(k.Speeds, jobs.QueueSpeed{Queue: queue, Mean: usual.mean, Samples: usual.samples})
@@ -52,12 +52,13 @@
 }
 
 // loadsOf are the loads that a job's serving steps are known to have of their own.
-func loadsOf(j *job) []jobs.StepLoad {
+func (c *Core) loadsOf(j *job) []jobs.StepLoad {
 	var loads []jobs.StepLoad
 	for _, s := range j.steps {
 		if s.spec.Serves() && s.own.Known() {
 			load := s.own.Summary()
 			load.Job, load.Number = j.spec.ID, s.flat()
+			load.At = c.timeOfDay(load.At.Time())
 			loads = append(loads, load)
 		}
 	}
@@ -70,8 +71,9 @@
 // daemons are restarted in turn services were over their targets for 1,501 s in all, and with it
 // for 818 s.
 func (c *Core) Restore(k jobs.Knowledge, now time.Time) {
-	c.model.Restore(k, max(0, now.Sub(k.At.Time()).Seconds()))
+	c.model.Restore(k, max(0, now.Sub(c.timeAt(k.At)).Seconds()))
 	for _, l := range k.Loads {
+		l.At = models.UnixMilliOf(c.timeAt(l.At))
 		c.restored[stepKey{l.Job, l.Number}] = contention.LoadOf(l)
 	}
 	for _, s := range k.Speeds {
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
 
@@ -56,7 +55,7 @@
 
 // candidate is the step with its urgency now.
 func (c *Core) candidate(s *step, now time.Time) candidate {
-	return candidate{s, c.urgency(s, models.UnixMilliOf(now))}
+	return candidate{s, c.urgency(s, c.timeOfDay(now))}
 }
 
 // before orders candidates, the most urgent first.
@@ -123,7 +122,7 @@
 	c.counts.Starts++
 	c.noteFirstStart(t.step.job, now)
 	c.config.Logger.Info("run starts", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
-		zap.String("worker", string(w.info.ID)), zap.Int64("job_age_ms", int64(models.UnixMilliOf(now)-t.step.job.accepted)),
+		zap.String("worker", string(w.info.ID)), zap.Int64("job_age_ms", int64(c.timeOfDay(now)-t.step.job.accepted)),
 		zap.Int64("report_age_ms", now.Sub(w.heard).Milliseconds()), zap.Float64("load", w.load),
 		zap.Int("lost_before", len(t.suspicion.Lost)))
 	c.orders = append(c.orders, StartOrder{Worker: w.info, Call: jobs.StartCall{
--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/services/contention"
 )
@@ -58,7 +57,7 @@
 			c.listOpen(s)
 			continue
 		}
-		if due := j.spec.DueAt(s.occurrence); models.UnixMilliOf(now) < due {
+		if due := j.spec.DueAt(s.occurrence); c.timeOfDay(now) < due {
 			continue
 		}
 		s.opened = s.mayOpen()
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -107,6 +107,7 @@
 		}
 		c.rosterChanged = c.rosterChanged || info.Draining != (w.info.Leaves != 0)
 		w.takeEntry(info, now)
+		w.info.Leaves = c.leavesAt(w)
 	}
 	for _, w := range c.workers {
 		if !w.listed && w.missing.IsZero() {
@@ -144,7 +145,14 @@
 	if !before.IsZero() && before.Before(w.leaves) {
 		w.leaves = before // the entry is older than what was known, as after an outage of the store
 	}
-	w.info.Leaves = models.UnixMilliOf(w.leaves)
+}
+
+// leavesAt is when a draining worker may leave, as the roster says it; 0: it does not drain.
+func (c *Core) leavesAt(w *worker) models.UnixMilli {
+	if w.leaves.IsZero() {
+		return 0
+	}
+	return c.timeOfDay(w.leaves)
 }
 
 // addWorker takes a worker that was not known; it gets tasks once it is enrolled.
