What a task's earlier losses say of the next one is weighed

Callers saw: jobs whose task ends its workers in the middle of its work were started a sixth time, and lasting jobs that end nothing were given up beside them. Cause: each loss was weighed as if the task might end its workers at any time after a start, whatever earlier runs had shown; most do so at the same place of their work. A loss after as long as an earlier one now says more, one after far longer less. The sum stays a likelihood ratio: the density over all times is one still, so that the bound on innocent tasks holds as it did.

--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -46,6 +46,7 @@
 // neighbour is another task on a worker that was lost.
 type neighbour struct {
 	ran       time.Duration
+	before    []time.Duration // see circumstances
 	suspected bool
 }
 
@@ -55,6 +56,36 @@
 // density is how likely a second it is for a task that crashes workers to do so now.
 func density(ran time.Duration) float64 { return 1 / (max(ran, leastRan).Seconds() * magnitudes) }
 
+// A task that crashes its workers mostly does so at the same place of its work, that is as long
+// after each start; with this it is told from one that was lost beside others, at any times: a
+// second loss after as long says more against it, one after ten times as long less. Played with one
+// such job in fifty that crashes after 1 s, and 15 % of the workers going by themselves every 2 s,
+// 16 of 40 of them are started a sixth time, and 25 without it.
+const (
+	// sameTime is the share of such tasks that does.
+	sameTime = 0.8
+	// sameWithin is how far apart two such times are at most, as a part of the earlier one, and
+	// sameLeast the same for short ones: calls tell the end of a worker no better.
+	sameWithin = 0.3
+	sameLeast  = 100 * time.Millisecond
+)
+
+// densityAfter is the density for a task whose earlier runs were lost after these times.
+func densityAfter(ran time.Duration, before []time.Duration) float64 {
+	anyTime := density(ran)
+	if len(before) == 0 {
+		return anyTime
+	}
+	near := 0.0
+	for _, earlier := range before {
+		within := max(sameLeast, time.Duration(sameWithin*float64(earlier)))
+		if (ran - earlier).Abs() <= within {
+			near += 1 / (min(within, earlier) + within).Seconds()
+		}
+	}
+	return (1-sameTime)*anyTime + sameTime*near/float64(len(before))
+}
+
 // byChance is how often a worker is lost by chance, a second, when nothing else is known.
 var byChance = 1 / crashEvery.Seconds()
 
@@ -62,7 +93,7 @@
 func crashRate(tasks []neighbour) float64 {
 	sum := 0.0
 	for _, t := range tasks {
-		sum += t.share() * density(t.ran)
+		sum += t.share() * densityAfter(t.ran, t.before)
 	}
 	return sum
 }
@@ -70,6 +101,7 @@
 // circumstances are those in which a run was lost with its worker.
 type circumstances struct {
 	ran    time.Duration
+	before []time.Duration // after which earlier runs of the task were lost
 	beside []neighbour
 	chance float64 // losses of a worker by chance a second, at that time
 }
@@ -77,7 +109,7 @@
 // weigh gives what the loss says against the task: doubt, compared with chance alone, and weight,
 // compared with the tasks beside it as well.
 func (e circumstances) weigh() (doubt, weight float64) {
-	byTask := density(e.ran)
+	byTask := densityAfter(e.ran, e.before)
 	return math.Log(byTask / e.chance), math.Log(byTask / (e.chance + crashRate(e.beside)))
 }
 
@@ -163,14 +195,27 @@
 		if other == t || !known {
 			continue
 		}
-		beside = append(beside, neighbour{ran: ran, suspected: other.suspected()})
+		beside = append(beside, neighbour{ran: ran, before: other.lostAfter(), suspected: other.suspected()})
 	}
 	return beside
 }
 
+// lostAfter is after which times runs of the task were lost, as far as that was seen.
+func (t *task) lostAfter() []time.Duration {
+	var times []time.Duration
+	for _, lost := range t.suspicion.Lost {
+		if ran := lost.Ran.Duration(); ran != unseenRan {
+			times = append(times, ran)
+		}
+	}
+	return times
+}
+
 // lossOf is what the loss of a worker says against a task.
 func (c *Core) lossOf(w *worker, t *task, ran time.Duration, chance float64, now time.Time) jobs.LostRun {
-	doubt, weight := circumstances{ran: ran, beside: c.neighboursOf(w, t, now), chance: chance}.weigh()
+	doubt, weight := circumstances{
+		ran: ran, before: t.lostAfter(), beside: c.neighboursOf(w, t, now), chance: chance,
+	}.weigh()
 	return jobs.LostRun{Run: t.run, Ran: models.MilliOf(max(ran, leastRan)), Doubt: hundredths(doubt), Weight: hundredths(weight)}
 }
 
--- a/services/dispatch/evidence_test.go
+++ b/services/dispatch/evidence_test.go
@@ -19,6 +19,7 @@
 type lossCase struct {
 	Name       string         `json:"name"`
 	Ran        models.Milli   `json:"ran_ms"`
+	Before     []models.Milli `json:"before_ms"` // earlier runs of it
 	Beside     []models.Milli `json:"beside_ms"`
 	Suspected  bool           `json:"suspected"` // those beside it
 	MoreChance float64        `json:"more_chance"`
@@ -32,6 +33,9 @@
 	for _, c := range casefile.Read[[]lossCase](t, "testdata/evidence.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			e := circumstances{ran: c.Ran.Duration(), chance: byChance + c.MoreChance}
+			for _, ran := range c.Before {
+				e.before = append(e.before, ran.Duration())
+			}
 			for _, ran := range c.Beside {
 				e.beside = append(e.beside, neighbour{ran: ran.Duration(), suspected: c.Suspected})
 			}
