Logs tell where the checkpoint of a start is from

What was missing: the logs of the foreign checkpoints could not tell whether a start brought a text, which one, and from which report, worker and run it came.

Each task keeps beside its text the run, worker and kind of row it came from, and when. Counters: starts_from_text, texts_not_taken {reason}. No decision changes. The digest is made only where a text is present, when the line is encoded; a task that saves nothing has a pointer of 8 bytes where there was a text of 16.

--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -63,9 +63,11 @@
 		"suspect_trials":    counts.Trials - before.Trials,
 		"suspects_cleared":  counts.Cleared - before.Cleared,
 		"jobs_given_up":     counts.GivenUp - before.GivenUp,
+		"starts_from_text":  counts.StartsFromText - before.StartsFromText,
 	} {
 		scope.Counter(name).Inc(delta)
 	}
+	meterTexts(scope, counts, before)
 	for name, value := range map[string]int{
 		"jobs_active": summary.Jobs, "tasks_waiting": summary.Waiting, "tasks_running": summary.Running,
 		"serving_over_target": summary.OverTail, "filling_throttled": summary.Throttled,
@@ -76,6 +78,15 @@
 	scope.Gauge("report_age").Update(summary.ReportAge.Duration().Seconds())
 }
 
+// meterTexts hands on how many checkpoints of reports were not taken, by why.
+func meterTexts(scope tally.Scope, counts, before dispatch.Counts) {
+	for reason, delta := range map[string]int64{
+		"not_asked_of": counts.TextsNotAskedOf - before.TextsNotAskedOf,
+	} {
+		scope.Tagged(map[string]string{"reason": reason}).Counter("texts_not_taken").Inc(delta)
+	}
+}
+
 // meterJobs hands on what has become of jobs, by queue.
 func meterJobs(scope tally.Scope, figures dispatch.JobFigures) {
 	for _, start := range figures.Starts {
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -17,7 +17,8 @@
 //   - the order of steps and the places of their tasks: urgency.go, place.go, places.go,
 //     score.go
 //   - what orders bring: order.go, outcome.go, stop.go
-//   - reports: report.go, end.go; runs that should not be there: stray.go
+//   - reports: report.go, end.go; runs that should not be there: stray.go; what the next run
+//     goes on from: saved.go
 //   - what is stored: changes.go
 //   - workers: worker.go, room.go, speed.go, lease.go; those that go: gone.go
 //   - tasks that end their workers: suspicion.go (who is suspected, and given up), evidence.go
@@ -126,6 +127,9 @@
 	Starts, Succeeded, Failed, Stopped, Lapsed, Refused, Paces, Unanswered int64
 	WorkersLost                                                            int64 // with runs
 	Trials, GivenUp, Cleared                                               int64 // of tasks suspected of crashing workers
+	StartsFromText                                                         int64 // that bring a checkpoint
+	// Checkpoints that reports showed and that were not taken, by why: see textFate.
+	TextsNotAskedOf int64
 }
 
 // New makes a core without jobs and workers.
--- a/services/dispatch/end.go
+++ b/services/dispatch/end.go
@@ -20,12 +20,13 @@
 		w.keepEnd(ended.Number, nil)
 		return
 	}
-	if ended.Checkpoint != "" && t.step.spec.Checkpoints {
-		t.checkpoint = ended.Checkpoint
+	var fate textFate
+	if ended.Checkpoint != "" {
+		fate = c.keepText(t, saved{text: ended.Checkpoint, run: ended.Run, worker: w.info.ID, row: savedRow(ended.How), at: now})
 	}
 	c.applyEnd(w, t, ended, now)
 	w.keepEnd(ended.Number, t.step.job)
-	c.logEnd(w, t, ended, now)
+	c.logEnd(w, t, ended, fate, now)
 }
 
 // applyEnd draws from an end what it means for the task.
@@ -60,8 +61,8 @@
 	w.ends = append(w.ends, end)
 }
 
-// logEnd logs how a run ended.
-func (c *Core) logEnd(w *worker, t *task, ended jobs.Ended, now time.Time) {
+// logEnd logs how a run ended, and what became of the text that it brought.
+func (c *Core) logEnd(w *worker, t *task, ended jobs.Ended, fate textFate, now time.Time) {
 	fields := []zap.Field{
 		zap.Stringer("task", ended.Task), zap.Uint64("run", uint64(ended.Run)), zap.String("how", string(ended.How)),
 		zap.String("worker", string(w.info.ID)), zap.Int("failures", len(t.failures)),
@@ -69,6 +70,9 @@
 	if t.run == ended.Run && !t.began.IsZero() {
 		fields = append(fields, zap.Int64("ran_ms", now.Sub(t.began).Milliseconds()))
 	}
+	if fate != "" {
+		fields = append(fields, zap.Stringer("saved", textDigest(ended.Checkpoint)), zap.String("saved_fate", string(fate)))
+	}
 	c.config.Logger.Info("run ended", fields...)
 }
 
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -122,16 +122,26 @@
 	c.startsLeft--
 	c.counts.Starts++
 	c.noteFirstStart(t.step.job, now)
-	c.config.Logger.Info("run starts", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
-		zap.String("worker", string(w.info.ID)), zap.Int64("job_age_ms", int64(models.UnixMilliOf(now)-t.step.job.accepted)),
-		zap.Int64("report_age_ms", now.Sub(w.heard).Milliseconds()), zap.Float64("load", w.load),
-		zap.Int("lost_before", len(t.suspicion.Lost)))
+	c.logStart(t, w, now)
 	c.orders = append(c.orders, StartOrder{Worker: w.info, Call: jobs.StartCall{
 		Task: t.id(), Run: t.run, Epoch: c.config.Epoch, Payload: t.step.job.spec.Payload,
-		Until: c.startUntil(w, now), Checkpoint: t.checkpoint,
+		Until: c.startUntil(w, now), Checkpoint: t.text(),
 	}})
 }
 
+// logStart logs a start with what decided it, and what its run goes on from.
+func (c *Core) logStart(t *task, w *worker, now time.Time) {
+	if t.saved != nil {
+		c.counts.StartsFromText++
+	}
+	c.config.Logger.Info("run starts", t.logOrigin([]zap.Field{
+		zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
+		zap.String("worker", string(w.info.ID)), zap.Int64("job_age_ms", int64(models.UnixMilliOf(now)-t.step.job.accepted)),
+		zap.Int64("report_age_ms", now.Sub(w.heard).Milliseconds()), zap.Float64("load", w.load),
+		zap.Int("lost_before", len(t.suspicion.Lost)),
+	}, now)...)
+}
+
 // beginRun makes a waiting task one with a run whose start is not answered yet.
 func (c *Core) beginRun(t *task, now time.Time) {
 	t.step.waiting--
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -86,8 +86,8 @@
 	t.figure = run.Figure
 	c.checkPace(w, t, now)
 	c.sampleSpeed(w, t, run.Progress, now)
-	if run.Checkpoint != "" && t.step.spec.Checkpoints {
-		t.checkpoint = run.Checkpoint
+	if run.Checkpoint != "" {
+		c.keepText(t, saved{text: run.Checkpoint, run: run.Run, worker: w.info.ID, row: rowRunning, at: now})
 	}
 	if t.state == taskStarting {
 		c.confirm(t, now)
--- /dev/null
+++ b/services/dispatch/saved.go
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// saved is the text that a task's next run goes on from, and which row of which report it
+// is from: operators ask that first when a run goes on from something wrong.
+type saved struct {
+	text   jobs.Text
+	run    jobs.RunID
+	worker jobs.WorkerID
+	row    savedRow
+	at     time.Time // when the report came
+}
+
+// savedRow is the kind of row that showed a text: how its run had ended, or rowRunning.
+type savedRow string
+
+const rowRunning savedRow = "running"
+
+// textFate is what became of a text that a report showed, as logged.
+type textFate string
+
+const (
+	textTaken      textFate = "taken"
+	textNotAskedOf textFate = "its step doesn't checkpoint"
+)
+
+// textDigest shows in logs which text is meant, never the text: it is the caller's data. It is
+// made only when the line is.
+type textDigest jobs.Text
+
+// digestBase makes of a digest what a person can compare.
+const digestBase = 16
+
+func (d textDigest) String() string {
+	return strconv.FormatUint(xxhash.Sum64String(string(d)), digestBase)
+}
+
+// keepText takes the text of a row for the task's next run.
+func (c *Core) keepText(t *task, shown saved) textFate {
+	fate := c.fateOf(t, shown)
+	switch fate {
+	case textTaken:
+		if t.saved == nil {
+			t.saved = &saved{}
+		}
+		*t.saved = shown
+	case textNotAskedOf:
+		c.counts.TextsNotAskedOf++
+	}
+	return fate
+}
+
+// fateOf says whether a text is to be taken.
+func (c *Core) fateOf(t *task, _ saved) textFate {
+	if !t.step.spec.Checkpoints {
+		return textNotAskedOf
+	}
+	return textTaken
+}
+
+// text is what the task's next run goes on from; empty: it begins anew.
+func (t *task) text() jobs.Text {
+	if t.saved == nil {
+		return ""
+	}
+	return t.saved.text
+}
+
+// logOrigin adds to the line of a start where its text is from.
+func (t *task) logOrigin(fields []zap.Field, now time.Time) []zap.Field {
+	s := t.saved
+	if s == nil {
+		return fields
+	}
+	return append(fields, zap.Stringer("saved", textDigest(s.text)), zap.Uint64("saved_run", uint64(s.run)),
+		zap.String("saved_worker", string(s.worker)), zap.String("saved_row", string(s.row)),
+		zap.Int64("saved_age_ms", now.Sub(s.at).Milliseconds()))
+}
--- /dev/null
+++ b/services/dispatch/saved_test.go
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// savingStep is a step whose runs save their work.
+var savingStep = jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 100}, Estimate: 5000, Checkpoints: true}
+
+// running is a row of a run that has saved a text.
+func running(run jobs.RunID, text jobs.Text) jobs.Report {
+	return jobs.Report{Running: []jobs.Run{{Task: taskOf(0), Run: run, Checkpoint: text}}}
+}
+
+// endOf is an end of a run that has saved a text.
+func endOf(number uint64, run jobs.RunID, how jobs.End, text jobs.Text) jobs.Report {
+	return jobs.Report{Ended: []jobs.Ended{{Number: number, Task: taskOf(0), Run: run, How: how, Checkpoint: text}}}
+}
+
+// TestLogsTellWhereATextIsFrom: a start that brings a text names the run, worker and row it is
+// from, an end what became of its text; both by a digest, for the text is the caller's.
+func TestLogsTellWhereATextIsFrom(t *testing.T) {
+	const secret = jobs.Text("what the caller saved")
+	b := newBench(t, 1)
+	core, logs := observer.New(zap.InfoLevel)
+	b.config.Logger = zap.New(core)
+	b.AddJob(b.job(savingStep), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	first := b.starts()[0].Call
+	b.report(0, endOf(1, first.Run, jobs.EndStopped, secret))
+	second := b.starts()[0].Call
+	require.Equal(t, secret, second.Checkpoint)
+	require.EqualValues(t, 1, b.Counts().StartsFromText)
+
+	starts := logs.FilterMessage("run starts").All()
+	require.Len(t, starts, 2)
+	require.NotContains(t, starts[0].ContextMap(), "saved")
+	origin := starts[1].ContextMap()
+	require.EqualValues(t, first.Run, origin["saved_run"])
+	require.Equal(t, "w0", origin["saved_worker"])
+	require.Equal(t, "stopped", origin["saved_row"])
+	require.EqualValues(t, 0, origin["saved_age_ms"])
+	end := logs.FilterMessage("run ended").All()[0].ContextMap()
+	require.Equal(t, origin["saved"], end["saved"])
+	require.Equal(t, "taken", end["saved_fate"])
+	for _, line := range logs.All() {
+		for _, value := range line.ContextMap() {
+			require.NotEqual(t, string(secret), value)
+		}
+	}
+}
+
+// TestTextOfAStepThatDoesNotCheckpointIsCounted, and no start brings it.
+func TestTextOfAStepThatDoesNotCheckpointIsCounted(t *testing.T) {
+	b := newBench(t, 1)
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	run := b.starts()[0].Call.Run
+	b.report(0, running(run, "a"))
+	b.report(0, endOf(1, run, jobs.EndStopped, "b"))
+	require.Empty(t, b.starts()[0].Call.Checkpoint)
+	require.Positive(t, b.Counts().TextsNotAskedOf)
+	require.Zero(t, b.Counts().StartsFromText)
+}
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -35,20 +35,20 @@
 	onTrial   bool   // a suspect that has not run for long enough yet
 	counted   uint64 // the job's version when a loss was last counted
 
-	run        jobs.RunID
-	starts     int       // in this epoch
-	ordered    bool      // this owner ordered the run, and knows since when it is under way
-	settled    time.Time // when the order in flight was answered; zero while it is not
-	tried      time.Time // when the last order was given
-	retried    bool      // the start was repeated
-	waits      time.Time // since when it waits, while it does; zero: for long, or for another cell
-	began      time.Time // when the run was ordered, then when it was known to be under way
-	seen       uint64    // the worker's report that last showed it
-	checkpoint jobs.Text
-	pace       jobs.Percent // as ordered
-	paced      time.Time    // when it began or its pace was last changed
-	paceOpen   bool         // an order had no answer: the pace in force may be higher
-	figure     int          // as last reported
+	run      jobs.RunID
+	starts   int          // in this epoch
+	ordered  bool         // this owner ordered the run, and knows since when it is under way
+	settled  time.Time    // when the order in flight was answered; zero while it is not
+	tried    time.Time    // when the last order was given
+	retried  bool         // the start was repeated
+	waits    time.Time    // since when it waits, while it does; zero: for long, or for another cell
+	began    time.Time    // when the run was ordered, then when it was known to be under way
+	seen     uint64       // the worker's report that last showed it
+	saved    *saved       // what the next run goes on from; nil: it begins anew
+	pace     jobs.Percent // as ordered
+	paced    time.Time    // when it began or its pace was last changed
+	paceOpen bool         // an order had no answer: the pace in force may be higher
+	figure   int          // as last reported
 
 	sampled         time.Time // when sampledProgress was taken for the worker's speed
 	sampledProgress jobs.Percent
