--- /dev/null
+++ b/services/dispatch/checkpoint_model_test.go
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"fmt"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// taskRun names a run of a task.
+type taskRun struct {
+	task jobs.TaskID
+	run  jobs.RunID
+}
+
+// textOrigin is what a text is, as the one who made it knows.
+type textOrigin struct {
+	task    jobs.TaskID
+	ordered bool // by a run that some owner had ordered
+}
+
+// shownText is the newest text that an owner has been shown of a task.
+type shownText struct {
+	run   jobs.RunID
+	text  jobs.Text
+	final bool // the run has ended with it
+}
+
+// textModel knows of each text whose it is, and what the present owner has been shown.
+type textModel struct {
+	owner   jobs.Epoch
+	texts   map[jobs.Text]textOrigin
+	ordered map[taskRun]jobs.StartCall
+	runs    map[jobs.TaskID][]jobs.RunID // those ordered
+	highest map[jobs.TaskID]jobs.RunID   // of those ordered, made up and given elsewhere
+	least   map[jobs.ID]jobs.RunID       // that other cells had given to tasks that came back
+	shown   map[jobs.TaskID]shownText    // to this owner
+}
+
+func newTextModel() textModel {
+	return textModel{
+		texts: map[jobs.Text]textOrigin{}, ordered: map[taskRun]jobs.StartCall{}, runs: map[jobs.TaskID][]jobs.RunID{},
+		highest: map[jobs.TaskID]jobs.RunID{}, least: map[jobs.ID]jobs.RunID{}, shown: map[jobs.TaskID]shownText{},
+	}
+}
+
+// beginOwner begins a new owner, which has been shown nothing.
+func (m *textModel) beginOwner(epoch jobs.Epoch) {
+	m.owner = epoch
+	clear(m.shown)
+}
+
+// highestBelievable is the highest number that an owner up to the present one can have given to
+// a run of the task, unless an invented one has driven its numbers up.
+func (m *textModel) highestBelievable(task jobs.TaskID) jobs.RunID {
+	return max(jobs.RunID(m.owner)*runsPerEpoch, m.least[task.Job]) + runsPerEpoch
+}
+
+// unbelievable makes up the number of a run that no owner can have ordered.
+func (m *textModel) unbelievable(task jobs.TaskID) jobs.RunID {
+	m.highest[task] = max(m.highest[task], m.highestBelievable(task)+runsPerEpoch) + 1
+	return m.highest[task]
+}
+
+// believes tells whether the owner can know that a run was ordered: by itself, or perhaps by
+// a former one.
+func (m *textModel) believes(task jobs.TaskID, run jobs.RunID) bool {
+	call, ordered := m.ordered[taskRun{task, run}]
+	return ordered && (call.Epoch == m.owner || run <= m.highestBelievable(task))
+}
+
+func (m *textModel) newText(task jobs.TaskID, ordered bool) jobs.Text {
+	text := jobs.Text(fmt.Sprintf("text %d", len(m.texts)))
+	m.texts[text] = textOrigin{task, ordered}
+	return text
+}
+
+func (m *textModel) isOrdered(task jobs.TaskID, run jobs.RunID) bool {
+	_, ordered := m.ordered[taskRun{task, run}]
+	return ordered
+}
+
+// show notes that a row of an ordered run has shown a text. A run's end is its last word.
+func (m *textModel) show(core *Core, task jobs.TaskID, shown shownText) {
+	t := core.find(task)
+	if shown.text == "" || t == nil || !t.step.spec.Checkpoints || !m.believes(task, shown.run) {
+		return
+	}
+	before, known := m.shown[task]
+	if known && (before.run > shown.run || before.run == shown.run && before.final && !shown.final) {
+		return
+	}
+	m.shown[task] = shown
+}
+
+// reportBefore is what an owner knows of a worker before its report arrives.
+type reportBefore struct {
+	taken   bool // the report isn't overtaken by a later one
+	lastEnd uint64
+}
+
+func (m *textModel) beginReport(core *Core, f flight) reportBefore {
+	w := core.workers[f.worker.info.ID]
+	if w == nil || f.report.Clock < w.clock {
+		return reportBefore{}
+	}
+	return reportBefore{taken: true, lastEnd: w.lastEnd}
+}
+
+// endReport notes what the owner has been shown: running rows count of the run that it takes
+// for the task's, ends the first time that they are listed.
+func (m *textModel) endReport(core *Core, f flight, before reportBefore) {
+	if !before.taken {
+		return
+	}
+	for _, run := range f.report.Running {
+		t := core.find(run.Task)
+		if t != nil && t.worker != nil && t.worker.info.ID == f.worker.info.ID && t.run == run.Run {
+			m.show(core, run.Task, shownText{run: run.Run, text: run.Checkpoint})
+		}
+	}
+	for _, ended := range f.report.Ended {
+		if ended.Number > before.lastEnd {
+			m.show(core, ended.Task, shownText{run: ended.Run, text: ended.Checkpoint, final: true})
+		}
+	}
+}
+
+// judge fails the test when a start brings anything but the newest text of its task's newest run
+// that has shown one. One that is repeated is the same message again.
+func (m *textModel) judge(t require.TestingT, start StartOrder) {
+	call := start.Call
+	key := taskRun{call.Task, call.Run}
+	if first, repeated := m.ordered[key]; repeated {
+		require.Equal(t, first.Epoch, call.Epoch, "the number of a former owner's run is given again")
+		require.Equal(t, first, call, "a start that is repeated")
+		return
+	}
+	m.ordered[key] = call
+	m.runs[call.Task] = append(m.runs[call.Task], call.Run)
+	m.highest[call.Task] = max(m.highest[call.Task], call.Run)
+	if call.Checkpoint != "" {
+		origin, known := m.texts[call.Checkpoint]
+		require.True(t, known, "a text that nobody has made: %q", call.Checkpoint)
+		require.Equal(t, call.Task, origin.task, "a text of another task")
+		require.True(t, origin.ordered, "a text of a run that nobody has ordered")
+	}
+	require.Equal(t, m.shown[call.Task].text, call.Checkpoint, "not the newest text of the newest run that has shown one")
+}
--- /dev/null
+++ b/services/dispatch/checkpoint_random_test.go
@@ -0,0 +1,200 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// TestMain fixes the seed of the random tests, so that CI gives the same verdict each
+// time; "make long" asks for other seeds and more runs.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.checks": "300", "rapid.shrinktime": "20s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// savingHappenings are what happens around an owner whose tasks save their work; those that
+// stand more often happen more often.
+var savingHappenings = []string{
+	"settle", "settle", "settle", "submit", "submit lasting", "cancel",
+	"call", "call", "call", "deliver", "deliver", "decide", "decide", "carry", "carry", "carry", "store", "pass", "pass long",
+	"save", "save", "save", "succeed", "fail", "stop",
+	"cut", "heal", "replace", "unlist", "relist", "list twice", "drain", "take over",
+	"list an old end", "run that nobody ordered", "end that nobody ordered", "old run on a second worker",
+	"move away and back",
+}
+
+// TestStartsBringTheNewestTextOfTheirTask plays an owner among workers that save, end, go and come
+// back, list ends late, again and in any order, and invent runs. It holds of every start that
+// isn't a repetition: it brings the newest text of the newest run of its own task that has
+// shown one to this owner, never one of a run that nobody ordered.
+func TestStartsBringTheNewestTextOfTheirTask(t *testing.T) {
+	starts, resumed := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newSavingWorld(rt)
+		w.submit(false)
+		w.submit(true)
+		w.settle()
+		for range rapid.IntRange(20, 120).Draw(rt, "steps") {
+			w.happen(rapid.SampledFrom(savingHappenings).Draw(rt, "what"))
+		}
+		w.settle()
+		starts, resumed = starts+w.starts, resumed+w.resumed
+	})
+	t.Logf("%d starts, %d of them from a text", starts, resumed)
+	require.Greater(t, resumed, starts/10, "the test plays hardly any start that matters")
+}
+
+// worker draws a worker.
+func (w *savingWorld) worker() *savingWorker {
+	return w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(w.T, "worker")]
+}
+
+// job draws a job.
+func (w *savingWorld) job() jobs.ID { return jobID(rapid.IntRange(0, w.jobs-1).Draw(w.T, "job")) }
+
+// task draws a task of a job.
+func (w *savingWorld) task() jobs.TaskID {
+	return jobs.TaskID{Job: w.job(), Index: rapid.IntRange(0, 1).Draw(w.T, "index")}
+}
+
+// happen lets one thing happen.
+func (w *savingWorld) happen(what string) {
+	switch what {
+	case "settle":
+		w.settle()
+	case "submit", "submit lasting":
+		w.submit(what == "submit lasting")
+	case "cancel":
+		w.core.Cancel(w.job())
+	case "call":
+		w.call(w.worker())
+	case "deliver":
+		if len(w.flights) > 0 {
+			w.deliver(rapid.IntRange(0, len(w.flights)-1).Draw(w.T, "flight"))
+		}
+	case "decide":
+		w.decide()
+	case "carry":
+		if len(w.orders) > 0 {
+			w.carry(rapid.IntRange(0, len(w.orders)-1).Draw(w.T, "order"), rapid.SampledFrom(orderFates).Draw(w.T, "fate"))
+		}
+	case "store":
+		w.store()
+	case "pass":
+		w.pass(time.Duration(rapid.IntRange(0, 500).Draw(w.T, "ms")) * time.Millisecond)
+	case "pass long":
+		w.pass(3 * time.Second)
+	case "take over":
+		w.takeOver()
+	case "move away and back":
+		w.moveAwayAndBack(w.task())
+	default:
+		w.happenAt(w.worker(), what)
+	}
+}
+
+// happenAt lets one thing happen at a worker.
+func (w *savingWorld) happenAt(worker *savingWorker, what string) {
+	switch what {
+	case "save", "succeed", "fail", "stop":
+		w.runOn(worker, what)
+	case "cut":
+		worker.cut = true
+	case "heal":
+		worker.cut = false
+	case "replace":
+		w.replace(worker)
+	case "unlist", "relist":
+		worker.listed = what == "relist"
+		w.list()
+	case "list twice":
+		w.workers = append(w.workers, worker)
+		w.list()
+		w.workers = w.workers[:len(w.workers)-1]
+	case "drain":
+		worker.info.Draining, worker.info.Remaining = true, 3*time.Second
+		w.list()
+	default:
+		w.invent(worker, w.task(), what)
+	}
+}
+
+// runOn lets a run on a worker save or end.
+func (w *savingWorld) runOn(worker *savingWorker, what string) {
+	runs := worker.runs()
+	if len(runs) == 0 {
+		return
+	}
+	run := rapid.SampledFrom(runs).Draw(w.T, "run")
+	if what != "succeed" {
+		w.save(run)
+	}
+	if how, ends := map[string]jobs.End{"succeed": jobs.EndSucceeded, "fail": jobs.EndFailed, "stop": jobs.EndStopped}[what]; ends {
+		worker.end(run, how)
+	}
+}
+
+// replace puts another incarnation in the place of a worker.
+func (w *savingWorld) replace(worker *savingWorker) {
+	if worker.gone || len(w.workers) > 2*savingWorkers {
+		return
+	}
+	worker.gone, worker.listed = true, rapid.Bool().Draw(w.T, "its entry stays")
+	id := jobs.WorkerID(fmt.Sprint("w", len(w.workers)))
+	w.workers = append(w.workers, newSavingWorker(id, worker.info.Address, w.now))
+	w.list()
+}
+
+// invent lets a worker report what no order of this cell accounts for: an older run of the task
+// that has ended, or runs there, or one that nobody ordered.
+func (w *savingWorld) invent(worker *savingWorker, task jobs.TaskID, what string) {
+	if len(w.runs[task]) == 0 || worker.gone || worker.running[task] != nil {
+		return
+	}
+	run := &savingRun{task: task, run: rapid.SampledFrom(w.runs[task]).Draw(w.T, "older run")}
+	if what == "run that nobody ordered" || what == "end that nobody ordered" {
+		run.run = w.unbelievable(task)
+	}
+	w.save(run)
+	if what == "list an old end" || what == "end that nobody ordered" {
+		worker.listEnd(run, rapid.SampledFrom([]jobs.End{jobs.EndStopped, jobs.EndLapsed, jobs.EndFailed}).Draw(w.T, "how"))
+		return
+	}
+	worker.running[task] = run
+}
+
+// moveAwayAndBack hands a task to another cell and takes it back, with runs there in between.
+func (w *savingWorld) moveAwayAndBack(task jobs.TaskID) {
+	record := w.records[task.Job]
+	if !record.Spec.Divisible() || record.Ended != "" {
+		return
+	}
+	move := Move{Job: task.Job, Tasks: jobs.TaskSet{task.Step: {task.Index}}}
+	if !w.core.BeginMove(move) {
+		return
+	}
+	w.version++
+	w.core.Moved(move, w.version)
+	w.version++
+	w.highest[task] += rapid.SampledFrom([]jobs.RunID{3, 100 * runsPerEpoch}).Draw(w.T, "run there")
+	w.least[task.Job] = max(w.least[task.Job], w.highest[task])
+	record.Version, record.Moved, record.LeastRun = w.version, true, w.least[task.Job]
+	w.records[task.Job] = record
+	w.core.AddJob(record, jobs.Progress{}, false, w.now)
+}
--- /dev/null
+++ b/services/dispatch/checkpoint_world_test.go
@@ -0,0 +1,264 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// flight is a report on its way to the owner.
+type flight struct {
+	worker *savingWorker
+	sent   time.Time
+	report jobs.Report
+}
+
+// sentOrder is an order on its way to a worker.
+type sentOrder struct {
+	order Order
+	owner *Core
+}
+
+// savingWorld is a cell whose tasks save their work, with the store and the workers around
+// its owner, and the model of what each text is.
+type savingWorld struct {
+	*rapid.T
+	core    *Core
+	epoch   jobs.Epoch
+	now     time.Time
+	workers []*savingWorker
+	flights []flight
+	orders  []sentOrder
+
+	records  map[jobs.ID]jobs.Record
+	progress map[jobs.ID]jobs.Progress
+	roster   jobs.Roster
+	jobs     int
+	version  uint64
+
+	textModel
+	starts, resumed int
+}
+
+const savingWorkers = 3
+
+func newSavingWorld(rt *rapid.T) *savingWorld {
+	w := &savingWorld{
+		T: rt, now: time.Unix(1_000_000, 0), epoch: 5, version: 1,
+		records: map[jobs.ID]jobs.Record{}, progress: map[jobs.ID]jobs.Progress{}, textModel: newTextModel(),
+	}
+	for n := range savingWorkers {
+		w.workers = append(w.workers, newSavingWorker(jobs.WorkerID(fmt.Sprint("w", n)), fmt.Sprint("a", n), w.now))
+	}
+	w.takeOver()
+	return w
+}
+
+// takeOver puts a new owner in the place of the present one; all that it has is the store.
+func (w *savingWorld) takeOver() {
+	w.epoch++
+	w.core = New(Config{
+		Epoch: w.epoch, Taken: w.now, Lease: 4 * time.Second, LongestLease: 8 * time.Second, Logger: zap.NewNop(),
+	})
+	w.flights = nil
+	w.beginOwner(w.epoch)
+	w.core.Enrol(w.roster, w.now)
+	for n := range w.jobs {
+		id := jobID(n)
+		w.core.AddJob(w.records[id], w.progress[id], false, w.now)
+	}
+	w.list()
+	w.store()
+}
+
+func jobID(n int) jobs.ID { return jobs.ID(fmt.Sprintf("%016x", n+1)) }
+
+// submit hands in a job of tasks that save their work and one that does not, or of tasks that last.
+func (w *savingWorld) submit(lasting bool) {
+	size := models.Resources{CPU: 1500, Memory: 10}
+	steps := []jobs.Step{
+		{Count: 2, Size: size, Estimate: 5000, Checkpoints: true},
+		{Count: 1, Size: size, Estimate: 5000, After: []int{0}},
+	}
+	if lasting {
+		steps = []jobs.Step{{Count: 2, Size: size, Lasts: true, Checkpoints: true}}
+	}
+	record := jobs.Record{
+		Spec:  jobs.Spec{ID: jobID(w.jobs), Queue: "q", Steps: steps},
+		Terms: jobs.Terms{Pool: testPool, MaxAttempts: 5, Slack: 250, Stretch: 1.5}, Accepted: models.UnixMilliOf(w.now), Version: w.version,
+	}
+	w.jobs++
+	w.records[record.Spec.ID] = record
+	w.core.AddJob(record, jobs.Progress{}, true, w.now)
+}
+
+// list lets the owner read the list of workers.
+func (w *savingWorld) list() {
+	var list []jobs.Worker
+	for _, worker := range w.workers {
+		if worker.listed {
+			list = append(list, worker.info)
+		}
+	}
+	w.core.SetWorkers(list, w.now)
+}
+
+// store carries out what the owner wants to be stored.
+func (w *savingWorld) store() {
+	changes := w.core.TakeChanges(100, w.now)
+	for _, change := range changes.Jobs {
+		if change.Ended != nil {
+			w.records[change.ID] = *change.Ended
+			continue
+		}
+		w.progress[change.ID] = change.Progress
+	}
+	if changes.Roster != nil {
+		w.roster = *changes.Roster
+	}
+	w.core.Stored(changes, w.now)
+}
+
+// pass lets time go by.
+func (w *savingWorld) pass(span time.Duration) {
+	w.now = w.now.Add(span)
+	for _, worker := range w.workers {
+		worker.lapse(w.now)
+	}
+}
+
+// call asks a worker for a report, which is on its way then.
+func (w *savingWorld) call(worker *savingWorker) {
+	call, known := w.core.LeaseCall(worker.info.ID, 0, w.now)
+	switch {
+	case !known:
+	case worker.gone:
+		w.core.Replaced(worker.info.ID, w.now)
+	case worker.cut:
+		w.core.Overdue(worker.info.ID, w.now)
+	default:
+		worker.epoch = call.Epoch
+		worker.forget(call.Acknowledged)
+		worker.prolong(call.Until)
+		w.flights = append(w.flights, flight{worker, w.now, worker.report(w.now)})
+	}
+}
+
+// deliver lets a report arrive.
+func (w *savingWorld) deliver(n int) {
+	f := w.flights[n]
+	w.flights = append(w.flights[:n:n], w.flights[n+1:]...)
+	before := w.beginReport(w.core, f)
+	w.core.Reported(f.worker.info.ID, f.sent, f.report, w.now)
+	w.endReport(w.core, f, before)
+}
+
+// decide takes the owner's orders and judges what its starts bring.
+func (w *savingWorld) decide() {
+	orders := w.core.Decide(w.now)
+	slices.SortStableFunc(orders, func(a, b Order) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) }) // that of stops is any
+	for _, order := range orders {
+		if start, ok := order.(StartOrder); ok {
+			w.judge(w.T, start)
+			w.starts++
+			if start.Call.Checkpoint != "" {
+				w.resumed++
+			}
+		}
+		w.orders = append(w.orders, sentOrder{order, w.core})
+	}
+}
+
+// Ways of an order.
+var orderFates = []string{"done", "done", "done", "answer lost", "order lost", "order late", "not done", "not sent"}
+
+// carry lets an order reach its worker, or what else becomes of it.
+func (w *savingWorld) carry(n int, fate string) {
+	sent := w.orders[n]
+	w.orders = append(w.orders[:n:n], w.orders[n+1:]...)
+	result := Result{Outcome: OutcomeUnknown}
+	switch fate {
+	case "done":
+		result = w.obey(sent.order)
+	case "answer lost":
+		w.obey(sent.order)
+	case "order late": // it is done after its call was given up
+		w.orders = append(w.orders, sentOrder{sent.order, nil})
+	case "not done":
+		result.Outcome = OutcomeNotDone
+	case "not sent":
+		result.Outcome = OutcomeNotSent
+	}
+	if sent.owner != w.core {
+		return
+	}
+	switch order := sent.order.(type) {
+	case StartOrder:
+		w.core.Started(order, result, w.now)
+	case StopOrder:
+		w.core.Stopped(order, result, w.now)
+	}
+}
+
+// obey carries out an order at the worker that it names.
+func (w *savingWorld) obey(order Order) Result {
+	switch order := order.(type) {
+	case StartOrder:
+		if worker := w.find(order.Worker.ID); worker != nil {
+			return worker.start(order.Call, w.now)
+		}
+	case StopOrder:
+		if worker := w.find(order.Worker.ID); worker != nil {
+			run, result := worker.stop(order.Call)
+			if run != nil {
+				w.save(run)
+				worker.end(run, jobs.EndStopped)
+			}
+			return result
+		}
+	}
+	return Result{Outcome: OutcomeUnknown}
+}
+
+// find finds a worker that can be reached.
+func (w *savingWorld) find(id jobs.WorkerID) *savingWorker {
+	for _, worker := range w.workers {
+		if worker.info.ID == id && !worker.cut && !worker.gone {
+			return worker
+		}
+	}
+	return nil
+}
+
+// save lets a run save its work.
+func (w *savingWorld) save(run *savingRun) {
+	run.text = w.newText(run.task, w.isOrdered(run.task, run.run))
+}
+
+// settle lets all reports, orders and writes come through.
+func (w *savingWorld) settle() {
+	for range 2 { // the first answers tell the workers' clocks
+		w.pass(100 * time.Millisecond)
+		for _, worker := range w.workers {
+			w.call(worker)
+		}
+		for len(w.flights) > 0 {
+			w.deliver(0)
+		}
+		w.store()
+	}
+	w.decide()
+	for len(w.orders) > 0 {
+		w.carry(0, "done")
+	}
+}
