A task keeps the text of its newest run, not of the report that came last

What callers saw: a run went on from what an older run had saved, and did again what a later one had saved already; also from another line of runs than the one before it.

Cause: the text of any end and of any adopted run was taken, in the order of reports. After a takeover the workers answer in any order, and a worker that was taken for gone lists its ends again when it comes back.

A text is kept with the run that it is of, and taken only from a run that is not older. Run numbers rise over epochs and owners, so the order of reports doesn't matter any more. The text was always the task's own: this alone doesn't explain texts of something else. Texts not taken for it are counted: texts_not_taken {reason=older}.

--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -82,6 +82,7 @@
 func meterTexts(scope tally.Scope, counts, before dispatch.Counts) {
 	for reason, delta := range map[string]int64{
 		"not_asked_of": counts.TextsNotAskedOf - before.TextsNotAskedOf,
+		"older":        counts.TextsOlder - before.TextsOlder,
 	} {
 		scope.Tagged(map[string]string{"reason": reason}).Counter("texts_not_taken").Inc(delta)
 	}
--- a/services/dispatch/saved.go
+++ b/services/dispatch/saved.go
@@ -34,6 +34,7 @@
 const (
 	textTaken      textFate = "taken"
 	textNotAskedOf textFate = "its step doesn't checkpoint"
+	textOlder      textFate = "a later run has saved"
 )
 
 // textDigest shows in logs which text is meant, never the text: it is the caller's data. It is
@@ -58,16 +59,25 @@
 		*t.saved = shown
 	case textNotAskedOf:
 		c.counts.TextsNotAskedOf++
+	case textOlder:
+		c.counts.TextsOlder++
 	}
 	return fate
 }
 
-// fateOf says whether a text is to be taken.
-func (c *Core) fateOf(t *task, _ saved) textFate {
-	if !t.step.spec.Checkpoints {
+// fateOf says whether a text is to be taken. Reports come in any order, above all after a takeover,
+// and workers that come back list their ends again; which text is the newest only the runs'
+// numbers tell, for they rise over all owners. Without it a task went on from an older run's
+// text, and did again what a later run had saved.
+func (c *Core) fateOf(t *task, shown saved) textFate {
+	switch {
+	case !t.step.spec.Checkpoints:
 		return textNotAskedOf
+	case t.saved != nil && shown.run < t.saved.run:
+		return textOlder
+	default:
+		return textTaken
 	}
-	return textTaken
 }
 
 // text is what the task's next run goes on from; empty: it begins anew.
