A late row of a running run does not replace the text of its end

Cause: two reports of one millisecond of the worker's clock are both taken, and answers on different connections may pass each other. The one that shows the run before its stop then replaced what the stop had saved with what was saved before, up to a whole interval of work.

An end is a run's last word. Proved by TestReportThatAnEndHasPassedDoesNotReplaceItsText (red before, green now); how often it happens on real processes isn't known.

--- a/services/dispatch/saved.go
+++ b/services/dispatch/saved.go
@@ -35,6 +35,7 @@
 	textTaken      textFate = "taken"
 	textNotAskedOf textFate = "its step doesn't checkpoint"
 	textOlder      textFate = "a later run has saved"
+	textPassed     textFate = "its run's end is known"
 )
 
 // textDigest shows in logs which text is meant, never the text: it is the caller's data. It is
@@ -59,7 +60,7 @@
 		*t.saved = shown
 	case textNotAskedOf:
 		c.counts.TextsNotAskedOf++
-	case textOlder:
+	case textOlder, textPassed:
 		c.counts.TextsOlder++
 	}
 	return fate
@@ -75,6 +76,8 @@
 		return textNotAskedOf
 	case t.saved != nil && shown.run < t.saved.run:
 		return textOlder
+	case t.saved != nil && shown.run == t.saved.run && shown.row == rowRunning && t.saved.row != rowRunning:
+		return textPassed // answers pass each other, and an end is a run's last word
 	default:
 		return textTaken
 	}
