Numbers of runs rise over owners also after tasks came from another cell

What callers saw: nothing that was traced to it. An owner whose cell got a lasting task back began with the number after the other cell's; where that was above the numbers of this cell's epochs (cells' epochs differ by ten thousands), its successor began with the same one. A worker refuses such a start as old until the next report, a run's end of one owner is taken for the other's, and which text is newer can't be told.

The numbers of other cells are added to epoch × 4096 in place of being exceeded only: with the same record, each epoch begins above the one before it. Each move adds epoch × 4096; 2^53 is reached after tens of millions of moves of one job.

--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -34,6 +34,7 @@
 	offered     time.Time       // when it was last listed as movable
 	stays       bool            // it can't be moved as a whole
 	recorded    uint64          // version of the record that says which tasks this cell has
+	leastRun    jobs.RunID      // that other cells had given to runs of its tasks
 	brought     jobs.Suspicions // that came with tasks of other cells
 }
 
@@ -81,7 +82,7 @@
 	j := &job{
 		spec: record.Spec, terms: record.Terms, accepted: record.Accepted, begins: record.Accepted,
 		chain: record.Spec.Chain(), fresh: fresh, recorded: record.Version,
-		brought: record.Suspected,
+		leastRun: record.LeastRun, brought: record.Suspected,
 	}
 	for occurrence := range j.spec.Occurrences() {
 		for number := range j.spec.Steps {
--- a/services/dispatch/parts.go
+++ b/services/dispatch/parts.go
@@ -29,6 +29,7 @@
 		return
 	}
 	j.recorded = record.Version
+	j.leastRun = max(j.leastRun, record.LeastRun)
 	came, went := 0, 0
 	for flat, s := range j.steps {
 		for i := range s.tasks {
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -159,5 +159,13 @@
 
 // nextRun numbers a run above all runs of this and of former owners.
 func (c *Core) nextRun(t *task) jobs.RunID {
-	return max(t.run+1, jobs.RunID(c.config.Epoch)*runsPerEpoch+jobs.RunID(t.starts))
+	return max(t.run+1, c.firstRun(t.step.job)+jobs.RunID(t.starts))
+}
+
+// firstRun is below all numbers that this owner gives to runs of a job, and above those of
+// former owners. What other cells had given is added, not only exceeded: where it is above this
+// cell's epochs, one owner after the other would begin with the same number, and neither a
+// worker nor an owner could tell which run is newer.
+func (c *Core) firstRun(j *job) jobs.RunID {
+	return j.leastRun + jobs.RunID(c.config.Epoch)*runsPerEpoch
 }
