The text of a run that nobody can have ordered is not taken

A precaution: no worker has been seen to show such a run. Since texts are taken by the number of their run, one with an invented high number would go before all others for good, and a run be started with what no run of this task has saved.

A text is taken from the owner's own present run, and from runs whose numbers an owner up to this one can have given. The run itself is still kept from running beside another, as before. Counted: texts_not_taken {reason=unordered}.

Invented numbers are far above all others: one just above an owner's own may be its successor's, and a number that an invented run has driven up is handed to other cells as good.

--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -83,6 +83,7 @@
 	for reason, delta := range map[string]int64{
 		"not_asked_of": counts.TextsNotAskedOf - before.TextsNotAskedOf,
 		"older":        counts.TextsOlder - before.TextsOlder,
+		"unordered":    counts.TextsUnordered - before.TextsUnordered,
 	} {
 		scope.Tagged(map[string]string{"reason": reason}).Counter("texts_not_taken").Inc(delta)
 	}
--- a/services/dispatch/saved.go
+++ b/services/dispatch/saved.go
@@ -36,6 +36,7 @@
 	textNotAskedOf textFate = "its step doesn't checkpoint"
 	textOlder      textFate = "a later run has saved"
 	textPassed     textFate = "its run's end is known"
+	textUnordered  textFate = "no owner has ordered its run"
 )
 
 // textDigest shows in logs which text is meant, never the text: it is the caller's data. It is
@@ -62,6 +63,8 @@
 		c.counts.TextsNotAskedOf++
 	case textOlder, textPassed:
 		c.counts.TextsOlder++
+	case textUnordered:
+		c.counts.TextsUnordered++
 	}
 	return fate
 }
@@ -74,6 +77,8 @@
 	switch {
 	case !t.step.spec.Checkpoints:
 		return textNotAskedOf
+	case !c.mayBeOrdered(t, shown.run):
+		return textUnordered
 	case t.saved != nil && shown.run < t.saved.run:
 		return textOlder
 	case t.saved != nil && shown.run == t.saved.run && shown.row == rowRunning && t.saved.row != rowRunning:
@@ -83,6 +88,13 @@
 	}
 }
 
+// mayBeOrdered tells whether this owner has ordered a run, or a former one may have: no number
+// above those of this epoch has been given. It keeps a worker that invents runs from having its
+// text go before all others for good.
+func (c *Core) mayBeOrdered(t *task, run jobs.RunID) bool {
+	return t.ordered && run == t.run || run < c.firstRun(t.step.job)+runsPerEpoch
+}
+
 // text is what the task's next run goes on from; empty: it begins anew.
 func (t *task) text() jobs.Text {
 	if t.saved == nil {
