The text of a run that failed is not taken from its end

A precaution, nothing that was proved: no failed end has been seen to bring a wrong text.

What reports showed before the failure stands.

--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -84,6 +84,7 @@
 		"not_asked_of": counts.TextsNotAskedOf - before.TextsNotAskedOf,
 		"older":        counts.TextsOlder - before.TextsOlder,
 		"unordered":    counts.TextsUnordered - before.TextsUnordered,
+		"failed":       counts.TextsFailed - before.TextsFailed,
 	} {
 		scope.Tagged(map[string]string{"reason": reason}).Counter("texts_not_taken").Inc(delta)
 	}
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -129,7 +129,7 @@
 	Trials, GivenUp, Cleared                                               int64 // of tasks suspected of crashing workers
 	StartsFromText                                                         int64 // that bring a checkpoint
 	// Checkpoints that reports showed and that were not taken, by why: see textFate.
-	TextsNotAskedOf, TextsOlder, TextsUnordered int64
+	TextsNotAskedOf, TextsOlder, TextsUnordered, TextsFailed int64
 }
 
 // New makes a core without jobs and workers.
--- a/services/dispatch/saved.go
+++ b/services/dispatch/saved.go
@@ -37,6 +37,7 @@
 	textOlder      textFate = "a later run has saved"
 	textPassed     textFate = "its run's end is known"
 	textUnordered  textFate = "no owner has ordered its run"
+	textFailed     textFate = "its run has failed"
 )
 
 // textDigest shows in logs which text is meant, never the text: it is the caller's data. It is
@@ -65,6 +66,8 @@
 		c.counts.TextsOlder++
 	case textUnordered:
 		c.counts.TextsUnordered++
+	case textFailed:
+		c.counts.TextsFailed++
 	}
 	return fate
 }
@@ -79,6 +82,8 @@
 		return textNotAskedOf
 	case !c.mayBeOrdered(t, shown.run):
 		return textUnordered
+	case shown.row == savedRow(jobs.EndFailed):
+		return textFailed // what was saved just before may be why, or a failing worker's making
 	case t.saved != nil && shown.run < t.saved.run:
 		return textOlder
 	case t.saved != nil && shown.run == t.saved.run && shown.row == rowRunning && t.saved.row != rowRunning:
