trace follows the worker that a run's text is from

Its changes of state (gone, drains) are shown as those of the run's own worker are: the log of the owner that had the former run may not be among those read.

--- a/modules/logtrace/logtrace.go
+++ b/modules/logtrace/logtrace.go
@@ -94,8 +94,10 @@
 			f.first, found = l.At, true
 		}
 		f.last = l.At
-		if worker := l.worker(); worker != "" {
-			f.workers[worker] = true
+		for _, field := range workerFields {
+			if worker := l.text(field); worker != "" {
+				f.workers[worker] = true
+			}
 		}
 	}
 	return f, found
@@ -109,10 +111,17 @@
 	return changesOfState[l.What] || changesOfWorkers[l.What] && f.workers[l.worker()]
 }
 
-// worker is the worker that the line names; empty: none.
-func (l Line) worker() string {
-	worker, _ := l.Fields["worker"].(string)
-	return worker
+// workerFields name workers whose fate matters to what a line is about: where a run is, and where
+// the text comes from that it goes on from.
+var workerFields = []string{"worker", "saved_worker"}
+
+// worker is the worker that the line is about; empty: none.
+func (l Line) worker() string { return l.text("worker") }
+
+// text is a field of the line that is a text; empty: there is none.
+func (l Line) text(field string) string {
+	text, _ := l.Fields[field].(string)
+	return text
 }
 
 // read reads all lines that are JSON, whatever stands before it, in the order of time.
--- a/modules/logtrace/logtrace_test.go
+++ b/modules/logtrace/logtrace_test.go
@@ -46,3 +46,19 @@
 	_, err = Find(strings.NewReader(logs), "ff")
 	require.Error(t, err)
 }
+
+// TestFindFollowsWhatARunGoesOnFrom: the worker that a run's text is from may be named by this line
+// alone, when the log of the owner at that time is not among those read.
+func TestFindFollowsWhatARunGoesOnFrom(t *testing.T) {
+	const resumed = `{"ts":"2026-09-25T09:39:03.000Z","msg":"run starts","id":"front-2","task":"aa00000000000001.0.0.0","run":3,"worker":"w1","saved":"5f1e","saved_run":2,"saved_worker":"w2","saved_row":"stopped"}` + "\n"
+	lines, err := Find(strings.NewReader(resumed+logs), "aa00000000000001.0.0.0")
+	require.NoError(t, err)
+	var gone []string
+	for _, l := range lines {
+		if l.What == "worker is gone" {
+			gone = append(gone, l.worker())
+		}
+	}
+	require.Equal(t, []string{"w1", "w2"}, gone)
+	require.Contains(t, lines[1].String(), "saved=5f1e saved_row=stopped saved_run=2 saved_worker=w2")
+}
