Model of texts: what an invented run has driven up is not invented again; a promise with its tests

The owner believes such a number only where it ordered the run, the model believed it anywhere. The owner is right to: such a text is lost, not wrong. The model doesn't play this any more, for numbers above all that owners give alone.

--- a/services/dispatch/checkpoint_random_test.go
+++ b/services/dispatch/checkpoint_random_test.go
@@ -183,7 +183,9 @@
 }
 
 // invent lets a worker report what no order of this cell accounts for: an older run of the task
-// that has ended, or runs there, or one that nobody ordered.
+// that has ended, or runs there, or one that nobody ordered. Older ones have numbers that no invented
+// run has driven up: an owner believes those of the one run that it has ordered itself, where
+// it has ordered it.
 func (w *savingWorld) invent(worker *savingWorker, task jobs.TaskID, what string) {
 	if len(w.runs[task]) == 0 || worker.gone || worker.running[task] != nil {
 		return
@@ -191,6 +193,8 @@
 	run := &savingRun{task: task, run: rapid.SampledFrom(w.runs[task]).Draw(w.T, "older run")}
 	if what == "run that nobody ordered" || what == "end that nobody ordered" {
 		run.run = w.unbelievable(task)
+	} else if run.run >= w.leastInvented(task) {
+		return
 	}
 	w.save(run)
 	if what == "list an old end" || what == "end that nobody ordered" {
