--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -121,16 +121,26 @@
 	c.startsLeft--
 	c.counts.Starts++
 	c.noteFirstStart(t.step.job, now)
-	c.config.Logger.Info("run starts", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
-		zap.String("worker", string(w.info.ID)), zap.Int64("job_age_ms", int64(c.timeOfDay(now)-t.step.job.accepted)),
-		zap.Int64("report_age_ms", now.Sub(w.heard).Milliseconds()), zap.Float64("load", w.load),
-		zap.Int("lost_before", len(t.suspicion.Lost)))
+	c.logStart(t, w, now)
 	c.orders = append(c.orders, StartOrder{Worker: w.info, Call: jobs.StartCall{
 		Task: t.id(), Run: t.run, Epoch: c.config.Epoch, Payload: t.step.job.spec.Payload,
-		Until: c.startUntil(w, now), Checkpoint: t.checkpoint,
+		Until: c.startUntil(w, now), Checkpoint: t.text(),
 	}})
 }
 
+// logStart logs a start with what decided it, and what its run goes on from.
+func (c *Core) logStart(t *task, w *worker, now time.Time) {
+	if t.saved != nil {
+		c.counts.StartsFromText++
+	}
+	c.config.Logger.Info("run starts", t.logOrigin([]zap.Field{
+		zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
+		zap.String("worker", string(w.info.ID)), zap.Int64("job_age_ms", int64(c.timeOfDay(now)-t.step.job.accepted)),
+		zap.Int64("report_age_ms", now.Sub(w.heard).Milliseconds()), zap.Float64("load", w.load),
+		zap.Int("lost_before", len(t.suspicion.Lost)),
+	}, now)...)
+}
+
 // beginRun makes a waiting task one with a run whose start is not answered yet.
 func (c *Core) beginRun(t *task, now time.Time) {
 	t.step.waiting--
@@ -148,5 +158,13 @@
 
 // nextRun numbers a run above all runs of this and of former owners.
 func (c *Core) nextRun(t *task) jobs.RunID {
-	return max(t.run+1, jobs.RunID(c.config.Epoch)*runsPerEpoch+jobs.RunID(t.starts))
+	return max(t.run+1, c.firstRun(t.step.job)+jobs.RunID(t.starts))
+}
+
+// firstRun is below all numbers that this owner gives to runs of a job, and above those of
+// former owners. What other cells had given is added, not only exceeded: where it is above this
+// cell's epochs, one owner after the other would begin with the same number, and neither a
+// worker nor an owner could tell which run is newer.
+func (c *Core) firstRun(j *job) jobs.RunID {
+	return j.leastRun + jobs.RunID(c.config.Epoch)*runsPerEpoch
 }
