A payload reaches the workers as its caller wrote it, or is refused at once

Callers saw: a task started with U+FFFD where its payload had half a surrogate pair, or bytes that are no UTF-8. Cause: encoding/json decodes strings into what Go strings can say and puts in replacements for the rest, without an error; the change was stored and never undone.

jobs.Text carries what a JSON string can say: halves of pairs in the form of three bytes that UTF-8 would give them, written as escapes again. What is no JSON string, as bytes that are no UTF-8, is answered 400 at once: handed on as it is it would make each start malformed. It holds wherever a payload passes (caller, store, daemons, worker), for its type brings its own JSON, and a text that can't be written is an error, not a replacement. MaxPayload counts the bytes of the text as UTF-8, as before; half a pair counts three.

--- a/models/jobs/spec.go
+++ b/models/jobs/spec.go
@@ -13,7 +13,7 @@
 
 // Bounds of what one job may ask for.
 const (
-	MaxPayload     = 4000 // bytes, the most that workers take with a start
+	MaxPayload     = 4000 // bytes of the text as UTF-8, escapes resolved; the most that workers take with a start
 	MaxSteps       = 64
 	MaxStepTasks   = 10_000
 	MaxOccurrences = 10_000
--- a/models/jobs/text.go
+++ b/models/jobs/text.go
@@ -3,5 +3,156 @@
 
 package jobs
 
-// Text is a text of callers or workers that is handed on as it came: nobody here reads it.
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"unicode/utf16"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Text is a text of callers or workers that is handed on as it came: nobody here reads it. It
+// holds whatever a JSON string can say, as UTF-8, and halves of surrogate pairs in the form of
+// three bytes that UTF-8 would give them, so that equal texts are equal strings. Only its own
+// JSON methods keep such halves: encoding/json reads and writes them in strings as U+FFFD, and a
+// start would bring another text than the caller or the worker has handed out.
 type Text string
+
+const (
+	firstHigh, firstLow, lastLow = 0xd800, 0xdc00, 0xdfff // surrogates
+
+	halfSize   = 3 // bytes of half a surrogate pair
+	escapeSize = 6 // bytes of an escape by four digits
+)
+
+// shortEscapes are the escapes of one letter.
+var shortEscapes = map[byte]byte{
+	'"': '"', '\\': '\\', '/': '/', 'b': '\b', 'f': '\f', 'n': '\n', 'r': '\r', 't': '\t',
+}
+
+// ParseText reads a JSON string. What is none, as bytes that are no UTF-8, is an error: it could
+// not be written as JSON again, and must not be replaced by something like it.
+func ParseText(literal []byte) (Text, error) {
+	if len(literal) < 2 || literal[0] != '"' || literal[len(literal)-1] != '"' {
+		return "", errors.New("text is no JSON string")
+	}
+	inner := literal[1 : len(literal)-1]
+	if bytes.IndexByte(inner, '\\') < 0 {
+		if err := checkPlain(inner); err != nil {
+			return "", err
+		}
+		return Text(inner), nil
+	}
+	text := make([]byte, 0, len(inner))
+	for {
+		plain, escaped, found := cutEscape(inner)
+		if err := checkPlain(plain); err != nil {
+			return "", err
+		}
+		text = append(text, plain...)
+		if !found {
+			return Text(text), nil
+		}
+		unit, size, err := readEscape(escaped)
+		if err != nil {
+			return "", err
+		}
+		text = appendUnit(text, unit)
+		inner = escaped[size:]
+	}
+}
+
+// cutEscape cuts the part before the first escape.
+func cutEscape(part []byte) (plain, escaped []byte, found bool) {
+	at := bytes.IndexByte(part, '\\')
+	if at < 0 {
+		return part, nil, false
+	}
+	return part[:at], part[at:], true
+}
+
+// checkPlain rejects what can't stand in a JSON string without escape.
+func checkPlain(part []byte) error {
+	for _, b := range part {
+		if b < ' ' || b == '"' {
+			return errors.Newf("text has %q without escape", b)
+		}
+	}
+	if !utf8.Valid(part) {
+		return errors.New("text is no UTF-8")
+	}
+	return nil
+}
+
+// readEscape reads the escape that the part begins with: a code unit of UTF-16.
+func readEscape(part []byte) (unit rune, size int, err error) {
+	if len(part) > 1 && shortEscapes[part[1]] != 0 {
+		return rune(shortEscapes[part[1]]), 2, nil
+	}
+	var digits [2]byte
+	if len(part) < escapeSize || part[1] != 'u' {
+		return 0, 0, errors.New("text has an escape that there is not")
+	}
+	if _, err := hex.Decode(digits[:], part[2:escapeSize]); err != nil {
+		return 0, 0, errors.Wrap(err, "text has an escape that there is not")
+	}
+	return rune(digits[0])<<8 | rune(digits[1]), escapeSize, nil
+}
+
+// appendUnit adds a code unit; the second half of a pair completes the first.
+func appendUnit(text []byte, unit rune) []byte {
+	if unit < firstHigh || unit > lastLow {
+		return utf8.AppendRune(text, unit)
+	}
+	if before := len(text) - halfSize; unit >= firstLow && before >= 0 {
+		if high, ok := halfAt(string(text[before:])); ok && high < firstLow {
+			return utf8.AppendRune(text[:before], utf16.DecodeRune(high, unit))
+		}
+	}
+	return append(text, 0xe0|byte(unit>>12), 0x80|byte(unit>>6&0x3f), 0x80|byte(unit&0x3f))
+}
+
+// halfAt reads the half of a surrogate pair that the text begins with, if it does.
+func halfAt(text string) (unit rune, ok bool) {
+	if len(text) < halfSize || text[0] != 0xed || text[1]&0xe0 != 0xa0 || text[2]&0xc0 != 0x80 {
+		return 0, false
+	}
+	return firstHigh | rune(text[1]&0x1f)<<6 | rune(text[2]&0x3f), true
+}
+
+// UnmarshalJSON reads a JSON string; null changes nothing.
+func (t *Text) UnmarshalJSON(literal []byte) (err error) {
+	if string(literal) == "null" {
+		return nil
+	}
+	*t, err = ParseText(literal)
+	return err
+}
+
+// MarshalJSON writes a JSON string that ParseText reads as the same text.
+func (t Text) MarshalJSON() ([]byte, error) {
+	text := string(t)
+	if utf8.ValidString(text) {
+		return json.Marshal(text)
+	}
+	literal := append(make([]byte, 0, 2*len(text)), '"')
+	for len(text) > 0 {
+		r, size := utf8.DecodeRuneInString(text)
+		half, ok := halfAt(text)
+		switch {
+		case ok:
+			literal, size = fmt.Appendf(literal, `\u%04x`, half), halfSize
+		case r == utf8.RuneError && size == 1:
+			return nil, errors.New("text is no UTF-8")
+		case r < ' ' || r == '"' || r == '\\':
+			literal = fmt.Appendf(literal, `\u%04x`, r)
+		default:
+			literal = append(literal, text[:size]...)
+		}
+		text = text[size:]
+	}
+	return append(literal, '"'), nil
+}
