A start brings the checkpoint that the worker has handed out, or none

Callers saw: a task went on with a checkpoint that isn't its own: the six letters \ud800 where half a surrogate pair stood, U+FFFD for bytes that are no UTF-8. Cause: the report's parser resolves escapes as best it can and leaves others as they stand; encoding/json then escaped the backslash.

One that is no JSON string counts as none (checkpoints_unreadable counts it): the row says truly which run is there, and the task keeps the checkpoint before.

--- a/models/jobs/worker.go
+++ b/models/jobs/worker.go
@@ -83,6 +83,8 @@
 	Clock   models.Milli // the worker's own
 	Running []Run
 	Ended   []Ended
+	// Unreadable counts the checkpoints that can't be handed on as they came; the rows have none.
+	Unreadable int
 }
 
 // LeaseCall prolongs the lease of all that runs on a worker and asks for a report.
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -94,6 +94,7 @@
 		sent := o.beginCall()
 		report, err := o.config.Workers.ProlongLease(ctx, worker, call)
 		o.endCall(sent, call.Wait, resultOf(err).Outcome)
+		o.config.Scope.Counter("checkpoints_unreadable").Inc(int64(report.Unreadable))
 		o.takeReport(worker.ID, sent, report, err)
 		pause := o.reportPause()
 		if err != nil && !errors.Is(err, platform.ErrUnknown) {
