--- a/models/jobs/text.go
+++ b/models/jobs/text.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"unicode/utf16"
 	"unicode/utf8"
@@ -134,25 +133,49 @@
 
 // MarshalJSON writes a JSON string that ParseText reads as the same text.
 func (t Text) MarshalJSON() ([]byte, error) {
+	return t.AppendJSON(make([]byte, 0, len(t)+len(`""`)))
+}
+
+// AppendJSON appends the text as a JSON string that ParseText reads as the same text. What is no
+// text, as bytes that are no UTF-8, is an error.
+func (t Text) AppendJSON(literal []byte) ([]byte, error) {
 	text := string(t)
-	if utf8.ValidString(text) {
-		return json.Marshal(text)
-	}
-	literal := append(make([]byte, 0, 2*len(text)), '"')
-	for len(text) > 0 {
-		r, size := utf8.DecodeRuneInString(text)
-		half, ok := halfAt(text)
-		switch {
-		case ok:
-			literal, size = fmt.Appendf(literal, `\u%04x`, half), halfSize
-		case r == utf8.RuneError && size == 1:
+	literal = append(literal, '"')
+	for text != "" {
+		plain := plainPrefix(text)
+		literal = append(literal, text[:plain]...)
+		text = text[plain:]
+		if text == "" {
+			break
+		}
+		unit, size := rune(text[0]), 1
+		if half, ok := halfAt(text); ok {
+			unit, size = half, halfSize
+		} else if unit >= utf8.RuneSelf {
 			return nil, errors.New("text is no UTF-8")
-		case r < ' ' || r == '"' || r == '\\':
-			literal = fmt.Appendf(literal, `\u%04x`, r)
-		default:
-			literal = append(literal, text[:size]...)
 		}
+		literal = fmt.Appendf(literal, `\u%04x`, unit)
 		text = text[size:]
 	}
 	return append(literal, '"'), nil
 }
+
+// plainPrefix is how many bytes at the beginning can stand in a JSON string as they are.
+func plainPrefix(text string) int {
+	for i := 0; i < len(text); {
+		b := text[i]
+		if b < utf8.RuneSelf {
+			if b < ' ' || b == '"' || b == '\\' {
+				return i
+			}
+			i++
+			continue
+		}
+		r, size := utf8.DecodeRuneInString(text[i:])
+		if r == utf8.RuneError && size == 1 {
+			return i
+		}
+		i += size
+	}
+	return len(text)
+}
