--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 GO ?= go
 
-.PHONY: build fmt lint vet test demo measure long generate
+.PHONY: build fmt lint vet tidy test demo measure long generate
 
 build: ## build all commands into bin/
 	$(GO) build -o bin/ ./cmd/...
@@ -18,6 +18,9 @@
 vet:
 	$(GO) vet ./...
 
+tidy: ## check go.mod; fetches what only tests of other modules need
+	$(GO) mod tidy -diff
+
 test: ## the README's test command
 	$(GO) test ./...
 
