A test of the connections that one silent daemon costs the others

A question without answer closes the idle connections to all daemons, so that one that is frozen costs a new connection to each of the others with every question that it doesn't answer. Fails always on the code as it is.

--- a/services/control/peers_test.go
+++ b/services/control/peers_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -60,3 +61,43 @@
 		require.Greater(t, took, peerTimeout)
 	})
 }
+
+// silentOwner answers nothing for longer than any question waits.
+type silentOwner struct{ knowingOwner }
+
+// Jobs implements peerrpc.Owner.
+func (s *silentOwner) Jobs(ctx context.Context, in *peerrpc.Envelope) (*peerrpc.Envelope, error) {
+	time.Sleep(10 * peerTimeout)
+	return s.knowingOwner.Jobs(ctx, in)
+}
+
+// TestSilentPeerCostsNoConnectionsToOthers asks an owner that is well, then one that is frozen, then
+// the first again. Each question to the frozen one closed the idle connections to all daemons, in
+// case they had gone silent with the one that was used.
+func TestSilentPeerCostsNoConnectionsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := link.New(link.Config{Rate: 1_250_000})
+		var group conc.WaitGroup
+		defer group.Wait()
+		for address, owner := range map[string]peerrpc.Owner{"well:80": &knowingOwner{}, "frozen:80": &silentOwner{}} {
+			server := &http.Server{Handler: peerrpc.NewOwnerServer(owner), ReadHeaderTimeout: time.Minute}
+			listener := l.Listen(address)
+			group.Go(func() { _ = server.Serve(listener) }) // ends with Shutdown
+			defer func() { require.NoError(t, server.Shutdown(context.Background())) }()
+		}
+		opened := map[string]int{}
+		peers := newCallerOver("asker", func(ctx context.Context, network, address string) (net.Conn, error) {
+			opened[address]++
+			return l.Dial(ctx, network, address)
+		})
+		defer peers.close()
+		ask := func(address string) error {
+			_, err := peers.Jobs(t.Context(), address, jobs.Query{Cell: "0"})
+			return err
+		}
+		require.NoError(t, ask("well:80"))
+		require.Error(t, ask("frozen:80"))
+		require.NoError(t, ask("well:80"))
+		require.Equal(t, map[string]int{"well:80": 1, "frozen:80": 1}, opened)
+	})
+}
