--- a/modules/stall/stall.go
+++ b/modules/stall/stall.go
@@ -10,7 +10,11 @@
 //
 // # Usage
 //
-//	client := &stall.Client{HTTP: http.DefaultClient, Limits: stall.Limits{Answer: time.Second, Silence: time.Second}}
+//	conns := idleconn.New(idleconn.Config{Dial: (&net.Dialer{}).DialContext})
+//	client := &stall.Client{
+//		HTTP: &http.Client{Transport: &http.Transport{DialContext: conns.Dial}}, Conns: conns,
+//		Limits: stall.Evenly(time.Second),
+//	}
 //	response, err := client.Do(request)
 //	if errors.Is(err, stall.ErrStalled) { … } // reading response.Body may give it too
 package stall
@@ -22,6 +26,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/modules/idleconn"
 )
 
 // ErrStalled says that a call was ended because nothing of it moved for as long as its
@@ -48,23 +54,28 @@
 type Client struct {
 	HTTP   *http.Client
 	Limits Limits
+	// Conns are the connections of HTTP. They are told of a call that stalls, so that idle ones
+	// which went silent with the one that it used don't cost a call each; nil: they are not.
+	Conns *idleconn.Set
 }
 
-// Do makes a call; see the function Do.
-func (c *Client) Do(request *http.Request) (*http.Response, error) {
-	return Do(c.HTTP, request, c.Limits)
+// Do makes a call within limits, with a client whose connections are not told.
+func Do(client *http.Client, request *http.Request, limits Limits) (*http.Response, error) {
+	return (&Client{HTTP: client, Limits: limits}).Do(request)
 }
 
-// Do makes a call within limits. The answer's body must be closed, as always. Errors are
-// those of client, or ErrStalled.
-func Do(client *http.Client, request *http.Request, limits Limits) (*http.Response, error) {
+// Do makes a call. The answer's body must be closed, as always. Errors are those of HTTP, or
+// ErrStalled.
+func (c *Client) Do(request *http.Request) (*http.Response, error) {
+	limits := c.Limits
 	if limits == (Limits{}) {
-		return client.Do(request)
+		return c.HTTP.Do(request)
 	}
 	ctx, cancel := context.WithCancelCause(request.Context())
-	w := &watchdog{cancel: cancel, ctx: ctx, end: time.Now().Add(longest)}
+	now := time.Now()
+	w := &watchdog{cancel: cancel, ctx: ctx, sent: now, end: now.Add(longest), host: request.URL.Host, conns: c.Conns}
 	w.timer = time.AfterFunc(limits.Answer, w.expire)
-	response, err := client.Do(w.guard(request, limits.Answer))
+	response, err := c.HTTP.Do(w.guard(request, limits.Answer))
 	if err != nil {
 		w.stop()
 		return nil, w.explain(err)
@@ -79,11 +90,19 @@
 	ctx    context.Context // of the call
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+	sent   time.Time // when the call began
 	end    time.Time // of the call, also when it moves
+	host   string
+	conns  *idleconn.Set // nil: nobody is told
 }
 
-// expire ends the call.
-func (w *watchdog) expire() { w.cancel(ErrStalled) }
+// expire ends the call. The connections are told first, for the next call comes at once.
+func (w *watchdog) expire() {
+	if w.conns != nil {
+		w.conns.Stalled(w.host, w.sent)
+	}
+	w.cancel(ErrStalled)
+}
 
 // moved leaves the call as much time again.
 func (w *watchdog) moved(limit time.Duration) {
