A silent daemon costs the others no connections

What was seen: a question to a daemon that doesn't answer closed the idle connections to all daemons; they are made anew with the next questions. Cause: the caller had an answer of its own to connections that go silent together, which knew nothing of where they lead. Why it holds: the same mechanism as for calls to the platform, per peer (stall.Client, idleconn). The calls of services/peer have it too. Measured: TestSilentPeerCostsNoConnectionsToOthers fails before, passes 20 of 20.

--- a/services/control/peers.go
+++ b/services/control/peers.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/idleconn"
 	"rillsail.example/rillsail/modules/peerrpc"
 	"rillsail.example/rillsail/modules/stall"
 )
@@ -40,24 +41,21 @@
 }
 
 // newCallerOver makes a caller whose connections dial opens.
-func newCallerOver(self string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *caller {
+func newCallerOver(self string, dial idleconn.DialFunc) *caller {
+	conns := idleconn.New(idleconn.Config{Dial: dial})
 	transport := &http.Transport{
-		DialContext:         dial,
+		DialContext:         conns.Dial,
 		MaxIdleConnsPerHost: peerConnections,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	client := &stall.Client{HTTP: &http.Client{Transport: transport}, Limits: stall.Evenly(peerTimeout)}
+	client := &stall.Client{HTTP: &http.Client{Transport: transport}, Conns: conns, Limits: stall.Evenly(peerTimeout)}
 	return &caller{self: self, transport: transport, owners: peerrpc.NewClients(ownerClient, client)}
 }
 
 // Jobs implements Peers.
 func (p *caller) Jobs(ctx context.Context, address string, query jobs.Query) (jobs.Answer, error) {
-	answer, err := peerrpc.Call[jobs.Answer](ctx, p.self, "ask owner", address, p.owners.At(address).Jobs, query)
-	if errors.Is(err, stall.ErrStalled) {
-		p.transport.CloseIdleConnections() // they may have gone silent with the one that was used
-	}
-	return answer, err
+	return peerrpc.Call[jobs.Answer](ctx, p.self, "ask owner", address, p.owners.At(address).Jobs, query)
 }
 
 // close closes the connections that no call uses.
--- a/services/peer/peer.go
+++ b/services/peer/peer.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/idleconn"
 	"rillsail.example/rillsail/modules/peerrpc"
 	"rillsail.example/rillsail/modules/stall"
 	"rillsail.example/rillsail/modules/wire"
@@ -51,14 +52,16 @@
 
 // New makes a client.
 func New(config Config) *Client {
+	conns := idleconn.New(idleconn.Config{Dial: (&net.Dialer{Timeout: config.Timeout}).DialContext})
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: config.Timeout}).DialContext,
+		DialContext:         conns.Dial,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 	}
 	client := &stall.Client{
 		HTTP:   &http.Client{Transport: bearer{token: config.Token, next: transport}},
 		Limits: stall.Evenly(config.Timeout),
+		Conns:  conns,
 	}
 	return &Client{config: config, peers: peerrpc.NewClients(peerClient, client)}
 }
