Operators are told of connections that are given up as silent

A metric (connections_given_up) and a log line when it begins and when it is over. In the logs of a failing play of silent connections nothing said why calls went on being lost while the peers were well.

--- a/modules/idleconn/idleconn.go
+++ b/modules/idleconn/idleconn.go
@@ -70,11 +70,14 @@
 	return c, nil
 }
 
-// Opened counts the connections that were opened, or tried to be.
-func (s *Set) Opened() int64 { return s.tried.Load() }
+// Counts of connections.
+type Counts struct {
+	Opened  int64 // or tried to be
+	GivenUp int64 // closed because they were probably silent
+}
 
-// GivenUp counts those that were closed because they were probably silent.
-func (s *Set) GivenUp() int64 { return s.given.Load() }
+// Counts are those of all connections so far.
+func (s *Set) Counts() Counts { return Counts{Opened: s.tried.Load(), GivenUp: s.given.Load()} }
 
 // Stalled says that a call to an address that was sent then has had no answer in time. It
 // closes the idle connections that are probably silent as well. A call that the transport gives
--- a/modules/idleconn/idleconn_test.go
+++ b/modules/idleconn/idleconn_test.go
@@ -70,8 +70,7 @@
 			closed++
 		}
 	}
-	require.Equal(t, closed, set.GivenUp())
-	require.EqualValues(t, len(c.Conns), set.Opened())
+	require.Equal(t, idleconn.Counts{Opened: int64(len(c.Conns)), GivenUp: closed}, set.Counts())
 }
 
 // play opens a connection and lets happen to it what the case says.
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -50,6 +50,7 @@
 
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/calltime"
+	"rillsail.example/rillsail/modules/idleconn"
 	"rillsail.example/rillsail/modules/setting"
 	"rillsail.example/rillsail/services/platform"
 )
@@ -63,7 +64,7 @@
 	Workers  platform.JobWorkers
 	// WorkerCalls is the time limit of the calls of Workers, which this service teaches.
 	WorkerCalls *calltime.Limit
-	Connections func() int64 // opened so far to the store and the workers; nil: not counted
+	Connections func() idleconn.Counts // to the store and the workers, so far; nil: not counted
 	List        platform.WorkerList
 	Feed        platform.ConfigurationFeed
 	Peers       Peers // nil: calls over the network
--- a/services/control/worker_calls.go
+++ b/services/control/worker_calls.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rillsail.example/rillsail/modules/calltime"
+	"rillsail.example/rillsail/modules/idleconn"
 	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/services/dispatch"
 )
@@ -33,7 +34,8 @@
 	cells   *Cells
 	trouble *log.Trouble
 	behind  *log.Trouble
-	opened  int64 // connections, as counted last
+	silent  *log.Trouble
+	conns   idleconn.Counts // as counted last
 }
 
 func newCallsNote(c *Cells) *callsNote {
@@ -41,6 +43,8 @@
 		Logger: c.config.Logger, Began: "calls to workers take long", Ended: "calls to workers are quick again",
 	}), behind: log.NewTrouble(log.TroubleConfig{
 		Logger: c.config.Logger, Began: "starts wait, answers come late", Ended: "starts wait no more for late answers",
+	}), silent: log.NewTrouble(log.TroubleConfig{
+		Logger: c.config.Logger, Began: "idle connections are closed, others to their peers are silent", Ended: "no more connections are silent",
 	})}
 }
 
@@ -51,15 +55,27 @@
 	config.Scope.Gauge("worker_calls_in_flight").Update(float64(n.cells.workerCalls.Load()))
 	n.noteStarts(n.cells.starts.Current())
 	if config.Connections != nil {
-		opened := config.Connections()
-		config.Scope.Counter("connections_opened").Inc(opened - n.opened)
-		n.opened = opened
+		n.noteConnections(config.Connections())
 	}
 	if config.WorkerCalls != nil {
 		n.noteLimit(config.WorkerCalls)
 	}
 }
 
+// noteConnections says how many connections are new, and how many were given up: both rise once
+// when all open ones go silent, and go on rising when calls get lost.
+func (n *callsNote) noteConnections(now idleconn.Counts) {
+	scope, givenUp := n.cells.config.Scope, now.GivenUp-n.conns.GivenUp
+	scope.Counter("connections_opened").Inc(now.Opened - n.conns.Opened)
+	scope.Counter("connections_given_up").Inc(givenUp)
+	n.conns = now
+	if givenUp > 0 {
+		n.silent.Note(errors.Newf("%d were closed", givenUp))
+		return
+	}
+	n.silent.Note(nil)
+}
+
 // noteStarts says whether this daemon has more to start than it can: the bound is below where it
 // began, and all of it is taken.
 func (n *callsNote) noteStarts(bound int) {
--- a/services/daemon/scheduler.go
+++ b/services/daemon/scheduler.go
@@ -14,6 +14,7 @@
 
 	"rillsail.example/rillsail/modules/calltime"
 	"rillsail.example/rillsail/modules/graceful"
+	"rillsail.example/rillsail/modules/idleconn"
 	"rillsail.example/rillsail/modules/listen"
 	"rillsail.example/rillsail/modules/metrics"
 	"rillsail.example/rillsail/modules/setting"
@@ -31,7 +32,7 @@
 	Workers  platform.JobWorkers
 	// WorkerCalls is the time limit of the calls of Workers.
 	WorkerCalls *calltime.Limit
-	Connections func() int64 // opened so far by the calls of Store, Workers, List and Feed
+	Connections func() idleconn.Counts // of the calls of Store, Workers, List and Feed, so far
 	List        platform.WorkerList
 	Feed        platform.ConfigurationFeed
 	// Callers and Ready make the handlers that speak the platform's form.
