Reports and outcomes are stamped with the suspension before them

Found by a review, seen by no caller: an answer that lay in its socket while the VM was suspended was stamped as if it had come before. Cause: only what permits read the clock; what a permission is judged by later did not. Both read it now.

Measured: TestReportIsStampedWithTheSuspensionBeforeIt, 400 ms of age before, none now.

--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -95,8 +95,9 @@
 	result := resultOf(err)
 	o.endCall(sent, 0, result.Outcome)
 	o.cells.starts.End(inflight.Call{Took: o.config.Clock.Since(decided), Answered: result.Outcome != dispatch.OutcomeUnknown})
+	now := o.config.Clock.Read()
 	o.mu.Lock()
-	what(result, o.config.Clock.Now())
+	what(result, now)
 	o.mu.Unlock()
 	wake(o.wakeDecide)
 }
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -107,19 +107,22 @@
 // takeReport tells the core what a call that prolongs a lease has brought.
 func (o *Owner) takeReport(id jobs.WorkerID, sent time.Time, report jobs.Report, err error) {
 	result := resultOf(err)
+	// An answer may have waited in its socket while the VM was suspended: taken for one of before
+	// that, it would let the worker's lease count as over too early, and starts be valid too long.
+	now := o.config.Clock.Read()
 	o.mu.Lock()
 	changed := true
 	switch {
 	case err == nil:
-		changed = o.core.Reported(id, sent, report, o.config.Clock.Now())
+		changed = o.core.Reported(id, sent, report, now)
 	case result.Outcome == dispatch.OutcomeIncarnation:
-		o.core.Replaced(id, o.config.Clock.Now())
+		o.core.Replaced(id, now)
 	case result.Refusal == jobs.RefusedEpoch:
 		o.core.Supersede()
 	case result.Outcome == dispatch.OutcomeUnreached: // one that answers that it is not well has not left
-		o.core.Unreached(id, errors.Is(err, platform.ErrNobodyListens), o.config.Clock.Now())
+		o.core.Unreached(id, errors.Is(err, platform.ErrNobodyListens), now)
 	default:
-		o.core.Overdue(id, o.config.Clock.Now())
+		o.core.Overdue(id, now)
 		changed = false
 	}
 	ends := o.core.HasEnds()
--- a/services/control/suspension_test.go
+++ b/services/control/suspension_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/services/platform"
@@ -102,3 +104,28 @@
 		w.noBreach()
 	})
 }
+
+// TestReportIsStampedWithTheSuspensionBeforeIt: an answer that waited in its socket until the VM went
+// on was stamped as if it had come before, by the whole suspension too early.
+func TestReportIsStampedWithTheSuspensionBeforeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 1, nil)
+		w.eventually(10*time.Second, "the cell has an owner", func() bool { return w.owner() != nil })
+		time.Sleep(2 * time.Second)
+		d := w.owner()
+		owner := d.Cells.ownedCells()[cellName(0)]
+		id := w.grid.IDs()[0]
+		report, err := w.grid.ProlongLease(w.ctx, jobs.Worker{ID: id}, jobs.LeaseCall{Epoch: owner.epoch})
+		require.NoError(t, err)
+		report.Clock += models.MilliOf(time.Minute) // later than any that the owner has
+		d.suspend()
+		time.Sleep(400 * time.Millisecond)
+		d.resume()
+		owner.takeReport(id, owner.config.Clock.Now(), report, nil)
+		owner.mu.Lock()
+		states := owner.core.WorkerStates(owner.config.Clock.Read())
+		owner.mu.Unlock()
+		require.Len(t, states, 1)
+		require.Zero(t, states[0].ReportAge)
+	})
+}
