--- a/services/contention/load.go
+++ b/services/contention/load.go
@@ -7,7 +7,6 @@
 	"math"
 	"time"
 
-	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
 
@@ -116,10 +115,13 @@
 // Known tells whether anything was observed.
 func (l *Load) Known() bool { return !l.at.IsZero() }
 
-// Summary is what a successor needs of the estimate: the state of the filter that counts
+// At is when it was last observed.
+func (l *Load) At() time.Time { return l.at }
+
+// Summary is what a successor needs beside the time At of the estimate: the state of the filter that counts
 // most, and how much each counts.
 func (l *Load) Summary() jobs.StepLoad {
-	load := jobs.StepLoad{At: models.UnixMilliOf(l.at)}
+	var load jobs.StepLoad
 	most := 0
 	for i, weight := range l.weights {
 		if weight > l.weights[most] {
@@ -137,10 +139,10 @@
 	return load
 }
 
-// LoadOf is the estimate that a summary tells of.
-func LoadOf(summary jobs.StepLoad) Load {
+// LoadOf is the estimate that a summary tells of, as of a time.
+func LoadOf(summary jobs.StepLoad, at time.Time) Load {
 	var l Load
-	l.reset(summary.At.Time())
+	l.reset(at)
 	for i := range l.swings {
 		s := &l.swings[i]
 		s.level, s.slope, s.mean = summary.State[0], summary.State[1], summary.State[2]
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/services/dispatch"
 )
@@ -47,8 +48,8 @@
 		config: c.config, cells: c, cell: cell, epoch: epoch, taken: taken, calling: map[jobs.WorkerID]bool{},
 		core: dispatch.New(dispatch.Config{
 			Epoch: epoch, Taken: taken, Lease: s.WorkerLease, LongestLease: s.LongestLease, OtherCells: c.several(),
-			Ahead:  c.config.Clock.Counted,
-			Logger: c.config.Logger.With(zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(epoch))),
+			TimeOfDay: func(now time.Time) models.UnixMilli { return models.UnixMilliOf(c.config.Clock.TimeOfDay(now)) },
+			Logger:    c.config.Logger.With(zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(epoch))),
 		}),
 		wakeDecide: make(chan struct{}, 1), wakeStore: make(chan struct{}, 1),
 		wakeMove: make(chan struct{}, 1), ended: make(chan struct{}),
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -67,9 +67,9 @@
 	LongestLease time.Duration
 	// OtherCells says that work may be handed to other cells.
 	OtherCells bool
-	// Ahead is by how much the time of day that the owner's times show is ahead; nil: it is not.
-	Ahead  func() time.Duration
-	Logger *zap.Logger
+	// TimeOfDay gives the time of day now, a time that the owner has just given; nil: what it shows.
+	TimeOfDay func(now time.Time) models.UnixMilli
+	Logger    *zap.Logger
 }
 
 // runsPerEpoch is how many runs of one task an epoch has numbers for: run ids rise over
--- a/services/dispatch/knowledge.go
+++ b/services/dispatch/knowledge.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/services/contention"
 )
@@ -39,7 +38,7 @@
 	k := c.model.Knowledge()
 	k.At = c.timeOfDay(now)
 	for _, j := range c.jobs {
-		k.Loads = append(k.Loads, c.loadsOf(j)...)
+		k.Loads = append(k.Loads, c.loadsOf(j, now)...)
 	}
 	for queue, usual := range c.usual {
 		k.Speeds = append(k.Speeds, jobs.QueueSpeed{Queue: queue, Mean: usual.mean, Samples: usual.samples})
@@ -52,13 +51,13 @@
 }
 
 // loadsOf are the loads that a job's serving steps are known to have of their own.
-func (c *Core) loadsOf(j *job) []jobs.StepLoad {
+func (c *Core) loadsOf(j *job, now time.Time) []jobs.StepLoad {
 	var loads []jobs.StepLoad
 	for _, s := range j.steps {
 		if s.spec.Serves() && s.own.Known() {
 			load := s.own.Summary()
 			load.Job, load.Number = j.spec.ID, s.flat()
-			load.At = c.timeOfDay(load.At.Time())
+			load.At = c.timeOfDayThen(s.own.At(), now)
 			loads = append(loads, load)
 		}
 	}
@@ -71,10 +70,9 @@
 // daemons are restarted in turn services were over their targets for 1,501 s in all, and with it
 // for 818 s.
 func (c *Core) Restore(k jobs.Knowledge, now time.Time) {
-	c.model.Restore(k, max(0, now.Sub(c.timeAt(k.At)).Seconds()))
+	c.model.Restore(k, max(0, now.Sub(c.timeAt(k.At, now)).Seconds()))
 	for _, l := range k.Loads {
-		l.At = models.UnixMilliOf(c.timeAt(l.At))
-		c.restored[stepKey{l.Job, l.Number}] = contention.LoadOf(l)
+		c.restored[stepKey{l.Job, l.Number}] = contention.LoadOf(l, c.timeAt(l.At, now))
 	}
 	for _, s := range k.Speeds {
 		c.usual[s.Queue] = &speed{mean: s.Mean, samples: s.Samples}
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -28,7 +28,7 @@
 			w = c.addWorker(info, now)
 			w.enrolled = c.formerLease >= c.config.Lease
 			if info.Leaves != 0 {
-				w.leaves = c.timeAt(info.Leaves)
+				w.leaves = c.timeAt(info.Leaves, now)
 			}
 		}
 		w.former = true
--- a/services/dispatch/time_of_day.go
+++ b/services/dispatch/time_of_day.go
@@ -10,18 +10,24 @@
 )
 
 // The times that an owner gives count the suspensions of its VM (modules/clock), so that the time
-// of day which they show is ahead by those. What is stored, shown or due is the time of day.
+// of day which they show is ahead by those. What is stored, shown or due is the time of day. It is
+// asked for now only, and told of other times by how far they are from now: one from before a
+// suspension shows it without that suspension.
 
-// ahead is by how much the owner's times are.
-func (c *Core) ahead() time.Duration {
-	if c.config.Ahead == nil {
-		return 0
+// timeOfDay is the time of day now.
+func (c *Core) timeOfDay(now time.Time) models.UnixMilli {
+	if c.config.TimeOfDay == nil {
+		return models.UnixMilliOf(now)
 	}
-	return c.config.Ahead()
+	return c.config.TimeOfDay(now)
 }
 
-// timeOfDay is the time of day at a time of the owner.
-func (c *Core) timeOfDay(t time.Time) models.UnixMilli { return models.UnixMilliOf(t.Add(-c.ahead())) }
+// timeOfDayThen is the time of day at another time of the owner.
+func (c *Core) timeOfDayThen(then, now time.Time) models.UnixMilli {
+	return c.timeOfDay(now) + models.UnixMilli(then.Sub(now)/time.Millisecond)
+}
 
 // timeAt is the time of the owner at a time of day.
-func (c *Core) timeAt(t models.UnixMilli) time.Time { return t.Time().Add(c.ahead()) }
+func (c *Core) timeAt(then models.UnixMilli, now time.Time) time.Time {
+	return now.Add(time.Duration(then-c.timeOfDay(now)) * time.Millisecond)
+}
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -107,7 +107,7 @@
 		}
 		c.rosterChanged = c.rosterChanged || info.Draining != (w.info.Leaves != 0)
 		w.takeEntry(info, now)
-		w.info.Leaves = c.leavesAt(w)
+		w.info.Leaves = c.leavesAt(w, now)
 	}
 	for _, w := range c.workers {
 		if !w.listed && w.missing.IsZero() {
@@ -148,11 +148,11 @@
 }
 
 // leavesAt is when a draining worker may leave, as the roster says it; 0: it does not drain.
-func (c *Core) leavesAt(w *worker) models.UnixMilli {
+func (c *Core) leavesAt(w *worker, now time.Time) models.UnixMilli {
 	if w.leaves.IsZero() {
 		return 0
 	}
-	return c.timeOfDay(w.leaves)
+	return c.timeOfDayThen(w.leaves, now)
 }
 
 // addWorker takes a worker that was not known; it gets tasks once it is enrolled.
