Numbers of runs rise also when a successor hands over what it hasn't started

Found by a review, seen by no caller: a successor knows no number of tasks whose worker has gone, and handed them to another cell as if they had none; that cell began below the former owner's numbers, and a worker that came to it would refuse its starts as old. What an owner hands over of a job that isn't fresh has at least the numbers of its own epoch now, which all of its predecessors' are below.

--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -95,18 +95,29 @@
 	switch {
 	case s.job.spec.Divisible():
 		move.add(s)
+		move.LeastRun = max(move.LeastRun, c.leastRunOf(s.job))
 		return move, true
 	case s.movesWhole():
 		move.Whole = true
 		for _, each := range s.job.steps {
 			move.add(each)
 		}
+		move.LeastRun = max(move.LeastRun, c.leastRunOf(s.job))
 		return move, true
 	default:
 		return move, false
 	}
 }
 
+// leastRunOf is no lower than any number that former owners have given to runs of a job: what they
+// gave to tasks whose worker has gone is not known here.
+func (c *Core) leastRunOf(j *job) jobs.RunID {
+	if j.fresh {
+		return j.leastRun
+	}
+	return c.firstRun(j)
+}
+
 // movesWhole tells whether the step's job may be moved as a whole.
 func (s *step) movesWhole() bool {
 	return !s.job.spec.Divisible() && s.job.spec.Repeat.Count == 0 && !s.spec.SameRack && s.job.untouched()
--- a/services/dispatch/saved_test.go
+++ b/services/dispatch/saved_test.go
@@ -72,3 +72,29 @@
 	require.Positive(t, b.Counts().TextsNotAskedOf)
 	require.Zero(t, b.Counts().StartsFromText)
 }
+
+// TestNumbersOfRunsRiseOverOwnersThatMoveWhatTheyHaveNotStarted: a successor hands over tasks whose
+// worker has gone; it has given them no number, its former owner has. The cell that takes them began
+// below those, and a worker that comes to it refuses such starts as old.
+func TestNumbersOfRunsRiseOverOwnersThatMoveWhatTheyHaveNotStarted(t *testing.T) {
+	lasting := one
+	lasting.Lasts = true
+	former := newBench(t, 1)
+	record := former.job(lasting)
+	former.AddJob(record, jobs.Progress{}, true, former.now)
+	former.report(0, jobs.Report{})
+	given := former.starts()[0].Call.Run
+
+	here := newBench(t, 1)
+	here.config.Epoch = former.config.Epoch + 1
+	here.AddJob(record, jobs.Progress{}, false, here.now)
+	here.report(0, jobs.Report{})
+	move, ok := here.moveOf(here.jobs[testJob].steps[0])
+	require.True(t, ok)
+
+	there := newBench(t, 1)
+	there.config.Epoch = former.config.Epoch - 2
+	there.AddJob(record.NewPart(move.Tasks, move.LeastRun), jobs.Progress{}, true, there.now)
+	there.report(0, jobs.Report{})
+	require.Greater(t, there.starts()[0].Call.Run, given)
+}
