A task has one name

Names with signs or leading zeros were read as those without: a row for 0.0.+1 counted as one of 0.0.1. They are rejected now, as other names that make no sense. Seen by no caller; found by a review. TestTaskHasOneName failed before for three of its names.

--- a/models/jobs/ids.go
+++ b/models/jobs/ids.go
@@ -101,11 +101,20 @@
 	}
 	id := TaskID{Job: ID(parts[0])}
 	for i, into := range [...]*int{&id.Occurrence, &id.Step, &id.Index} {
-		n, err := strconv.Atoi(parts[i+1])
-		if err != nil || n < 0 {
-			return TaskID{}, errors.Newf("task id %q: part %d is no number", text, i+1)
+		n, err := parseIndex(parts[i+1])
+		if err != nil {
+			return TaskID{}, errors.Wrapf(err, "task id %q: part %d", text, i+1)
 		}
 		*into = n
 	}
 	return id, id.Job.Check()
 }
+
+// parseIndex reads a number as String writes it, without sign and leading zeros: two texts must not
+// name one task.
+func parseIndex(text string) (int, error) {
+	if text == "" || text[0] < '0' || text[0] > '9' || text[0] == '0' && len(text) > 1 {
+		return 0, errors.Newf("%q is no number as we write it", text)
+	}
+	return strconv.Atoi(text)
+}
