--- a/modules/idleconn/idleconn.go
+++ b/modules/idleconn/idleconn.go
@@ -91,6 +91,19 @@
 	}
 }
 
+// Passes tells whether something was heard over a connection to an address that was opened since
+// then. A call that was sent then and has no answer is lost, not late.
+func (s *Set) Passes(address string, since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.peers[address] {
+		if !c.opened.Before(since) && c.heard.Load() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // suspects are the idle connections to an address, opened before a call was sent there, for
 // whose life nothing has spoken since.
 func (s *Set) suspects(address string, sent time.Time) []*conn {
--- a/modules/idleconn/idleconn_test.go
+++ b/modules/idleconn/idleconn_test.go
@@ -24,6 +24,7 @@
 	Conns   []connCase `json:"conns"`
 	Sent    int64      `json:"sent_ms"`
 	Stalled int64      `json:"stalled_ms"`
+	Passes  bool       `json:"passes"` // what is sent after the call
 }
 
 // connCase is what happens to a connection; times that are 0 don't come.
@@ -61,7 +62,9 @@
 		group.Go(func() { conns[i] = each.play(t, set, far, began) })
 	}
 	sleepUntil(began, c.Stalled)
-	set.Stalled(testPeer, began.Add(milliseconds(c.Sent)))
+	sent := began.Add(milliseconds(c.Sent))
+	require.Equal(t, c.Passes, set.Passes(testPeer, sent))
+	set.Stalled(testPeer, sent)
 	group.Wait()
 	closed := int64(0)
 	for i, each := range c.Conns {
