--- /dev/null
+++ b/services/daemon/scheduler_test.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package daemon
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/modules/listen"
+	"rillsail.example/rillsail/modules/setting"
+	"rillsail.example/rillsail/services/control"
+)
+
+// newReleased makes a scheduler that owns no cells, with a listener for callers.
+func newReleased(t *testing.T) *Scheduler {
+	t.Helper()
+	callers, err := listen.Open(listen.Config{Address: "127.0.0.1:0", MaxConnections: 1})
+	require.NoError(t, err)
+	settings := setting.Defaults()
+	service := control.New(control.Config{Settings: settings.Jobs, Logger: zap.NewNop(), Scope: tally.NoopScope})
+	return &Scheduler{settings: settings, control: service, callers: callers}
+}
+
+// A daemon built with the race detector ended a planned stop with status 66. The detector named
+// release: it gave its context to the goroutine that drains callers, and then assigned another
+// one to the same variable. Callers see nothing of it, for draining ends before either context
+// does; so only the detector can fail this test (make race).
+func TestReleaseDrainsCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newReleased(t)
+		began := time.Now()
+		require.NoError(t, s.release(t.Context()))
+		require.Equal(t, shareOf(s.settings.Jobs.StopGrace, drainShare), time.Since(began))
+	})
+}
+
+func TestReleaseEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = time.Second // less than the drain takes
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		began := time.Now()
+		require.NoError(t, newReleased(t).release(ctx))
+		require.Equal(t, limit, time.Since(began))
+	})
+}
