A planned stop gives draining a context that stays as it is

What was seen: daemons built with the race detector end a planned stop with status 66. Cause: release gave ctx to the draining goroutine through a closure and assigned the shorter context for handing over cells to the same variable. Why it holds: the shorter context has a variable of its own; nothing assigns ctx any more. Not a cause of foreign checkpoints: neither a task nor a text passes here.

--- a/services/daemon/scheduler.go
+++ b/services/daemon/scheduler.go
@@ -136,9 +136,10 @@
 func (s *Scheduler) release(ctx context.Context) error {
 	var group conc.WaitGroup
 	group.Go(func() { s.drain(ctx) })
-	ctx, cancel := context.WithTimeout(ctx, shareOf(s.settings.Jobs.StopGrace, releaseShare))
+	// A variable of its own: draining reads ctx at the same time.
+	limited, cancel := context.WithTimeout(ctx, shareOf(s.settings.Jobs.StopGrace, releaseShare))
 	defer cancel()
-	err := s.control.Cells.Release(ctx)
+	err := s.control.Cells.Release(limited)
 	group.Wait()
 	return err
 }
