A soak that can't begin ends the daemons that it has started

What was seen: daemons of a run that was given up took the addresses of the next run. Cause: the site was closed only when all of it had got ready. Why it holds: what newSite gives is closed also with an error, and holds just the daemons that have a process.

--- a/tests/soak/site.go
+++ b/tests/soak/site.go
@@ -61,7 +61,8 @@
 	version int                // of the configuration that was written last
 }
 
-// newSite starts the platform and the daemons, and waits until they take callers.
+// newSite starts the platform and the daemons, and waits until they take callers. With an
+// error it gives what was started, which must be closed as well; nil: nothing was.
 func newSite(ctx context.Context, config Config) (*site, error) {
 	s := &site{taken: map[string]bool{}, atStore: map[string]*daemon{}, config: config, proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()), version: 1}
 	var err error
@@ -100,10 +101,10 @@
 		if err != nil {
 			return err
 		}
-		s.daemons = append(s.daemons, d)
 		if err := d.start(); err != nil {
 			return err
 		}
+		s.daemons = append(s.daemons, d)
 	}
 	for _, d := range s.daemons {
 		if err := s.untilReady(ctx, d); err != nil {
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -61,10 +61,12 @@
 		return nil, err
 	}
 	s, err := newSite(ctx, config)
+	if s != nil {
+		defer s.close() // also what was started of one that didn't get ready
+	}
 	if err != nil {
 		return nil, err
 	}
-	defer s.close()
 	plan := newPlan(config.Seed, config.Length, config.Daemons, config.Workers)
 	r := &run{
 		config: config, site: s, plan: plan, begin: time.Now(), record: newRecord(),
