The table of a measurement is replaced as a whole when it changes

go test -race ./services/cell showed it: TestMeasureInterference changes a map that the stand-in's workers read in another goroutine. The stand-in asks for the table in force, and the test replaces it as a whole. Only the test was at fault; the detector saw no other race in services/cell.

Measured: go test -race ./services/cell -run TestMeasureInterference fails before, passes now; both measurements pass without the detector as before.

--- /dev/null
+++ b/services/cell/measure_table_test.go
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package cell
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+
+	"rillsail.example/rillsail/services/standin/fleet"
+)
+
+// drawTable draws by how much each batch app slows down each service: most pairs
+// little, some much. A service is over its target when the sum beside it is over 1.
+func drawTable(seed uint64) fleet.PairTable {
+	random := rand.New(rand.NewPCG(seed, 3))
+	levels := []float64{0, 0.02, 0.05, 0.1, 0.3, 0.7, 1.3}
+	table := fleet.PairTable{}
+	for s := range trialServices {
+		for b := range trialApps {
+			table[fleet.Pair{Service: fmt.Sprint("s", s), Batch: fmt.Sprint("b", b)}] = levels[random.IntN(len(levels))]
+		}
+	}
+	return table
+}
+
+// trialTable is the table in force. It is replaced as a whole: the workers read it meanwhile.
+type trialTable struct {
+	table atomic.Pointer[fleet.PairTable]
+}
+
+func newTable(seed uint64) *trialTable {
+	t := &trialTable{}
+	t.set(drawTable(seed))
+	return t
+}
+
+func (t *trialTable) set(table fleet.PairTable) { t.table.Store(&table) }
+
+func (t *trialTable) now() fleet.PairTable { return *t.table.Load() }
--- a/services/cell/measure_test.go
+++ b/services/cell/measure_test.go
@@ -54,20 +54,6 @@
 	RingSlots: 32, KeepJobs: 1000, SettleAfter: 4 * time.Second,
 }
 
-// drawTable draws by how much each batch app slows down each service: most pairs
-// little, some much. A service is over its target when the sum beside it is over 1.
-func drawTable(seed uint64) fleet.PairTable {
-	random := rand.New(rand.NewPCG(seed, 3))
-	levels := []float64{0, 0.02, 0.05, 0.1, 0.3, 0.7, 1.3}
-	table := fleet.PairTable{}
-	for s := range trialServices {
-		for b := range trialApps {
-			table[fleet.Pair{Service: fmt.Sprint("s", s), Batch: fmt.Sprint("b", b)}] = levels[random.IntN(len(levels))]
-		}
-	}
-	return table
-}
-
 // oracle knows the table.
 type oracle struct {
 	*interference.Learner
@@ -96,20 +82,17 @@
 	tt.Helper()
 	var f figures
 	failure := in(tt, func(tt *testing.T, v *verdict) {
-		table := fleet.PairTable{}
-		for pair, slowdown := range drawTable(t.seed) {
-			table[pair] = slowdown
-		}
+		table := newTable(t.seed)
 		settings := trialSettings
 		settings.Policy = t.policy
 		w := newWorldOf(tt, v, settings, fleet.Config{
 			Run: "trial", Workers: trialWorkers, PerRack: trialWorkers, Worker: models.Resources{CPU: 16_000, Memory: 61_440},
 			Domains: []string{"south/a"}, ListLag: 2 * time.Second, ReportLag: 3 * time.Second, Unserved: true,
-			Pairs: table, SizeError: t.sizeError, Tick: 100 * time.Millisecond,
+			Pairs: table.now, SizeError: t.sizeError, Tick: 100 * time.Millisecond,
 		})
 		if t.oracle {
 			w.learner = func() Learner {
-				return oracle{interference.New(interference.Config{}), func() fleet.PairTable { return table }}
+				return oracle{interference.New(interference.Config{}), table.now}
 			}
 		}
 		f = t.drive(w, table)
@@ -119,7 +102,7 @@
 }
 
 // drive feeds the cell for the trial's time.
-func (t trial) drive(w *world, table fleet.PairTable) figures {
+func (t trial) drive(w *world, table *trialTable) figures {
 	objects := []models.Object{models.Team{Name: "office"}}
 	for s := range trialServices {
 		objects = append(objects, models.Service{
@@ -145,9 +128,7 @@
 	steps := t.minutes * 6
 	for step := range steps {
 		if t.changing && step == steps/2 {
-			for pair, slowdown := range drawTable(t.seed + 1000) {
-				table[pair] = slowdown
-			}
+			table.set(drawTable(t.seed + 1000))
 		}
 		t.feed(w, o, step)
 		w.after(10 * time.Second)
--- a/services/standin/fleet/attempt.go
+++ b/services/standin/fleet/attempt.go
@@ -97,9 +97,10 @@
 // observe takes the latency of a service; the caller holds the lock.
 func (w *worker) observe(a *attempt, now time.Time) {
 	slowdown := 1.0
+	pairs := w.fleet.pairs()
 	for _, other := range w.attempts {
 		if other.call.Kind == models.TaskBatch && other.status == models.StatusRunning {
-			slowdown += other.share * w.fleet.config.Pairs.Slowdown(a.call.Labels[appLabel], other.call.Labels[appLabel])
+			slowdown += other.share * pairs.Slowdown(a.call.Labels[appLabel], other.call.Labels[appLabel])
 		}
 	}
 	base := a.call.Target.Duration() / 2
--- a/services/standin/fleet/fleet.go
+++ b/services/standin/fleet/fleet.go
@@ -38,12 +38,12 @@
 	Slots     int
 	Conns     int
 	Domains   []string
-	ListLag   time.Duration // of the VM list
-	ReportLag time.Duration // of latencies in worker reports
-	Guards    bool          // workers refuse what they have no room for
-	SizeError float64       // declared sizes and run times are off by 1/(1+e)..1+e
-	Pairs     PairTable
-	Service   ServiceTimes // of upstreams
+	ListLag   time.Duration    // of the VM list
+	ReportLag time.Duration    // of latencies in worker reports
+	Guards    bool             // workers refuse what they have no room for
+	SizeError float64          // declared sizes and run times are off by 1/(1+e)..1+e
+	Pairs     func() PairTable // in force now; nil: nothing slows anything down
+	Service   ServiceTimes     // of upstreams
 	Tick      time.Duration
 	// Unserved opens no listeners: the workers are reached through Local only.
 	Unserved bool
@@ -59,6 +59,14 @@
 // Slowdown is what one batch task adds to the service's latency, as a factor.
 func (t PairTable) Slowdown(service, batch string) float64 { return t[Pair{service, batch}] }
 
+// pairs is the table in force now.
+func (f *Fleet) pairs() PairTable {
+	if f.config.Pairs == nil {
+		return nil
+	}
+	return f.config.Pairs()
+}
+
 const appLabel = "app"
 
 // Fleet is the stand-in.
