The stand-in's workers save work, and its audit checks every start

What callers saw: runs of the users' platform were started with checkpoints that aren't the task's, and no test of ours could show it, for no stand-in ever saved anything.

grid.Config.Save lets runs of steps with checkpoints save: a text that is new with each so much work and at a stop, in running rows and beside ends (none for a success). A start that brings one goes on from the work that it stands for, after Config.Restore. Config.Text makes other texts than the short ones; Config.ShowsOwn lets a run show only what it has saved itself. With Save 0, the default, all is as before.

Faults: a worker that fails all it starts, answers that pass each other, calls that are done once more later. A report lists 500 ends at once.

The audit checks at each start, by its own notes and not by those of the worker: the checkpoint is empty or one that was made for this task; run number and epoch are above what the worker was told before; label and bound of tasks on a worker.

--- a/services/standin/grid/audit.go
+++ b/services/standin/grid/audit.go
@@ -13,6 +13,7 @@
 
 // audit knows what was accepted and what really ran.
 type audit struct {
+	begin      time.Time
 	specs      map[jobs.ID]jobs.Spec
 	attempts   map[jobs.ID]int
 	where      map[jobs.TaskID]map[jobs.WorkerID]jobs.RunID // under way
@@ -25,14 +26,17 @@
 	crashes    map[jobs.TaskID]int   // workers that the task has ended
 	afterwards map[jobs.TaskID]int   // starts of it once it had ended mostCrashes
 	breaches   []string
+	checkpointAudit
+	orderAudit
 }
 
 func newAudit() *audit {
 	return &audit{
-		specs: map[jobs.ID]jobs.Spec{}, attempts: map[jobs.ID]int{}, lastStart: map[jobs.ID]time.Time{},
+		begin: time.Now(), specs: map[jobs.ID]jobs.Spec{}, attempts: map[jobs.ID]int{}, lastStart: map[jobs.ID]time.Time{},
 		where: map[jobs.TaskID]map[jobs.WorkerID]jobs.RunID{}, done: map[jobs.TaskID]bool{}, failures: map[jobs.TaskID]int{},
 		settled: map[jobs.TaskID]bool{}, failed: map[jobs.TaskID]int{},
 		crashes: map[jobs.TaskID]int{}, afterwards: map[jobs.TaskID]int{},
+		checkpointAudit: newCheckpointAudit(), orderAudit: newOrderAudit(),
 	}
 }
 
@@ -75,7 +79,10 @@
 	}
 	a.checkCrashes(r.task)
 	a.checkOrder(r.task, step)
+	a.checkPlace(w, r.task, step)
 	a.checkRoom(w)
+	a.checkFences(w, r, call)
+	a.checkCheckpoint(w, r, call.Checkpoint, time.Since(a.begin))
 	if a.where[r.task] == nil {
 		a.where[r.task] = map[jobs.WorkerID]jobs.RunID{}
 	}
--- /dev/null
+++ b/services/standin/grid/audit_orders.go
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package grid
+
+import (
+	"slices"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// orderAudit knows what each worker was told, whatever the worker itself makes of it.
+type orderAudit struct {
+	epochs map[jobs.WorkerID]jobs.Epoch // the highest that spoke to the worker
+	runs   map[place]jobs.RunID         // the highest run that was started or stopped, or has ended, there
+}
+
+// place is a task on a worker.
+type place struct {
+	worker jobs.WorkerID
+	task   jobs.TaskID
+}
+
+func newOrderAudit() orderAudit {
+	return orderAudit{epochs: map[jobs.WorkerID]jobs.Epoch{}, runs: map[place]jobs.RunID{}}
+}
+
+// spokenTo notes a call to a worker.
+func (a *orderAudit) spokenTo(w *incarnation, epoch jobs.Epoch) {
+	a.epochs[w.info.ID] = max(a.epochs[w.info.ID], epoch)
+}
+
+// barredRun notes a run that was stopped or has ended on a worker, which bars those up to it.
+func (a *orderAudit) barredRun(w *incarnation, task jobs.TaskID, run jobs.RunID) {
+	at := place{w.info.ID, task}
+	a.runs[at] = max(a.runs[at], run)
+}
+
+// checkFences checks that no former owner and no run of the past starts anything.
+func (a *audit) checkFences(w *incarnation, r *run, call jobs.StartCall) {
+	if call.Epoch < a.epochs[w.info.ID] {
+		a.breach("%s is started on %s by epoch %d after %d", r.task, w.info.ID, call.Epoch, a.epochs[w.info.ID])
+	}
+	if last := a.runs[place{w.info.ID, r.task}]; r.id <= last {
+		a.breach("run %d of %s begins on %s after run %d", r.id, r.task, w.info.ID, last)
+	}
+	a.barredRun(w, r.task, r.id)
+}
+
+// checkPlace checks that a task may be on its worker.
+func (a *audit) checkPlace(w *incarnation, task jobs.TaskID, step *jobs.Step) {
+	if step.Requires != "" && !slices.Contains(w.info.Labels, step.Requires) {
+		a.breach("%s runs on %s, which has no label %q", task, w.info.ID, step.Requires)
+	}
+	if step.PerWorker == 0 {
+		return
+	}
+	beside := 0
+	for other := range w.runs {
+		if other.Job == task.Job && other.Occurrence == task.Occurrence && other.Step == task.Step {
+			beside++
+		}
+	}
+	if beside > step.PerWorker {
+		a.breach("%d tasks beside %s run on %s, at most %d may", beside-1, task, w.info.ID, step.PerWorker)
+	}
+}
--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"rillsail.example/rillsail/models/jobs"
@@ -21,6 +23,14 @@
 	Late time.Duration
 	// LoseAnswers: calls take effect and have no answer.
 	LoseAnswers bool
+	// LateAnswers: calls take effect at once, and their answers come up to so much later, each
+	// after another time: they pass each other.
+	LateAnswers time.Duration
+	// Again: calls take effect and are answered, and take effect once more so much later, after
+	// newer ones.
+	Again time.Duration
+	// FailsAll: each run that is started fails soon, some of them at once. Reports are as usual.
+	FailsAll bool
 }
 
 // SetFaults replaces the faults of the worker in a place.
@@ -144,6 +154,27 @@
 	return false
 }
 
+// failsWithin bounds how long a run goes on that fails only because of its worker.
+const failsWithin = 400 * time.Millisecond
+
+// failLater lets a run fail soon whose worker fails all; every other one fails at once.
+func (g *Grid) failLater(w *incarnation, r *run) {
+	if !w.faults.FailsAll {
+		return
+	}
+	after := time.Duration(0)
+	if draw := xxhash.Sum64String(fmt.Sprint(r.task, "/", r.id)); draw%2 == 1 {
+		after = time.Duration(draw>>1) % failsWithin
+	}
+	time.AfterFunc(after, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if w.up && w.runs[r.task] == r && !r.stopping {
+			g.endRun(w, r, jobs.EndFailed)
+		}
+	})
+}
+
 // absence is why a worker that is not there doesn't answer.
 func (g *Grid) absence(w *incarnation) error {
 	if w != nil && g.slots[w.place] == w.info.ID {
@@ -153,34 +184,74 @@
 }
 
 // reach finds the worker that a call is meant for and applies its faults. The order is
-// carried out by perform, now or later.
-func (g *Grid) reach(ctx context.Context, worker jobs.Worker, perform func(w *incarnation) error) error {
+// carried out by perform, now or later, or twice.
+func (g *Grid) reach(ctx context.Context, worker jobs.Worker, perform perform) (answer, error) {
 	g.mu.Lock()
 	w := g.workers[worker.ID]
 	if w == nil || !w.up {
 		defer g.mu.Unlock()
-		return g.absence(w)
+		return answer{}, g.absence(w)
 	}
 	faults := w.faults
-	if faults.Late > 0 {
-		time.AfterFunc(faults.Late, func() {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			if w.up {
-				_ = perform(w) // nobody hears what comes of it
-			}
-		})
-	}
+	g.performLater(w, faults.Late, perform)
 	if faults.Cut || faults.Late > 0 {
 		g.mu.Unlock()
 		<-ctx.Done()
-		return platform.ErrUnknown
+		return answer{}, platform.ErrUnknown
 	}
-	err := perform(w)
+	g.performLater(w, faults.Again, perform)
+	var a answer
+	err := perform(w, &a)
+	late := g.lateBy(faults)
 	g.mu.Unlock()
 	if faults.LoseAnswers {
 		<-ctx.Done()
-		return platform.ErrUnknown
+		return answer{}, platform.ErrUnknown
+	}
+	if !passes(ctx, late) {
+		return answer{}, platform.ErrUnknown
+	}
+	return a, err
+}
+
+// performLater carries an order out after some time; 0: never. Nobody hears what comes of it.
+func (g *Grid) performLater(w *incarnation, after time.Duration, perform perform) {
+	if after == 0 {
+		return
+	}
+	time.AfterFunc(after, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if w.up {
+			_ = perform(w, &answer{})
+		}
+	})
+}
+
+// latenesses is how many different times answers are late by. Each call's number takes it
+// latenessStep further, so that one may come after several later ones.
+const (
+	latenesses   = 7
+	latenessStep = 4
+)
+
+// lateBy is by how much the answer of the next call is late.
+func (g *Grid) lateBy(faults Faults) time.Duration {
+	g.calls++
+	return faults.LateAnswers * time.Duration(g.calls*latenessStep%latenesses) / (latenesses - 1)
+}
+
+// passes waits for some time; false: the caller has left before.
+func passes(ctx context.Context, d time.Duration) bool {
+	if d == 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return err
 }
--- a/services/standin/grid/grid.go
+++ b/services/standin/grid/grid.go
@@ -47,6 +47,17 @@
 	// Down is how long it takes until another incarnation is at the address of a worker that
 	// crashed.
 	Down time.Duration
+	// Save is with how much more work a run saves again whose step has checkpoints; 0: none
+	// ever does, not even when it is stopped.
+	Save time.Duration
+	// Restore is how long a run that brings a checkpoint takes until it goes on.
+	Restore time.Duration
+	// ShowsOwn lets a run show only what it has saved itself; otherwise it shows the checkpoint
+	// that it has brought until then.
+	ShowsOwn bool
+	// Text makes the text of a checkpoint, another one each time; nil: a short one that tells
+	// what it is.
+	Text func(saved Saved) jobs.Text
 }
 
 // Grid is the stand-in.
@@ -61,6 +72,7 @@
 	unlisted map[jobs.WorkerID]bool
 	draining map[jobs.WorkerID]time.Time // when the worker leaves
 	stale    map[jobs.WorkerID]bool      // entries of workers that are not there any more
+	calls    int                         // that workers were reached by
 	changes  []jobs.WorkerID             // of the list, in their order
 	changed  chan struct{}               // closed and renewed with each of them
 }
--- a/services/standin/grid/lease.go
+++ b/services/standin/grid/lease.go
@@ -39,33 +39,32 @@
 // ProlongLease implements platform.JobWorkers.
 func (g *Grid) ProlongLease(ctx context.Context, worker jobs.Worker, call jobs.LeaseCall) (jobs.Report, error) {
 	deadline := time.Now().Add(call.Wait)
-	var asked *incarnation
 	for {
-		var report jobs.Report
-		var changed chan struct{}
-		err := g.reach(ctx, worker, func(w *incarnation) error {
-			if err := w.admit(call.Epoch); err != nil {
+		answer, err := g.reach(ctx, worker, func(w *incarnation, a *answer) error {
+			if err := g.admit(w, call.Epoch); err != nil {
 				return err
 			}
-			asked = w
 			g.prolong(w, call.Until)
 			g.acknowledge(w, call.Acknowledged)
-			report = g.reportOf(w)
-			changed = w.changed
+			a.worker, a.report, a.changed = w, g.reportOf(w), w.changed
 			return nil
 		})
-		if err != nil || len(report.Ended) > 0 || !time.Now().Before(deadline) {
-			return report, err
+		if err != nil {
+			return jobs.Report{}, err
+		}
+		if len(answer.report.Ended) > 0 || !time.Now().Before(deadline) {
+			g.noteHeard(answer.report)
+			return answer.report, nil
 		}
 		timer := time.NewTimer(time.Until(deadline))
 		select {
-		case <-changed:
+		case <-answer.changed:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		if ctx.Err() != nil || !g.isUp(asked) {
-			return report, platform.ErrUnknown // the connection ends with the worker
+		if ctx.Err() != nil || !g.isUp(answer.worker) {
+			return jobs.Report{}, platform.ErrUnknown // the connection ends with the worker
 		}
 	}
 }
@@ -85,11 +84,16 @@
 	}
 }
 
+// mostEnds is how many ends a report lists at once, as on the users' platform.
+const mostEnds = 500
+
+// reportOf is what a worker reports now.
 func (g *Grid) reportOf(w *incarnation) jobs.Report {
-	report := jobs.Report{Clock: g.clock(time.Now()), Ended: slices.Clone(w.ends)}
+	now := time.Now()
+	report := jobs.Report{Clock: g.clock(now), Ended: slices.Clone(w.ends[:min(len(w.ends), mostEnds)])}
 	for _, r := range w.runs {
 		report.Running = append(report.Running, jobs.Run{
-			Task: r.task, Run: r.id, Progress: r.progress(time.Now()), Figure: g.figure(w, r),
+			Task: r.task, Run: r.id, Checkpoint: g.savedBy(r, now), Progress: r.progress(now), Figure: g.figure(w, r),
 		})
 	}
 	return report
--- a/services/standin/grid/orders.go
+++ b/services/standin/grid/orders.go
@@ -12,8 +12,20 @@
 	"rillsail.example/rillsail/services/platform"
 )
 
+// answer is what a call is answered with.
+type answer struct {
+	clock   models.Milli
+	report  jobs.Report
+	worker  *incarnation  // that was reached
+	changed chan struct{} // closed when the report has another end
+}
+
+// perform carries out a call at a worker.
+type perform func(w *incarnation, a *answer) error
+
 // admit checks the epoch of an order.
-func (w *incarnation) admit(epoch jobs.Epoch) error {
+func (g *Grid) admit(w *incarnation, epoch jobs.Epoch) error {
+	g.audit.spokenTo(w, epoch)
 	if epoch < w.epoch {
 		return &platform.RefusedError{Reason: jobs.RefusedEpoch}
 	}
@@ -23,15 +35,14 @@
 
 // StartRun implements platform.JobWorkers.
 func (g *Grid) StartRun(ctx context.Context, worker jobs.Worker, call jobs.StartCall) (models.Milli, error) {
-	var clock models.Milli
-	err := g.reach(ctx, worker, func(w *incarnation) error {
-		clock = g.clock(time.Now())
-		if err := w.admit(call.Epoch); err != nil {
+	answer, err := g.reach(ctx, worker, func(w *incarnation, a *answer) error {
+		a.clock = g.clock(time.Now())
+		if err := g.admit(w, call.Epoch); err != nil {
 			return err
 		}
 		return g.start(w, call)
 	})
-	return clock, err
+	return answer.clock, err
 }
 
 func (g *Grid) start(w *incarnation, call jobs.StartCall) error {
@@ -48,24 +59,26 @@
 	g.prolong(w, call.Until)
 	size, work, how := g.workOf(call)
 	r := &run{task: call.Task, id: call.Run, size: size, left: work, work: work, how: how, pace: jobs.FullSpeed, since: now}
+	g.restore(r, call.Checkpoint)
 	w.runs[call.Task] = r
 	g.audit.started(w, r, call)
 	if g.crashLater(w, r) {
 		return platform.ErrUnknown
 	}
+	g.failLater(w, r)
 	g.arm(w, r)
 	return nil
 }
 
 // StopRun implements platform.JobWorkers.
 func (g *Grid) StopRun(ctx context.Context, worker jobs.Worker, call jobs.StopCall) (models.Milli, error) {
-	var clock models.Milli
-	err := g.reach(ctx, worker, func(w *incarnation) error {
-		clock = g.clock(time.Now())
-		if err := w.admit(call.Epoch); err != nil {
+	answer, err := g.reach(ctx, worker, func(w *incarnation, a *answer) error {
+		a.clock = g.clock(time.Now())
+		if err := g.admit(w, call.Epoch); err != nil {
 			return err
 		}
 		w.barred[call.Task] = max(w.barred[call.Task], call.Run)
+		g.audit.barredRun(w, call.Task, call.Run)
 		r, ok := w.runs[call.Task]
 		if !ok || r.id != call.Run || r.stopping {
 			return nil
@@ -80,26 +93,24 @@
 		})
 		return nil
 	})
-	return clock, err
+	return answer.clock, err
 }
 
 // SetPace implements platform.JobWorkers.
 func (g *Grid) SetPace(ctx context.Context, worker jobs.Worker, call jobs.PaceCall) (models.Milli, error) {
-	var clock models.Milli
-	err := g.reach(ctx, worker, func(w *incarnation) error {
+	answer, err := g.reach(ctx, worker, func(w *incarnation, a *answer) error {
 		now := time.Now()
-		clock = g.clock(now)
-		if err := w.admit(call.Epoch); err != nil {
+		a.clock = g.clock(now)
+		if err := g.admit(w, call.Epoch); err != nil {
 			return err
 		}
 		r, ok := w.runs[call.Task]
 		if !ok || r.id != call.Run {
 			return &platform.RefusedError{Reason: jobs.RefusedRun}
 		}
-		r.left -= time.Duration(float64(now.Sub(r.since)) * float64(r.pace) / float64(jobs.FullSpeed))
-		r.since, r.pace = now, call.Pace
+		r.setPace(now, call.Pace)
 		g.arm(w, r)
 		return nil
 	})
-	return clock, err
+	return answer.clock, err
 }
--- a/services/standin/grid/run.go
+++ b/services/standin/grid/run.go
@@ -19,9 +19,14 @@
 	work     time.Duration
 	how      jobs.End
 	pace     jobs.Percent
-	since    time.Time // when left was right
+	since    time.Time // when left was right; after a checkpoint was brought, when it is restored
 	timer    *time.Timer
 	stopping bool
+
+	checkpoints bool          // it saves
+	from        time.Duration // the work that was done when it began
+	saves       int           // that it has made, but for that of a stop
+	shown       jobs.Text     // the checkpoint that it shows; empty: none
 }
 
 // untilStopped is the work of a task that lasts: longer than any test.
@@ -55,7 +60,7 @@
 	if r.pace == 0 || r.stopping {
 		return
 	}
-	after := time.Duration(float64(r.left) * float64(jobs.FullSpeed) / float64(r.pace))
+	after := max(0, time.Until(r.since)) + time.Duration(float64(r.left)*float64(jobs.FullSpeed)/float64(r.pace))
 	r.timer = time.AfterFunc(after, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -73,14 +78,32 @@
 	delete(w.runs, r.task)
 	w.barred[r.task] = max(w.barred[r.task], r.id)
 	w.number++
-	w.ends = append(w.ends, jobs.Ended{Number: w.number, Task: r.task, Run: r.id, How: how})
+	w.ends = append(w.ends, jobs.Ended{Number: w.number, Task: r.task, Run: r.id, How: how, Checkpoint: g.leftBy(r, how)})
+	g.audit.barredRun(w, r.task, r.id)
 	g.audit.ended(w.info.ID, r.task, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
 
+// leftAt is the work that is left at a time.
+func (r *run) leftAt(now time.Time) time.Duration {
+	worked := max(0, now.Sub(r.since))
+	return r.left - time.Duration(float64(worked)*float64(r.pace)/float64(jobs.FullSpeed))
+}
+
+// setPace changes the pace from now on.
+func (r *run) setPace(now time.Time, pace jobs.Percent) {
+	r.left = r.leftAt(now)
+	if now.After(r.since) {
+		r.since = now
+	}
+	r.pace = pace
+}
+
+// done is the work that is done at a time, what the run was begun with included.
+func (r *run) done(now time.Time) time.Duration { return r.work - max(0, r.leftAt(now)) }
+
 // progress is the part of the work that is done.
 func (r *run) progress(now time.Time) jobs.Percent {
-	left := r.left - time.Duration(float64(now.Sub(r.since))*float64(r.pace)/float64(jobs.FullSpeed))
-	return jobs.Percent(100 * float64(r.work-max(0, left)) / float64(max(1, r.work)))
+	return jobs.Percent(100 * float64(r.done(now)) / float64(max(1, r.work)))
 }
