Test: requests are sent to addresses that no upstream has while the list changes one

go test -race ./services/entry showed that send reads an upstream's address and id without the gate's lock, while the loop that follows the VM list writes them. The test changes the address of an upstream while requests are sent to it.

--- /dev/null
+++ b/services/entry/moved_test.go
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/modules/setting"
+	"rillsail.example/rillsail/services/config"
+)
+
+// hosts answers all requests and notes where they were sent.
+type hosts struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (h *hosts) RoundTrip(r *http.Request) (*http.Response, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen[r.URL.Host] = true
+	return &http.Response{StatusCode: http.StatusNoContent, Body: http.NoBody, Header: http.Header{}}, nil
+}
+
+// TestRequestGoesToAnAddressOfItsUpstream: the list gives an upstream another address while
+// requests are on their way to it. The race detector showed that send read the upstream without
+// the gate's lock, while the list's loop wrote it: the address could have been the beginning of
+// one with the length of the other.
+func TestRequestGoesToAnAddressOfItsUpstream(t *testing.T) {
+	const requests, changes, callers = 500, 4000, 4
+	addresses := []string{"10.0.0.1:1", "192.168.100.100:65000"}
+	s := New(Config{
+		Self: "e0", Settings: setting.Defaults().Entry, MaxBody: 1 << 20, View: func() *config.View { return config.ViewOf(1, trialClasses...) },
+		Logger: zap.NewNop(), Scope: tally.NoopScope, NewID: func() string { return "id" },
+	})
+	sent := &hosts{seen: map[string]bool{}}
+	s.repeat, s.once = sent, sent
+	move := func(n int) {
+		s.Sync([]models.VM{{
+			ID: "u0", Kind: models.KindUpstream, State: models.VMLive, Address: addresses[n%len(addresses)], Slots: 64, MaxConns: 64,
+		}}, []models.MemberID{"e0"}, nil)
+	}
+	move(0)
+	var group conc.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range requests {
+				request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("x"))
+				request.Header.Set(models.HeaderLabels, "class=ordinary")
+				s.ServeHTTP(httptest.NewRecorder(), request)
+			}
+		})
+	}
+	for n := range changes {
+		move(n)
+	}
+	group.Wait()
+	for _, address := range addresses {
+		delete(sent.seen, address)
+	}
+	require.Empty(t, sent.seen)
+}
