A request keeps the address that its upstream had when it got its slot

What callers saw: now and then a request that fails, or goes to an address that no upstream has, while the VM list gives an upstream another address. Cause: send read the upstream's address and id without the gate's lock; a string is two words, and one of them could be the old one's. Why it holds: id and address are copied into the slot when it is taken, under the lock; nothing else of an upstream is read outside it.

--- a/services/entry/path.go
+++ b/services/entry/path.go
@@ -74,7 +74,7 @@
 			return s.relay(w, req, slot, answer)
 		}
 		slot.release(failure.verdict(), 0)
-		req.tried[slot.upstream.id()] = true
+		req.tried[slot.id] = true
 		if !s.mayRetry(req, failure) {
 			if failure.answer != nil {
 				return s.relayHeld(w, failure.answer)
--- a/services/entry/send.go
+++ b/services/entry/send.go
@@ -66,11 +66,11 @@
 	// each is a sending of its own, and the answer on the last says nothing of the others.
 	connections := 0
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connections++ }}
-	sending, id := s.outgoing(httptrace.WithClientTrace(ctx, trace), req, slot.upstream.vm.Address)
+	sending, id := s.outgoing(httptrace.WithClientTrace(ctx, trace), req, slot.address)
 	began := time.Now()
 	response, err := s.transportFor(req).RoundTrip(sending)
 	req.sent += connections
-	peer := string(slot.upstream.id())
+	peer := string(slot.id)
 	if err != nil {
 		return nil, &failure{err: errstep.Wrap(err, "send request", peer), notRun: connections == 0, caller: ctx.Err() != nil}
 	}
--- a/services/entry/slot.go
+++ b/services/entry/slot.go
@@ -18,6 +18,10 @@
 	gate     *gate
 	upstream *upstream
 	class    models.Class
+	// id and address are the upstream's when the slot was taken. Who sends the request holds no
+	// lock, and the VM list may give the upstream another address meanwhile.
+	id      models.VMID
+	address string
 }
 
 // used counts this daemon's requests in flight.
@@ -61,7 +65,7 @@
 	if class.Priority == models.PriorityDeferred {
 		g.deferred++
 	}
-	return &slot{gate: g, upstream: u, class: class}
+	return &slot{gate: g, upstream: u, class: class, id: u.id(), address: u.vm.Address}
 }
 
 // release gives the slot back with what was learned of the upstream. wait is the
