--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -128,6 +128,7 @@
 	perhaps   map[jobs.ID]bool // the cancellation has no clear answer: either is right
 	mu        sync.Mutex
 	crashing  map[jobs.ID]time.Duration // jobs whose first task ends its workers, so long after its start
+	failsAll  bool                      // a worker has failed all that it started: jobs may fail for it
 }
 
 func playScript(t *testing.T, script []happening, perCell int) (failure string) {
@@ -330,6 +331,10 @@
 				if !s.perhaps[spec.ID] && state != jobs.StateFailed || s.grid.Running(spec.ID) > 0 {
 					return fmt.Sprintf("job %s, which ends its workers, is %q at %s, %d tasks run", spec.ID, state, d.name, s.grid.Running(spec.ID))
 				}
+			case s.failsAll && state == jobs.StateFailed && s.grid.MostFailures(spec.ID) >= testAttempts:
+				if s.grid.Running(spec.ID) > 0 {
+					return fmt.Sprintf("failed job %s has %d tasks running", spec.ID, s.grid.Running(spec.ID))
+				}
 			case spec.Steps[0].Lasts:
 				if state != jobs.StateRunning || s.grid.Running(spec.ID) != spec.Steps[0].Count {
 					return fmt.Sprintf("lasting job %s is %q at %s, %d tasks run", spec.ID, state, d.name, s.grid.Running(spec.ID))
--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -31,13 +31,23 @@
 	Again time.Duration
 	// FailsAll: each run that is started fails soon, some of them at once. Reports are as usual.
 	FailsAll bool
+	// Stalled: runs make no progress. Reports are as usual.
+	Stalled bool
 }
 
 // SetFaults replaces the faults of the worker in a place.
 func (g *Grid) SetFaults(place int, faults Faults) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.workers[g.slots[place]].faults = faults
+	w := g.workers[g.slots[place]]
+	w.faults = faults
+	for _, r := range w.runs {
+		if r.stalled != faults.Stalled {
+			r.settle(time.Now())
+			r.stalled = faults.Stalled
+			g.arm(w, r)
+		}
+	}
 }
 
 // SetListed lets the worker in a place be in the list, or missing there.
--- a/services/standin/grid/orders.go
+++ b/services/standin/grid/orders.go
@@ -58,7 +58,7 @@
 	}
 	g.prolong(w, call.Until)
 	size, work, how := g.workOf(call)
-	r := &run{task: call.Task, id: call.Run, size: size, left: work, work: work, how: how, pace: jobs.FullSpeed, since: now}
+	r := &run{task: call.Task, id: call.Run, size: size, left: work, work: work, how: how, pace: jobs.FullSpeed, since: now, stalled: w.faults.Stalled}
 	g.restore(r, call.Checkpoint)
 	w.runs[call.Task] = r
 	g.audit.started(w, r, call)
@@ -108,7 +108,8 @@
 		if !ok || r.id != call.Run {
 			return &platform.RefusedError{Reason: jobs.RefusedRun}
 		}
-		r.setPace(now, call.Pace)
+		r.settle(now)
+		r.pace = call.Pace
 		g.arm(w, r)
 		return nil
 	})
