--- a/cmd/rillsail-soak/main.go
+++ b/cmd/rillsail-soak/main.go
@@ -9,6 +9,7 @@
 //	rillsail-soak --daemon bin/rillsaild --seed 7 --length 30s
 //	rillsail-soak --daemon bin/rillsaild --minutes 5        # fresh seeds
 //	rillsail-soak --daemon bin/rillsaild --seeds 50 --seed 1
+//	rillsail-soak --daemon bin/rillsaild --save 200ms   # runs save their work, and more goes wrong with workers
 package main
 
 import (
@@ -93,6 +94,7 @@
 	flags.IntVar(&o.WorkersPerCell, "workers-per-cell", 4, "workers of a cell")
 	flags.Float64Var(&o.Rate, "rate", 8, "jobs that callers hand in a second")
 	flags.IntVar(&o.CrashingOneIn, "crashing-one-in", 0, "one job in so many has a task that ends its workers; 0: none")
+	flags.DurationVar(&o.Save, "save", 0, "work after which runs save again, which take longer then; 0: none saves")
 	flags.StringVar(&o.folder, "folder", "soak", "where runs that broke a promise are left")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("RILLSAIL_SOAK")); err != nil {
 		return nil, err
@@ -131,6 +133,10 @@
 	}
 	fmt.Printf("seed %d: %d faults, jobs %v, %d written without answer, %d said not to be there, %d answers of %d, %d broken, %s\n",
 		report.Seed, faults, report.Jobs, report.Lost, report.Gone, report.Asked-report.Unheard, report.Asked, len(report.Breaches), report.Took.Round(time.Millisecond))
+	if report.Brought > 0 {
+		fmt.Printf("  %d runs began with a checkpoint, %d with less than had been reported (%s of work)\n",
+			report.Brought, report.Behind, report.WorkLost.Round(time.Millisecond))
+	}
 	for _, b := range report.Breaches {
 		fmt.Printf("  %s %s: %s\n", b.At.Round(time.Millisecond), b.Seen, b.What)
 	}
--- a/tests/soak/callers.go
+++ b/tests/soak/callers.go
@@ -53,7 +53,7 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	for n := 1; ; n++ {
-		spec := draftJob(random, r.plan.Seed, n)
+		spec := r.config.saving(draftJob(random, r.plan.Seed, n))
 		v := newCallerPlan(behaviors, spec, random.IntN(len(r.site.daemons)), len(r.site.daemons))
 		r.site.emulator.Grid.Expect(spec, attempts)
 		group.Go(func() { r.submit(ctx, v) })
--- a/tests/soak/inject.go
+++ b/tests/soak/inject.go
@@ -178,6 +178,12 @@
 		g.SetFaults(place, grid.Faults{Late: fault.For})
 	case MuteWorker:
 		g.SetFaults(place, grid.Faults{LoseAnswers: true})
+	case FailingWorker:
+		g.SetFaults(place, grid.Faults{FailsAll: true})
+	case PassingAnswers:
+		g.SetFaults(place, grid.Faults{LateAnswers: answersPass})
+	case RepeatingWorker:
+		g.SetFaults(place, grid.Faults{Again: doneAgain})
 	case HideWorker:
 		g.SetListed(place, false)
 	case DrainWorker:
--- a/tests/soak/plan.go
+++ b/tests/soak/plan.go
@@ -104,13 +104,14 @@
 	oneInSeries   = 5 // one fault in so many is a series of the same kind
 )
 
-// newPlan draws the faults of a run that lasts so long.
-func newPlan(seed uint64, length time.Duration, daemons, workers int) Plan {
+// newPlan draws the faults of a run.
+func newPlan(c Config) Plan {
+	seed, length, targets := c.Seed, c.Length, c.Daemons*c.Workers
 	random := rand.New(rand.NewPCG(seed, uint64(length)))
 	plan := Plan{Seed: seed}
 	at := firstFault
 	for at < length {
-		fault := draw(random, at, daemons, workers)
+		fault := draw(random, at, targets)
 		repeats := 1
 		if random.IntN(oneInSeries) == 0 {
 			repeats = seriesOf
@@ -123,18 +124,21 @@
 		at += time.Duration(random.Int64N(int64(longestPause)))
 	}
 	plan.Faults = append(plan.Faults, overlaps(seed, length)...)
-	plan.Faults = append(plan.Faults, drawSilences(seed, length, daemons*workers)...)
+	plan.Faults = append(plan.Faults, drawSilences(seed, length, targets)...)
+	if c.saves() {
+		plan.Faults = append(plan.Faults, drawSavingFaults(seed, length, targets)...)
+	}
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
 // draw draws one fault.
-func draw(random *rand.Rand, at time.Duration, daemons, workers int) Fault {
+func draw(random *rand.Rand, at time.Duration, targets int) Fault {
 	all := 0
 	for _, k := range kinds {
 		all += k.weight
 	}
-	fault := Fault{At: at, Target: random.IntN(daemons * workers)}
+	fault := Fault{At: at, Target: random.IntN(targets)}
 	fault.For = shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault)))
 	n := random.IntN(all)
 	for _, k := range kinds {
--- a/tests/soak/report.go
+++ b/tests/soak/report.go
@@ -24,14 +24,17 @@
 	Seed     uint64          `json:"seed"`
 	Faults   map[Kind]int    `json:"faults"` // that came about
 	Jobs     map[outcome]int `json:"jobs"`
-	Asked    int             `json:"asked"`    // for states
-	Unheard  int             `json:"unheard"`  // of them, without answer
-	Checked  int             `json:"checked"`  // jobs, at the end
-	Late     int             `json:"late"`     // refusals that took longer than they should
-	Gone     int             `json:"gone"`     // cancellations of jobs without answer that were told there is no such job
-	Lost     int             `json:"lost"`     // writes of jobs that the store did without answering
-	Took     time.Duration   `json:"took"`     // from the first fault to the last check
-	Breaches []Breach        `json:"breaches"` // none: all promises were kept
+	Asked    int             `json:"asked"`     // for states
+	Unheard  int             `json:"unheard"`   // of them, without answer
+	Checked  int             `json:"checked"`   // jobs, at the end
+	Late     int             `json:"late"`      // refusals that took longer than they should
+	Gone     int             `json:"gone"`      // cancellations of jobs without answer that were told there is no such job
+	Lost     int             `json:"lost"`      // writes of jobs that the store did without answering
+	Brought  int             `json:"brought"`   // runs that began with a checkpoint
+	Behind   int             `json:"behind"`    // runs that began with less work than had been reported
+	WorkLost time.Duration   `json:"work_lost"` // by them
+	Took     time.Duration   `json:"took"`      // from the first fault to the last check
+	Breaches []Breach        `json:"breaches"`  // none: all promises were kept
 }
 
 // sum puts the report together.
@@ -46,6 +49,7 @@
 	r.report.Checked = len(r.record.jobs)
 	r.report.Late = r.record.late
 	r.report.Gone, r.report.Lost = r.record.gone, r.site.storeFaults.accepted.lost
+	r.sumSaving()
 	r.report.Took = time.Since(r.begin)
 	r.report.Breaches = r.record.breaches
 }
--- a/tests/soak/site.go
+++ b/tests/soak/site.go
@@ -69,8 +69,8 @@
 	s.emulator, err = emulator.New(emulator.Config{
 		Grid: grid.Config{
 			Workers: config.Workers, PerRack: perRack, Pool: workerPool, Capacity: models.Resources{CPU: workerCPU, Memory: workerMemory},
-			LongestLease: longestLease, StopTime: stopTime, Slow: slowClocks, Work: work,
-			Crash: config.crash, Down: workerDown,
+			LongestLease: longestLease, StopTime: stopTime, Slow: slowClocks, Work: config.work,
+			Crash: config.crash, Down: workerDown, Save: config.Save, Restore: restore, Text: checkpointText,
 		},
 		Store: kv.Config{}, Queues: queues(s.version), Heartbeat: heartbeat, Expose: s.expose,
 	})
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -12,7 +12,8 @@
 //
 // Where to look: what may go wrong and when in plan.go, what is started in site.go and
 // daemon.go, how faults are brought about in inject.go, those of the store in store.go and
-// what it sees of acceptances in acceptances.go, what jobs are like in jobs.go, callers in
+// what it sees of acceptances in acceptances.go, what jobs are like in jobs.go and what comes with
+// runs that save their work in saving.go, callers in
 // callers.go, how they behave in behaviors.go and what they know in record.go, versions of the
 // configuration in configuration.go, what must hold in check.go, what a run leaves in
 // report.go and plot.go.
@@ -39,6 +40,8 @@
 	Rate float64
 	// CrashingOneIn lets one job in so many have a task that ends its workers; 0: none has.
 	CrashingOneIn int
+	// Save is with how much more work a run saves again; 0: none ever does.
+	Save time.Duration
 	// Folder takes logs, plan and report.
 	Folder string
 }
@@ -48,8 +51,8 @@
 	if c.Daemon == "" || c.Folder == "" {
 		return errors.New("daemon and folder must be given")
 	}
-	if c.Daemons < 1 || c.Workers < 1 || c.WorkersPerCell < 1 || c.Rate <= 0 || c.Length <= 0 {
-		return errors.New("daemons, workers, workers per cell, rate and length must be positive")
+	if c.Daemons < 1 || c.Workers < 1 || c.WorkersPerCell < 1 || c.Rate <= 0 || c.Length <= 0 || c.Save < 0 {
+		return errors.New("daemons, workers, workers per cell, rate and length must be positive, what is saved not negative")
 	}
 	return nil
 }
@@ -67,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	plan := newPlan(config.Seed, config.Length, config.Daemons, config.Workers)
+	plan := newPlan(config)
 	r := &run{
 		config: config, site: s, plan: plan, begin: time.Now(), record: newRecord(),
 		report: &Report{Seed: config.Seed, Faults: map[Kind]int{}},
