Tests with two daemons wait until the idle one does nothing

What was seen: TestPanicOfACallHoldsNobodyUp ended its process once under go test -race ./services/control (1 run of the package in 2; 0 of 640 runs of the test alone): the fault that the test puts into the next transaction of the idle daemon came in its claim of the cell, in the loop that claims. Cause: the idle daemon may be about to claim the cell at the moment at which the other one owns it; the test then put its fault between the two. Why it holds: the bubble is waited for until nothing runs; claims come only later, when the cell is taken. The check is as it was.

--- a/services/control/refusals_test.go
+++ b/services/control/refusals_test.go
@@ -33,6 +33,7 @@
 		idle = w.daemons[0]
 	}
 	w.eventually(5*time.Second, "the other takes jobs", func() bool { return idle.Ready() && idle.Cells.registration() != 0 })
+	synctest.Wait() // it may be about to claim the cell as well
 	return w, idle, owner
 }
 
