make race: the race detector over shared state, and over real daemons under faults

The soak takes a report of the detector in a daemon's log for a broken promise: the exit status tells nothing of a daemon that was killed.

It needs cgo, as the build of the users' deploy file does.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 GO ?= go
 
-.PHONY: build fmt lint vet test demo measure long generate
+.PHONY: build fmt lint vet test race demo measure long generate
 
 build: ## build all commands into bin/
 	$(GO) build -o bin/ ./cmd/...
@@ -21,6 +21,16 @@
 test: ## the README's test command
 	$(GO) test ./...
 
+# Plays of minutes on a clock of their own take ten times as long with the race detector, and
+# show it nothing that shorter ones of the same packages don't: make test plays them without.
+RACE_LONG = Random|Measure|TestConfigurationsOver|TestDivided|TestJobIsDone|TestLeavingUpstream|TestOnlyTasks|TestOverload|TestOwner|TestPairs|TestServicesKeep
+# The packages in which goroutines share state.
+RACE_PACKAGES = ./modules/... ./platform ./services/cell ./services/control ./services/daemon ./services/entry ./services/journal ./services/standin/...
+
+race: ## the race detector over these packages, and over real daemons under faults; needs cgo
+	$(GO) test -race -skip "$(RACE_LONG)$${RED:+|$$RED}" $(RACE_PACKAGES)
+	$(GO) test -race -run '^TestSoakOfRunsThatSave$$' -skip "$$RED" ./tests/integration
+
 demo: ## run everything in one process
 	$(GO) run ./cmd/rillsail-standin demo
 
--- a/tests/integration/harness_test.go
+++ b/tests/integration/harness_test.go
@@ -9,6 +9,7 @@
 import (
 	"os"
 	"os/exec"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 	if err != nil {
 		panic(err)
 	}
-	build := exec.Command("go", "build", "-o", dir, "../../cmd/...")
+	build := exec.Command("go", slices.Concat([]string{"build", "-o", dir}, buildFlags, []string{"../../cmd/..."})...)
 	build.Stdout, build.Stderr = os.Stdout, os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
--- a/tests/integration/soak_test.go
+++ b/tests/integration/soak_test.go
@@ -20,6 +20,9 @@
 // soakLength is how long faults begin in a run of CI; by hand runs are longer.
 const soakLength = 6 * time.Second
 
+// savedEvery is the work after which a run saves again: some twenty times in each.
+const savedEvery = 100 * time.Millisecond
+
 // TestSoak plays the seeds of testdata/soak_seeds.txt: those that once failed, and one
 // that is always played.
 func TestSoak(t *testing.T) {
@@ -40,6 +43,22 @@
 	}
 }
 
+// TestSoakOfRunsThatSave lets runs save their work and go on from it, beside workers that fail all
+// they start and whatever else ends runs.
+func TestSoakOfRunsThatSave(t *testing.T) {
+	folder := t.TempDir()
+	report, err := soak.Run(t.Context(), soak.Config{
+		Daemon: filepath.Join(binaries, "rillsaild"), Seed: 1, Length: soakLength, Daemons: 3, Workers: 16, WorkersPerCell: 8,
+		Rate: 8, Folder: folder, Save: savedEvery,
+	})
+	require.NoError(t, err)
+	if len(report.Breaches) > 0 {
+		logFolder(t, folder)
+	}
+	require.Empty(t, report.Breaches)
+	require.NotZero(t, report.Brought, "no run went on from what was saved")
+}
+
 // soakSeeds reads the seeds; what follows a seed in its line says why it is there.
 func soakSeeds(t *testing.T) []uint64 {
 	t.Helper()
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -15,7 +15,7 @@
 // what it sees of acceptances in acceptances.go, what jobs are like in jobs.go and what comes with
 // runs that save their work in saving.go, callers in
 // callers.go, how they behave in behaviors.go and what they know in record.go, versions of the
-// configuration in configuration.go, what must hold in check.go, what a run leaves in
+// configuration in configuration.go, what must hold in check.go and races.go, what a run leaves in
 // report.go and plot.go.
 package soak
 
@@ -120,6 +120,7 @@
 	r.checkEnds(ctx)
 	r.checkPromises()
 	r.checkStops()
+	r.checkRaces()
 	for _, breach := range r.site.emulator.Grid.Breaches() {
 		r.record.broken(time.Since(r.begin), "workers", "%s", breach)
 	}
