Soak: tasks save and go on from checkpoints, beside workers that fail all

What callers saw: runs that were started with the checkpoint of something else, by real processes under load. The soak's workers never saved anything, though half of the filling jobs said that they do.

The emulated workers save with each 50 ms of work and restore in 30 ms. The tasks of two jobs in three save, whatever their kind; that is not drawn, so that the jobs of a seed are as before otherwise. New faults come from a stream of their own, go over the others and are mended by themselves, so that the other faults of a seed are as before: a worker that fails all it starts, one that stands still, one whose answers pass each other, one that does orders again later. grid.ChangeFaults changes some faults of a worker and leaves the others.

The report tells how many starts brought a checkpoint, and how many began with less than a report had shown. Breaches of the audit end up there as before.

--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -37,14 +37,19 @@
 
 // SetFaults replaces the faults of the worker in a place.
 func (g *Grid) SetFaults(place int, faults Faults) {
+	g.ChangeFaults(place, func(f *Faults) { *f = faults })
+}
+
+// ChangeFaults changes some faults of the worker in a place.
+func (g *Grid) ChangeFaults(place int, change func(faults *Faults)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w := g.workers[g.slots[place]]
-	w.faults = faults
+	change(&w.faults)
 	for _, r := range w.runs {
-		if r.stalled != faults.Stalled {
+		if r.stalled != w.faults.Stalled {
 			r.settle(time.Now())
-			r.stalled = faults.Stalled
+			r.stalled = w.faults.Stalled
 			g.arm(w, r)
 		}
 	}
--- a/tests/integration/soak_test.go
+++ b/tests/integration/soak_test.go
@@ -23,6 +23,7 @@
 // TestSoak plays the seeds of testdata/soak_seeds.txt: those that once failed, and one
 // that is always played.
 func TestSoak(t *testing.T) {
+	resumed := 0
 	for _, seed := range soakSeeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			folder := t.TempDir()
@@ -36,8 +37,10 @@
 			}
 			require.Empty(t, report.Breaches)
 			require.NotZero(t, report.Checked)
+			resumed += report.Resumed
 		})
 	}
+	require.NotZero(t, resumed, "starts that brought a checkpoint, in all runs together")
 }
 
 // soakSeeds reads the seeds; what follows a seed in its line says why it is there.
--- a/tests/soak/inject.go
+++ b/tests/soak/inject.go
@@ -83,6 +83,8 @@
 		pause(ctx, fault.For)
 	case CutStore, CutStoreHalf, CutPeer, CutCallers, SlowWorker, ResetWorker:
 		r.disturbConnections(ctx, fault, d, place)
+	case FailWorker, StallWorker, OvertakeWorker, RepeatWorker:
+		r.troubleWorker(ctx, fault, place)
 	default:
 		r.disturbWorker(ctx, fault, place)
 	}
@@ -173,11 +175,11 @@
 	g := r.site.emulator.Grid
 	switch fault.Kind {
 	case CutWorker:
-		g.SetFaults(place, grid.Faults{Cut: true})
+		g.ChangeFaults(place, func(f *grid.Faults) { f.Cut = true })
 	case LateWorker:
-		g.SetFaults(place, grid.Faults{Late: fault.For})
+		g.ChangeFaults(place, func(f *grid.Faults) { f.Late = fault.For })
 	case MuteWorker:
-		g.SetFaults(place, grid.Faults{LoseAnswers: true})
+		g.ChangeFaults(place, func(f *grid.Faults) { f.LoseAnswers = true })
 	case HideWorker:
 		g.SetListed(place, false)
 	case DrainWorker:
@@ -189,7 +191,7 @@
 	if fault.Kind == CrashWorker || fault.Kind == DrainWorker {
 		g.Crash(place)
 	}
-	g.SetFaults(place, grid.Faults{})
+	g.ChangeFaults(place, func(f *grid.Faults) { f.Cut, f.Late, f.LoseAnswers = false, 0, false })
 	g.SetListed(place, true)
 	g.StopDraining(place)
 }
--- a/tests/soak/jobs.go
+++ b/tests/soak/jobs.go
@@ -35,6 +35,9 @@
 	fillsOf = 3
 )
 
+// savesNotOneIn: the tasks of all jobs but one in so many save; those that fill as drawn.
+const savesNotOneIn = 3
+
 // failsOneIn: one run in so many fails.
 const failsOneIn = 20
 
@@ -48,6 +51,8 @@
 	step := jobs.Step{
 		Size:     models.Resources{CPU: models.MilliCPU(leastCPU + random.IntN(cpuSpread)), Memory: memory},
 		Estimate: models.MilliOf(estimate),
+		// Not drawn, so that the jobs of a seed are as before otherwise.
+		Checkpoints: n%savesNotOneIn != 0,
 	}
 	switch kind := random.IntN(drawnOf); {
 	case kind < lastsOf:
--- a/tests/soak/plan.go
+++ b/tests/soak/plan.go
@@ -42,6 +42,10 @@
 	DrainWorker    Kind = "worker drains and leaves"
 	SilenceDaemon  Kind = "daemon's open connections are silent for good"
 	SilenceWorker  Kind = "open connections to a worker are silent for good"
+	FailWorker     Kind = "worker fails all that it starts"
+	StallWorker    Kind = "worker stands still"
+	OvertakeWorker Kind = "worker's answers pass each other"
+	RepeatWorker   Kind = "worker does orders again later"
 )
 
 // kinds lists those that come by themselves with their weights: what daemons must survive
@@ -124,6 +128,7 @@
 	}
 	plan.Faults = append(plan.Faults, overlaps(seed, length)...)
 	plan.Faults = append(plan.Faults, drawSilences(seed, length, daemons*workers)...)
+	plan.Faults = append(plan.Faults, drawTroubles(seed, length, workers)...)
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/tests/soak/report.go
+++ b/tests/soak/report.go
@@ -31,6 +31,9 @@
 	Gone     int             `json:"gone"`     // cancellations of jobs without answer that were told there is no such job
 	Lost     int             `json:"lost"`     // writes of jobs that the store did without answering
 	Took     time.Duration   `json:"took"`     // from the first fault to the last check
+	Resumed  int             `json:"resumed"`  // starts that brought a checkpoint
+	Behind   int             `json:"behind"`   // starts with less work than a report had shown
+	Redone   time.Duration   `json:"redone"`   // the work that these began anew
 	Breaches []Breach        `json:"breaches"` // none: all promises were kept
 }
 
@@ -46,6 +49,8 @@
 	r.report.Checked = len(r.record.jobs)
 	r.report.Late = r.record.late
 	r.report.Gone, r.report.Lost = r.record.gone, r.site.storeFaults.accepted.lost
+	workers := r.site.emulator.Grid
+	r.report.Resumed, r.report.Behind, r.report.Redone = workers.CheckpointsBrought(), len(workers.StartsBehind()), workers.WorkLost()
 	r.report.Took = time.Since(r.begin)
 	r.report.Breaches = r.record.breaches
 }
--- a/tests/soak/site.go
+++ b/tests/soak/site.go
@@ -36,6 +36,10 @@
 	workerPool   = "pool"
 	workerCPU    = 4000 // thousandths of a processor
 	workerMemory = 8000 // MB
+	// save is short against the tasks' work of 300 ms and more, so that most runs that end early
+	// leave a checkpoint.
+	save    = 50 * time.Millisecond
+	restore = 30 * time.Millisecond
 	// workerDown is how long it takes until another incarnation is there after a crash.
 	workerDown = 3 * time.Second
 )
@@ -69,7 +73,7 @@
 		Grid: grid.Config{
 			Workers: config.Workers, PerRack: perRack, Pool: workerPool, Capacity: models.Resources{CPU: workerCPU, Memory: workerMemory},
 			LongestLease: longestLease, StopTime: stopTime, Slow: slowClocks, Work: work,
-			Crash: config.crash, Down: workerDown,
+			Crash: config.crash, Down: workerDown, Save: save, Restore: restore,
 		},
 		Store: kv.Config{}, Queues: queues(s.version), Heartbeat: heartbeat, Expose: s.expose,
 	})
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -12,10 +12,10 @@
 //
 // Where to look: what may go wrong and when in plan.go, what is started in site.go and
 // daemon.go, how faults are brought about in inject.go, those of the store in store.go and
-// what it sees of acceptances in acceptances.go, what jobs are like in jobs.go, callers in
-// callers.go, how they behave in behaviors.go and what they know in record.go, versions of the
-// configuration in configuration.go, what must hold in check.go, what a run leaves in
-// report.go and plot.go.
+// what it sees of acceptances in acceptances.go, workers that do wrong in trouble.go, what jobs
+// are like in jobs.go, callers in callers.go, how they behave in behaviors.go and what they know
+// in record.go, versions of the configuration in configuration.go, what must hold in check.go,
+// what a run leaves in report.go and plot.go.
 package soak
 
 import (
