--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 race: ## the race detector over these packages, and over real daemons under faults; needs cgo
 	$(GO) test -race -skip "$(RACE_LONG)$${RED:+|$$RED}" $(RACE_PACKAGES)
-	$(GO) test -race -run '^TestSoakOfRunsThatSave$$' -skip "$$RED" ./tests/integration
+	$(GO) test -race -run '^TestSoakWithRaceDetector$$' -skip "$$RED" ./tests/integration
 
 demo: ## run everything in one process
 	$(GO) run ./cmd/rillsail-standin demo
--- a/tests/soak/plan.go
+++ b/tests/soak/plan.go
@@ -42,6 +42,10 @@
 	DrainWorker    Kind = "worker drains and leaves"
 	SilenceDaemon  Kind = "daemon's open connections are silent for good"
 	SilenceWorker  Kind = "open connections to a worker are silent for good"
+	FailWorker     Kind = "worker fails all that it starts"
+	StallWorker    Kind = "worker stands still"
+	OvertakeWorker Kind = "worker's answers pass each other"
+	RepeatWorker   Kind = "worker does orders again later"
 )
 
 // kinds lists those that come by themselves with their weights: what daemons must survive
@@ -104,14 +108,13 @@
 	oneInSeries   = 5 // one fault in so many is a series of the same kind
 )
 
-// newPlan draws the faults of a run.
-func newPlan(c Config) Plan {
-	seed, length, targets := c.Seed, c.Length, c.Daemons*c.Workers
+// newPlan draws the faults of a run that lasts so long.
+func newPlan(seed uint64, length time.Duration, daemons, workers int) Plan {
 	random := rand.New(rand.NewPCG(seed, uint64(length)))
 	plan := Plan{Seed: seed}
 	at := firstFault
 	for at < length {
-		fault := draw(random, at, targets)
+		fault := draw(random, at, daemons, workers)
 		repeats := 1
 		if random.IntN(oneInSeries) == 0 {
 			repeats = seriesOf
@@ -124,21 +127,19 @@
 		at += time.Duration(random.Int64N(int64(longestPause)))
 	}
 	plan.Faults = append(plan.Faults, overlaps(seed, length)...)
-	plan.Faults = append(plan.Faults, drawSilences(seed, length, targets)...)
-	if c.saves() {
-		plan.Faults = append(plan.Faults, drawSavingFaults(seed, length, targets)...)
-	}
+	plan.Faults = append(plan.Faults, drawSilences(seed, length, daemons*workers)...)
+	plan.Faults = append(plan.Faults, drawTroubles(seed, length, workers)...)
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
 // draw draws one fault.
-func draw(random *rand.Rand, at time.Duration, targets int) Fault {
+func draw(random *rand.Rand, at time.Duration, daemons, workers int) Fault {
 	all := 0
 	for _, k := range kinds {
 		all += k.weight
 	}
-	fault := Fault{At: at, Target: random.IntN(targets)}
+	fault := Fault{At: at, Target: random.IntN(daemons * workers)}
 	fault.For = shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault)))
 	n := random.IntN(all)
 	for _, k := range kinds {
