Tests of real programs are played again when only the programs have changed

What was seen: after a change of services/control, go test ./tests/integration says (cached) and builds nothing: what the programs are made of is not imported by that package, and Go keeps its verdict. Cause: the programs are built by the test itself; Go notes only what the test's own process reads. Why it holds: the path of a program is given out only after all source files were looked at, which Go notes. Measured: with a comment added to services/control/owner.go, "(cached)" before, played again now; unchanged, it is still cached.

--- a/tests/integration/harness_test.go
+++ b/tests/integration/harness_test.go
@@ -7,9 +7,12 @@
 package integration
 
 import (
+	"io/fs"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -45,6 +48,32 @@
 	os.Exit(code)
 }
 
+// programSources are the folders of what the programs are built from.
+var programSources = []string{"cmd", "models", "modules", "platform", "routers", "services"}
+
+// programPath is the path of a program, whose sources are looked at. Go keeps a verdict for as long
+// as the test's own code and the files that it has looked at are unchanged, and doesn't know that
+// programs are built here: a change of theirs would pass by the verdict on their predecessors.
+func programPath(t *testing.T, name string) string {
+	t.Helper()
+	sourcesNoted.Do(func() {
+		for _, folder := range programSources {
+			require.NoError(t, filepath.WalkDir(filepath.Join("..", "..", folder), lookAt))
+		}
+	})
+	return filepath.Join(binaries, name)
+}
+
+var sourcesNoted sync.Once
+
+// lookAt looks at a file, as Go notes it.
+func lookAt(path string, _ fs.DirEntry, err error) error {
+	if err == nil {
+		_, err = os.Stat(path)
+	}
+	return err
+}
+
 // eventually waits until the condition holds.
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
--- a/tests/integration/process_test.go
+++ b/tests/integration/process_test.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"encoding/json"
 	"os/exec"
-	"path/filepath"
 	"syscall"
 	"testing"
 
@@ -26,7 +25,7 @@
 
 // newProcess makes a process of one of the programs, not started yet.
 func newProcess(t *testing.T, program string, args ...string) *process {
-	return &process{t: t, cmd: exec.Command(filepath.Join(binaries, program), args...)}
+	return &process{t: t, cmd: exec.Command(programPath(t, program), args...)}
 }
 
 // start starts the process, which is killed at the end of the test.
--- a/tests/integration/soak_test.go
+++ b/tests/integration/soak_test.go
@@ -37,7 +37,7 @@
 	t.Helper()
 	folder := t.TempDir()
 	report, err := soak.Run(t.Context(), soak.Config{
-		Daemon: filepath.Join(binaries, "rillsaild"), Seed: seed, Length: soakLength, Daemons: 3, Workers: 8, WorkersPerCell: 4,
+		Daemon: programPath(t, "rillsaild"), Seed: seed, Length: soakLength, Daemons: 3, Workers: 8, WorkersPerCell: 4,
 		Rate: 8, Folder: folder,
 	})
 	require.NoError(t, err)
--- a/tests/integration/whole_path_test.go
+++ b/tests/integration/whole_path_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 
@@ -68,7 +67,7 @@
 	c := newCluster(t, clusterConfig{daemons: 1, fleet: []string{"--workers", "2", "--per-rack", "2", "--upstreams", "1"}})
 	d := c.daemons[0]
 	tool := func(stdin string, args ...string) (string, int) {
-		cmd := exec.Command(filepath.Join(binaries, "rillsail"), append([]string{"--daemon", d.operator, "--token", operatorToken}, args...)...)
+		cmd := exec.Command(programPath(t, "rillsail"), append([]string{"--daemon", d.operator, "--token", operatorToken}, args...)...)
 		var out bytes.Buffer
 		cmd.Stdin, cmd.Stdout, cmd.Stderr = strings.NewReader(stdin), &out, &out
 		_ = cmd.Run()
@@ -111,7 +110,7 @@
 	assert.Equal(t, 2, code, "a rule without its other side is wrong input")
 	_, code = tool("", "status", "too", "many")
 	assert.Equal(t, 2, code)
-	cmd := exec.Command(filepath.Join(binaries, "rillsail"), "--daemon", d.operator, "--token", "wrong", "status")
+	cmd := exec.Command(programPath(t, "rillsail"), "--daemon", d.operator, "--token", "wrong", "status")
 	said, _ := cmd.CombinedOutput()
 	assert.Equal(t, 1, cmd.ProcessState.ExitCode())
 	assert.Contains(t, string(said), "token")
