--- a/services/standin/grid/checkpoints.go
+++ b/services/standin/grid/checkpoints.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"rillsail.example/rillsail/models/jobs"
@@ -68,9 +69,11 @@
 
 // leftBy is the checkpoint that stands beside a run's end: a new one if it was stopped, none if
 // it has succeeded.
-func (g *Grid) leftBy(r *run, how jobs.End) jobs.Text {
+func (g *Grid) leftBy(w *incarnation, r *run, how jobs.End) jobs.Text {
 	now := time.Now()
 	switch {
+	case how == jobs.EndFailed && w.faults.WrongTexts:
+		return g.audit.latestOfOthers(r.task)
 	case !r.checkpoints || how == jobs.EndSucceeded:
 		return ""
 	case how == jobs.EndStopped:
@@ -115,5 +118,5 @@
 func (g *Grid) StartsBehind() []StartBehind {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return append([]StartBehind(nil), g.audit.behind...)
+	return slices.Clone(g.audit.behind)
 }
--- a/services/standin/grid/checkpoints_test.go
+++ b/services/standin/grid/checkpoints_test.go
@@ -181,6 +181,21 @@
 	})
 }
 
+func TestWorkerThatMixesUpItsTexts(t *testing.T) {
+	inPlay(t, Config{}, func(p *play) {
+		p.begin(0, playTask(0), 1, "")
+		time.Sleep(playSave)
+		saved := p.shown(0)
+		p.SetFaults(1, Faults{FailsAll: true, WrongTexts: true})
+		p.begin(1, playTask(1), 1, "")
+		time.Sleep(failsWithin)
+		ended := p.report(1, 0).Ended
+		require.Equal(t, saved, ended[0].Checkpoint)
+		p.begin(1, playTask(1), 2, ended[0].Checkpoint)
+		require.Len(t, p.Breaches(), 1)
+	})
+}
+
 func TestStalledWorker(t *testing.T) {
 	inPlay(t, Config{}, func(p *play) {
 		p.begin(0, playTask(0), 1, "")
--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -31,6 +31,8 @@
 	Again time.Duration
 	// FailsAll: each run that is started fails soon, some of them at once. Reports are as usual.
 	FailsAll bool
+	// WrongTexts: ends of runs that fail show the latest checkpoint of another task.
+	WrongTexts bool
 	// Stalled: runs make no progress. Reports are as usual.
 	Stalled bool
 }
--- a/services/standin/grid/run.go
+++ b/services/standin/grid/run.go
@@ -79,7 +79,7 @@
 	delete(w.runs, r.task)
 	w.barred[r.task] = max(w.barred[r.task], r.id)
 	w.number++
-	w.ends = append(w.ends, jobs.Ended{Number: w.number, Task: r.task, Run: r.id, How: how, Checkpoint: g.leftBy(r, how)})
+	w.ends = append(w.ends, jobs.Ended{Number: w.number, Task: r.task, Run: r.id, How: how, Checkpoint: g.leftBy(w, r, how)})
 	g.audit.barredRun(w, r.task, r.id)
 	g.audit.ended(w.info.ID, r.task, how)
 	close(w.changed)
