--- a/tests/integration/soak_test.go
+++ b/tests/integration/soak_test.go
@@ -23,21 +23,30 @@
 // TestSoak plays the seeds of testdata/soak_seeds.txt: those that once failed, and one
 // that is always played.
 func TestSoak(t *testing.T) {
+	resumed := 0
 	for _, seed := range soakSeeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			folder := t.TempDir()
-			report, err := soak.Run(t.Context(), soak.Config{
-				Daemon: filepath.Join(binaries, "rillsaild"), Seed: seed, Length: soakLength, Daemons: 3, Workers: 8, WorkersPerCell: 4,
-				Rate: 8, Folder: folder,
-			})
-			require.NoError(t, err)
-			if len(report.Breaches) > 0 {
-				logFolder(t, folder)
-			}
-			require.Empty(t, report.Breaches)
-			require.NotZero(t, report.Checked)
+			resumed += playSoak(t, seed).Resumed
 		})
 	}
+	require.NotZero(t, resumed, "starts that brought a checkpoint, in all runs together")
+}
+
+// playSoak plays one seed, and gives what came of it.
+func playSoak(t *testing.T, seed uint64) *soak.Report {
+	t.Helper()
+	folder := t.TempDir()
+	report, err := soak.Run(t.Context(), soak.Config{
+		Daemon: programPath(t, "rillsaild"), Seed: seed, Length: soakLength, Daemons: 3, Workers: 8, WorkersPerCell: 4,
+		Rate: 8, Folder: folder,
+	})
+	require.NoError(t, err)
+	if len(report.Breaches) > 0 {
+		logFolder(t, folder)
+	}
+	require.Empty(t, report.Breaches)
+	require.NotZero(t, report.Checked)
+	return report
 }
 
 // soakSeeds reads the seeds; what follows a seed in its line says why it is there.
--- a/tests/soak/site.go
+++ b/tests/soak/site.go
@@ -36,6 +36,10 @@
 	workerPool   = "pool"
 	workerCPU    = 4000 // thousandths of a processor
 	workerMemory = 8000 // MB
+	// save is short against the tasks' work of 300 ms and more, so that most runs that end early
+	// leave a checkpoint.
+	save    = 50 * time.Millisecond
+	restore = 30 * time.Millisecond
 	// workerDown is how long it takes until another incarnation is there after a crash.
 	workerDown = 3 * time.Second
 )
@@ -61,7 +65,8 @@
 	version int                // of the configuration that was written last
 }
 
-// newSite starts the platform and the daemons, and waits until they take callers.
+// newSite starts the platform and the daemons, and waits until they take callers. With an
+// error it gives what was started, which must be closed as well; nil: nothing was.
 func newSite(ctx context.Context, config Config) (*site, error) {
 	s := &site{taken: map[string]bool{}, atStore: map[string]*daemon{}, config: config, proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()), version: 1}
 	var err error
@@ -69,7 +74,7 @@
 		Grid: grid.Config{
 			Workers: config.Workers, PerRack: perRack, Pool: workerPool, Capacity: models.Resources{CPU: workerCPU, Memory: workerMemory},
 			LongestLease: longestLease, StopTime: stopTime, Slow: slowClocks, Work: work,
-			Crash: config.crash, Down: workerDown,
+			Crash: config.crash, Down: workerDown, Save: save, Restore: restore,
 		},
 		Store: kv.Config{}, Queues: queues(s.version), Heartbeat: heartbeat, Expose: s.expose,
 	})
@@ -100,10 +105,10 @@
 		if err != nil {
 			return err
 		}
-		s.daemons = append(s.daemons, d)
 		if err := d.start(); err != nil {
 			return err
 		}
+		s.daemons = append(s.daemons, d)
 	}
 	for _, d := range s.daemons {
 		if err := s.untilReady(ctx, d); err != nil {
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -12,10 +12,10 @@
 //
 // Where to look: what may go wrong and when in plan.go, what is started in site.go and
 // daemon.go, how faults are brought about in inject.go, those of the store in store.go and
-// what it sees of acceptances in acceptances.go, what jobs are like in jobs.go, callers in
-// callers.go, how they behave in behaviors.go and what they know in record.go, versions of the
-// configuration in configuration.go, what must hold in check.go, what a run leaves in
-// report.go and plot.go.
+// what it sees of acceptances in acceptances.go, workers that do wrong in trouble.go, what jobs
+// are like in jobs.go, callers in callers.go, how they behave in behaviors.go and what they know
+// in record.go, versions of the configuration in configuration.go, what must hold in check.go and races.go,
+// what a run leaves in report.go and plot.go.
 package soak
 
 import (
@@ -61,10 +61,12 @@
 		return nil, err
 	}
 	s, err := newSite(ctx, config)
+	if s != nil {
+		defer s.close() // also what was started of one that didn't get ready
+	}
 	if err != nil {
 		return nil, err
 	}
-	defer s.close()
 	plan := newPlan(config.Seed, config.Length, config.Daemons, config.Workers)
 	r := &run{
 		config: config, site: s, plan: plan, begin: time.Now(), record: newRecord(),
@@ -115,6 +117,7 @@
 	r.checkEnds(ctx)
 	r.checkPromises()
 	r.checkStops()
+	r.checkRaces()
 	for _, breach := range r.site.emulator.Grid.Breaches() {
 		r.record.broken(time.Since(r.begin), "workers", "%s", breach)
 	}
