--- a/services/control/fated_store_test.go
+++ b/services/control/fated_store_test.go
@@ -9,7 +9,10 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/clock"
 	"rillsail.example/rillsail/services/platform"
 	"rillsail.example/rillsail/services/standin/kv"
 )
@@ -105,7 +108,7 @@
 // stored gives a job's entries as the store holds them.
 func (l *ledger) stored(id jobs.ID, layout *jobs.Layout) jobEntries {
 	local := &kv.Local{Service: l.store, Fault: kv.NoFault}
-	reader := &Service{config: Config{Store: local}, health: &storeHealth{}}
+	reader := &Service{config: Config{Store: local}, health: newStoreHealth(zap.NewNop(), clock.New(clock.Config{}))}
 	entries, err := reader.entriesOf(context.Background(), id, layout)
 	if err != nil {
 		return nil
