A worker that answers no start doesn't get the same task again while others are idle

Callers saw nothing of it; a test of the stand-in did: a worker that reports and answers no start (its connections break, or it answers 500) got a task again and again, for 40 s and more, beside three idle ones. Cause: after the second unanswered start the run is barred, and then the worker's place is as good as before; only refusals made it worse. All others now go before such a worker for 4 s; where there is no other it is tried, so that an owner whose own calls are late stops nothing.

--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -27,6 +27,7 @@
 	}
 	known := result.Outcome == OutcomeDone || result.Outcome == OutcomeRefused && result.Refusal == jobs.RefusedRun
 	if t.retried && !known {
+		w.mute = now.Add(mutePause)
 		c.stop(t, "its first start is not answered, the second was not done")
 		return
 	}
@@ -60,6 +61,10 @@
 	unwellPause = 700 * time.Millisecond // the worker did nothing because it is not well
 	fullPause   = 300 * time.Millisecond // the worker has less room, or a later clock, than counted
 	stepPause   = time.Second            // the start was refused for a reason of its own
+	// mutePause is for how long all others go before a worker that has not answered a start twice,
+	// though it reports: its task was placed there again and again, beside idle workers. It is longer
+	// than the stop that has to be proved first.
+	mutePause = 4 * time.Second
 )
 
 // refused draws from a refused start when and where the task may start again.
--- a/services/dispatch/score.go
+++ b/services/dispatch/score.go
@@ -10,6 +10,8 @@
 const (
 	dataWeight = 2.0
 	rackWeight = 2.0
+	// muteWeight is more than all else together.
+	muteWeight = 100.0
 )
 
 // score is how good a place the worker is for a task of the step; the highest is taken.
@@ -31,6 +33,9 @@
 	if spec.SameRack && s.onRack(w.info.Rack) {
 		score += rackWeight
 	}
+	if c.now.Before(w.mute) {
+		score -= muteWeight
+	}
 	return score
 }
 
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -43,6 +43,7 @@
 	granting    bool             // the latest call that asked for a report prolongs the lease
 	leased      bool             // the latest report answers a call that prolonged the lease
 	unwell      time.Time        // no starts before
+	mute        time.Time        // all others go before it until then
 	ends        []keptEnd
 	lastEnd     uint64 // highest number applied
 	acked       uint64 // highest number that may be forgotten
