--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -90,19 +90,17 @@
 
 // moveOf is what may be moved of a step's job.
 func (c *Core) moveOf(s *step) (Move, bool) {
-	move := Move{Job: s.job.spec.ID, Demand: jobs.Demand{Job: s.job.spec.ID, Number: s.flat(), Pool: c.terms(s.job).Pool, Step: *s.spec}, Tasks: jobs.TaskSet{}, Suspected: jobs.Suspicions{}}
+	move := Move{Job: s.job.spec.ID, Demand: jobs.Demand{Job: s.job.spec.ID, Number: s.flat(), Pool: c.terms(s.job).Pool, Step: *s.spec}, Tasks: jobs.TaskSet{}, Suspected: jobs.Suspicions{}, LeastRun: c.leastRunOf(s.job)}
 	move.Demand.Step.Count = s.waiting
 	switch {
 	case s.job.spec.Divisible():
 		move.add(s)
-		move.LeastRun = max(move.LeastRun, c.leastRunOf(s.job))
 		return move, true
 	case s.movesWhole():
 		move.Whole = true
 		for _, each := range s.job.steps {
 			move.add(each)
 		}
-		move.LeastRun = max(move.LeastRun, c.leastRunOf(s.job))
 		return move, true
 	default:
 		return move, false
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -120,6 +120,9 @@
 	c.takeRoom(t)
 	c.startsLeft--
 	c.counts.Starts++
+	if t.saved != nil {
+		c.counts.StartsFromText++
+	}
 	c.noteFirstStart(t.step.job, now)
 	c.logStart(t, w, now)
 	c.orders = append(c.orders, StartOrder{Worker: w.info, Call: jobs.StartCall{
@@ -130,9 +133,6 @@
 
 // logStart logs a start with what decided it, and what its run goes on from.
 func (c *Core) logStart(t *task, w *worker, now time.Time) {
-	if t.saved != nil {
-		c.counts.StartsFromText++
-	}
 	c.config.Logger.Info("run starts", t.logOrigin([]zap.Field{
 		zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
 		zap.String("worker", string(w.info.ID)), zap.Int64("job_age_ms", int64(c.timeOfDay(now)-t.step.job.accepted)),
