Runs that no owner saw lost count too: what is known is stored before the next start

What callers saw: a task that ends its workers was started a sixth time, mostly beside outages of the store and takeovers, and took that worker's other work along.

An owner lost two runs of a task while the store was away, and its successor counted from nothing (the same task, lost_before 2, then 0). A run that a successor had taken over and that went with its worker was not counted, for nobody knew since when it ran. A worker that drains said nothing of what ran there, though it went seconds early. A run that lapsed with a silent worker counted for nothing.

Change of the design (services/dispatch/unseen.go): a task whose run was lost starts again only once that is stored, so that of each task at most one run is unknown to a successor; that one counts, without weight, when a worker of a former owner has gone unheard. The takeover is written once for the cell, with the roster, before any task that may have been there starts; a long run clears a task, also for successors. The roster leaves out a worker no sooner than what ran there is stored. What is unseen lowers the weight that is enough, and a task is held to it before each start.

Why it holds: each start that may be lost is either seen, stored, or counted as unseen by whoever starts the task next.

Two unit tests let their store take changes before they look for starts: what they ask of the times stays as it was.

--- a/models/jobs/suspicion.go
+++ b/models/jobs/suspicion.go
@@ -11,6 +11,11 @@
 	// Open is a run that may be lost and whose outcome isn't known yet: should the owner go, its
 	// successor counts it when the worker turns out to be gone. Nil: there is none.
 	Open *OpenRun `json:"open,omitempty"`
+	// Unseen is how many more runs may have been lost with their workers, seen by no owner.
+	Unseen int `json:"unseen,omitempty"`
+	// Cleared is the epoch in which a run of the task went on for so long that no loss before it
+	// counts any more; 0: none has.
+	Cleared Epoch `json:"cleared,omitempty"`
 }
 
 // Suspicions are what is known against a job's tasks, by step and index; steps are counted over
@@ -56,10 +61,22 @@
 type OpenRun struct {
 	LostRun
 	Worker WorkerID `json:"worker"`
+	// Began is when the run began, while it is not known for how long it had run: the later the
+	// worker turns out to be gone, the likelier that is by chance. 0: LostRun says it.
+	Began models.UnixMilli `json:"began,omitempty"`
+	// Chance and Beside are how many workers were lost a second then, by chance and by what else ran there.
+	Chance float64 `json:"chance,omitempty"`
+	Beside float64 `json:"beside,omitempty"`
+	// Unseen says that nobody will know whether the worker crashed: it was silent until its lease
+	// was over.
+	Unseen bool `json:"unseen,omitempty"`
 }
 
-// Empty tells whether nothing is known against the task.
-func (s Suspicion) Empty() bool { return len(s.Lost) == 0 && s.Open == nil }
+// Empty tells whether nothing is known of the task.
+func (s Suspicion) Empty() bool { return s.Clean() && s.Cleared == 0 }
+
+// Clean tells whether nothing is known against the task.
+func (s Suspicion) Clean() bool { return len(s.Lost) == 0 && s.Open == nil && s.Unseen == 0 }
 
 // Has tells whether a run is among those that were lost.
 func (s Suspicion) Has(run RunID) bool {
@@ -71,6 +88,17 @@
 	return false
 }
 
+// Seen is how many of the lost runs say more against the task than for chance.
+func (s Suspicion) Seen() int {
+	seen := 0
+	for _, lost := range s.Lost {
+		if lost.Doubt > 0 {
+			seen++
+		}
+	}
+	return seen
+}
+
 // Doubt sums up what all lost runs say compared with chance.
 func (s Suspicion) Doubt() float64 {
 	sum := 0.0
--- a/models/jobs/worker.go
+++ b/models/jobs/worker.go
@@ -32,6 +32,9 @@
 	Workers []Worker `json:"workers"`
 	// Lease is the longest that owners of the cell have given; 0: not known.
 	Lease models.Milli `json:"lease_ms,omitempty"`
+	// Unseen are the latest epochs whose owners found workers gone that had not answered them: of
+	// each task that was accepted before, a run may have been lost there that no owner knows of.
+	Unseen []Epoch `json:"unseen,omitempty"`
 }
 
 // Check checks each worker's capacity.
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,33 +45,42 @@
 func (c *Core) TakeChanges(limit int, now time.Time) Changes {
 	changes := Changes{Proof: c.wantsProof, taken: now}
 	c.hurried = false
-	if c.rosterChanged {
-		changes.Roster = c.roster()
-		c.rosterChanged = false
-	}
 	changes.Forget = c.takeForgotten(limit)
 	limit -= len(changes.Forget)
-	var later []*job
-	for _, ended := range []bool{true, false} {
-		for _, j := range c.dirty {
-			if (j.end != "") != ended {
-				continue
-			}
-			if len(changes.Jobs) >= limit {
-				later = append(later, j)
-				continue
-			}
-			j.dirty = false
-			changes.Jobs = append(changes.Jobs, c.changeOf(j, now))
-		}
+	slices.SortStableFunc(c.dirty, func(a, b *job) int { return cmp.Compare(a.storeOrder(), b.storeOrder()) })
+	taken := min(limit, len(c.dirty))
+	for _, j := range c.dirty[:taken] {
+		j.dirty = false
+		changes.Jobs = append(changes.Jobs, c.changeOf(j, now))
+	}
+	c.dirty = slices.Clone(c.dirty[taken:])
+	if c.rosterChanged && !slices.ContainsFunc(c.dirty, (*job).countsLoss) {
+		changes.Roster = c.roster()
+		c.rosterChanged = false
 	}
-	c.dirty = later
 	if !changes.Empty() {
 		changes.Knowledge = c.takeKnowledge(now)
 	}
 	return changes
 }
 
+// storeOrder is the place of a job among those to be stored: callers wait for ends, and starts for
+// counted losses.
+func (j *job) storeOrder() int {
+	switch {
+	case j.end != "":
+		return 0
+	case j.countsLoss():
+		return 1
+	default:
+		return 2
+	}
+}
+
+// countsLoss tells whether a lost run of the job is counted and not stored yet. The roster may leave
+// out its worker no sooner: a successor that finds neither would not know that there was a run.
+func (j *job) countsLoss() bool { return j.stored < j.counted }
+
 // Empty tells whether there is nothing to store.
 func (c Changes) Empty() bool {
 	return len(c.Jobs) == 0 && c.Roster == nil && len(c.Forget) == 0 && !c.Proof
@@ -153,6 +164,7 @@
 	if changes.Roster == nil {
 		return
 	}
+	c.takeovers.stored(changes.Roster)
 	for _, info := range changes.Roster.Workers {
 		if w, ok := c.workers[info.ID]; ok {
 			w.enrolled = true
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -22,7 +22,8 @@
 //   - what is stored: changes.go
 //   - workers: worker.go, room.go, speed.go, lease.go; those that go: gone.go
 //   - tasks that end their workers: suspicion.go (who is suspected, and given up), evidence.go
-//     (what a loss says), trial.go (where and how suspects start), suspicion_store.go (what is stored)
+//     (what a loss says), trial.go (where and how suspects start), suspicion_store.go (what is stored),
+//     unseen.go (runs that may be lost and that no owner knows of)
 //   - the time after a takeover: takeover.go; whether this still is the owner: proof.go;
 //     whether what it knows is recent enough to start something: stale.go
 //   - work that goes to another cell: movable.go (what may go), offer.go (how much of other
@@ -111,8 +112,9 @@
 	sharedAt      time.Time                 // when observations last came into force
 	usual         map[jobs.QueueName]*speed // how fast tasks progress, in estimates
 	repeats       repeats
-	losses        []workerLoss               // of the last seconds
-	openRuns      map[jobs.WorkerID][]*task  // suspects that a former owner started there, until it answers
+	losses        []workerLoss              // of the last seconds
+	openRuns      map[jobs.WorkerID][]*task // suspects that a former owner started there, until it answers
+	takeovers     takeoverLosses
 	replaced      map[jobs.WorkerID]struct{} // proved to be gone, while the list still names them
 	hurried       bool                       // what is dirty should not wait to be stored
 	short         shortWork
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -58,9 +58,7 @@
 
 // A task that crashes its workers mostly does so at the same place of its work, that is as long
 // after each start; with this it is told from one that was lost beside others, at any times: a
-// second loss after as long says more against it, one after ten times as long less. Played with one
-// such job in fifty that crashes after 1 s, and 15 % of the workers going by themselves every 2 s,
-// 16 of 40 of them are started a sixth time, and 25 without it.
+// second loss after as long says more against it, one after ten times as long less.
 const (
 	// sameTime is the share of such tasks that does.
 	sameTime = 0.8
@@ -219,5 +217,22 @@
 	return jobs.LostRun{Run: t.run, Ran: models.MilliOf(max(ran, leastRan)), Doubt: hundredths(doubt), Weight: hundredths(weight)}
 }
 
+// weighUnseen gives what the loss of a run says that began so long ago, when nobody has seen how long
+// it ran. With the task as the cause it was lost early.
+func weighUnseen(open *jobs.OpenRun, ago time.Duration) jobs.LostRun {
+	lost := open.LostRun
+	lost.Doubt = hundredths(math.Log(sameTime / lostWithin(open.Chance, ago)))
+	lost.Weight = hundredths(math.Log(sameTime / lostWithin(open.Chance+open.Beside, ago)))
+	return lost
+}
+
+// lostWithin is how likely a worker is lost within a time, at so many losses a second.
+func lostWithin(rate float64, within time.Duration) float64 {
+	return 1 - math.Exp(-max(rate, byChance)*within.Seconds())
+}
+
 // hundredths rounds what is stored: more digits say nothing.
 func hundredths(x float64) float64 { return math.Round(100*x) / 100 }
+
+// thousandths does the same with rates, most of which are below a tenth.
+func thousandths(x float64) float64 { return math.Round(1000*x) / 1000 }
--- a/services/dispatch/gone.go
+++ b/services/dispatch/gone.go
@@ -22,12 +22,14 @@
 		}
 		switch {
 		case !w.retired:
+			c.storeSilentRuns(w, now)
 			c.setRetired(w, true)
 		case !c.hasLapsed(w):
 		case !w.listed:
 			c.drop(w, "gone and lapsed", now)
 		case len(w.tasks) > 0:
 			c.config.Logger.Warn("silent worker's tasks have lapsed", zap.String("worker", string(w.info.ID)), zap.Int("tasks", len(w.tasks)))
+			c.countSilentRuns(w, now)
 			c.freeTasks(w)
 		}
 	}
@@ -114,6 +116,7 @@
 	c.config.Logger.Info("worker is gone", zap.String("worker", string(w.info.ID)), zap.String("reason", reason),
 		zap.Int("tasks", len(w.tasks)), zap.Int64("unanswered_ms", now.Sub(w.lastAlive(now)).Milliseconds()))
 	c.workerLost(w, now)
+	c.noteGone(w)
 	c.freeTasks(w)
 	delete(c.workers, w.info.ID)
 	c.order = slices.DeleteFunc(c.order, func(o *worker) bool { return o == w })
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -28,6 +28,7 @@
 	running     int        // tasks that may be on a worker
 	version     uint64     // of the progress
 	stored      uint64
+	counted     uint64          // the version when a lost run of it was last counted
 	hasProgress bool            // in the store
 	dirty       bool            // in the core's dirty jobs
 	noted       bool            // its first start is in the figures
@@ -67,6 +68,7 @@
 	}
 	j.keepElsewhere(record)
 	c.applyProgress(j, progress)
+	c.applyUnseen(j, record)
 	j.hasProgress = !progress.Empty()
 	for _, s := range j.steps {
 		for i := range s.tasks {
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -127,8 +127,8 @@
 		if t := &s.tasks[i]; t.state == taskWaiting {
 			m.Tasks[s.flat()] = append(m.Tasks[s.flat()], i)
 			m.LeastRun = max(m.LeastRun, t.run)
-			if !t.suspicion.Empty() {
-				m.Suspected.Set(s.flat(), i, t.suspicion)
+			if known := t.knownElsewhere(); !known.Empty() {
+				m.Suspected.Set(s.flat(), i, known)
 			}
 		}
 	}
--- a/services/dispatch/parts.go
+++ b/services/dispatch/parts.go
@@ -37,7 +37,7 @@
 			switch holds := record.Holds(flat, i); {
 			case holds && t.state == taskElsewhere:
 				t.run = max(t.run, record.LeastRun)
-				t.suspicion = record.Suspected[flat][i]
+				t.suspicion, t.unseen = record.Suspected[flat][i], 0
 				t.state = taskWaiting
 				s.waiting++
 				came++
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		kept = append(kept, s)
-		if now.After(s.backoff) {
+		if now.After(s.backoff) && !c.takeovers.bars(s.job) {
 			candidates = append(candidates, c.candidate(s, now))
 		}
 	}
@@ -78,7 +78,7 @@
 	places := c.places(s, now)
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting || t.suspected() {
+		if t.state != taskWaiting || t.suspected() || !t.countIsStored() {
 			continue
 		}
 		if c.startsLeft <= 0 {
--- a/services/dispatch/reserve_test.go
+++ b/services/dispatch/reserve_test.go
@@ -40,7 +40,7 @@
 	lasting := servingStep
 	lasting.Count, lasting.Size.CPU, lasting.Target = 12, lastingCPU, 0
 	s.AddJob(s.job(lasting), jobs.Progress{}, true, s.now)
-	for _, start := range s.starts() {
+	for _, start := range s.storedStarts() {
 		s.Started(start, Result{Outcome: OutcomeDone}, s.now)
 	}
 	require.Equal(t, 12, s.running(lastingID))
@@ -77,7 +77,7 @@
 				s.report(n, jobs.Report{Running: s.rows(w)})
 			}
 		}
-		for _, start := range s.starts() {
+		for _, start := range s.storedStarts() {
 			s.Started(start, Result{Outcome: OutcomeDone}, s.now)
 		}
 	}
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -26,14 +26,12 @@
 //
 // What is known outlives the owner: see suspicion_store.go.
 
-// enoughWeight is the weight at which a task is given up, by the number of its losses. Of 22,000
-// tasks that crash nothing and lose workers, one at most gets to 10 by chance; two losses within
-// 0.1 s of a start reach it when nothing else had started there. Users allow five starts of a task
-// that ends every worker, so the bound falls for the last of them: of 400 tasks that crash nothing
-// one at most gets to 6, if it loses five runs in a row at all. With 3.5 in its place some were
-// given up where 0.3 of the workers went every 3.5 s, in step with their starts; with 8.5 for three
-// losses some were in a cell of four workers.
-var enoughWeight = [...]float64{2: 10, 3: 10, 4: 8, 5: 6}
+// enoughWeight is the weight at which a task is given up, by the number of its losses, those that
+// nobody saw included. Of 22,000 tasks that crash nothing and lose workers, one at most gets to 10 by
+// chance; two losses within 0.1 s of a start reach it when nothing else had started there. Users allow
+// five starts of a task that ends every worker, so less is enough once five may have been lost: of 150
+// tasks that crash nothing one at most gets to 5, if it loses five runs in a row at all.
+var enoughWeight = [...]float64{2: 10, 3: 10, 4: 10, 5: 5}
 
 // leastLosses is how many workers must have been lost under a task before it is given up: the
 // users' condition for a job to fail for it.
@@ -50,15 +48,25 @@
 
 // suspected tells whether the task may be one that ends its workers.
 func (t *task) suspected() bool {
-	return len(t.suspicion.Lost) >= suspectLosses || t.suspicion.Doubt() >= suspectFrom
+	if len(t.suspicion.Lost) == 0 {
+		return false
+	}
+	return t.losses() >= suspectLosses || t.suspicion.Doubt() >= suspectFrom
 }
 
+// losses is how many runs of the task may have been lost with their workers.
+func (t *task) losses() int { return t.suspicion.Seen() + t.suspicion.Unseen + t.unseen }
+
 // workerLost counts the runs that were lost with a worker against their tasks, and logs them. One
-// that said before that it would leave says nothing of them.
+// that left when it had said says nothing against them, but may have crashed all the same.
 func (c *Core) workerLost(w *worker, now time.Time) {
-	if len(w.tasks) > 0 && w.leaves.IsZero() {
+	switch {
+	case len(w.tasks) == 0:
+	case w.leaves.IsZero() || w.leftEarly(now):
 		c.counts.WorkersLost++
 		c.weighLoss(w, now)
+	default:
+		c.countLeftRuns(w, now)
 	}
 	for _, t := range c.openRuns[w.info.ID] {
 		c.countOpenRun(t)
@@ -79,8 +87,11 @@
 	for _, t := range w.tasks {
 		loss, weighed := losses[t]
 		c.logLost(w, t, loss, chance)
-		if weighed && (loss.Doubt > 0 || len(t.suspicion.Lost) > 0) {
+		switch {
+		case weighed && (loss.Doubt > 0 || len(t.suspicion.Lost) > 0):
 			c.countLoss(t, loss)
+		case !weighed && c.adoptedLately(w, t, now):
+			c.countUnseenRun(t)
 		}
 	}
 }
@@ -100,28 +111,40 @@
 		return
 	}
 	t.suspicion.Lost = append(t.suspicion.Lost, loss)
-	c.changeSoon(j)
-	t.counted = j.version
+	c.noteCounted(t)
+	c.giveUpIfCertain(t)
+}
+
+// giveUpIfCertain ends the job of a task against which enough is known, and tells whether it has.
+func (c *Core) giveUpIfCertain(t *task) bool {
 	if !t.crashesWorkers() {
-		return
+		return false
 	}
+	j := t.step.job
 	c.counts.GivenUp++
 	c.config.Logger.Warn("job is given up, a task of it ends its workers", zap.String("job", string(j.spec.ID)),
-		zap.Stringer("task", t.id()), zap.Int("workers_lost", len(t.suspicion.Lost)), zap.Float64("weight", t.suspicion.Weight()))
+		zap.Stringer("task", t.id()), zap.Int("workers_lost", len(t.suspicion.Lost)), zap.Int("unseen", t.losses()-len(t.suspicion.Lost)), zap.Float64("weight", t.suspicion.Weight()))
 	c.end(j, jobs.StateFailed)
 	c.stopAll(j, "its job has failed")
+	return true
+}
+
+// noteCounted lets what has been counted against a task be stored before it starts again.
+func (c *Core) noteCounted(t *task) {
+	j := t.step.job
+	c.changeSoon(j)
+	t.counted, j.counted = j.version, j.version
 }
 
 // crashesWorkers tells whether the task is as good as certain to end its workers.
 func (t *task) crashesWorkers() bool {
-	losses := len(t.suspicion.Lost)
-	return losses >= leastLosses && t.suspicion.Weight() >= enoughWeight[min(losses, len(enoughWeight)-1)]
+	return t.suspicion.Seen() >= leastLosses && t.suspicion.Weight() >= enoughWeight[min(t.losses(), len(enoughWeight)-1)]
 }
 
 // noteSurvival clears a task whose run has gone on for long enough, and lets others start beside one
 // that has outlived its trial.
 func (c *Core) noteSurvival(w *worker, t *task, now time.Time) {
-	if t.suspicion.Empty() {
+	if t.suspicion.Clean() && t.unseen == 0 {
 		return
 	}
 	ran := now.Sub(t.began)
@@ -133,7 +156,7 @@
 		return
 	}
 	c.config.Logger.Info("task is suspected no more", zap.Stringer("task", t.id()), zap.Int("lost_before", len(t.suspicion.Lost)))
-	t.suspicion = jobs.Suspicion{}
+	t.suspicion, t.unseen = jobs.Suspicion{Cleared: c.config.Epoch}, 0
 	c.counts.Cleared++
 	c.change(t.step.job)
 }
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
 
@@ -22,6 +23,9 @@
 	youngWithin = 2 * time.Second
 	// unseenRan is taken for the time of a suspect's run that is lost unseen between two owners.
 	unseenRan = time.Second
+	// leastUnseen is how long ago a run began at least that was lost between two owners, whatever
+	// their clocks show: an owner's lease.
+	leastUnseen = 2 * time.Second
 )
 
 // openRun stores that the task's run counts as lost if its worker is gone, for a successor.
@@ -30,6 +34,24 @@
 	c.changeSoon(t.step.job)
 }
 
+// openTrial stores that a suspect has just been started, for a successor that doesn't see its end.
+func (c *Core) openTrial(t *task, now time.Time) {
+	c.openRun(t, jobs.LostRun{Run: t.run, Ran: models.MilliOf(unseenRan)})
+	open := t.suspicion.Open
+	open.Began = c.timeOfDay(now)
+	open.Chance = thousandths(c.chanceOf(t.worker, now))
+	open.Beside = thousandths(crashRate(c.neighboursOf(t.worker, t, now)))
+}
+
+// lostOf is what an open run of a former owner says now that its worker is gone.
+func (c *Core) lostOf(open *jobs.OpenRun) jobs.LostRun {
+	if open.Began == 0 {
+		return open.LostRun
+	}
+	ago := c.now.Sub(c.timeAt(open.Began, c.now))
+	return weighUnseen(open, max(ago, leastUnseen))
+}
+
 // closeRun takes openRun back: the run goes on, has ended, or is counted as lost.
 func (c *Core) closeRun(t *task) {
 	if t.suspicion.Open != nil {
@@ -109,9 +131,14 @@
 		return // it runs, or is known to have ended
 	}
 	c.closeRun(t)
+	if open.Unseen {
+		c.countUnseenRun(t)
+		return
+	}
+	lost := c.lostOf(open)
 	c.config.Logger.Info("run of a former owner is lost with its worker", zap.Stringer("task", t.id()),
-		zap.Uint64("run", uint64(open.Run)), zap.String("worker", string(open.Worker)), zap.Float64("weight", open.Weight))
-	c.countLoss(t, open.LostRun)
+		zap.Uint64("run", uint64(open.Run)), zap.String("worker", string(open.Worker)), zap.Float64("weight", lost.Weight))
+	c.countLoss(t, lost)
 }
 
 // closeOpenRuns closes the open runs of a worker that has answered: it has shown what runs.
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -15,6 +15,7 @@
 // Enrol takes the stored roster: the workers on which former owners may have started
 // something, whether the platform's list names them now or not.
 func (c *Core) Enrol(roster jobs.Roster, now time.Time) {
+	c.takeovers.epochs = roster.Unseen
 	switch {
 	case len(roster.Workers) == 0: // nobody has started anything
 		c.formerLease = c.config.Lease
@@ -38,7 +39,7 @@
 // roster is what has to be stored of the workers that may get starts: its lease never
 // becomes shorter, for former owners' leases may run on.
 func (c *Core) roster() *jobs.Roster {
-	roster := &jobs.Roster{Lease: models.MilliOf(max(c.config.Lease, c.formerLease))}
+	roster := &jobs.Roster{Lease: models.MilliOf(max(c.config.Lease, c.formerLease)), Unseen: c.takeovers.epochs}
 	for _, w := range c.order {
 		if !w.retired {
 			roster.Workers = append(roster.Workers, w.info)
@@ -85,6 +86,7 @@
 	}
 	c.blind = false
 	c.countOpenRuns()
+	c.noteUnseen()
 	waiting := 0
 	for _, j := range c.jobs {
 		waiting += c.recover(j)
@@ -99,6 +101,7 @@
 	for _, s := range j.steps {
 		for i := range s.tasks {
 			if s.tasks[i].state == taskUnknown {
+				c.countUnseen(&s.tasks[i])
 				s.tasks[i].state = taskWaiting
 				s.waiting++
 				waiting++
--- a/services/dispatch/takeover_test.go
+++ b/services/dispatch/takeover_test.go
@@ -42,7 +42,7 @@
 			b.report(n, jobs.Report{})
 		}
 		b.SetWorkers(listed, b.now)
-		return b.starts()
+		return b.storedStarts()
 	}
 	require.Empty(t, look(), "the worker that doesn't answer may run it")
 	b.Unreached(gone.ID, true, b.now)
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -34,6 +34,7 @@
 	suspicion jobs.Suspicion
 	onTrial   bool   // a suspect that has not run for long enough yet
 	counted   uint64 // the job's version when a loss was last counted
+	unseen    int    // runs that may have been lost between two owners; see unseen.go
 
 	run      jobs.RunID
 	starts   int          // in this epoch
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -43,6 +43,9 @@
 		if t.state != taskWaiting || !t.suspected() || c.startsLeft <= 0 || !t.countIsStored() {
 			continue
 		}
+		if c.giveUpIfCertain(t) { // with what former owners, or other cells, have lost
+			return
+		}
 		w := c.trialPlace(t, now)
 		if w == nil {
 			s.findNone(now)
@@ -56,11 +59,10 @@
 	}
 }
 
-// countIsStored tells whether the losses of a task that has several are stored. While the store is
-// away its owner may go, and what only that one knows with it: each successor began to count anew.
-func (t *task) countIsStored() bool {
-	return len(t.suspicion.Lost) < leastLosses || t.step.job.stored >= t.counted
-}
+// countIsStored tells whether all that was counted of the task's lost runs is stored. It starts no
+// sooner: its owner may go, and what only that one knows with it. So at most one run of each task is
+// unknown to a successor at any time, and that one it counts as unseen.
+func (t *task) countIsStored() bool { return t.step.job.stored >= t.counted }
 
 // trialPlace is the worker for a suspect; nil when there is none now. Where something has just
 // been started everywhere, nothing else starts on one of the workers until it is ready.
@@ -129,7 +131,7 @@
 	c.start(t, w, now)
 	w.beginTrial(t)
 	c.counts.Trials++
-	c.openRun(t, c.lossOf(w, t, unseenRan, c.chanceOf(w, now), now))
+	c.openTrial(t, now)
 	c.config.Logger.Info("suspect is tried alone", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
 		zap.String("worker", string(w.info.ID)), zap.Int("beside", len(w.tasks)-1), zap.Int("lost_before", len(t.suspicion.Lost)),
 		zap.Float64("doubt", t.suspicion.Doubt()), zap.Float64("weight", t.suspicion.Weight()), zap.Duration("for", t.trialTime()))
--- /dev/null
+++ b/services/dispatch/unseen.go
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// A task that ends its workers may do so while nobody sees it: its owner goes before it has stored
+// the start, or is cut off from the worker. Nothing is stored before most starts, but before a start
+// that follows one whose outcome is not known. So of each task at most one run is unknown to a
+// successor, and it counts as lost, without weight,
+//
+//   - for all tasks that no worker shows after a takeover, when a worker that a former owner used
+//     has gone without an answer: one write of the roster for the whole cell, before any of them
+//     starts;
+//   - for a run that was taken over from a former owner, on a worker that is lost soon after;
+//   - for a young run on a worker that was silent until its lease was over, or that has drained.
+//
+// Such losses say nothing against a task by themselves. They count where those that were seen are
+// weighed: the more runs may have been lost, the less is needed to give the task up.
+
+// unseenKept is how many epochs with unseen losses the roster names. With more there would be as
+// many as a task may lose runs at all.
+const unseenKept = 4
+
+// takeoverLosses are the takeovers at which runs may have been lost unseen.
+type takeoverLosses struct {
+	epochs []jobs.Epoch // of this owner and former ones, as the roster names them
+	gone   bool         // a worker of a former owner has gone without an answer
+	open   bool         // that this owner's epoch is one of them is not stored yet
+}
+
+// bars tells whether tasks of the job have to wait until the store knows of this takeover. Those of
+// a job that was accepted since were never on a former owner's worker.
+func (l *takeoverLosses) bars(j *job) bool { return l.open && !j.fresh }
+
+// stored says that a roster is stored.
+func (l *takeoverLosses) stored(roster *jobs.Roster) {
+	if len(roster.Unseen) == len(l.epochs) && slices.Equal(roster.Unseen, l.epochs) {
+		l.open = false
+	}
+}
+
+// noteGone notes that a worker is gone. One that said before that it would leave says nothing.
+func (c *Core) noteGone(w *worker) {
+	if w.former && !w.answered && w.leaves.IsZero() {
+		c.takeovers.gone = true
+	}
+}
+
+// noteUnseen ends the time after a takeover: if a worker has gone unheard, this epoch is one with
+// unseen losses.
+func (c *Core) noteUnseen() {
+	for _, w := range c.order {
+		c.noteGone(w)
+	}
+	if !c.takeovers.gone {
+		return
+	}
+	epochs := append(slices.Clone(c.takeovers.epochs), c.config.Epoch)
+	c.takeovers.epochs = epochs[max(0, len(epochs)-unseenKept):]
+	c.takeovers.open = true
+	c.rosterChanged = true
+}
+
+// countUnseen counts a run against a task that no worker has shown since the takeover. One that was
+// stored as open is counted already.
+func (c *Core) countUnseen(t *task) {
+	if c.takeovers.gone && t.counted == 0 {
+		t.unseen++
+	}
+}
+
+// applyUnseen counts the takeovers of former owners that a job has been through.
+func (c *Core) applyUnseen(j *job, record jobs.Record) {
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			t := &s.tasks[i]
+			t.unseen = c.takeovers.countSince(max(t.suspicion.Cleared, jobs.Epoch(record.Version)))
+		}
+	}
+}
+
+// countSince counts the epochs after one.
+func (l *takeoverLosses) countSince(epoch jobs.Epoch) int {
+	count := 0
+	for _, each := range l.epochs {
+		if each > epoch {
+			count++
+		}
+	}
+	return count
+}
+
+// knownElsewhere is what another cell is told of a task.
+func (t *task) knownElsewhere() jobs.Suspicion {
+	known := t.suspicion
+	known.Unseen += t.unseen
+	return known
+}
+
+// storeSilentRuns stores the young runs on a worker that the roster is about to leave out, for a
+// successor that finds no trace of it.
+func (c *Core) storeSilentRuns(w *worker, now time.Time) {
+	for _, t := range w.tasks {
+		if c.isYoung(w, t, now) && t.suspicion.Open == nil {
+			t.suspicion.Open = &jobs.OpenRun{LostRun: jobs.LostRun{Run: t.run}, Worker: w.info.ID, Unseen: true}
+			c.noteCounted(t)
+		}
+	}
+}
+
+// countSilentRuns counts the young runs on a worker whose lease is over: it may have crashed.
+func (c *Core) countSilentRuns(w *worker, now time.Time) {
+	for _, t := range w.tasks {
+		if c.isYoung(w, t, now) {
+			c.countUnseenRun(t)
+		}
+	}
+}
+
+// leftEarly tells whether a draining worker went before the time that it had said.
+func (w *worker) leftEarly(now time.Time) bool {
+	return w.lastAlive(now).Before(w.leaves.Add(-leaveMargin))
+}
+
+// countLeftRuns counts runs on a worker that has drained and left, if they are of tasks that have lost
+// others, or very young: it went about when it had said, whatever ran there.
+func (c *Core) countLeftRuns(w *worker, now time.Time) {
+	for _, t := range w.tasks {
+		if ran, known := c.ranOn(w, t, now); known && (ran < youngWithin || ran < mostRan && t.losses() > 0) {
+			c.countUnseenRun(t)
+		}
+	}
+}
+
+// adoptedLately tells whether a run was taken over from a former owner so shortly before its worker
+// was last known to be alive that it may have begun shortly before.
+func (c *Core) adoptedLately(w *worker, t *task, now time.Time) bool {
+	return !t.ordered && w.lastAlive(now).Sub(t.began) < mostRan
+}
+
+// isYoung tells whether a run had begun so shortly before its worker was last known to be alive that
+// its task may have ended the worker.
+func (c *Core) isYoung(w *worker, t *task, now time.Time) bool {
+	ran, known := c.ranOn(w, t, now)
+	return known && ran < mostRan
+}
+
+// countUnseenRun counts one run against a task that may have been lost.
+func (c *Core) countUnseenRun(t *task) {
+	if j := t.step.job; t.state == taskDone || j.end != "" || j.cancelled {
+		return
+	}
+	t.suspicion.Unseen++
+	c.noteCounted(t)
+	c.config.Logger.Info("run may be lost with its worker", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
+		zap.Int("lost_before", len(t.suspicion.Lost)), zap.Int("unseen", t.losses()-len(t.suspicion.Lost)))
+	c.giveUpIfCertain(t)
+}
--- /dev/null
+++ b/services/dispatch/unseen_test.go
@@ -0,0 +1,257 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// loseStarted starts the bench's only task, and lets its worker go right after.
+func (b *bench) loseStarted(t *testing.T) StartOrder {
+	t.Helper()
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+	b.now = b.now.Add(10 * time.Millisecond)
+	b.Unreached(starts[0].Worker.ID, true, b.now)
+	b.Replaced(starts[0].Worker.ID, b.now)
+	return starts[0]
+}
+
+// store stores all changes there are.
+func (b *bench) store() Changes {
+	changes := b.TakeChanges(10, b.now)
+	b.Stored(changes, b.now)
+	return changes
+}
+
+// TestLostRunIsStoredBeforeTheNextStart: two owners in turn lost two runs of a task each while the
+// store was away, and each began to count from nothing.
+func TestLostRunIsStoredBeforeTheNextStart(t *testing.T) {
+	b := newBench(t, 2)
+	b.report(0, jobs.Report{})
+	b.report(1, jobs.Report{})
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.loseStarted(t)
+	require.Empty(t, b.starts(), "what is known isn't stored yet")
+	changes := b.store()
+	require.Len(t, changes.Jobs[0].Progress.Suspected[0][0].Lost, 1)
+	require.Len(t, b.starts(), 1)
+}
+
+// TestRosterKeepsAWorkerUntilItsLostRunsAreStored: with the worker out of the roster and the run not
+// stored, a successor would know of neither.
+func TestRosterKeepsAWorkerUntilItsLostRunsAreStored(t *testing.T) {
+	b := newBench(t, 2)
+	b.report(0, jobs.Report{})
+	b.report(1, jobs.Report{})
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	other := b.job(one)
+	other.Spec.ID = "00000000000000bb"
+	b.AddJob(other, jobs.Progress{}, true, b.now)
+	for _, start := range b.starts() {
+		b.Started(start, Result{Outcome: OutcomeDone}, b.now)
+	}
+	b.now = b.now.Add(10 * time.Millisecond)
+	for _, id := range b.ids {
+		b.Replaced(id, b.now)
+	}
+	first := b.TakeChanges(1, b.now)
+	require.Len(t, first.Jobs, 1)
+	require.Nil(t, first.Roster)
+	b.Stored(first, b.now)
+	second := b.store()
+	require.Len(t, second.Jobs, 1)
+	require.NotNil(t, second.Roster)
+}
+
+// newSuccessor makes an owner whose former one had used a worker that is gone, and started a task
+// that no worker shows.
+func newSuccessor(t *testing.T, progress jobs.Progress, before ...jobs.Epoch) *bench {
+	t.Helper()
+	b := newBench(t, 2)
+	gone := jobs.Worker{ID: "gone", Pool: testPool, Address: "gone"}
+	b.Enrol(jobs.Roster{Workers: append(b.Workers(), gone), Unseen: before}, b.now)
+	b.AddJob(b.job(one), progress, false, b.now)
+	b.report(0, jobs.Report{})
+	b.report(1, jobs.Report{})
+	b.Replaced(gone.ID, b.now)
+	b.Decide(b.now)
+	return b
+}
+
+// TestUnseenLossIsStoredBeforeOldTasksStart: a run that nobody knows of may have ended the worker
+// that is gone. One write of the roster says so for all tasks of the cell.
+func TestUnseenLossIsStoredBeforeOldTasksStart(t *testing.T) {
+	b := newSuccessor(t, jobs.Progress{})
+	require.Empty(t, b.starts(), "the store doesn't know yet")
+	fresh := b.job(one)
+	fresh.Spec.ID = "00000000000000bb"
+	b.AddJob(fresh, jobs.Progress{}, true, b.now)
+	require.Len(t, b.starts(), 1, "a job accepted since was never on that worker")
+	roster := b.store().Roster
+	require.Equal(t, []jobs.Epoch{5}, roster.Unseen)
+	require.Len(t, b.starts(), 1)
+	require.Equal(t, 1, b.jobs[testJob].steps[0].tasks[0].losses())
+}
+
+// TestWorkersThatAllAnswerLeaveNoUnseenLoss: then nothing was lost, and nothing has to be stored.
+func TestWorkersThatAllAnswerLeaveNoUnseenLoss(t *testing.T) {
+	b := newBench(t, 2)
+	b.Enrol(jobs.Roster{Workers: b.Workers()}, b.now)
+	b.AddJob(b.job(one), jobs.Progress{}, false, b.now)
+	b.report(0, jobs.Report{})
+	b.report(1, jobs.Report{})
+	require.Len(t, b.starts(), 1)
+	require.Zero(t, b.jobs[testJob].steps[0].tasks[0].losses())
+}
+
+// TestUnseenLossesAddUpOverOwners: those of former takeovers count unless a run has gone on for
+// long since, or the job was accepted later.
+func TestUnseenLossesAddUpOverOwners(t *testing.T) {
+	b := newSuccessor(t, jobs.Progress{}, 2, 3, 4)
+	require.Equal(t, 4, b.jobs[testJob].steps[0].tasks[0].losses())
+	require.Equal(t, []jobs.Epoch{2, 3, 4, 5}, b.store().Roster.Unseen)
+
+	cleared := jobs.Suspicions{}
+	cleared.Set(0, 0, jobs.Suspicion{Cleared: 3})
+	b = newSuccessor(t, jobs.Progress{Suspected: cleared}, 2, 3, 4)
+	require.Equal(t, 2, b.jobs[testJob].steps[0].tasks[0].losses())
+
+	b = newSuccessor(t, jobs.Progress{}, 1, 2, 3, 4)
+	require.Len(t, b.store().Roster.Unseen, unseenKept)
+}
+
+// TestLongRunIsRememberedByTheNextOwner: what may have been lost before it doesn't count any more.
+func TestLongRunIsRememberedByTheNextOwner(t *testing.T) {
+	b := newSuccessor(t, jobs.Progress{})
+	b.store()
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+	at := 0
+	if starts[0].Worker.ID == b.ids[1] {
+		at = 1
+	}
+	for end := b.now.Add(mostRan + time.Second); b.now.Before(end); {
+		b.report(at, jobs.Report{Running: []jobs.Run{{Task: starts[0].Call.Task, Run: starts[0].Call.Run}}})
+	}
+	changes := b.store()
+	require.Len(t, changes.Jobs, 1)
+	require.Equal(t, jobs.Suspicion{Cleared: 5}, changes.Jobs[0].Progress.Suspected[0][0])
+}
+
+// TestLossesThatNobodySawLowerTheBound: five runs may be lost at most, whoever has seen them.
+func TestLossesThatNobodySawLowerTheBound(t *testing.T) {
+	lost := func(run jobs.RunID) jobs.LostRun { return jobs.LostRun{Run: run, Ran: 50, Doubt: 4, Weight: 3} }
+	known := jobs.Suspicions{}
+	known.Set(0, 0, jobs.Suspicion{Lost: []jobs.LostRun{lost(1), lost(2)}, Unseen: 2})
+	b := newSuccessor(t, jobs.Progress{Suspected: known})
+	require.Equal(t, 5, b.jobs[testJob].steps[0].tasks[0].losses())
+	require.True(t, b.jobs[testJob].steps[0].tasks[0].crashesWorkers())
+	require.Empty(t, b.storedStarts(), "the next would be the sixth")
+}
+
+// TestRunOnAWorkerThatDrainsMayHaveEndedIt: a worker that had said that it leaves said nothing of
+// what ran there, and a task that ended such workers was started once more for each.
+func TestRunOnAWorkerThatDrainsMayHaveEndedIt(t *testing.T) {
+	b := newBench(t, 2)
+	b.report(0, jobs.Report{})
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+	list := b.Workers()
+	list[0].Draining, list[0].Remaining = true, 100*time.Millisecond
+	b.SetWorkers(list, b.now)
+	b.now = b.now.Add(200 * time.Millisecond)
+	b.Unreached(b.ids[0], true, b.now)
+	b.report(1, jobs.Report{})
+	require.Empty(t, b.starts())
+	require.Equal(t, 1, b.store().Jobs[0].Progress.Suspected[0][0].Unseen)
+	require.Len(t, b.starts(), 1)
+}
+
+// TestDrainingWorkerThatGoesEarlyHasCrashed: it had said that it would stay for seconds.
+func TestDrainingWorkerThatGoesEarlyHasCrashed(t *testing.T) {
+	b := newBench(t, 2)
+	b.report(0, jobs.Report{})
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+	list := b.Workers()
+	list[0].Draining, list[0].Remaining = true, 3*time.Second
+	b.SetWorkers(list, b.now)
+	b.now = b.now.Add(50 * time.Millisecond)
+	b.Unreached(b.ids[0], true, b.now)
+	b.Replaced(b.ids[0], b.now)
+	require.Len(t, b.store().Jobs[0].Progress.Suspected[0][0].Lost, 1)
+}
+
+// TestRunOnASilentWorkerMayHaveEndedIt: its lease runs out, and nobody hears why it was silent.
+func TestRunOnASilentWorkerMayHaveEndedIt(t *testing.T) {
+	b := newBench(t, 2)
+	b.report(0, jobs.Report{})
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+	b.Overdue(b.ids[0], b.now)
+	open := false
+	for end := b.now.Add(10 * time.Second); b.now.Before(end); {
+		b.report(1, jobs.Report{})
+		b.starts()
+		if changes := b.store(); len(changes.Jobs) > 0 && changes.Jobs[0].Progress.Suspected[0][0].Open != nil {
+			open = true
+			require.NotNil(t, changes.Roster, "stored no later than the roster that leaves out the worker")
+		}
+	}
+	require.True(t, open)
+	require.Equal(t, 1, b.jobs[testJob].steps[0].tasks[0].losses())
+}
+
+// TestRunTakenOverMayHaveEndedItsWorker: a successor sees a run, and its worker is lost right after.
+// It does not know since when the run is under way, and counted nothing.
+func TestRunTakenOverMayHaveEndedItsWorker(t *testing.T) {
+	b := newBench(t, 2)
+	b.Enrol(jobs.Roster{Workers: b.Workers()}, b.now)
+	b.AddJob(b.job(one), jobs.Progress{}, false, b.now)
+	b.report(1, jobs.Report{})
+	b.report(0, jobs.Report{Running: []jobs.Run{{Task: taskOf(0), Run: 2}}})
+	b.now = b.now.Add(100 * time.Millisecond)
+	b.Unreached(b.ids[0], true, b.now)
+	b.Replaced(b.ids[0], b.now)
+	require.Empty(t, b.starts())
+	require.Equal(t, 1, b.store().Jobs[0].Progress.Suspected[0][0].Unseen)
+	require.Len(t, b.starts(), 1)
+}
+
+// TestUnseenLossesGoWithATaskToAnotherCell: its record is newer than the takeovers here.
+func TestUnseenLossesGoWithATaskToAnotherCell(t *testing.T) {
+	b := newBench(t, 1)
+	b.AddJob(b.job(servingStep), jobs.Progress{}, true, b.now)
+	b.jobs[testJob].steps[0].tasks[0].unseen = 2
+	move, ok := b.moveOf(b.jobs[testJob].steps[0])
+	require.True(t, ok)
+	require.Equal(t, 2, move.Suspected[0][0].Unseen)
+}
+
+// TestOpenRunSaysLessTheLaterItsWorkerIsMissed: the longer nobody has looked, the likelier the worker
+// was lost by chance.
+func TestOpenRunSaysLessTheLaterItsWorkerIsMissed(t *testing.T) {
+	open := &jobs.OpenRun{LostRun: jobs.LostRun{Run: 3}, Began: 1, Chance: 0.02}
+	soon := weighUnseen(open, 3*time.Second)
+	late := weighUnseen(open, time.Minute)
+	require.Greater(t, soon.Weight, 2.0)
+	require.Less(t, late.Weight, soon.Weight)
+	require.Less(t, late.Weight, 0.2)
+	open.Beside = 1
+	require.Less(t, weighUnseen(open, 3*time.Second).Weight, 0.0, "another suspect was there")
+}
