A suspect of several losses waits until a worker is its own, and neighbours that lost runs may be the cause

What callers saw: a job that ends no worker failed, "a task of it ends its workers".

Cause, from the log of the script innocent_task_beside_others: a suspect that had waited for a second was started on a busy worker, beside three tasks of another job that started in the same moment and had ended a worker before. Their crash was weighed against the suspect, 3.35 of the 10 that are enough, for tasks that are not suspected were taken to crash workers with 1 in 100, whatever they had lost.

Change: a task that may have lost two runs never starts beside others that have just begun; the worker it waits for is kept for it, also from other suspects. What a neighbour has lost counts in how likely it is the cause. Why it holds: a loss in a trial is of one young run only, and where others are suspected only a little less they share the blame.

--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -45,9 +45,9 @@
 
 // neighbour is another task on a worker that was lost.
 type neighbour struct {
-	ran       time.Duration
-	before    []time.Duration // see circumstances
-	suspected bool
+	ran    time.Duration
+	before []time.Duration // see circumstances
+	share  float64         // how likely it is one that crashes workers
 }
 
 // magnitudes is what the density of a crash's time is divided by, so that it sums up to one.
@@ -91,7 +91,7 @@
 func crashRate(tasks []neighbour) float64 {
 	sum := 0.0
 	for _, t := range tasks {
-		sum += t.share() * densityAfter(t.ran, t.before)
+		sum += t.share * densityAfter(t.ran, t.before)
 	}
 	return sum
 }
@@ -111,12 +111,15 @@
 	return math.Log(byTask / e.chance), math.Log(byTask / (e.chance + crashRate(e.beside)))
 }
 
-// share is how likely the task is one that crashes workers.
-func (c neighbour) share() float64 {
-	if c.suspected {
+// crasherShare is how likely the task is one that crashes workers, for those beside it. A suspect is
+// taken to be: if it is not, then one that was lost with it is. Of others what their losses say
+// counts: they may have been lost to the same cause, and are tried beside it without being suspected.
+func (t *task) crasherShare() float64 {
+	if t.suspected() {
 		return 1
 	}
-	return crasherShare
+	odds := crasherShare * math.Exp(t.suspicion.Doubt())
+	return odds / (1 + odds)
 }
 
 // lossesKept is for how long losses are remembered: a loss is proved when another incarnation
@@ -193,7 +196,7 @@
 		if other == t || !known {
 			continue
 		}
-		beside = append(beside, neighbour{ran: ran, before: other.lostAfter(), suspected: other.suspected()})
+		beside = append(beside, neighbour{ran: ran, before: other.lostAfter(), share: other.crasherShare()})
 	}
 	return beside
 }
--- a/services/dispatch/evidence_test.go
+++ b/services/dispatch/evidence_test.go
@@ -37,7 +37,11 @@
 				e.before = append(e.before, ran.Duration())
 			}
 			for _, ran := range c.Beside {
-				e.beside = append(e.beside, neighbour{ran: ran.Duration(), suspected: c.Suspected})
+				share := crasherShare
+				if c.Suspected {
+					share = 1
+				}
+				e.beside = append(e.beside, neighbour{ran: ran.Duration(), share: share})
 			}
 			doubt, weight := e.weigh()
 			require.InDelta(t, c.Doubt, doubt, 0.01)
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,8 +13,8 @@
 // A suspect starts on the worker that has the fewest tasks, where nothing has just been started,
 // and nothing but suspects starts there until it has run for longer than before. So a loss speaks
 // against it alone, and costs the least work. One that crashes nothing does not wait long for
-// this: where room is short, suspects of a single loss are tried together, and one of several
-// waits for a worker of its own for some seconds.
+// this: where room is short, suspects of a single loss are tried together. One of several waits
+// until a worker is its own: a loss beside others would say nothing, and few are left to be had.
 
 const (
 	// trialLeast is for how long a suspect has its worker for itself at least: some calls of
@@ -21,9 +22,6 @@
 	trialLeast = 300 * time.Millisecond
 	// trialMost bounds it: others of the same size wait for the room meanwhile.
 	trialMost = 3 * time.Second
-	// trialPatience is for how long a suspect waits for a worker of its own, for each loss but the
-	// first: the more speaks against it, the more is at stake.
-	trialPatience = time.Second
 	// keptFor is for how long nothing else starts on a worker that a suspect waits for; it is
 	// prolonged with each look at the suspect, which come some scanPause apart.
 	keptFor = 100 * time.Millisecond
@@ -70,7 +68,7 @@
 	var ready, busy, shared *worker
 	for _, w := range c.order {
 		switch {
-		case !c.mayTry(w, t.step, now):
+		case !c.mayTry(w, t.step, now) || w.isKeptFromSuspect(t, now):
 		case w.lossesOfSuspects() >= leastLosses: // another one's trial is not to be spoiled
 		case w.lossesOfSuspects() > 0:
 			shared = emptier(shared, w)
@@ -80,20 +78,30 @@
 			ready = emptier(ready, w)
 		}
 	}
-	patient := now.Sub(t.waits) < trialPatience*time.Duration(len(t.suspicion.Lost)-1)
 	switch {
 	case ready != nil:
 		return ready
-	case busy != nil && patient:
-		busy.keptUntil = now.Add(keptFor)
-		return nil
-	case patient:
-		return nil
-	case shared != nil:
-		return shared
-	default:
-		return busy
+	case t.losses() < leastLosses:
+		return cmp.Or(shared, busy)
+	case shared != nil && shared.trials == 0 && !shared.hasYoungRun(now):
+		return shared // its suspects have outlived their trials
 	}
+	if next := cmp.Or(busy, shared); next != nil {
+		next.keepFor(t, now)
+	}
+	return nil
+}
+
+// keepFor keeps a worker for a suspect for a short time.
+func (w *worker) keepFor(t *task, now time.Time) {
+	w.keptUntil = now.Add(keptFor)
+	w.keptFor = t
+}
+
+// isKeptFromSuspect tells whether the worker is kept for another suspect: whichever has waited there
+// goes first, or those that lost one run would go before those that lost several for ever.
+func (w *worker) isKeptFromSuspect(t *task, now time.Time) bool {
+	return w.keptFor != t && !now.After(w.keptUntil)
 }
 
 // emptier is the worker with fewer tasks.
--- /dev/null
+++ b/services/dispatch/trial_test.go
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// TestSuspectOfSeveralLossesWaitsForAWorkerOfItsOwn: it was started beside tasks that had begun in
+// the same moment once it had waited for a second, and their crash was taken for its own.
+func TestSuspectOfSeveralLossesWaitsForAWorkerOfItsOwn(t *testing.T) {
+	b := newBench(t, 1)
+	b.report(0, jobs.Report{})
+	known := jobs.Suspicions{}
+	known.Set(0, 0, jobs.Suspicion{Lost: []jobs.LostRun{{Run: 1, Ran: 50, Doubt: 4, Weight: 3}, {Run: 2, Ran: 50, Doubt: 4, Weight: 3}}})
+	other := b.job(one)
+	other.Spec.ID = "00000000000000bb"
+	b.AddJob(other, jobs.Progress{}, true, b.now)
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+	b.AddJob(b.job(one), jobs.Progress{Suspected: known}, true, b.now)
+	row := jobs.Run{Task: starts[0].Call.Task, Run: starts[0].Call.Run}
+	began := b.now
+	for n := 0; ; n++ {
+		later := b.job(one)
+		later.Spec.ID = jobs.ID([]string{"00000000000000c0", "00000000000000c1", "00000000000000c2", "00000000000000c3", "00000000000000c4"}[n])
+		b.AddJob(later, jobs.Progress{}, true, b.now)
+		starts = b.starts()
+		if len(starts) > 0 {
+			break
+		}
+		b.report(0, jobs.Report{Running: []jobs.Run{row}})
+	}
+	require.Equal(t, testJob, starts[0].Call.Task.Job, "the worker is kept for it")
+	require.GreaterOrEqual(t, b.now.Sub(began), trialLeast)
+	require.Len(t, starts, 1)
+}
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -62,7 +62,8 @@
 	over         time.Time // since when a tail is over its target; zero: none
 	refilled     time.Time // when what fills there, or its pace, last changed
 	trials       int       // suspects on trial there; nothing else starts meanwhile
-	keptUntil    time.Time // for a suspect that waits; nothing else starts before
+	keptUntil    time.Time // nothing starts before but keptFor
+	keptFor      *task     // a suspect that waits
 
 	expected      []servingTask // see Core.expect
 	expectedValid bool
