A task that comes from another cell has waited there, and doesn't leave room to short work anew

A task that lasts leaves room to short work for 5 s from when it begins to wait, so that one that comes from another cell counted as having waited; but the first record of a job's tasks in a cell was taken for a new job.

Change: the record says that its tasks have come from another cell. Why it holds: a cell that says it has a place now starts what comes to it.

--- a/models/jobs/part.go
+++ b/models/jobs/part.go
@@ -101,7 +101,7 @@
 	none := *r
 	none.Part, none.Tasks = true, nil
 	part := none.WithTasks(tasks, least)
-	part.Moved = false
+	part.Moved, part.Came = false, true
 	return part
 }
 
--- a/models/jobs/record.go
+++ b/models/jobs/record.go
@@ -57,6 +57,8 @@
 	// Moved says that an active record was written again, so that its age doesn't tell which
 	// owner may have started its tasks.
 	Moved bool `json:"moved,omitempty"`
+	// Came says that the tasks come from another cell, where they have waited already.
+	Came bool `json:"came,omitempty"`
 	// LeastRun is the highest number of a run that a cell had given before it handed tasks over.
 	LeastRun RunID `json:"least_run,omitempty"`
 	// Suspected is what was known against tasks when they came from another cell.
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -20,6 +20,7 @@
 	begins      models.UnixMilli // when its objective begins to count
 	chain       time.Duration
 	fresh       bool // accepted after the cell was taken: no former owner started it
+	came        bool // from another cell
 	steps       []*step
 	left        int // steps that are not done
 	begun       bool
@@ -83,7 +84,7 @@
 func newJob(record jobs.Record, fresh bool) *job {
 	j := &job{
 		spec: record.Spec, terms: record.Terms, accepted: record.Accepted, begins: record.Accepted,
-		chain: record.Spec.Chain(), fresh: fresh, recorded: record.Version,
+		chain: record.Spec.Chain(), fresh: fresh, came: record.Came, recorded: record.Version,
 		leastRun: record.LeastRun, brought: record.Suspected,
 	}
 	for occurrence := range j.spec.Occurrences() {
--- a/services/dispatch/reserve_test.go
+++ b/services/dispatch/reserve_test.go
@@ -156,3 +156,25 @@
 		require.Zero(t, step.stuck)
 	}
 }
+
+// TestTaskFromAnotherCellDoesNotWaitAnew tells of a task that lasts and had lost its worker. Its cell
+// was full for 11 s; another one that had room left to short work said that it had a place, and got
+// the task, which waited there for 5 s more. Callers saw it not run while there was room for it. Why:
+// a task that lasts leaves room to short work for 5 s from when it begins to wait, and one that came
+// with the first record of its job in a cell was taken for new there. What showed it: "work is handed
+// to another cell" and the task's "run starts", 5.004 s later, with no line between.
+func TestTaskFromAnotherCellDoesNotWaitAnew(t *testing.T) {
+	s := newShortage(t)
+	s.hand(2)
+	s.look(400 * time.Millisecond)
+	s.short.demand = 16_000
+	step := servingStep
+	step.Size.CPU = lastingCPU
+	step.Count = 2
+	record := s.job(step)
+	record.Spec.ID = "00000000000000cc"
+	part := record.NewPart(jobs.TaskSet{0: {1}}, 7)
+	s.AddJob(part, jobs.Progress{}, true, s.now)
+	s.look(100 * time.Millisecond)
+	require.Equal(t, 1, s.running(part.Spec.ID))
+}
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -71,7 +71,9 @@
 		t.state = taskUnknown
 	default:
 		t.step.waiting++
-		if t.step.job.fresh {
+		// What comes from another cell has waited there: with that time forgotten, a task that lasts
+		// left room to short work anew in each cell it came to.
+		if j := t.step.job; j.fresh && !j.came {
 			t.waits = c.now
 		}
 	}
