A run whose start had no answer may have ended its worker

Cause, from the log of the script start_without_answer: the start was ordered to a worker whose calls had begun to fail, so that by what was known it had run for less than nothing, and such a run was passed over.

--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -90,7 +90,7 @@
 		switch {
 		case weighed && (loss.Doubt > 0 || len(t.suspicion.Lost) > 0):
 			c.countLoss(t, loss)
-		case !weighed && c.adoptedLately(w, t, now):
+		case !weighed && c.beganUnseen(w, t, now):
 			c.countUnseenRun(t)
 		}
 	}
--- a/services/dispatch/unseen.go
+++ b/services/dispatch/unseen.go
@@ -20,7 +20,7 @@
 //   - for all tasks that no worker shows after a takeover, when a worker that a former owner used
 //     has gone without an answer: one write of the roster for the whole cell, before any of them
 //     starts;
-//   - for a run that was taken over from a former owner, on a worker that is lost soon after;
+//   - for a run whose begin nobody has seen, taken over from a former owner or ordered without answer;
 //   - for a young run on a worker that was silent until its lease was over, or that has drained.
 //
 // Such losses say nothing against a task by themselves. They count where those that were seen are
@@ -141,10 +141,12 @@
 	}
 }
 
-// adoptedLately tells whether a run was taken over from a former owner so shortly before its worker
-// was last known to be alive that it may have begun shortly before.
-func (c *Core) adoptedLately(w *worker, t *task, now time.Time) bool {
-	return !t.ordered && w.lastAlive(now).Sub(t.began) < mostRan
+// beganUnseen tells whether nobody knows when a run began that was lost with its worker, while it may
+// have been shortly before: it was taken over from a former owner, or ordered without an answer
+// when the worker did not answer other calls.
+func (c *Core) beganUnseen(w *worker, t *task, now time.Time) bool {
+	ran := w.lastAlive(now).Sub(t.began)
+	return ran < 0 || !t.ordered && ran < mostRan
 }
 
 // isYoung tells whether a run had begun so shortly before its worker was last known to be alive that
--- a/services/dispatch/unseen_test.go
+++ b/services/dispatch/unseen_test.go
@@ -255,3 +255,19 @@
 	open.Beside = 1
 	require.Less(t, weighUnseen(open, 3*time.Second).Weight, 0.0, "another suspect was there")
 }
+
+// TestRunWithoutAnswerMayHaveEndedItsWorker: the start had no answer, and calls to the worker had failed
+// before it. Its run had not been under way by what was known, and counted nothing.
+func TestRunWithoutAnswerMayHaveEndedItsWorker(t *testing.T) {
+	b := newBench(t, 2)
+	b.report(0, jobs.Report{})
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.Overdue(b.ids[0], b.now)
+	b.now = b.now.Add(10 * time.Millisecond)
+	starts := b.starts()
+	require.Len(t, starts, 1)
+	b.Started(starts[0], Result{Outcome: OutcomeUnknown}, b.now)
+	b.now = b.now.Add(100 * time.Millisecond)
+	b.Replaced(b.ids[0], b.now)
+	require.Equal(t, 1, b.store().Jobs[0].Progress.Suspected[0][0].Unseen)
+}
