Work that waits is offered to other cells in turn, and no place is promised on a worker that is kept

Some sixty jobs waited; eight are offered at a time, the most urgent first, and one that was offered may be offered again after 0.4 s. So the same sixteen were asked about, whatever they need, and the others never. Besides, seen in a script of crashes: a cell counted the room of a worker that is kept for a suspect as a place; what came for it was handed back, every 0.4 s (a task 12 times within 3 s).

Change: those go first that were offered longest ago; one call asks about 32 jobs, of which 8 may move; a kept worker has no places. Why it holds: each waiting job has its turn within a second or so, and a promised place is one that the newcomer gets.

--- a/services/control/move_test.go
+++ b/services/control/move_test.go
@@ -228,3 +228,37 @@
 		w.noBreach()
 	})
 }
+
+// TestWaitingTasksThatLastGetTheRoomThatComesFree fills two cells with tasks that last and with short
+// work, lets others that last wait in both, and then gives up room in one of them. Within a second
+// all that there is room for runs, whichever cell it waited in.
+func TestWaitingTasksThatLastGetTheRoomThatComesFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldOf(t, 4, 3, 2, func(jobs.TaskID, jobs.RunID) (time.Duration, jobs.End) {
+			return 300 * time.Millisecond, jobs.EndSucceeded
+		})
+		d := w.daemons[0]
+		w.submit(d, lasting(1, 4))
+		w.submit(d, lasting(2, 4))
+		running := func() int {
+			sum := 0
+			for n := 1; n <= 6; n++ {
+				sum += w.grid.Running(jobID(n))
+			}
+			return sum
+		}
+		w.eventually(10*time.Second, "both cells are full", func() bool { return running() == 8 })
+		for n := 3; n <= 6; n++ {
+			w.submit(d, lasting(n, 1))
+		}
+		for n := range 12 { // short work, a task of which finds room beside two that last
+			w.submit(d, twoSteps(100+n, 300*time.Millisecond))
+			time.Sleep(600 * time.Millisecond)
+		}
+		require.Equal(t, 8, running())
+		require.Equal(t, platform.Done{}, d.Cancel(w.ctx, jobID(1)))
+		w.eventually(2*time.Second, "what was cancelled is stopped", func() bool { return w.grid.Running(jobID(1)) == 0 })
+		w.eventually(time.Second, "those that waited run", func() bool { return running() == 8 })
+		w.noBreach()
+	})
+}
--- a/services/control/offer.go
+++ b/services/control/offer.go
@@ -18,8 +18,11 @@
 	moveEvery = 200 * time.Millisecond
 	// movePause lets some jobs gather that wait to be offered.
 	movePause = 10 * time.Millisecond
-	// movesAtOnce bounds the jobs that are offered at once: each costs two reads and a
-	// transaction of some milliseconds, between which nothing else of the cell is stored.
+	// offersAtOnce bounds the jobs that one call asks about: 5 kB, and a look at all workers of the
+	// other cell for each. With some hundred jobs waiting, each has its turn within a second.
+	offersAtOnce = 32
+	// movesAtOnce bounds the jobs that move at once: each costs two reads and a transaction of
+	// some milliseconds, between which nothing else of the cell is stored.
 	movesAtOnce = 8
 )
 
@@ -61,7 +64,7 @@
 	if len(o.moves) > 0 {
 		return nil
 	}
-	return o.core.Movable(movesAtOnce, o.config.Clock.Now())
+	return o.core.Movable(offersAtOnce, o.config.Clock.Now())
 }
 
 // offer asks the owner of a cell how much of the work finds a place there, begins to move
@@ -99,7 +102,7 @@
 
 // begin begins to move as much of the work as finds a place in the other cell.
 func (o *Owner) begin(offer dispatch.Move, to jobs.CellName, places int) bool {
-	if places == 0 || offer.Whole && places < offer.Demand.Step.Count {
+	if places == 0 || offer.Whole && places < offer.Demand.Step.Count || len(o.moves) >= movesAtOnce {
 		return false
 	}
 	if !offer.Whole {
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -59,8 +60,9 @@
 	return held
 }
 
-// Movable lists work that other cells may take, at most limit jobs, the most urgent first. A
-// job that was listed is left out for a while, so that those behind it are offered as well.
+// Movable lists work that other cells may take, at most limit jobs: those first that were listed
+// longest ago, of these the most urgent. With the most urgent first of all, those that found no place
+// anywhere were listed again and again before the others, which one might have taken.
 func (c *Core) Movable(limit int, now time.Time) []Move {
 	if c.blind {
 		return nil
@@ -72,7 +74,9 @@
 			stuck = append(stuck, c.candidate(s, now))
 		}
 	}
-	slices.SortFunc(stuck, candidate.before)
+	slices.SortFunc(stuck, func(a, b candidate) int {
+		return cmp.Or(a.step.job.offered.Compare(b.step.job.offered), a.before(b))
+	})
 	var moves []Move
 	for _, candidate := range stuck {
 		j := candidate.step.job
--- a/services/dispatch/move_test.go
+++ b/services/dispatch/move_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -246,3 +247,44 @@
 	b.KeepMove(move, false)
 	require.Nil(t, b.find(taskOf(0)), "the other cell has it")
 }
+
+// TestWorkerKeptForASuspectIsNoPlaceForOthers: its cell said that work of another cell had a place
+// there. The work came, found none, and was offered back after 0.4 s, again and again.
+func TestWorkerKeptForASuspectIsNoPlaceForOthers(t *testing.T) {
+	b := newBench(t, 1)
+	b.report(0, jobs.Report{})
+	demand := jobs.Demand{Job: "00000000000000cc", Pool: testPool, Step: one}
+	require.Equal(t, []int{1}, b.Places([]jobs.Demand{demand}, b.now))
+	known := againstFirst(jobs.LostRun{Run: 7, Ran: 10, Doubt: 8, Weight: 8}, nil)
+	b.AddJob(b.job(one), jobs.Progress{Suspected: known}, true, b.now)
+	require.Len(t, b.starts(), 1)
+	require.Equal(t, []int{0}, b.Places([]jobs.Demand{demand}, b.now))
+}
+
+// TestAllWaitingWorkIsOfferedInTurn tells of a task that lasts and waited in its cell for 9 s, while
+// the other one had a place for it. Some sixty jobs waited beside it, eight are offered at a time,
+// and a job may be offered again after 0.4 s: the sixteen most urgent were offered in turn, found no
+// place for what they ask for, and the others were never offered. What showed it: in those 9 s the lines
+// "work is handed to another cell" name the same few jobs, with 4.4 to 20.6 s without a place.
+func TestAllWaitingWorkIsOfferedInTurn(t *testing.T) {
+	const waiting, atOnce = 20, 3
+	b := newBench(t, 1)
+	b.stuckJob(true, huge)
+	for n := range waiting - 1 {
+		record := b.job(huge)
+		record.Spec.ID = jobs.ID(fmt.Sprintf("%016x", n))
+		record.Accepted += models.UnixMilli(n)
+		b.AddJob(record, jobs.Progress{}, true, b.now)
+	}
+	b.now = b.now.Add(scanPause + time.Millisecond)
+	b.starts()
+	b.now = b.now.Add(offerAfter)
+	offered := map[jobs.ID]bool{}
+	for range waiting/atOnce + 1 {
+		for _, move := range b.Movable(atOnce, b.now) {
+			offered[move.Job] = true
+		}
+		b.now = b.now.Add(offerAfter / 2)
+	}
+	require.Len(t, offered, waiting)
+}
--- a/services/dispatch/offer.go
+++ b/services/dispatch/offer.go
@@ -39,7 +39,9 @@
 func (c *Core) countPlaces(pool jobs.PoolName, s *step, wanted int, promised map[*worker]models.Resources, now time.Time) int {
 	count := 0
 	for _, w := range c.order {
-		if !w.suits(pool, s.spec) || !c.usable(w, now) {
+		// A worker that is kept for a suspect has room that nothing else gets: work that came for it
+		// found no place here either, and was handed back and forth.
+		if !w.suits(pool, s.spec) || !c.usable(w, now) || w.isKept(now) {
 			continue
 		}
 		for n := w.placesFor(s, wanted-count, promised[w]); n > 0; n-- {
--- a/services/dispatch/places.go
+++ b/services/dispatch/places.go
@@ -71,9 +71,12 @@
 
 // mayTake tells whether a task of the step may start on the worker now.
 func (c *Core) mayTake(w *worker, s *step, now time.Time) bool {
-	return w.trials == 0 && now.After(w.keptUntil) && c.mayTry(w, s, now)
+	return !w.isKept(now) && c.mayTry(w, s, now)
 }
 
+// isKept tells whether nothing but suspects may start on the worker.
+func (w *worker) isKept(now time.Time) bool { return w.trials > 0 || !now.After(w.keptUntil) }
+
 // mayTry tells the same of a suspect, which may start beside others on trial.
 func (c *Core) mayTry(w *worker, s *step, now time.Time) bool {
 	return c.usable(w, now) && c.fits(w, s) && c.hasRoom(w, s)
