A loss whose time nobody saw is weighed as one of any time since the start

Cause, from the log of the script late_worker_ended: calls to the worker were not answered, the owner noticed 0.8 s after the start, and weighed the loss as if the run had gone on until then; of a task that had ended its workers after 0.15 s that spoke against it less than nothing.

--- a/services/control/crash_scripts_test.go
+++ b/services/control/crash_scripts_test.go
@@ -30,6 +30,11 @@
 // drained and left", one task, and no line that weighs its run; the task starts elsewhere with the
 // same lost_before.
 //
+// In lost_right_after_*, last_start_*, start_without_* and late_worker_*: nobody knows when the run began or
+// ended. It had been taken over from a former owner, the owner went right after it, or calls to its
+// worker were not answered. What showed it: "run is lost with its worker" with ran_ms 0, or long after
+// the crash, and the next start with the same lost_before.
+//
 // In innocent_task_*: a job is given up for the workers that others have ended. A suspect that had
 // waited for a worker of its own for a second was started beside three tasks of another job that
 // started in the same moment and had ended a worker before. What showed it: "suspect is tried alone"
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -84,6 +84,22 @@
 	return (1-sameTime)*anyTime + sameTime*near/float64(len(before))
 }
 
+// lostBy is how likely a task that crashes workers has done so by that time, if its earlier runs were
+// lost after these.
+func lostBy(ran time.Duration, before []time.Duration) float64 {
+	anyTime := math.Log(float64(max(ran, 2*leastRan))/float64(leastRan)) / magnitudes
+	if len(before) == 0 {
+		return anyTime
+	}
+	earlier := 0
+	for _, each := range before {
+		if each <= ran {
+			earlier++
+		}
+	}
+	return (1-sameTime)*anyTime + sameTime*float64(earlier)/float64(len(before))
+}
+
 // byChance is how often a worker is lost by chance, a second, when nothing else is known.
 var byChance = 1 / crashEvery.Seconds()
 
@@ -102,12 +118,17 @@
 	before []time.Duration // after which earlier runs of the task were lost
 	beside []neighbour
 	chance float64 // losses of a worker by chance a second, at that time
+	// atMost says that the run was lost at some time up to ran: calls to its worker were not answered.
+	atMost bool
 }
 
 // weigh gives what the loss says against the task: doubt, compared with chance alone, and weight,
 // compared with the tasks beside it as well.
 func (e circumstances) weigh() (doubt, weight float64) {
 	byTask := densityAfter(e.ran, e.before)
+	if e.atMost {
+		byTask = lostBy(e.ran, e.before) / max(e.ran, leastRan).Seconds()
+	}
 	return math.Log(byTask / e.chance), math.Log(byTask / (e.chance + crashRate(e.beside)))
 }
 
@@ -180,6 +201,12 @@
 	return byChance + rate/workers
 }
 
+// mayHaveEndedBefore tells whether a worker that is lost may have ended at any time since the run began:
+// it has not reported since, and did not turn the next call away.
+func (w *worker) mayHaveEndedBefore(t *task) bool {
+	return !w.failed.IsZero() && !w.refused && w.heard.Before(t.began)
+}
+
 // ranOn is for how long a run had run at most when its worker was lost; false when that isn't
 // known to be short enough to say anything: it was started by a former owner, or when the worker
 // had stopped answering already.
@@ -215,7 +242,7 @@
 // lossOf is what the loss of a worker says against a task.
 func (c *Core) lossOf(w *worker, t *task, ran time.Duration, chance float64, now time.Time) jobs.LostRun {
 	doubt, weight := circumstances{
-		ran: ran, before: t.lostAfter(), beside: c.neighboursOf(w, t, now), chance: chance,
+		ran: ran, before: t.lostAfter(), beside: c.neighboursOf(w, t, now), chance: chance, atMost: w.mayHaveEndedBefore(t),
 	}.weigh()
 	return jobs.LostRun{Run: t.run, Ran: models.MilliOf(max(ran, leastRan)), Doubt: hundredths(doubt), Weight: hundredths(weight)}
 }
--- a/services/dispatch/evidence_test.go
+++ b/services/dispatch/evidence_test.go
@@ -97,3 +97,15 @@
 	}
 	require.Equal(t, weightAfter(0), weightAfter(3))
 }
+
+// TestTimeOfALossThatNobodySawIsNotTakenForItsEnd: a worker's calls were not answered until 0.8 s after
+// the start of a task that had ended others after 0.15 s. The loss was weighed as one after 0.8 s, spoke
+// for the task, and a sixth start followed.
+func TestTimeOfALossThatNobodySawIsNotTakenForItsEnd(t *testing.T) {
+	loss := circumstances{ran: 814 * time.Millisecond, before: []time.Duration{152 * time.Millisecond}, chance: 0.048}
+	_, seen := loss.weigh()
+	require.Negative(t, seen)
+	loss.atMost = true
+	_, unseen := loss.weigh()
+	require.Greater(t, unseen, 2.0)
+}
--- a/services/dispatch/gone.go
+++ b/services/dispatch/gone.go
@@ -69,7 +69,7 @@
 	if !ok {
 		return
 	}
-	w.noteFailed(now)
+	w.noteFailed(nobodyListens, now)
 	if nobodyListens {
 		c.storeYoungRuns(w, now)
 	}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -50,7 +50,7 @@
 func (c *Core) Overdue(id jobs.WorkerID, now time.Time) {
 	if w, ok := c.workers[id]; ok {
 		w.overdue = true
-		w.noteFailed(now)
+		w.noteFailed(false, now)
 	}
 }
 
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -38,6 +38,7 @@
 	asked       time.Time        // when the call was sent that it answers
 	overdue     bool             // the latest call that asked for a report was not answered
 	failed      time.Time        // when the first call after the last report turned out not to be answered; zero: none has
+	refused     bool             // that call was turned away at the worker's address
 	clock       models.Milli     // of that report
 	granted     models.Milli     // the latest end of a lease that was sent, on its clock
 	granting    bool             // the latest call that asked for a report prolongs the lease
@@ -70,10 +71,11 @@
 	expectedAt    time.Time
 }
 
-// noteFailed notes that a call which asks for a report was not answered.
-func (w *worker) noteFailed(now time.Time) {
+// noteFailed notes that a call which asks for a report was not answered; refused says that the worker's
+// address turned it away, so that it had ended just then and not at some time before.
+func (w *worker) noteFailed(refused bool, now time.Time) {
 	if w.failed.IsZero() {
-		w.failed = now
+		w.failed, w.refused = now, refused
 	}
 }
 
