--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 GO ?= go
 
-.PHONY: build fmt lint vet tidy test race race-all demo measure long generate
+.PHONY: build fmt lint vet tidy test race race-all demo measure long generate known-red
 
 build: ## build all commands into bin/
 	$(GO) build -o bin/ ./cmd/...
@@ -47,5 +47,11 @@
 long: ## random interleavings with another seed and many more runs
 	$(GO) test -timeout 30m ./services/cell ./services/control ./services/dispatch -run "Random|StartsBring" -args -rapid.checks=5000 -rapid.seed=$$(date +%s)
 
+PLAYS ?= 5
+
+known-red: ## play what KNOWN-RED.txt lists, PLAYS times each, and print how often it is red
+	sh contrib/known-red.sh check
+	sh contrib/known-red.sh play $(PLAYS)
+
 measure: ## the figures of docs/measurements, about 20 minutes
 	sh contrib/measure.sh
