What nobody saw is counted in the metrics; only a loss noticed late is weighed as one of any time

The last mend took each loss that no report had preceded for one of any time since the start, also where a connection that broke had told the time: a job's second loss after 23 ms, when the first came after 72, then spoke for it, and a task that ends its workers at once would have needed more of them. Now it needs a call that ran into its time limit.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -130,6 +130,7 @@
 type Counts struct {
 	Starts, Succeeded, Failed, Stopped, Lapsed, Refused, Paces, Unanswered int64
 	WorkersLost                                                            int64 // with runs
+	LostUnseen                                                             int64 // runs that may be lost, and nobody saw
 	Trials, GivenUp, Cleared                                               int64 // of tasks suspected of crashing workers
 	StartsFromText                                                         int64 // that bring a checkpoint
 	// Checkpoints that reports showed and that were not taken, by why: see textFate.
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -84,13 +84,10 @@
 	return (1-sameTime)*anyTime + sameTime*near/float64(len(before))
 }
 
-// lostBy is how likely a task that crashes workers has done so by that time, if its earlier runs were
+// lostBy is how likely a task that crashes workers has done so by that time, when its earlier runs were
 // lost after these.
 func lostBy(ran time.Duration, before []time.Duration) float64 {
-	anyTime := math.Log(float64(max(ran, 2*leastRan))/float64(leastRan)) / magnitudes
-	if len(before) == 0 {
-		return anyTime
-	}
+	anyTime := math.Log(float64(ran)/float64(leastRan)) / magnitudes
 	earlier := 0
 	for _, each := range before {
 		if each <= ran {
@@ -126,8 +123,8 @@
 // compared with the tasks beside it as well.
 func (e circumstances) weigh() (doubt, weight float64) {
 	byTask := densityAfter(e.ran, e.before)
-	if e.atMost {
-		byTask = lostBy(e.ran, e.before) / max(e.ran, leastRan).Seconds()
+	if e.atMost && len(e.before) > 0 {
+		byTask = lostBy(e.ran, e.before) / e.ran.Seconds()
 	}
 	return math.Log(byTask / e.chance), math.Log(byTask / (e.chance + crashRate(e.beside)))
 }
@@ -201,10 +198,14 @@
 	return byChance + rate/workers
 }
 
+// noticedLate is how long after the end of a worker its owner notices it at the earliest, if calls are
+// not answered: after their time limit. A connection that breaks, or is refused, tells at once.
+const noticedLate = 500 * time.Millisecond
+
 // mayHaveEndedBefore tells whether a worker that is lost may have ended at any time since the run began:
-// it has not reported since, and did not turn the next call away.
+// it has not reported since, and calls to it ran into their time limit.
 func (w *worker) mayHaveEndedBefore(t *task) bool {
-	return !w.failed.IsZero() && !w.refused && w.heard.Before(t.began)
+	return !w.refused && w.heard.Before(t.began) && w.failed.Sub(t.began) >= noticedLate
 }
 
 // ranOn is for how long a run had run at most when its worker was lost; false when that isn't
--- a/services/dispatch/unseen.go
+++ b/services/dispatch/unseen.go
@@ -162,6 +162,7 @@
 		return
 	}
 	t.suspicion.Unseen++
+	c.counts.LostUnseen++
 	c.noteCounted(t)
 	c.config.Logger.Info("run may be lost with its worker", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
 		zap.Int("lost_before", len(t.suspicion.Lost)), zap.Int("unseen", t.losses()-len(t.suspicion.Lost)))
