--- a/services/dispatch/trial_test.go
+++ b/services/dispatch/trial_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -21,21 +22,18 @@
 	other := b.job(one)
 	other.Spec.ID = "00000000000000bb"
 	b.AddJob(other, jobs.Progress{}, true, b.now)
-	starts := b.starts()
-	require.Len(t, starts, 1)
-	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+	first := b.startOne(t)
 	b.AddJob(b.job(one), jobs.Progress{Suspected: known}, true, b.now)
-	row := jobs.Run{Task: starts[0].Call.Task, Run: starts[0].Call.Run}
+	row := jobs.Run{Task: first.Call.Task, Run: first.Call.Run}
 	began := b.now
-	for n := 0; ; n++ {
+	var starts []StartOrder
+	for n := 0; len(starts) == 0; n++ {
 		later := b.job(one)
-		later.Spec.ID = jobs.ID([]string{"00000000000000c0", "00000000000000c1", "00000000000000c2", "00000000000000c3", "00000000000000c4"}[n])
+		later.Spec.ID = jobs.ID(fmt.Sprintf("%016x", 0xc0+n))
 		b.AddJob(later, jobs.Progress{}, true, b.now)
-		starts = b.starts()
-		if len(starts) > 0 {
-			break
+		if starts = b.starts(); len(starts) == 0 {
+			b.report(0, jobs.Report{Running: []jobs.Run{row}})
 		}
-		b.report(0, jobs.Report{Running: []jobs.Run{row}})
 	}
 	require.Equal(t, testJob, starts[0].Call.Task.Job, "the worker is kept for it")
 	require.GreaterOrEqual(t, b.now.Sub(began), trialLeast)
--- a/services/dispatch/unseen_test.go
+++ b/services/dispatch/unseen_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,15 +13,12 @@
 	"rillsail.example/rillsail/models/jobs"
 )
 
-// loseStarted starts the bench's only task, and lets its worker go right after.
-func (b *bench) loseStarted(t *testing.T) StartOrder {
+// startOne starts the bench's only waiting task, on a worker that answers.
+func (b *bench) startOne(t *testing.T) StartOrder {
 	t.Helper()
 	starts := b.starts()
 	require.Len(t, starts, 1)
 	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
-	b.now = b.now.Add(10 * time.Millisecond)
-	b.Unreached(starts[0].Worker.ID, true, b.now)
-	b.Replaced(starts[0].Worker.ID, b.now)
 	return starts[0]
 }
 
@@ -38,7 +36,7 @@
 	b.report(0, jobs.Report{})
 	b.report(1, jobs.Report{})
 	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-	b.loseStarted(t)
+	b.crashed(t)
 	require.Empty(t, b.starts(), "what is known isn't stored yet")
 	changes := b.store()
 	require.Len(t, changes.Jobs[0].Progress.Suspected[0][0].Lost, 1)
@@ -132,15 +130,10 @@
 func TestLongRunIsRememberedByTheNextOwner(t *testing.T) {
 	b := newSuccessor(t, jobs.Progress{})
 	b.store()
-	starts := b.starts()
-	require.Len(t, starts, 1)
-	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
-	at := 0
-	if starts[0].Worker.ID == b.ids[1] {
-		at = 1
-	}
+	start := b.startOne(t)
+	at := slices.Index(b.ids, start.Worker.ID)
 	for end := b.now.Add(mostRan + time.Second); b.now.Before(end); {
-		b.report(at, jobs.Report{Running: []jobs.Run{{Task: starts[0].Call.Task, Run: starts[0].Call.Run}}})
+		b.report(at, jobs.Report{Running: []jobs.Run{{Task: start.Call.Task, Run: start.Call.Run}}})
 	}
 	changes := b.store()
 	require.Len(t, changes.Jobs, 1)
@@ -164,9 +157,7 @@
 	b := newBench(t, 2)
 	b.report(0, jobs.Report{})
 	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-	starts := b.starts()
-	require.Len(t, starts, 1)
-	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+	b.startOne(t)
 	list := b.Workers()
 	list[0].Draining, list[0].Remaining = true, 100*time.Millisecond
 	b.SetWorkers(list, b.now)
@@ -183,9 +174,7 @@
 	b := newBench(t, 2)
 	b.report(0, jobs.Report{})
 	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-	starts := b.starts()
-	require.Len(t, starts, 1)
-	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+	b.startOne(t)
 	list := b.Workers()
 	list[0].Draining, list[0].Remaining = true, 3*time.Second
 	b.SetWorkers(list, b.now)
@@ -200,9 +189,7 @@
 	b := newBench(t, 2)
 	b.report(0, jobs.Report{})
 	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-	starts := b.starts()
-	require.Len(t, starts, 1)
-	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+	b.startOne(t)
 	b.Overdue(b.ids[0], b.now)
 	open := false
 	for end := b.now.Add(10 * time.Second); b.now.Before(end); {
