--- a/services/control/carry.go
+++ b/services/control/carry.go
@@ -19,8 +19,8 @@
 // with the starts and reports of its workers, 2.7 of each a second for one of 16 cores with
 // tasks of one to three seconds.
 const (
-	// workersPerCore is less than half of what an owner's processor time was measured to carry:
-	// 0.21 cores, in its busiest second, for 297 workers.
+	// workersPerCore is less than half of what an owner's processor time carries: its busiest second
+	// takes 0.7 milliseconds for each worker.
 	workersPerCore = 600
 	// workersPerMbit is half of what its link does: a start takes 1.5 kB and a call for a
 	// report 0.3, so that a worker takes 40 kbit/s of it each way.
--- a/services/control/starts.go
+++ b/services/control/starts.go
@@ -22,7 +22,7 @@
 	leastStarts = 8
 	// firstStarts is above what an owner needs whose calls are answered within some milliseconds.
 	firstStarts = 64
-	// mostStarts is some times as many as an owner of 300 workers was seen to have in a burst.
+	// mostStarts is some times as many as an owner of 300 workers has in a burst.
 	mostStarts = 512
 	// An answer is late well below the time limit of a call to the store, which shares the link:
 	// 33 starts of 1.5 kB take 0.2 s at 2 Mbit/s.
--- a/services/dispatch/expect.go
+++ b/services/dispatch/expect.go
@@ -33,8 +33,7 @@
 	// next look at the worker comes half a second later.
 	lead = 600 * time.Millisecond
 	// laterLead is how far ahead a place is looked at besides: filling tasks of the users run
-	// for about two seconds, and a load on its way up would throttle or move them soon. Looking
-	// so far brought 8 % less time over targets for the same work (means of 17 played days).
+	// for about two seconds, and a load on its way up would throttle or move them soon.
 	laterLead = 1800 * time.Millisecond
 	// expectedFor is for how long an expectation is used: with slopeSpread, a load
 	// moves by about 0.02 meanwhile.
--- a/services/dispatch/filling.go
+++ b/services/dispatch/filling.go
@@ -9,7 +9,7 @@
 )
 
 // lastingUse is the part of its declared processor time that a lasting task is taken to
-// use; measured at about one half on the users' quiet days.
+// use: it declares what it needs at its busiest.
 const lastingUse = 0.5
 
 // unused is the processor time that the worker's tasks are taken to leave over.
@@ -57,7 +57,7 @@
 }
 
 // usedOfDeclared is the part of its declared processor time that a filling task uses at
-// full pace; measured between 0.65 and 1.
+// full pace.
 const usedOfDeclared = 0.9
 
 // fullShare is the share of the worker that a task of a filling step uses at full pace.
--- a/services/dispatch/knowledge.go
+++ b/services/dispatch/knowledge.go
@@ -66,9 +66,7 @@
 
 // Restore takes the knowledge of a former owner, before the cell's jobs are added. Without
 // it, a successor throttles what it need not for some ten seconds, while it learns all pairs
-// of images anew, and lets heavy ones harm services meanwhile: on a played day on which all
-// daemons are restarted in turn services were over their targets for 1,501 s in all, and with it
-// for 818 s.
+// of images anew, and lets heavy ones harm services meanwhile.
 func (c *Core) Restore(k jobs.Knowledge, now time.Time) {
 	c.model.Restore(k, max(0, now.Sub(c.timeAt(k.At, now)).Seconds()))
 	for _, l := range k.Loads {
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -28,8 +28,8 @@
 }
 
 // offerAfter is how long a step must have found no place before its work is offered to other
-// cells, and the time between two offers of a job. Chosen, not measured: a task that lasts
-// must run again within some seconds, and most others find a place before.
+// cells, and the least time between two offers of a job: a task that lasts must run again within
+// some seconds, and most others find a place before.
 const offerAfter = 400 * time.Millisecond
 
 // holdMost is how long a job that hasn't begun is held back when there are not places for all
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -11,11 +11,9 @@
 
 // When many workers leave at once, the tasks that last and were there all look for another
 // place, before any short job that comes later. They take all the room that is left, and short
-// work of the same priority waits for seconds, until other workers come: on played days with 14 %
-// of 890 workers taken away at short notice, tasks that last had declared 0.89 of the processor time
-// that was left, and short jobs waited 2 to 6 s for a place. A task that lasts waits at no more
-// cost than its own time; a short job that waits as long is late as a whole. So tasks that last
-// leave room to short work for some seconds.
+// work of the same priority waits for seconds, until other workers come. A task that lasts waits at no
+// more cost than its own time; a short job that waits as long is late as a whole. So tasks that
+// last leave room to short work for some seconds.
 
 const (
 	// lastsLeaves is for how long a task that lasts leaves room, from when it waits: until
--- a/services/dispatch/speed.go
+++ b/services/dispatch/speed.go
@@ -14,13 +14,11 @@
 // Workers that stand still are found by comparing the progress of their tasks with what is
 // usual for the same queue: estimates are off, but alike on all workers. It keeps a job from
 // waiting for ever for a worker that reports and does nothing. Workers that are only slow are
-// left in peace: to move their tasks costs more than it brings (played days with a quarter of
-// the workers six times as slow: 0.03 of worth less with a bound of 0.2 than without any).
+// left in peace: to move their tasks costs more than it brings.
 const (
 	speedEvery = 400 * time.Millisecond // between two samples of a task
 	// workerWeight is that of a new sample in a worker's speed, and leastSamples are needed before
-	// a worker is judged: with 0.3 and 4, 66 sound workers were left alone on a quiet day of the
-	// grown site of Fleet Hire, with 0.2 and 8 it is 7.
+	// a worker is judged: with fewer, sound workers are left alone for one slow task.
 	workerWeight = 0.2
 	leastSamples = 8
 	usualWeight  = 0.02                      // of a new sample in the usual speed
--- a/services/dispatch/urgency.go
+++ b/services/dispatch/urgency.go
@@ -12,8 +12,7 @@
 
 // lastsYield is for how long past its objective a task that lasts leaves room to ordinary
 // work of its priority that may still end in time: that takes the room for a second, the
-// other one for a minute. Where declared room is short, 0.71 instead of 0.68 of the short
-// jobs end in time (means of 17 played days); what the services earn stays the same.
+// other one for a minute.
 const lastsYield = 10_000 // milliseconds
 
 // urgency is when a step's tasks come in the order of placement; lower comes first.
