--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -202,6 +202,10 @@
 	case "worker down":
 		s.grid.SetListed(h.Place, true)
 		s.grid.CrashFor(h.Place)
+	case "shrink worker":
+		s.grid.SetRoom(h.Place, h.roomLeft())
+	case "grow worker":
+		s.grid.SetRoom(h.Place, 1)
 	case "drain worker":
 		s.grid.Drain(h.Place, time.Duration(h.Work)*time.Millisecond)
 	case "cancel":
@@ -310,6 +314,7 @@
 		s.grid.SetFaults(place, noFaults)
 		s.grid.SetListed(place, true)
 		s.grid.StopDraining(place)
+		s.grid.SetRoom(place, 1)
 	}
 }
 
--- a/services/standin/grid/audit.go
+++ b/services/standin/grid/audit.go
@@ -130,8 +130,8 @@
 	for _, r := range w.runs {
 		used = used.Add(r.size)
 	}
-	if !used.Fits(w.info.Capacity) {
-		a.breach("%s is committed to %+v of %+v", w.info.ID, used, w.info.Capacity)
+	if bound := w.bound(); !used.Fits(bound) {
+		a.breach("%s is committed to %+v of %+v", w.info.ID, used, bound)
 	}
 }
 
--- a/services/standin/grid/grid.go
+++ b/services/standin/grid/grid.go
@@ -85,6 +85,7 @@
 // incarnation is one incarnation of a worker, with what it knows.
 type incarnation struct {
 	info    jobs.Worker
+	room    room
 	place   int
 	faults  Faults
 	up      bool
