--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -129,10 +129,10 @@
 	return math.Log(byTask / e.chance), math.Log(byTask / (e.chance + crashRate(e.beside)))
 }
 
-// crasherShare is how likely the task is one that crashes workers, for those beside it. A suspect is
+// likelyCrasher is how likely the task is one that crashes workers, for those beside it. A suspect is
 // taken to be: if it is not, then one that was lost with it is. Of others what their losses say
-// counts: they may have been lost to the same cause, and are tried beside it without being suspected.
-func (t *task) crasherShare() float64 {
+// counts: they may have been lost to the same cause, and start beside others without a trial.
+func (t *task) likelyCrasher() float64 {
 	if t.suspected() {
 		return 1
 	}
@@ -224,7 +224,7 @@
 		if other == t || !known {
 			continue
 		}
-		beside = append(beside, neighbour{ran: ran, before: other.lostAfter(), share: other.crasherShare()})
+		beside = append(beside, neighbour{ran: ran, before: other.lostAfter(), share: other.likelyCrasher()})
 	}
 	return beside
 }
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -55,7 +55,10 @@
 }
 
 // losses is how many runs of the task may have been lost with their workers.
-func (t *task) losses() int { return t.suspicion.Seen() + t.suspicion.Unseen + t.unseen }
+func (t *task) losses() int { return t.suspicion.Seen() + t.unseenLosses() }
+
+// unseenLosses is how many of them nobody saw.
+func (t *task) unseenLosses() int { return t.suspicion.Unseen + t.unseen }
 
 // workerLost counts the runs that were lost with a worker against their tasks, and logs them. One
 // that left when it had said says nothing against them, but may have crashed all the same.
@@ -123,7 +126,7 @@
 	j := t.step.job
 	c.counts.GivenUp++
 	c.config.Logger.Warn("job is given up, a task of it ends its workers", zap.String("job", string(j.spec.ID)),
-		zap.Stringer("task", t.id()), zap.Int("workers_lost", len(t.suspicion.Lost)), zap.Int("unseen", t.losses()-len(t.suspicion.Lost)), zap.Float64("weight", t.suspicion.Weight()))
+		zap.Stringer("task", t.id()), zap.Int("workers_lost", len(t.suspicion.Lost)), zap.Int("unseen", t.unseenLosses()), zap.Float64("weight", t.suspicion.Weight()))
 	c.end(j, jobs.StateFailed)
 	c.stopAll(j, "its job has failed")
 	return true
--- a/services/dispatch/unseen.go
+++ b/services/dispatch/unseen.go
@@ -43,7 +43,7 @@
 
 // stored says that a roster is stored.
 func (l *takeoverLosses) stored(roster *jobs.Roster) {
-	if len(roster.Unseen) == len(l.epochs) && slices.Equal(roster.Unseen, l.epochs) {
+	if slices.Equal(roster.Unseen, l.epochs) {
 		l.open = false
 	}
 }
@@ -165,6 +165,6 @@
 	c.counts.LostUnseen++
 	c.noteCounted(t)
 	c.config.Logger.Info("run may be lost with its worker", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
-		zap.Int("lost_before", len(t.suspicion.Lost)), zap.Int("unseen", t.losses()-len(t.suspicion.Lost)))
+		zap.Int("lost_before", len(t.suspicion.Lost)), zap.Int("unseen", t.unseenLosses()))
 	c.giveUpIfCertain(t)
 }
