A time that nobody saw is no time: a loss after exactly a second was taken for one

Cause, from the log of TestLateCrashesBesideLostWorkers: of two such tasks the one with losses after 867, 1000 and 1000 ms had weights of 1.1, 3.2 and 3.3, the other with 1000 ms five times 0.7 to 1.3. One second stood for the time of a run that was lost between two owners, and such times are not compared.

Change: 0 stands for it; no run has that time.

--- a/models/jobs/suspicion.go
+++ b/models/jobs/suspicion.go
@@ -49,7 +49,7 @@
 // LostRun is a run that was lost with its worker.
 type LostRun struct {
 	Run RunID `json:"run"`
-	// Ran is for how long it had run at most.
+	// Ran is for how long it had run at most; 0: nobody saw.
 	Ran models.Milli `json:"ran_ms,omitempty"`
 	// Doubt is what the loss says against the task compared with chance alone, Weight compared with
 	// all that ran beside it too: logarithms of likelihoods; below zero they speak for it.
@@ -121,12 +121,3 @@
 	}
 	return sum
 }
-
-// LongestRan is the longest that a run had run when it was lost.
-func (s Suspicion) LongestRan() models.Milli {
-	longest := models.Milli(0)
-	for _, lost := range s.Lost {
-		longest = max(longest, lost.Ran)
-	}
-	return longest
-}
--- a/services/control/crash_mix_test.go
+++ b/services/control/crash_mix_test.go
@@ -48,8 +48,20 @@
 // TestOnlyTasksThatCrashWorkersAreGivenUp plays mixes of both for 25 seconds of traffic: each
 // job with such a task fails within the bound on its starts, no other does, and all that last
 // run in the end.
-func TestOnlyTasksThatCrashWorkersAreGivenUp(t *testing.T) {
-	for n, mix := range casefile.Read[[]crashMix](t, "testdata/crashes.json") {
+func TestOnlyTasksThatCrashWorkersAreGivenUp(t *testing.T) { playMixes(t, "testdata/crashes.json") }
+
+// TestLateCrashesBesideLostWorkers plays a mix in which 0.15 of the workers go every 2 s, and one job in
+// fifty crashes its worker after 1 s. Of seven tasks two or three were started a sixth time. Why: a second
+// loss after as long as the first says far more, but 1 s stood for a time that nobody had seen, so that
+// of losses after exactly 1 s none was compared. What showed it: "run is lost with its worker" for two
+// tasks, the one with ran_ms 867, 1000, 1000 and weights 1.1, 3.2, 3.3, the other with 1000 five times and
+// 0.7 to 1.3. Rarely one is still started a sixth time: of workers that go by chance that often, five
+// losses may add up to less than is enough.
+func TestLateCrashesBesideLostWorkers(t *testing.T) { playMixes(t, "testdata/crashes_late.json") }
+
+// playMixes plays the mixes of a file.
+func playMixes(t *testing.T, file string) {
+	for n, mix := range casefile.Read[[]crashMix](t, file) {
 		t.Run(mix.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := newMixedPlay(t, mix, uint64(n))
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -233,8 +233,8 @@
 func (t *task) lostAfter() []time.Duration {
 	var times []time.Duration
 	for _, lost := range t.suspicion.Lost {
-		if ran := lost.Ran.Duration(); ran != unseenRan {
-			times = append(times, ran)
+		if lost.Ran > 0 {
+			times = append(times, lost.Ran.Duration())
 		}
 	}
 	return times
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
 
@@ -36,7 +35,7 @@
 
 // openTrial stores that a suspect has just been started, for a successor that doesn't see its end.
 func (c *Core) openTrial(t *task, now time.Time) {
-	c.openRun(t, jobs.LostRun{Run: t.run, Ran: models.MilliOf(unseenRan)})
+	c.openRun(t, jobs.LostRun{Run: t.run})
 	open := t.suspicion.Open
 	open.Began = c.timeOfDay(now)
 	open.Chance = thousandths(c.chanceOf(t.worker, now))
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -31,7 +31,15 @@
 
 // trialTime is for how long a suspect's run has its worker for itself.
 func (t *task) trialTime() time.Duration {
-	return min(max(trialLeast, 2*t.suspicion.LongestRan().Duration()), trialMost)
+	longest := time.Duration(0)
+	for _, lost := range t.suspicion.Lost {
+		ran := lost.Ran.Duration()
+		if ran == 0 {
+			ran = unseenRan
+		}
+		longest = max(longest, ran)
+	}
+	return min(max(trialLeast, 2*longest), trialMost)
 }
 
 // placeSuspects gives the step's suspects their places.
--- a/services/dispatch/unseen_test.go
+++ b/services/dispatch/unseen_test.go
@@ -258,3 +258,10 @@
 	b.Replaced(b.ids[0], b.now)
 	require.Equal(t, 1, b.store().Jobs[0].Progress.Suspected[0][0].Unseen)
 }
+
+// TestTimeThatNobodySawIsNoTime: 1 s had stood for it, and a loss after 1 s was taken for one.
+func TestTimeThatNobodySawIsNoTime(t *testing.T) {
+	suspect := &task{suspicion: jobs.Suspicion{Lost: []jobs.LostRun{{Run: 1, Ran: 1000}, {Run: 2}}}}
+	require.Equal(t, []time.Duration{time.Second}, suspect.lostAfter())
+	require.Equal(t, 2*unseenRan, suspect.trialTime())
+}
