--- a/services/control/offer.go
+++ b/services/control/offer.go
@@ -18,8 +18,8 @@
 	moveEvery = 200 * time.Millisecond
 	// movePause lets some jobs gather that wait to be offered.
 	movePause = 10 * time.Millisecond
-	// offersAtOnce bounds the jobs that one call asks about: 5 kB, and a look at all workers of the
-	// other cell for each. With some hundred jobs waiting, each has its turn within a second.
+	// offersAtOnce bounds the jobs that one call asks about: the other cell's owner looks at all its
+	// workers for each. With some hundred jobs waiting, each has its turn within a second.
 	offersAtOnce = 32
 	// movesAtOnce bounds the jobs that move at once: each costs two reads and a transaction of
 	// some milliseconds, between which nothing else of the cell is stored.
