What counts as a seen loss is decided in dispatch, with the one threshold of young runs

Read over once more, no change of behaviour: the same 2 s stood in a model type, which decided there, and in dispatch. The emulator's SetRoom computed again what bound gives. Three unit tests share their beginning.

--- a/models/jobs/suspicion.go
+++ b/models/jobs/suspicion.go
@@ -88,22 +88,6 @@
 	return false
 }
 
-// shortRun is below what tasks run that have nothing to do with the end of their workers: a loss within it
-// counts, however little it says.
-const shortRun models.Milli = 2000
-
-// Seen is how many of the lost runs may be the task's doing: those that say more against it than for
-// chance, and short ones.
-func (s Suspicion) Seen() int {
-	seen := 0
-	for _, lost := range s.Lost {
-		if lost.Doubt > 0 || lost.Ran < shortRun {
-			seen++
-		}
-	}
-	return seen
-}
-
 // Doubt sums up what all lost runs say compared with chance.
 func (s Suspicion) Doubt() float64 {
 	sum := 0.0
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -55,7 +55,19 @@
 }
 
 // losses is how many runs of the task may have been lost with their workers.
-func (t *task) losses() int { return t.suspicion.Seen() + t.unseenLosses() }
+func (t *task) losses() int { return t.seenLosses() + t.unseenLosses() }
+
+// seenLosses is how many of them were seen and may be the task's doing: those that say more against it
+// than for chance, and those of young runs, however little they say.
+func (t *task) seenLosses() int {
+	seen := 0
+	for _, lost := range t.suspicion.Lost {
+		if lost.Doubt > 0 || lost.Ran.Duration() < youngWithin {
+			seen++
+		}
+	}
+	return seen
+}
 
 // unseenLosses is how many of them nobody saw.
 func (t *task) unseenLosses() int { return t.suspicion.Unseen + t.unseen }
@@ -141,7 +153,7 @@
 
 // crashesWorkers tells whether the task is as good as certain to end its workers.
 func (t *task) crashesWorkers() bool {
-	return t.suspicion.Seen() >= leastLosses && t.suspicion.Weight() >= enoughWeight[min(t.losses(), len(enoughWeight)-1)]
+	return t.seenLosses() >= leastLosses && t.suspicion.Weight() >= enoughWeight[min(t.losses(), len(enoughWeight)-1)]
 }
 
 // noteSurvival clears a task whose run has gone on for long enough, and lets others start beside one
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -18,7 +18,8 @@
 // of suspects, beside their start, and young ones on a worker that refuses connections.
 
 const (
-	// youngWithin is how young a run is that is stored when its worker refuses connections.
+	// youngWithin is how young a run is whose task may well have ended its worker: it is stored when the
+	// worker refuses connections, and its loss counts whatever it says.
 	youngWithin = 2 * time.Second
 	// unseenRan is taken for the time of a suspect's run that is lost unseen between two owners.
 	unseenRan = time.Second
--- a/services/dispatch/unseen_test.go
+++ b/services/dispatch/unseen_test.go
@@ -22,6 +22,23 @@
 	return starts[0]
 }
 
+// newRunning makes a bench of two workers, of which the first has just started a task.
+func newRunning(t *testing.T) *bench {
+	t.Helper()
+	b := newBench(t, 2)
+	b.report(0, jobs.Report{})
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.startOne(t)
+	return b
+}
+
+// drains lets the first worker say for how long it stays.
+func (b *bench) drains(remaining time.Duration) {
+	list := b.Workers()
+	list[0].Draining, list[0].Remaining = true, remaining
+	b.SetWorkers(list, b.now)
+}
+
 // store stores all changes there are.
 func (b *bench) store() Changes {
 	changes := b.TakeChanges(10, b.now)
@@ -154,13 +171,8 @@
 // TestRunOnAWorkerThatDrainsMayHaveEndedIt: a worker that had said that it leaves said nothing of
 // what ran there, and a task that ended such workers was started once more for each.
 func TestRunOnAWorkerThatDrainsMayHaveEndedIt(t *testing.T) {
-	b := newBench(t, 2)
-	b.report(0, jobs.Report{})
-	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-	b.startOne(t)
-	list := b.Workers()
-	list[0].Draining, list[0].Remaining = true, 100*time.Millisecond
-	b.SetWorkers(list, b.now)
+	b := newRunning(t)
+	b.drains(100 * time.Millisecond)
 	b.now = b.now.Add(200 * time.Millisecond)
 	b.Unreached(b.ids[0], true, b.now)
 	b.report(1, jobs.Report{})
@@ -171,13 +183,8 @@
 
 // TestDrainingWorkerThatGoesEarlyHasCrashed: it had said that it would stay for seconds.
 func TestDrainingWorkerThatGoesEarlyHasCrashed(t *testing.T) {
-	b := newBench(t, 2)
-	b.report(0, jobs.Report{})
-	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-	b.startOne(t)
-	list := b.Workers()
-	list[0].Draining, list[0].Remaining = true, 3*time.Second
-	b.SetWorkers(list, b.now)
+	b := newRunning(t)
+	b.drains(3 * time.Second)
 	b.now = b.now.Add(50 * time.Millisecond)
 	b.Unreached(b.ids[0], true, b.now)
 	b.Replaced(b.ids[0], b.now)
@@ -186,10 +193,7 @@
 
 // TestRunOnASilentWorkerMayHaveEndedIt: its lease runs out, and nobody hears why it was silent.
 func TestRunOnASilentWorkerMayHaveEndedIt(t *testing.T) {
-	b := newBench(t, 2)
-	b.report(0, jobs.Report{})
-	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-	b.startOne(t)
+	b := newRunning(t)
 	b.Overdue(b.ids[0], b.now)
 	open := false
 	for end := b.now.Add(10 * time.Second); b.now.Before(end); {
--- a/services/standin/grid/room.go
+++ b/services/standin/grid/room.go
@@ -25,11 +25,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w := g.workers[g.slots[place]]
-	if time.Since(w.room.changed) > shrunkCounts {
-		w.room.former = w.info.Capacity
-	}
-	w.room.former = most(w.room.former, w.info.Capacity)
-	w.room.changed = time.Now()
+	w.room = room{former: w.bound(), changed: time.Now()}
 	w.info.Capacity = scaled(g.config.Capacity, part)
 	g.noteChange(w.info.ID)
 }
