A late start may run on a next incarnation that stays silent: its task waits until it can't

What callers saw: tasks on two workers (known failure TestRestartBehindLateOrders).

Cause: the time at which a silent worker counts as lapsed follows from what it was granted. The next incarnation of a worker has been granted nothing, so its tasks, whose starts were to be barred there, were free once it had been silent for 2.5 s; but a start without answer that was meant for the former one may still come, with a time of the former clock, and holds for the longest lease that workers grant.

Evidence: the log of both scripts: 'started again' at 8.000 s, 'silent worker's tasks have lapsed' at 10.605 s, 'run starts' elsewhere at 10.610 s, the late start is carried out before 12.5 s.

Change: such a worker counts as lapsed 13 s (the longest that orders are known to be late, and the time that one may wait to be sent) and the longest lease after the start was last sent, unless its stop was answered.

--- a/services/dispatch/incarnation.go
+++ b/services/dispatch/incarnation.go
@@ -141,6 +141,7 @@
 		t.step.waiting--
 		t.step.job.running++
 		t.state = taskRunning
+		t.barred = true
 		w.add(t)
 		c.stop(t, "its start may be carried out by the next incarnation of its worker")
 	}
--- a/services/dispatch/incarnation_test.go
+++ b/services/dispatch/incarnation_test.go
@@ -267,6 +267,44 @@
 	require.Len(t, b.storedStarts(), 1)
 }
 
+// TestLateStartMayRunOnTheNextIncarnationWhileItIsSilent guards against a task that starts elsewhere when the
+// next incarnation has been silent for a while: the start that was meant for the former one may be carried
+// out there yet, and hold for as long as workers grant. It does not wait for that once its run is barred.
+func TestLateStartMayRunOnTheNextIncarnationWhileItIsSilent(t *testing.T) {
+	longestLease := newBench(t, 0).config.LongestLease
+	longest := lateOrder + time.Duration(float64(longestLease)*slowClock)
+	for name, c := range map[string]struct {
+		barred  bool
+		freeMin time.Duration
+		freeMax time.Duration
+	}{
+		"not barred": {barred: false, freeMin: longest - time.Second, freeMax: longest + 2*time.Second},
+		"barred":     {barred: true, freeMin: 0, freeMax: silentAfter + 2*time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1)
+			b.list(bornFirst)
+			b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+			b.report(0, jobs.Report{Born: bornFirst})
+			require.Len(t, b.storedStarts(), 1)
+			began := b.now
+			b.restarted(bornSecond, 30, jobs.Report{})
+			stop := b.Decide(b.now)[0].(StopOrder)
+			if c.barred {
+				b.Stopped(stop, Result{Outcome: OutcomeDone}, b.now)
+			}
+			task := &b.jobs[testJob].steps[0].tasks[0]
+			for task.worker != nil && b.now.Sub(began) < c.freeMax {
+				b.now = b.now.Add(100 * time.Millisecond)
+				b.Decide(b.now)
+				b.store()
+			}
+			require.Nil(t, task.worker, "it may start elsewhere in the end")
+			require.GreaterOrEqual(t, b.now.Sub(began), c.freeMin)
+		})
+	}
+}
+
 // TestCallAfterOneWithoutAnswerAcknowledgesNothing guards against acknowledgements that pile up at a worker
 // which carries out calls late: the next incarnation would take them for its own ends.
 func TestCallAfterOneWithoutAnswerAcknowledgesNothing(t *testing.T) {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -101,6 +101,11 @@
 
 // lapsed tells when everything on the worker has certainly been ended by its own clock.
 func (c *Core) lapsed(w *worker) time.Time {
+	return latest(c.leaseLapsed(w), c.lateStartsLapsed(w))
+}
+
+// leaseLapsed tells when the leases are over that the worker was granted.
+func (c *Core) leaseLapsed(w *worker) time.Time {
 	if !w.answered {
 		return c.formerLapsed()
 	}
@@ -108,6 +113,26 @@
 	return w.heard.Add(max(left, 0) + clockMargin)
 }
 
+// lateOrder is the longest time after which an order that was not answered is carried out, as the users'
+// platform states, with the time that it may have waited to be sent.
+const lateOrder = 13 * time.Second
+
+// lateStartsLapsed tells when the runs have ended that begin on the worker by late starts which were meant
+// for a former incarnation. The time that such a start brings is one of the former clock, and may lie far
+// ahead on the new one: the run goes on for as long as workers grant at most.
+func (c *Core) lateStartsLapsed(w *worker) time.Time {
+	var last time.Time
+	for _, t := range w.tasks {
+		if t.barred && t.settled.IsZero() {
+			last = latest(last, t.sent)
+		}
+	}
+	if last.IsZero() {
+		return last
+	}
+	return last.Add(lateOrder + time.Duration(float64(c.config.LongestLease)*slowClock) + clockMargin)
+}
+
 // keptEnd is an end that must not be forgotten by its worker yet.
 type keptEnd struct {
 	number  uint64
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -91,7 +91,7 @@
 	mayRepeat := !t.retried && now.Sub(t.worker.heard) < silentAfter && !t.step.job.cancelled && c.mayStart()
 	if mayRepeat && c.repeats.take() {
 		t.retried = true
-		t.tried = now
+		t.tried, t.sent = now, now
 		c.orders = append(c.orders, order)
 		return
 	}
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -150,8 +150,8 @@
 	t.run = c.nextRun(t)
 	t.state = taskStarting
 	t.settled, t.sampled = time.Time{}, time.Time{}
-	t.tried, t.began, t.paced = now, now, now
-	t.retried, t.open, t.paceOpen = false, true, false
+	t.tried, t.sent, t.began, t.paced = now, now, now, now
+	t.retried, t.open, t.barred, t.paceOpen = false, true, false, false
 	t.pace = jobs.FullSpeed
 	t.apart, t.shown, t.steady, t.figure = 0, 0, 0, 0
 }
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -41,8 +41,10 @@
 	ordered  bool         // this owner ordered the run, and knows since when it is under way
 	settled  time.Time    // when the order in flight was answered; zero while it is not
 	tried    time.Time    // when the last order was given
+	sent     time.Time    // when its start was last ordered
 	retried  bool         // the start was repeated
 	open     bool         // a start of the run was ordered and is not answered; it may be carried out yet
+	barred   bool         // it was ordered at a former incarnation of the worker, and is to be barred at this one
 	waits    time.Time    // since when it waits, while it does; zero: for long, or for another cell
 	began    time.Time    // when the run was ordered, then when it was known to be under way
 	seen     uint64       // the worker's report that last showed it
