--- a/services/control/checkpoint_random_test.go
+++ b/services/control/checkpoint_random_test.go
@@ -6,7 +6,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,6 +129,7 @@
 type savingScript struct{ *scripted }
 
 func playSaving(t *testing.T, script []happening, world savingWorld, tally *savingTally) (failure string) {
+	outer := t
 	synctest.Test(t, func(t *testing.T) {
 		s := savingScript{&scripted{cancelled: map[jobs.ID]bool{}, perhaps: map[jobs.ID]bool{}, crashing: map[jobs.ID]time.Duration{}}}
 		s.world = newWorldWith(t, scriptDaemons, world.perCell, grid.Config{
@@ -145,8 +145,8 @@
 		s.heal()
 		failure = s.judge()
 		tally.add(s.world)
-		if failure != "" && os.Getenv("RILLSAIL_TEST_LOGS") != "" {
-			failure += "\n" + s.log()
+		if failure != "" {
+			failure += "\nscript and log: " + keepFailure(outer, script, failure, s.log())
 		}
 	})
 	return failure
--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -171,6 +171,7 @@
 }
 
 func playScript(t *testing.T, script []happening, where scene) (failure string) {
+	outer := t
 	synctest.Test(t, func(t *testing.T) {
 		s := &scripted{cancelled: map[jobs.ID]bool{}, perhaps: map[jobs.ID]bool{}, crashing: map[jobs.ID]time.Duration{}}
 		s.world = newWorldWith(t, scriptDaemons, where.perCell, grid.Config{
@@ -183,8 +184,8 @@
 			time.Sleep(h.Wait)
 		}
 		s.heal()
-		if failure = s.judge(); failure != "" && os.Getenv("RILLSAIL_TEST_LOGS") != "" {
-			failure += "\n" + s.log()
+		if failure = s.judge(); failure != "" {
+			failure += "\nscript and log: " + keepFailure(outer, script, failure, s.log())
 		}
 	})
 	return failure
--- a/services/control/refusals_play_test.go
+++ b/services/control/refusals_play_test.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -55,6 +54,7 @@
 }
 
 func playRefusalScript(t *testing.T, script []refusalStep, perCell int, checks []refusalCheck) (fault, found string) {
+	outer := t
 	synctest.Test(t, func(t *testing.T) {
 		p := newRefusalPlay(t, perCell)
 		time.Sleep(5 * time.Second)
@@ -71,8 +71,8 @@
 				break
 			}
 		}
-		if found != "" && os.Getenv("RILLSAIL_TEST_LOGS") != "" {
-			found += "\n" + p.log()
+		if found != "" {
+			found += "\nscript and log: " + keepFailure(outer, script, found, p.log())
 		}
 	})
 	return fault, found
