A loss that an owner has seen is no unseen one of its takeover as well

What callers saw: a lasting job that ends no worker was given up (known failure TestCrashScriptsByChance, the script lasting_one_cell; its entry calls it chance).

Cause: a takeover at which runs may have been lost counts for all tasks of the job at every later owner, also for those whose run of that time was stored as open, found lost and counted among the losses that were seen.

Evidence: in the log, run 114689 of task 1.0.0.0 is counted with a weight of 2.77 at the takeover of epoch 48, and the owner of epoch 73 gives the job up with 2 losses seen and 'unseen 3', of which two are the takeovers of epochs 28 and 48 that had seen them; with 5 losses a weight of 5 is enough.

Change: with what is counted against a task it is stored up to which epoch takeovers are counted.

The new unit test fails before (3 losses of 2). The entry stays on the list until the test has passed on the final code.

--- a/models/jobs/suspicion.go
+++ b/models/jobs/suspicion.go
@@ -13,6 +13,9 @@
 	Open *OpenRun `json:"open,omitempty"`
 	// Unseen is how many more runs may have been lost with their workers, seen by no owner.
 	Unseen int `json:"unseen,omitempty"`
+	// Counted is the latest epoch whose takeover is counted: a run that was lost then is among those above,
+	// or none was; 0: none is.
+	Counted Epoch `json:"counted,omitempty"`
 	// Cleared is the epoch in which a run of the task went on for so long that no loss before it
 	// counts any more; 0: none has.
 	Cleared Epoch `json:"cleared,omitempty"`
@@ -75,7 +78,10 @@
 }
 
 // Empty tells whether nothing is known of the task.
-func (s Suspicion) Empty() bool { return s.Clean() && s.Cleared == 0 }
+func (s Suspicion) Empty() bool { return s.Clean() && s.Since() == 0 }
+
+// Since is the epoch after which takeovers may have lost runs of the task that are not counted; 0: all may.
+func (s Suspicion) Since() Epoch { return max(s.Cleared, s.Counted) }
 
 // Clean tells whether nothing is known against the task.
 func (s Suspicion) Clean() bool { return len(s.Lost) == 0 && s.Open == nil && s.Unseen == 0 }
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -143,8 +143,11 @@
 	return true
 }
 
-// noteCounted lets what has been counted against a task be stored before it starts again.
+// noteCounted lets what has been counted against a task be stored before it starts again, together with
+// the takeovers that are counted by now: a successor would count them anew, also where the loss was seen.
 func (c *Core) noteCounted(t *task) {
+	t.suspicion.Unseen += t.unseen
+	t.suspicion.Counted, t.unseen = c.config.Epoch, 0
 	j := t.step.job
 	c.changeSoon(j)
 	t.counted, j.counted = j.version, j.version
--- a/services/dispatch/unseen.go
+++ b/services/dispatch/unseen.go
@@ -83,7 +83,7 @@
 	for _, s := range j.steps {
 		for i := range s.tasks {
 			t := &s.tasks[i]
-			t.unseen = c.takeovers.countSince(max(t.suspicion.Cleared, jobs.Epoch(record.Version)))
+			t.unseen = c.takeovers.countSince(max(t.suspicion.Since(), jobs.Epoch(record.Version)))
 		}
 	}
 }
--- a/services/dispatch/unseen_test.go
+++ b/services/dispatch/unseen_test.go
@@ -269,3 +269,18 @@
 	require.Equal(t, []time.Duration{time.Second}, suspect.lostAfter())
 	require.Equal(t, 2*unseenRan, suspect.trialTime())
 }
+
+// TestLossThatWasSeenIsNoUnseenOneOfItsTakeover guards against a run that counts twice: among the losses that
+// were seen, and at later owners as one that was lost at that takeover.
+func TestLossThatWasSeenIsNoUnseenOneOfItsTakeover(t *testing.T) {
+	open := &jobs.OpenRun{LostRun: jobs.LostRun{Run: 3, Ran: 300, Doubt: 2, Weight: 2}, Worker: "gone"}
+	b := newSuccessor(t, jobs.Progress{Suspected: jobs.Suspicions{0: {0: {Open: open}}}}, 3)
+	require.Equal(t, 2, b.jobs[testJob].steps[0].tasks[0].losses(), "the one that was open, and one of the former takeover")
+	changes := b.store()
+	require.Equal(t, []jobs.Epoch{3, 5}, changes.Roster.Unseen)
+
+	next := newBench(t, 2)
+	next.Enrol(jobs.Roster{Workers: next.Workers(), Unseen: changes.Roster.Unseen}, next.now)
+	next.AddJob(next.job(one), changes.Jobs[0].Progress, false, next.now)
+	require.Equal(t, 2, next.jobs[testJob].steps[0].tasks[0].losses())
+}
