A run that its worker shows again was not lost with it

What callers saw: jobs that end no worker are closer to being given up than what is known says: five losses are enough with half of the weight, and runs count among them that ended otherwise.

Cause: a run counts as perhaps lost when its worker was silent until its lease was over, and when no worker shows it after a takeover. When the worker comes back and lists the run as lapsed, it was cut off and has not crashed; the count stayed, for it had no number. One run could count several times as well.

Evidence: in the log of the script lasting_one_cell, run 196609 is reported at 36.220 s by the worker on which it was started, as lapsed; 5 ms later the takeover counts it as lost unseen, and the job is given up at 36.230 s. In that of restart_behind_late_orders, 'run may be lost with its worker' stands twice for run 32769 of each task.

Change: runs that may be lost are stored by number, count once, and are taken back when a worker shows them; a takeover counts none for a task whose latest run a worker shows as lapsed. A run that is to be barred at the next incarnation may be carried out by both, and counts for each.

The same elsewhere: a seen loss (Lost) is taken back too, when a worker that was given up comes back.

--- a/models/jobs/suspicion.go
+++ b/models/jobs/suspicion.go
@@ -3,7 +3,11 @@
 
 package jobs
 
-import "rillsail.example/rillsail/models"
+import (
+	"slices"
+
+	"rillsail.example/rillsail/models"
+)
 
 // Suspicion is what is known against a task under which workers were lost.
 type Suspicion struct {
@@ -13,6 +17,8 @@
 	Open *OpenRun `json:"open,omitempty"`
 	// Unseen is how many more runs may have been lost with their workers, seen by no owner.
 	Unseen int `json:"unseen,omitempty"`
+	// UnseenRuns are the numbers of those runs, as far as they are known.
+	UnseenRuns []RunID `json:"unseen_runs,omitempty"`
 	// Counted is the latest epoch whose takeover is counted: a run that was lost then is among those above,
 	// or none was; 0: none is.
 	Counted Epoch `json:"counted,omitempty"`
@@ -86,14 +92,18 @@
 // Clean tells whether nothing is known against the task.
 func (s Suspicion) Clean() bool { return len(s.Lost) == 0 && s.Open == nil && s.Unseen == 0 }
 
-// Has tells whether a run is among those that were lost.
+// Has tells whether a run is among those that were lost, or may have been.
 func (s Suspicion) Has(run RunID) bool {
-	for _, lost := range s.Lost {
-		if lost.Run == run {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(s.UnseenRuns, run) || slices.ContainsFunc(s.Lost, func(lost LostRun) bool { return lost.Run == run })
+}
+
+// Without gives the suspicion without a run that was not lost after all. Its slices are not shared.
+func (s Suspicion) Without(run RunID) Suspicion {
+	s.Lost = slices.DeleteFunc(slices.Clone(s.Lost), func(lost LostRun) bool { return lost.Run == run })
+	s.Unseen -= len(s.UnseenRuns)
+	s.UnseenRuns = slices.DeleteFunc(slices.Clone(s.UnseenRuns), func(unseen RunID) bool { return unseen == run })
+	s.Unseen += len(s.UnseenRuns)
+	return s
 }
 
 // Doubt sums up what all lost runs say compared with chance.
--- a/services/dispatch/end.go
+++ b/services/dispatch/end.go
@@ -20,6 +20,7 @@
 		w.keepEnd(ended.Number, nil)
 		return
 	}
+	c.noteShown(t, ended.Run)
 	var fate textFate
 	if ended.Checkpoint != "" {
 		fate = c.keepText(t, saved{text: ended.Checkpoint, run: ended.Run, worker: w.info.ID, row: savedRow(ended.How), at: now})
@@ -43,6 +44,7 @@
 		c.fail(t, ended.Run)
 	case jobs.EndLapsed:
 		c.counts.Lapsed++
+		c.noteLapsed(t, ended.Run)
 	default:
 		c.counts.Stopped++
 	}
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -92,6 +92,9 @@
 // seeRun takes one running row of a report.
 func (c *Core) seeRun(w *worker, run jobs.Run, now time.Time) {
 	t := c.find(run.Task)
+	if t != nil {
+		c.noteShown(t, run.Run)
+	}
 	switch {
 	case t == nil || t.state == taskDone || t.state == taskMoving:
 		c.stopStray(w, run, now)
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -105,7 +105,7 @@
 		case weighed && (loss.Doubt > 0 || len(t.suspicion.Lost) > 0):
 			c.countLoss(t, loss)
 		case !weighed && c.beganUnseen(w, t, now):
-			c.countUnseenRun(t)
+			c.countUnseenRun(t, t.run)
 		}
 	}
 }
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -132,7 +132,7 @@
 	}
 	c.closeRun(t)
 	if open.Unseen {
-		c.countUnseenRun(t)
+		c.countUnseenRun(t, open.Run)
 		return
 	}
 	lost := c.lostOf(open)
--- a/services/dispatch/unseen.go
+++ b/services/dispatch/unseen.go
@@ -71,13 +71,49 @@
 }
 
 // countUnseen counts a run against a task that no worker has shown since the takeover. One that was
-// stored as open is counted already.
+// stored as open is counted already, and one that has lapsed was not lost with its worker.
 func (c *Core) countUnseen(t *task) {
-	if c.takeovers.gone && t.counted == 0 {
+	if c.takeovers.gone && t.counted == 0 && t.lapsed == 0 {
 		t.unseen++
 	}
 }
 
+// noteShown takes back what was counted for a run that a worker shows now, running or ended: it was not lost.
+// One that is to be barred may be carried out a second time.
+func (c *Core) noteShown(t *task, run jobs.RunID) {
+	if !t.suspicion.Has(run) || t.barred && t.run == run {
+		return
+	}
+	t.suspicion = t.suspicion.Without(run)
+	c.change(t.step.job)
+	c.config.Logger.Info("run was not lost with its worker", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(run)),
+		zap.Int("lost_before", len(t.suspicion.Lost)), zap.Int("unseen", t.unseenLosses()))
+}
+
+// noteLapsed notes before the cell is recovered that a run has lapsed, on a worker that is there: if it is the
+// task's latest, none was lost at the takeover. A later one that is not known is possible only if a former owner
+// has heard of this end, which would then hardly come again.
+func (c *Core) noteLapsed(t *task, run jobs.RunID) {
+	if c.blind && run >= t.latestKnown() {
+		t.lapsed = run
+	}
+}
+
+// latestKnown is the highest number of a run of the task that is known.
+func (t *task) latestKnown() jobs.RunID {
+	latest := t.run
+	for _, lost := range t.suspicion.Lost {
+		latest = max(latest, lost.Run)
+	}
+	for _, run := range t.suspicion.UnseenRuns {
+		latest = max(latest, run)
+	}
+	if t.suspicion.Open != nil {
+		latest = max(latest, t.suspicion.Open.Run)
+	}
+	return latest
+}
+
 // applyUnseen counts the takeovers of former owners that a job has been through.
 func (c *Core) applyUnseen(j *job, record jobs.Record) {
 	for _, s := range j.steps {
@@ -121,7 +157,7 @@
 func (c *Core) countSilentRuns(w *worker, now time.Time) {
 	for _, t := range w.tasks {
 		if c.isYoung(w, t, now) {
-			c.countUnseenRun(t)
+			c.countUnseenRun(t, t.run)
 		}
 	}
 }
@@ -136,7 +172,7 @@
 func (c *Core) countLeftRuns(w *worker, now time.Time) {
 	for _, t := range w.tasks {
 		if ran, known := c.ranOn(w, t, now); known && (ran < youngWithin || ran < mostRan && t.losses() > 0) {
-			c.countUnseenRun(t)
+			c.countUnseenRun(t, t.run)
 		}
 	}
 }
@@ -156,15 +192,18 @@
 	return known && ran < mostRan
 }
 
-// countUnseenRun counts one run against a task that may have been lost.
-func (c *Core) countUnseenRun(t *task) {
-	if j := t.step.job; t.state == taskDone || j.end != "" || j.cancelled {
+// countUnseenRun counts a run against its task that may have been lost, once; one that is to be barred may
+// have been lost with its worker's former incarnation and be carried out by this one as well.
+func (c *Core) countUnseenRun(t *task, run jobs.RunID) {
+	j := t.step.job
+	if t.state == taskDone || j.end != "" || j.cancelled || t.suspicion.Has(run) && !t.barred {
 		return
 	}
 	t.suspicion.Unseen++
+	t.suspicion.UnseenRuns = append(t.suspicion.UnseenRuns, run)
 	c.counts.LostUnseen++
 	c.noteCounted(t)
-	c.config.Logger.Info("run may be lost with its worker", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
+	c.config.Logger.Info("run may be lost with its worker", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(run)),
 		zap.Int("lost_before", len(t.suspicion.Lost)), zap.Int("unseen", t.unseenLosses()))
 	c.giveUpIfCertain(t)
 }
--- a/services/dispatch/unseen_test.go
+++ b/services/dispatch/unseen_test.go
@@ -284,3 +284,34 @@
 	next.AddJob(next.job(one), changes.Jobs[0].Progress, false, next.now)
 	require.Equal(t, 2, next.jobs[testJob].steps[0].tasks[0].losses())
 }
+
+// TestSilentWorkerThatComesBackHasNotCrashed guards against losses that stay counted when the worker shows the
+// run: it was cut off, and the run has lapsed.
+func TestSilentWorkerThatComesBackHasNotCrashed(t *testing.T) {
+	b := newRunning(t)
+	run := b.jobs[testJob].steps[0].tasks[0].run
+	b.Overdue(b.ids[0], b.now)
+	for end := b.now.Add(10 * time.Second); b.now.Before(end); {
+		b.report(1, jobs.Report{})
+		b.starts()
+		b.store()
+	}
+	require.Equal(t, 1, b.jobs[testJob].steps[0].tasks[0].losses())
+	b.report(0, jobs.Report{Ended: []jobs.Ended{{Number: 1, Task: taskOf(0), Run: run, How: jobs.EndLapsed}}})
+	require.Zero(t, b.jobs[testJob].steps[0].tasks[0].losses())
+	require.Zero(t, b.store().Jobs[0].Progress.Suspected[0][0].Unseen, "a successor is told as well")
+}
+
+// TestRunThatHasLapsedWasNotLostAtTheTakeover guards against tasks that are taken to have lost a run unseen,
+// although a worker shows after the takeover how the latest one ended.
+func TestRunThatHasLapsedWasNotLostAtTheTakeover(t *testing.T) {
+	b := newBench(t, 2)
+	gone := jobs.Worker{ID: "gone", Pool: testPool, Address: "gone"}
+	b.Enrol(jobs.Roster{Workers: append(b.Workers(), gone)}, b.now)
+	b.AddJob(b.job(one), jobs.Progress{}, false, b.now)
+	b.report(0, jobs.Report{Ended: []jobs.Ended{{Number: 1, Task: taskOf(0), Run: 7, How: jobs.EndLapsed}}})
+	b.report(1, jobs.Report{})
+	b.Replaced(gone.ID, b.now)
+	require.Len(t, b.storedStarts(), 1)
+	require.Zero(t, b.jobs[testJob].steps[0].tasks[0].losses())
+}
