How often workers go by chance: those with nothing on them count, and bursts apart from single losses

What callers saw: a job that ends no worker is given up when workers start again often (known failure TestRandomRestartsOften), and a task that ends its workers is started a sixth time where from time to time many workers go together (TestLateCrashesBesideLostWorkers).

Cause: the chance that a loss is weighed against was drawn from losses of workers with tasks on them only; the loss of an idle one, which no task can have caused, was not noted at all. And all losses of the last 15 s made one rate, so that a burst of seven every 2 s hid a worker that went by itself.

Change: each loss is noted; one within a burst (three workers or more within 50 ms of each other, and 0.4 s for those noticed at the next call) is compared with all, one by itself with those that went by themselves.

--- /dev/null
+++ b/services/dispatch/burst.go
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Workers that one cause takes along, like a rack's, a restart of all or a cut, go at the same moment. How
+// often that happens says little of a worker that goes by itself, as one does that a task has ended.
+
+const (
+	// burstLeast is how many workers go in a burst at least. Two may be lost at the same moment to two tasks that
+	// were started together.
+	burstLeast = 3
+	// burstTail is how long after the others a worker of a burst may be noticed: at the next call to it.
+	burstTail = 400 * time.Millisecond
+)
+
+// burst is a time in which several workers went together.
+type burst struct{ from, to time.Time }
+
+type bursts []burst
+
+// burstsOf finds the bursts among the times at which workers went.
+func burstsOf(times []time.Time) bursts {
+	slices.SortFunc(times, time.Time.Compare)
+	var found bursts
+	for first := 0; first < len(times); {
+		last := first
+		for last+1 < len(times) && times[last+1].Sub(times[last]) <= atOnce {
+			last++
+		}
+		if last-first+1 >= burstLeast {
+			found = append(found, burst{from: times[first], to: times[last].Add(burstTail)})
+		}
+		first = last + 1
+	}
+	return found
+}
+
+// have tells whether a time is in one of the bursts.
+func (b bursts) have(at time.Time) bool {
+	return slices.ContainsFunc(b, func(each burst) bool { return !at.Before(each.from) && !at.After(each.to) })
+}
+
+// timesOf gives when workers were lost.
+func timesOf(losses []workerLoss) []time.Time {
+	times := make([]time.Time, 0, len(losses)+1)
+	for _, l := range losses {
+		times = append(times, l.at)
+	}
+	return times
+}
--- /dev/null
+++ b/services/dispatch/burst_test.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// lossAfter gives what the loss of a task's worker says when others without tasks have gone before it.
+func lossAfter(t *testing.T, before func(b *bench)) jobs.LostRun {
+	t.Helper()
+	b := newBench(t, 4)
+	for n := range b.ids {
+		b.report(n, jobs.Report{})
+	}
+	before(b)
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.crashed(t)
+	lost := b.jobs[testJob].steps[0].tasks[0].suspicion.Lost
+	require.Len(t, lost, 1)
+	return lost[0]
+}
+
+// loseIdle loses workers without tasks, so long apart, and brings back others in their places.
+func (b *bench) loseIdle(count int, apart time.Duration) {
+	list := b.Workers()
+	for n := range count {
+		b.Replaced(b.ids[1+n%3], b.now)
+		list[1+n%3].Born += models.UnixMilli(1 + n)
+		b.SetWorkers(list, b.now)
+		b.now = b.now.Add(apart)
+	}
+	b.store()
+	for n := range b.ids {
+		b.report(n, jobs.Report{Born: list[n].Born})
+	}
+}
+
+// TestWorkersWithNothingOnThemShowHowOftenWorkersGo guards against losses by chance that are not counted,
+// because no task was lost: of tasks that are lost beside them each seems to be the cause.
+func TestWorkersWithNothingOnThemShowHowOftenWorkersGo(t *testing.T) {
+	quiet := lossAfter(t, func(*bench) {})
+	stormy := lossAfter(t, func(b *bench) { b.loseIdle(6, 1200*time.Millisecond) })
+	require.Less(t, stormy.Weight, quiet.Weight-2)
+}
+
+// TestBurstSaysLittleOfAWorkerThatGoesByItself guards against tasks that end their workers one by one where,
+// from time to time, many workers go together: each loss seemed to be by chance, and a sixth start followed.
+func TestBurstSaysLittleOfAWorkerThatGoesByItself(t *testing.T) {
+	quiet := lossAfter(t, func(*bench) {})
+	after := lossAfter(t, func(b *bench) {
+		b.loseIdle(3, 10*time.Millisecond)
+		b.now = b.now.Add(2 * time.Second)
+	})
+	require.InDelta(t, quiet.Weight, after.Weight, 0.1)
+}
+
+func TestBurstsOfLosses(t *testing.T) {
+	at := func(ms ...int) []time.Time {
+		times := make([]time.Time, 0, len(ms))
+		for _, m := range ms {
+			times = append(times, time.UnixMilli(int64(m)))
+		}
+		return times
+	}
+	found := burstsOf(at(9000, 1000, 1040, 5000, 1010, 5030, 9020, 9060))
+	require.Len(t, found, 2, "two workers are no burst")
+	for ms, in := range map[int]bool{999: false, 1000: true, 1040: true, 1300: true, 1500: false, 5000: false, 9000: true} {
+		require.Equal(t, in, found.have(time.UnixMilli(int64(ms))), "%d ms", ms)
+	}
+}
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -24,6 +24,7 @@
 //     under their ids: incarnation.go
 //   - tasks that end their workers: suspicion.go (who is suspected, and given up), evidence.go
 //     (what a loss says), trial.go (where and how suspects start), suspicion_store.go (what is stored),
+//     burst.go (workers that go together),
 //     unseen.go (runs that may be lost and that no owner knows of)
 //   - the time after a takeover: takeover.go; whether this still is the owner: proof.go;
 //     whether what it knows is recent enough to start something: stale.go
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -175,10 +175,14 @@
 
 // chanceOf is how many losses by chance a second each worker sees at the time at which a worker
 // was lost: as often as workers have gone lately, or around that time, other than by what ran
-// there, or, when there are several, together with it, whatever ran there.
+// there, or, when there are several, together with it, whatever ran there. One that was lost in a burst is
+// compared with all of them, one that was lost by itself with those that were too.
 func (c *Core) chanceOf(w *worker, now time.Time) float64 {
 	at := w.lastAlive(now)
 	losses := c.otherLosses(w, now)
+	if bursts := burstsOf(append(timesOf(losses), at)); !bursts.have(at) {
+		losses = slices.DeleteFunc(losses, func(l workerLoss) bool { return bursts.have(l.at) })
+	}
 	workers := float64(max(1, len(c.order)))
 	// As if none was caused by what ran there; it takes the more of the blame, the more go.
 	prior := byChance + float64(len(losses))/lossesKept.Seconds()/workers
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -75,9 +75,7 @@
 // that left when it had said says nothing against them, but may have crashed all the same.
 func (c *Core) workerLost(w *worker, now time.Time) {
 	switch {
-	case len(w.tasks) == 0:
 	case w.leaves.IsZero() || w.leftEarly(now):
-		c.counts.WorkersLost++
 		c.weighLoss(w, now)
 	default:
 		c.countLeftRuns(w, now)
@@ -88,10 +86,14 @@
 	delete(c.openRuns, w.info.ID)
 }
 
-// weighLoss weighs a loss for all tasks on the worker before it is counted for any of them.
+// weighLoss weighs a loss for all tasks on the worker before it is counted for any of them. One with no task
+// says most of how often workers go by chance.
 func (c *Core) weighLoss(w *worker, now time.Time) {
 	chance := c.chanceOf(w, now)
 	c.noteLoss(w, now)
+	if len(w.tasks) > 0 {
+		c.counts.WorkersLost++
+	}
 	losses := map[*task]jobs.LostRun{}
 	for _, t := range w.tasks {
 		if ran, known := c.ranOn(w, t, now); known && ran < mostRan {
