A burst counts for a tenth where one worker goes by itself; two losses make a suspect

Cause: with bursts left out, what goes by itself in a fleet of bursts was weighed as in a quiet one (chances of 0.0085 and 0.022 a second for two restarts within 0.8 s). And tasks of one step that were lost together started together three times, so that no loss said which of them it was: weights of 1.0, 2.4 and 0.0.

Change: a worker of a burst counts for a tenth where one goes by itself; a task that has lost two runs is tried alone, whatever they say.

--- a/services/control/crash_mix_test.go
+++ b/services/control/crash_mix_test.go
@@ -55,17 +55,23 @@
 // loss after as long as the first says far more, but 1 s stood for a time that nobody had seen, so that
 // of losses after exactly 1 s none was compared. What showed it: "run is lost with its worker" for two
 // tasks, the one with ran_ms 867, 1000, 1000 and weights 1.1, 3.2, 3.3, the other with 1000 five times and
-// 0.7 to 1.3. And the bursts
-// made every loss look like one by chance, also that of a worker that went by itself.
+// 0.7 to 1.3. And the bursts made
+// every loss look like one by chance, also that of a worker that went by itself.
 func TestLateCrashesBesideLostWorkers(t *testing.T) { playMixes(t, "testdata/crashes_late.json") }
 
 // playMixes plays the mixes of a file.
 func playMixes(t *testing.T, file string) {
 	for n, mix := range casefile.Read[[]crashMix](t, file) {
 		t.Run(mix.Name, func(t *testing.T) {
+			outer := t
 			synctest.Test(t, func(t *testing.T) {
 				p := newMixedPlay(t, mix, uint64(n))
 				p.run()
+				defer func() {
+					if t.Failed() {
+						t.Log("mix and log:", keepFailure(outer, mix, "", p.log()))
+					}
+				}()
 				p.judge()
 			})
 		})
--- a/services/dispatch/burst.go
+++ b/services/dispatch/burst.go
@@ -17,6 +17,9 @@
 	burstLeast = 3
 	// burstTail is how long after the others a worker of a burst may be noticed: at the next call to it.
 	burstTail = 400 * time.Millisecond
+	// burstShare is what a worker of a burst counts for where one goes by itself: where some go together,
+	// others go one by one more often than elsewhere.
+	burstShare = 0.1
 )
 
 // burst is a time in which several workers went together.
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -180,22 +180,30 @@
 func (c *Core) chanceOf(w *worker, now time.Time) float64 {
 	at := w.lastAlive(now)
 	losses := c.otherLosses(w, now)
-	if bursts := burstsOf(append(timesOf(losses), at)); !bursts.have(at) {
-		losses = slices.DeleteFunc(losses, func(l workerLoss) bool { return bursts.have(l.at) })
+	bursts := burstsOf(append(timesOf(losses), at))
+	counts := func(l workerLoss) float64 {
+		if bursts.have(l.at) && !bursts.have(at) {
+			return burstShare
+		}
+		return 1
+	}
+	all := 0.0
+	for _, l := range losses {
+		all += counts(l)
 	}
 	workers := float64(max(1, len(c.order)))
 	// As if none was caused by what ran there; it takes the more of the blame, the more go.
-	prior := byChance + float64(len(losses))/lossesKept.Seconds()/workers
+	prior := byChance + all/lossesKept.Seconds()/workers
 	together, around, lately := 0.0, 0.0, 0.0
 	for _, l := range losses {
 		apart := l.at.Sub(at).Abs()
-		chance := prior / (prior + l.byTasks)
+		chance := counts(l) * prior / (prior + l.byTasks)
 		lately += chance
 		if apart <= soon {
 			around += chance
 		}
 		if apart <= atOnce {
-			together++
+			together += counts(l)
 		}
 	}
 	rate := max(lately/lossesKept.Seconds(), (around-soonAnyway)/(2*soon).Seconds(), (together-atOnceAnyway)/(2*atOnce).Seconds())
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -43,7 +43,7 @@
 
 // suspectLosses is how many losses make a suspect whatever they say: several tasks that crash
 // workers and are started at the same moments are lost at the same moments, as if by one cause.
-const suspectLosses = 3
+const suspectLosses = 2
 
 // suspected tells whether the task may be one that ends its workers.
 func (t *task) suspected() bool {
