A loss that chance explains is compared with later ones

What callers saw: a task that ends each worker after the same time is started a sixth and a seventh time (known failure TestLateCrashesBesideLostWorkers).

Cause: a loss that chance explains better was forgotten with its time. Where other workers go around each of them, four losses after exactly 1 s say nothing one by one.

Evidence: the log of a red play: task eb.0.0.0 loses five runs after 1000 ms each; the first four are weighed with doubts of -0.97, -0.35, -0.99 and -0.31, and 'lost_before' is 0 at each.

Change: such losses are kept, by this owner alone, and counted once a later loss speaks against the task: nothing more is stored where many go at once.

A unit test that fails before.

--- a/services/dispatch/burst_test.go
+++ b/services/dispatch/burst_test.go
@@ -76,3 +76,52 @@
 		require.Equal(t, in, found.have(time.UnixMilli(int64(ms))), "%d ms", ms)
 	}
 }
+
+// TestLossThatChanceExplainsIsComparedWithLaterOnes guards against a task that ends each worker after the same
+// time, and is started a sixth time, for other workers went around each of its losses.
+func TestLossThatChanceExplainsIsComparedWithLaterOnes(t *testing.T) {
+	b := newBench(t, 4)
+	for n := range b.ids {
+		b.report(n, jobs.Report{})
+	}
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	task := &b.jobs[testJob].steps[0].tasks[0]
+	for losses := 1; losses <= 2; losses++ {
+		starts := b.storedStarts()
+		require.Len(t, starts, 1)
+		b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
+		ends := b.now.Add(time.Second)
+		b.now = ends.Add(-400 * time.Millisecond)
+		for _, id := range b.ids {
+			if id != starts[0].Worker.ID {
+				b.now = b.now.Add(80 * time.Millisecond)
+				b.Unreached(id, true, b.now)
+			}
+		}
+		b.now = ends
+		b.Unreached(starts[0].Worker.ID, true, b.now)
+		b.comeBack()
+		if losses == 1 {
+			require.Empty(t, task.suspicion.Lost, "chance explains it")
+		}
+	}
+	require.Len(t, task.suspicion.Lost, 2)
+	require.Greater(t, task.suspicion.Doubt(), 0.0)
+}
+
+// comeBack brings other workers up in the places of all that are there.
+func (b *bench) comeBack() {
+	b.now = b.now.Add(2 * time.Second)
+	list := b.Workers()
+	for n := range list {
+		b.Replaced(list[n].ID, b.now)
+		list[n].ID += "x"
+		b.ids[n] = list[n].ID
+	}
+	b.SetWorkers(list, b.now)
+	b.store()
+	for n := range b.ids {
+		b.report(n, jobs.Report{})
+	}
+	b.store()
+}
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -106,6 +106,8 @@
 		switch {
 		case weighed && (loss.Doubt > 0 || len(t.suspicion.Lost) > 0):
 			c.countLoss(t, loss)
+		case weighed:
+			t.faint = append(t.faint, loss)
 		case !weighed && c.beganUnseen(w, t, now):
 			c.countUnseenRun(t, t.run)
 		}
@@ -126,7 +128,8 @@
 	if t.suspicion.Has(loss.Run) || t.state == taskDone || j.end != "" || j.cancelled {
 		return
 	}
-	t.suspicion.Lost = append(t.suspicion.Lost, loss)
+	t.suspicion.Lost = append(append(t.suspicion.Lost, t.faint...), loss)
+	t.faint = nil
 	c.noteLoser(t)
 	c.noteCounted(t)
 	c.judgeLater(t)
@@ -168,10 +171,13 @@
 // noteSurvival clears a task whose run has gone on for long enough, and lets others start beside one
 // that has outlived its trial.
 func (c *Core) noteSurvival(w *worker, t *task, now time.Time) {
+	ran := now.Sub(t.began)
+	if ran >= mostRan {
+		t.faint = nil
+	}
 	if t.suspicion.Clean() && t.unseen == 0 {
 		return
 	}
-	ran := now.Sub(t.began)
 	if t.onTrial && ran >= t.trialTime() {
 		w.endTrial(t)
 		c.closeRun(t)
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -32,10 +32,11 @@
 	position  int // in the worker's tasks
 	failures  jobs.Failures
 	suspicion jobs.Suspicion
-	onTrial   bool       // a suspect that has not run for long enough yet
-	counted   uint64     // the job's version when a loss was last counted
-	unseen    int        // runs that may have been lost between two owners; see unseen.go
-	lapsed    jobs.RunID // the latest run, when a worker has shown after the takeover that it has lapsed; 0: none has
+	faint     []jobs.LostRun // losses that chance explains better, unless a later one is like them; this owner's alone
+	onTrial   bool           // a suspect that has not run for long enough yet
+	counted   uint64         // the job's version when a loss was last counted
+	unseen    int            // runs that may have been lost between two owners; see unseen.go
+	lapsed    jobs.RunID     // the latest run, when a worker has shown after the takeover that it has lapsed; 0: none has
 
 	run      jobs.RunID
 	starts   int          // in this epoch
