Tasks that last may be in any cell

Cause: a job is in as many cells as it is looked for in, and each of those costs a condition of every acceptance and a key of every removal.

Change: a job is looked for in its own cells, as before. Tasks that last may go on to further ones, which the record in an own cell names; the transaction of a move keeps the names true, and a cell whose last task leaves keeps nothing. Whoever cancels or asks for a job reads the names too. A cancellation of up to nine cells is one transaction as before; of more, the first one closes the job, and an own cell's owner goes on should the daemon go in between. An answer to a cancellation that is stored in part is 'perhaps done', never 'not done'.

Without further cells (three or fewer) the only difference is that a transaction of an owner takes 6 jobs in place of 9.

Left: jobs that don't last stay in their own cells, and so does a divided job's end when one cell gives it up.

--- a/models/jobs/query.go
+++ b/models/jobs/query.go
@@ -45,8 +45,10 @@
 type Answer struct {
 	// Owner tells whether the daemon owns the cell and has recovered its jobs; when not,
 	// the rest is empty.
-	Owner   bool              `json:"owner"`
-	States  map[ID]State      `json:"states,omitempty"` // jobs that aren't known are missing
+	Owner  bool         `json:"owner"`
+	States map[ID]State `json:"states,omitempty"` // jobs that aren't known are missing
+	// Guests are the further cells that have tasks of jobs, also of those that have left this cell.
+	Guests  map[ID][]CellName `json:"guests,omitempty"`
 	Pending map[QueueName]int `json:"pending,omitempty"`
 	Learned []Learned         `json:"learned,omitempty"`
 	Load    CellLoad          `json:"load"`
--- a/services/control/cancel.go
+++ b/services/control/cancel.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,23 +36,28 @@
 		return platform.NotDone{Reason: "cells are not laid out yet", RetryAfter: retrySoon}
 	}
 	unsure := false // an earlier write of this call may have been done: what is read next tells
+	partly := false // the job is cancelled in some of its cells
 	for {
 		entries, err := s.entriesOf(ctx, id, layout)
 		switch {
-		case err != nil && unsure:
+		case err != nil && (unsure || partly):
 			return platform.MaybeDone{Cause: err}
 		case err != nil:
 			return platform.NotDone{Reason: "store can't be read: " + err.Error(), RetryAfter: retrySoon}
-		case entries.known() && entries.state().Ended():
+		case entries.known() && entries.state().Ended() && len(entries.open()) == 0:
 			return platform.Done{} // the wish has been stored before, or comes too late
 		case !entries.known() && entries.barred():
 			return noSuchJob
 		}
-		outcome, conflict := s.tryCancel(ctx, id, entries)
-		if outcome != nil {
+		outcome, tried := s.tryCancel(ctx, id, entries)
+		refused, isRefused := outcome.(platform.NotDone)
+		switch {
+		case isRefused && partly:
+			return platform.MaybeDone{Cause: errors.New(refused.Reason)}
+		case outcome != nil:
 			return outcome
 		}
-		unsure = conflict.unsure
+		unsure, partly = tried.unsure, partly || tried.partly
 		if ctx.Err() != nil { // tasks move between cells, or the job ends
 			return platform.MaybeDone{Cause: errChanging}
 		}
@@ -70,48 +76,78 @@
 const cancelRetry = 20 * time.Millisecond
 
 // tryCancel cancels or bars a job whose entries are as they were read. Without an outcome they
-// have changed.
-func (s *Service) tryCancel(ctx context.Context, id jobs.ID, entries jobEntries) (platform.Outcome, conflicting) {
+// have changed, or there is more to do.
+func (s *Service) tryCancel(ctx context.Context, id jobs.ID, entries jobEntries) (platform.Outcome, cancelTry) {
 	var txn platform.Txn
 	var err error
 	var done platform.Outcome = platform.Done{}
 	if entries.known() {
-		txn, err = cancellationOf(id, entries)
+		var more bool
+		txn, more, err = cancellationOf(id, entries)
+		if more {
+			done = nil
+		}
 	} else {
 		txn, err = barOf(id, entries)
 		done = noSuchJob
 	}
 	if err != nil {
-		return platform.NotDone{Reason: err.Error(), Why: platform.RefusedUnfit}, conflicting{}
+		return platform.NotDone{Reason: err.Error(), Why: platform.RefusedUnfit}, cancelTry{}
 	}
 	if len(txn.Put) == 0 {
-		return nil, conflicting{} // read in the middle of a move
+		return nil, cancelTry{} // read in the middle of a move
 	}
 	switch w := s.write(ctx, txn).(type) {
 	case committed:
-		return done, conflicting{}
+		return done, cancelTry{partly: done == nil}
 	case turnedAway:
-		return refusalOf(w), conflicting{}
+		return refusalOf(w), cancelTry{}
 	case conflicting:
-		return nil, w
+		return nil, cancelTry{unsure: w.unsure}
 	case unsettled:
-		return platform.MaybeDone{Cause: w.cause}, conflicting{}
+		return platform.MaybeDone{Cause: w.cause}, cancelTry{}
 	}
-	return platform.MaybeDone{Cause: platform.ErrUnknown}, conflicting{} // the set is closed
+	return platform.MaybeDone{Cause: platform.ErrUnknown}, cancelTry{} // the set is closed
+}
+
+// cancelTry is what a try of a cancellation leaves behind that has no outcome yet.
+type cancelTry struct {
+	unsure bool // it may have been done, or may still be
+	partly bool // the job is cancelled in some of its cells
 }
 
-// cancellationOf stores a job's cancellation on condition that its entries are as they were read.
-func cancellationOf(id jobs.ID, entries jobEntries) (platform.Txn, error) {
+// cancellationOf stores a job's cancellation on condition that its entries are as they were read: in all cells at
+// once, or, where they are more than a transaction can change, in several; more tells whether others follow.
+func cancellationOf(id jobs.ID, entries jobEntries) (txn platform.Txn, more bool, err error) {
 	wish := jobs.Cancellation{At: models.UnixMilliOf(time.Now())}
+	txn, err = cancelIn(id, entries, entries.open(), wish)
+	switch {
+	case err != nil || txn.Entries() <= platform.MaxTxnEntries:
+		return txn, false, err
+	case entries.mayMove():
+		txn, err = closeMoves(id, entries, wish)
+		return txn, true, err
+	default:
+		open := entries.open()
+		open = open[:min(len(open), cancelledAtOnce)]
+		txn, err = cancelIn(id, open, open, wish)
+		return txn, true, err
+	}
+}
+
+// cancelledAtOnce is in how many cells a transaction can store a cancellation: two conditions and a write each.
+const cancelledAtOnce = platform.MaxTxnEntries / 3
+
+// cancelIn stores the cancellation in some cells, on condition that entries are as they were read.
+func cancelIn(id jobs.ID, entries, in jobEntries, wish jobs.Cancellation) (platform.Txn, error) {
 	var txn platform.Txn
-	var puts []put
 	for _, entry := range entries {
 		txn.Require = append(txn.Require, platform.Precondition{
 			Key: jobKey(entry.cell, id), Version: platform.Version(entry.record.Version),
 		})
-		if !entry.active() {
-			continue
-		}
+	}
+	var puts []put
+	for _, entry := range in {
 		key := cancelKey(entry.cell, id)
 		txn.Require = append(txn.Require, platform.Precondition{Key: key})
 		puts = append(puts, put{key, wish})
@@ -121,6 +157,32 @@
 	return txn, err
 }
 
+// mayMove tells whether tasks of the job may still move between cells while it is being cancelled.
+func (e jobEntries) mayMove() bool {
+	return slices.ContainsFunc(e, func(entry jobEntry) bool { return len(entry.record.Guests) > 0 && !entry.record.Closed })
+}
+
+// closeMoves cancels a job in the cells that follow from its id, and keeps its tasks from moving: each move by
+// one of the other cells requires the record that names it. What follows meets entries that don't change.
+func closeMoves(id jobs.ID, entries jobEntries, wish jobs.Cancellation) (platform.Txn, error) {
+	own := slices.DeleteFunc(slices.Clone(entries), func(entry jobEntry) bool { return entry.record.Home != "" })
+	txn, err := cancelIn(id, own, own.open(), wish)
+	if err != nil {
+		return txn, err
+	}
+	var puts []put
+	for _, entry := range own {
+		if len(entry.record.Guests) > 0 && !entry.record.Closed {
+			record := entry.record
+			record.Closed, record.Moved = true, true
+			puts = append(puts, put{jobKey(entry.cell, id), record})
+		}
+	}
+	writes, err := encode(puts)
+	txn.Put = append(txn.Put, writes...)
+	return txn, err
+}
+
 // barOf stores in place of a job that there is none: "no such job" promises that nothing of it
 // starts later, and a write of it by another daemon may still be on its way. The owner of the
 // cell removes the record as it does those of jobs that have ended long ago.
--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -44,7 +44,8 @@
 
 	workerCalls atomic.Int64 // in flight
 	starts      *inflight.Limit
-	yielded     atomic.Pointer[time.Time] // when this daemon last left a cell to one that carries more
+	cancelAgain func(ctx context.Context, id jobs.ID) platform.Outcome // goes on with a job's cancellation
+	yielded     atomic.Pointer[time.Time]                              // when this daemon last left a cell to one that carries more
 }
 
 type ownerRecord struct {
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -23,6 +23,8 @@
 //   - a part: the cell has the tasks that it names; the other records name the others
 //   - a part without tasks: the cell has handed over all that it had; the record stays until
 //     the job is forgotten, so that the job is known to all daemons also during a move
+//   - a part in a further cell, to which the job's id does not lead: the record of one of the job's own cells
+//     names that cell as long as the part is there, so that whoever reads the latter finds all
 //   - an ended record: the job has ended, whatever the other records say
 //   - an ended record with the state jobs.StateBarred: the job was cancelled before it was
 //     stored; it is shown to nobody, and keeps writes that are on their way from storing it
@@ -102,6 +104,7 @@
 	s := &Service{config: c, health: newStoreHealth(c.Logger, c.Clock), submissions: newSubmissions()}
 	s.Configurations = newConfigurations(c, s.health)
 	s.Cells = newCells(c, s.health, s.Configurations)
+	s.Cells.cancelAgain = s.Cancel
 	s.Configurations.changed = s.Cells.configure
 	return s
 }
--- a/services/control/entries.go
+++ b/services/control/entries.go
@@ -21,13 +21,24 @@
 // jobEntries are a job's entries in its cells.
 type jobEntries []jobEntry
 
-// entriesOf reads what the store holds of a job.
+// entriesOf reads what the store holds of a job: first in the cells that follow from its id, then in those
+// that the records there name.
 func (s *Service) entriesOf(ctx context.Context, id jobs.ID, layout *jobs.Layout) (jobEntries, error) {
 	if !s.health.good() {
 		return nil, platform.ErrUnavailable
 	}
-	var entries jobEntries
-	for _, cell := range cellsOf(id, layout) {
+	entries, err := s.entriesIn(ctx, cellsOf(id, layout), id)
+	if err != nil {
+		return nil, err
+	}
+	guests, err := s.entriesIn(ctx, entries.guests(), id)
+	return append(entries, guests...), err
+}
+
+// entriesIn reads what the store holds of a job in some cells.
+func (s *Service) entriesIn(ctx context.Context, cells []jobs.CellName, id jobs.ID) (jobEntries, error) {
+	entries := make(jobEntries, 0, len(cells))
+	for _, cell := range cells {
 		entry, err := s.entryIn(ctx, cell, id)
 		if err != nil {
 			return nil, err
@@ -37,6 +48,16 @@
 	return entries, nil
 }
 
+// guests are the further cells that the records name, each once.
+func (e jobEntries) guests() []jobs.CellName {
+	var cells []jobs.CellName
+	for _, entry := range e {
+		cells = append(cells, entry.record.Guests...)
+	}
+	slices.Sort(cells)
+	return slices.Compact(cells)
+}
+
 // entryIn reads what the store holds of a job in one cell.
 func (s *Service) entryIn(ctx context.Context, cell jobs.CellName, id jobs.ID) (jobEntry, error) {
 	entry := jobEntry{cell: cell}
@@ -62,6 +83,17 @@
 	return e.record.Version != 0 && e.record.Ended == "" && !e.record.Left()
 }
 
+// open are the entries of cells that have tasks of the job and are not told yet that it is cancelled.
+func (e jobEntries) open() jobEntries {
+	var open jobEntries
+	for _, entry := range e {
+		if entry.active() && !entry.cancelled {
+			open = append(open, entry)
+		}
+	}
+	return open
+}
+
 // known tells whether any cell has a record of the job, other than one that bars it.
 func (e jobEntries) known() bool {
 	return slices.ContainsFunc(e, func(entry jobEntry) bool {
--- /dev/null
+++ b/services/control/further_test.go
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/platform"
+)
+
+// newSpread makes cells of two workers each, and runs a job that lasts with a task on each worker but one, so that
+// most of its tasks are in cells that do not follow from its id.
+func newSpread(t *testing.T, cells, daemons int) (w *world, spec jobs.Spec) {
+	t.Helper()
+	w = newWorldOf(t, 2*cells, daemons, 2, nil)
+	spec = lasting(1, 2*cells-1)
+	spec.Steps[0].PerWorker = 1
+	w.submit(w.daemons[0], spec)
+	w.eventually(40*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == spec.Steps[0].Count })
+	return w, spec
+}
+
+// keysOf are the keys in the store that name a job.
+func (w *world) keysOf(id jobs.ID) []string {
+	var keys []string
+	for _, prefix := range []string{jobPrefix, progressPrefix} {
+		records, _, err := w.daemons[0].config.Store.List(w.ctx, prefix)
+		require.NoError(w.t, err)
+		for _, record := range records {
+			if strings.Contains(record.Key, string(id)) {
+				keys = append(keys, record.Key)
+			}
+		}
+	}
+	return keys
+}
+
+// everywhere waits until each daemon shows a job's state.
+func (w *world) everywhere(id jobs.ID, state jobs.State) {
+	w.t.Helper()
+	w.eventually(5*time.Second, "each daemon shows "+string(state), func() bool {
+		for _, d := range w.daemons {
+			if w.state(d, id) != state {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestJobInManyCellsIsCancelledAndForgotten guards against tasks of further cells that run on, records that
+// stay for ever, and a cancellation that doesn't fit into a transaction of the store.
+func TestJobInManyCellsIsCancelledAndForgotten(t *testing.T) {
+	for name, cells := range map[string]int{"four": 4, "seven": 7, "fourteen": 14} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, spec := newSpread(t, cells, 2)
+				w.everywhere(spec.ID, jobs.StateRunning)
+				w.submit(w.daemons[1], spec) // accepted before, so that nothing happens
+				time.Sleep(3 * time.Second)
+				require.Equal(t, spec.Steps[0].Count, w.grid.Running(spec.ID))
+				require.Equal(t, platform.Done{}, w.daemons[1].Cancel(w.ctx, spec.ID))
+				w.eventually(2*time.Second, "all tasks are stopped", func() bool { return w.grid.Running(spec.ID) == 0 })
+				w.everywhere(spec.ID, jobs.StateCancelled)
+				require.Equal(t, platform.Done{}, w.daemons[0].Cancel(w.ctx, spec.ID), "a second time")
+				time.Sleep(170 * time.Second)
+				require.Empty(t, w.keysOf(spec.ID))
+				w.noBreach()
+			})
+		})
+	}
+}
+
+// TestCancellationInManyCellsGoesOnWithoutItsDaemon guards against a job that is cancelled in some cells and
+// runs on in others, for the daemon that was asked has gone between two transactions.
+func TestCancellationInManyCellsGoesOnWithoutItsDaemon(t *testing.T) {
+	for commits := 1; commits <= 2; commits++ {
+		synctest.Test(t, func(t *testing.T) {
+			w, spec := newSpread(t, 14, 2)
+			asked := w.startDaemon()
+			time.Sleep(3 * time.Second)
+			left := commits
+			asked.beforeCommit = func() {
+				if left--; left < 0 {
+					asked.mu.Lock()
+					defer asked.mu.Unlock()
+					asked.storeCut = true
+				}
+			}
+			ctx, cancel := context.WithTimeout(w.ctx, 3*time.Second)
+			defer cancel()
+			require.NotEqual(t, platform.Done{}, asked.Cancel(ctx, spec.ID))
+			w.daemons = w.daemons[:len(w.daemons)-1]
+			w.eventually(20*time.Second, "all tasks are stopped", func() bool { return w.grid.Running(spec.ID) == 0 })
+			w.everywhere(spec.ID, jobs.StateCancelled)
+			w.noBreach()
+		})
+	}
+}
+
+// TestFurtherCellGivesTasksBack guards against tasks that stay in a further cell whose workers go, and against
+// records there that nobody removes.
+func TestFurtherCellGivesTasksBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, spec := newSpread(t, 5, 3)
+		layout := w.daemons[0].Cells.layout()
+		own := cellsOf(spec.ID, layout)
+		further := ""
+		for _, key := range w.keysOf(spec.ID) {
+			if cell := strings.Split(key, "/")[1]; strings.HasPrefix(key, jobPrefix) && cell != string(own[0]) && cell != string(own[1]) && cell != string(own[2]) {
+				further = cell
+			}
+		}
+		require.NotEmpty(t, further)
+		places := w.workersOfCell(int(further[0] - '0'))
+		for _, place := range places {
+			w.grid.SetFaults(place, faultsCut)
+			w.grid.SetListed(place, false)
+		}
+		time.Sleep(12 * time.Second) // the nine other workers run eight of the tasks, for the ninth one has one
+		require.GreaterOrEqual(t, w.grid.Running(spec.ID), 8)
+		for _, place := range places {
+			w.grid.SetFaults(place, noFaults)
+			w.grid.SetListed(place, true)
+		}
+		w.eventually(20*time.Second, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == 9 })
+		require.Equal(t, platform.Done{}, w.daemons[0].Cancel(w.ctx, spec.ID))
+		w.eventually(2*time.Second, "all tasks are stopped", func() bool { return w.grid.Running(spec.ID) == 0 })
+		time.Sleep(170 * time.Second)
+		require.Empty(t, w.keysOf(spec.ID))
+		w.noBreach()
+	})
+}
+
+// The scenes with more cells than a job's id leads to, of two workers each. A spread job takes all workers but
+// one; three more tasks that last leave it room.
+var (
+	fourCells = scene{workers: 8, perCell: 2, mostLasting: 3}
+	sixCells  = scene{workers: 12, perCell: 2, mostLasting: 3}
+)
+
+// spreadHappenings are those of random scripts, and a job with a task on each worker but one.
+var spreadHappenings = append([]string{"submit spread", "submit spread", "submit spread", "submit spread"}, happenings...)
+
+// TestRandomFaultsInManyCells plays random scripts where tasks of a job are in more cells than its id leads to.
+func TestRandomFaultsInManyCells(t *testing.T) {
+	draw := func(rt *rapid.T) happening { return drawFrom(rt, spreadHappenings) }
+	t.Run("four cells", func(t *testing.T) { checkScripts(t, fourCells, draw) })
+	t.Run("six cells", func(t *testing.T) { checkScripts(t, sixCells, draw) })
+}
+
+// TestRandomCrashesInManyCells does the same with tasks that end their workers.
+func TestRandomCrashesInManyCells(t *testing.T) {
+	whats := append([]string{"submit spread", "submit spread", "submit spread", "submit spread"}, crashHappenings...)
+	checkScripts(t, fourCells, func(rt *rapid.T) happening { return drawFrom(rt, whats) })
+}
--- a/services/control/keys.go
+++ b/services/control/keys.go
@@ -31,11 +31,12 @@
 
 func cellName(number int) jobs.CellName { return jobs.CellName(strconv.Itoa(number)) }
 
-// cellsOfJob is how many cells a job may be in at most. Each costs a condition of its acceptance, a key
-// that is removed when it is forgotten, and a question when nobody knows where it is.
+// cellsOfJob is in how many cells a job is looked for. Each costs a condition of its acceptance, a key
+// that is removed when it is forgotten, and a question when nobody knows where it is. Tasks that last
+// may be in further ones, which the records in these name.
 const cellsOfJob = 3
 
-// cellsOf gives the cells that a job may be in, to choose from. They never change, so that a job that is
+// cellsOf gives the cells that a job is accepted for, to choose from. They never change, so that a job that is
 // handed in again meets its own key.
 func cellsOf(id jobs.ID, layout *jobs.Layout) []jobs.CellName {
 	hash := xxhash.Sum64String(string(id))
--- a/services/control/move.go
+++ b/services/control/move.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 
@@ -19,6 +20,8 @@
 // move is work on its way to another cell.
 type move struct {
 	dispatch.Move
+	// further: the other cell does not follow from the job's id.
+	further bool
 	// unsure: a transaction without answer may have moved it, or may still do so.
 	unsure bool
 }
@@ -105,30 +108,54 @@
 // carryOut hands work to another cell: in one transaction the record here loses the tasks
 // and the one there gets them.
 func (o *Owner) carryOut(ctx context.Context, m *move) moveOutcome {
-	// The record there is read before the one here: if it bars the move, no earlier try can be
+	// The other records are read before the one here: if they bar the move, no earlier try can be
 	// done from then on, and the record here shows afterwards whether one was done before. In the
 	// other order, one that is done between the reads, and whose work ends at once, would be
 	// taken for one that can't be done.
-	there, err := o.readRecord(ctx, m.To, m.Job)
+	records, err := o.readRecords(ctx, m)
 	if err != nil {
 		return m.failed(err)
 	}
-	here, err := o.readRecord(ctx, o.cell, m.Job)
-	switch {
-	case err != nil:
-		return m.failed(err)
+	switch here := records[o.cell]; {
 	case here.Version == 0:
 		return moveGone{}
 	case here.Ended != "": // by this owner: the job was cancelled here, which bars all tries
 		return moveOff{why: errNotMovable}
 	case !o.stillMoving(m, here):
 		return moveDone{platform.Version(here.Version)} // a transaction without answer has done it
-	case there.Ended != "":
+	case records.bar():
 		return moveOff{why: errNotMovable}
-	case m.Whole && there.Version != 0:
+	case m.Whole && records[m.To].Version != 0:
 		return moveOff{why: errBeenThere, forGood: true}
 	}
-	return o.tryMove(ctx, m, here, there)
+	return o.tryMove(ctx, m, records)
+}
+
+// moveRecords are a job's records that a move depends on, by cell: of the one that has the tasks, the one that
+// gets them, and the one whose record names the former, if the former is a further cell.
+type moveRecords map[jobs.CellName]jobs.Record
+
+// readRecords reads them, the one here last.
+func (o *Owner) readRecords(ctx context.Context, m *move) (moveRecords, error) {
+	records := moveRecords{}
+	for _, cell := range []jobs.CellName{m.To, cmp.Or(m.Home, o.cell), o.cell} {
+		record, err := o.readRecord(ctx, cell, m.Job)
+		if err != nil {
+			return nil, err
+		}
+		records[cell] = record
+	}
+	return records, nil
+}
+
+// bar tells whether the job has ended in one of the cells, or is closed.
+func (r moveRecords) bar() bool {
+	for _, record := range r {
+		if record.Ended != "" || record.Closed {
+			return true
+		}
+	}
+	return false
 }
 
 // stillMoving tells whether the tasks of a move are still here, by the record as it is now.
@@ -139,8 +166,8 @@
 }
 
 // tryMove tries a move between the records as they were read.
-func (o *Owner) tryMove(ctx context.Context, m *move, here, there jobs.Record) moveOutcome {
-	txn, err := o.moveTxn(m, here, there)
+func (o *Owner) tryMove(ctx context.Context, m *move, records moveRecords) moveOutcome {
+	txn, err := o.moveTxn(m, records)
 	if err != nil {
 		return m.failed(err)
 	}
@@ -156,22 +183,61 @@
 
 // moveTxn is the transaction of a move. A cancellation, here or there, bars it: the daemon
 // that stores one has seen where the job was.
-func (o *Owner) moveTxn(m *move, here, there jobs.Record) (platform.Txn, error) {
-	sum := here.NewPart(m.Tasks, m.LeastRun)
-	if there.Version != 0 {
+func (o *Owner) moveTxn(m *move, records moveRecords) (platform.Txn, error) {
+	var txn platform.Txn
+	for cell, record := range records {
+		txn.Require = append(txn.Require, platform.Precondition{Key: jobKey(cell, m.Job), Version: platform.Version(record.Version)})
+	}
+	for _, cell := range []jobs.CellName{o.cell, m.To} {
+		txn.Require = append(txn.Require, platform.Precondition{Key: cancelKey(cell, m.Job)})
+	}
+	after := records.after(m, o.cell)
+	var puts []put
+	for cell, record := range after {
+		if record.Home != "" && record.Left() { // a further cell is named no more, and keeps nothing
+			txn.Delete = append(txn.Delete, jobKey(cell, m.Job), progressKey(cell, m.Job))
+			continue
+		}
+		puts = append(puts, put{jobKey(cell, m.Job), record})
+	}
+	writes, err := encode(puts)
+	txn.Put = writes
+	return txn, err
+}
+
+// after gives the records that a move changes as they are after it.
+func (r moveRecords) after(m *move, from jobs.CellName) moveRecords {
+	here, there := r[from], r[m.To]
+	rest := here.Without(m.Tasks)
+	var sum jobs.Record
+	comes := there.Version == 0
+	if comes {
+		sum = here.NewPart(m.Tasks, m.LeastRun)
+	} else {
 		sum = there.WithTasks(m.Tasks, m.LeastRun)
 	}
 	sum.Suspected = sum.Suspected.With(m.Suspected)
-	writes, err := encode([]put{{jobKey(o.cell, m.Job), here.Without(m.Tasks)}, {jobKey(m.To, m.Job), sum}})
-	return platform.Txn{
-		Require: []platform.Precondition{
-			{Key: jobKey(o.cell, m.Job), Version: platform.Version(here.Version)},
-			{Key: jobKey(m.To, m.Job), Version: platform.Version(there.Version)},
-			{Key: cancelKey(o.cell, m.Job)},
-			{Key: cancelKey(m.To, m.Job)},
-		},
-		Put: writes,
-	}, err
+	guest := comes && m.further
+	naming := cmp.Or(m.Home, from)
+	if guest {
+		sum.Home = naming
+	}
+	after := moveRecords{from: rest, m.To: sum}
+	leaves := m.Home != "" && rest.Left()
+	if !guest && !leaves {
+		return after
+	}
+	names, changed := after[naming]
+	if !changed {
+		names = r[naming]
+		names.Moved = true
+	}
+	names.Guests = slices.DeleteFunc(slices.Clone(names.Guests), func(cell jobs.CellName) bool { return leaves && cell == from })
+	if guest {
+		names.Guests = append(names.Guests, m.To)
+	}
+	after[naming] = names
+	return after
 }
 
 // readRecord reads a job's record in a cell; one with version 0 when there is none.
--- a/services/control/offer.go
+++ b/services/control/offer.go
@@ -10,6 +10,7 @@
 
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/services/dispatch"
+	"rillsail.example/rillsail/services/platform"
 )
 
 const (
@@ -26,7 +27,8 @@
 	movesAtOnce = 8
 )
 
-// moveLoop offers work that finds no place here to the other cells that it may be in.
+// moveLoop offers work that finds no place here to the other cells that it may be in, and cancels jobs in
+// further cells that a daemon has left behind.
 func (o *Owner) moveLoop(ctx context.Context) {
 	if !o.cells.several() {
 		return
@@ -43,20 +45,39 @@
 		sleep(ctx, movePause)
 		if o.cells.health.good() {
 			o.offerAll(ctx, layout)
+			o.cancelRest(ctx)
 		}
 	}
 }
 
-// offerAll offers work to one cell after the other, until all of it is on its way.
+// offerAll offers work to one cell after the other, until all of it is on its way: first to those that follow
+// from the job's id, where it is found without being looked for.
 func (o *Owner) offerAll(ctx context.Context, layout *jobs.Layout) {
 	offers := o.movable()
-	for _, cell := range o.cells.others(o.cell) {
-		if len(offers) > 0 {
-			offers = o.offer(ctx, cell, offers, layout)
+	for _, further := range []bool{false, true} {
+		for _, cell := range o.cells.others(o.cell) {
+			if len(offers) > 0 {
+				offers = o.offer(ctx, target{cell: cell, further: further}, offers, layout)
+			}
 		}
 	}
 }
 
+// target is a cell that work is offered to.
+type target struct {
+	cell jobs.CellName
+	// further: work is offered to it whose job's id does not lead there, otherwise work whose id does.
+	further bool
+}
+
+// mayTake tells whether work is offered to the cell. A job that moves as a whole stays where it is looked for.
+func (t target) mayTake(offer dispatch.Move, layout *jobs.Layout) bool {
+	if t.further && offer.Whole {
+		return false
+	}
+	return slices.Contains(cellsOf(offer.Job, layout), t.cell) != t.further
+}
+
 // movable lists work to be offered; none while a move is not over.
 func (o *Owner) movable() []dispatch.Move {
 	o.mu.Lock()
@@ -67,13 +88,13 @@
 	return o.core.Movable(offersAtOnce, o.config.Clock.Now())
 }
 
-// offer asks the owner of a cell how much of the work finds a place there, begins to move
+// offer asks the owner of a cell how much of the work that may go there finds a place, begins to move
 // that, and gives the other work.
-func (o *Owner) offer(ctx context.Context, to jobs.CellName, offers []dispatch.Move, layout *jobs.Layout) []dispatch.Move {
+func (o *Owner) offer(ctx context.Context, to target, offers []dispatch.Move, layout *jobs.Layout) []dispatch.Move {
 	var fitting, others []dispatch.Move
-	query := jobs.Query{Cell: to}
+	query := jobs.Query{Cell: to.cell}
 	for _, offer := range offers {
-		if !slices.Contains(cellsOf(offer.Job, layout), to) {
+		if !to.mayTake(offer, layout) {
 			others = append(others, offer)
 			continue
 		}
@@ -101,7 +122,7 @@
 }
 
 // begin begins to move as much of the work as finds a place in the other cell.
-func (o *Owner) begin(offer dispatch.Move, to jobs.CellName, places int) bool {
+func (o *Owner) begin(offer dispatch.Move, to target, places int) bool {
 	if places == 0 || offer.Whole && places < offer.Demand.Step.Count || len(o.moves) >= movesAtOnce {
 		return false
 	}
@@ -111,7 +132,23 @@
 	if !o.core.BeginMove(offer) {
 		return false
 	}
-	offer.To = to
-	o.moves = append(o.moves, &move{Move: offer})
+	offer.To = to.cell
+	o.moves = append(o.moves, &move{Move: offer, further: to.further})
 	return true
 }
+
+// cancelRest goes on with the cancellation of closed jobs: the daemon that has begun it may have gone.
+func (o *Owner) cancelRest(ctx context.Context) {
+	o.mu.Lock()
+	closed := o.closed
+	o.closed = nil
+	o.mu.Unlock()
+	for _, id := range closed {
+		if _, done := o.cells.cancelAgain(ctx, id).(platform.Done); done {
+			continue
+		}
+		o.mu.Lock()
+		o.closed = append(o.closed, id)
+		o.mu.Unlock()
+	}
+}
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -33,7 +33,8 @@
 	metered dispatch.Counts                      // handed to the metrics so far
 
 	journal    journal
-	moves      []*move // work that is being handed to other cells
+	moves      []*move   // work that is being handed to other cells
+	closed     []jobs.ID // whose cancellation may have been left unfinished
 	wakeDecide chan struct{}
 	wakeStore  chan struct{}
 	wakeMove   chan struct{}
@@ -118,11 +119,14 @@
 	if !o.loaded {
 		return jobs.Answer{}
 	}
-	answer := jobs.Answer{Owner: true, States: map[jobs.ID]jobs.State{}}
+	answer := jobs.Answer{Owner: true, States: map[jobs.ID]jobs.State{}, Guests: map[jobs.ID][]jobs.CellName{}}
 	for _, id := range query.Jobs {
 		if state, ok := o.core.State(id); ok {
 			answer.States[id] = state
 		}
+		if guests := o.core.Guests(id); len(guests) > 0 {
+			answer.Guests[id] = guests
+		}
 	}
 	if query.Pending {
 		answer.Pending = o.core.Pending()
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -157,6 +157,9 @@
 			return
 		}
 		o.core.AddJob(job, progress[id], jobs.Epoch(record.Version) > o.epoch, now)
+		if job.Closed {
+			o.closed = append(o.closed, id)
+		}
 	}
 }
 
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,8 +17,8 @@
 )
 
 // jobsPerTxn keeps a transaction within the store's bound: an ended job has three entries
-// at most, and five entries are the owner's own.
-const jobsPerTxn = (platform.MaxTxnEntries - 5) / 3
+// at most, one that is forgotten a key in each of its cells, and five entries are the owner's own.
+const jobsPerTxn = (platform.MaxTxnEntries - 5) / (cellsOfJob + 1)
 
 // storeLoop stores what the core has changed.
 func (o *Owner) storeLoop(ctx context.Context) {
@@ -99,7 +100,11 @@
 		}
 	}
 	for _, id := range changes.Forget { // also where parts of it were, or it came from
-		txn.Delete = append(txn.Delete, jobKeys(cellsOf(id, o.cells.layout()), id)...)
+		cells := cellsOf(id, o.cells.layout())
+		if !slices.Contains(cells, o.cell) {
+			cells = append(cells, o.cell)
+		}
+		txn.Delete = append(txn.Delete, jobKeys(cells, id)...)
 	}
 	writes, err := encode(puts)
 	txn.Put = append(writes, o.writeOf(changes.Knowledge)...)
--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -109,6 +109,7 @@
 	perCell      int // of them
 	naming       grid.Naming
 	forgetsAhead bool // see grid.Config
+	mostLasting  int  // 0: mostLasting
 }
 
 var (
@@ -160,7 +161,9 @@
 // scripted is what a script has brought about so far.
 type scripted struct {
 	*world
+	where     scene
 	made      int
+	spread    bool
 	lasting   int // tasks that last
 	accepted  []jobs.Spec
 	cancelled map[jobs.ID]bool
@@ -174,6 +177,7 @@
 	outer := t
 	synctest.Test(t, func(t *testing.T) {
 		s := &scripted{cancelled: map[jobs.ID]bool{}, perhaps: map[jobs.ID]bool{}, crashing: map[jobs.ID]time.Duration{}}
+		s.where = where
 		s.world = newWorldWith(t, scriptDaemons, where.perCell, grid.Config{
 			Workers: cmp.Or(where.workers, scriptWorkers), Down: workerDown, Crash: s.crashOf, Naming: where.naming, ForgetsAhead: where.forgetsAhead,
 		})
@@ -216,6 +220,8 @@
 		s.submitLasting(d, 1)
 	case "submit wide":
 		s.submitLasting(d, wideTasks)
+	case "submit spread":
+		s.submitSpread(d)
 	case "submit crashing":
 		s.crashLater(h)
 		s.made++
@@ -317,7 +323,7 @@
 
 // submitLasting hands in a job of lasting tasks while there is room for all of them.
 func (s *scripted) submitLasting(d *testDaemon, tasks int) {
-	if s.lasting+tasks > mostLasting {
+	if s.lasting+tasks > cmp.Or(s.where.mostLasting, mostLasting) {
 		return
 	}
 	s.lasting += tasks
@@ -325,6 +331,18 @@
 	s.trySubmit(d, lasting(s.made, tasks))
 }
 
+// submitSpread hands in a job with a task on each worker but one, once.
+func (s *scripted) submitSpread(d *testDaemon) {
+	if s.spread {
+		return
+	}
+	s.spread = true
+	s.made++
+	spec := lasting(s.made, s.where.workers-1)
+	spec.Steps[0].PerWorker = 1
+	s.trySubmit(d, spec)
+}
+
 func (s *scripted) tryCancel(d *testDaemon, id jobs.ID) {
 	ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
 	defer cancel()
--- a/services/control/state.go
+++ b/services/control/state.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 
 	"github.com/cockroachdb/errors"
@@ -22,10 +23,26 @@
 	if layout == nil {
 		return "", platform.ErrUnavailable
 	}
-	known := jobs.State("")
-	for _, cell := range cellsOf(id, layout) {
+	known, guests := s.askState(ctx, id, cellsOf(id, layout))
+	if (known == "" || known == jobs.StateQueued) && len(guests) > 0 { // its tasks may run there alone
+		there, _ := s.askState(ctx, id, guests)
+		known = cmp.Or(there, known)
+	}
+	if known != "" {
+		return known, nil
+	}
+	return s.stored(ctx, id, layout)
+}
+
+// askState asks the owners of cells for the state of a job; empty: none of them knows it. Other cells that
+// have tasks of it are named.
+func (s *Service) askState(ctx context.Context, id jobs.ID, cells []jobs.CellName) (known jobs.State, guests []jobs.CellName) {
+	for _, cell := range cells {
 		answer, err := s.Cells.ask(ctx, jobs.Query{Cell: cell, Jobs: []jobs.ID{id}})
 		state, ok := answer.States[id]
+		if err == nil {
+			guests = append(guests, answer.Guests[id]...)
+		}
 		switch {
 		case err != nil || !ok:
 		case state != jobs.StateQueued:
@@ -34,10 +51,7 @@
 			known = state // tasks in another cell may run
 		}
 	}
-	if known != "" {
-		return known, nil
-	}
-	return s.stored(ctx, id, layout)
+	return known, guests
 }
 
 // stored finds a job's state in the store.
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -85,8 +85,8 @@
 	jobs        map[jobs.ID]*job
 	timed       map[jobs.ID]*job // those that repeat
 	ended       map[jobs.ID]endedJob
-	left        map[jobs.ID]uint64 // jobs that went to another cell as a whole, by the version of their keys
-	forgotAt    time.Time          // when ended jobs were last looked through
+	left        map[jobs.ID]leftJob // jobs that went to another cell as a whole
+	forgotAt    time.Time           // when ended jobs were last looked through
 	workers     map[jobs.WorkerID]*worker
 	order       []*worker       // by id
 	hurry       []jobs.WorkerID // see TakeHurried
@@ -147,7 +147,7 @@
 // New makes a core without jobs and workers.
 func New(config Config) *Core {
 	return &Core{
-		config: config, jobs: map[jobs.ID]*job{}, timed: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, left: map[jobs.ID]uint64{},
+		config: config, jobs: map[jobs.ID]*job{}, timed: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, left: map[jobs.ID]leftJob{},
 		workers: map[jobs.WorkerID]*worker{}, queues: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
 		formerLease: config.LongestLease, blind: true, proved: config.Taken, model: contention.NewModel(), usual: map[jobs.QueueName]*speed{},
 		restored: map[stepKey]contention.Load{}, known: known{jobs: config.Taken, workers: config.Taken},
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -38,6 +38,15 @@
 	recorded    uint64          // version of the record that says which tasks this cell has
 	leastRun    jobs.RunID      // that other cells had given to runs of its tasks
 	brought     jobs.Suspicions // that came with tasks of other cells
+	home        jobs.CellName   // whose record names this cell, if that does not follow from the job's id
+	guests      []jobs.CellName // further cells that its record here names
+	closed      bool            // its record here says so
+}
+
+// leftJob is a job all of whose tasks other cells have.
+type leftJob struct {
+	version uint64 // of its key here
+	guests  []jobs.CellName
 }
 
 // AddJob takes a job that the store holds. Fresh says that it was accepted after this
@@ -56,8 +65,10 @@
 	if _, known := c.ended[id]; known {
 		return
 	}
-	if record.Left() || record.Version > 0 && record.Version <= c.left[id] {
-		c.left[id] = max(c.left[id], record.Version)
+	if left := c.left[id]; record.Left() || record.Version > 0 && record.Version <= left.version {
+		if record.Version >= left.version {
+			c.left[id] = leftJob{version: record.Version, guests: record.Guests}
+		}
 		return
 	}
 	delete(c.left, id)
@@ -85,7 +96,7 @@
 	j := &job{
 		spec: record.Spec, terms: record.Terms, accepted: record.Accepted, begins: record.Accepted,
 		chain: record.Spec.Chain(), fresh: fresh, came: record.Came, recorded: record.Version,
-		leastRun: record.LeastRun, brought: record.Suspected,
+		leastRun: record.LeastRun, brought: record.Suspected, home: record.Home, guests: record.Guests, closed: record.Closed,
 	}
 	for occurrence := range j.spec.Occurrences() {
 		for number := range j.spec.Steps {
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -20,6 +20,7 @@
 	Whole  bool          // all tasks of the job go, or none
 	Stuck  time.Duration // for how long no place was found
 	To     jobs.CellName // the cell that has places; filled in when the move begins
+	Home   jobs.CellName // whose record names this cell; empty: it follows from the job's id
 	Tasks  jobs.TaskSet
 	// LeastRun is the highest number that a run of the tasks has had.
 	LeastRun jobs.RunID
@@ -94,7 +95,7 @@
 
 // moveOf is what may be moved of a step's job.
 func (c *Core) moveOf(s *step) (Move, bool) {
-	move := Move{Job: s.job.spec.ID, Demand: jobs.Demand{Job: s.job.spec.ID, Number: s.flat(), Pool: c.terms(s.job).Pool, Step: *s.spec}, Tasks: jobs.TaskSet{}, Suspected: jobs.Suspicions{}, LeastRun: c.leastRunOf(s.job)}
+	move := Move{Job: s.job.spec.ID, Demand: jobs.Demand{Job: s.job.spec.ID, Number: s.flat(), Pool: c.terms(s.job).Pool, Step: *s.spec}, Tasks: jobs.TaskSet{}, Suspected: jobs.Suspicions{}, LeastRun: c.leastRunOf(s.job), Home: s.job.home}
 	move.Demand.Step.Count = s.waiting
 	switch {
 	case s.job.spec.Divisible():
--- a/services/dispatch/parts.go
+++ b/services/dispatch/parts.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models/jobs"
@@ -19,7 +21,8 @@
 		}
 	}
 	delete(c.jobs, j.spec.ID)
-	c.left[j.spec.ID] = j.recorded
+	c.dirty = slices.DeleteFunc(c.dirty, func(other *job) bool { return other == j })
+	c.left[j.spec.ID] = leftJob{version: j.recorded, guests: j.guests}
 }
 
 // takeRecord takes a newer record of a job that is known: tasks have come from another cell,
@@ -29,6 +32,7 @@
 		return
 	}
 	j.recorded = record.Version
+	j.home, j.guests, j.closed = record.Home, record.Guests, record.Closed
 	j.leastRun = max(j.leastRun, record.LeastRun)
 	came, went := 0, 0
 	for flat, s := range j.steps {
@@ -65,5 +69,13 @@
 	}
 }
 
+// Guests are the further cells that have tasks of a job, as its record here names them.
+func (c *Core) Guests(id jobs.ID) []jobs.CellName {
+	if j, ok := c.jobs[id]; ok {
+		return j.guests
+	}
+	return c.left[id].guests
+}
+
 // Dropped says that the store does not hold a job any more.
 func (c *Core) Dropped(id jobs.ID) { delete(c.left, id) }
--- a/services/platform/jobs.go
+++ b/services/platform/jobs.go
@@ -32,6 +32,9 @@
 	Delete  []string
 }
 
+// Entries is how many entries the transaction has.
+func (t Txn) Entries() int { return len(t.Require) + len(t.Put) + len(t.Delete) }
+
 // MaxTxnEntries bounds the entries of one Txn, preconditions included.
 const MaxTxnEntries = 32
 
