Times that are very close say more; losses that speak for a task make no suspect of it

Cause: two losses after 201 ms each counted as much as two after 201 and 290 ms, though a connection that breaks tells the end of a worker to some milliseconds; and a task whose losses speak against it only compared with chance, and for it compared with what ran beside it (weight -2.7), was a suspect like any other.

Change: half of the tasks that crash after the same time are taken to do so within 20 ms or 3 %; a task with a weight below -2 is no suspect before its third loss.

--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -63,9 +63,14 @@
 	// sameTime is the share of such tasks that does.
 	sameTime = 0.8
 	// sameWithin is how far apart two such times are at most, as a part of the earlier one, and
-	// sameLeast the same for short ones: calls tell the end of a worker no better.
+	// sameLeast the same for short ones: where nothing listens any more, calls tell the end of a worker no better.
 	sameWithin = 0.3
 	sameLeast  = 100 * time.Millisecond
+	// closeTime is the share of those whose times are as close as connections tell that break at the end of a
+	// worker; closeWithin and closeLeast are for them what sameWithin and sameLeast are for all.
+	closeTime   = 0.5
+	closeWithin = 0.03
+	closeLeast  = 20 * time.Millisecond
 )
 
 // densityAfter is the density for a task whose earlier runs were lost after these times.
@@ -76,14 +81,20 @@
 	}
 	near := 0.0
 	for _, earlier := range before {
-		within := max(sameLeast, time.Duration(sameWithin*float64(earlier)))
-		if (ran - earlier).Abs() <= within {
-			near += 1 / (min(within, earlier) + within).Seconds()
-		}
+		near += (1 - closeTime) * around(earlier, ran, max(sameLeast, time.Duration(sameWithin*float64(earlier))))
+		near += closeTime * around(earlier, ran, max(closeLeast, time.Duration(closeWithin*float64(earlier))))
 	}
 	return (1-sameTime)*anyTime + sameTime*near/float64(len(before))
 }
 
+// around is the density at a time of those that are at most so far from an earlier one, none of which is below zero.
+func around(earlier, ran, within time.Duration) float64 {
+	if (ran - earlier).Abs() > within {
+		return 0
+	}
+	return 1 / (min(within, earlier) + within).Seconds()
+}
+
 // lostBy is how likely a task that crashes workers has done so by that time, when its earlier runs were
 // lost after these.
 func lostBy(ran time.Duration, before []time.Duration) float64 {
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -41,16 +41,29 @@
 // together have little against each one, but all of them are to be tried.
 var suspectFrom = math.Log(1 / crasherShare)
 
-// suspectLosses is how many losses make a suspect whatever they say: several tasks that crash
-// workers and are started at the same moments are lost at the same moments, as if by one cause.
-const suspectLosses = 2
+const (
+	// suspectLosses is how many losses make a suspect, unless they speak for the task: several tasks that crash
+	// workers and are started at the same moments are lost at the same moments, as if by one cause.
+	suspectLosses = 2
+	// suspectAnyway is how many do whatever they say: few starts are left.
+	suspectAnyway = 3
+	// speaksFor is the weight below which losses speak for a task: what ran beside it is the likelier cause by far.
+	speaksFor = -2
+)
 
 // suspected tells whether the task may be one that ends its workers.
 func (t *task) suspected() bool {
-	if len(t.suspicion.Lost) == 0 {
+	losses := t.losses()
+	switch {
+	case len(t.suspicion.Lost) == 0:
 		return false
+	case losses >= suspectAnyway:
+		return true
+	case t.suspicion.Weight() <= speaksFor:
+		return false
+	default:
+		return losses >= suspectLosses || t.suspicion.Doubt() >= suspectFrom
 	}
-	return t.losses() >= suspectLosses || t.suspicion.Doubt() >= suspectFrom
 }
 
 // losses is how many runs of the task may have been lost with their workers.
