A start that met another incarnation was not lost with its worker

Cause: a start whose call meets the next incarnation has done nothing, as its answer says; but the former incarnation is dropped first, and the run counted as one that ended it 10 ms after its start.

Change: such a run is taken back, and not barred, if it was not repeated.

Measured: a unit test for both orders of news, which fails before.

--- a/services/dispatch/incarnation_test.go
+++ b/services/dispatch/incarnation_test.go
@@ -369,3 +369,28 @@
 		require.True(t, b.workers[b.ids[0]].unwell.IsZero())
 	}
 }
+
+// TestStartThatMetAnotherIncarnationWasNeverLost guards against a run that counts as one which ended its worker
+// right after its start: the call met the next incarnation, which has done nothing of it.
+func TestStartThatMetAnotherIncarnationWasNeverLost(t *testing.T) {
+	met := Result{Outcome: OutcomeIncarnation, Born: bornSecond}
+	for name, reportFirst := range map[string]bool{"its answer tells of it": false, "a report told of it before": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 1)
+			b.list(bornFirst)
+			b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+			b.report(0, jobs.Report{Born: bornFirst})
+			starts := b.storedStarts()
+			require.Len(t, starts, 1)
+			if reportFirst {
+				b.restarted(bornSecond, 30, jobs.Report{})
+			}
+			b.Started(starts[0], met, b.now)
+			task := &b.jobs[testJob].steps[0].tasks[0]
+			require.Zero(t, task.losses())
+			require.Empty(t, task.faint)
+			require.Equal(t, taskWaiting, task.state, "nothing has to be barred")
+			require.Equal(t, bornSecond, b.Worker(b.ids[0]).Born)
+		})
+	}
+}
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,9 @@
 
 // Started takes the outcome of a start.
 func (c *Core) Started(order StartOrder, result Result, now time.Time) {
+	if result.Outcome == OutcomeIncarnation {
+		c.neverRan(order, now)
+	}
 	if c.overtaken(order.Worker, order.Call.Fence, result, now) {
 		return
 	}
@@ -47,6 +51,24 @@
 	}
 }
 
+// neverRan takes back a run whose only start has met another incarnation of its worker, which has done nothing
+// of it: it was not lost with the former one, and need not be barred.
+func (c *Core) neverRan(order StartOrder, now time.Time) {
+	c.now = now
+	t := c.find(order.Call.Task)
+	if t == nil || t.run != order.Call.Run || t.retried || c.superseded {
+		return
+	}
+	t.faint = slices.DeleteFunc(t.faint, func(lost jobs.LostRun) bool { return lost.Run == t.run })
+	if t.suspicion.Has(t.run) {
+		t.suspicion = t.suspicion.Without(t.run)
+		c.change(t.step.job)
+	}
+	if t.state == taskStarting || t.state == taskStopping && t.barred {
+		c.wait(t)
+	}
+}
+
 // unsent lets a task whose start was not sent wait again; a repetition of a start that may be
 // done is barred.
 func (c *Core) unsent(t *task) {
