--- a/services/control/crash_scripts_test.go
+++ b/services/control/crash_scripts_test.go
@@ -45,6 +45,15 @@
 	})
 }
 
+// TestNamedCrashScriptsUnderSameIDs plays scripts that random runs have found with workers that start again under
+// their ids.
+func TestNamedCrashScriptsUnderSameIDs(t *testing.T) {
+	casefile.Each(t, "testdata/crash_scripts_same_ids/*.json", func(t *testing.T, script []happening) {
+		require.Empty(t, playSeveral(t, script, cellOfAll.sameIDs()))
+		require.Empty(t, playSeveral(t, script, cellsOfTwo.sameIDs()))
+	})
+}
+
 // TestCrashScriptsByChance guards against jobs that are given up for workers that others have ended. In one_cell
 // and two_cells a task shares the loss of a worker with the one that ended it, and loses a second worker to chance
 // on its trial; it was given up while the trial of the other one was still open. In lasting_one_cell losses
