A loss is weighed again once it is known which others went with it

Cause: a worker that starts again under its id is known to have ended at once; the others that went at the same moment are known some milliseconds later. The first of a burst was weighed as one that went by itself.

Evidence: the log: w000, w002 and w003 start again at 12.700 s; the loss of w000 is weighed with 4.35 against a chance of 0.02 a second, 'job is given up' stands at 12.700 s as well.

Change: a loss younger than 0.5 s is weighed again when that is over, and only lowered; no one is given up on it, or started again when it would be, before.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -23,7 +23,7 @@
 //   - workers: worker.go, room.go, speed.go, lease.go; those that go: gone.go; those that start again
 //     under their ids: incarnation.go
 //   - tasks that end their workers: suspicion.go (who is suspected, and given up), evidence.go
-//     (what a loss says), burst.go (workers that go together), shared.go (losses that several tasks share),
+//     (what a loss says), burst.go (workers that go together), recent.go (losses weighed before others are known), shared.go (losses that several tasks share),
 //     trial.go (where and how suspects start), suspicion_store.go (what is stored),
 //     unseen.go (runs that may be lost and that no owner knows of)
 //   - the time after a takeover: takeover.go; whether this still is the owner: proof.go;
@@ -120,6 +120,7 @@
 	takeovers     takeoverLosses
 	losers        map[*task]struct{}            // tasks that have lost runs; some of them may have ended since
 	toJudge       []*task                       // against which something has been counted
+	recent        []recentLoss                  // to be weighed again
 	replaced      map[jobs.Incarnation]struct{} // proved to be gone, while the list still names them
 	hurried       bool                          // what is dirty should not wait to be stored
 	short         shortWork
@@ -187,6 +188,7 @@
 func (c *Core) Decide(now time.Time) []Order {
 	c.now = now
 	c.expireWorkers(now)
+	c.weighAgain(now)
 	c.judge(now)
 	c.openDue(now)
 	if c.mayOrder(now) {
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -157,13 +157,14 @@
 
 // workerLoss is the loss of a worker, or its silence, which may become one.
 type workerLoss struct {
+	of      jobs.Incarnation
 	at      time.Time
 	byTasks float64 // how likely a second one of the tasks there was to cause it
 }
 
 // lossOfWorker is the loss of a worker as far as it is known.
 func (c *Core) lossOfWorker(w *worker, now time.Time) workerLoss {
-	return workerLoss{at: w.lastAlive(now), byTasks: crashRate(c.neighboursOf(w, nil, now))}
+	return workerLoss{of: w.info.Incarnation(), at: w.lastAlive(now), byTasks: crashRate(c.neighboursOf(w, nil, now))}
 }
 
 // noteLoss remembers the loss of a worker for a while.
@@ -173,11 +174,11 @@
 
 // otherLosses are those of other workers lately, and those that are silent now. Older ones are
 // dropped before they are looked at: the first loss after a quiet time was taken for one of many.
-func (c *Core) otherLosses(w *worker, now time.Time) []workerLoss {
+func (c *Core) otherLosses(than jobs.Incarnation, now time.Time) []workerLoss {
 	c.losses = slices.DeleteFunc(c.losses, func(l workerLoss) bool { return now.Sub(l.at) > lossesKept })
-	losses := slices.Clone(c.losses)
+	losses := slices.DeleteFunc(slices.Clone(c.losses), func(l workerLoss) bool { return l.of == than })
 	for _, other := range c.order {
-		if other != w && !other.failed.IsZero() {
+		if other.info.Incarnation() != than && !other.failed.IsZero() {
 			losses = append(losses, c.lossOfWorker(other, now))
 		}
 	}
@@ -189,8 +190,12 @@
 // there, or, when there are several, together with it, whatever ran there. One that was lost in a burst is
 // compared with all of them, one that was lost by itself with those that were too.
 func (c *Core) chanceOf(w *worker, now time.Time) float64 {
-	at := w.lastAlive(now)
-	losses := c.otherLosses(w, now)
+	return c.chanceAt(w.info.Incarnation(), w.lastAlive(now), now)
+}
+
+// chanceAt does the same for an incarnation that may be gone already.
+func (c *Core) chanceAt(of jobs.Incarnation, at, now time.Time) float64 {
+	losses := c.otherLosses(of, now)
 	bursts := burstsOf(append(timesOf(losses), at))
 	counts := func(l workerLoss) float64 {
 		if bursts.have(l.at) && !bursts.have(at) {
@@ -263,13 +268,18 @@
 	return times
 }
 
-// lossOf is what the loss of a worker says against a task.
-func (c *Core) lossOf(w *worker, t *task, ran time.Duration, chance float64, now time.Time) jobs.LostRun {
-	doubt, weight := circumstances{
+// circumstancesOf are those in which a task's run is lost with a worker.
+func (c *Core) circumstancesOf(w *worker, t *task, ran time.Duration, chance float64, now time.Time) circumstances {
+	return circumstances{
 		ran: ran, before: t.lostAfter(), beside: c.neighboursOf(w, t, now), chance: chance, atMost: w.mayHaveEndedBefore(t),
-	}.weigh()
+	}
+}
+
+// lossOf is what the loss of a worker says against a task.
+func (e circumstances) lossOf(w *worker, t *task) jobs.LostRun {
+	doubt, weight := e.weigh()
 	return jobs.LostRun{
-		Run: t.run, Ran: models.MilliOf(max(ran, leastRan)), Doubt: hundredths(doubt), Weight: hundredths(weight),
+		Run: t.run, Ran: models.MilliOf(max(e.ran, leastRan)), Doubt: hundredths(doubt), Weight: hundredths(weight),
 		With: w.info.Incarnation().Loss(),
 	}
 }
--- /dev/null
+++ b/services/dispatch/recent.go
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// A worker that starts again under its id is known to have ended at once, before it is known which others went
+// at the same moment. So a loss that is younger than that is weighed again, and nobody is given up on it before.
+
+// othersKnown is how long after a loss those of other workers are known that went with it: calls to them break,
+// or run into their time limit.
+const othersKnown = 500 * time.Millisecond
+
+// recentLoss is the loss of a worker that is to be weighed again.
+type recentLoss struct {
+	of   jobs.Incarnation
+	at   time.Time
+	runs []weighedRun
+}
+
+// weighedRun is a run that was lost, with what its weight was drawn from.
+type weighedRun struct {
+	task *task
+	run  jobs.RunID
+	circumstances
+}
+
+// weighLater lets a loss be weighed again if it is recent.
+func (c *Core) weighLater(recent recentLoss, now time.Time) {
+	if now.Sub(recent.at) >= othersKnown {
+		return
+	}
+	for _, r := range recent.runs {
+		r.task.weighedAt = recent.at.Add(othersKnown)
+	}
+	c.recent = append(c.recent, recent)
+}
+
+// weighAgain weighs losses anew once others are known that came with them.
+func (c *Core) weighAgain(now time.Time) {
+	c.recent = slices.DeleteFunc(c.recent, func(recent recentLoss) bool {
+		if now.Sub(recent.at) < othersKnown {
+			return false
+		}
+		chance := c.chanceAt(recent.of, recent.at, now)
+		for _, r := range recent.runs {
+			if chance > r.chance {
+				r.chance = chance
+				c.setWeight(r)
+			}
+			c.judgeLater(r.task)
+		}
+		return true
+	})
+}
+
+// setWeight puts a lost run's new weight in the place of the former one.
+func (c *Core) setWeight(r weighedRun) {
+	doubt, weight := r.weigh()
+	set := func(lost []jobs.LostRun) (changed bool) {
+		at := slices.IndexFunc(lost, func(l jobs.LostRun) bool { return l.Run == r.run })
+		if at < 0 {
+			return false
+		}
+		lost[at].Doubt, lost[at].Weight = min(lost[at].Doubt, hundredths(doubt)), min(lost[at].Weight, hundredths(weight))
+		return true
+	}
+	set(r.task.faint)
+	suspicion := &r.task.suspicion
+	suspicion.Lost = slices.Clone(suspicion.Lost)
+	if set(suspicion.Lost) {
+		c.change(r.task.step.job)
+	}
+}
--- a/services/dispatch/shared.go
+++ b/services/dispatch/shared.go
@@ -70,6 +70,9 @@
 	if !t.crashesWorkers() {
 		return verdictOpen
 	}
+	if now.Before(t.weighedAt) {
+		return verdictWaits
+	}
 	others := c.openSharers(t, now)
 	if len(others) == 0 || t.crashesWithout(others) {
 		return verdictCrashes
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -108,11 +108,15 @@
 		c.counts.WorkersLost++
 	}
 	losses := map[*task]jobs.LostRun{}
+	recent := recentLoss{of: w.info.Incarnation(), at: w.lastAlive(now)}
 	for _, t := range w.tasks {
 		if ran, known := c.ranOn(w, t, now); known && ran < mostRan {
-			losses[t] = c.lossOf(w, t, ran, chance, now)
+			e := c.circumstancesOf(w, t, ran, chance, now)
+			losses[t] = e.lossOf(w, t)
+			recent.runs = append(recent.runs, weighedRun{task: t, run: t.run, circumstances: e})
 		}
 	}
+	c.weighLater(recent, now)
 	for _, t := range w.tasks {
 		loss, weighed := losses[t]
 		c.logLost(w, t, loss, chance)
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -70,7 +70,7 @@
 	chance := c.chanceOf(w, now)
 	for _, t := range w.tasks {
 		if ran, known := c.ranOn(w, t, now); known && ran < youngWithin && t.suspicion.Open == nil {
-			c.openRun(t, c.lossOf(w, t, ran, chance, now))
+			c.openRun(t, c.circumstancesOf(w, t, ran, chance, now).lossOf(w, t))
 		}
 	}
 }
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -32,6 +32,7 @@
 	position  int // in the worker's tasks
 	failures  jobs.Failures
 	suspicion jobs.Suspicion
+	weighedAt time.Time      // when its latest loss is weighed for good
 	faint     []jobs.LostRun // losses that chance explains better, unless a later one is like them; this owner's alone
 	onTrial   bool           // a suspect that has not run for long enough yet
 	counted   uint64         // the job's version when a loss was last counted
