Two losses are enough from a weight of 12; what speaks for a task makes no difference to its trial

Cause: of two losses the second is not independent of the first, for what is lost starts again at once; there are three more starts to tell. A run that is to be barred counts a second time only if its start was repeated.

--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -29,8 +29,9 @@
 // enoughWeight is the weight at which a task is given up, by the number of its losses, those that
 // nobody saw included. It is a logarithm of odds: a task that crashes nothing gets to x with a probability of at
 // most e to the minus x. Users allow five starts of a task that ends every worker, so less is enough once
-// five may have been lost.
-var enoughWeight = [...]float64{2: 10, 3: 10, 4: 10, 5: 5}
+// five may have been lost. Two may coincide with what goes on around them more easily than independent ones: what
+// is lost starts again at once.
+var enoughWeight = [...]float64{2: 12, 3: 10, 4: 10, 5: 5}
 
 // leastLosses is how many workers must have been lost under a task before it is given up: the
 // users' condition for a job to fail for it.
@@ -41,29 +42,16 @@
 // together have little against each one, but all of them are to be tried.
 var suspectFrom = math.Log(1 / crasherShare)
 
-const (
-	// suspectLosses is how many losses make a suspect, unless they speak for the task: several tasks that crash
-	// workers and are started at the same moments are lost at the same moments, as if by one cause.
-	suspectLosses = 2
-	// suspectAnyway is how many do whatever they say: few starts are left.
-	suspectAnyway = 3
-	// speaksFor is the weight below which losses speak for a task: what ran beside it is the likelier cause by far.
-	speaksFor = -2
-)
+// suspectLosses is how many losses make a suspect whatever they say: several tasks that crash
+// workers and are started at the same moments are lost at the same moments, as if by one cause.
+const suspectLosses = 2
 
 // suspected tells whether the task may be one that ends its workers.
 func (t *task) suspected() bool {
-	losses := t.losses()
-	switch {
-	case len(t.suspicion.Lost) == 0:
+	if len(t.suspicion.Lost) == 0 {
 		return false
-	case losses >= suspectAnyway:
-		return true
-	case t.suspicion.Weight() <= speaksFor:
-		return false
-	default:
-		return losses >= suspectLosses || t.suspicion.Doubt() >= suspectFrom
 	}
+	return t.losses() >= suspectLosses || t.suspicion.Doubt() >= suspectFrom
 }
 
 // losses is how many runs of the task may have been lost with their workers.
--- a/services/dispatch/unseen.go
+++ b/services/dispatch/unseen.go
@@ -79,9 +79,9 @@
 }
 
 // noteShown takes back what was counted for a run that a worker shows now, running or ended: it was not lost.
-// One that is to be barred may be carried out a second time.
+// One whose start was repeated may be carried out a second time.
 func (c *Core) noteShown(t *task, run jobs.RunID) {
-	if !t.suspicion.Has(run) || t.barred && t.run == run {
+	if !t.suspicion.Has(run) || t.run == run && t.mayRunTwice() {
 		return
 	}
 	t.suspicion = t.suspicion.Without(run)
@@ -192,11 +192,14 @@
 	return known && ran < mostRan
 }
 
-// countUnseenRun counts a run against its task that may have been lost, once; one that is to be barred may
-// have been lost with its worker's former incarnation and be carried out by this one as well.
+// mayRunTwice tells whether the run may have been lost with its worker's former incarnation and be carried out by this
+// one as well: its start was repeated, and either call may have been done.
+func (t *task) mayRunTwice() bool { return t.barred && t.retried }
+
+// countUnseenRun counts a run against its task that may have been lost, once.
 func (c *Core) countUnseenRun(t *task, run jobs.RunID) {
 	j := t.step.job
-	if t.state == taskDone || j.end != "" || j.cancelled || t.suspicion.Has(run) && !t.barred {
+	if t.state == taskDone || j.end != "" || j.cancelled || t.suspicion.Has(run) && !t.mayRunTwice() {
 		return
 	}
 	t.suspicion.Unseen++
