--- a/services/dispatch/burst.go
+++ b/services/dispatch/burst.go
@@ -49,11 +49,19 @@
 	return slices.ContainsFunc(b, func(each burst) bool { return !at.Before(each.from) && !at.After(each.to) })
 }
 
-// timesOf gives when workers were lost.
-func timesOf(losses []workerLoss) []time.Time {
-	times := make([]time.Time, 0, len(losses)+1)
+// countBursts lets workers that went in bursts count for less, if the one that was lost then went by itself.
+func countBursts(losses []workerLoss, at time.Time) {
+	times := []time.Time{at}
 	for _, l := range losses {
 		times = append(times, l.at)
 	}
-	return times
+	found := burstsOf(times)
+	if found.have(at) {
+		return
+	}
+	for i := range losses {
+		if found.have(losses[i].at) {
+			losses[i].counts = burstShare
+		}
+	}
 }
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -23,7 +23,7 @@
 //   - workers: worker.go, room.go, speed.go, lease.go; those that go: gone.go; those that start again
 //     under their ids: incarnation.go
 //   - tasks that end their workers: suspicion.go (who is suspected, and given up), evidence.go
-//     (what a loss says), burst.go (workers that go together), recent.go (losses weighed before others are known), shared.go (losses that several tasks share),
+//     (what a loss says), chance.go (how often workers go), burst.go (those that go together), recent.go (losses weighed before others are known), shared.go (losses that several tasks share),
 //     trial.go (where and how suspects start), suspicion_store.go (what is stored),
 //     unseen.go (runs that may be lost and that no owner knows of)
 //   - the time after a takeover: takeover.go; whether this still is the owner: proof.go;
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -32,15 +32,6 @@
 	leastRan = 10 * time.Millisecond
 	// mostRan is the longest that a task which crashes workers runs before it does.
 	mostRan = 10 * time.Second
-	// atOnce and soon are the times within which workers go that one cause takes along, like a
-	// rack's or a cut: their connections break at the same moment, or calls to them time out one
-	// after the other. Tasks that crash workers do so each at a time of its own.
-	atOnce = 50 * time.Millisecond
-	soon   = time.Second
-	// atOnceAnyway and soonAnyway are how many workers may go within these times of another
-	// without one cause.
-	atOnceAnyway = 2
-	soonAnyway   = 1
 )
 
 // neighbour is another task on a worker that was lost.
@@ -108,9 +99,6 @@
 	return (1-sameTime)*anyTime + sameTime*float64(earlier)/float64(len(before))
 }
 
-// byChance is how often a worker is lost by chance, a second, when nothing else is known.
-var byChance = 1 / crashEvery.Seconds()
-
 // crashRate is how likely a second it is for one of the tasks on a worker to crash it now.
 func crashRate(tasks []neighbour) float64 {
 	sum := 0.0
@@ -151,81 +139,6 @@
 	return odds / (1 + odds)
 }
 
-// lossesKept is for how long losses are remembered: a loss is proved when another incarnation
-// answers at the worker's address, or when its leases are over.
-const lossesKept = 15 * time.Second
-
-// workerLoss is the loss of a worker, or its silence, which may become one.
-type workerLoss struct {
-	of      jobs.Incarnation
-	at      time.Time
-	byTasks float64 // how likely a second one of the tasks there was to cause it
-}
-
-// lossOfWorker is the loss of a worker as far as it is known.
-func (c *Core) lossOfWorker(w *worker, now time.Time) workerLoss {
-	return workerLoss{of: w.info.Incarnation(), at: w.lastAlive(now), byTasks: crashRate(c.neighboursOf(w, nil, now))}
-}
-
-// noteLoss remembers the loss of a worker for a while.
-func (c *Core) noteLoss(w *worker, now time.Time) {
-	c.losses = append(c.losses, c.lossOfWorker(w, now))
-}
-
-// otherLosses are those of other workers lately, and those that are silent now. Older ones are
-// dropped before they are looked at: the first loss after a quiet time was taken for one of many.
-func (c *Core) otherLosses(than jobs.Incarnation, now time.Time) []workerLoss {
-	c.losses = slices.DeleteFunc(c.losses, func(l workerLoss) bool { return now.Sub(l.at) > lossesKept })
-	losses := slices.DeleteFunc(slices.Clone(c.losses), func(l workerLoss) bool { return l.of == than })
-	for _, other := range c.order {
-		if other.info.Incarnation() != than && !other.failed.IsZero() {
-			losses = append(losses, c.lossOfWorker(other, now))
-		}
-	}
-	return losses
-}
-
-// chanceOf is how many losses by chance a second each worker sees at the time at which a worker
-// was lost: as often as workers have gone lately, or around that time, other than by what ran
-// there, or, when there are several, together with it, whatever ran there. One that was lost in a burst is
-// compared with all of them, one that was lost by itself with those that were too.
-func (c *Core) chanceOf(w *worker, now time.Time) float64 {
-	return c.chanceAt(w.info.Incarnation(), w.lastAlive(now), now)
-}
-
-// chanceAt does the same for an incarnation that may be gone already.
-func (c *Core) chanceAt(of jobs.Incarnation, at, now time.Time) float64 {
-	losses := c.otherLosses(of, now)
-	bursts := burstsOf(append(timesOf(losses), at))
-	counts := func(l workerLoss) float64 {
-		if bursts.have(l.at) && !bursts.have(at) {
-			return burstShare
-		}
-		return 1
-	}
-	all := 0.0
-	for _, l := range losses {
-		all += counts(l)
-	}
-	workers := float64(max(1, len(c.order)))
-	// As if none was caused by what ran there; it takes the more of the blame, the more go.
-	prior := byChance + all/lossesKept.Seconds()/workers
-	together, around, lately := 0.0, 0.0, 0.0
-	for _, l := range losses {
-		apart := l.at.Sub(at).Abs()
-		chance := counts(l) * prior / (prior + l.byTasks)
-		lately += chance
-		if apart <= soon {
-			around += chance
-		}
-		if apart <= atOnce {
-			together += counts(l)
-		}
-	}
-	rate := max(lately/lossesKept.Seconds(), (around-soonAnyway)/(2*soon).Seconds(), (together-atOnceAnyway)/(2*atOnce).Seconds())
-	return byChance + rate/workers
-}
-
 // noticedLate is how long after the end of a worker its owner notices it at the earliest, if calls are
 // not answered: after their time limit. A connection that breaks, or is refused, tells at once.
 const noticedLate = 500 * time.Millisecond
