No cell is laid out without a rack, and one without workers hands its jobs on

Cause: workers were divided into six cells by their number, and racks, which are not divided, fill three. The others have no worker; such a cell was never taken for recovered, so that nothing in it could move on.

Evidence: the daemons' logs: 'cell is taken' for cells 3, 4 and 5, never 'cell is recovered'.

Change: no more cells than racks; a cell whose workers are all gone counts as recovered once former owners' leases are over.

--- a/services/control/carry_test.go
+++ b/services/control/carry_test.go
@@ -4,12 +4,14 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/casefile"
 )
@@ -62,3 +64,21 @@
 		require.Less(t, time.Since(ended), testSettings.OwnerLease+claimEvery, "it does not hold back")
 	})
 }
+
+// TestNoCellIsLeftWithoutWorkers guards against jobs that go to a cell which has none, for a rack is not divided.
+func TestNoCellIsLeftWithoutWorkers(t *testing.T) {
+	var workers []jobs.Worker
+	for n, rack := range []jobs.RackLabel{"a", "a", "a", "b", "b", "c"} {
+		workers = append(workers, jobs.Worker{ID: jobs.WorkerID(fmt.Sprint(n)), Rack: rack, Capacity: models.Resources{CPU: 1000}})
+	}
+	for cells := 1; cells <= 8; cells++ {
+		layout := divide(workers, cells)
+		used := map[int]bool{}
+		for _, cell := range layout.Racks {
+			used[cell] = true
+		}
+		require.Len(t, used, layout.Cells, "%d cells", cells)
+		require.Equal(t, min(cells, 3), layout.Cells)
+	}
+	require.Equal(t, 1, divide(nil, 4).Cells)
+}
--- a/services/control/layout.go
+++ b/services/control/layout.go
@@ -89,13 +89,14 @@
 	}
 }
 
-// divide spreads the racks over so many cells, evenly by capacity.
+// divide spreads the racks over so many cells, evenly by capacity; a rack is not divided, and no cell is left
+// without one.
 func divide(workers []jobs.Worker, cells int) jobs.Layout {
-	layout := jobs.Layout{Cells: cells, Racks: map[jobs.RackLabel]int{}, Workers: len(workers)}
 	capacity := map[jobs.RackLabel]int64{}
 	for _, w := range workers {
 		capacity[w.Rack] += int64(w.Capacity.CPU)
 	}
+	layout := jobs.Layout{Cells: min(cells, max(1, len(capacity))), Racks: map[jobs.RackLabel]int{}, Workers: len(workers)}
 	racks := slices.SortedFunc(maps.Keys(capacity), func(a, b jobs.RackLabel) int {
 		return cmp.Or(cmp.Compare(capacity[b], capacity[a]), cmp.Compare(a, b))
 	})
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -85,7 +85,7 @@
 // checkBlind ends the time after a takeover in which tasks may run unseen: every worker
 // that former owners may have used has reported or has certainly ended what they started.
 func (c *Core) checkBlind(now time.Time) {
-	if !c.blind || len(c.order) == 0 {
+	if !c.blind || len(c.order) == 0 && c.now.Before(c.formerLapsed()) {
 		return
 	}
 	for _, w := range c.order {
--- a/services/dispatch/takeover_test.go
+++ b/services/dispatch/takeover_test.go
@@ -144,3 +144,17 @@
 	require.Empty(t, b.starts(), "it has failed as often as it may")
 	require.Equal(t, jobs.StateFailed, b.jobs[testJob].end)
 }
+
+// TestCellWithoutWorkersHandsItsJobsOn guards against jobs that wait for ever in a cell that has no workers.
+func TestCellWithoutWorkersHandsItsJobsOn(t *testing.T) {
+	b := newBench(t, 0)
+	b.Enrol(jobs.Roster{}, b.now)
+	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+	b.Decide(b.now)
+	require.Empty(t, b.Movable(10, b.now), "what former owners have started may run yet")
+	b.now = b.now.Add(blindMost + time.Second)
+	b.Decide(b.now)
+	b.now = b.now.Add(offerAfter)
+	b.Decide(b.now)
+	require.Len(t, b.Movable(10, b.now), 1)
+}
