A run whose start was answered late may have begun at any time since

Cause: a run that is confirmed by a late answer, or first by a report, counted as begun then. Its worker, lost right after, seemed to have gone 20 ms after a start that was ordered 2.5 s before.

Evidence: the log: 'run starts' at 22.450 s; the run is lost with ran_ms 20 and a weight of 6.3, its worker's first failed call was at 25.0 s.

Change: of an answer that takes longer than 0.2 s, only the time of the order says when the run began.

Measured: a unit test, red before.

--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -161,11 +161,17 @@
 	}
 }
 
+// answeredSoon is how soon after a start an answer says when the run began. Of a later one, or of a report that
+// shows the run first, it is known only that it began after the start was ordered.
+const answeredSoon = 200 * time.Millisecond
+
 // confirm notes that a run is under way.
 func (c *Core) confirm(t *task, now time.Time) {
 	t.state = taskRunning
 	t.settled = now
-	t.began = now
+	if now.Sub(t.began) <= answeredSoon {
+		t.began = now
+	}
 	t.step.job.begun = true
 }
 
--- a/services/dispatch/suspicion_test.go
+++ b/services/dispatch/suspicion_test.go
@@ -151,3 +151,25 @@
 	require.NotContains(t, b.workers, b.ids[0])
 	require.Empty(t, b.jobs[testJob].steps[0].tasks[0].suspicion.Lost)
 }
+
+// TestRunThatIsConfirmedLateBeganAtAnyTime guards against a job that is given up for a run of some milliseconds:
+// the start had no answer for seconds, and the worker was lost right after the report that showed the run.
+func TestRunThatIsConfirmedLateBeganAtAnyTime(t *testing.T) {
+	for late, least := range map[time.Duration]time.Duration{0: 20 * time.Millisecond, 2 * time.Second: 2 * time.Second} {
+		b := newBench(t, 1)
+		b.report(0, jobs.Report{})
+		b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
+		starts := b.storedStarts()
+		require.Len(t, starts, 1)
+		b.now = b.now.Add(late)
+		b.report(0, jobs.Report{Running: []jobs.Run{{Task: starts[0].Call.Task, Run: starts[0].Call.Run}}})
+		b.now = b.now.Add(20 * time.Millisecond)
+		b.Unreached(b.ids[0], true, b.now)
+		b.Replaced(b.ids[0], b.now)
+		task := &b.jobs[testJob].steps[0].tasks[0]
+		lost := append(task.suspicion.Lost, task.faint...)
+		require.Len(t, lost, 1)
+		require.GreaterOrEqual(t, lost[0].Ran.Duration(), least)
+		require.Less(t, lost[0].Ran.Duration(), least+500*time.Millisecond)
+	}
+}
