Suspects that were lost together are tried apart for a moment

Evidence: the log of one play: 'suspect is tried alone' for three tasks of a job on w000-5 at 8.882 s, beside 0, 1 and 2.

--- a/services/dispatch/shared_test.go
+++ b/services/dispatch/shared_test.go
@@ -133,3 +133,22 @@
 	require.Len(t, lost, 1)
 	require.Equal(t, start.Worker.Incarnation().Loss(), lost[0].With)
 }
+
+// TestTasksThatWereLostTogetherAreTriedApart guards against trials that say nothing: two suspects of one loss
+// were tried on the same worker, and lost again together.
+func TestTasksThatWereLostTogetherAreTriedApart(t *testing.T) {
+	lost := []jobs.LostRun{lostIn(lossShared, 1, 6, 0)}
+	b := newSharedBench(t, lost, lost)
+	for _, id := range b.ids[1:] {
+		b.Unreached(id, true, b.now)
+		b.Replaced(id, b.now)
+	}
+	for _, id := range []jobs.ID{testJob, otherJob} {
+		b.taskOf(id).waits = b.now
+	}
+	b.store()
+	require.Len(t, b.starts(), 1, "one worker is left")
+	b.now = b.now.Add(apartMost)
+	b.report(0, jobs.Report{})
+	require.Len(t, b.starts(), 1, "it does not wait for ever")
+}
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,6 +26,9 @@
 	// keptFor is for how long nothing else starts on a worker that a suspect waits for; it is
 	// prolonged with each look at the suspect, which come some scanPause apart.
 	keptFor = 100 * time.Millisecond
+	// apartMost is for how long a suspect waits not to be tried beside one that was lost with it: a trial of
+	// the shortest length. Most tasks that are lost have nothing to do with it, and those that last must run again soon.
+	apartMost = trialLeast
 	// trialWait is how long a report may wait for an end while a suspect is on trial.
 	trialWait = 100 * time.Millisecond
 )
@@ -79,7 +83,7 @@
 	var ready, busy, shared *worker
 	for _, w := range c.order {
 		switch {
-		case !c.mayTry(w, t.step, now) || w.isKeptFromSuspect(t, now):
+		case !c.mayTry(w, t.step, now) || w.isKeptFromSuspect(t, now) || w.hasSharer(t, now):
 		case w.lossesOfSuspects() >= leastLosses: // another one's trial is not to be spoiled
 		case w.lossesOfSuspects() > 0:
 			shared = emptier(shared, w)
@@ -103,6 +107,15 @@
 	return nil
 }
 
+// hasSharer tells whether a task on the worker was lost with the suspect before and has not outlived that yet: with
+// both lost once more, nobody would know more than before.
+func (w *worker) hasSharer(t *task, now time.Time) bool {
+	if now.Sub(t.waits) >= apartMost {
+		return false
+	}
+	return slices.ContainsFunc(w.tasks, func(other *task) bool { return t.sharesLoss(other) && !other.hasOutlived(now) })
+}
+
 // keepFor keeps a worker for a suspect for a short time.
 func (w *worker) keepFor(t *task, now time.Time) {
 	w.keptUntil = now.Add(keptFor)
