Plays of evidence: what is promised of tasks that lose workers, apart from the daemons

A core alone, twelve workers, and a generator that knows which tasks end workers. Targets: of a million innocent runs that are lost at most 100 give their job up, of a thousand tasks that end workers at most five are started a sixth time.

--- /dev/null
+++ b/services/dispatch/evidence_play_test.go
@@ -0,0 +1,305 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/casefile"
+)
+
+// A play of evidence has a core alone, with workers that go by chance and tasks that end them, and knows which is
+// which. No daemon, store or connection takes part, so that thousands of lost runs are judged in a second.
+
+// evidenceCase is a case of testdata/evidence_plays.json: how often workers go by themselves, and what is allowed.
+type evidenceCase struct {
+	Name       string       `json:"name"`
+	AloneEvery models.Milli `json:"alone_every_ms"` // how long a worker runs on average until it goes by itself; 0: it never does
+	BurstEvery models.Milli `json:"burst_every_ms"` // 0: there are none
+	BurstShare float64      `json:"burst_share"`    // of the workers
+	// GivenUp is how many of a million innocent runs that are lost may give their job up, and TooOften how many
+	// of a thousand tasks that end their workers may be started a sixth time.
+	GivenUp  float64 `json:"given_up_per_million"`
+	TooOften float64 `json:"too_often_per_thousand"`
+}
+
+const (
+	playWorkers  = 12
+	playStep     = 20 * time.Millisecond
+	playReport   = 100 * time.Millisecond
+	playHandIn   = 250 * time.Millisecond
+	playWork     = time.Second
+	playTime     = 20 * time.Second // in which jobs come
+	playEnd      = 60 * time.Second // by which all is decided
+	playDown     = 3300 * time.Millisecond
+	playCrashing = 0.08 // of the jobs
+	mostStarts   = 5
+	leastCrash   = 5 * time.Millisecond
+	crashSpread  = 300 // the longest time until a crash, over the shortest
+	playsInCI    = 40  // of each case
+	playsOfFew   = 2000
+)
+
+// playedWorker is a worker of a play, as it is.
+type playedWorker struct {
+	info  jobs.Worker
+	down  time.Time // since when it is; zero: it is up
+	runs  map[jobs.TaskID]playedRun
+	ended []jobs.Ended
+	clock time.Time // when it showed nothing
+}
+
+// running are the tasks that run, in the same order in each play.
+func (w *playedWorker) running() []jobs.TaskID {
+	return slices.SortedFunc(maps.Keys(w.runs), func(a, b jobs.TaskID) int { return cmp.Compare(a.String(), b.String()) })
+}
+
+type playedRun struct {
+	run   jobs.RunID
+	began time.Time
+}
+
+// evidencePlay is one play of a case.
+type evidencePlay struct {
+	*Core
+	evidenceCase
+	draw     *rand.Rand
+	now      time.Time
+	began    time.Time
+	workers  []*playedWorker
+	made     int
+	crashing map[jobs.ID]time.Duration
+	crashes  map[jobs.ID]int
+	lost     int // runs of jobs that end no worker
+	burst    time.Time
+}
+
+func newEvidencePlay(c evidenceCase, seed uint64) *evidencePlay {
+	p := &evidencePlay{
+		evidenceCase: c, draw: rand.New(rand.NewPCG(seed, 7)), began: time.Unix(1_000_000, 0),
+		crashing: map[jobs.ID]time.Duration{}, crashes: map[jobs.ID]int{},
+	}
+	p.now = p.began
+	p.Core = New(Config{Epoch: 5, Taken: p.now, Lease: 4 * time.Second, LongestLease: 8 * time.Second, Logger: zap.NewNop()})
+	p.Enrol(jobs.Roster{}, p.now)
+	for range playWorkers {
+		p.workers = append(p.workers, p.boot())
+	}
+	p.list()
+	return p
+}
+
+func (p *evidencePlay) boot() *playedWorker {
+	p.made++
+	id := jobs.WorkerID(fmt.Sprintf("w%d", p.made))
+	return &playedWorker{
+		info: jobs.Worker{ID: id, Pool: testPool, Address: string(id), Capacity: models.Resources{CPU: 4000, Memory: 8000}},
+		runs: map[jobs.TaskID]playedRun{}, clock: p.now,
+	}
+}
+
+func (p *evidencePlay) list() {
+	list := make([]jobs.Worker, 0, len(p.workers))
+	for _, w := range p.workers {
+		list = append(list, w.info)
+	}
+	p.SetWorkers(list, p.now)
+}
+
+func (p *evidencePlay) run() {
+	for n := 0; p.now.Sub(p.began) < playEnd; n++ {
+		p.now = p.now.Add(playStep)
+		if at := p.now.Sub(p.began); at > time.Second && at < playTime && at%playHandIn < playStep {
+			p.handIn(n)
+		}
+		p.work()
+		p.lose()
+		if p.now.Sub(p.began)%playReport < playStep {
+			p.report()
+		}
+		p.obey()
+		p.Stored(p.TakeChanges(10, p.now), p.now)
+	}
+}
+
+func (p *evidencePlay) handIn(n int) {
+	id := jobs.ID(fmt.Sprintf("%016x", n))
+	if p.draw.Float64() < playCrashing {
+		p.crashing[id] = time.Duration(float64(leastCrash) * math.Pow(crashSpread, p.draw.Float64()))
+	}
+	p.AddJob(jobs.Record{
+		Spec: jobs.Spec{ID: id, Queue: "q", Steps: []jobs.Step{{
+			Count: 4, Size: models.Resources{CPU: 1000, Memory: 500}, Estimate: models.MilliOf(playWork),
+		}}},
+		Terms: jobs.Terms{Pool: testPool, MaxAttempts: 3, Slack: 250, Stretch: 1.5}, Accepted: models.UnixMilliOf(p.now),
+	}, jobs.Progress{}, true, p.now)
+}
+
+// work ends runs that are done, and workers that a run ends.
+func (p *evidencePlay) work() {
+	for _, w := range p.workers {
+		for _, id := range w.running() {
+			r := w.runs[id]
+			after, crashes := p.crashing[id.Job]
+			ran := p.now.Sub(r.began)
+			switch {
+			case crashes && id.Index == 0 && ran >= after:
+				p.crashes[id.Job]++
+				p.down(w)
+			case ran >= playWork && w.down.IsZero():
+				delete(w.runs, id)
+				w.ended = append(w.ended, jobs.Ended{Number: uint64(len(w.ended) + 1), Task: id, Run: r.run, How: jobs.EndSucceeded})
+			}
+		}
+	}
+}
+
+func (p *evidencePlay) down(w *playedWorker) {
+	if !w.down.IsZero() {
+		return
+	}
+	w.down = p.now
+	for id := range w.runs {
+		if _, crashes := p.crashing[id.Job]; !crashes {
+			p.lost++
+		}
+	}
+	clear(w.runs)
+	p.Unreached(w.info.ID, true, p.now)
+}
+
+// lose lets workers go by themselves, and others come in the places of those that went.
+func (p *evidencePlay) lose() {
+	burst := p.BurstEvery > 0 && p.now.Sub(p.burst) >= p.BurstEvery.Duration()
+	if burst {
+		p.burst = p.now
+	}
+	came := false
+	for n, w := range p.workers {
+		alone := p.AloneEvery > 0 && p.draw.Float64() < float64(playStep)/float64(p.AloneEvery.Duration())
+		switch {
+		case !w.down.IsZero() && p.now.Sub(w.down) >= playDown:
+			p.Replaced(w.info.ID, p.now)
+			p.workers[n] = p.boot()
+			came = true
+		case p.now.Sub(p.began) > playTime:
+		case alone || burst && p.draw.Float64() < p.BurstShare:
+			p.down(w)
+		}
+	}
+	if came {
+		p.list()
+	}
+}
+
+func (p *evidencePlay) report() {
+	for _, w := range p.workers {
+		if !w.down.IsZero() {
+			p.Unreached(w.info.ID, true, p.now)
+			continue
+		}
+		report := jobs.Report{Clock: models.MilliOf(p.now.Sub(w.clock)), Ended: w.ended}
+		for _, id := range w.running() {
+			report.Running = append(report.Running, jobs.Run{Task: id, Run: w.runs[id].run})
+		}
+		sent := p.now.Add(-time.Millisecond)
+		p.LeaseCall(w.info.ID, time.Second, sent)
+		p.Reported(w.info.ID, sent, report, p.now)
+	}
+}
+
+// obey carries out what the core orders.
+func (p *evidencePlay) obey() {
+	workers := map[jobs.WorkerID]*playedWorker{}
+	for _, w := range p.workers {
+		workers[w.info.ID] = w
+	}
+	for _, order := range p.Decide(p.now) {
+		switch order := order.(type) {
+		case StartOrder:
+			w := workers[order.Worker.ID]
+			if w == nil || !w.down.IsZero() {
+				p.Started(order, Result{Outcome: OutcomeUnreached}, p.now)
+				continue
+			}
+			w.runs[order.Call.Task] = playedRun{run: order.Call.Run, began: p.now}
+			p.Started(order, Result{Outcome: OutcomeDone}, p.now)
+		case StopOrder:
+			if w := workers[order.Worker.ID]; w != nil {
+				delete(w.runs, order.Call.Task)
+				p.Stopped(order, Result{Outcome: OutcomeDone}, p.now)
+			}
+		}
+	}
+}
+
+// TestEvidenceOfLostRuns holds what is promised of tasks that lose workers: of a million innocent runs that are lost
+// few give their job up, and of a thousand tasks that end their workers few are started a sixth time, also
+// where workers go in bursts, or one by one all the time.
+func TestEvidenceOfLostRuns(t *testing.T) {
+	playEvidence(t, "testdata/evidence_plays.json", playsInCI)
+}
+
+// TestEvidenceOfLostRunsInFrequentBursts guards against innocent jobs that are given up where some of the workers go at
+// the same moment every 2 s, so that what is lost starts again at the same time after each burst.
+func TestEvidenceOfLostRunsInFrequentBursts(t *testing.T) {
+	playEvidence(t, "testdata/evidence_plays_bursts.json", playsOfFew)
+}
+
+// playEvidence plays each case of a file so often.
+func playEvidence(t *testing.T, file string, plays int) {
+	for _, c := range casefile.Read[[]evidenceCase](t, file) {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			var all evidenceTally
+			for seed := range plays {
+				p := newEvidencePlay(c, uint64(seed))
+				p.run()
+				all.add(p)
+			}
+			t.Logf("%d plays: %+v", plays, all)
+			require.LessOrEqual(t, float64(all.givenUp), 1+c.GivenUp*float64(all.lost)/1e6)
+			require.LessOrEqual(t, float64(all.tooOften), 1+c.TooOften*float64(all.crashing)/1e3)
+		})
+	}
+}
+
+// evidenceTally is what plays have come to.
+type evidenceTally struct {
+	lost      int // innocent runs
+	givenUp   int // of their jobs
+	crashing  int // tasks that end their workers
+	tooOften  int // of them, started a sixth time
+	undecided int // of them, not given up in time
+}
+
+func (all *evidenceTally) add(p *evidencePlay) {
+	all.lost += p.lost
+	all.crashing += len(p.crashing)
+	for id, ended := range p.ended {
+		if _, crashes := p.crashing[id]; !crashes && ended.state == jobs.StateFailed {
+			all.givenUp++
+		}
+	}
+	for id := range p.crashing {
+		if p.crashes[id] > mostStarts {
+			all.tooOften++
+		}
+		if state, _ := p.State(id); !state.Ended() {
+			all.undecided++
+		}
+	}
+}
