Stand-in: a call that waits for an end takes effect once, when it arrives

Cause, from the stand-in's calls: a call for a report that had arrived at 21.659 s, before the starts, and waited for its answer took effect once more when that was due; the worker had begun to carry out calls late meanwhile, so that this happened 4 s later and at the next incarnation, behind the late starts, whose ends it acknowledged. A call is carried out late as a whole or not; an answer that waits acknowledges nothing.

Change: after its first effect such a call only reads.

--- a/services/control/lives_test.go
+++ b/services/control/lives_test.go
@@ -67,6 +67,16 @@
 	})
 }
 
+// TestAnswerThatWaitsAcknowledgesNothingAnew guards against ends that are forgotten unseen behind a start that the next
+// incarnation carries out late: of a call that had arrived before, only the answer was on its way.
+func TestAnswerThatWaitsAcknowledgesNothingAnew(t *testing.T) {
+	casefile.Each(t, "testdata/restarts_acknowledged/*.json", func(t *testing.T, script []happening) {
+		for range 10 {
+			require.Empty(t, playScript(t, script, cellsOfTwo.sameIDs()))
+		}
+	})
+}
+
 // usedWithin is how soon a worker that has started again is used, and what it lost runs elsewhere.
 const usedWithin = time.Second
 
--- a/services/standin/grid/lease.go
+++ b/services/standin/grid/lease.go
@@ -39,19 +39,23 @@
 // ProlongLease implements platform.JobWorkers.
 func (g *Grid) ProlongLease(ctx context.Context, worker jobs.Worker, call jobs.LeaseCall) (jobs.Report, error) {
 	deadline := time.Now().Add(call.Wait)
+	arrived := false // it has taken effect, and only its answer waits
 	for {
 		answer, err := g.reach(ctx, worker, func(w *incarnation, a *answer) error {
 			if err := g.admit(w, call.Fence); err != nil {
 				return err
 			}
-			g.prolong(w, call.Until)
-			g.acknowledge(w, call.Acknowledged)
+			if !arrived {
+				g.prolong(w, call.Until)
+				g.acknowledge(w, call.Acknowledged)
+			}
 			a.worker, a.report, a.changed = w, g.reportOf(w), w.changed
 			return nil
 		})
 		if err != nil {
 			return jobs.Report{}, err
 		}
+		arrived = true
 		if len(answer.report.Ended) > 0 || !time.Now().Before(deadline) {
 			g.noteHeard(answer.report)
 			return answer.report, nil
