--- a/models/jobs/part.go
+++ b/models/jobs/part.go
@@ -100,7 +100,7 @@
 func (r *Record) NewPart(tasks TaskSet, least RunID) Record {
 	none := *r
 	none.Part, none.Tasks = true, nil
-	none.Guests, none.Home = nil, ""
+	none.Further, none.Home = nil, ""
 	part := none.WithTasks(tasks, least)
 	part.Moved, part.Came = false, true
 	return part
--- a/models/jobs/query.go
+++ b/models/jobs/query.go
@@ -47,8 +47,8 @@
 	// the rest is empty.
 	Owner  bool         `json:"owner"`
 	States map[ID]State `json:"states,omitempty"` // jobs that aren't known are missing
-	// Guests are the further cells that have tasks of jobs, also of those that have left this cell.
-	Guests  map[ID][]CellName `json:"guests,omitempty"`
+	// Further are the further cells that have tasks of jobs, also of those that have left this cell.
+	Further map[ID][]CellName `json:"further,omitempty"`
 	Pending map[QueueName]int `json:"pending,omitempty"`
 	Learned []Learned         `json:"learned,omitempty"`
 	Load    CellLoad          `json:"load"`
--- a/models/jobs/record.go
+++ b/models/jobs/record.go
@@ -64,9 +64,9 @@
 	// Suspected is what was known against tasks when they came from another cell.
 	Suspected Suspicions `json:"suspected,omitempty"`
 
-	// Guests are the further cells that have tasks of the job, beside those that follow from its id, as far as
+	// Further are the further cells that have tasks of the job, beside those that follow from its id, as far as
 	// they got them by this record; each is named once.
-	Guests []CellName `json:"guests,omitempty"`
+	Further []CellName `json:"further,omitempty"`
 	// Home is, in the record of such a further cell, the cell whose record names it.
 	Home CellName `json:"home,omitempty"`
 	// Closed says that the job is cancelled, in more cells than one transaction can change: none of its tasks
--- a/services/control/cancel.go
+++ b/services/control/cancel.go
@@ -159,7 +159,7 @@
 
 // mayMove tells whether tasks of the job may still move between cells while it is being cancelled.
 func (e jobEntries) mayMove() bool {
-	return slices.ContainsFunc(e, func(entry jobEntry) bool { return len(entry.record.Guests) > 0 && !entry.record.Closed })
+	return slices.ContainsFunc(e, func(entry jobEntry) bool { return len(entry.record.Further) > 0 && !entry.record.Closed })
 }
 
 // closeMoves cancels a job in the cells that follow from its id, and keeps its tasks from moving: each move by
@@ -172,7 +172,7 @@
 	}
 	var puts []put
 	for _, entry := range own {
-		if len(entry.record.Guests) > 0 && !entry.record.Closed {
+		if len(entry.record.Further) > 0 && !entry.record.Closed {
 			record := entry.record
 			record.Closed, record.Moved = true, true
 			puts = append(puts, put{jobKey(entry.cell, id), record})
--- a/services/control/entries.go
+++ b/services/control/entries.go
@@ -31,8 +31,8 @@
 	if err != nil {
 		return nil, err
 	}
-	guests, err := s.entriesIn(ctx, entries.guests(), id)
-	return append(entries, guests...), err
+	further, err := s.entriesIn(ctx, entries.further(), id)
+	return append(entries, further...), err
 }
 
 // entriesIn reads what the store holds of a job in some cells.
@@ -48,11 +48,11 @@
 	return entries, nil
 }
 
-// guests are the further cells that the records name, each once.
-func (e jobEntries) guests() []jobs.CellName {
+// further are the further cells that the records name, each once.
+func (e jobEntries) further() []jobs.CellName {
 	var cells []jobs.CellName
 	for _, entry := range e {
-		cells = append(cells, entry.record.Guests...)
+		cells = append(cells, entry.record.Further...)
 	}
 	slices.Sort(cells)
 	return slices.Compact(cells)
--- a/services/control/move.go
+++ b/services/control/move.go
@@ -207,39 +207,47 @@
 
 // after gives the records that a move changes as they are after it.
 func (r moveRecords) after(m *move, from jobs.CellName) moveRecords {
-	here, there := r[from], r[m.To]
-	rest := here.Without(m.Tasks)
-	var sum jobs.Record
-	comes := there.Version == 0
-	if comes {
-		sum = here.NewPart(m.Tasks, m.LeastRun)
-	} else {
-		sum = there.WithTasks(m.Tasks, m.LeastRun)
-	}
-	sum.Suspected = sum.Suspected.With(m.Suspected)
-	guest := comes && m.further
+	here := r[from]
+	rest, sum := here.Without(m.Tasks), r.received(m, from)
 	naming := cmp.Or(m.Home, from)
-	if guest {
+	comes := m.further && r[m.To].Version == 0
+	if comes {
 		sum.Home = naming
 	}
 	after := moveRecords{from: rest, m.To: sum}
-	leaves := m.Home != "" && rest.Left()
-	if !guest && !leaves {
-		return after
-	}
-	names, changed := after[naming]
-	if !changed {
-		names = r[naming]
-		names.Moved = true
+	if comes {
+		after.name(r, naming, func(cells []jobs.CellName) []jobs.CellName { return append(cells, m.To) })
 	}
-	names.Guests = slices.DeleteFunc(slices.Clone(names.Guests), func(cell jobs.CellName) bool { return leaves && cell == from })
-	if guest {
-		names.Guests = append(names.Guests, m.To)
+	if m.Home != "" && rest.Left() {
+		after.name(r, naming, func(cells []jobs.CellName) []jobs.CellName {
+			return slices.DeleteFunc(cells, func(cell jobs.CellName) bool { return cell == from })
+		})
 	}
-	after[naming] = names
 	return after
 }
 
+// received is the record of the cell that gets the tasks.
+func (r moveRecords) received(m *move, from jobs.CellName) jobs.Record {
+	here, there := r[from], r[m.To]
+	sum := here.NewPart(m.Tasks, m.LeastRun)
+	if there.Version != 0 {
+		sum = there.WithTasks(m.Tasks, m.LeastRun)
+	}
+	sum.Suspected = sum.Suspected.With(m.Suspected)
+	return sum
+}
+
+// name changes which further cells a cell's record names; as it was before, if the move has not changed it yet.
+func (r moveRecords) name(before moveRecords, cell jobs.CellName, change func([]jobs.CellName) []jobs.CellName) {
+	record, changed := r[cell]
+	if !changed {
+		record = before[cell]
+		record.Moved = true
+	}
+	record.Further = change(slices.Clone(record.Further))
+	r[cell] = record
+}
+
 // readRecord reads a job's record in a cell; one with version 0 when there is none.
 func (o *Owner) readRecord(ctx context.Context, cell jobs.CellName, id jobs.ID) (jobs.Record, error) {
 	record, version, err := readVersion[jobs.Record](ctx, o.config.Store, jobKey(cell, id))
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -119,13 +119,13 @@
 	if !o.loaded {
 		return jobs.Answer{}
 	}
-	answer := jobs.Answer{Owner: true, States: map[jobs.ID]jobs.State{}, Guests: map[jobs.ID][]jobs.CellName{}}
+	answer := jobs.Answer{Owner: true, States: map[jobs.ID]jobs.State{}, Further: map[jobs.ID][]jobs.CellName{}}
 	for _, id := range query.Jobs {
 		if state, ok := o.core.State(id); ok {
 			answer.States[id] = state
 		}
-		if guests := o.core.Guests(id); len(guests) > 0 {
-			answer.Guests[id] = guests
+		if further := o.core.Further(id); len(further) > 0 {
+			answer.Further[id] = further
 		}
 	}
 	if query.Pending {
--- a/services/control/state.go
+++ b/services/control/state.go
@@ -23,9 +23,9 @@
 	if layout == nil {
 		return "", platform.ErrUnavailable
 	}
-	known, guests := s.askState(ctx, id, cellsOf(id, layout))
-	if (known == "" || known == jobs.StateQueued) && len(guests) > 0 { // its tasks may run there alone
-		there, _ := s.askState(ctx, id, guests)
+	known, further := s.askState(ctx, id, cellsOf(id, layout))
+	if (known == "" || known == jobs.StateQueued) && len(further) > 0 { // its tasks may run there alone
+		there, _ := s.askState(ctx, id, further)
 		known = cmp.Or(there, known)
 	}
 	if known != "" {
@@ -36,12 +36,12 @@
 
 // askState asks the owners of cells for the state of a job; empty: none of them knows it. Other cells that
 // have tasks of it are named.
-func (s *Service) askState(ctx context.Context, id jobs.ID, cells []jobs.CellName) (known jobs.State, guests []jobs.CellName) {
+func (s *Service) askState(ctx context.Context, id jobs.ID, cells []jobs.CellName) (known jobs.State, further []jobs.CellName) {
 	for _, cell := range cells {
 		answer, err := s.Cells.ask(ctx, jobs.Query{Cell: cell, Jobs: []jobs.ID{id}})
 		state, ok := answer.States[id]
 		if err == nil {
-			guests = append(guests, answer.Guests[id]...)
+			further = append(further, answer.Further[id]...)
 		}
 		switch {
 		case err != nil || !ok:
@@ -51,7 +51,7 @@
 			known = state // tasks in another cell may run
 		}
 	}
-	return known, guests
+	return known, further
 }
 
 // stored finds a job's state in the store.
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -116,7 +116,7 @@
 	if j.end != "" {
 		change.Ended = &jobs.Record{
 			Spec: jobs.Spec{ID: j.spec.ID, Queue: j.spec.Queue}, Accepted: j.accepted,
-			Ended: j.end, EndedAt: c.timeOfDay(now), Guests: j.guests, Closed: j.closed,
+			Ended: j.end, EndedAt: c.timeOfDay(now), Further: j.further, Closed: j.closed,
 		}
 		return change
 	}
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -118,7 +118,7 @@
 	losses        []workerLoss              // of the last seconds
 	openRuns      map[jobs.WorkerID][]*task // suspects that a former owner started there, until it answers
 	takeovers     takeoverLosses
-	losers        map[*task]struct{}            // tasks that have lost runs; some of them may have ended since
+	withLosses    map[*task]struct{}            // tasks that have lost runs; some of them may have ended since
 	toJudge       []*task                       // against which something has been counted
 	recent        []recentLoss                  // to be weighed again
 	replaced      map[jobs.Incarnation]struct{} // proved to be gone, while the list still names them
@@ -153,7 +153,7 @@
 		formerLease: config.LongestLease, blind: true, proved: config.Taken, model: contention.NewModel(), usual: map[jobs.QueueName]*speed{},
 		restored: map[stepKey]contention.Load{}, known: known{jobs: config.Taken, workers: config.Taken},
 		repeats: newRepeats(), startsLeft: math.MaxInt,
-		openRuns: map[jobs.WorkerID][]*task{}, losers: map[*task]struct{}{}, replaced: map[jobs.Incarnation]struct{}{},
+		openRuns: map[jobs.WorkerID][]*task{}, withLosses: map[*task]struct{}{}, replaced: map[jobs.Incarnation]struct{}{},
 	}
 }
 
--- a/services/dispatch/ended.go
+++ b/services/dispatch/ended.go
@@ -32,7 +32,7 @@
 		return
 	}
 	c.forgotAt = now
-	c.forgetLosers()
+	c.forgetLosses()
 	for id, e := range c.ended {
 		if now.After(e.until) {
 			delete(c.ended, id)
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -173,7 +173,7 @@
 // lostAfter is after which times runs of the task were lost, as far as that was seen.
 func (t *task) lostAfter() []time.Duration {
 	var times []time.Duration
-	for _, lost := range slices.Concat(t.suspicion.Lost, t.faint) {
+	for _, lost := range slices.Concat(t.suspicion.Lost, t.byChance) {
 		if lost.Ran > 0 {
 			times = append(times, lost.Ran.Duration())
 		}
--- a/services/dispatch/incarnation_test.go
+++ b/services/dispatch/incarnation_test.go
@@ -388,7 +388,7 @@
 			b.Started(starts[0], met, b.now)
 			task := &b.jobs[testJob].steps[0].tasks[0]
 			require.Zero(t, task.losses())
-			require.Empty(t, task.faint)
+			require.Empty(t, task.byChance)
 			require.Equal(t, taskWaiting, task.state, "nothing has to be barred")
 			require.Equal(t, bornSecond, b.Worker(b.ids[0]).Born)
 		})
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -39,14 +39,14 @@
 	leastRun    jobs.RunID      // that other cells had given to runs of its tasks
 	brought     jobs.Suspicions // that came with tasks of other cells
 	home        jobs.CellName   // whose record names this cell, if that does not follow from the job's id
-	guests      []jobs.CellName // further cells that its record here names
+	further     []jobs.CellName // further cells that its record here names
 	closed      bool            // its record here says so
 }
 
 // leftJob is a job all of whose tasks other cells have.
 type leftJob struct {
 	version uint64 // of its key here
-	guests  []jobs.CellName
+	further []jobs.CellName
 }
 
 // AddJob takes a job that the store holds. Fresh says that it was accepted after this
@@ -67,7 +67,7 @@
 	}
 	if left := c.left[id]; record.Left() || record.Version > 0 && record.Version <= left.version {
 		if record.Version >= left.version {
-			c.left[id] = leftJob{version: record.Version, guests: record.Guests}
+			c.left[id] = leftJob{version: record.Version, further: record.Further}
 		}
 		return
 	}
@@ -96,7 +96,7 @@
 	j := &job{
 		spec: record.Spec, terms: record.Terms, accepted: record.Accepted, begins: record.Accepted,
 		chain: record.Spec.Chain(), fresh: fresh, came: record.Came, recorded: record.Version,
-		leastRun: record.LeastRun, brought: record.Suspected, home: record.Home, guests: record.Guests, closed: record.Closed,
+		leastRun: record.LeastRun, brought: record.Suspected, home: record.Home, further: record.Further, closed: record.Closed,
 	}
 	for occurrence := range j.spec.Occurrences() {
 		for number := range j.spec.Steps {
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -59,7 +59,7 @@
 	if t == nil || t.run != order.Call.Run || t.retried || c.superseded {
 		return
 	}
-	t.faint = slices.DeleteFunc(t.faint, func(lost jobs.LostRun) bool { return lost.Run == t.run })
+	t.byChance = slices.DeleteFunc(t.byChance, func(lost jobs.LostRun) bool { return lost.Run == t.run })
 	if t.suspicion.Has(t.run) {
 		t.suspicion = t.suspicion.Without(t.run)
 		c.change(t.step.job)
--- a/services/dispatch/parts.go
+++ b/services/dispatch/parts.go
@@ -22,7 +22,7 @@
 	}
 	delete(c.jobs, j.spec.ID)
 	c.dirty = slices.DeleteFunc(c.dirty, func(other *job) bool { return other == j })
-	c.left[j.spec.ID] = leftJob{version: j.recorded, guests: j.guests}
+	c.left[j.spec.ID] = leftJob{version: j.recorded, further: j.further}
 }
 
 // takeRecord takes a newer record of a job that is known: tasks have come from another cell,
@@ -32,7 +32,7 @@
 		return
 	}
 	j.recorded = record.Version
-	j.home, j.guests, j.closed = record.Home, record.Guests, record.Closed
+	j.home, j.further, j.closed = record.Home, record.Further, record.Closed
 	j.leastRun = max(j.leastRun, record.LeastRun)
 	came, went := 0, 0
 	for flat, s := range j.steps {
@@ -42,7 +42,7 @@
 			case holds && t.state == taskElsewhere:
 				t.run = max(t.run, record.LeastRun)
 				t.suspicion, t.unseen = record.Suspected[flat][i], 0
-				c.noteLoser(t)
+				c.noteLosses(t)
 				t.state = taskWaiting
 				s.waiting++
 				came++
@@ -69,12 +69,12 @@
 	}
 }
 
-// Guests are the further cells that have tasks of a job, as its record here names them.
-func (c *Core) Guests(id jobs.ID) []jobs.CellName {
+// Further are the further cells that have tasks of a job, as its record here names them.
+func (c *Core) Further(id jobs.ID) []jobs.CellName {
 	if j, ok := c.jobs[id]; ok {
-		return j.guests
+		return j.further
 	}
-	return c.left[id].guests
+	return c.left[id].further
 }
 
 // Dropped says that the store does not hold a job any more.
--- a/services/dispatch/recent.go
+++ b/services/dispatch/recent.go
@@ -71,7 +71,7 @@
 		lost[at].Doubt, lost[at].Weight = min(lost[at].Doubt, hundredths(doubt)), min(lost[at].Weight, hundredths(weight))
 		return true
 	}
-	set(r.task.faint)
+	set(r.task.byChance)
 	suspicion := &r.task.suspicion
 	suspicion.Lost = slices.Clone(suspicion.Lost)
 	if set(suspicion.Lost) {
--- a/services/dispatch/shared.go
+++ b/services/dispatch/shared.go
@@ -39,16 +39,16 @@
 	verdictCrashes                // it ends its workers
 )
 
-// noteLoser remembers a task that has lost runs.
-func (c *Core) noteLoser(t *task) {
+// noteLosses remembers a task that has lost runs.
+func (c *Core) noteLosses(t *task) {
 	if len(t.suspicion.Lost) > 0 {
-		c.losers[t] = struct{}{}
+		c.withLosses[t] = struct{}{}
 	}
 }
 
-// forgetLosers forgets those that can't end workers any more.
-func (c *Core) forgetLosers() {
-	maps.DeleteFunc(c.losers, func(t *task, _ struct{}) bool { return !t.mayBeCause() })
+// forgetLosses forgets those that can't end workers any more.
+func (c *Core) forgetLosses() {
+	maps.DeleteFunc(c.withLosses, func(t *task, _ struct{}) bool { return !t.mayBeCause() })
 }
 
 // judgeLater lets a task be judged once all that its worker's loss says has been counted.
@@ -97,7 +97,7 @@
 // they end their workers.
 func (c *Core) openSharers(t *task, now time.Time) []*task {
 	var sharers []*task
-	for other := range c.losers {
+	for other := range c.withLosses {
 		if other.step.job != t.step.job && other.mayBeCause() && t.sharesLoss(other) && !other.hasOutlived(now) {
 			sharers = append(sharers, other)
 		}
@@ -151,10 +151,10 @@
 	return cmp.Or(cmp.Compare(t.losses(), other.losses()), cmp.Compare(t.id().String(), other.id().String()))
 }
 
-// blame takes what a task has caused off those that have shared its losses: with it as a cause that is
+// explainLosses takes what a task has caused off those that have shared its losses: with it as a cause that is
 // known, a loss says of another task how much likelier that one was to cause it.
-func (c *Core) blame(t *task) {
-	for other := range c.losers {
+func (c *Core) explainLosses(t *task) {
+	for other := range c.withLosses {
 		if other.step.job == t.step.job || !other.mayBeCause() {
 			continue
 		}
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -112,7 +112,7 @@
 		case weighed && (loss.Doubt > 0 || len(t.suspicion.Lost) > 0):
 			c.countLoss(t, loss)
 		case weighed:
-			t.faint = append(t.faint, loss)
+			t.byChance = append(t.byChance, loss)
 		case !weighed && c.beganUnseen(w, t, now):
 			c.countUnseenRun(t, t.run)
 		}
@@ -133,9 +133,9 @@
 	if t.suspicion.Has(loss.Run) || t.state == taskDone || j.end != "" || j.cancelled {
 		return
 	}
-	t.suspicion.Lost = append(append(t.suspicion.Lost, t.faint...), loss)
-	t.faint = nil
-	c.noteLoser(t)
+	t.suspicion.Lost = append(append(t.suspicion.Lost, t.byChance...), loss)
+	t.byChance = nil
+	c.noteLosses(t)
 	c.noteCounted(t)
 	c.judgeLater(t)
 }
@@ -146,7 +146,7 @@
 		return false
 	}
 	j := t.step.job
-	c.blame(t)
+	c.explainLosses(t)
 	c.counts.GivenUp++
 	c.config.Logger.Warn("job is given up, a task of it ends its workers", zap.String("job", string(j.spec.ID)),
 		zap.Stringer("task", t.id()), zap.Int("workers_lost", len(t.suspicion.Lost)), zap.Int("unseen", t.unseenLosses()), zap.Float64("weight", t.suspicion.Weight()))
@@ -178,7 +178,7 @@
 func (c *Core) noteSurvival(w *worker, t *task, now time.Time) {
 	ran := now.Sub(t.began)
 	if ran >= mostRan {
-		t.faint = nil
+		t.byChance = nil
 	}
 	if t.suspicion.Clean() && t.unseen == 0 {
 		return
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -105,7 +105,7 @@
 // worker goes without having answered.
 func (c *Core) applySuspicion(t *task, suspicion jobs.Suspicion) {
 	t.suspicion = suspicion
-	c.noteLoser(t)
+	c.noteLosses(t)
 	if open := suspicion.Open; open != nil {
 		c.openRuns[open.Worker] = append(c.openRuns[open.Worker], t)
 	}
--- a/services/dispatch/suspicion_test.go
+++ b/services/dispatch/suspicion_test.go
@@ -167,7 +167,7 @@
 		b.Unreached(b.ids[0], true, b.now)
 		b.Replaced(b.ids[0], b.now)
 		task := &b.jobs[testJob].steps[0].tasks[0]
-		lost := append(task.suspicion.Lost, task.faint...)
+		lost := append(task.suspicion.Lost, task.byChance...)
 		require.Len(t, lost, 1)
 		require.GreaterOrEqual(t, lost[0].Ran.Duration(), least)
 		require.Less(t, lost[0].Ran.Duration(), least+500*time.Millisecond)
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -33,7 +33,7 @@
 	failures  jobs.Failures
 	suspicion jobs.Suspicion
 	weighedAt time.Time      // when its latest loss is weighed for good
-	faint     []jobs.LostRun // losses that chance explains better, unless a later one is like them; this owner's alone
+	byChance  []jobs.LostRun // losses that chance explains better, unless a later one is like them; this owner's alone
 	onTrial   bool           // a suspect that has not run for long enough yet
 	counted   uint64         // the job's version when a loss was last counted
 	unseen    int            // runs that may have been lost between two owners; see unseen.go
