--- a/contrib/kept.sh
+++ b/contrib/kept.sh
@@ -24,15 +24,13 @@
 	} | LC_ALL=C sort -u
 }
 
-case ${1:-check} in
-update)
-	present >"$kept"
-	;;
-check)
+now=$(mktemp)
+trap 'rm -f "$now"' EXIT
+present >"$now"
+
+# explained complains about what the list has, is there no more, and is not named in the other page.
+explained() {
 	bad=0
-	now=$(mktemp)
-	trap 'rm -f "$now"' EXIT
-	present >"$now"
 	LC_ALL=C comm -23 "$kept" "$now" | {
 		while IFS= read -r line; do
 			if ! grep -qF "\`$line\`" "$gone"; then
@@ -42,6 +40,15 @@
 		done
 		exit "$bad"
 	}
+}
+
+case ${1:-check} in
+update)
+	explained
+	cp "$now" "$kept"
+	;;
+check)
+	explained
 	if [ -n "$(LC_ALL=C comm -13 "$kept" "$now")" ]; then
 		echo "$kept lacks what is new, run: sh $0 update" >&2
 		exit 1
