One piece for what the change wrote twice: the verdict on a suspect, losses that say less, tasks that are over

The verdict on a suspect that waits was drawn twice at each look, each time over all tasks with losses; it is drawn once. The loss of an idle worker is noted and no more: its chance was computed, and again 0.5 s later, for no run. One question whether a task is over in place of four, one way to lower what a loss says in place of two, one constant for the bound on lost runs, which the table of weights had as a number, one question whether an entry's further cells may move tasks, and one beginning for five tests of starts at incarnations; assertions as they were.

--- a/services/control/cancel.go
+++ b/services/control/cancel.go
@@ -159,9 +159,12 @@
 
 // mayMove tells whether tasks of the job may still move between cells while it is being cancelled.
 func (e jobEntries) mayMove() bool {
-	return slices.ContainsFunc(e, func(entry jobEntry) bool { return len(entry.record.Further) > 0 && !entry.record.Closed })
+	return slices.ContainsFunc(e, jobEntry.movable)
 }
 
+// movable tells whether further cells that the entry names may move tasks.
+func (e jobEntry) movable() bool { return len(e.record.Further) > 0 && !e.record.Closed }
+
 // closeMoves cancels a job in the cells that follow from its id, and keeps its tasks from moving: each move by
 // one of the other cells requires the record that names it. What follows meets entries that don't change.
 func closeMoves(id jobs.ID, entries jobEntries, wish jobs.Cancellation) (platform.Txn, error) {
@@ -172,7 +175,7 @@
 	}
 	var puts []put
 	for _, entry := range own {
-		if len(entry.record.Further) > 0 && !entry.record.Closed {
+		if entry.movable() {
 			record := entry.record
 			record.Closed, record.Moved = true, true
 			puts = append(puts, put{jobKey(entry.cell, id), record})
--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -120,7 +120,8 @@
 
 // sameIDs is the scene with workers that start again under their ids.
 func (s scene) sameIDs() scene {
-	return scene{workers: s.workers, perCell: s.perCell, naming: grid.SameID}
+	s.naming = grid.SameID
+	return s
 }
 
 func checkScripts(t *testing.T, where scene, draw func(*rapid.T) happening) {
--- a/services/dispatch/incarnation_test.go
+++ b/services/dispatch/incarnation_test.go
@@ -22,14 +22,22 @@
 // newBornBench makes a core with a worker that says when it started, runs a task.
 func newBornBench(t *testing.T) (b *bench, start StartOrder) {
 	t.Helper()
-	b = newBench(t, 2)
+	b, start = newBornStart(t, 2)
+	b.Started(start, Result{Outcome: OutcomeDone}, b.now)
+	require.Equal(t, bornFirst, start.Worker.Born, "the order is for this incarnation")
+	return b, start
+}
+
+// newBornStart makes a core with so many workers, one of which says when it started and has not answered yet that it is
+// to start a task.
+func newBornStart(t *testing.T, workers int) (b *bench, start StartOrder) {
+	t.Helper()
+	b = newBench(t, workers)
 	b.list(bornFirst)
 	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
 	b.report(0, jobs.Report{Born: bornFirst})
 	starts := b.storedStarts()
 	require.Len(t, starts, 1)
-	b.Started(starts[0], Result{Outcome: OutcomeDone}, b.now)
-	require.Equal(t, bornFirst, starts[0].Worker.Born, "the order is for this incarnation")
 	return b, starts[0]
 }
 
@@ -246,20 +254,15 @@
 // TestStartWithoutAnswerIsBarredAtTheNextIncarnation guards against a start that is carried out late, while
 // its task runs elsewhere.
 func TestStartWithoutAnswerIsBarredAtTheNextIncarnation(t *testing.T) {
-	b := newBench(t, 1)
-	b.list(bornFirst)
-	b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-	b.report(0, jobs.Report{Born: bornFirst})
-	starts := b.storedStarts()
-	require.Len(t, starts, 1)
+	b, start := newBornStart(t, 1)
 	b.restarted(bornSecond, 30, jobs.Report{})
 	orders := b.Decide(b.now)
 	require.Len(t, orders, 1)
 	stop, ok := orders[0].(StopOrder)
 	require.True(t, ok, "%T", orders[0])
-	require.Equal(t, starts[0].Call.Run, stop.Call.Run)
+	require.Equal(t, start.Call.Run, stop.Call.Run)
 	require.Equal(t, bornSecond, stop.Worker.Born)
-	require.Greater(t, stop.Call.Fence, starts[0].Call.Fence)
+	require.Greater(t, stop.Call.Fence, start.Call.Fence)
 	b.list(bornSecond)
 	require.Empty(t, b.storedStarts(), "it is not barred yet")
 	b.Stopped(stop, Result{Outcome: OutcomeDone}, b.now)
@@ -282,11 +285,7 @@
 		"barred":     {barred: true, freeMin: 0, freeMax: silentAfter + 2*time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(t, 1)
-			b.list(bornFirst)
-			b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-			b.report(0, jobs.Report{Born: bornFirst})
-			require.Len(t, b.storedStarts(), 1)
+			b, _ := newBornStart(t, 1)
 			began := b.now
 			b.restarted(bornSecond, 30, jobs.Report{})
 			stop := b.Decide(b.now)[0].(StopOrder)
@@ -355,16 +354,12 @@
 // on the incarnation that is being asked to bar it.
 func TestAnswerToAStartOfAFormerIncarnationSaysNothing(t *testing.T) {
 	for _, result := range []Result{{Outcome: OutcomeUnknown}, {Outcome: OutcomeRefused, Refusal: jobs.RefusedRoom}} {
-		b := newBench(t, 1)
-		b.list(bornFirst)
-		b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-		b.report(0, jobs.Report{Born: bornFirst})
-		starts := b.storedStarts()
-		b.restarted(bornSecond, 30, jobs.Report{Running: []jobs.Run{{Task: starts[0].Call.Task, Run: starts[0].Call.Run}}})
+		b, start := newBornStart(t, 1)
+		b.restarted(bornSecond, 30, jobs.Report{Running: []jobs.Run{{Task: start.Call.Task, Run: start.Call.Run}}})
 		task := &b.jobs[testJob].steps[0].tasks[0]
 		state := task.state
 		require.NotNil(t, task.worker)
-		b.Started(starts[0], result, b.now)
+		b.Started(start, result, b.now)
 		require.Equal(t, state, task.state)
 		require.True(t, b.workers[b.ids[0]].unwell.IsZero())
 	}
@@ -376,16 +371,11 @@
 	met := Result{Outcome: OutcomeIncarnation, Born: bornSecond}
 	for name, reportFirst := range map[string]bool{"its answer tells of it": false, "a report told of it before": true} {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(t, 1)
-			b.list(bornFirst)
-			b.AddJob(b.job(one), jobs.Progress{}, true, b.now)
-			b.report(0, jobs.Report{Born: bornFirst})
-			starts := b.storedStarts()
-			require.Len(t, starts, 1)
+			b, start := newBornStart(t, 1)
 			if reportFirst {
 				b.restarted(bornSecond, 30, jobs.Report{})
 			}
-			b.Started(starts[0], met, b.now)
+			b.Started(start, met, b.now)
 			task := &b.jobs[testJob].steps[0].tasks[0]
 			require.Zero(t, task.losses())
 			require.Empty(t, task.byChance)
--- a/services/dispatch/recent.go
+++ b/services/dispatch/recent.go
@@ -63,18 +63,13 @@
 // setWeight puts a lost run's new weight in the place of the former one.
 func (c *Core) setWeight(r weighedRun) {
 	doubt, weight := r.weigh()
-	set := func(lost []jobs.LostRun) (changed bool) {
-		at := slices.IndexFunc(lost, func(l jobs.LostRun) bool { return l.Run == r.run })
-		if at < 0 {
-			return false
-		}
-		lost[at].Doubt, lost[at].Weight = min(lost[at].Doubt, hundredths(doubt)), min(lost[at].Weight, hundredths(weight))
-		return true
+	of := func(lost jobs.LostRun) bool { return lost.Run == r.run }
+	if at := slices.IndexFunc(r.task.byChance, of); at >= 0 {
+		r.task.byChance = lowered(r.task.byChance, at, hundredths(doubt), hundredths(weight))
 	}
-	set(r.task.byChance)
 	suspicion := &r.task.suspicion
-	suspicion.Lost = slices.Clone(suspicion.Lost)
-	if set(suspicion.Lost) {
+	if at := slices.IndexFunc(suspicion.Lost, of); at >= 0 {
+		suspicion.Lost = lowered(suspicion.Lost, at, hundredths(doubt), hundredths(weight))
 		c.change(r.task.step.job)
 	}
 }
--- a/services/dispatch/shared.go
+++ b/services/dispatch/shared.go
@@ -27,9 +27,6 @@
 // other, and come back.
 const sharedMost = 8 * time.Second
 
-// mostLosses is how many runs a task may lose at most: the users' bound on its starts.
-const mostLosses = 5
-
 // verdict is what is known of a task that has lost runs.
 type verdict uint8
 
@@ -59,8 +56,8 @@
 	tasks := c.toJudge
 	c.toJudge = nil
 	for _, t := range tasks {
-		if j := t.step.job; t.state != taskDone && j.end == "" && !j.cancelled {
-			c.giveUpIfCertain(t, now)
+		if !t.isOver() && c.verdictOn(t, now) == verdictCrashes {
+			c.giveUp(t)
 		}
 	}
 }
@@ -88,11 +85,6 @@
 	}
 }
 
-// waitsForOthers tells whether the task does not start before it is known what becomes of others.
-func (c *Core) waitsForOthers(t *task, now time.Time) bool {
-	return c.verdictOn(t, now) == verdictWaits
-}
-
 // openSharers are the other tasks that share a loss with the task, of which it is not known yet whether
 // they end their workers.
 func (c *Core) openSharers(t *task, now time.Time) []*task {
@@ -107,8 +99,13 @@
 
 // mayBeCause tells whether the task may still end workers, or have to be told from those that do.
 func (t *task) mayBeCause() bool {
+	return len(t.suspicion.Lost) > 0 && t.state != taskElsewhere && !t.isOver()
+}
+
+// isOver tells whether the task is done, or its job has ended or is cancelled.
+func (t *task) isOver() bool {
 	j := t.step.job
-	return len(t.suspicion.Lost) > 0 && t.state != taskDone && t.state != taskElsewhere && j.end == "" && !j.cancelled
+	return t.state == taskDone || j.end != "" || j.cancelled
 }
 
 // hasOutlived tells whether the task's run goes on for longer than those that were lost, on a worker that is
@@ -172,10 +169,15 @@
 	}
 	lost := t.suspicion.Lost[at]
 	left := hundredths(-math.Log(math.Exp(-lost.Doubt) + math.Exp(cause.Doubt-lost.Doubt)))
-	lost.Doubt, lost.Weight = min(lost.Doubt, left), min(lost.Weight, left)
-	t.suspicion.Lost = slices.Clone(t.suspicion.Lost)
-	t.suspicion.Lost[at] = lost
+	t.suspicion.Lost = lowered(t.suspicion.Lost, at, left, left)
 	c.changeSoon(t.step.job)
 	c.config.Logger.Info("loss is explained by another task", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(lost.Run)),
-		zap.Float64("weight", lost.Weight))
+		zap.Float64("weight", t.suspicion.Lost[at].Weight))
+}
+
+// lowered gives losses of which one says no more than this.
+func lowered(losses []jobs.LostRun, at int, doubt, weight float64) []jobs.LostRun {
+	losses = slices.Clone(losses)
+	losses[at].Doubt, losses[at].Weight = min(losses[at].Doubt, doubt), min(losses[at].Weight, weight)
+	return losses
 }
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -31,7 +31,10 @@
 // most e to the minus x. Users allow five starts of a task that ends every worker, so less is enough once
 // five may have been lost. Two may coincide with what goes on around them more easily than independent ones: what
 // is lost starts again at once.
-var enoughWeight = [...]float64{2: 12, 3: 10, 4: 10, 5: 5}
+var enoughWeight = [...]float64{2: 12, 3: 10, 4: 10, mostLosses: 5}
+
+// mostLosses is how many runs a task may lose at most: the users' bound on its starts.
+const mostLosses = 5
 
 // leastLosses is how many workers must have been lost under a task before it is given up: the
 // users' condition for a job to fail for it.
@@ -90,11 +93,12 @@
 // weighLoss weighs a loss for all tasks on the worker before it is counted for any of them. One with no task
 // says most of how often workers go by chance.
 func (c *Core) weighLoss(w *worker, now time.Time) {
-	chance := c.chanceOf(w, now)
 	c.noteLoss(w, now)
-	if len(w.tasks) > 0 {
-		c.counts.WorkersLost++
+	if len(w.tasks) == 0 {
+		return
 	}
+	c.counts.WorkersLost++
+	chance := c.chanceOf(w, now)
 	losses := map[*task]jobs.LostRun{}
 	recent := recentLoss{of: w.info.Incarnation(), at: w.lastAlive(now)}
 	for _, t := range w.tasks {
@@ -129,8 +133,7 @@
 
 // countLoss counts a lost run against its task, and gives the task up when enough is known.
 func (c *Core) countLoss(t *task, loss jobs.LostRun) {
-	j := t.step.job
-	if t.suspicion.Has(loss.Run) || t.state == taskDone || j.end != "" || j.cancelled {
+	if t.suspicion.Has(loss.Run) || t.isOver() {
 		return
 	}
 	t.suspicion.Lost = append(append(t.suspicion.Lost, t.byChance...), loss)
@@ -140,11 +143,8 @@
 	c.judgeLater(t)
 }
 
-// giveUpIfCertain ends the job of a task against which enough is known, and tells whether it has.
-func (c *Core) giveUpIfCertain(t *task, now time.Time) bool {
-	if c.verdictOn(t, now) != verdictCrashes {
-		return false
-	}
+// giveUp ends the job of a task that ends its workers.
+func (c *Core) giveUp(t *task) {
 	j := t.step.job
 	c.explainLosses(t)
 	c.counts.GivenUp++
@@ -152,7 +152,6 @@
 		zap.Stringer("task", t.id()), zap.Int("workers_lost", len(t.suspicion.Lost)), zap.Int("unseen", t.unseenLosses()), zap.Float64("weight", t.suspicion.Weight()))
 	c.end(j, jobs.StateFailed)
 	c.stopAll(j, "its job has failed")
-	return true
 }
 
 // noteCounted lets what has been counted against a task be stored before it starts again, together with
@@ -171,7 +170,7 @@
 }
 
 // enoughWeight is the weight at which the task is given up.
-func (t *task) enoughWeight() float64 { return enoughWeight[min(t.losses(), len(enoughWeight)-1)] }
+func (t *task) enoughWeight() float64 { return enoughWeight[min(t.losses(), mostLosses)] }
 
 // noteSurvival clears a task whose run has gone on for long enough, and lets others start beside one
 // that has outlived its trial.
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -53,10 +53,11 @@
 		if t.state != taskWaiting || !t.suspected() || c.startsLeft <= 0 || !t.countIsStored() {
 			continue
 		}
-		if c.giveUpIfCertain(t, now) { // with what former owners, or other cells, have lost
+		switch c.verdictOn(t, now) {
+		case verdictCrashes: // with what former owners, or other cells, have lost
+			c.giveUp(t)
 			return
-		}
-		if c.waitsForOthers(t, now) {
+		case verdictWaits:
 			continue
 		}
 		w := c.trialPlace(t, now)
--- a/services/dispatch/unseen.go
+++ b/services/dispatch/unseen.go
@@ -198,8 +198,7 @@
 
 // countUnseenRun counts a run against its task that may have been lost, once.
 func (c *Core) countUnseenRun(t *task, run jobs.RunID) {
-	j := t.step.job
-	if t.state == taskDone || j.end != "" || j.cancelled || t.suspicion.Has(run) && !t.mayRunTwice() {
+	if t.isOver() || t.suspicion.Has(run) && !t.mayRunTwice() {
 		return
 	}
 	t.suspicion.Unseen++
