--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -65,6 +65,8 @@
 		"suspect_trials":    counts.Trials - before.Trials,
 		"suspects_cleared":  counts.Cleared - before.Cleared,
 		"jobs_given_up":     counts.GivenUp - before.GivenUp,
+		"suspects_waiting":  counts.Contested - before.Contested,
+		"trials_delayed":    counts.TrialsDelayed - before.TrialsDelayed,
 		"starts_from_text":  counts.StartsFromText - before.StartsFromText,
 	} {
 		scope.Counter(name).Inc(delta)
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -24,7 +24,7 @@
 //     evidence.go (the evidence of one loss), chance.go (the rate of worker losses by chance),
 //     burst.go (workers lost together), recent.go (losses that are evaluated again when
 //     simultaneous losses are known), shared.go (losses shared by several tasks), trial.go (where
-//     and how suspects start), suspicion_store.go (what is stored), unobserved_losses.go (unobserved losses:
+//     and how suspects start), trial_wait.go (what keeps them from it), suspicion_store.go (what is stored), unobserved_losses.go (unobserved losses:
 //     runs that may have been lost without any owner knowing of them)
 //   - recovery after a takeover: takeover.go; proof that this process still owns the cell:
 //     proof.go; whether its copy of the store's data is fresh enough to start tasks:
@@ -144,6 +144,7 @@
 	ReportsPassedOver                                                      int64 // reports discarded as older than one already applied
 	LostUnseen                                                             int64 // runs that may have been lost with a worker, while no owner observed their start or their loss
 	Trials, GivenUp, Cleared                                               int64 // trials of tasks suspected of crashing workers; tasks abandoned; tasks cleared
+	Contested, TrialsDelayed                                               int64 // waits of suspects for the outcome of other tasks, and long ones for a worker
 	StartsFromText                                                         int64 // starts from a checkpoint
 	// Checkpoints in reports that were not taken, by reason: see checkpointResult.
 	TextsNotAskedOf, TextsOlder, TextsUnordered, TextsFailed int64
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -146,6 +146,7 @@
 	t.step.waiting--
 	t.step.job.running++
 	t.starts++
+	t.trialWait = trialWait{}
 	t.orderedHere = true
 	t.run = c.nextRun(t)
 	t.state = taskStarting
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -49,6 +49,7 @@
 	startUnanswered         bool             // a start of the run has no answer and may still be carried out
 	fromPreviousIncarnation bool             // ordered at the worker's previous incarnation; has to be barred at the present one
 	waitingSince            time.Time        // since when the task waits; zero: waiting for long, or moved from another cell
+	trialWait               trialWait        // why it has not been tried yet since it waits; for suspects
 	startedAt               time.Time        // when the run was ordered, then when it was known to be under way
 	lastReport              uint64           // number of the worker's report that last showed the run
 	checkpoint              *savedCheckpoint // where the next run resumes; nil: the run starts from the beginning
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -58,11 +58,13 @@
 			c.abandonJobOf(t)
 			return
 		case verdictContested:
+			c.recordContested(t, now)
 			continue
 		}
 		w := c.trialWorker(t, now)
 		if w == nil {
 			s.recordNoPlace(now)
+			c.recordNoWorker(t, now)
 			return
 		}
 		if s.spec.LongRunning && !c.leavesCapacity(t, now) {
