--- /dev/null
+++ b/services/dispatch/shared_wait_test.go
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// allowedSharedWait is how long callers allow a job to have nothing running while there is room for it.
+const allowedSharedWait = 3 * time.Second
+
+// awaitStart lets idle workers report until something starts, for as long as callers allow.
+func (b *bench) awaitStart(t *testing.T) StartOrder {
+	t.Helper()
+	for until := b.now.Add(allowedSharedWait); b.now.Before(until); {
+		for n := range b.ids {
+			b.report(n, jobs.Report{})
+		}
+		b.store()
+		if starts := b.starts(); len(starts) > 0 {
+			return starts[0]
+		}
+	}
+	require.Fail(t, "nothing starts beside idle workers", "ends: %q and %q", b.jobs[testJob].end, b.jobs[otherJob].end)
+	return StartOrder{}
+}
+
+// newSharedSuccessor makes a core that has read two tasks from the store, which were lost together once. Each has the given
+// number of losses that no owner observed.
+func newSharedSuccessor(t *testing.T, unobserved int) *bench {
+	t.Helper()
+	lost := []jobs.LostRun{lostRunWith(lossShared, 1, 9, 8), lostRunWith(lossAlone, 2, 5, 4)}
+	other := []jobs.LostRun{lostRunWith(lossShared, 1, 9, 8), lostRunWith(lossThird, 2, 5, 4)}
+	b := newSharedBench(t, lost, other)
+	for _, id := range []jobs.ID{testJob, otherJob} {
+		b.taskOf(id).suspicion.Unobserved = unobserved
+		b.taskOf(id).waitingSince = time.Time{} // a successor does not know it
+	}
+	return b
+}
+
+// TestTasksLostTogetherDoNotWaitForEachOther guards against accepted jobs that never run: two tasks that were lost together
+// waited for each other's trial, and after a takeover nothing ended the wait, because each may have lost five runs.
+func TestTasksLostTogetherDoNotWaitForEachOther(t *testing.T) {
+	for unobserved := range maxLosses - 1 {
+		b := newSharedSuccessor(t, unobserved)
+		start := b.awaitStart(t)
+		require.Empty(t, b.jobs[start.Call.Task.Job].end)
+	}
+}
+
+// TestTaskWaitsForSomeTimeOnlyAfterATakeover guards against a task that waits for ever for another one that finds no
+// place: the successor of an owner did not know since when the task waits.
+func TestTaskWaitsForSomeTimeOnlyAfterATakeover(t *testing.T) {
+	for unobserved := range maxLosses - 1 {
+		b := newSharedSuccessor(t, unobserved)
+		b.taskOf(otherJob).suspicion.Unobserved = 0 // so that it is tried first
+		b.jobs[otherJob].spec.Steps[0].Requires = "label of no worker"
+		require.Equal(t, testJob, b.awaitStart(t).Call.Task.Job)
+	}
+}
