--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -143,6 +143,7 @@
 }
 
 // inferDone marks the steps on which a running task depends as done: their ends may be known only to a previous owner.
+// It opens the other steps that have waited for these: a later report of such an end changes nothing any more.
 func (c *Core) inferDone(t *task) {
 	s := t.step
 	s.opened = true
@@ -158,6 +159,7 @@
 			}
 		}
 	}
+	c.openSteps(s.job, c.now)
 }
 
 // promptAnswer is how soon after a start its answer must arrive for the answer to show when the run began. After a
