--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -142,24 +142,41 @@
 	c.inferDone(t)
 }
 
-// inferDone marks the steps on which a running task depends as done: their ends may be known only to a previous owner.
+// inferDone marks all steps on which a running task depends as done: their ends may be known only to a previous owner.
 // It opens the other steps that have waited for these: a later report of such an end changes nothing any more.
 func (c *Core) inferDone(t *task) {
-	s := t.step
-	s.opened = true
+	t.step.opened = true
+	c.inferEarlierDone(t.step)
+	c.openSteps(t.step.job, c.now)
+}
+
+// inferEarlierDone marks the steps on which a step depends as done. Where that shows an end that was not known, the
+// ends before it may not be known either.
+func (c *Core) inferEarlierDone(s *step) {
 	for _, earlier := range s.predecessors() {
-		for i := range earlier.tasks {
-			o := &earlier.tasks[i]
-			if o.state == taskWaiting || o.state == taskUnknown {
-				if o.state == taskWaiting {
-					earlier.waiting--
-				}
-				c.finishTask(o)
-				c.markChanged(s.job)
-			}
+		if c.inferStepDone(earlier) {
+			c.inferEarlierDone(earlier)
+		}
+	}
+}
+
+// inferStepDone marks the tasks of a step as done that are on no worker, and returns whether there were any.
+func (c *Core) inferStepDone(s *step) bool {
+	inferred := false
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		switch t.state {
+		case taskWaiting:
+			s.waiting--
+		case taskUnknown:
+		default:
+			continue
 		}
+		c.finishTask(t)
+		c.markChanged(s.job)
+		inferred = true
 	}
-	c.openSteps(s.job, c.now)
+	return inferred
 }
 
 // promptAnswer is how soon after a start its answer must arrive for the answer to show when the run began. After a
