--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -46,7 +46,9 @@
 			wake(o.wakeStore)
 		}
 		for _, order := range orders {
-			o.cells.startLimit.Begin()
+			if isLimited(order) {
+				o.cells.startLimit.Begin()
+			}
 			o.group.Go(func() { o.executeOrder(ctx, order, decided) })
 		}
 		sleep(ctx, minDecidePause)
@@ -69,13 +71,15 @@
 	switch order := order.(type) {
 	case dispatch.StartOrder:
 		_, err := o.config.Workers.StartRun(ctx, order.Worker, order.Call)
-		o.recordResult(sent, decided, err, func(result dispatch.Result, now time.Time) { o.core.Started(order, result, now) })
+		o.endLimited(decided, err)
+		o.recordResult(sent, err, func(result dispatch.Result, now time.Time) { o.core.Started(order, result, now) })
 	case dispatch.StopOrder:
 		_, err := o.config.Workers.StopRun(ctx, order.Worker, order.Call)
-		o.recordResult(sent, decided, err, func(result dispatch.Result, now time.Time) { o.core.Stopped(order, result, now) })
+		o.recordResult(sent, err, func(result dispatch.Result, now time.Time) { o.core.Stopped(order, result, now) })
 	case dispatch.PaceOrder:
 		_, err := o.config.Workers.SetPace(ctx, order.Worker, order.Call)
-		o.recordResult(sent, decided, err, func(result dispatch.Result, now time.Time) { o.core.Paced(order, result, now) })
+		o.endLimited(decided, err)
+		o.recordResult(sent, err, func(result dispatch.Result, now time.Time) { o.core.Paced(order, result, now) })
 	}
 }
 
@@ -90,12 +94,24 @@
 	wake(o.wakeDecide)
 }
 
-// recordResult records in the core what became of an order that was decided and sent at the given times,
-// and wakes decideLoop.
-func (o *Owner) recordResult(sent, decided time.Time, err error, record func(result dispatch.Result, now time.Time)) {
+// isLimited reports whether an order counts against the limit of orders in flight. A stop does not: stops are never held
+// back, and those for workers that do not answer are repeated until the workers' leases are over. When they counted, a
+// burst of them held back all starts on the workers that answered.
+func isLimited(order dispatch.Order) bool {
+	_, stop := order.(dispatch.StopOrder)
+	return !stop
+}
+
+// endLimited passes the result of an order that counts against the limit of orders in flight to that limit.
+func (o *Owner) endLimited(decided time.Time, err error) {
+	answered := classifyCall(err).Outcome != dispatch.OutcomeUnknown
+	o.cells.startLimit.End(inflight.Call{Took: o.config.Clock.Since(decided), Answered: answered})
+}
+
+// recordResult records in the core what became of an order that was sent at the given time, and wakes decideLoop.
+func (o *Owner) recordResult(sent time.Time, err error, record func(result dispatch.Result, now time.Time)) {
 	result := classifyCall(err)
 	o.endCall(sent, 0, result.Outcome)
-	o.cells.startLimit.End(inflight.Call{Took: o.config.Clock.Since(decided), Answered: result.Outcome != dispatch.OutcomeUnknown})
 	now := o.config.Clock.Read()
 	o.mu.Lock()
 	record(result, now)
--- a/services/control/starts.go
+++ b/services/control/starts.go
@@ -12,11 +12,12 @@
 
 // An owner whose link or processor cannot handle all the starts of its cell gives priority to work that must not be
 // late: it renews its lease in the store and the leases of running work, receives reports, and sends
-// stops and throttling orders. Starts get the remaining capacity: the number of starts in flight is limited to
-// what workers answer in time. The core keeps starts until they are sent, so that the most urgent start
+// stops and throttling orders. Starts get the remaining capacity: the number of starts and throttling orders in flight
+// is limited to what workers answer in time. The core keeps starts until they are sent, so that the most urgent start
 // is sent next and none expires on the way. As the last measure, reports become less frequent.
 
-// Limits of the orders in flight from this daemon. They apply to all its cells together, which share its link.
+// Limits of the starts and throttling orders in flight from this daemon. They apply to all its cells together, which
+// share its link.
 const (
 	// minStarts keeps work going however late answers are; a narrow link carries this many in about 50 ms.
 	minStarts = 8
