--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -108,6 +108,7 @@
 	quorumAskedAt   time.Time // two thirds of the workers have answered a call that was sent at this time or later
 	quorumCheckedAt time.Time // when the answers of the workers were last counted for mayOrder
 	wantsProof      bool      // a transaction is wanted for the proof of ownership alone
+	wantsLapseProof bool      // the leases of a worker out of the roster are over, and a transaction has to prove it
 	awaitingProof   bool      // orders are held back until ownership is proved again
 	storeFreshness  storeFreshness
 	stopping        map[*task]struct{}
--- a/services/dispatch/lost_workers.go
+++ b/services/dispatch/lost_workers.go
@@ -16,6 +16,7 @@
 // other owner has renewed the leases: the workers' tasks may start elsewhere, and workers that are no longer listed
 // are removed.
 func (c *Core) expireWorkers(now time.Time) {
+	c.wantsLapseProof = false
 	for _, w := range slices.Clone(c.sortedWorkers) {
 		if now.Sub(w.reportedAt) <= silentAfter || now.Before(c.lapsedAt(w)) {
 			continue
@@ -25,6 +26,7 @@
 			c.storeSilentRuns(w, now)
 			c.setRetired(w, true)
 		case !c.hasLapsed(w):
+			c.wantsLapseProof = true
 		case !w.listed:
 			c.removeWorker(w, "it is no longer listed, and its leases are over", now)
 		case len(w.tasks) > 0:
@@ -38,7 +40,9 @@
 }
 
 // hasLapsed reports whether the worker has certainly ended all its runs by its own clock: the lease that was granted
-// is over, and a proof of ownership since then shows that no other owner had granted another one.
+// is over, and a proof of ownership since then shows that no other owner had granted another one. The proof is the
+// transaction that takes the worker out of the roster, or a later one when it becomes known after that transaction that
+// leases of previous owners may last longer.
 func (c *Core) hasLapsed(w *worker) bool { return c.provedAt.After(c.lapsedAt(w)) }
 
 // setRetired takes a silent worker that certainly runs nothing out of the roster, so that the next owner does not
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -37,7 +37,7 @@
 		c.quorumAskedAt = c.twoThirdsAnsweredSince()
 	}
 	age := now.Sub(latest(c.provedAt, c.quorumAskedAt))
-	c.wantsProof = age > proofRefreshAge
+	c.wantsProof = c.wantsLapseProof || age > proofRefreshAge
 	c.setAwaitingProof(age > proofValidity, age)
 	return !c.awaitingProof
 }
