--- a/services/dispatch/checkpoint_worker_test.go
+++ b/services/dispatch/checkpoint_worker_test.go
@@ -84,7 +84,7 @@
 
 // report returns the worker's present report.
 func (w *checkpointWorker) report(now time.Time) jobs.Report {
-	report := jobs.Report{Clock: w.clock(now), Ended: append([]jobs.Ended(nil), w.ends...)}
+	report := jobs.Report{Clock: w.clock(now), Born: w.info.Born, Ended: append([]jobs.Ended(nil), w.ends...)}
 	for _, run := range w.runs() {
 		report.Running = append(report.Running, jobs.Run{Task: run.task, Run: run.run, Checkpoint: run.text, Figure: 1000})
 	}
--- a/services/dispatch/checkpoint_world_test.go
+++ b/services/dispatch/checkpoint_world_test.go
@@ -94,6 +94,11 @@
 	if lasting {
 		steps = []jobs.Step{{Count: 2, Size: size, LongRunning: true, Checkpoints: true}}
 	}
+	w.submitSteps(steps)
+}
+
+// submitSteps submits a job with the given steps.
+func (w *checkpointWorld) submitSteps(steps []jobs.Step) {
 	record := jobs.Record{
 		Spec:  jobs.Spec{ID: jobID(w.jobs), Queue: "q", Steps: steps},
 		Terms: jobs.Terms{Pool: testPool, MaxAttempts: 5, Slack: 250, Stretch: 1.5}, Accepted: models.UnixMilliOf(w.now), Version: w.version,
@@ -114,9 +119,12 @@
 	w.core.SetWorkers(list, w.now)
 }
 
-// store carries out the owner's writes to the store.
+// store carries out the owner's writes to the store, if there are any.
 func (w *checkpointWorld) store() {
 	changes := w.core.TakeChanges(100, w.now)
+	if changes.Empty() {
+		return
+	}
 	for _, change := range changes.Jobs {
 		if change.Ended != nil {
 			w.records[change.ID] = *change.Ended
@@ -211,15 +219,21 @@
 	}
 }
 
-// obey carries out an order at the worker that it names.
+// obey carries out an order at the worker that it names; another incarnation of that worker carries out nothing.
 func (w *checkpointWorld) obey(order Order) Result {
 	switch order := order.(type) {
 	case StartOrder:
 		if worker := w.find(order.Worker.ID); worker != nil {
+			if worker.info.Incarnation().Differs(order.Worker.Incarnation()) {
+				return Result{Outcome: OutcomeOtherIncarnation, Born: worker.info.Born}
+			}
 			return worker.start(order.Call, w.now)
 		}
 	case StopOrder:
 		if worker := w.find(order.Worker.ID); worker != nil {
+			if worker.info.Incarnation().Differs(order.Worker.Incarnation()) {
+				return Result{Outcome: OutcomeOtherIncarnation, Born: worker.info.Born}
+			}
 			run, result := worker.stop(order.Call)
 			if run != nil {
 				w.save(run)
