--- a/services/dispatch/core_test.go
+++ b/services/dispatch/core_test.go
@@ -138,3 +138,27 @@
 		}
 	}
 }
+
+// TestTaskMovesOnFromAWorkerThatRefusesIt guards against a task that waits for ever beside idle workers: the worker that
+// was the best for it refused each start for a reason that is not known here, and was asked again each second.
+func TestTaskMovesOnFromAWorkerThatRefusesIt(t *testing.T) {
+	b := newBench(t, 3)
+	for n := range b.ids {
+		b.report(n, jobs.Report{})
+	}
+	b.AddJob(b.job(singleTaskStep), jobs.Progress{}, true, b.now)
+	var refusing jobs.WorkerID
+	for began, n := b.now, 0; ; n++ {
+		require.Less(t, b.now.Sub(began), 3*time.Second, "one worker of three refuses starts")
+		for _, start := range b.starts() {
+			if refusing == "" {
+				refusing = start.Worker.ID
+			}
+			if start.Worker.ID != refusing {
+				return
+			}
+			b.Started(start, Result{Outcome: OutcomeRefused, Refusal: jobs.RefusedOther}, b.now)
+		}
+		b.report(n%len(b.ids), jobs.Report{})
+	}
+}
