--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -31,7 +31,7 @@
 	}
 	outcomeKnown := result.Outcome == OutcomeDone || result.Outcome == OutcomeRefused && result.Refusal == jobs.RefusedStaleRun
 	if t.startRepeated && !outcomeKnown {
-		w.avoidUntil = now.Add(avoidPause)
+		w.avoidUntil = latest(w.avoidUntil, now.Add(avoidPause))
 		c.stop(t, "its first start has no answer, and the second was not carried out")
 		return
 	}
@@ -88,6 +88,9 @@
 	// twice. Without it, the task was placed on that worker again and again, beside idle workers. The pause is
 	// longer than the stop that has to be proved first.
 	avoidPause = 4 * time.Second
+	// refusedAvoidPause is the same for a worker that has refused a start for any other reason. It is many times
+	// stepPause, so that a task passes over many such workers before the first of them is tried again.
+	refusedAvoidPause = 30 * time.Second
 )
 
 // handleRefused decides when and where a task may start again after a refused start.
@@ -101,8 +104,9 @@
 		return
 	case jobs.RefusedCapacity, jobs.RefusedLate: // the next start would be refused as well until the worker reports again
 		w.noStartsUntil = now.Add(fullPause)
-	default:
+	default: // the fault may be the job's, or that of the worker, which stays the best for the task while it runs nothing
 		t.step.backoff = now.Add(stepPause)
+		w.avoidUntil = now.Add(refusedAvoidPause)
 	}
 	c.requeue(t)
 }
