--- a/services/dispatch/shared.go
+++ b/services/dispatch/shared.go
@@ -23,17 +23,12 @@
 //   - Where several tasks wait for each other, the one with the fewest lost runs is tried first. One of them is always
 //     tried, whatever its number of losses: otherwise tasks that may have lost as many runs as are allowed would wait for
 //     each other without end.
-//   - No task waits for longer than a fixed time, counted by its present owner, whatever the others do.
+//   - No task waits for longer than maxLastTrialWait, counted by its present owner, whatever the others do.
 //   - Once a task is abandoned, the losses that it caused no longer count against its neighbours.
 
-const (
-	// maxSharedLossWait is how long a task waits for the outcome of other tasks: less than the 3 s for which callers
-	// allow a job to have nothing running.
-	maxSharedLossWait = 2 * time.Second
-	// maxOpenTrialWait is how long a task that may have lost maxLosses runs waits for trials of others that have begun:
-	// the time of a trial and of the proof that its worker is lost.
-	maxOpenTrialWait = 4 * time.Second
-)
+// maxLastTrialWait is how long a task that may have lost maxLosses runs waits for the outcome of others: the time in which
+// two workers are lost one after the other and come back. Other tasks wait for maxTrialWait.
+const maxLastTrialWait = 8 * time.Second
 
 // verdict is what is concluded about a task that has lost runs.
 type verdict uint8
@@ -82,28 +77,19 @@
 	switch {
 	case len(others) == 0 || t.crashesWithout(others):
 		return verdictCrashes
-	case t.isTriedBefore(others) || t.hasWaitedForOthers(others, now):
+	case c.isTriedBefore(t, others, now) || t.hasWaitedForOthers(now):
 		return verdictOpen // the next run decides
 	default:
 		return verdictContested
 	}
 }
 
-// hasWaitedForOthers reports whether the task has waited for the outcome of the others for as long as it may. The time is
-// counted from when the wait began here: a successor does not know since when a task waits for a place.
-func (t *task) hasWaitedForOthers(others []*task, now time.Time) bool {
-	allowed := maxSharedLossWait
-	if t.waitsForTrials(others) {
-		allowed = maxOpenTrialWait
+// hasWaitedForOthers reports whether the task has waited for the outcome of other tasks for as long as it may.
+func (t *task) hasWaitedForOthers(now time.Time) bool {
+	if t.losses() >= maxLosses {
+		return t.trialWait.lasted(maxLastTrialWait, now)
 	}
-	since := t.trialWait.contestedSince
-	return !since.IsZero() && now.Sub(since) >= allowed
-}
-
-// waitsForTrials reports whether the task may have lost maxLosses runs, so that it waits for the end of all trials of the
-// others that have begun.
-func (t *task) waitsForTrials(others []*task) bool {
-	return t.losses() >= maxLosses && slices.ContainsFunc(others, func(other *task) bool { return other.state != taskWaiting })
+	return t.trialWait.lasted(maxTrialWait, now)
 }
 
 // undecidedSharers returns the other tasks that share a loss with the task and that may or may not crash their
@@ -159,10 +145,20 @@
 	return evidence >= t.abandonThreshold()
 }
 
-// isTriedBefore reports whether the task is tried before the others.
-func (t *task) isTriedBefore(others []*task) bool {
-	precedes := func(other *task) bool { return other.compareTrialOrder(t) < 0 }
-	return !t.waitsForTrials(others) && !slices.ContainsFunc(others, precedes)
+// isTriedBefore reports whether the task is tried before the others. A task that may have lost maxLosses runs waits for
+// the end of all trials of the others that have begun. No task waits for one that no worker can take.
+func (c *Core) isTriedBefore(t *task, others []*task, now time.Time) bool {
+	return !slices.ContainsFunc(others, func(other *task) bool {
+		if other.state != taskWaiting {
+			return t.losses() >= maxLosses || other.compareTrialOrder(t) < 0
+		}
+		return other.compareTrialOrder(t) < 0 && c.findsCapacity(other.step, now)
+	})
+}
+
+// findsCapacity reports whether some worker has free capacity for a task of the step, be it kept for others or not.
+func (c *Core) findsCapacity(s *step, now time.Time) bool {
+	return slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return c.mayTakeSuspect(w, s, now) })
 }
 
 // compareTrialOrder compares two tasks by the order of their trials: the one that has lost fewer runs comes first. Of
--- a/services/dispatch/shared_test.go
+++ b/services/dispatch/shared_test.go
@@ -111,7 +111,7 @@
 	b.taskOf(testJob).waitingSince = b.now
 	require.Empty(t, b.starts())
 	for range 100 {
-		b.now = b.now.Add(maxSharedLossWait / 100)
+		b.now = b.now.Add(maxTrialWait / 100)
 		for n := range b.ids {
 			b.report(n, jobs.Report{})
 		}
--- a/services/dispatch/trial_wait.go
+++ b/services/dispatch/trial_wait.go
@@ -9,24 +9,44 @@
 	"go.uber.org/zap"
 )
 
-// trialWait is how long a waiting suspect has been kept from its trial, and by what. It begins anew with each start.
+// trialWait is how long a waiting suspect has been kept from its trial, and by what. It begins anew with each start, and
+// with each owner: a successor does not know since when a task waits for a place.
 type trialWait struct {
-	contestedSince time.Time // since when other tasks may have caused its losses; zero: none did when it was last considered for a trial
-	noWorkerSince  time.Time // since when no worker can take it; zero: one could
-	noWorkerLogged bool
+	since           time.Time // zero: it has not been kept from its trial
+	contestedLogged bool
+	noWorkerLogged  bool
 }
 
-// longTrialWait is how long a suspect waits for a worker before that is logged: longer than the shortest trial of
-// another suspect.
-const longTrialWait = time.Second
+const (
+	// maxTrialWait is how long a suspect is kept from its trial for the sake of other tasks: less than the 3 s for which
+	// callers allow a job to have nothing running.
+	maxTrialWait = 2 * time.Second
+	// longTrialWait is how long a suspect waits for a worker before that is logged: longer than the shortest trial of
+	// another suspect.
+	longTrialWait = time.Second
+)
+
+// begin records that the suspect is kept from its trial.
+func (w *trialWait) begin(now time.Time) {
+	if w.since.IsZero() {
+		w.since = now
+	}
+}
+
+// lasted reports whether the suspect has been kept from its trial for at least the given time.
+func (w *trialWait) lasted(atLeast time.Duration, now time.Time) bool {
+	return !w.since.IsZero() && now.Sub(w.since) >= atLeast
+}
 
 // recordContested records that a waiting task is not tried now, because other tasks may have caused its losses, and logs
 // the begin of the wait.
 func (c *Core) recordContested(t *task, now time.Time) {
-	if !t.trialWait.contestedSince.IsZero() {
+	wait := &t.trialWait
+	wait.begin(now)
+	if wait.contestedLogged {
 		return
 	}
-	t.trialWait.contestedSince = now
+	wait.contestedLogged = true
 	c.counts.Contested++
 	others, waiting := c.undecidedSharers(t, now), 0
 	for _, other := range others {
@@ -43,10 +63,8 @@
 // the workers with free capacity do not take it.
 func (c *Core) recordNoWorker(t *task, now time.Time) {
 	wait := &t.trialWait
-	if wait.noWorkerSince.IsZero() {
-		wait.noWorkerSince = now
-	}
-	if wait.noWorkerLogged || now.Sub(wait.noWorkerSince) < longTrialWait {
+	wait.begin(now)
+	if wait.noWorkerLogged || !wait.lasted(longTrialWait, now) {
 		return
 	}
 	wait.noWorkerLogged = true
