--- a/services/dispatch/speed.go
+++ b/services/dispatch/speed.go
@@ -16,7 +16,7 @@
 // for a worker that reports and does nothing. Workers that are merely slow are left alone, since moving their
 // tasks costs more than it gains.
 const (
-	speedSampleInterval = 400 * time.Millisecond // between two samples of a task
+	speedSampleInterval = 400 * time.Millisecond // between two samples of a task, at least; see sampleInterval
 	// workerSpeedWeight is the weight of a new sample in a worker's speed. minWorkerSamples samples are needed
 	// before a worker counts as stalled: with fewer samples, sound workers were avoided because of a single slow task.
 	workerSpeedWeight = 0.2
@@ -56,7 +56,7 @@
 		return
 	}
 	interval := now.Sub(t.sampledAt)
-	if interval < speedSampleInterval {
+	if interval < sampleInterval(spec) {
 		return
 	}
 	worked := float64(progress-t.sampledProgress) / float64(jobs.FullSpeed) * float64(spec.Estimate.Duration())
@@ -70,6 +70,12 @@
 	}
 }
 
+// sampleInterval is the time between two samples of a task of the step. Progress is reported in whole percents, so the
+// interval is at least as long as a percent of the work takes: several samples without progress are the sign of a stall.
+func sampleInterval(spec *jobs.Step) time.Duration {
+	return max(speedSampleInterval, spec.Estimate.Duration()/time.Duration(jobs.FullSpeed))
+}
+
 // queueSpeed returns the usual speed of a queue's tasks over all workers.
 func (c *Core) queueSpeed(queue jobs.QueueName) *speed {
 	s, ok := c.queueSpeeds[queue]
