--- a/services/standin/grid/audit.go
+++ b/services/standin/grid/audit.go
@@ -28,6 +28,7 @@
 	breaches              []string
 	checkpointAudit
 	orderAudit
+	progressAudit
 }
 
 func newAudit() *audit {
@@ -36,7 +37,7 @@
 		running: map[jobs.TaskID]map[*incarnation]jobs.RunID{}, succeeded: map[jobs.TaskID]bool{}, failures: map[jobs.TaskID]int{},
 		acknowledgedSuccesses: map[jobs.TaskID]bool{}, acknowledgedFailures: map[jobs.TaskID]int{},
 		crashes: map[jobs.TaskID]int{}, startsAfterCrashes: map[jobs.TaskID]int{},
-		checkpointAudit: newCheckpointAudit(), orderAudit: newOrderAudit(),
+		checkpointAudit: newCheckpointAudit(), orderAudit: newOrderAudit(), progressAudit: newProgressAudit(),
 	}
 }
 
@@ -138,9 +139,11 @@
 // runEnded records the end of a run.
 func (a *audit) runEnded(w *incarnation, task jobs.TaskID, how jobs.End) {
 	delete(a.running[task], w)
+	a.noteLastEnd(task)
 	switch how {
 	case jobs.EndSucceeded:
 		a.succeeded[task] = true
+		delete(a.lostSuccesses, task)
 	case jobs.EndFailed:
 		a.failures[task]++
 	case jobs.EndLapsed:
--- /dev/null
+++ b/services/standin/grid/audit_progress.go
@@ -0,0 +1,277 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package grid
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// The users' bounds for a task that could run and doesn't.
+const (
+	// maxIdleTime is how long an accepted job may have nothing running, and a long-running task may be away, while
+	// there is room.
+	maxIdleTime = 3 * time.Second
+	// maxAwayTime is how long after its last run a long-running task may be away in any case.
+	maxAwayTime = 6 * time.Second
+	// calmTime is how long before an idle time no fault may have been.
+	calmTime = 4 * time.Second
+	// requiredRoom is how often the task must fit on the workers.
+	requiredRoom = 2
+	// maxBusyShare is the share of the pool's capacity in use from which on jobs may be idle. Long-running tasks may not.
+	maxBusyShare = 0.5
+)
+
+// progressAudit records which accepted jobs wait although they could run.
+type progressAudit struct {
+	unfinished    map[jobs.ID]*unfinishedJob
+	lastFault     time.Time
+	ongoingFaults map[string]bool           // by name
+	lastEnds      map[jobs.TaskID]time.Time // when the latest run of a long-running task ended
+	lostSuccesses map[jobs.TaskID]bool      // successes whose workers ended before they were acknowledged
+}
+
+// unfinishedJob is an accepted job that has neither ended nor been cancelled, as far as is known.
+type unfinishedJob struct {
+	spec  jobs.Spec
+	waits map[jobs.TaskID]*wait // waits that last now, by the key of waitKey
+}
+
+// wait is a time for which a task could run and doesn't.
+type wait struct {
+	task     jobs.TaskID
+	since    time.Time
+	reported bool
+}
+
+func newProgressAudit() progressAudit {
+	return progressAudit{
+		unfinished: map[jobs.ID]*unfinishedJob{}, lastFault: time.Now(), ongoingFaults: map[string]bool{},
+		lastEnds: map[jobs.TaskID]time.Time{}, lostSuccesses: map[jobs.TaskID]bool{},
+	}
+}
+
+// noteFault records that a fault takes effect now.
+func (a *progressAudit) noteFault() { a.lastFault = time.Now() }
+
+// noteLastEnd records the end of a run if its task is long-running.
+func (a *audit) noteLastEnd(task jobs.TaskID) {
+	if step := a.step(task); step != nil && step.LongRunning {
+		a.lastEnds[task] = time.Now()
+	}
+}
+
+// noteLostEnds records the successes that a worker takes with it.
+func (a *audit) noteLostEnds(w *incarnation) {
+	for _, ended := range w.ends {
+		if ended.How == jobs.EndSucceeded {
+			a.lostSuccesses[ended.Task] = true
+		}
+	}
+}
+
+// isDone reports whether a task has succeeded and the daemons know of it or can still learn it from its worker.
+func (a *audit) isDone(task jobs.TaskID) bool {
+	return a.acknowledgedSuccesses[task] || a.succeeded[task] && !a.lostSuccesses[task]
+}
+
+// stepIsDone reports whether all tasks of a step have succeeded.
+func (a *audit) stepIsDone(spec *jobs.Spec, occurrence, step int) bool {
+	for index := range spec.Steps[step].Count {
+		if !a.isDone(jobs.TaskID{Job: spec.ID, Occurrence: occurrence, Step: step, Index: index}) {
+			return false
+		}
+	}
+	return true
+}
+
+// dueTasks returns the tasks of a job whose turn has come and that are not done, see appendDueTasks.
+func (a *audit) dueTasks(spec *jobs.Spec) []jobs.TaskID {
+	var due []jobs.TaskID
+	now := models.UnixMilliOf(time.Now())
+	for occurrence := range spec.Occurrences() {
+		if spec.DueAt(occurrence) > now {
+			break
+		}
+		for step := range spec.Steps {
+			due = a.appendDueTasks(due, spec, occurrence, step)
+		}
+	}
+	return due
+}
+
+// appendDueTasks appends the tasks of a step that are not done, if the step's turn has come. Of tasks that are not
+// long-running it appends only the first: they are alike, and wait together.
+func (a *audit) appendDueTasks(due []jobs.TaskID, spec *jobs.Spec, occurrence, step int) []jobs.TaskID {
+	for _, after := range spec.Steps[step].After {
+		if !a.stepIsDone(spec, occurrence, after) {
+			return due
+		}
+	}
+	for index := range spec.Steps[step].Count {
+		task := jobs.TaskID{Job: spec.ID, Occurrence: occurrence, Step: step, Index: index}
+		if a.isDone(task) {
+			continue
+		}
+		due = append(due, task)
+		if !spec.Steps[step].LongRunning {
+			return due
+		}
+	}
+	return due
+}
+
+// isFinished reports whether all tasks of a job have succeeded and the daemons have acknowledged that.
+func (a *audit) isFinished(spec *jobs.Spec) bool {
+	for occurrence := range spec.Occurrences() {
+		for step := range spec.Steps {
+			for index := range spec.Steps[step].Count {
+				if !a.acknowledgedSuccesses[jobs.TaskID{Job: spec.ID, Occurrence: occurrence, Step: step, Index: index}] {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+// jobKeyStep is the step in the key of a job's wait.
+const jobKeyStep = -1
+
+// waitKey returns the key of a wait: a long-running task waits by itself, and all other tasks of a job together.
+func waitKey(task jobs.TaskID, step *jobs.Step) jobs.TaskID {
+	if step.LongRunning {
+		return task
+	}
+	return jobs.TaskID{Job: task.Job, Step: jobKeyStep}
+}
+
+// updateJobWaits brings the waits of a job up to date: a wait begins when a task could run and doesn't, and ends when it
+// runs or could not run any more.
+func (g *Grid) updateJobWaits(job *unfinishedJob) {
+	lasting := map[jobs.TaskID]*wait{}
+	mayIdle := g.busyShare() >= maxBusyShare || g.hasRun(job.spec.ID)
+	for _, task := range g.audit.dueTasks(&job.spec) {
+		step := &job.spec.Steps[task.Step]
+		key := waitKey(task, step)
+		if lasting[key] != nil || !g.mustRun(task, step, mayIdle) {
+			continue
+		}
+		lasting[key] = job.waits[key]
+		if lasting[key] == nil {
+			lasting[key] = &wait{task: task, since: time.Now()}
+		}
+	}
+	job.waits = lasting
+}
+
+// mustRun reports whether a task whose turn has come ought to run and doesn't: there is room for it, and it is long-running
+// or its job may not be idle.
+func (g *Grid) mustRun(task jobs.TaskID, step *jobs.Step, mayIdle bool) bool {
+	if step.LongRunning {
+		return len(g.audit.running[task]) == 0 && g.hasRoomFor(task, step)
+	}
+	return !mayIdle && g.hasRoomFor(task, step)
+}
+
+// hasRun reports whether any task of a job runs.
+func (g *Grid) hasRun(id jobs.ID) bool {
+	for _, place := range g.idsByPlace {
+		for task := range g.workers[place].runs {
+			if task.Job == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// updateWaits brings the waits of all jobs up to date.
+func (g *Grid) updateWaits() {
+	for id, job := range g.audit.unfinished {
+		if g.audit.isFinished(&job.spec) {
+			delete(g.audit.unfinished, id)
+			continue
+		}
+		g.updateJobWaits(job)
+	}
+}
+
+// updateRunningWaits ends the waits that a change of the workers or of their runs has ended.
+func (g *Grid) updateRunningWaits() {
+	for _, job := range g.audit.unfinished {
+		if len(job.waits) > 0 {
+			g.updateJobWaits(job)
+		}
+	}
+}
+
+// overdueWaits returns the waits that are longer than allowed, in the order of their keys.
+func (g *Grid) overdueWaits() []*wait {
+	var overdue []*wait
+	for _, id := range slices.Sorted(maps.Keys(g.audit.unfinished)) {
+		job := g.audit.unfinished[id]
+		for _, key := range slices.SortedFunc(maps.Keys(job.waits), compareTasks) {
+			if w := job.waits[key]; !w.reported && g.audit.isOverdue(w) {
+				overdue = append(overdue, w)
+			}
+		}
+	}
+	return overdue
+}
+
+// compareTasks orders tasks of the same job.
+func compareTasks(a, b jobs.TaskID) int {
+	return slices.Compare([]int{a.Occurrence, a.Step, a.Index}, []int{b.Occurrence, b.Step, b.Index})
+}
+
+// isOverdue reports whether a wait has lasted too long in a time of calm.
+func (a *audit) isOverdue(w *wait) bool {
+	now := time.Now()
+	if len(a.ongoingFaults) > 0 || now.Sub(a.idleSince(w)) <= maxIdleTime {
+		return false
+	}
+	step := a.step(w.task)
+	return !step.LongRunning || now.Sub(a.lastEnds[w.task]) > maxAwayTime
+}
+
+// idleSince returns when the part of a wait began that counts: the time of calm has passed by then.
+func (a *audit) idleSince(w *wait) time.Time {
+	if calm := a.lastFault.Add(calmTime); calm.After(w.since) {
+		return calm
+	}
+	return w.since
+}
+
+// reportWait records the breach of a task that could run and doesn't.
+func (g *Grid) reportWait(w *wait) {
+	w.reported = true
+	step := g.audit.step(w.task)
+	remark := ""
+	if g.crashesWorkers(w.task.Job) {
+		remark = " (its job crashes its workers)"
+	}
+	g.audit.breach("%s of job %s could run and doesn't%s: it needs %+v, waits for %s since %s after the start, last fault at %s, free workers %v, share in use %.2f",
+		w.task, w.task.Job, remark, step.Size, time.Since(w.since).Round(time.Millisecond), g.audit.sinceStart(w.since), g.audit.sinceStart(g.audit.lastFault),
+		g.workersWithRoom(w.task, step), g.busyShare())
+}
+
+// crashesWorkers reports whether a task of a job has crashed a worker.
+func (g *Grid) crashesWorkers(id jobs.ID) bool {
+	for task := range g.audit.crashes {
+		if task.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
+// sinceStart returns how long after the start of the audit a time was.
+func (a *audit) sinceStart(t time.Time) time.Duration {
+	return t.Sub(a.startedAt).Round(time.Millisecond)
+}
--- a/services/standin/grid/capacity.go
+++ b/services/standin/grid/capacity.go
@@ -26,7 +26,11 @@
 	defer g.mu.Unlock()
 	w := g.incarnationAt(place)
 	w.capacityChange = capacityChange{previous: w.capacityLimit(), at: time.Now()}
-	w.info.Capacity = scaled(g.config.Capacity, part)
+	capacity := scaled(g.config.Capacity, part)
+	if capacity != w.info.Capacity {
+		g.audit.noteFault()
+	}
+	w.info.Capacity = capacity
 	g.noteChange(w.info.ID)
 }
 
--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -47,7 +47,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w := g.incarnationAt(place)
+	before := w.faults
 	change(&w.faults)
+	if w.faults != before {
+		g.audit.noteFault()
+	}
+	g.updateRunningWaits()
 	for _, r := range w.runs {
 		if r.stalled != w.faults.Stalled {
 			r.updateRemaining(time.Now())
@@ -61,6 +66,9 @@
 func (g *Grid) SetListed(place int, listed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.unlisted[g.idsByPlace[place]] == listed {
+		g.audit.noteFault()
+	}
 	g.unlisted[g.idsByPlace[place]] = !listed
 	g.noteChange(g.idsByPlace[place])
 }
@@ -70,6 +78,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining[g.idsByPlace[place]] = time.Now().Add(remaining)
+	g.audit.noteFault()
 	g.noteChange(g.idsByPlace[place])
 }
 
@@ -77,6 +86,9 @@
 func (g *Grid) StopDraining(place int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if _, drains := g.draining[g.idsByPlace[place]]; drains {
+		g.audit.noteFault()
+	}
 	delete(g.draining, g.idsByPlace[place])
 	g.noteChange(g.idsByPlace[place])
 }
@@ -132,13 +144,25 @@
 		g.audit.runEnded(w, r.task, jobs.EndLapsed)
 	}
 	w.runs = map[jobs.TaskID]*run{}
+	g.audit.noteLostEnds(w)
+	g.noteLossOrRestart(w)
+	g.updateRunningWaits()
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
 
+// noteLossOrRestart notes that a worker is lost or its successor starts, which is a fault unless Config.CalmDespiteCrashes
+// excepts it.
+func (g *Grid) noteLossOrRestart(w *incarnation) {
+	if !w.crashedByTask || !g.config.CalmDespiteCrashes {
+		g.audit.noteFault()
+	}
+}
+
 // replace starts another incarnation at the address of a worker that has ended.
 func (g *Grid) replace(w *incarnation) {
 	g.idsByPlace[w.place] = g.boot(w.place)
+	g.noteLossOrRestart(w)
 	g.noteChange(w.info.ID)
 	g.noteChange(g.idsByPlace[w.place])
 }
@@ -181,6 +205,7 @@
 	}
 	if after == 0 {
 		g.audit.workerCrashed(r.task)
+		w.crashedByTask = true
 		g.takeDown(w)
 		return true
 	}
@@ -189,6 +214,7 @@
 		defer g.mu.Unlock()
 		if w.up && w.runs[r.task] == r {
 			g.audit.workerCrashed(r.task)
+			w.crashedByTask = true
 			g.takeDown(w)
 		}
 	})
@@ -280,6 +306,7 @@
 	time.AfterFunc(after, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		g.audit.noteFault()
 		if current := g.workers[w.info.ID]; current.up && (toSuccessor || current == w) {
 			_ = perform(current, &answer{})
 		}
--- a/services/standin/grid/grid.go
+++ b/services/standin/grid/grid.go
@@ -43,6 +43,9 @@
 	// Crash returns whether a run crashes its worker, and how long after its start. With an after of 0,
 	// the worker crashes before it answers the start. If nil, no run crashes its worker.
 	Crash func(task jobs.TaskID, run jobs.RunID) (after time.Duration, crashes bool)
+	// CalmDespiteCrashes keeps a worker that a task crashes from counting as a fault after which the audit allows tasks
+	// to wait, see CheckProgress.
+	CalmDespiteCrashes bool
 	// RestartDelay is the time from a worker's crash until another incarnation listens at its address.
 	RestartDelay time.Duration
 	// Naming determines how the incarnations in one place are told apart.
@@ -106,6 +109,7 @@
 	place           int
 	faults          Faults
 	up              bool
+	crashedByTask   bool      // a task has crashed the worker
 	crashedSilently bool      // pending calls hang: they get no answer and their connections stay open
 	startedAt       time.Time // when its clock showed 0
 	fence           jobs.Fence
--- /dev/null
+++ b/services/standin/grid/room.go
@@ -0,0 +1,124 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package grid
+
+import (
+	"slices"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// isUsable reports whether tasks can start on a worker: it is up, listed, sound and reachable, and does not drain.
+func (g *Grid) isUsable(w *incarnation) bool {
+	_, drains := g.draining[w.info.ID]
+	return w.up && !g.unlisted[w.info.ID] && !drains && w.faults == Faults{}
+}
+
+// hasRoomFor reports whether a task fits on the usable workers requiredRoom times.
+func (g *Grid) hasRoomFor(task jobs.TaskID, step *jobs.Step) bool {
+	room := 0
+	for _, id := range g.idsByPlace {
+		room += g.roomOn(g.workers[id], task, step)
+	}
+	return room >= requiredRoom
+}
+
+// workersWithRoom returns the usable workers on which a task fits.
+func (g *Grid) workersWithRoom(task jobs.TaskID, step *jobs.Step) []jobs.WorkerID {
+	return slices.DeleteFunc(slices.Clone(g.idsByPlace), func(id jobs.WorkerID) bool {
+		return g.roomOn(g.workers[id], task, step) == 0
+	})
+}
+
+// roomOn returns how many times a task fits on a worker; 0 if the worker is not usable or lacks the step's label.
+func (g *Grid) roomOn(w *incarnation, task jobs.TaskID, step *jobs.Step) int {
+	if !g.isUsable(w) || step.Requires != "" && !slices.Contains(w.info.Labels, step.Requires) {
+		return 0
+	}
+	if step.Filler && g.serves(w) {
+		return 0 // whether a filler task is good for the serving task beside is for the scheduler to decide
+	}
+	times := timesThatFit(step.Size, w.info.Capacity, g.usedOn(w, step.Filler))
+	if step.PerWorker > 0 {
+		times = min(times, step.PerWorker-besides(w, task))
+	}
+	return max(0, times)
+}
+
+// serves reports whether a worker runs a serving task.
+func (g *Grid) serves(w *incarnation) bool {
+	for task := range w.runs {
+		if step := g.audit.step(task); step != nil && step.Serves() {
+			return true
+		}
+	}
+	return false
+}
+
+// usedOn returns the resources that the runs on a worker hold, with or without the processor time that filler tasks
+// declare.
+func (g *Grid) usedOn(w *incarnation, withFillers bool) models.Resources {
+	var used models.Resources
+	for task, r := range w.runs {
+		used = used.Add(r.size)
+		if step := g.audit.step(task); withFillers && step != nil && step.Filler {
+			used.CPU += step.Size.CPU
+		}
+	}
+	return used
+}
+
+// besides returns the number of tasks of the same step on a worker.
+func besides(w *incarnation, task jobs.TaskID) int {
+	n := 0
+	for other := range w.runs {
+		if other.Job == task.Job && other.Occurrence == task.Occurrence && other.Step == task.Step {
+			n++
+		}
+	}
+	return n
+}
+
+// maxTimes bounds how many times a task that needs nothing fits.
+const maxTimes = 1000
+
+// timesThatFit returns how many times a size fits beside what is used.
+func timesThatFit(size, capacity, used models.Resources) int {
+	times := maxTimes
+	for _, amount := range [...][3]int64{
+		{int64(size.CPU), int64(capacity.CPU), int64(used.CPU)},
+		{int64(size.Memory), int64(capacity.Memory), int64(used.Memory)},
+		{int64(size.Accelerators), int64(capacity.Accelerators), int64(used.Accelerators)},
+	} {
+		if needed, free := amount[0], amount[1]-amount[2]; needed > 0 {
+			times = min(times, int(max(0, free)/needed))
+		}
+	}
+	return times
+}
+
+// busyShare returns the share of the usable workers' capacity that runs hold, of the resource that is scarcest.
+func (g *Grid) busyShare() float64 {
+	var used, capacity models.Resources
+	for _, id := range g.idsByPlace {
+		if w := g.workers[id]; g.isUsable(w) {
+			used = used.Add(g.usedOn(w, false))
+			capacity = capacity.Add(w.info.Capacity)
+		}
+	}
+	return max(
+		share(float64(used.CPU), float64(capacity.CPU)),
+		share(float64(used.Memory), float64(capacity.Memory)),
+		share(float64(used.Accelerators), float64(capacity.Accelerators)),
+	)
+}
+
+// share returns a part as a share of a whole, or 0 if there is no whole.
+func share(part, whole float64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return part / whole
+}
