--- a/services/control/additional_cells_test.go
+++ b/services/control/additional_cells_test.go
@@ -158,8 +158,13 @@
 	t.Run("six cells", func(t *testing.T) { checkRandomScripts(t, sixCellScenario, draw) })
 }
 
-// TestRandomCrashesInManyCells does the same with tasks that crash their workers.
+// spreadCrashStepKinds are spreadStepKinds with the faults of crashStepKinds.
+var spreadCrashStepKinds = append([]string{"submit spread", "submit spread", "submit spread", "submit spread"}, crashStepKinds...)
+
+func drawSpreadCrashStep(rt *rapid.T) scriptStep { return drawStep(rt, spreadCrashStepKinds) }
+
+// TestRandomCrashesInManyCells does the same with tasks that crash their workers. How long jobs wait meanwhile is checked
+// by TestRandomCrashesInManyCellsMakeProgress.
 func TestRandomCrashesInManyCells(t *testing.T) {
-	kinds := append([]string{"submit spread", "submit spread", "submit spread", "submit spread"}, crashStepKinds...)
-	checkRandomScripts(t, fourCellScenario, func(rt *rapid.T) scriptStep { return drawStep(rt, kinds) })
+	checkRandomScripts(t, fourCellScenario.uncheckedProgress(), drawSpreadCrashStep)
 }
--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -167,14 +168,21 @@
 		},
 		Logger: zap.New(w.logs).With(zap.String("id", name)), Scope: w.scope,
 	})
-	w.daemons = append(w.daemons, d)
 	w.mu.Lock()
+	w.daemons = append(w.daemons, d)
 	w.byName[name] = d
 	w.mu.Unlock()
 	go d.run(ctx)
 	return d
 }
 
+// daemonList returns the daemons, for use beside the goroutine that runs the script.
+func (w *testCluster) daemonList() []*testDaemon {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.daemons)
+}
+
 func (d *testDaemon) run(ctx context.Context) {
 	defer close(d.done)
 	configured := make(chan struct{})
--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -100,10 +100,10 @@
 }
 
 // TestRandomCrashes runs scripts with tasks that crash their workers, along with all other faults, in one cell and in
-// two cells.
+// two cells. How long jobs wait meanwhile is checked by TestRandomCrashesMakeProgress.
 func TestRandomCrashes(t *testing.T) {
-	t.Run("one cell", func(t *testing.T) { checkRandomScripts(t, oneCellScenario, drawCrashStep) })
-	t.Run("two cells", func(t *testing.T) { checkRandomScripts(t, twoCellScenario, drawCrashStep) })
+	t.Run("one cell", func(t *testing.T) { checkRandomScripts(t, oneCellScenario.uncheckedProgress(), drawCrashStep) })
+	t.Run("two cells", func(t *testing.T) { checkRandomScripts(t, twoCellScenario.uncheckedProgress(), drawCrashStep) })
 }
 
 // scenario is the configuration of workers and cells in which a script runs.
@@ -113,6 +113,9 @@
 	naming         grid.Naming
 	ackFutureEnds  bool // see grid.Config.AckFutureEnds
 	maxLongRunning int  // 0: maxLongRunningTasks
+
+	progressUnchecked bool // jobs may wait although they could run
+	crashRule         grid.CrashRule
 }
 
 var (
@@ -121,6 +124,12 @@
 	threeCellScenario = scenario{workers: 3 * scriptWorkers / 2, perCell: scriptWorkers / 2}
 )
 
+// uncheckedProgress returns the scenario in which jobs may wait although they could run, until settleTimeout.
+func (s scenario) uncheckedProgress() scenario {
+	s.progressUnchecked = true
+	return s
+}
+
 // sameIDs returns the scenario with workers that restart under the same IDs.
 func (s scenario) sameIDs() scenario {
 	s.naming = grid.SameID
@@ -183,7 +192,9 @@
 		s.scenario = in
 		s.testCluster = newTestClusterWithGrid(t, scriptDaemons, in.perCell, grid.Config{
 			Workers: cmp.Or(in.workers, scriptWorkers), RestartDelay: workerDowntime, Crash: s.crashOf, Naming: in.naming, AckFutureEnds: in.ackFutureEnds,
+			CrashRule: in.crashRule,
 		})
+		s.startProgressChecks()
 		time.Sleep(5 * time.Second)
 		for _, step := range script {
 			stepsRun++
@@ -214,6 +225,7 @@
 }
 
 func (s *scriptRun) applyStep(step scriptStep) {
+	s.noteStepFault(step)
 	d := s.daemons[len(s.daemons)-scriptDaemons+step.Daemon]
 	switch step.What {
 	case "submit":
@@ -308,6 +320,8 @@
 	at := len(s.daemons) - scriptDaemons + n
 	s.daemons[at].kill()
 	fresh := s.startDaemon()
+	s.testCluster.mu.Lock()
+	defer s.testCluster.mu.Unlock()
 	last := len(s.daemons) - 1
 	copy(s.daemons[at:last], s.daemons[at+1:last])
 	s.daemons = append(s.daemons[:last-1], fresh)
@@ -321,6 +335,7 @@
 	defer cancel()
 	if d.Submit(ctx, spec, jobs.Queue{Name: testQueue, Terms: testTerms}) == (platform.Done{}) {
 		s.accepted = append(s.accepted, spec)
+		s.grid.Accepted(spec.ID)
 	}
 }
 
@@ -349,15 +364,18 @@
 func (s *scriptRun) tryCancel(d *testDaemon, id jobs.ID) {
 	ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
 	defer cancel()
+	s.grid.Cancelled(id)
 	switch d.Cancel(ctx, id).(type) {
 	case platform.Done:
 		s.cancelled[id] = true
 	case platform.MaybeDone:
 		s.maybeCancelled[id] = true
 	}
+	s.resumeProgressChecks(id)
 }
 
 func (s *scriptRun) heal() {
+	s.grid.NoteFault()
 	s.setOutage(false)
 	for _, d := range s.daemons {
 		d.heal()
--- a/services/control/worker_restarts_test.go
+++ b/services/control/worker_restarts_test.go
@@ -110,8 +110,12 @@
 
 // TestRandomCrashesUnderSameIDs does the same with tasks that crash their workers.
 func TestRandomCrashesUnderSameIDs(t *testing.T) {
-	t.Run("one cell", func(t *testing.T) { checkRandomScripts(t, oneCellScenario.sameIDs(), drawCrashStep) })
-	t.Run("two cells", func(t *testing.T) { checkRandomScripts(t, twoCellScenario.sameIDs(), drawCrashStep) })
+	t.Run("one cell", func(t *testing.T) {
+		checkRandomScripts(t, oneCellScenario.sameIDs().uncheckedProgress(), drawCrashStep)
+	})
+	t.Run("two cells", func(t *testing.T) {
+		checkRandomScripts(t, twoCellScenario.sameIDs().uncheckedProgress(), drawCrashStep)
+	})
 }
 
 // restartStepKinds are faultStepKinds, and workers that restart while calls to them fail.
--- a/services/standin/grid/audit_progress.go
+++ b/services/standin/grid/audit_progress.go
@@ -31,9 +31,10 @@
 type progressAudit struct {
 	unfinished    map[jobs.ID]*unfinishedJob
 	lastFault     time.Time
-	ongoingFaults map[string]bool           // by name
-	lastEnds      map[jobs.TaskID]time.Time // when the latest run of a long-running task ended
-	lostSuccesses map[jobs.TaskID]bool      // successes whose workers ended before they were acknowledged
+	ongoingFaults map[string]bool              // by name
+	lastEnds      map[jobs.TaskID]time.Time    // when the latest run of a long-running task ended
+	lostSuccesses map[jobs.TaskID]bool         // successes whose workers ended before they were acknowledged
+	lostWith      map[jobs.TaskID]*incarnation // the worker with which the latest lost run of a task ended
 }
 
 // unfinishedJob is an accepted job that has neither ended nor been cancelled, as far as is known.
@@ -53,6 +54,7 @@
 	return progressAudit{
 		unfinished: map[jobs.ID]*unfinishedJob{}, lastFault: time.Now(), ongoingFaults: map[string]bool{},
 		lastEnds: map[jobs.TaskID]time.Time{}, lostSuccesses: map[jobs.TaskID]bool{},
+		lostWith: map[jobs.TaskID]*incarnation{},
 	}
 }
 
@@ -90,7 +92,7 @@
 	return true
 }
 
-// dueTasks returns the tasks of a job whose turn has come and that are not done, see appendDueTasks.
+// dueTasks returns the tasks of a job whose turn has come and that are not done.
 func (a *audit) dueTasks(spec *jobs.Spec) []jobs.TaskID {
 	var due []jobs.TaskID
 	now := models.UnixMilliOf(time.Now())
@@ -105,8 +107,7 @@
 	return due
 }
 
-// appendDueTasks appends the tasks of a step that are not done, if the step's turn has come. Of tasks that are not
-// long-running it appends only the first: they are alike, and wait together.
+// appendDueTasks appends the tasks of a step that are not done, if the step's turn has come.
 func (a *audit) appendDueTasks(due []jobs.TaskID, spec *jobs.Spec, occurrence, step int) []jobs.TaskID {
 	for _, after := range spec.Steps[step].After {
 		if !a.stepIsDone(spec, occurrence, after) {
@@ -114,13 +115,8 @@
 		}
 	}
 	for index := range spec.Steps[step].Count {
-		task := jobs.TaskID{Job: spec.ID, Occurrence: occurrence, Step: step, Index: index}
-		if a.isDone(task) {
-			continue
-		}
-		due = append(due, task)
-		if !spec.Steps[step].LongRunning {
-			return due
+		if task := (jobs.TaskID{Job: spec.ID, Occurrence: occurrence, Step: step, Index: index}); !a.isDone(task) {
+			due = append(due, task)
 		}
 	}
 	return due
@@ -173,10 +169,20 @@
 // mustRun reports whether a task whose turn has come ought to run and doesn't: there is room for it, and it is long-running
 // or its job may not be idle.
 func (g *Grid) mustRun(task jobs.TaskID, step *jobs.Step, mayIdle bool) bool {
-	if step.LongRunning {
-		return len(g.audit.running[task]) == 0 && g.hasRoomFor(task, step)
+	switch {
+	case step.LongRunning && len(g.audit.running[task]) > 0:
+		return false
+	case !step.LongRunning && mayIdle:
+		return false
 	}
-	return !mayIdle && g.hasRoomFor(task, step)
+	return !g.isHeld(task) && g.hasRoomFor(task, step)
+}
+
+// isHeld reports whether a task waits for the next incarnation of a worker that a task has crashed, as Config.CrashRule
+// allows.
+func (g *Grid) isHeld(task jobs.TaskID) bool {
+	w := g.audit.lostWith[task]
+	return g.config.CrashRule == CrashesHoldTheirTasks && w != nil && w.crashedByTask && g.incarnationAt(w.place) == w
 }
 
 // hasRun reports whether any task of a job runs.
--- a/services/standin/grid/audit_progress_test.go
+++ b/services/standin/grid/audit_progress_test.go
@@ -278,11 +278,14 @@
 	})
 }
 
-// TestCrashedWorkerAndCalm guards against a worker that its task crashes and that breaks the calm in the reading in which
-// it must not, or doesn't in the other.
+// TestCrashedWorkerAndCalm guards against a worker that its task crashes and that breaks the calm under a rule under which
+// it must not, or doesn't under another.
 func TestCrashedWorkerAndCalm(t *testing.T) {
-	for calmDespiteCrashes, allowed := range map[bool]time.Duration{true: maxIdleTime, false: time.Second + calmTime + maxIdleTime} {
-		config := Config{CalmDespiteCrashes: calmDespiteCrashes, Crash: func(jobs.TaskID, jobs.RunID) (time.Duration, bool) { return time.Second, true }}
+	const downtime = time.Second
+	for rule, allowed := range map[CrashRule]time.Duration{
+		CrashesAreFaults: downtime + calmTime + maxIdleTime, CrashesHoldTheirTasks: downtime + maxIdleTime, CrashesAreCalm: maxIdleTime,
+	} {
+		config := Config{CrashRule: rule, Crash: func(jobs.TaskID, jobs.RunID) (time.Duration, bool) { return time.Second, true }}
 		runProgressTest(t, config, func(p *progressTest) {
 			p.Accepted(waitingJob)
 			p.start(0, waitingJob, 0, 0, 1)
--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -141,6 +141,7 @@
 		if r.timer != nil {
 			r.timer.Stop()
 		}
+		g.audit.lostWith[r.task] = w
 		g.audit.runEnded(w, r.task, jobs.EndLapsed)
 	}
 	w.runs = map[jobs.TaskID]*run{}
@@ -151,10 +152,10 @@
 	w.changed = make(chan struct{})
 }
 
-// noteLossOrRestart notes that a worker is lost or its successor starts, which is a fault unless Config.CalmDespiteCrashes
-// excepts it.
+// noteLossOrRestart notes that a worker is lost or its successor starts, which is a fault unless a task has crashed it and
+// Config.CrashRule excepts that.
 func (g *Grid) noteLossOrRestart(w *incarnation) {
-	if !w.crashedByTask || !g.config.CalmDespiteCrashes {
+	if !w.crashedByTask || g.config.CrashRule == CrashesAreFaults {
 		g.audit.noteFault()
 	}
 }
--- a/services/standin/grid/grid.go
+++ b/services/standin/grid/grid.go
@@ -43,9 +43,8 @@
 	// Crash returns whether a run crashes its worker, and how long after its start. With an after of 0,
 	// the worker crashes before it answers the start. If nil, no run crashes its worker.
 	Crash func(task jobs.TaskID, run jobs.RunID) (after time.Duration, crashes bool)
-	// CalmDespiteCrashes keeps a worker that a task crashes from counting as a fault after which the audit allows tasks
-	// to wait, see CheckProgress.
-	CalmDespiteCrashes bool
+	// CrashRule is how the audit of progress regards workers that tasks crash.
+	CrashRule CrashRule
 	// RestartDelay is the time from a worker's crash until another incarnation listens at its address.
 	RestartDelay time.Duration
 	// Naming determines how the incarnations in one place are told apart.
@@ -66,6 +65,20 @@
 	CheckpointText func(saved CheckpointInfo) jobs.Text
 }
 
+// CrashRule is how CheckProgress regards a worker that a task has crashed. The users' rules leave this open.
+type CrashRule int
+
+// The values of CrashRule.
+const (
+	// CrashesAreFaults counts such a crash, and the start of the next incarnation, as faults like any other.
+	CrashesAreFaults CrashRule = iota
+	// CrashesHoldTheirTasks counts neither as a fault, but lets the tasks that the worker ran wait until the next
+	// incarnation is up: until then no owner can know that they don't run.
+	CrashesHoldTheirTasks
+	// CrashesAreCalm counts neither as a fault, and lets the tasks wait no longer than any others.
+	CrashesAreCalm
+)
+
 // Naming is the way in which workers identify their incarnations.
 type Naming int
 
