--- a/services/standin/grid/audit_progress.go
+++ b/services/standin/grid/audit_progress.go
@@ -73,6 +73,7 @@
 	for _, ended := range w.ends {
 		if ended.How == jobs.EndSucceeded {
 			a.lostSuccesses[ended.Task] = true
+			a.lostWith[ended.Task] = w
 		}
 	}
 }
--- a/services/standin/grid/audit_progress_test.go
+++ b/services/standin/grid/audit_progress_test.go
@@ -278,6 +278,23 @@
 	})
 }
 
+// TestSuccessLostWithCrashedWorkerIsHeld guards against a task that counts as able to run although it has succeeded on a
+// worker that another task has crashed since, and whose loss no owner can know of yet.
+func TestSuccessLostWithCrashedWorkerIsHeld(t *testing.T) {
+	const downtime = 5 * time.Second
+	crash := func(task jobs.TaskID, _ jobs.RunID) (time.Duration, bool) { return testWork + time.Second, task.Job == busyJob }
+	runProgressTest(t, Config{CrashRule: CrashesHoldTheirTasks, Crash: crash}, func(p *progressTest) {
+		p.config.RestartDelay = downtime
+		p.Accepted(waitingJob)
+		p.start(0, busyJob, 0, 0, 1)
+		p.start(0, waitingJob, 0, 0, 1)
+		p.pass(testWork + time.Second + downtime + maxIdleTime - progressTick)
+		require.Empty(t, p.Breaches())
+		p.pass(3 * progressTick)
+		p.requireWait(string(waitingJob) + ".0.0.0")
+	})
+}
+
 // TestCrashedWorkerAndCalm guards against a worker that its task crashes and that breaks the calm under a rule under which
 // it must not, or doesn't under another.
 func TestCrashedWorkerAndCalm(t *testing.T) {
--- a/tests/soak/callers.go
+++ b/tests/soak/callers.go
@@ -76,7 +76,9 @@
 	} else {
 		r.submitWithRetries(ctx, j, plan)
 	}
-	switch outcome := r.record.decideOutcome(j); {
+	outcome := r.record.decideOutcome(j)
+	r.expectProgress(j, outcome)
+	switch {
 	case outcome == outcomeAccepted && plan.resubmits && sleep(ctx, plan.resubmitDelay):
 		r.submitOnce(ctx, j, r.daemon(plan.otherDaemon), answerTimeout)
 		r.submitOnce(ctx, j, r.daemon(plan.firstDaemon), answerTimeout)
@@ -123,7 +125,7 @@
 // It retries at the next daemons until an answer tells that the job is cancelled or does not exist.
 func (r *run) cancelUnknown(ctx context.Context, j *job, first int) {
 	for n := range maxTries {
-		r.record.noteCancelSent(j)
+		r.noteCancelSent(j)
 		answer, err := newCaller(prefix).Cancel(ctx, r.daemon(first+n).callers.Listen, j.spec.ID)
 		switch {
 		case err == nil && answer.Status == http.StatusOK:
@@ -196,7 +198,7 @@
 // cancel cancels a job and records whether the daemon has confirmed the cancellation.
 func (r *run) cancel(ctx context.Context, j *job, d *daemon) {
 	age := time.Since(j.decided)
-	r.record.noteCancelSent(j)
+	r.noteCancelSent(j)
 	answer, err := newCaller(prefix).Cancel(ctx, d.callers.Listen, j.spec.ID)
 	switch {
 	case err == nil && answer.Status == http.StatusOK:
--- a/tests/soak/check.go
+++ b/tests/soak/check.go
@@ -56,16 +56,26 @@
 // maxConcurrentChecks bounds how many jobs are checked concurrently at the end.
 const maxConcurrentChecks = 32
 
-// checkFinalStates waits, after all faults are cleared, until the state of every job agrees with what its
-// caller was told.
-func (r *run) checkFinalStates(ctx context.Context) {
+// clearFaults clears all faults and waits until the daemons accept callers and no write to the store is delayed any more;
+// false: a daemon does not accept callers.
+func (r *run) clearFaults(ctx context.Context) bool {
+	const name = "faults are cleared"
+	r.site.emulator.Grid.BeginFault(name)
+	defer r.site.emulator.Grid.EndFault(name)
+	r.site.clearFaults()
 	for _, d := range r.site.daemons {
 		if err := r.site.waitReady(ctx, d); err != nil {
 			r.addBreach("after all faults were cleared: %v", err)
-			return
+			return false
 		}
 	}
 	sleep(ctx, time.Until(r.site.storeFaults.delayedUntil().Add(delayedWriteStartDelay)))
+	return true
+}
+
+// checkFinalStates waits, after all faults are cleared, until the state of every job agrees with what its
+// caller was told.
+func (r *run) checkFinalStates(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, waitTimeout)
 	defer cancel()
 	checks := pool.New().WithMaxGoroutines(maxConcurrentChecks)
--- a/tests/soak/inject.go
+++ b/tests/soak/inject.go
@@ -42,6 +42,8 @@
 		defer r.site.release(target)
 	}
 	began := time.Since(r.begin)
+	r.site.emulator.Grid.BeginFault(fmt.Sprint(fault))
+	defer r.site.emulator.Grid.EndFault(fmt.Sprint(fault))
 	if r.applyFault(ctx, fault, d, place) {
 		r.record.addFault(began, time.Since(r.begin), fault)
 	}
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -13,7 +13,7 @@
 // applies faults, store.go applies the store's faults, acceptances.go records the acceptances that the
 // store sees, misbehavior.go makes workers misbehave, jobs.go draws jobs, callers.go runs callers, behavior.go
 // draws how callers behave, record.go records what they observe, configuration.go changes and checks the
-// configuration, check.go and races.go check the guarantees, report.go and plot.go write the results.
+// configuration, check.go, progress.go and races.go check the guarantees, report.go and plot.go write the results.
 package soak
 
 import (
@@ -74,8 +74,13 @@
 		config: config, site: s, plan: plan, begin: time.Now(), record: newCallerRecord(),
 		report: &Report{Seed: config.Seed, Faults: map[Kind]int{}},
 	}
+	progress := r.startProgressChecks(ctx)
 	r.execute(ctx)
-	r.finish(ctx)
+	if r.clearFaults(ctx) {
+		r.checkFinalStates(ctx)
+	}
+	progress.stop()
+	r.finish()
 	return r.report, r.writeResults()
 }
 
@@ -113,10 +118,8 @@
 	group.Wait()
 }
 
-// finish clears all faults, checks the final states and the guarantees, and fills the report.
-func (r *run) finish(ctx context.Context) {
-	r.site.clearFaults()
-	r.checkFinalStates(ctx)
+// finish checks the guarantees and fills the report.
+func (r *run) finish() {
 	r.checkGuarantees()
 	r.checkUnplannedExits()
 	r.checkRaces()
