--- a/services/standin/grid/audit_progress_test.go
+++ b/services/standin/grid/audit_progress_test.go
@@ -282,7 +282,9 @@
 // worker that another task has crashed since, and whose loss no owner can know of yet.
 func TestSuccessLostWithCrashedWorkerIsHeld(t *testing.T) {
 	const downtime = 5 * time.Second
-	crash := func(task jobs.TaskID, _ jobs.RunID) (time.Duration, bool) { return testWork + time.Second, task.Job == busyJob }
+	crash := func(task jobs.TaskID, _ jobs.RunID) (time.Duration, bool) {
+		return testWork + time.Second, task.Job == busyJob
+	}
 	runProgressTest(t, Config{CrashRule: CrashesHoldTheirTasks, Crash: crash}, func(p *progressTest) {
 		p.config.RestartDelay = downtime
 		p.Accepted(waitingJob)
