--- a/services/control/progress_random_test.go
+++ b/services/control/progress_random_test.go
@@ -6,8 +6,10 @@
 import (
 	"testing"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"rillsail.example/rillsail/modules/casefile"
 	"rillsail.example/rillsail/services/standin/grid"
 )
 
@@ -52,3 +54,25 @@
 func TestRandomCrashesMakeProgressAtOnce(t *testing.T) {
 	checkCrashesMakeProgress(t, grid.CrashesAreCalm)
 }
+
+// wideCrashStepKinds are crashStepKinds, and the submission of long-running jobs of several tasks, the first of which
+// crashes its workers. In several cells, such a job may be divided between them when it is given up.
+var wideCrashStepKinds = append([]string{"submit crashing wide", "submit crashing wide", "submit crashing wide"}, crashStepKinds...)
+
+func drawWideCrashStep(rt *rapid.T) scriptStep { return drawStep(rt, wideCrashStepKinds) }
+
+// TestRandomCrashesOfWideJobs guards against a job that is given up in one cell and goes on in another: it is never shown
+// as failed, its crashing task does not run any more, and its other tasks run for good.
+func TestRandomCrashesOfWideJobs(t *testing.T) {
+	t.Run("one cell", func(t *testing.T) { checkRandomScripts(t, oneCellScenario, drawWideCrashStep) })
+	t.Run("two cells", func(t *testing.T) { checkRandomScripts(t, twoCellScenario, drawWideCrashStep) })
+	t.Run("four cells", func(t *testing.T) { checkRandomScripts(t, fourCellScenario, drawWideCrashStep) })
+}
+
+// TestJobGivenUpInOneOfItsCells guards against a job that is given up in the cell of its crashing task and goes on in the
+// cell that has its other tasks, with scripts found by random runs.
+func TestJobGivenUpInOneOfItsCells(t *testing.T) {
+	casefile.Each(t, "testdata/progress/*.json", func(t *testing.T, script []scriptStep) {
+		require.Empty(t, runScriptRepeatedly(t, script, twoCellScenario))
+	})
+}
--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -176,7 +176,8 @@
 	scenario         scenario
 	jobCount         int
 	spreadSubmitted  bool
-	longRunningTasks int // number of long-running tasks submitted so far
+	crashingWide     bool // a long-running job of several tasks, one of which crashes its workers, was submitted
+	longRunningTasks int  // number of long-running tasks submitted so far
 	accepted         []jobs.Spec
 	cancelled        map[jobs.ID]bool
 	maybeCancelled   map[jobs.ID]bool // the cancellation has an unknown outcome: the job may end either way
@@ -245,6 +246,8 @@
 		s.markNextJobCrashing(step)
 		s.jobCount++
 		s.trySubmit(d, longRunningJob(s.jobCount, 1))
+	case "submit crashing wide":
+		s.submitCrashingWide(d, step)
 	case "worker down":
 		s.grid.SetListed(step.Place, true)
 		s.grid.CrashWithDowntime(step.Place)
@@ -361,6 +364,18 @@
 	s.trySubmit(d, spec)
 }
 
+// submitCrashingWide submits a long-running job of several tasks, the first of which crashes its workers, once in a run:
+// each costs several workers one after the other.
+func (s *scriptRun) submitCrashingWide(d *testDaemon, step scriptStep) {
+	if s.crashingWide {
+		return
+	}
+	s.crashingWide = true
+	s.markNextJobCrashing(step)
+	s.jobCount++
+	s.trySubmit(d, longRunningJob(s.jobCount, wideTasks))
+}
+
 func (s *scriptRun) tryCancel(d *testDaemon, id jobs.ID) {
 	ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
 	defer cancel()
