--- a/services/standin/grid/audit_progress.go
+++ b/services/standin/grid/audit_progress.go
@@ -209,7 +209,8 @@
 	}
 }
 
-// updateRunningWaits ends the waits that a change of the workers or of their runs has ended.
+// updateRunningWaits ends the waits that the start of a run has ended, which may be over before the next check. Changes of
+// the workers need no such update, because each is a fault.
 func (g *Grid) updateRunningWaits() {
 	for _, job := range g.audit.unfinished {
 		if len(job.waits) > 0 {
--- a/services/standin/grid/audit_progress_test.go
+++ b/services/standin/grid/audit_progress_test.go
@@ -264,6 +264,32 @@
 	}
 }
 
+// TestBoundsOfProgress guards against bounds that differ from the users'.
+func TestBoundsOfProgress(t *testing.T) {
+	require.Equal(t, []time.Duration{3 * time.Second, 6 * time.Second, 4 * time.Second}, []time.Duration{maxIdleTime, maxAwayTime, calmTime})
+	require.Equal(t, 2, requiredRoom)
+	require.InDelta(t, 0.5, maxBusyShare, 0)
+}
+
+// TestFillersNeedNoPlaceBesideServingTasks guards against a filler task that counts as able to run on workers where it
+// might harm a serving task.
+func TestFillersNeedNoPlaceBesideServingTasks(t *testing.T) {
+	for serving, breaches := range map[int]int{3: 1, 4: 0} {
+		runProgressTest(t, Config{}, func(p *progressTest) {
+			p.changeSpec(busyJob, func(spec *jobs.Spec) {
+				spec.Steps = []jobs.Step{{Count: 4, Size: models.Resources{CPU: 500, Memory: 500}, LongRunning: true, Target: 100}}
+			})
+			p.changeSpec(waitingJob, func(spec *jobs.Spec) { spec.Steps[0].Filler = true })
+			for place := range serving {
+				p.start(place, busyJob, 0, place, 1)
+			}
+			p.Accepted(waitingJob)
+			p.pass(time.Minute)
+			require.Len(t, p.Breaches(), breaches)
+		})
+	}
+}
+
 // TestShortRunEndsWait guards against a wait that goes on although a task ran between two checks.
 func TestShortRunEndsWait(t *testing.T) {
 	runProgressTest(t, Config{}, func(p *progressTest) {
@@ -271,6 +297,7 @@
 		p.Accepted(waitingJob)
 		p.pass(maxIdleTime - progressTick)
 		p.start(0, waitingJob, 0, 0, 1)
+		time.Sleep(progressTick / 2)
 		p.pass(maxIdleTime)
 		require.Empty(t, p.Breaches())
 		p.pass(2 * progressTick)
--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -52,7 +52,6 @@
 	if w.faults != before {
 		g.audit.noteFault()
 	}
-	g.updateRunningWaits()
 	for _, r := range w.runs {
 		if r.stalled != w.faults.Stalled {
 			r.updateRemaining(time.Now())
@@ -147,7 +146,6 @@
 	w.runs = map[jobs.TaskID]*run{}
 	g.audit.noteLostEnds(w)
 	g.noteLossOrRestart(w)
-	g.updateRunningWaits()
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
--- a/services/standin/grid/list.go
+++ b/services/standin/grid/list.go
@@ -67,10 +67,8 @@
 	return worker, !g.unlisted[id] && (slices.Contains(g.idsByPlace, id) || g.staleEntries[id])
 }
 
-// noteChange records a change of a worker's entry, wakes the calls that wait for one, and ends the waits of tasks that
-// have no room any more.
+// noteChange records a change of a worker's entry and wakes the calls that wait for one.
 func (g *Grid) noteChange(id jobs.WorkerID) {
-	g.updateRunningWaits()
 	g.changes = append(g.changes, id)
 	close(g.changed)
 	g.changed = make(chan struct{})
--- a/services/standin/grid/run.go
+++ b/services/standin/grid/run.go
@@ -83,7 +83,6 @@
 	g.audit.noteRun(w, r.task, r.id)
 	g.audit.runEnded(w, r.task, how)
 	g.acknowledge(w, 0)
-	g.updateRunningWaits()
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
