--- a/services/control/checkpoint_random_test.go
+++ b/services/control/checkpoint_random_test.go
@@ -133,6 +133,7 @@
 			Workers: scriptWorkers, RestartDelay: workerDowntime, CheckpointInterval: scriptSave, RestoreTime: scriptRestore, OwnCheckpointsOnly: in.ownCheckpointsOnly,
 			Services: scriptServices,
 		})
+		s.startProgressChecks()
 		time.Sleep(5 * time.Second)
 		for _, step := range script {
 			stepsRun++
