--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -14,8 +14,11 @@
 // A suspect starts on the worker with the fewest tasks, where nothing has just been started, and nothing but suspects
 // starts there until the suspect has run for longer than before. So a loss is evidence against the suspect alone, and
 // costs the least work. A suspect that crashes nothing does not wait long for this: where free capacity is short,
-// suspects with a single loss are tried together. A suspect with several losses waits until it has a worker to itself:
-// a loss beside others would be no evidence, and the task may lose few more runs.
+// suspects with a single loss are tried together, and so are weak suspects, whose losses chance explains. Another
+// suspect with several losses waits until it has a worker to itself, because a loss beside others would be no evidence,
+// and the task may lose few more runs. It spares workers with a suspect of several losses that has outlived its trial:
+// where many tasks are tried, one that crashes nothing would be lost with each of them. It does so for a short time
+// only, because such a suspect is cleared only maxTimeToCrash after its start, and there may be one on each worker.
 
 const (
 	// minTrialTime is how long a suspect has its worker to itself at least: the time of several calls by the owner,
@@ -83,11 +86,15 @@
 // trialWorker returns the worker for a suspect, or nil when there is none now. Where something has just been started
 // on every worker, one of them is reserved until it is ready.
 func (c *Core) trialWorker(t *task, now time.Time) *worker {
-	var ready, busy, shared *worker
+	var ready, busy, shared, spared *worker
 	for _, w := range c.sortedWorkers {
 		switch {
 		case !c.mayTakeSuspect(w, t.step, now) || w.isReservedForOther(t, now) || w.hasUndecidedSharer(t, now):
-		case w.maxSuspectLosses() >= minLosses: // do not disturb the trial of a suspect with several losses
+		case t.isWeakSuspect() && w.hasOnlyWeakTrials():
+			shared = withFewerTasks(shared, w)
+		case w.maxSuspectLosses() >= minLosses && w.trials > 0: // do not disturb the trial of a suspect with several losses
+		case w.maxSuspectLosses() >= minLosses:
+			spared = withFewerTasks(spared, w)
 		case w.maxSuspectLosses() > 0:
 			shared = withFewerTasks(shared, w)
 		case w.hasYoungRun(now):
@@ -96,20 +103,40 @@
 			ready = withFewerTasks(ready, w)
 		}
 	}
+	if !t.trialWait.lasted(maxTrialWait, now) {
+		spared = nil
+	}
 	switch {
 	case ready != nil:
 		return ready
-	case t.losses() < minLosses:
+	case (t.losses() < minLosses || t.isWeakSuspect()) && cmp.Or(shared, busy) != nil:
 		return cmp.Or(shared, busy)
-	case shared != nil && shared.trials == 0 && !shared.hasYoungRun(now):
-		return shared // its suspects have outlived their trials
+	case shared.isPastTrials(now):
+		return shared
+	case spared.isPastTrials(now):
+		return spared
 	}
-	if next := cmp.Or(busy, shared); next != nil {
+	if next := cmp.Or(busy, shared, spared); next != nil {
 		next.reserveForTrial(t, now)
 	}
 	return nil
 }
 
+// isWeakSuspect reports whether chance explains the losses of a suspect: it is suspected for their number alone.
+func (t *task) isWeakSuspect() bool { return t.suspicion.EvidenceVsChance() < suspectEvidence }
+
+// hasOnlyWeakTrials reports whether there are suspects on the worker, and only weak ones of them are on trial.
+func (w *worker) hasOnlyWeakTrials() bool {
+	strongTrial := func(t *task) bool { return t.onTrial && !t.isWeakSuspect() }
+	return w.maxSuspectLosses() > 0 && !slices.ContainsFunc(w.tasks, strongTrial)
+}
+
+// isPastTrials reports whether all suspects on the worker have outlived their trials, and nothing has just been started
+// there. It reports false for nil.
+func (w *worker) isPastTrials(now time.Time) bool {
+	return w != nil && w.trials == 0 && !w.hasYoungRun(now)
+}
+
 // hasUndecidedSharer reports whether a task on the worker was lost together with the suspect before and has not
 // outlived its own trial yet: the loss of both once more would give no further evidence.
 func (w *worker) hasUndecidedSharer(t *task, now time.Time) bool {
