--- a/services/dispatch/bench_test.go
+++ b/services/dispatch/bench_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -39,7 +40,7 @@
 	})
 	var list []jobs.Worker
 	for n := range workers {
-		id := jobs.WorkerID([]string{"w0", "w1", "w2", "w3"}[n])
+		id := jobs.WorkerID(fmt.Sprintf("w%d", n))
 		b.ids = append(b.ids, id)
 		list = append(list, jobs.Worker{ID: id, Pool: testPool, Address: string(id), Capacity: models.Resources{CPU: 4000, Memory: 8000}})
 	}
--- /dev/null
+++ b/services/dispatch/fence_test.go
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// reportAll lets workers answer two calls each, the second of which renews the lease, without that time passes.
+func (b *bench) reportAll(first, after int) {
+	for n := first; n < after; n++ {
+		for range 2 {
+			b.call(n, jobs.Report{Clock: models.MilliOf(b.now.Sub(time.Unix(1_000_000, 0)))})
+		}
+	}
+}
+
+const (
+	fenceWorkers = 48
+	fenceGone    = 3                // the last workers, which never answer the next owner
+	fenceEarly   = 19               // the first workers, 40 % of them, which answer it at once
+	fenceCutTime = 12 * time.Second // after which the others answer
+	fenceLease   = 4 * time.Second  // that the previous owner granted
+)
+
+// TestRecoveryDoesNotWaitForMostWorkers guards against tasks that wait beside idle workers long after a takeover: what
+// runs on the silent workers was waited for only from when most workers had answered, which a cut kept from answering.
+func TestRecoveryDoesNotWaitForMostWorkers(t *testing.T) {
+	b := newBench(t, fenceWorkers)
+	b.RestoreRoster(jobs.Roster{Workers: b.Workers(), MaxLease: models.MilliOf(fenceLease)}, b.now)
+	step := singleTaskStep
+	step.Count = 10
+	b.AddJob(b.job(step), jobs.Progress{}, false, b.now)
+	lapse := time.Duration(float64(fenceLease)*clockDriftFactor) + previousOwnerMargin
+	began, started := b.now, 0
+	for b.now.Sub(began) < fenceCutTime+lapse+time.Second {
+		answering := fenceEarly
+		if b.now.Sub(began) > fenceCutTime {
+			answering = fenceWorkers - fenceGone
+		}
+		b.reportAll(0, answering)
+		started += len(b.storedStarts())
+		if b.now.Sub(began) <= lapse {
+			require.Zero(t, started, "the silent workers may run the tasks")
+		}
+		if started == step.Count {
+			break
+		}
+		b.now = b.now.Add(100 * time.Millisecond)
+	}
+	require.Equal(t, step.Count, started)
+	require.LessOrEqual(t, b.now.Sub(began), lapse+time.Second)
+}
+
+// TestFenceFollowsWorkersThatAreGone guards against a wait of maxBlindTime: the workers that had not answered when the
+// last first report came are removed later, and nobody counted the answers again.
+func TestFenceFollowsWorkersThatAreGone(t *testing.T) {
+	b := newBench(t, 6)
+	b.RestoreRoster(jobs.Roster{Workers: b.Workers(), MaxLease: models.MilliOf(fenceLease)}, b.now)
+	b.reportAll(0, 2)
+	b.Decide(b.now)
+	require.Zero(t, b.fencedAt, "the other workers may obey the previous owner")
+	for _, gone := range b.ids[3:] {
+		b.Replaced(gone, b.now)
+	}
+	b.Decide(b.now)
+	require.Equal(t, b.now, b.fencedAt)
+}
