--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -20,7 +20,11 @@
 // overTargetWait is how long a report may wait for an end on a worker where a tail latency is over its target.
 const overTargetWait = 300 * time.Millisecond
 
-// LeaseCall returns the next call that asks a worker for a report and renews its lease.
+// unprovedWait is how long a report may wait for an end while leases are not renewed for lack of a proof of ownership:
+// they are renewed soon after the proof.
+const unprovedWait = 200 * time.Millisecond
+
+// LeaseCall returns the next call that asks a worker for a report and, with recent proof of ownership, renews its lease.
 func (c *Core) LeaseCall(id jobs.WorkerID, wait time.Duration, now time.Time) (jobs.LeaseCall, bool) {
 	w, ok := c.workers[id]
 	if !ok {
@@ -34,13 +38,17 @@
 	if w.trials > 0 {
 		call.Wait = min(call.Wait, trialReportWait)
 	}
-	if w.overdue || w.reportUrgent || !w.renewed {
+	proved := c.proofAge(now) <= proofValidity
+	switch {
+	case w.overdue || w.reportUrgent || !w.renewed && proved:
 		call.Wait = 0 // nothing may start on the worker before its answer
+	case !proved:
+		call.Wait = min(call.Wait, unprovedWait)
 	}
 	if w.overdue {
 		call.Acknowledged = 0 // the unanswered call may be carried out late, by the next incarnation
 	}
-	if w.answered && now.Sub(w.reportedAt) < renewWithin+wait { // the lease is on the worker's clock, known from its report
+	if proved && w.answered && now.Sub(w.reportedAt) < renewWithin+wait { // the lease is on the worker's clock, known from its report
 		call.Until = c.grantLease(w, now)
 	}
 	w.renewing = call.Until != 0
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -14,9 +14,11 @@
 // the old owner's orders once the successor has called them, but calls get lost, and a worker that the successor has not
 // reached yet would obey. So an owner acts only on recent proof that it still owns the cell:
 //
-//   - for any order: a transaction of its own, which requires its key in the store, or the answers of two thirds of
-//     its workers. A successor counts the previous owner's runs as lapsed previousOwnerMargin after most workers have
-//     answered it, and two thirds that obey this owner leave no such majority.
+//   - for any order, and to renew a lease: a transaction of its own, which requires its key in the store, or the answers
+//     of two thirds of its workers. A successor counts the previous owner's runs as lapsed previousOwnerMargin and a
+//     lease after most workers have answered it, and two thirds that obey this owner leave no such majority. An owner
+//     that reaches only workers that its successor doesn't reach learns nothing from them, so that its leases have to
+//     end for lack of a proof.
 //   - to start the tasks of a silent worker elsewhere: a transaction after the worker's lease was over. Only this
 //     proves that no successor has renewed the lease.
 
@@ -27,16 +29,22 @@
 // proofRefreshAge is the age of a proof from which a transaction is made for the sake of the proof alone.
 const proofRefreshAge = time.Second
 
-// answerCountInterval is how often the workers' answers are counted.
+// answerCountInterval is how often the workers' answers are counted while there is recent proof.
 const answerCountInterval = 100 * time.Millisecond
 
-// mayOrder reports whether there is recent proof that this core still is the cell's owner.
-func (c *Core) mayOrder(now time.Time) bool {
-	if now.Sub(c.quorumCheckedAt) >= answerCountInterval {
+// proofAge returns the age of the latest proof that this core still is the cell's owner.
+func (c *Core) proofAge(now time.Time) time.Duration {
+	known := now.Sub(latest(c.provedAt, c.quorumAskedAt))
+	if now.Sub(c.quorumCheckedAt) >= answerCountInterval || known > proofValidity {
 		c.quorumCheckedAt = now
 		c.quorumAskedAt = c.twoThirdsAnsweredSince()
 	}
-	age := now.Sub(latest(c.provedAt, c.quorumAskedAt))
+	return now.Sub(latest(c.provedAt, c.quorumAskedAt))
+}
+
+// mayOrder reports whether there is recent proof that this core still is the cell's owner.
+func (c *Core) mayOrder(now time.Time) bool {
+	age := c.proofAge(now)
 	c.wantsProof = c.wantsLapseProof || age > proofRefreshAge
 	c.setAwaitingProof(age > proofValidity, age)
 	return !c.awaitingProof
--- a/services/dispatch/proof_test.go
+++ b/services/dispatch/proof_test.go
@@ -16,7 +16,11 @@
 // started the tasks that wait here, and workers that the successor has not reached would obey.
 func TestOwnerThatStoodStillWaitsForAProof(t *testing.T) {
 	prove := map[string]func(b *bench){
-		"a transaction": func(b *bench) { b.Stored(b.TakeChanges(10, b.now), b.now) },
+		"a transaction": func(b *bench) {
+			b.Stored(b.TakeChanges(10, b.now), b.now)
+			require.Empty(t, b.starts(), "no lease has been renewed since the proof")
+			b.report(0, jobs.Report{})
+		},
 		"most workers": func(b *bench) {
 			b.report(1, jobs.Report{})
 			b.report(2, jobs.Report{})
