--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -102,7 +102,7 @@
 	previousLease   time.Duration // longest lease that a previous owner may have granted; at most LongestLease
 	jobsHeld        bool          // jobs are held back until they have been offered to other cells
 	recovering      bool          // workers that have not reported since the takeover may run tasks
-	fencedAt        time.Time     // when more than half of the workers had reported in this epoch; zero: not yet
+	fencedAt        time.Time     // when more than a third of the workers had reported in this epoch; zero: not yet; see updateFenced
 	superseded      bool
 	provedAt        time.Time // when the latest transaction that proves ownership was begun; see mayOrder
 	quorumAskedAt   time.Time // two thirds of the workers have answered a call that was sent at this time or later
--- a/services/dispatch/fence_test.go
+++ b/services/dispatch/fence_test.go
@@ -4,10 +4,12 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
@@ -73,3 +75,46 @@
 	b.Decide(b.now)
 	require.Equal(t, b.now, b.fencedAt)
 }
+
+// TestFenceAndProofExcludeEachOther guards against two owners that both count on the workers' answers, and against a
+// successor that waits for more answers than it needs. It divides cells of all sizes between a previous owner and its
+// successor.
+func TestFenceAndProofExcludeEachOther(t *testing.T) {
+	for workers := 1; workers <= 60; workers++ {
+		list := make([]jobs.Worker, workers)
+		for n := range list {
+			list[n] = jobs.Worker{ID: jobs.WorkerID(fmt.Sprintf("w%d", n)), Pool: testPool}
+		}
+		for refusing := range workers + 1 {
+			began := time.Unix(1_000_000, 0)
+			previous, next := New(Config{Taken: began, Logger: zap.NewNop()}), New(Config{Taken: began, Logger: zap.NewNop()})
+			previous.SetWorkers(list, began)
+			next.RestoreRoster(jobs.Roster{Workers: list}, began)
+			now := began.Add(proofValidity + time.Second)
+			for n, info := range list {
+				if n < refusing {
+					next.workers[info.ID].answered = true
+				} else {
+					previous.workers[info.ID].reportAskedAt = now
+				}
+			}
+			next.updateFenced(now)
+			proved := previous.proofAge(now) <= proofValidity
+			require.NotEqual(t, proved, !next.fencedAt.IsZero(), "%d of %d workers have answered the successor", refusing, workers)
+		}
+	}
+}
+
+// TestWorkersThatJoinedDoNotFence guards against a previous owner that is counted as fenced by workers that it does not
+// know: all of its own workers may obey it.
+func TestWorkersThatJoinedDoNotFence(t *testing.T) {
+	const own, all = 4, 6
+	b := newBench(t, all)
+	b.RestoreRoster(jobs.Roster{Workers: b.Workers()[:own]}, b.now)
+	b.reportAll(own, all)
+	b.reportAll(0, 1)
+	b.Decide(b.now)
+	require.Zero(t, b.fencedAt, "the other three workers may prove its ownership to the previous owner")
+	b.reportAll(1, 2)
+	require.Equal(t, b.now, b.fencedAt)
+}
--- a/services/dispatch/lost_workers.go
+++ b/services/dispatch/lost_workers.go
@@ -17,6 +17,7 @@
 // are removed.
 func (c *Core) expireWorkers(now time.Time) {
 	c.wantsLapseProof = false
+	c.updateFenced(now) // workers may have been removed since the last first report
 	for _, w := range slices.Clone(c.sortedWorkers) {
 		if now.Sub(w.reportedAt) <= silentAfter || now.Before(c.lapsedAt(w)) {
 			continue
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -15,10 +15,10 @@
 // reached yet would obey. So an owner acts only on recent proof that it still owns the cell:
 //
 //   - for any order, and to renew a lease: a transaction of its own, which requires its key in the store, or the answers
-//     of two thirds of its workers. A successor counts the previous owner's runs as lapsed previousOwnerMargin and a
-//     lease after most workers have answered it, and two thirds that obey this owner leave no such majority. An owner
-//     that reaches only workers that its successor doesn't reach learns nothing from them, so that its leases have to
-//     end for lack of a proof.
+//     of two thirds of its workers. Once more than a third have answered a successor, too few are left, and the
+//     successor counts the previous owner's runs as lapsed a lease and previousOwnerMargin later. An owner that reaches
+//     only workers that its successor doesn't reach learns nothing from them, so that its leases have to end for lack
+//     of a proof.
 //   - to start the tasks of a silent worker elsewhere: a transaction after the worker's lease was over. Only this
 //     proves that no successor has renewed the lease.
 
@@ -74,9 +74,13 @@
 		sent = append(sent, w.reportAskedAt)
 	}
 	slices.SortFunc(sent, time.Time.Compare)
-	return sent[len(sent)/3]
+	return sent[dispensableWorkers(len(sent))]
 }
 
+// dispensableWorkers returns how many workers of a cell may be missing among those whose answers prove ownership to its
+// owner. One more that refuse its calls leave it without that proof.
+func dispensableWorkers(workers int) int { return workers / 3 }
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -52,8 +52,9 @@
 // and learns of the new epoch from the first worker that has seen it.
 const previousOwnerMargin = 3 * time.Second
 
-// maxBlindTime is how long after a takeover the runs of silent workers are waited for when most workers never answer, as
-// in an outage of most of a fleet.
+// maxBlindTime is how long after a takeover the runs of silent workers are waited for when no more than a third of the
+// workers ever answer, as in an outage of most of a fleet. It is a guess: a previous owner that the other workers answer
+// may go on for longer.
 const maxBlindTime = 30 * time.Second
 
 // previousOwnersLapsed returns when all runs that previous owners started on workers that do not answer have certainly
@@ -65,23 +66,41 @@
 	return c.fencedAt.Add(time.Duration(float64(c.previousLease)*clockDriftFactor) + previousOwnerMargin)
 }
 
-// updateFenced records when most workers have sent their first report in this epoch. A worker that has started again
-// since its report does not count, because its new incarnation has not seen the epoch.
+// updateFenced records when so many workers have reported in this epoch, and so refuse the previous owner's calls, that
+// too few are left to prove its ownership to it; from then on it ends. More than a third of the workers of its roster
+// have to, so that those that joined since don't make up for them, or more than half of all workers, because its own may
+// all have gone for good. Not covered: most workers are new to the previous owner, it has dropped workers of its roster,
+// or workers that have reported start again and meet it before the present owner.
 func (c *Core) updateFenced(now time.Time) {
 	if !c.fencedAt.IsZero() {
 		return
 	}
-	answered := 0
+	var all, ofRoster fenceCount
 	for _, w := range c.sortedWorkers {
-		if w.answered {
-			answered++
+		all.add(w)
+		if w.inPreviousRoster {
+			ofRoster.add(w)
 		}
 	}
-	if 2*answered > len(c.sortedWorkers) {
+	if all.fences() && (ofRoster.fences() || 2*all.refusing > all.workers) {
 		c.fencedAt = now
 	}
 }
 
+// fenceCount counts workers, and those of them that refuse a previous owner's calls. A worker that has started again
+// since its report does not refuse them, because its new incarnation has not seen the epoch.
+type fenceCount struct{ workers, refusing int }
+
+func (f *fenceCount) add(w *worker) {
+	f.workers++
+	if w.answered {
+		f.refusing++
+	}
+}
+
+// fences reports whether the previous owner can't have the answers of enough workers any more.
+func (f *fenceCount) fences() bool { return f.refusing > dispensableWorkers(f.workers) }
+
 // tryRecover ends the recovery after a takeover once no unreported runs can exist: every worker that previous owners
 // may have used has reported, or has certainly ended its runs.
 func (c *Core) tryRecover(now time.Time) {
