--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -22,7 +22,7 @@
 //   - to start the tasks of a silent worker elsewhere: a transaction after the worker's lease was over. Only this
 //     proves that no successor has renewed the lease.
 
-// proofValidity is how long orders are given after a proof; together with the timeout of a call it stays below
+// proofValidity is how long orders are given and leases renewed after a proof; with the timeout of a call it stays below
 // previousOwnerMargin.
 const proofValidity = 2 * time.Second
 
