--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -14,29 +14,37 @@
 // the old owner's orders once the successor has called them, but calls get lost, and a worker that the successor has not
 // reached yet would obey. So an owner acts only on recent proof that it still owns the cell:
 //
-//   - for any order: a transaction of its own, which requires its key in the store, or the answers of two thirds of
-//     its workers. A successor counts the previous owner's runs as lapsed previousOwnerMargin after most workers have
-//     answered it, and two thirds that obey this owner leave no such majority.
+//   - for any order, and to renew a lease: a transaction of its own, which requires its key in the store, or the answers
+//     of two thirds of its workers. Once more than a third have answered a successor, too few are left, and the
+//     successor counts the previous owner's runs as lapsed a lease and previousOwnerMargin later. An owner that reaches
+//     only workers that its successor doesn't reach learns nothing from them, so that its leases have to end for lack
+//     of a proof.
 //   - to start the tasks of a silent worker elsewhere: a transaction after the worker's lease was over. Only this
 //     proves that no successor has renewed the lease.
 
-// proofValidity is how long orders are given after a proof; together with the timeout of a call it stays below
+// proofValidity is how long orders are given and leases renewed after a proof; with the timeout of a call it stays below
 // previousOwnerMargin.
 const proofValidity = 2 * time.Second
 
 // proofRefreshAge is the age of a proof from which a transaction is made for the sake of the proof alone.
 const proofRefreshAge = time.Second
 
-// answerCountInterval is how often the workers' answers are counted.
+// answerCountInterval is how often the workers' answers are counted while there is recent proof.
 const answerCountInterval = 100 * time.Millisecond
 
-// mayOrder reports whether there is recent proof that this core still is the cell's owner.
-func (c *Core) mayOrder(now time.Time) bool {
-	if now.Sub(c.quorumCheckedAt) >= answerCountInterval {
+// proofAge returns the age of the latest proof that this core still is the cell's owner.
+func (c *Core) proofAge(now time.Time) time.Duration {
+	known := now.Sub(latest(c.provedAt, c.quorumAskedAt))
+	if now.Sub(c.quorumCheckedAt) >= answerCountInterval || known > proofValidity {
 		c.quorumCheckedAt = now
 		c.quorumAskedAt = c.twoThirdsAnsweredSince()
 	}
-	age := now.Sub(latest(c.provedAt, c.quorumAskedAt))
+	return now.Sub(latest(c.provedAt, c.quorumAskedAt))
+}
+
+// mayOrder reports whether there is recent proof that this core still is the cell's owner.
+func (c *Core) mayOrder(now time.Time) bool {
+	age := c.proofAge(now)
 	c.wantsProof = c.wantsLapseProof || age > proofRefreshAge
 	c.setAwaitingProof(age > proofValidity, age)
 	return !c.awaitingProof
@@ -66,9 +74,13 @@
 		sent = append(sent, w.reportAskedAt)
 	}
 	slices.SortFunc(sent, time.Time.Compare)
-	return sent[len(sent)/3]
+	return sent[dispensableWorkers(len(sent))]
 }
 
+// dispensableWorkers returns how many workers of a cell may be missing among those whose answers prove ownership to its
+// owner. One more that refuse its calls leave it without that proof.
+func dispensableWorkers(workers int) int { return workers / 3 }
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
