--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -180,6 +180,7 @@
 		t.chanceLosses = nil
 	}
 	if t.suspicion.Clean() && t.unobservedAtTakeover == 0 {
+		w.endTrial(t) // its losses may have been retracted
 		return
 	}
 	if t.onTrial && ran >= t.trialTime() {
