--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -127,6 +127,7 @@
 		t.step.waiting--
 	}
 	t.state = taskRunning
+	t.trialWait = trialWait{}
 	t.run = run.Run
 	t.orderedHere = false
 	t.answeredAt = c.now
--- a/services/dispatch/shared.go
+++ b/services/dispatch/shared.go
@@ -77,7 +77,7 @@
 	switch {
 	case len(others) == 0 || t.crashesWithout(others):
 		return verdictCrashes
-	case c.isTriedBefore(t, others, now) || t.hasWaitedForOthers(now):
+	case c.isTriedBefore(t, others) || t.hasWaitedForOthers(now):
 		return verdictOpen // the next run decides
 	default:
 		return verdictContested
@@ -87,9 +87,9 @@
 // hasWaitedForOthers reports whether the task has waited for the outcome of other tasks for as long as it may.
 func (t *task) hasWaitedForOthers(now time.Time) bool {
 	if t.losses() >= maxLosses {
-		return t.trialWait.lasted(maxLastTrialWait, now)
+		return lasted(t.trialWait.contestedSince, now, maxLastTrialWait)
 	}
-	return t.trialWait.lasted(maxTrialWait, now)
+	return lasted(t.trialWait.contestedSince, now, maxTrialWait)
 }
 
 // undecidedSharers returns the other tasks that share a loss with the task and that may or may not crash their
@@ -146,21 +146,16 @@
 }
 
 // isTriedBefore reports whether the task is tried before the others. A task that may have lost maxLosses runs waits for
-// the end of all trials of the others that have begun. No task waits for one that no worker can take.
-func (c *Core) isTriedBefore(t *task, others []*task, now time.Time) bool {
+// the end of all trials of the others that have begun. No task waits for one for which there is no room.
+func (c *Core) isTriedBefore(t *task, others []*task) bool {
 	return !slices.ContainsFunc(others, func(other *task) bool {
 		if other.state != taskWaiting {
 			return t.losses() >= maxLosses || other.compareTrialOrder(t) < 0
 		}
-		return other.compareTrialOrder(t) < 0 && c.findsCapacity(other.step, now)
+		return other.compareTrialOrder(t) < 0 && c.hasRoom(other.step)
 	})
 }
 
-// findsCapacity reports whether some worker has free capacity for a task of the step, be it kept for others or not.
-func (c *Core) findsCapacity(s *step, now time.Time) bool {
-	return slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return c.mayTakeSuspect(w, s, now) })
-}
-
 // compareTrialOrder compares two tasks by the order of their trials: the one that has lost fewer runs comes first. Of
 // tasks that may have lost maxLosses runs it is the one with less evidence against it, because one more start is allowed
 // only to a task that does not crash its workers.
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -49,8 +49,11 @@
 	return min(max(minTrialTime, 2*longest), maxTrialTime)
 }
 
-// placeSuspects assigns workers to the step's suspects.
+// placeSuspects assigns workers to the step's suspects. If no worker takes a suspect, none takes another one that is as
+// weak and has lost several runs or one as well.
 func (c *Core) placeSuspects(s *step, now time.Time) {
+	type kind struct{ weak, severalLosses bool }
+	noWorker := map[kind]bool{}
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != taskWaiting || !t.suspected() || c.startsLeft <= 0 || !t.lossesAreStored() {
@@ -64,11 +67,16 @@
 			c.recordContested(t, now)
 			continue
 		}
+		k := kind{weak: t.isWeakSuspect(), severalLosses: t.losses() >= minLosses}
+		if noWorker[k] {
+			continue
+		}
 		w := c.trialWorker(t, now)
 		if w == nil {
 			s.recordNoPlace(now)
 			c.recordNoWorker(t, now)
-			return
+			noWorker[k] = true
+			continue
 		}
 		if s.spec.LongRunning && !c.leavesCapacity(t, now) {
 			continue
@@ -86,11 +94,13 @@
 // trialWorker returns the worker for a suspect, or nil when there is none now. Where something has just been started
 // on every worker, one of them is reserved until it is ready.
 func (c *Core) trialWorker(t *task, now time.Time) *worker {
-	var ready, busy, shared, spared *worker
+	var ready, busy, shared, spared, avoided *worker
 	for _, w := range c.sortedWorkers {
 		switch {
 		case !c.mayTakeSuspect(w, t.step, now) || w.isReservedForOther(t, now) || w.hasUndecidedSharer(t, now):
-		case t.isWeakSuspect() && w.hasOnlyWeakTrials():
+		case now.Before(w.avoidUntil):
+			avoided = withFewerTasks(avoided, w)
+		case t.isWeakSuspect() && w.hasOnlyYoungWeakTrials(now):
 			shared = withFewerTasks(shared, w)
 		case w.maxSuspectLosses() >= minLosses && w.trials > 0: // do not disturb the trial of a suspect with several losses
 		case w.maxSuspectLosses() >= minLosses:
@@ -103,7 +113,7 @@
 			ready = withFewerTasks(ready, w)
 		}
 	}
-	if !t.trialWait.lasted(maxTrialWait, now) {
+	if !lasted(t.trialWait.noWorkerSince, now, maxTrialWait) {
 		spared = nil
 	}
 	switch {
@@ -115,6 +125,8 @@
 		return shared
 	case spared.isPastTrials(now):
 		return spared
+	case cmp.Or(busy, shared, spared) == nil && avoided.isPastTrials(now):
+		return avoided
 	}
 	if next := cmp.Or(busy, shared, spared); next != nil {
 		next.reserveForTrial(t, now)
@@ -125,10 +137,12 @@
 // isWeakSuspect reports whether chance explains the losses of a suspect: it is suspected for their number alone.
 func (t *task) isWeakSuspect() bool { return t.suspicion.EvidenceVsChance() < suspectEvidence }
 
-// hasOnlyWeakTrials reports whether there are suspects on the worker, and only weak ones of them are on trial.
-func (w *worker) hasOnlyWeakTrials() bool {
+// hasOnlyYoungWeakTrials reports whether there are suspects on the worker, and only weak ones of them are on trial. Their
+// trials must have begun at about the same time: if others joined later and later, the worker would take nothing else.
+func (w *worker) hasOnlyYoungWeakTrials(now time.Time) bool {
 	strongTrial := func(t *task) bool { return t.onTrial && !t.isWeakSuspect() }
-	return w.maxSuspectLosses() > 0 && !slices.ContainsFunc(w.tasks, strongTrial)
+	young := w.trials == 0 || now.Sub(w.trialsSince) < minTrialTime
+	return w.maxSuspectLosses() > 0 && young && !slices.ContainsFunc(w.tasks, strongTrial)
 }
 
 // isPastTrials reports whether all suspects on the worker have outlived their trials, and nothing has just been started
@@ -201,6 +215,9 @@
 
 // beginTrial keeps other tasks from starting beside a suspect.
 func (w *worker) beginTrial(t *task) {
+	if w.trials == 0 {
+		w.trialsSince = t.startedAt
+	}
 	t.onTrial = true
 	w.trials++
 }
--- a/services/dispatch/trial_wait.go
+++ b/services/dispatch/trial_wait.go
@@ -4,16 +4,18 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 )
 
-// trialWait is how long a waiting suspect has been kept from its trial, and by what. It begins anew with each start, and
-// with each owner: a successor does not know since when a task waits for a place.
+// trialWait is how long a waiting suspect has been kept from its trial although there is room for it, and by what. It
+// begins anew with each run and with each owner: a successor does not know since when a task waits for a place.
 type trialWait struct {
-	since           time.Time // zero: it has not been kept from its trial
+	contestedSince  time.Time // since when other tasks may have caused its losses; zero: it may be tried, or there is no room
 	contestedLogged bool
+	noWorkerSince   time.Time // since when no worker with room takes it; zero: one does, or there is no room
 	noWorkerLogged  bool
 }
 
@@ -26,23 +28,35 @@
 	longTrialWait = time.Second
 )
 
-// begin records that the suspect is kept from its trial.
-func (w *trialWait) begin(now time.Time) {
-	if w.since.IsZero() {
-		w.since = now
+// lasted reports whether a wait has lasted for at least the given time; since is zero if there is none.
+func lasted(since, now time.Time, atLeast time.Duration) bool {
+	return !since.IsZero() && now.Sub(since) >= atLeast
+}
+
+// beginWait sets the begin of a wait, unless it has begun before. While there is no room for the task, it waits for that
+// alone, and the wait begins anew afterwards.
+func (c *Core) beginWait(since *time.Time, t *task, now time.Time) {
+	switch {
+	case !c.hasRoom(t.step):
+		*since = time.Time{}
+	case since.IsZero():
+		*since = now
 	}
 }
 
-// lasted reports whether the suspect has been kept from its trial for at least the given time.
-func (w *trialWait) lasted(atLeast time.Duration, now time.Time) bool {
-	return !w.since.IsZero() && now.Sub(w.since) >= atLeast
+// hasRoom reports whether some worker that stays has free capacity for a task of the step, be it kept for others or
+// unusable at the moment.
+func (c *Core) hasRoom(s *step) bool {
+	return slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool {
+		return w.listed && !w.info.Draining && c.fits(w, s) && c.hasCapacity(w, s)
+	})
 }
 
 // recordContested records that a waiting task is not tried now, because other tasks may have caused its losses, and logs
 // the begin of the wait.
 func (c *Core) recordContested(t *task, now time.Time) {
 	wait := &t.trialWait
-	wait.begin(now)
+	c.beginWait(&wait.contestedSince, t, now)
 	if wait.contestedLogged {
 		return
 	}
@@ -63,8 +77,8 @@
 // the workers with free capacity do not take it.
 func (c *Core) recordNoWorker(t *task, now time.Time) {
 	wait := &t.trialWait
-	wait.begin(now)
-	if wait.noWorkerLogged || !wait.lasted(longTrialWait, now) {
+	c.beginWait(&wait.noWorkerSince, t, now)
+	if wait.noWorkerLogged || !lasted(wait.noWorkerSince, now, longTrialWait) {
 		return
 	}
 	wait.noWorkerLogged = true
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -70,6 +70,7 @@
 	overTargetSince  time.Time // since when a tail latency is over its target; zero: none is
 	fillersChangedAt time.Time // when its filler tasks or their paces last changed
 	trials           int       // suspects on trial here; nothing else starts meanwhile
+	trialsSince      time.Time // when the first of these trials began
 	reservedUntil    time.Time // reserved until then for the task in the next field
 	reservedFor      *task     // a waiting suspect
 
