--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -68,19 +68,25 @@
 		o.recordNotSent(order.(dispatch.StartOrder), sent)
 		return
 	}
+	var err error
+	var record func(result dispatch.Result, now time.Time)
 	switch order := order.(type) {
 	case dispatch.StartOrder:
-		_, err := o.config.Workers.StartRun(ctx, order.Worker, order.Call)
-		o.endLimited(decided, err)
-		o.recordResult(sent, err, func(result dispatch.Result, now time.Time) { o.core.Started(order, result, now) })
+		_, err = o.config.Workers.StartRun(ctx, order.Worker, order.Call)
+		record = func(result dispatch.Result, now time.Time) { o.core.Started(order, result, now) }
 	case dispatch.StopOrder:
-		_, err := o.config.Workers.StopRun(ctx, order.Worker, order.Call)
-		o.recordResult(sent, err, func(result dispatch.Result, now time.Time) { o.core.Stopped(order, result, now) })
+		_, err = o.config.Workers.StopRun(ctx, order.Worker, order.Call)
+		record = func(result dispatch.Result, now time.Time) { o.core.Stopped(order, result, now) }
 	case dispatch.PaceOrder:
-		_, err := o.config.Workers.SetPace(ctx, order.Worker, order.Call)
-		o.endLimited(decided, err)
-		o.recordResult(sent, err, func(result dispatch.Result, now time.Time) { o.core.Paced(order, result, now) })
+		_, err = o.config.Workers.SetPace(ctx, order.Worker, order.Call)
+		record = func(result dispatch.Result, now time.Time) { o.core.Paced(order, result, now) }
 	}
+	result := classifyCall(err)
+	if isLimited(order) {
+		answered := result.Outcome != dispatch.OutcomeUnknown
+		o.cells.startLimit.End(inflight.Call{Took: o.config.Clock.Since(decided), Answered: answered})
+	}
+	o.recordResult(sent, result, record)
 }
 
 // recordNotSent records in the core that a start was not sent because it had expired.
@@ -102,15 +108,8 @@
 	return !stop
 }
 
-// endLimited passes the result of an order that counts against the limit of orders in flight to that limit.
-func (o *Owner) endLimited(decided time.Time, err error) {
-	answered := classifyCall(err).Outcome != dispatch.OutcomeUnknown
-	o.cells.startLimit.End(inflight.Call{Took: o.config.Clock.Since(decided), Answered: answered})
-}
-
 // recordResult records in the core what became of an order that was sent at the given time, and wakes decideLoop.
-func (o *Owner) recordResult(sent time.Time, err error, record func(result dispatch.Result, now time.Time)) {
-	result := classifyCall(err)
+func (o *Owner) recordResult(sent time.Time, result dispatch.Result, record func(result dispatch.Result, now time.Time)) {
 	o.endCall(sent, 0, result.Outcome)
 	now := o.config.Clock.Read()
 	o.mu.Lock()
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -53,7 +53,7 @@
 // weak and has lost several runs or one as well.
 func (c *Core) placeSuspects(s *step, now time.Time) {
 	type kind struct{ weak, severalLosses bool }
-	noWorker := map[kind]bool{}
+	var noWorker []kind
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != taskWaiting || !t.suspected() || c.startsLeft <= 0 || !t.lossesAreStored() {
@@ -68,14 +68,14 @@
 			continue
 		}
 		k := kind{weak: t.isWeakSuspect(), severalLosses: t.losses() >= minLosses}
-		if noWorker[k] {
+		if slices.Contains(noWorker, k) {
 			continue
 		}
 		w := c.trialWorker(t, now)
 		if w == nil {
 			s.recordNoPlace(now)
 			c.recordNoWorker(t, now)
-			noWorker[k] = true
+			noWorker = append(noWorker, k)
 			continue
 		}
 		if s.spec.LongRunning && !c.leavesCapacity(t, now) {
@@ -94,18 +94,22 @@
 // trialWorker returns the worker for a suspect, or nil when there is none now. Where something has just been started
 // on every worker, one of them is reserved until it is ready.
 func (c *Core) trialWorker(t *task, now time.Time) *worker {
+	weak := t.isWeakSuspect()
 	var ready, busy, shared, spared, avoided *worker
 	for _, w := range c.sortedWorkers {
+		if !c.mayTakeSuspect(w, t.step, now) || w.isReservedForOther(t, now) || w.hasUndecidedSharer(t, now) {
+			continue
+		}
+		losses := w.maxSuspectLosses()
 		switch {
-		case !c.mayTakeSuspect(w, t.step, now) || w.isReservedForOther(t, now) || w.hasUndecidedSharer(t, now):
 		case now.Before(w.avoidUntil):
 			avoided = withFewerTasks(avoided, w)
-		case t.isWeakSuspect() && w.hasOnlyYoungWeakTrials(now):
+		case losses > 0 && weak && w.hasOnlyYoungWeakTrials(now):
 			shared = withFewerTasks(shared, w)
-		case w.maxSuspectLosses() >= minLosses && w.trials > 0: // do not disturb the trial of a suspect with several losses
-		case w.maxSuspectLosses() >= minLosses:
+		case losses >= minLosses && w.trials > 0: // do not disturb the trial of a suspect with several losses
+		case losses >= minLosses:
 			spared = withFewerTasks(spared, w)
-		case w.maxSuspectLosses() > 0:
+		case losses > 0:
 			shared = withFewerTasks(shared, w)
 		case w.hasYoungRun(now):
 			busy = withFewerTasks(busy, w)
@@ -119,7 +123,7 @@
 	switch {
 	case ready != nil:
 		return ready
-	case (t.losses() < minLosses || t.isWeakSuspect()) && cmp.Or(shared, busy) != nil:
+	case (weak || t.losses() < minLosses) && cmp.Or(shared, busy) != nil:
 		return cmp.Or(shared, busy)
 	case shared.isPastTrials(now):
 		return shared
@@ -137,12 +141,12 @@
 // isWeakSuspect reports whether chance explains the losses of a suspect: it is suspected for their number alone.
 func (t *task) isWeakSuspect() bool { return t.suspicion.EvidenceVsChance() < suspectEvidence }
 
-// hasOnlyYoungWeakTrials reports whether there are suspects on the worker, and only weak ones of them are on trial. Their
-// trials must have begun at about the same time: if others joined later and later, the worker would take nothing else.
+// hasOnlyYoungWeakTrials reports whether no suspects but weak ones are on trial on the worker, and their trials have begun
+// at about the same time: if others joined later and later, the worker would take nothing else.
 func (w *worker) hasOnlyYoungWeakTrials(now time.Time) bool {
 	strongTrial := func(t *task) bool { return t.onTrial && !t.isWeakSuspect() }
 	young := w.trials == 0 || now.Sub(w.trialsSince) < minTrialTime
-	return w.maxSuspectLosses() > 0 && young && !slices.ContainsFunc(w.tasks, strongTrial)
+	return young && !slices.ContainsFunc(w.tasks, strongTrial)
 }
 
 // isPastTrials reports whether all suspects on the worker have outlived their trials, and nothing has just been started
--- a/services/dispatch/trial_wait.go
+++ b/services/dispatch/trial_wait.go
@@ -13,9 +13,9 @@
 // trialWait is how long a waiting suspect has been kept from its trial although there is room for it, and by what. It
 // begins anew with each run and with each owner: a successor does not know since when a task waits for a place.
 type trialWait struct {
-	contestedSince  time.Time // since when other tasks may have caused its losses; zero: it may be tried, or there is no room
+	contestedSince  time.Time // since when it was first not tried because other tasks may have caused its losses; zero: it never was, or there is no room
 	contestedLogged bool
-	noWorkerSince   time.Time // since when no worker with room takes it; zero: one does, or there is no room
+	noWorkerSince   time.Time // since when it first found no worker that takes it; zero: it always found one, or there is no room
 	noWorkerLogged  bool
 }
 
