--- a/services/control/room_waits_test.go
+++ b/services/control/room_waits_test.go
@@ -34,21 +34,21 @@
 	roomAllowed        = 3 * time.Second
 	roomAllowedLasting = 6 * time.Second
 	roomMargin         = 500 * time.Millisecond
-	roomWatched        = 14 * time.Second // after the last disturbance
+	roomWatched        = 14 * time.Second // after the last fault
 )
 
 // roomDay is one run.
 type roomDay struct {
 	*testCluster
-	random       *rand.Rand
-	mu           sync.Mutex
-	crashing     map[jobs.ID]time.Duration
-	jobs         []jobs.Spec
-	since        map[jobs.ID]time.Time // since when nothing of the job, or not all of a long-running job, runs
-	done         map[jobs.ID]bool
-	lastAt       time.Time // of the last disturbance
-	late         map[string]time.Duration
-	disturbances []string
+	random   *rand.Rand
+	mu       sync.Mutex
+	crashing map[jobs.ID]time.Duration
+	jobs     []jobs.Spec
+	since    map[jobs.ID]time.Time // since when nothing of the job, or not all of a long-running job, runs
+	done     map[jobs.ID]bool
+	lastAt   time.Time // of the last fault
+	late     map[string]time.Duration
+	faults   []string
 }
 
 func roomStep(count int, cpu models.MilliCPU) jobs.Step {
@@ -130,11 +130,11 @@
 	return b
 }
 
-// disturb makes one disturbance of a random kind.
-func (d *roomDay) disturb(kinds []string) {
+// inject makes one fault of a random kind.
+func (d *roomDay) inject(kinds []string) {
 	kind := kinds[d.random.IntN(len(kinds))]
 	places := d.random.Perm(roomWorkers)[:1+d.random.IntN(roomWorkers)]
-	d.disturbances = append(d.disturbances, fmt.Sprintf("%s %d", kind, len(places)))
+	d.faults = append(d.faults, fmt.Sprintf("%s %d", kind, len(places)))
 	switch kind {
 	case "restart together":
 		for _, place := range places {
@@ -175,7 +175,7 @@
 	}
 }
 
-// playRoomDay runs one day, at the end of which all disturbances are over.
+// playRoomDay runs one day, at the end of which all faults are over.
 func playRoomDay(t *testing.T, seed uint64, kinds []string) *roomDay {
 	t.Helper()
 	var d *roomDay
@@ -194,7 +194,7 @@
 		}
 		d.pass(3 * time.Second)
 		for range 3 + d.random.IntN(6) {
-			d.disturb(kinds)
+			d.inject(kinds)
 			d.lastAt = time.Now()
 			d.pass(time.Duration(d.random.IntN(3000)) * time.Millisecond)
 		}
@@ -209,13 +209,13 @@
 	return d
 }
 
-// checkRoomDays plays days with disturbances of the given kinds, one for each seed from 0.
+// checkRoomDays plays days with faults of the given kinds, one for each seed from 0.
 func checkRoomDays(t *testing.T, seeds uint64, kinds ...string) {
 	t.Helper()
 	for seed := range seeds {
 		t.Run(fmt.Sprintf("%s, %d", strings.Join(kinds, " and "), seed), func(t *testing.T) {
 			d := playRoomDay(t, seed, kinds)
-			require.Empty(t, d.late, "of %d jobs, after %v", len(d.jobs), d.disturbances)
+			require.Empty(t, d.late, "of %d jobs, after %v", len(d.jobs), d.faults)
 		})
 	}
 }
@@ -227,7 +227,7 @@
 }
 
 // TestWorkRunsSoonAfterDisturbances guards against workers that stay unused, and work that waits, after the other
-// disturbances of workers.
+// faults of workers.
 func TestWorkRunsSoonAfterDisturbances(t *testing.T) {
 	checkRoomDays(t, 4, "restart together", "restart at once", "shrink", "grow")
 	checkRoomDays(t, 4, "crashing jobs")
--- a/services/standin/grid/audit.go
+++ b/services/standin/grid/audit.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"time"
 
-	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
 
@@ -127,10 +126,7 @@
 
 // checkCapacity checks that the runs on a worker hold no more than its capacity.
 func (a *audit) checkCapacity(w *incarnation) {
-	var used models.Resources
-	for _, r := range w.runs {
-		used = used.Add(r.size)
-	}
+	used := w.used()
 	if limit := w.capacityLimit(); !used.Fits(limit) {
 		a.breach("runs on %s hold %+v, its capacity is %+v", w.info.ID, used, limit)
 	}
--- a/services/standin/grid/audit_orders.go
+++ b/services/standin/grid/audit_orders.go
@@ -4,8 +4,6 @@
 package grid
 
 import (
-	"slices"
-
 	"rillsail.example/rillsail/models/jobs"
 )
 
@@ -50,19 +48,13 @@
 
 // checkPlace checks the placement of a task: the label that its step requires and the step's limit per worker.
 func (a *audit) checkPlace(w *incarnation, task jobs.TaskID, step *jobs.Step) {
-	if step.Requires != "" && !slices.Contains(w.info.Labels, step.Requires) {
+	if !w.hasLabel(step) {
 		a.breach("%s runs on %s, which has no label %q", task, w.info.ID, step.Requires)
 	}
 	if step.PerWorker == 0 {
 		return
 	}
-	beside := 0
-	for other := range w.runs {
-		if other.Job == task.Job && other.Occurrence == task.Occurrence && other.Step == task.Step {
-			beside++
-		}
-	}
-	if beside > step.PerWorker {
-		a.breach("%d tasks beside %s run on %s, at most %d may", beside-1, task, w.info.ID, step.PerWorker)
+	if together := countOfStep(w, task); together > step.PerWorker {
+		a.breach("%d tasks beside %s run on %s, at most %d may", together-1, task, w.info.ID, step.PerWorker)
 	}
 }
--- a/services/standin/grid/room.go
+++ b/services/standin/grid/room.go
@@ -34,7 +34,7 @@
 
 // roomOn returns how many times a task fits on a worker; 0 if the worker is not usable or lacks the step's label.
 func (g *Grid) roomOn(w *incarnation, task jobs.TaskID, step *jobs.Step) int {
-	if !g.isUsable(w) || step.Requires != "" && !slices.Contains(w.info.Labels, step.Requires) {
+	if !g.isUsable(w) || !w.hasLabel(step) {
 		return 0
 	}
 	if step.Filler && g.serves(w) {
@@ -42,7 +42,7 @@
 	}
 	times := timesThatFit(step.Size, w.info.Capacity, g.usedOn(w, step.Filler))
 	if step.PerWorker > 0 {
-		times = min(times, step.PerWorker-besides(w, task))
+		times = min(times, step.PerWorker-countOfStep(w, task))
 	}
 	return max(0, times)
 }
@@ -60,18 +60,34 @@
 // usedOn returns the resources that the runs on a worker hold, with or without the processor time that filler tasks
 // declare.
 func (g *Grid) usedOn(w *incarnation, withFillers bool) models.Resources {
-	var used models.Resources
-	for task, r := range w.runs {
-		used = used.Add(r.size)
-		if step := g.audit.step(task); withFillers && step != nil && step.Filler {
+	used := w.used()
+	if !withFillers {
+		return used
+	}
+	for task := range w.runs {
+		if step := g.audit.step(task); step != nil && step.Filler {
 			used.CPU += step.Size.CPU
 		}
 	}
 	return used
 }
 
-// besides returns the number of tasks of the same step on a worker.
-func besides(w *incarnation, task jobs.TaskID) int {
+// used returns the resources that the runs on a worker hold.
+func (w *incarnation) used() models.Resources {
+	var used models.Resources
+	for _, r := range w.runs {
+		used = used.Add(r.size)
+	}
+	return used
+}
+
+// hasLabel reports whether a worker has the label that a step requires.
+func (w *incarnation) hasLabel(step *jobs.Step) bool {
+	return step.Requires == "" || slices.Contains(w.info.Labels, step.Requires)
+}
+
+// countOfStep returns the number of tasks of the same step on a worker, the given task included if it runs there.
+func countOfStep(w *incarnation, task jobs.TaskID) int {
 	n := 0
 	for other := range w.runs {
 		if other.Job == task.Job && other.Occurrence == task.Occurrence && other.Step == task.Step {
