A task whose start may arrive late starts again under the same id

Callers saw tasks that ran on two workers, or again after their success, where a worker carries out calls seconds late and starts again under its id: also where its incarnations are called as soon as they are known, if the connection hangs, the list names the new incarnation late, or the start lands in the milliseconds before the first call.

Cause: once the run was barred at the next incarnation, the task started on any worker, although its start could still be carried out under the first one's id, by the incarnation after the next.

Change: such a task starts again under the same id, as soon as its worker gets starts; it waits for 400 ms, and for 4 s while the list names another incarnation of the worker, but not where the worker drains, does not suit the task or is gone, nor where copies may run at once. A worker runs no task twice, whichever of its incarnations carries out what.

The cluster of the tests gets a call before each start, and list entries that reach the daemons late.

--- a/services/control/cluster_connections_test.go
+++ b/services/control/cluster_connections_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -132,6 +133,9 @@
 }
 
 func (w *testWorkers) StartRun(ctx context.Context, to jobs.Worker, call jobs.StartCall) (clock models.Milli, err error) {
+	if before := w.cluster.beforeStart; before != nil {
+		before(to)
+	}
 	err = w.order(ctx, to, func(ctx context.Context) error {
 		clock, err = w.cluster.grid.StartRun(ctx, to, call)
 		return err
@@ -169,7 +173,8 @@
 	if err := l.fault(ctx); err != nil {
 		return nil, 0, err
 	}
-	return l.cluster.grid.JobWorkers(ctx)
+	workers, at, err := l.cluster.grid.JobWorkers(ctx)
+	return slices.DeleteFunc(workers, func(w jobs.Worker) bool { return l.cluster.isEntryHeld(w.ID) }), at, err
 }
 
 func (l *testList) WorkerChanges(ctx context.Context, after platform.Version) ([]platform.WorkerChange, platform.Version, error) {
@@ -177,6 +182,7 @@
 		return nil, 0, err
 	}
 	changes, at, err := l.cluster.grid.WorkerChanges(ctx, after)
+	changes = slices.DeleteFunc(changes, func(c platform.WorkerChange) bool { return l.cluster.isEntryHeld(c.Worker.ID) })
 	if failed := l.fault(ctx); failed != nil {
 		return nil, 0, failed // the answer is lost
 	}
--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -46,10 +46,14 @@
 	logged         *observer.ObservedLogs
 	// wrapStore adds faults to the store connection of daemons started from now on; nil: none.
 	wrapStore func(d *testDaemon, store platform.TxnStore) platform.TxnStore
-
-	mu     sync.Mutex
-	outage bool
-	byName map[string]*testDaemon // all daemons ever started
+	// beforeStart is called before each start that a daemon sends to a worker; nil: nothing. It must be set before the
+	// first job is submitted.
+	beforeStart func(to jobs.Worker)
+
+	mu          sync.Mutex
+	outage      bool
+	byName      map[string]*testDaemon // all daemons ever started
+	heldEntries map[jobs.WorkerID]bool // workers whose changed list entries don't reach the daemons
 }
 
 // testDaemon is a daemon with the simulated faults of its own connections.
@@ -122,8 +126,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	w := &testCluster{
 		t: t, ctx: ctx, store: kv.New(kv.Config{}), perCell: perCell, scope: tally.NewTestScope("", nil),
-		byName: map[string]*testDaemon{},
-		grid:   grid.New(workers),
+		byName: map[string]*testDaemon{}, heldEntries: map[jobs.WorkerID]bool{},
+		grid: grid.New(workers),
 		feed: &testFeed{configuration: jobs.Configuration{
 			Version: 1, Pools: []jobs.Pool{{Name: testPool}},
 			Queues: []jobs.Queue{{Name: testQueue, Host: "a.example", Prefix: "/q/", Terms: testTerms}},
@@ -255,6 +259,20 @@
 	w.outage = outage
 }
 
+// holdEntry sets whether changes of a worker's list entry are held back from the daemons, which then know the entry as
+// it was.
+func (w *testCluster) holdEntry(id jobs.WorkerID, held bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heldEntries[id] = held
+}
+
+func (w *testCluster) isEntryHeld(id jobs.WorkerID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.heldEntries[id]
+}
+
 // owner gives the daemon that owns the first cell, as the store says.
 func (w *testCluster) owner() *testDaemon {
 	for _, d := range w.daemons {
--- a/services/dispatch/incarnation.go
+++ b/services/dispatch/incarnation.go
@@ -103,6 +103,7 @@
 func (c *Core) replaceIncarnation(w *worker, born models.UnixMilli, since, now time.Time) *worker {
 	c.config.Logger.Info("worker has started again under its id", zap.String("worker", string(w.info.ID)),
 		zap.Int64("before", int64(w.info.Born)), zap.Int64("born", int64(born)), zap.Bool("listed", w.otherEntry != nil && w.otherEntry.Born == born))
+	c.urgentWorkers = append(c.urgentWorkers, w.info.ID)
 	unanswered := w.unansweredStarts()
 	c.removeWorker(w, "it has started again under its id", now)
 	info := w.info
@@ -111,9 +112,9 @@
 	next.incarnationSince = since
 	next.inPreviousRoster = w.inPreviousRoster && !w.answered
 	next.missingSince = now
-	c.urgentWorkers = append(c.urgentWorkers, info.ID)
 	switch {
 	case w.otherEntry == nil:
+		next.otherEntry = w.listEntry()
 	case w.otherEntry.Born == born:
 		c.applyListEntry(next, *w.otherEntry, now)
 	default:
@@ -123,6 +124,14 @@
 	return next
 }
 
+// listEntry returns the list's entry for this incarnation; nil if the list does not name it.
+func (w *worker) listEntry() *jobs.Worker {
+	if !w.listed {
+		return nil
+	}
+	return &w.info
+}
+
 // unansweredStarts returns the tasks on the worker whose start is not answered and may still be carried out.
 func (w *worker) unansweredStarts() []*task {
 	var unanswered []*task
@@ -145,6 +154,7 @@
 		t.step.job.running++
 		t.state = taskRunning
 		t.fromPreviousIncarnation = true
+		t.bindToLateStart(w.info.ID)
 		c.recordLateStart(t, w.info.ID)
 		w.add(t)
 		c.stop(t, "its worker's next incarnation may carry out its start")
--- a/services/dispatch/late_start.go
+++ b/services/dispatch/late_start.go
@@ -12,7 +12,8 @@
 
 // A start without answer may still be carried out, by whichever incarnation has the worker's id then. An incarnation
 // that has been called refuses it; one that has not been called yet carries it out. So the owner calls the next
-// incarnation of such a worker as soon as there is one.
+// incarnation of such a worker as soon as there is one. In addition, a task whose worker has restarted starts again
+// under the same id where possible, because one incarnation does not run a task twice.
 
 // recordLateStart records that the start of a task has no answer and may still be carried out under the worker's id.
 func (c *Core) recordLateStart(t *task, id jobs.WorkerID) {
@@ -29,3 +30,73 @@
 func (c *Core) forgetLateStarts(now time.Time) {
 	maps.DeleteFunc(c.lateStartsUntil, func(_ jobs.WorkerID, until time.Time) bool { return !now.Before(until) })
 }
+
+// lateStart is a start of a task without answer, sent to a previous incarnation of a worker.
+type lateStart struct {
+	worker jobs.WorkerID
+	until  time.Time // when it can no longer be carried out; zero: there is none
+}
+
+// bindToLateStart makes a task start again under the id of the worker whose next incarnation may carry out its start.
+func (t *task) bindToLateStart(id jobs.WorkerID) {
+	if t.step.spec.AllowDuplicates {
+		return
+	}
+	t.lateStart = lateStart{worker: id, until: t.startSentAt.Add(maxOrderDelay)}
+}
+
+// A task waits for the worker where its start may still be carried out until that worker gets starts, or for one of these
+// times at most. A new incarnation gets starts when the list and the stored roster name it.
+const (
+	// maxRosterWait is usually enough for an incarnation that the list names or is about to name.
+	maxRosterWait = 400 * time.Millisecond
+	// maxStaleEntryWait applies while the list names another incarnation of the worker, so that the entry of the present
+	// one is still to come. Together with the time until a restart is noticed, it is shorter than a task may wait beside
+	// free workers.
+	maxStaleEntryWait = 4 * time.Second
+)
+
+// awaitsLateStartWorker reports whether a waiting task may start only on the worker where its earlier start may still be
+// carried out, and returns that worker.
+func (c *Core) awaitsLateStartWorker(t *task, now time.Time) (*worker, bool) {
+	w := c.workers[t.lateStart.worker]
+	if w == nil || !now.Before(t.lateStart.until) || w.info.Draining || !c.fits(w, t.step) {
+		return nil, false
+	}
+	if w.otherEntry != nil {
+		return w, now.Sub(t.waitingSince) < maxStaleEntryWait
+	}
+	return w, now.Sub(latest(t.waitingSince, w.incarnationSince)) < maxRosterWait
+}
+
+// anyAwaitsLateStartWorker reports whether a waiting task of the step may start only on a certain worker now.
+func (c *Core) anyAwaitsLateStartWorker(s *step) bool {
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if _, only := c.awaitsLateStartWorker(t, c.now); only && t.state == taskWaiting {
+			return true
+		}
+	}
+	return false
+}
+
+// placeAtLateStarts starts waiting tasks of the step, other than suspects, where their earlier starts may still be carried
+// out.
+func (c *Core) placeAtLateStarts(s *step, now time.Time) {
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.state != taskWaiting || t.suspected() || c.startsLeft <= 0 || !t.lossesAreStored() {
+			continue
+		}
+		w, only := c.awaitsLateStartWorker(t, now)
+		if !only {
+			continue
+		}
+		if !c.mayTake(w, s, now) || s.spec.LongRunning && !c.leavesCapacity(t, now) {
+			s.backoff = now.Add(scanBackoff)
+			continue
+		}
+		s.stuckSince = time.Time{}
+		c.startTask(t, w, now)
+	}
+}
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -100,7 +100,7 @@
 	switch {
 	case s.job.spec.Divisible():
 		move.add(s)
-		return move, true
+		return move, !c.anyAwaitsLateStartWorker(s)
 	case s.movableAsWhole():
 		move.Whole = true
 		for _, each := range s.job.steps {
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -75,12 +75,16 @@
 		return
 	}
 	c.placeSuspects(s, now)
+	c.placeAtLateStarts(s, now)
 	places := c.findPlaces(s, now)
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != taskWaiting || t.suspected() || !t.lossesAreStored() {
 			continue
 		}
+		if _, only := c.awaitsLateStartWorker(t, now); only {
+			continue
+		}
 		if c.startsLeft <= 0 {
 			return
 		}
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -46,6 +46,7 @@
 	orderedAt               time.Time        // when the last order was given
 	startSentAt             time.Time        // when its start was last ordered
 	startRepeated           bool             // the start was repeated
+	lateStart               lateStart        // a start sent to a previous incarnation of a worker, which may still be carried out
 	startUnanswered         bool             // a start of the run has no answer and may still be carried out
 	fromPreviousIncarnation bool             // ordered at the worker's previous incarnation; has to be barred at the present one
 	waitingSince            time.Time        // since when the task waits; zero: waiting for long, or moved from another cell
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -72,6 +72,10 @@
 			continue
 		}
 		w := c.trialWorker(t, now)
+		if _, only := c.awaitsLateStartWorker(t, now); only && w == nil {
+			s.backoff = now.Add(scanBackoff)
+			continue
+		}
 		if w == nil {
 			s.recordNoPlace(now)
 			c.recordNoWorker(t, now)
@@ -94,9 +98,17 @@
 // trialWorker returns the worker for a suspect, or nil when there is none now. Where something has just been started
 // on every worker, one of them is reserved until it is ready.
 func (c *Core) trialWorker(t *task, now time.Time) *worker {
+	if w, only := c.awaitsLateStartWorker(t, now); only {
+		return c.trialWorkerAmong([]*worker{w}, t, now)
+	}
+	return c.trialWorkerAmong(c.sortedWorkers, t, now)
+}
+
+// trialWorkerAmong returns the worker for a suspect out of the given ones, as trialWorker does.
+func (c *Core) trialWorkerAmong(workers []*worker, t *task, now time.Time) *worker {
 	weak := t.isWeakSuspect()
 	var ready, busy, shared, spared, avoided *worker
-	for _, w := range c.sortedWorkers {
+	for _, w := range workers {
 		if !c.mayTakeSuspect(w, t.step, now) || w.isReservedForOther(t, now) || w.hasUndecidedSharer(t, now) {
 			continue
 		}
