A call that broke is repeated at once for every worker

An owner that has taken a cell over knows nothing of starts without answer of the previous one, so its calls kept the usual pauses, and a new incarnation of such a worker was called 200 to 400 ms after its birth.

A call whose connection breaks is now repeated without a pause, up to three times in a row, whatever is known of the worker. A call that hangs until its worker ends has no such mark, so the first failure is followed at once where a late start may arrive.

--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -92,13 +92,15 @@
 	// lateStartRetryPause is the same while the worker's next incarnation may carry out a late start. Only the first
 	// call to that incarnation makes it refuse such a start.
 	lateStartRetryPause = 20 * time.Millisecond
+	// maxPromptCalls is how many calls in a row may follow without a pause on a call whose connection broke.
+	maxPromptCalls = 3
 )
 
 // workerLoop renews the lease of a worker and records its reports, also those of later incarnations, until
 // no worker has the id. It makes one call at a time, so that answers arrive in the order of the
 // incarnations. It calls an incarnation that has just become known without pause.
 func (o *Owner) workerLoop(ctx context.Context, id jobs.WorkerID) {
-	failed := false // the previous call
+	failures := 0 // failed calls in a row
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithCancel(ctx)
 		o.mu.Lock()
@@ -113,25 +115,36 @@
 			cancel()
 			return
 		}
+		sent := o.config.Clock.Now()
 		err := o.pollWorker(callCtx, worker, call)
 		interrupted := callCtx.Err() != nil
 		cancel()
 		if interrupted {
 			continue
 		}
-		again := failed && err != nil
-		failed = err != nil
-		sleep(ctx, o.pollPause(id, err, again))
+		failures++
+		if err == nil {
+			failures = 0
+		}
+		if failures > maxPromptCalls || !connectionBroke(err, o.config.Clock.Since(sent)-call.Wait) {
+			sleep(ctx, o.pollPause(id, err, failures))
+		}
 	}
 }
 
-// pollPause returns the pause after a call that asked a worker for a report and ended with the given error, if any; again
-// says that the call before it has failed as well.
-func (o *Owner) pollPause(id jobs.WorkerID, err error, again bool) time.Duration {
+// connectionBroke reports whether a call ended because its connection broke, so that the worker may have restarted; took
+// is the time that the call took beyond its wait.
+func connectionBroke(err error, took time.Duration) bool {
+	return errors.Is(err, platform.ErrUnknownOutcome) && took < normalAnswerTime // a call without answer takes far longer
+}
+
+// pollPause returns the pause after a call that asked a worker for a report and ended with the given error, if any, the
+// latest of a number of failures in a row.
+func (o *Owner) pollPause(id jobs.WorkerID, err error, failures int) time.Duration {
 	switch {
 	case err == nil:
 		return o.reportPause()
-	case o.mayCarryOutLateStart(id) && !again: // the connection may have ended because the next incarnation has begun
+	case o.mayCarryOutLateStart(id) && failures == 1: // a call that hung may have ended with its worker
 		return 0
 	case o.mayCarryOutLateStart(id):
 		return lateStartRetryPause
