A job that is given up ends in all of its cells

Callers saw a long-running job of several tasks as running for good after it had been given up: its tasks in another cell went on, and its crashing task never ran again.

The owner that gives a task up ended the record of its own cell only. The owner of each other cell with tasks of the job kept its record active, and a query returned what the first cell told that was not queued. A cancellation of such a job left its key in the store for good.

Now the end of a job that other cells may have tasks of is one transaction of the owner's chain, which ends the records of all of its cells, on condition that all are as they were read and that there is no cancellation. So it excludes moves and cancellations in either order. The other owners learn of the end from their watch or from a move that they attempt, and stop their tasks. An attempt without answer is followed by one with the records as they are then; a successor reads the end, or judges the stored losses before the next start. No stored format changes.

The state of a job is combined over its cells in one place: an end prevails, then a cancellation. An owner that has all tasks is asked alone, as before; owners say that others may have tasks with an entry, empty perhaps, among the additional cells.

--- a/models/jobs/query.go
+++ b/models/jobs/query.go
@@ -47,8 +47,8 @@
 	// fields are empty.
 	IsOwner bool         `json:"owner"`
 	States  map[ID]State `json:"states,omitempty"` // jobs that the owner does not know are left out
-	// AdditionalCells lists, by job, the cells with tasks of the job to which its id does not lead. Jobs whose tasks
-	// have all been moved away from this cell are included.
+	// AdditionalCells has an entry for each job of which other cells may have tasks, also if all of its tasks have been
+	// moved away from this cell. The entry lists those of these cells to which the job's id does not lead.
 	AdditionalCells map[ID][]CellName `json:"further,omitempty"`
 	Pending         map[QueueName]int `json:"pending,omitempty"`
 	Learned         []LearnedFactor   `json:"learned,omitempty"`
--- a/models/jobs/record.go
+++ b/models/jobs/record.go
@@ -90,6 +90,14 @@
 	return r.Spec.ID.Check()
 }
 
+// EndedAs returns the record after the job has ended. Of the specification, only the id and the queue are kept.
+func (r Record) EndedAs(state State, at models.UnixMilli) Record {
+	return Record{
+		Spec: Spec{ID: r.Spec.ID, Queue: r.Spec.Queue}, Accepted: r.Accepted, Ended: state, EndedAt: at,
+		AdditionalCells: r.AdditionalCells, MovesClosed: r.MovesClosed,
+	}
+}
+
 // Progress is the stored outcome of an active job's tasks, so that workers may forget their ended
 // runs. Long-running tasks have no outcomes there.
 type Progress struct {
--- a/services/control/cancel.go
+++ b/services/control/cancel.go
@@ -119,6 +119,9 @@
 // cancellationOf returns a transaction that stores a job's cancellation on condition that its entries are as they
 // were read. If one transaction can't cover all cells, more tells that further transactions have to follow.
 func cancellationOf(id jobs.ID, entries jobEntries) (txn platform.Txn, more bool, err error) {
+	if ended := entries.endedRecord(); ended != nil {
+		return restEndedTxn(id, entries, *ended)
+	}
 	request := jobs.Cancellation{At: models.UnixMilliOf(time.Now())}
 	txn, err = cancelTxn(id, entries, entries.uncancelled(), request)
 	switch {
--- a/services/control/entries.go
+++ b/services/control/entries.go
@@ -21,25 +21,36 @@
 // jobEntries are the entries of a job in all its cells.
 type jobEntries []jobEntry
 
-// readEntries reads what the store holds about a job: first in the cells that follow from its id, then in the
-// additional cells that the records there name.
+// entryReader reads the entries of jobs from the store.
+type entryReader struct {
+	store  platform.Store
+	health *storeHealth
+}
+
+// readEntries reads what the store holds about a job.
 func (s *Service) readEntries(ctx context.Context, id jobs.ID, layout *jobs.Layout) (jobEntries, error) {
-	if !s.health.available() {
+	return entryReader{s.config.Store, s.health}.read(ctx, id, layout)
+}
+
+// read reads the entries of a job: first in the cells that follow from its id, then in the additional cells that the
+// records there name.
+func (r entryReader) read(ctx context.Context, id jobs.ID, layout *jobs.Layout) (jobEntries, error) {
+	if !r.health.available() {
 		return nil, platform.ErrUnavailable
 	}
-	entries, err := s.readEntriesIn(ctx, cellsForJob(id, layout), id)
+	entries, err := r.readIn(ctx, cellsForJob(id, layout), id)
 	if err != nil {
 		return nil, err
 	}
-	additional, err := s.readEntriesIn(ctx, entries.additionalCells(), id)
+	additional, err := r.readIn(ctx, entries.additionalCells(), id)
 	return append(entries, additional...), err
 }
 
-// readEntriesIn reads the entries of a job in the given cells.
-func (s *Service) readEntriesIn(ctx context.Context, cells []jobs.CellName, id jobs.ID) (jobEntries, error) {
+// readIn reads the entries of a job in the given cells.
+func (r entryReader) readIn(ctx context.Context, cells []jobs.CellName, id jobs.ID) (jobEntries, error) {
 	entries := make(jobEntries, 0, len(cells))
 	for _, cell := range cells {
-		entry, err := s.readEntry(ctx, cell, id)
+		entry, err := r.readEntry(ctx, cell, id)
 		if err != nil {
 			return nil, err
 		}
@@ -59,10 +70,10 @@
 }
 
 // readEntry reads the entry of a job in one cell.
-func (s *Service) readEntry(ctx context.Context, cell jobs.CellName, id jobs.ID) (jobEntry, error) {
+func (r entryReader) readEntry(ctx context.Context, cell jobs.CellName, id jobs.ID) (jobEntry, error) {
 	entry := jobEntry{cell: cell}
-	records, _, err := s.config.Store.List(ctx, jobKey(cell, id))
-	s.health.record(err)
+	records, _, err := r.store.List(ctx, jobKey(cell, id))
+	r.health.record(err)
 	if err != nil {
 		return entry, err
 	}
@@ -83,17 +94,50 @@
 	return e.record.Version != 0 && e.record.Ended == "" && !e.record.AllTasksMoved()
 }
 
-// uncancelled returns the entries of the cells that have tasks of the job and no cancellation of it yet.
-func (e jobEntries) uncancelled() jobEntries {
+// selected returns the entries for which a condition holds.
+func (e jobEntries) selected(holds func(entry jobEntry) bool) jobEntries {
 	var found jobEntries
 	for _, entry := range e {
-		if entry.active() && !entry.cancelled {
+		if holds(entry) {
 			found = append(found, entry)
 		}
 	}
 	return found
 }
 
+// active returns the entries of the cells that have tasks of the job, which has not ended there.
+func (e jobEntries) active() jobEntries {
+	return e.selected(func(entry jobEntry) bool { return entry.active() })
+}
+
+// uncancelled returns the entries of the cells that have tasks of the job and no cancellation of it yet.
+func (e jobEntries) uncancelled() jobEntries {
+	return e.selected(func(entry jobEntry) bool { return entry.active() && !entry.cancelled })
+}
+
+// cancelled reports whether the job is cancelled in any cell.
+func (e jobEntries) cancelled() bool {
+	return slices.ContainsFunc(e, func(entry jobEntry) bool { return entry.cancelled })
+}
+
+// in returns the entry in a cell; its version is 0 if the cell is not among the entries.
+func (e jobEntries) in(cell jobs.CellName) jobEntry {
+	for _, entry := range e {
+		if entry.cell == cell {
+			return entry
+		}
+	}
+	return jobEntry{cell: cell}
+}
+
+// state returns the job's state as far as one cell's entry tells; empty if it tells none.
+func (e *jobEntry) state() jobs.State {
+	if e.record.Ended == "" && e.cancelled {
+		return jobs.StateCancelled
+	}
+	return e.record.Ended
+}
+
 // stored reports whether any cell has a record of the job other than one that bars it.
 func (e jobEntries) stored() bool {
 	return slices.ContainsFunc(e, func(entry jobEntry) bool {
@@ -110,12 +154,7 @@
 func (e jobEntries) state() jobs.State {
 	state := jobs.StateQueued // also if one entry was read before a move and the other after it
 	for _, entry := range e {
-		switch {
-		case entry.record.Ended != "":
-			state = entry.record.Ended
-		case entry.cancelled:
-			return jobs.StateCancelled
-		}
+		state = combineStates(state, entry.state())
 	}
 	return state
 }
--- a/services/control/move.go
+++ b/services/control/move.go
@@ -119,7 +119,8 @@
 	switch here := records[o.cell]; {
 	case here.Version == 0:
 		return moveJobMissing{}
-	case here.Ended != "": // ended by this owner: the job was cancelled here, which forbids all attempts
+	case here.Ended != "": // which forbids all attempts
+		o.learnEnd(here)
 		return moveRejected{err: errJobEnded}
 	case !o.stillMoving(m, here):
 		return moveDone{platform.Version(here.Version)} // done by a transaction of unknown outcome
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -124,7 +124,7 @@
 		if state, ok := o.core.State(id); ok {
 			answer.States[id] = state
 		}
-		if additional := o.core.AdditionalCells(id); len(additional) > 0 {
+		if additional, divided := o.core.AdditionalCells(id); divided {
 			answer.AdditionalCells[id] = additional
 		}
 	}
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -25,6 +25,7 @@
 	ticker := time.NewTicker(o.config.Settings.StoreEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
+		endsErr := o.storeSharedEnds(ctx)
 		more, err := o.storeOnce(ctx)
 		switch {
 		case err != nil:
@@ -33,6 +34,9 @@
 			continue
 		default:
 			o.executeMoves(ctx)
+			if endsErr != nil {
+				sleep(ctx, loadRetryPause)
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/services/control/state.go
+++ b/services/control/state.go
@@ -4,10 +4,11 @@
 package control
 
 import (
-	"cmp"
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/services/platform"
@@ -23,35 +24,67 @@
 	if layout == nil {
 		return "", platform.ErrUnavailable
 	}
-	known, additional := s.queryState(ctx, id, cellsForJob(id, layout))
-	if (known == "" || known == jobs.StateQueued) && len(additional) > 0 { // all running tasks may be in additional cells
-		there, _ := s.queryState(ctx, id, additional)
-		known = cmp.Or(there, known)
-	}
-	if known != "" {
+	if known := s.queryState(ctx, id, layout); known != "" {
 		return known, nil
 	}
 	return s.storedState(ctx, id, layout)
 }
 
-// queryState asks the owners of cells for the state of a job; the state is empty if none of them knows the job.
-// It also returns the additional cells that they name.
-func (s *Service) queryState(ctx context.Context, id jobs.ID, cells []jobs.CellName) (known jobs.State, additional []jobs.CellName) {
-	for _, cell := range cells {
-		answer, err := s.Cells.queryOwner(ctx, jobs.Query{Cell: cell, Jobs: []jobs.ID{id}})
-		state, ok := answer.States[id]
-		if err == nil {
-			additional = append(additional, answer.AdditionalCells[id]...)
-		}
-		switch {
-		case err != nil || !ok:
-		case state != jobs.StateQueued:
-			return state, nil
-		default:
-			known = state // tasks in another cell may be running
+// stateOrder lists the states of a job as different cells may tell them, each of which takes precedence over those
+// before it. An end is stored in all cells before any of them tells it, but their owners learn of it one after the other.
+var stateOrder = []jobs.State{"", jobs.StateQueued, jobs.StateRunning, jobs.StateCancelled, jobs.StateFailed, jobs.StateSucceeded, jobs.StateBarred}
+
+// combineStates returns the state of a job of which two cells tell different states.
+func combineStates(a, b jobs.State) jobs.State {
+	return stateOrder[max(slices.Index(stateOrder, a), slices.Index(stateOrder, b), 0)]
+}
+
+// cellView is what owners tell about a job.
+type cellView struct {
+	state      jobs.State // empty if no owner that was asked knows the job
+	whole      bool       // one of the owners has all tasks of the job
+	additional []jobs.CellName
+}
+
+// with returns the combination of what two owners tell.
+func (v cellView) with(other cellView) cellView {
+	return cellView{combineStates(v.state, other.state), v.whole || other.whole, append(v.additional, other.additional...)}
+}
+
+// complete reports whether no further owner can tell a different state.
+func (v cellView) complete() bool {
+	return v.state.Ended() || v.state == jobs.StateRunning && v.whole
+}
+
+// queryState asks the owners of a job's cells for its state; the state is empty if none of them knows the job.
+func (s *Service) queryState(ctx context.Context, id jobs.ID, layout *jobs.Layout) jobs.State {
+	var view cellView
+	for _, cell := range cellsForJob(id, layout) {
+		if view = view.with(s.queryCell(ctx, id, cell)); view.complete() {
+			return view.state
 		}
 	}
-	return known, additional
+	there := make([]cellView, len(view.additional)) // each cell is named by one record only
+	var group conc.WaitGroup
+	for i, cell := range view.additional {
+		group.Go(func() { there[i] = s.queryCell(ctx, id, cell) })
+	}
+	group.Wait()
+	for _, other := range there {
+		view = view.with(other)
+	}
+	return view.state
+}
+
+// queryCell asks the owner of a cell about a job.
+func (s *Service) queryCell(ctx context.Context, id jobs.ID, cell jobs.CellName) cellView {
+	answer, err := s.Cells.queryOwner(ctx, jobs.Query{Cell: cell, Jobs: []jobs.ID{id}})
+	if err != nil {
+		return cellView{}
+	}
+	state, known := answer.States[id]
+	additional, divided := answer.AdditionalCells[id]
+	return cellView{state: state, whole: known && !divided, additional: additional}
 }
 
 // storedState reads a job's state from the store.
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -102,22 +102,21 @@
 			return true
 		}
 	}
-	return c.rosterChanged || c.wantsProof || c.storeUrgently
+	return c.rosterChanged || c.wantsProof || c.storeUrgently || len(c.unsharedEnds) > 0
 }
 
 // HasChanges reports whether there is anything to store.
 func (c *Core) HasChanges() bool {
-	return len(c.dirty) > 0 || len(c.forgotten) > 0 || c.rosterChanged || c.wantsProof
+	return len(c.dirty) > 0 || len(c.unsharedEnds) > 0 || len(c.forgotten) > 0 || c.rosterChanged || c.wantsProof
 }
 
 // changeOf returns what has to be stored of the job now.
 func (c *Core) changeOf(j *job, now time.Time) JobChange {
 	change := JobChange{ID: j.spec.ID, job: j, version: j.version, Cancelled: j.cancelled, HasProgress: j.hasProgress}
-	if j.end != "" {
-		change.Ended = &jobs.Record{
-			Spec: jobs.Spec{ID: j.spec.ID, Queue: j.spec.Queue}, Accepted: j.accepted,
-			Ended: j.end, EndedAt: c.timeOfDay(now), AdditionalCells: j.additionalCells, MovesClosed: j.movesClosed,
-		}
+	if j.end != "" && !j.endUnshared {
+		active := jobs.Record{Spec: j.spec, Accepted: j.accepted, AdditionalCells: j.additionalCells, MovesClosed: j.movesClosed}
+		ended := active.EndedAs(j.end, c.timeOfDay(now))
+		change.Ended = &ended
 		return change
 	}
 	change.Progress = progressOf(j)
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -99,6 +99,7 @@
 	waitingSteps    []*step // opened steps with waiting tasks
 	orders          []Order
 	dirty           []*job
+	unsharedEnds    []*job        // divided jobs whose end is decided here and still has to be stored in all of their cells
 	previousLease   time.Duration // longest lease that a previous owner may have granted; at most LongestLease
 	jobsHeld        bool          // jobs are held back until they have been offered to other cells
 	recovering      bool          // workers that have not reported since the takeover may run tasks
--- a/services/dispatch/divided_jobs.go
+++ b/services/dispatch/divided_jobs.go
@@ -70,12 +70,26 @@
 	}
 }
 
-// AdditionalCells returns the other cells with tasks of a job that the job's record in this cell names.
-func (c *Core) AdditionalCells(id jobs.ID) []jobs.CellName {
+// AdditionalCells reports whether other cells may have tasks of a job, and returns those of them that the job's record in
+// this cell names.
+func (c *Core) AdditionalCells(id jobs.ID) (cells []jobs.CellName, divided bool) {
 	if j, ok := c.jobs[id]; ok {
-		return j.additionalCells
+		return j.additionalCells, j.isDivided()
 	}
-	return c.movedOut[id].additionalCells
+	moved, divided := c.movedOut[id]
+	return moved.additionalCells, divided
+}
+
+// isDivided reports whether other cells may have tasks of the job.
+func (j *job) isDivided() bool {
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			if state := s.tasks[i].state; state == taskElsewhere || state == taskMoving {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Dropped records that the store no longer holds a job.
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -26,6 +26,7 @@
 	begun              bool // a task of it is known to have run
 	cancelled          bool
 	end                jobs.State      // decided but perhaps not stored yet; empty while the job is active
+	endUnshared        bool            // end has to be stored in all cells of the job at once; see SharedEnd
 	running            int             // tasks that may be on a worker
 	version            uint64          // of its progress, incremented by each change
 	storedVersion      uint64          // the latest version that is stored
@@ -55,7 +56,7 @@
 	c.now = now
 	id := record.Spec.ID
 	if record.Ended != "" {
-		c.rememberEnd(id, record.Ended, now)
+		c.applyEndedRecord(record, progress, now)
 		return
 	}
 	if j, known := c.jobs[id]; known {
@@ -156,7 +157,7 @@
 
 // forgetIfStored drops an ended job once its end is stored and none of its tasks can be on a worker.
 func (c *Core) forgetIfStored(j *job) {
-	if j.running == 0 && j.storedVersion >= j.version {
+	if j.running == 0 && j.storedVersion >= j.version && !j.endUnshared {
 		delete(c.jobs, j.spec.ID)
 		delete(c.repeating, j.spec.ID)
 	}
@@ -174,11 +175,17 @@
 	return false
 }
 
-// endJob decides how the job ends; callers learn of the end once it is stored.
+// endJob decides how the job ends; callers learn of the end once it is stored. A cancellation is stored in all cells of
+// the job before any of them ends it; any other end of a divided job has to be stored in all of them.
 func (c *Core) endJob(j *job, state jobs.State) {
 	j.end = state
-	c.markChanged(j)
-	c.recordJobEnd(j, state, c.now)
+	if state != jobs.StateCancelled && j.isDivided() {
+		j.endUnshared = true
+		c.unsharedEnds = append(c.unsharedEnds, j)
+	} else {
+		c.markChanged(j)
+		c.recordJobEnd(j, state, c.now)
+	}
 	c.config.Logger.Info("job ends", zap.String("job", string(j.spec.ID)), zap.String("state", string(state)),
 		zap.Int64("age_ms", int64(c.timeOfDay(c.now)-j.accepted)), zap.Int("running", j.running))
 }
