Tests of a given-up job's end: the limit of one transaction, a move before it

The cancellations of the script go by way of a daemon that runs already, because starting one from within a transaction was a race of the test.

--- a/services/control/shared_ends_test.go
+++ b/services/control/shared_ends_test.go
@@ -20,6 +20,7 @@
 	"rillsail.example/rillsail/services/dispatch"
 	"rillsail.example/rillsail/services/platform"
 	"rillsail.example/rillsail/services/standin/grid"
+	"rillsail.example/rillsail/services/standin/kv"
 )
 
 // sharedEndCase is a job that is given up while its tasks are in several cells, with a fault at the transaction that
@@ -47,6 +48,7 @@
 	faultAllLost         sharedFault = "all lost"
 	faultSubmittedAgain  sharedFault = "submitted again"
 	faultTasksMove       sharedFault = "tasks move"
+	faultRecordChanges   sharedFault = "record changes"
 )
 
 // sharedEndCluster runs one job with a task on each worker but one, the first of which can be made to crash its workers.
@@ -55,8 +57,9 @@
 	spec     jobs.Spec
 	crashing atomic.Bool
 	fault    sharedFault
-	seen     atomic.Bool // the end has been sent to the store
-	after    func()      // what follows, outside the transaction
+	sent     atomic.Bool   // the end has been sent to the store
+	met      chan struct{} // closed when its transaction has met the fault
+	after    func()        // what follows then
 }
 
 // endStore is a daemon's connection to a store whose first transaction with the end of a divided job meets a fault.
@@ -78,7 +81,7 @@
 
 func (s *endStore) Commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
 	require.LessOrEqual(s.cluster.t, txn.Entries(), platform.MaxTxnEntries)
-	if !endsJob(txn) || !s.cluster.seen.CompareAndSwap(false, true) {
+	if !endsJob(txn) || !s.cluster.sent.CompareAndSwap(false, true) {
 		return s.TxnStore.Commit(ctx, txn)
 	}
 	return s.cluster.commitWithFault(ctx, s.daemon, func(ctx context.Context) (platform.Version, error) { return s.TxnStore.Commit(ctx, txn) })
@@ -86,6 +89,7 @@
 
 // commitWithFault performs the transaction that ends the job, sent by the daemon that owns the crashing task's cell.
 func (w *sharedEndCluster) commitWithFault(ctx context.Context, d *testDaemon, commit func(context.Context) (platform.Version, error)) (platform.Version, error) {
+	defer close(w.met)
 	others := func(do func(other *testDaemon)) {
 		for _, other := range w.daemonList() {
 			if other != d {
@@ -116,13 +120,14 @@
 	case faultRefused:
 		return 0, platform.ErrUnavailable
 	case faultCancelled:
-		w.cancelJob()
+		others(w.cancelJob)
 	case faultCancelledLate:
-		w.after = w.cancelJob
+		w.after = func() { others(w.cancelJob) }
 	case faultOthersLate:
 		others(func(other *testDaemon) { other.set(func() { other.watchLost = true }) })
 		w.after = func() {
-			time.Sleep(4 * time.Second)
+			w.eventually(time.Second, "the owner tells the end", func() bool { return w.state(d, w.spec.ID) == jobs.StateFailed })
+			w.requireEndStays(jobs.StateFailed, 4*time.Second)
 			others(func(other *testDaemon) { other.set(func() { other.watchLost = false }) })
 		}
 	case faultOthersLost:
@@ -132,13 +137,20 @@
 	case faultSubmittedAgain:
 		w.after = func() { w.submit(w.daemons[0], w.spec) }
 	case faultTasksMove:
-		w.moveTasksElsewhere(d)
+		others(func(other *testDaemon) { other.set(func() { other.watchLost = true }) })
+		w.disconnectWorkerOfAnother(d)
+		w.after = func() { // the tasks there are offered to other cells meanwhile
+			time.Sleep(15 * time.Second)
+			others(func(other *testDaemon) { other.set(func() { other.watchLost = false }) })
+		}
+	case faultRecordChanges:
+		w.rewriteRecordOfAnother(d)
 	}
 	return commit(ctx)
 }
 
-func (w *sharedEndCluster) cancelJob() {
-	d := w.startDaemon()
+// cancelJob cancels the job by way of a daemon.
+func (w *sharedEndCluster) cancelJob(d *testDaemon) {
 	w.eventually(5*time.Second, "job is cancelled", func() bool {
 		ctx, cancel := context.WithTimeout(w.ctx, 3*time.Second)
 		defer cancel()
@@ -146,16 +158,32 @@
 	})
 }
 
-// moveTasksElsewhere disconnects a worker of a cell of another daemon, whose task may then move at any time.
-func (w *sharedEndCluster) moveTasksElsewhere(giver *testDaemon) {
+// cellOfAnother returns a cell that another daemon owns.
+func (w *sharedEndCluster) cellOfAnother(owner *testDaemon) int {
 	for cell := range w.daemons[0].Cells.layout().Cells {
-		if w.ownerOfCell(cellName(cell)) != giver {
-			place := w.workersOfCell(cell)[0]
-			w.grid.SetFaults(place, faultsCut)
-			w.grid.SetListed(place, false)
-			return
+		if w.ownerOfCell(cellName(cell)) != owner {
+			return cell
 		}
 	}
+	require.Fail(w.t, "one daemon owns all cells")
+	return 0
+}
+
+// disconnectWorkerOfAnother disconnects a worker of a cell that another daemon owns, so that its tasks have to move.
+func (w *sharedEndCluster) disconnectWorkerOfAnother(owner *testDaemon) {
+	place := w.workersOfCell(w.cellOfAnother(owner))[0]
+	w.grid.SetFaults(place, faultsCut)
+	w.grid.SetListed(place, false)
+}
+
+// rewriteRecordOfAnother changes the job's record in a cell that another daemon owns, as a move does.
+func (w *sharedEndCluster) rewriteRecordOfAnother(owner *testDaemon) {
+	store := &kv.Local{Service: w.store, Fault: kv.NoFault}
+	key := jobKey(cellName(w.cellOfAnother(owner)), w.spec.ID)
+	record, err := store.Get(w.ctx, key)
+	require.NoError(w.t, err)
+	_, err = store.Commit(w.ctx, platform.Txn{Put: []platform.Write{{Key: key, Value: record.Value}}})
+	require.NoError(w.t, err)
 }
 
 // placeOfTask returns the place of the worker on which a task is placed.
@@ -179,7 +207,7 @@
 // newSharedEndCluster makes cells of two workers each, all tasks of the job running.
 func newSharedEndCluster(t *testing.T, c sharedEndCase) *sharedEndCluster {
 	t.Helper()
-	w := &sharedEndCluster{fault: c.Fault}
+	w := &sharedEndCluster{fault: c.Fault, met: make(chan struct{})}
 	w.testCluster = newTestClusterWithGrid(t, 0, 2, grid.Config{
 		Workers: 2 * c.Cells, RestartDelay: workerDowntime,
 		Crash: func(task jobs.TaskID, _ jobs.RunID) (time.Duration, bool) {
@@ -250,8 +278,14 @@
 	require.True(t, found)
 	w.crashing.Store(true)
 	w.grid.CrashWithDowntime(place)
-	w.eventually(90*time.Second, "job is given up", w.seen.Load)
-	time.Sleep(time.Millisecond)
+	w.eventually(90*time.Second, "job is given up", func() bool {
+		select {
+		case <-w.met:
+			return true
+		default:
+			return false
+		}
+	})
 	if w.after != nil {
 		w.after()
 	}
