Call a worker's next incarnation at once

Cause, from its logs: a start without answer was barred at the worker's next incarnation, its task succeeded on another worker, and the start was carried out 83 ms after the worker's next but one start. The owner knew of that incarnation after 278 ms and called it after 482 ms: workerLoop paused after the call that broke, and for 200 ms after the answer of another incarnation. Ruled out: acknowledgements to another incarnation, ends not stored or superseded, another cell, a successor, and the audit (docs/incidents/2026-12-03-runs-again-after-its-success.md).

Now up to three calls in a row follow without a pause on a call that broke, or on an answer of another incarnation. The new incarnation then has the higher fence, and refuses the late start. Calls that time out, are refused or don't reach the worker keep their pause.

TestLateStartAfterASuccess gives the breach word for word. The hole is narrower, not closed: a worker whose end breaks no connection, or that can't be reached, is called later.

--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -84,10 +84,14 @@
 // workerRetryPause is the pause after a failed call to a worker.
 const workerRetryPause = 200 * time.Millisecond
 
+// maxPromptCalls is how many calls in a row may follow a failed one without a pause.
+const maxPromptCalls = 3
+
 // workerLoop renews the lease of a worker and records its reports, also those of later incarnations, until
 // no worker has the id. It makes one call at a time, so that answers arrive in the order of the
 // incarnations.
 func (o *Owner) workerLoop(ctx context.Context, id jobs.WorkerID) {
+	prompt := 0 // calls in a row without a pause before
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithCancel(ctx)
 		o.mu.Lock()
@@ -102,18 +106,38 @@
 			cancel()
 			return
 		}
+		sent := o.config.Clock.Now()
 		err := o.pollWorker(callCtx, worker, call)
 		interrupted := callCtx.Err() != nil
 		cancel()
 		if interrupted {
 			continue
 		}
-		pause := o.reportPause()
-		if err != nil && !errors.Is(err, platform.ErrUnknownOutcome) {
-			pause = workerRetryPause
+		if prompt < maxPromptCalls && mayHaveRestarted(err, o.config.Clock.Since(sent)-call.Wait) {
+			prompt++
+			continue
 		}
-		sleep(ctx, pause)
+		prompt = 0
+		sleep(ctx, o.pauseAfter(err))
+	}
+}
+
+// mayHaveRestarted reports whether the result of a call shows that the worker has another incarnation, or may have one
+// because the connection broke; took is the time that the call took beyond its wait. Until the owner calls the new
+// incarnation, that one also carries out late orders that were meant for the previous one.
+func mayHaveRestarted(err error, took time.Duration) bool {
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		return took < normalAnswerTime // a call that is not answered takes far longer
+	}
+	return errors.Is(err, platform.ErrIncarnationMismatch)
+}
+
+// pauseAfter returns the pause between a call to a worker and the next one.
+func (o *Owner) pauseAfter(err error) time.Duration {
+	if err != nil && !errors.Is(err, platform.ErrUnknownOutcome) {
+		return workerRetryPause
 	}
+	return o.reportPause()
 }
 
 // pollWorker renews the lease of a worker and records the report in the answer. The result of a call that
--- a/services/control/worker_restarts_test.go
+++ b/services/control/worker_restarts_test.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -240,6 +241,37 @@
 	})
 }
 
+// TestLateStartAfterASuccess guards against a task that runs again although its success was acknowledged: a start without
+// answer, which the next incarnation has barred, is executed late by the incarnation after that one, before its first call.
+func TestLateStartAfterASuccess(t *testing.T) {
+	const late, work = 2500 * time.Millisecond, 300 * time.Millisecond
+	for _, after := range []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+		t.Run(fmt.Sprint(after, " after the restart"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestClusterWithGrid(t, 1, testSettings.WorkersPerCell, grid.Config{
+					Workers: 2, Naming: grid.SameID,
+					Work: func(jobs.TaskID, jobs.RunID) (time.Duration, jobs.End) { return work, jobs.EndSucceeded },
+				})
+				time.Sleep(3 * time.Second)
+				w.grid.SetFaults(1, faultsCut) // so that the task is started on the other worker
+				time.Sleep(4 * time.Second)
+				w.grid.SetFaults(0, grid.Faults{LateOrders: late})
+				spec := shortTasks(1, 1, work)
+				w.submit(w.daemons[0], spec)
+				began := time.Now()
+				time.Sleep(400 * time.Millisecond)
+				w.grid.SetFaults(1, noFaults)
+				w.grid.Crash(0)
+				w.eventually(1500*time.Millisecond, "the job succeeds", func() bool { return w.state(w.daemons[0], spec.ID) == jobs.StateSucceeded })
+				time.Sleep(time.Until(began.Add(late - after)))
+				w.grid.Crash(0)
+				time.Sleep(5 * time.Second)
+				w.requireNoBreaches()
+			})
+		})
+	}
+}
+
 // TestWorkerThatStartsAgainAllTheTimeHarmsNoJob guards against a worker that gets work after each of its restarts,
 // although it crashes again at once: its tasks are lost repeatedly until their jobs fail.
 func TestWorkerThatStartsAgainAllTheTimeHarmsNoJob(t *testing.T) {
