The end of a later step shows that earlier ones are done

What callers would see: a step that is done runs again after a takeover. A previous owner was lost before it had stored the end of a step, and the worker of that step with it; its successor read the end of a run of the next step, but inferred the steps before from running runs only.

An owner starts a task only when all steps before it are done, and workers list no ends of runs that never began, so an end shows this as well as a run does, however it comes. It is inferred only for steps that are not open yet: for others it is known.

--- a/services/dispatch/end.go
+++ b/services/dispatch/end.go
@@ -21,6 +21,9 @@
 		return
 	}
 	c.retractLoss(t, ended.Run)
+	if !t.step.opened {
+		c.inferDone(t)
+	}
 	var result checkpointResult
 	if ended.Checkpoint != "" {
 		result = c.keepCheckpoint(t, savedCheckpoint{text: ended.Checkpoint, run: ended.Run, worker: w.info.ID, row: checkpointRow(ended.How), at: now})
--- a/services/dispatch/inferred_ends_test.go
+++ b/services/dispatch/inferred_ends_test.go
@@ -53,3 +53,26 @@
 	b.report(1, jobs.Report{})
 	require.Empty(t, b.storedStarts(), "the third step runs, so both steps before it are done")
 }
+
+// TestAllEarlierStepsOfAnEndedRunAreDone guards against the same when the run of the later step has ended, however it
+// ended: it was started, and so both steps before it were done.
+func TestAllEarlierStepsOfAnEndedRunAreDone(t *testing.T) {
+	for _, how := range []jobs.End{jobs.EndSucceeded, jobs.EndFailed, jobs.EndLapsed, jobs.EndStopped, jobs.EndGangIncomplete} {
+		t.Run(string(how), func(t *testing.T) {
+			b := takenOver(t, singleTaskStep, stepAfter(0), stepAfter(1))
+			b.report(0, jobs.Report{Ended: []jobs.Ended{{Number: 1, Task: runOf(2).Task, Run: runOf(2).Run, How: how}}})
+			b.report(1, jobs.Report{})
+			starts := b.storedStarts()
+			for _, start := range starts {
+				require.Equal(t, 2, start.Call.Task.Step, "a step that was done is started again")
+			}
+			if how != jobs.EndSucceeded {
+				require.Len(t, starts, 1, "the third step runs again")
+				return
+			}
+			state, known := b.State(testJob)
+			require.True(t, known)
+			require.Equal(t, jobs.StateSucceeded, state)
+		})
+	}
+}
