Two thirds of the workers prove ownership for some time only

What callers would see: tasks run on two workers. An owner that is cut off from the store, and that two thirds of the workers or more answer, went on renewing leases for ever; its successor, which the others answer, counted the same runs as over 30 s after the takeover and started them elsewhere.

The bound that was missing is that of the previous owner. Two thirds now prove ownership only for maxQuorumTime after a transaction or answers of all workers. While all answer, no successor has called any of them. maxQuorumTime, the validity of the proof, calls in flight and the last lease together last no longer than maxBlindTime, which the successor now counts from the first answer of a worker of the stored roster, if that is later than the takeover; with one cell the wait does not end before any worker has answered.

TestMostWorkersProveOwnershipForSomeTimeOnly and TestSilentWorkersAreWaitedForSinceTheFirstAnswer play the two bounds, TestAllWorkersProveOwnershipInALongOutage what must not end.

--- a/services/control/proof_test.go
+++ b/services/control/proof_test.go
@@ -62,3 +62,10 @@
 		w.requireNoBreaches()
 	})
 }
+
+// reach connects a daemon to one worker again.
+func (d *testDaemon) reach(worker jobs.WorkerID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.cutFrom, worker)
+}
--- a/services/control/takeover_test.go
+++ b/services/control/takeover_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -99,3 +100,87 @@
 		})
 	}
 }
+
+// TestTasksRunOnceWhenWorkersLeaveThePreviousOwnerLate guards against the same when all workers are the previous owner's
+// for long after the takeover, and some of them reach only its successor from then on.
+func TestTasksRunOnceWhenWorkersLeaveThePreviousOwnerLate(t *testing.T) {
+	const late = 25 * time.Second
+	for kept := takeoverWorkers - takeoverWorkers/3; kept < takeoverWorkers; kept++ {
+		t.Run(fmt.Sprintf("%d of %d workers stay the previous owner's", kept, takeoverWorkers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestCluster(t, takeoverWorkers, 3, nil)
+				spec := longRunningJob(1, takeoverWorkers)
+				w.submit(w.daemons[0], spec)
+				w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+				time.Sleep(2 * time.Second)
+				previous, ids := w.owner(), w.grid.IDs()
+				others := slices.DeleteFunc(slices.Clone(w.daemons), func(d *testDaemon) bool { return d == previous })
+				previous.set(func() { previous.storeCut = true })
+				for _, d := range others {
+					for _, id := range ids {
+						d.cut(id)
+					}
+				}
+				time.Sleep(late)
+				for _, id := range ids[kept:] {
+					previous.cut(id)
+					for _, d := range others {
+						d.reach(id)
+					}
+				}
+				time.Sleep(takeoverDivided)
+				w.requireNoBreaches()
+			})
+		})
+	}
+}
+
+const (
+	divisionPlays   = 60
+	divisionTime    = 110 * time.Second
+	maxDivisionTime = 40 * time.Second // for which the links stay as they are
+	unreachedShare  = 0.2              // of the workers that the previous owner does not reach, each other daemon reaches not these either
+)
+
+// TestTasksRunOnceWhileTheDivisionChanges guards against the same while the division of the workers between an owner that
+// the store does not reach and the other daemons changes again and again.
+func TestTasksRunOnceWhileTheDivisionChanges(t *testing.T) {
+	for seed := range uint64(divisionPlays) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 7))
+				w := newTestCluster(t, takeoverWorkers, 3, nil)
+				spec := longRunningJob(1, takeoverWorkers)
+				w.submit(w.daemons[0], spec)
+				w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+				time.Sleep(2 * time.Second)
+				previous := w.owner()
+				previous.set(func() { previous.storeCut = true })
+				for end := time.Now().Add(divisionTime); time.Now().Before(end); {
+					w.divideWorkers(random, previous)
+					time.Sleep(time.Duration(random.Int64N(int64(maxDivisionTime))))
+				}
+				w.requireNoBreaches()
+			})
+		})
+	}
+}
+
+// divideWorkers draws which workers one daemon reaches; the others reach most of the rest.
+func (w *testCluster) divideWorkers(random *rand.Rand, previous *testDaemon) {
+	share := random.Float64()
+	for _, id := range w.grid.IDs() {
+		kept := random.Float64() < share
+		for _, d := range w.daemons {
+			reached := kept
+			if d != previous {
+				reached = !kept && random.Float64() >= unreachedShare
+			}
+			if reached {
+				d.reach(id)
+			} else {
+				d.cut(id)
+			}
+		}
+	}
+}
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -103,8 +103,11 @@
 	jobsHeld        bool          // jobs are held back until they have been offered to other cells
 	recovering      bool          // workers that have not reported since the takeover may run tasks
 	fencedAt        time.Time     // when more than a third of the workers had reported in this epoch; zero: not yet; see updateFenced
+	answeredAt      time.Time     // when the first worker reported in this epoch; zero: none has
+	calledAt        time.Time     // when the first worker of the previous roster reported in this epoch; zero: none has
 	superseded      bool
 	provedAt        time.Time // when the latest transaction that proves ownership was begun; see mayOrder
+	allAskedAt      time.Time // all workers have answered a call that was sent at this time or later
 	quorumAskedAt   time.Time // two thirds of the workers have answered a call that was sent at this time or later
 	quorumCheckedAt time.Time // when the answers of the workers were last counted for mayOrder
 	wantsProof      bool      // a transaction is wanted for the proof of ownership alone
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -137,7 +137,7 @@
 	if last.IsZero() {
 		return last
 	}
-	return last.Add(maxOrderDelay + time.Duration(float64(c.config.LongestLease)*clockDriftFactor) + clockMargin)
+	return last.Add(maxOrderDelay + driftedLease(c.config.LongestLease) + clockMargin)
 }
 
 // unacknowledgedEnd is an end that its worker must not forget yet.
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -18,7 +18,9 @@
 //     of two thirds of its workers. Once more than a third have answered a successor, too few are left, and the
 //     successor counts the previous owner's runs as lapsed a lease and previousOwnerMargin later. An owner that reaches
 //     only workers that its successor doesn't reach learns nothing from them, so that its leases have to end for lack
-//     of a proof.
+//     of a proof. A successor that no more than a third answer can't tell an owner that the others prove right from one
+//     whose workers are gone, and waits for maxBlindTime. So two thirds prove ownership for some time only after a
+//     transaction, or after all workers have answered: no successor can have called any of them before that.
 //   - to start the tasks of a silent worker elsewhere: a transaction after the worker's lease was over. Only this
 //     proves that no successor has renewed the lease.
 
@@ -34,12 +36,29 @@
 
 // proofAge returns the age of the latest proof that this core still is the cell's owner.
 func (c *Core) proofAge(now time.Time) time.Duration {
-	known := now.Sub(latest(c.provedAt, c.quorumAskedAt))
+	known := now.Sub(c.lastProof())
 	if now.Sub(c.quorumCheckedAt) >= answerCountInterval || known > proofValidity {
 		c.quorumCheckedAt = now
-		c.quorumAskedAt = c.twoThirdsAnsweredSince()
+		c.allAskedAt, c.quorumAskedAt = c.answeredSince()
 	}
-	return now.Sub(latest(c.provedAt, c.quorumAskedAt))
+	return now.Sub(c.lastProof())
+}
+
+// lastProof returns the time of the latest proof that this core still is the cell's owner.
+func (c *Core) lastProof() time.Time {
+	full := latest(c.provedAt, c.allAskedAt)
+	limit := full.Add(c.maxQuorumTime())
+	if c.quorumAskedAt.After(limit) {
+		return limit
+	}
+	return latest(full, c.quorumAskedAt)
+}
+
+// maxQuorumTime returns how long after a transaction, or after answers of all workers, the answers of two thirds prove
+// ownership. With the validity of that proof, calls in flight, and the leases renewed until then, it ends within the time
+// that a successor waits.
+func (c *Core) maxQuorumTime() time.Duration {
+	return maxBlindTime - previousOwnerMargin - driftedLease(c.config.Lease)
 }
 
 // mayOrder reports whether there is recent proof that this core still is the cell's owner.
@@ -63,18 +82,18 @@
 	c.config.Logger.Info(message, zap.Duration("proof_age", age), zap.Int("workers", len(c.sortedWorkers)))
 }
 
-// twoThirdsAnsweredSince returns the latest time for which two thirds of the workers have answered calls that were
+// answeredSince returns the latest times for which all workers, and two thirds of them, have answered calls that were
 // sent then or later.
-func (c *Core) twoThirdsAnsweredSince() time.Time {
+func (c *Core) answeredSince() (all, twoThirds time.Time) {
 	if len(c.sortedWorkers) == 0 {
-		return time.Time{}
+		return time.Time{}, time.Time{}
 	}
 	sent := make([]time.Time, 0, len(c.sortedWorkers))
 	for _, w := range c.sortedWorkers {
 		sent = append(sent, w.reportAskedAt)
 	}
 	slices.SortFunc(sent, time.Time.Compare)
-	return sent[dispensableWorkers(len(sent))]
+	return sent[0], sent[dispensableWorkers(len(sent))]
 }
 
 // dispensableWorkers returns how many workers of a cell may be missing among those whose answers prove ownership to its
--- a/services/dispatch/proof_test.go
+++ b/services/dispatch/proof_test.go
@@ -66,3 +66,39 @@
 	b.Stored(b.TakeChanges(10, b.now), b.now)
 	require.Len(t, b.starts(), 1)
 }
+
+// renewsAfter lets some workers answer for a time without any transaction, and returns whether the owner renews the
+// lease of the first worker at the end.
+func (b *bench) renewsAfter(answering int, span time.Duration) bool {
+	for end := b.now.Add(span); b.now.Before(end); b.now = b.now.Add(100 * time.Millisecond) {
+		b.reportAll(0, answering)
+		b.Decide(b.now)
+	}
+	call, known := b.LeaseCall(b.ids[0], 0, b.now)
+	return known && call.Until != 0
+}
+
+// TestMostWorkersProveOwnershipForSomeTimeOnly guards against an owner that goes on for longer than its successor waits,
+// because two thirds of the workers answer it, and the others its successor.
+func TestMostWorkersProveOwnershipForSomeTimeOnly(t *testing.T) {
+	const workers, answering = 6, 4
+	b := newBench(t, workers)
+	b.reportAll(0, workers)
+	limit := b.maxQuorumTime()
+	require.True(t, b.renewsAfter(answering, limit))
+	require.False(t, b.renewsAfter(answering, proofValidity+time.Second))
+	last := limit + proofValidity + driftedLease(b.config.Lease)
+	require.Less(t, last, maxBlindTime, "the last lease is over before a successor starts the tasks")
+	b.reportAll(answering, workers)
+	b.now = b.now.Add(answerCountInterval)
+	require.True(t, b.renewsAfter(workers, 0), "the answers of all workers are proof")
+	b.now = b.now.Add(100 * time.Millisecond)
+	require.True(t, b.renewsAfter(answering, limit))
+}
+
+// TestAllWorkersProveOwnershipInALongOutage guards against runs that end in a long outage of the store, although all
+// workers answer their owner.
+func TestAllWorkersProveOwnershipInALongOutage(t *testing.T) {
+	b := newBench(t, 6)
+	require.True(t, b.renewsAfter(6, 3*maxBlindTime))
+}
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -52,18 +52,38 @@
 // and learns of the new epoch from the first worker that has seen it.
 const previousOwnerMargin = 3 * time.Second
 
-// maxBlindTime is how long after a takeover the runs of silent workers are waited for when no more than a third of the
-// workers ever answer, as in an outage of most of a fleet. It is a guess: a previous owner that the other workers answer
-// may go on for longer.
+// maxBlindTime is how long the runs of silent workers are waited for after a takeover when no more than a third of the
+// workers ever answer, as in an outage of most of a fleet. A previous owner that the other workers answer goes on for
+// maxQuorumTime at most after the first of its workers has answered its successor.
 const maxBlindTime = 30 * time.Second
 
 // previousOwnersLapsed returns when all runs that previous owners started on workers that do not answer have certainly
-// ended.
+// ended. Until a worker of the roster has answered, the time is a guess: a previous owner whose workers all answer it may
+// go on for longer.
 func (c *Core) previousOwnersLapsed() time.Time {
 	if c.fencedAt.IsZero() {
-		return c.config.Taken.Add(maxBlindTime)
+		return c.blindSince().Add(maxBlindTime)
 	}
-	return c.fencedAt.Add(time.Duration(float64(c.previousLease)*clockDriftFactor) + previousOwnerMargin)
+	return c.fencedAt.Add(driftedLease(c.previousLease) + previousOwnerMargin)
+}
+
+// blindSince returns since when the runs of silent workers are waited for while no more than a third answer.
+func (c *Core) blindSince() time.Time {
+	switch {
+	case !c.calledAt.IsZero():
+		return latest(c.config.Taken, c.calledAt)
+	case !c.answeredAt.IsZero():
+		return latest(c.config.Taken, c.answeredAt)
+	case len(c.sortedWorkers) > 0 && !c.config.OtherCells:
+		return c.now // nothing can start before a worker answers
+	default:
+		return c.config.Taken
+	}
+}
+
+// driftedLease returns the longest time for which a lease may last by the clock of its worker.
+func driftedLease(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) * clockDriftFactor)
 }
 
 // updateFenced records when so many workers have reported in this epoch, and so refuse the previous owner's calls, that
@@ -82,6 +102,12 @@
 			ofRoster.add(w)
 		}
 	}
+	if c.answeredAt.IsZero() && all.refusing > 0 {
+		c.answeredAt = now
+	}
+	if c.calledAt.IsZero() && ofRoster.refusing > 0 {
+		c.calledAt = now
+	}
 	if all.fences() && (ofRoster.fences() || 2*all.refusing > all.workers) {
 		c.fencedAt = now
 	}
--- a/services/dispatch/takeover_test.go
+++ b/services/dispatch/takeover_test.go
@@ -189,3 +189,23 @@
 	}
 	require.Greater(t, b.now.Sub(quiet), 11*time.Second, "the third worker may run the task")
 }
+
+// TestSilentWorkersAreWaitedForSinceTheFirstAnswer guards against tasks that run twice: a previous owner that all workers
+// answered until then goes on for some time from the first answer to its successor on.
+func TestSilentWorkersAreWaitedForSinceTheFirstAnswer(t *testing.T) {
+	const workers = 4
+	for _, late := range []time.Duration{20 * time.Second, maxBlindTime + 10*time.Second} {
+		b := newBench(t, workers)
+		b.RestoreRoster(jobs.Roster{Workers: b.Workers()}, b.now)
+		b.AddJob(b.job(singleTaskStep), jobs.Progress{}, false, b.now)
+		for end := b.now.Add(late); b.now.Before(end); b.now = b.now.Add(time.Second) {
+			require.Empty(t, b.storedStarts())
+		}
+		first := b.now
+		for len(b.storedStarts()) == 0 {
+			b.report(0, jobs.Report{})
+			require.Less(t, b.now.Sub(first), maxBlindTime+2*time.Second)
+		}
+		require.GreaterOrEqual(t, b.now.Sub(first), maxBlindTime, "the first worker answers after %s", late)
+	}
+}
