A task with a late start leaves a worker that restarts all the time

Callers saw a job shown as failed without cause: its task was lost five times with a worker that restarted every 300 ms, and counted as the cause.

Cause: a task whose start had no answer when its worker restarted starts again under the same id. When that run was lost with the worker as well, the task stayed bound to it, restart after restart, beside idle workers. Trace of TestWorkerThatStartsAgainAllTheTimeHarmsNoJob: six runs of one task on w000 within 1.5 s, then the job is abandoned.

Change: a task that has been lost with the worker once more starts anywhere.

--- a/services/dispatch/late_start.go
+++ b/services/dispatch/late_start.go
@@ -35,6 +35,9 @@
 type lateStart struct {
 	worker jobs.WorkerID
 	until  time.Time // when it can no longer be carried out; zero: there is none
+	// lostAgain: a run of the task was lost with the worker since. If the task started there again and again, it would
+	// count as the cause of the worker's restarts, and its job would fail.
+	lostAgain bool
 }
 
 // bindToLateStart makes a task start again under the id of the worker whose next incarnation may carry out its start.
@@ -42,7 +45,17 @@
 	if t.step.spec.AllowDuplicates {
 		return
 	}
-	t.lateStart = lateStart{worker: id, until: t.startSentAt.Add(maxOrderDelay)}
+	if t.lateStart.worker != id {
+		t.lateStart = lateStart{worker: id}
+	}
+	t.lateStart.until = t.startSentAt.Add(maxOrderDelay)
+}
+
+// recordLoss records that a run of the task was lost with a worker.
+func (l *lateStart) recordLoss(id jobs.WorkerID) {
+	if l.worker == id {
+		l.lostAgain = true
+	}
 }
 
 // A task waits for the worker where its start may still be carried out until that worker gets starts, or for one of these
@@ -60,7 +73,7 @@
 // carried out, and returns that worker.
 func (c *Core) awaitsLateStartWorker(t *task, now time.Time) (*worker, bool) {
 	w := c.workers[t.lateStart.worker]
-	if w == nil || !now.Before(t.lateStart.until) || w.info.Draining || !c.fits(w, t.step) {
+	if w == nil || !now.Before(t.lateStart.until) || t.lateStart.lostAgain || w.info.Draining || !c.fits(w, t.step) {
 		return nil, false
 	}
 	if w.otherEntry != nil {
--- a/services/dispatch/lost_workers.go
+++ b/services/dispatch/lost_workers.go
@@ -131,6 +131,7 @@
 func (c *Core) requeueTasks(w *worker) {
 	for _, t := range slices.Clone(w.tasks) {
 		c.counts.Lapsed++
+		t.lateStart.recordLoss(w.info.ID)
 		c.requeue(t)
 	}
 }
