A task with a late start leaves a worker that does not take it

Callers would have seen a task wait for up to 13 s beside idle workers.

Cause: a task bound to the worker of its late start waits for it for at most 400 ms, counted from when it last began to wait. A worker that refuses the start for lack of capacity, or as too late, gets the next one after 300 ms; one that answers reports but no starts gets it as soon as the run is barred. avoidUntil, which prefers other workers, did not apply.

Change: a start that is refused, or that stays without answer twice, ends the binding.

--- a/services/dispatch/late_start.go
+++ b/services/dispatch/late_start.go
@@ -58,6 +58,9 @@
 	}
 }
 
+// leaveLateStartWorker lets a task start on any worker from now on: the worker of its late start has not taken it.
+func (t *task) leaveLateStartWorker() { t.lateStart = lateStart{} }
+
 // A task waits for the worker where its start may still be carried out until that worker gets starts, or for one of these
 // times at most. A new incarnation gets starts when the list and the stored roster name it.
 const (
--- a/services/dispatch/late_start_bounds_test.go
+++ b/services/dispatch/late_start_bounds_test.go
@@ -5,12 +5,57 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"rillsail.example/rillsail/models/jobs"
 )
 
+// maxWaitForLateStartWorker is the longest time for which a task may be offered to the worker of its late start alone.
+const maxWaitForLateStartWorker = maxStaleEntryWait + time.Second
+
+// TestTaskWithLateStartLeavesAWorkerThatDoesNotTakeIt guards against a task that is ordered again and again on the
+// worker of its late start, which does not take it, beside an idle worker.
+func TestTaskWithLateStartLeavesAWorkerThatDoesNotTakeIt(t *testing.T) {
+	for name, result := range map[string]Result{
+		"no capacity": {Outcome: OutcomeRefused, Refusal: jobs.RefusedCapacity},
+		"late":        {Outcome: OutcomeRefused, Refusal: jobs.RefusedLate},
+		"refused":     {Outcome: OutcomeRefused, Refusal: jobs.RefusedOther},
+		"not done":    {Outcome: OutcomeNotDone},
+		"unreached":   {Outcome: OutcomeUnreached},
+		"no answer":   {Outcome: OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, late := newBarredLateStart(t, singleTaskStep, entryOfPresent)
+			began := b.now
+			clock := b.workers[b.ids[0]].reportClock
+			for b.now.Sub(began) < 2*maxWaitForLateStartWorker {
+				for _, order := range b.Decide(b.now) {
+					switch order := order.(type) {
+					case StartOrder:
+						if order.Worker.ID != late.Worker.ID {
+							require.Less(t, b.now.Sub(began), maxWaitForLateStartWorker)
+							return
+						}
+						if result.Outcome == OutcomeUnknown {
+							b.now = b.now.Add(400 * time.Millisecond)
+						}
+						b.Started(order, result, b.now)
+					case StopOrder:
+						b.Stopped(order, Result{Outcome: OutcomeDone}, b.now)
+					}
+				}
+				b.Stored(b.TakeChanges(10, b.now), b.now)
+				b.report(1, jobs.Report{})
+				clock += 100
+				b.reportIncarnation(secondStartTime, clock, jobs.Report{})
+			}
+			require.Fail(t, "the task was not started elsewhere")
+		})
+	}
+}
+
 // TestTaskWithLateStartLeavesAWorkerThatRestartsAllTheTime guards against a task that is lost with one worker again and
 // again until it counts as the cause, and its job fails.
 func TestTaskWithLateStartLeavesAWorkerThatRestartsAllTheTime(t *testing.T) {
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -31,6 +31,7 @@
 	}
 	outcomeKnown := result.Outcome == OutcomeDone || result.Outcome == OutcomeRefused && result.Refusal == jobs.RefusedStaleRun
 	if t.startRepeated && !outcomeKnown {
+		t.leaveLateStartWorker()
 		w.avoidUntil = latest(w.avoidUntil, now.Add(avoidPause))
 		c.stop(t, "its first start has no answer, and the second was not carried out")
 		return
@@ -108,6 +109,7 @@
 		t.step.backoff = now.Add(stepPause)
 		w.avoidUntil = now.Add(refusedAvoidPause)
 	}
+	t.leaveLateStartWorker()
 	c.requeue(t)
 }
 
