A task waits for the worker of its late start only once

Callers would have seen a task wait for up to 13 s beside idle workers.

Cause: the wait of 400 ms began anew with each incarnation of the worker, and the wait of up to 4 s also began anew when the task had run elsewhere meanwhile.

Change: the task waits for no longer than 4 s in all, and a start elsewhere ends the binding.

Evidence: both tests failed before: 12.8 s instead of at most 5 s, and 4 s instead of less than 0.4 s.

--- a/services/dispatch/late_start.go
+++ b/services/dispatch/late_start.go
@@ -58,7 +58,8 @@
 	}
 }
 
-// leaveLateStartWorker lets a task start on any worker from now on: the worker of its late start has not taken it.
+// leaveLateStartWorker lets a task start on any worker from now on: the worker of its late start has not taken it, or it
+// starts elsewhere.
 func (t *task) leaveLateStartWorker() { t.lateStart = lateStart{} }
 
 // A task waits for the worker where its start may still be carried out until that worker gets starts, or for one of these
@@ -79,10 +80,8 @@
 	if w == nil || !now.Before(t.lateStart.until) || t.lateStart.lostAgain || w.info.Draining || !c.fits(w, t.step) {
 		return nil, false
 	}
-	if w.otherEntry != nil {
-		return w, now.Sub(t.waitingSince) < maxStaleEntryWait
-	}
-	return w, now.Sub(latest(t.waitingSince, w.incarnationSince)) < maxRosterWait
+	entryIsDue := w.otherEntry != nil || now.Sub(latest(t.waitingSince, w.incarnationSince)) < maxRosterWait
+	return w, entryIsDue && now.Sub(t.waitingSince) < maxStaleEntryWait
 }
 
 // anyAwaitsLateStartWorker reports whether a waiting task of the step may start only on a certain worker now.
--- a/services/dispatch/late_start_bounds_test.go
+++ b/services/dispatch/late_start_bounds_test.go
@@ -70,3 +70,45 @@
 	require.Len(t, starts, 1, "the task does not wait for its worker any more")
 	require.NotEqual(t, late.Worker.ID, starts[0].Worker.ID)
 }
+
+// TestTaskWithLateStartDoesNotWaitForAWorkerThatRestartsAgainAndAgain guards against a task that waits anew for each
+// incarnation of the worker of its late start, beside an idle worker.
+func TestTaskWithLateStartDoesNotWaitForAWorkerThatRestartsAgainAndAgain(t *testing.T) {
+	b, late := newBarredLateStart(t, singleTaskStep, noEntry)
+	began, born := b.now, secondStartTime
+	var starts []StartOrder
+	for len(starts) == 0 && b.now.Sub(began) < maxOrderDelay {
+		born++
+		b.report(1, jobs.Report{})
+		b.reportIncarnation(born, 10, jobs.Report{})
+		starts = b.storedStarts()
+	}
+	require.Len(t, starts, 1)
+	require.NotEqual(t, late.Worker.ID, starts[0].Worker.ID)
+	require.Less(t, b.now.Sub(began), maxWaitForLateStartWorker)
+}
+
+// TestTaskWithLateStartWaitsForItsWorkerOnce guards against a task that has run elsewhere meanwhile and waits for the worker
+// of its late start once more.
+func TestTaskWithLateStartWaitsForItsWorkerOnce(t *testing.T) {
+	b, _ := newBarredLateStart(t, singleTaskStep, entryOfPrevious)
+	clock := b.workers[b.ids[0]].reportClock
+	start := func() (started StartOrder, waited time.Duration) {
+		began := b.now
+		for b.now.Sub(began) < 2*maxStaleEntryWait {
+			clock += 200
+			b.reportIncarnation(secondStartTime, clock, jobs.Report{})
+			b.report(1, jobs.Report{})
+			if starts := b.storedStarts(); len(starts) > 0 {
+				return starts[0], b.now.Sub(began)
+			}
+		}
+		return StartOrder{}, b.now.Sub(began)
+	}
+	first, waited := start()
+	require.InDelta(t, maxStaleEntryWait.Seconds(), waited.Seconds(), 0.2)
+	b.Started(first, Result{Outcome: OutcomeDone}, b.now)
+	b.report(1, jobs.Report{Ended: []jobs.Ended{{Number: 1, Task: first.Call.Task, Run: first.Call.Run, How: jobs.EndFailed}}})
+	_, waited = start()
+	require.Less(t, waited, maxRosterWait)
+}
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -117,6 +117,9 @@
 // startTask assigns a task to a worker and orders its run.
 func (c *Core) startTask(t *task, w *worker, now time.Time) {
 	c.beginRun(t, now)
+	if w.info.ID != t.lateStart.worker {
+		t.leaveLateStartWorker()
+	}
 	if t.step.spec.Filler {
 		w.fillersChangedAt = now
 	}
