Other tasks of a step move while one waits for the worker of its late start

Callers would have seen tasks that last wait for up to 4 s longer in a full cell, beside a cell with room.

Cause: while one task of a step waited for the worker of its late start, no task of the step was offered to other cells.

Change: only that task stays out of the move.

--- a/services/dispatch/late_start.go
+++ b/services/dispatch/late_start.go
@@ -84,17 +84,6 @@
 	return w, entryIsDue && now.Sub(t.waitingSince) < maxStaleEntryWait
 }
 
-// anyAwaitsLateStartWorker reports whether a waiting task of the step may start only on a certain worker now.
-func (c *Core) anyAwaitsLateStartWorker(s *step) bool {
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if _, only := c.awaitsLateStartWorker(t, c.now); only && t.state == taskWaiting {
-			return true
-		}
-	}
-	return false
-}
-
 // placeAtLateStarts starts waiting tasks of the step, other than suspects, where their earlier starts may still be carried
 // out.
 func (c *Core) placeAtLateStarts(s *step, now time.Time) {
--- a/services/dispatch/late_start_bounds_test.go
+++ b/services/dispatch/late_start_bounds_test.go
@@ -112,3 +112,22 @@
 	_, waited = start()
 	require.Less(t, waited, maxRosterWait)
 }
+
+// TestOtherTasksMoveWhileOneWaitsForTheWorkerOfItsLateStart guards against tasks that are kept from other cells because
+// another task of their step waits for the worker of its late start.
+func TestOtherTasksMoveWhileOneWaitsForTheWorkerOfItsLateStart(t *testing.T) {
+	step := singleTaskStep
+	step.Count, step.PerWorker, step.LongRunning = 3, 1, true
+	b, _ := newBarredLateStart(t, step, entryOfPrevious)
+	waits := b.now
+	var moves []Move
+	for len(moves) == 0 && b.now.Sub(waits) < 2*offerAfter {
+		b.storedStarts()
+		b.report(1, jobs.Report{})
+		moves = b.Movable(10, b.now)
+	}
+	require.Len(t, moves, 1)
+	require.Equal(t, jobs.TaskSet{0: {2}}, moves[0].Tasks)
+	require.Equal(t, 1, moves[0].Demand.Step.Count)
+	require.True(t, b.BeginMove(moves[0]))
+}
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -99,12 +99,13 @@
 	move.Demand.Step.Count = s.waiting
 	switch {
 	case s.job.spec.Divisible():
-		move.add(s)
-		return move, !c.anyAwaitsLateStartWorker(s)
+		c.addWaiting(&move, s)
+		move.Demand.Step.Count = move.Tasks.Len()
+		return move, move.Demand.Step.Count > 0
 	case s.movableAsWhole():
 		move.Whole = true
 		for _, each := range s.job.steps {
-			move.add(each)
+			c.addWaiting(&move, each)
 		}
 		return move, true
 	default:
@@ -126,16 +127,28 @@
 	return !s.job.spec.Divisible() && s.job.spec.Repeat.Count == 0 && !s.spec.SameRack && s.job.neverStarted()
 }
 
-// add adds the step's waiting tasks.
-func (m *Move) add(s *step) {
+// addWaiting adds the step's waiting tasks to a move, without those that may start only on a certain worker of this cell
+// now.
+func (c *Core) addWaiting(move *Move, s *step) {
 	for i := range s.tasks {
-		if t := &s.tasks[i]; t.state == taskWaiting {
-			m.Tasks[s.flat()] = append(m.Tasks[s.flat()], i)
-			m.HighestRun = max(m.HighestRun, t.run)
-			if suspicion := t.suspicionForMove(); !suspicion.Empty() {
-				m.Suspected.Set(s.flat(), i, suspicion)
-			}
+		t := &s.tasks[i]
+		if t.state != taskWaiting {
+			continue
+		}
+		if _, only := c.awaitsLateStartWorker(t, c.now); only {
+			continue
 		}
+		move.add(t)
+	}
+}
+
+// add adds a waiting task.
+func (m *Move) add(t *task) {
+	flat := t.step.flat()
+	m.Tasks[flat] = append(m.Tasks[flat], t.index)
+	m.HighestRun = max(m.HighestRun, t.run)
+	if suspicion := t.suspicionForMove(); !suspicion.Empty() {
+		m.Suspected.Set(flat, t.index, suspicion)
 	}
 }
 
