A stopped run has ended before its silent worker counts as lapsed

Callers would have seen a task run on two workers for some hundred milliseconds.

Cause: an incarnation that a mismatch has shown, and that has answered the stop of a late start but no report, has been granted no lease by this owner. Once silent for 2.5 s, it counted as lapsed at once, also if it had answered the stop just before: the run that it was stopping may go on for as long as a stop takes.

Change: the worker does not count as lapsed before a second after the answer to the stop. To wait for as long as a late start may run (19 s) is not needed, since the stop bars it at this incarnation.

Evidence: the test failed before: the task was free 0.3 s after the answer to the stop.

--- a/services/dispatch/late_start_bounds_test.go
+++ b/services/dispatch/late_start_bounds_test.go
@@ -131,3 +131,39 @@
 	require.Equal(t, 1, moves[0].Demand.Step.Count)
 	require.True(t, b.BeginMove(moves[0]))
 }
+
+// TestSilentWorkerEndsAStoppedRunFirst guards against a task that starts elsewhere while its late start, which the next
+// incarnation has carried out, is being stopped there: a mismatch has shown that incarnation, it has answered the stop,
+// and has been silent otherwise.
+func TestSilentWorkerEndsAStoppedRunFirst(t *testing.T) {
+	const stopTime = time.Second
+	b := newBench(t, 1)
+	b.list(firstStartTime)
+	for b.now.Before(b.previousOwnersLapsed()) {
+		b.report(0, jobs.Report{Born: firstStartTime})
+	}
+	b.AddJob(b.job(singleTaskStep), jobs.Progress{}, true, b.now)
+	starts := b.storedStarts()
+	require.Len(t, starts, 1)
+	b.OtherIncarnationAnswered(starts[0].Worker.Incarnation(), secondStartTime, b.now)
+	began := b.now
+	var stop StopOrder
+	for b.now.Sub(began) < silentAfter {
+		for _, order := range b.Decide(b.now) {
+			stop = order.(StopOrder)
+		}
+		b.store()
+		b.now = b.now.Add(100 * time.Millisecond)
+	}
+	b.Stopped(stop, Result{Outcome: OutcomeDone}, b.now)
+	answered := b.now
+	task := b.taskOf(testJob)
+	for task.worker != nil && b.now.Sub(began) < 2*maxOrderDelay {
+		b.Decide(b.now)
+		b.store()
+		b.now = b.now.Add(100 * time.Millisecond)
+	}
+	require.Nil(t, task.worker)
+	require.GreaterOrEqual(t, b.now.Sub(answered), stopTime)
+	require.Less(t, b.now.Sub(answered), 2*stopTime, "the run has ended long ago")
+}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -124,20 +124,29 @@
 // platform states, plus the time that the order may have waited to be sent.
 const maxOrderDelay = 13 * time.Second
 
+// maxStopTime is the longest time from the answer to a stop until the run has ended.
+const maxStopTime = time.Second
+
 // lateStartsLapsedAt returns when the runs have ended that begin on the worker through late starts meant for
-// its previous incarnation. The deadline in such a start is on that incarnation's clock and may lie far ahead
-// on the new clock: the run may last for as long as the longest lease that workers accept.
+// its previous incarnation; zero: there are none.
 func (c *Core) lateStartsLapsedAt(w *worker) time.Time {
 	var last time.Time
 	for _, t := range w.tasks {
-		if t.fromPreviousIncarnation && t.answeredAt.IsZero() {
-			last = latest(last, t.startSentAt)
+		if t.fromPreviousIncarnation {
+			last = latest(last, c.lateStartLapsedAt(t))
 		}
 	}
-	if last.IsZero() {
-		return last
+	return last
+}
+
+// lateStartLapsedAt returns when the run has ended that begins through a late start. The deadline in the start is on the
+// previous incarnation's clock and may lie far ahead on the new clock: the run may last for as long as the longest lease
+// that workers accept, unless the worker has answered its stop.
+func (c *Core) lateStartLapsedAt(t *task) time.Time {
+	if !t.answeredAt.IsZero() {
+		return t.answeredAt.Add(maxStopTime)
 	}
-	return last.Add(maxOrderDelay + time.Duration(float64(c.config.LongestLease)*clockDriftFactor) + clockMargin)
+	return t.startSentAt.Add(maxOrderDelay + time.Duration(float64(c.config.LongestLease)*clockDriftFactor) + clockMargin)
 }
 
 // unacknowledgedEnd is an end that its worker must not forget yet.
