A worker whose incarnations answer by turns is not called without pause

Operators would have seen an owner that calls one worker as often as the connection allows, if two processes answer under one id and address, or a worker reports another start time each time.

Cause: each answer that names another incarnation ends the outstanding call, here the one that was answered, and the next call follows without pause.

Change: after two such calls in a row, which one restart can cause, the owner pauses for 20 ms.

--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -94,13 +94,26 @@
 	lateStartRetryPause = 20 * time.Millisecond
 	// maxPromptCalls is how many calls in a row may follow without a pause on a call whose connection broke.
 	maxPromptCalls = 3
+	// maxQuickInterruptions is how many calls in a row may be interrupted without a pause before the next one: one
+	// restart interrupts a call when the list names the next incarnation, and another one when that incarnation answers.
+	maxQuickInterruptions = 2
 )
 
+// interruptionPause returns the pause after a call that was interrupted as the given number of calls in a row. Where
+// different incarnations answer by turns, each call is interrupted.
+func interruptionPause(inRow int) time.Duration {
+	if inRow <= maxQuickInterruptions {
+		return 0
+	}
+	return lateStartRetryPause
+}
+
 // workerLoop renews the lease of a worker and records its reports, also those of later incarnations, until
 // no worker has the id. It makes one call at a time, so that answers arrive in the order of the
 // incarnations. It calls an incarnation that has just become known without pause.
 func (o *Owner) workerLoop(ctx context.Context, id jobs.WorkerID) {
-	failures := 0 // failed calls in a row
+	failures := 0      // failed calls in a row
+	interruptions := 0 // interrupted calls in a row
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithCancel(ctx)
 		o.mu.Lock()
@@ -120,8 +133,11 @@
 		interrupted := callCtx.Err() != nil
 		cancel()
 		if interrupted {
+			interruptions++
+			sleep(ctx, interruptionPause(interruptions))
 			continue
 		}
+		interruptions = 0
 		failures++
 		if err == nil {
 			failures = 0
