Many unreachable workers with late starts are called less often

Operators would have seen an owner that spends a core on refused connections when hundreds of workers go at once.

Cause: a worker with a start without answer is called every 20 ms instead of every 200 ms for 13 s.

Change: the pause grows with the number of such workers, up to the usual 200 ms: about 2000 calls per second in all.

The test fails with a constant pause.

--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -163,7 +163,7 @@
 	case o.mayCarryOutLateStart(id) && failures == 1: // a call that hung may have ended with its worker
 		return 0
 	case o.mayCarryOutLateStart(id):
-		return lateStartRetryPause
+		return o.lateStartPause()
 	case errors.Is(err, platform.ErrUnknownOutcome):
 		return o.reportPause()
 	default:
@@ -171,6 +171,18 @@
 	}
 }
 
+// maxLateStartCallRate is about how many calls per second are made to all unreachable workers together whose next
+// incarnations may carry out late starts: a call whose connection is refused takes about 0.1 ms of a core.
+const maxLateStartCallRate = 2000
+
+// lateStartPause returns the pause after a failed call to a worker whose next incarnation may carry out a late start.
+func (o *Owner) lateStartPause() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	pause := time.Duration(o.core.WorkersWithLateStarts()) * time.Second / maxLateStartCallRate
+	return min(max(pause, lateStartRetryPause), workerRetryPause)
+}
+
 // mayCarryOutLateStart reports whether a start without answer may still reach the worker's next incarnation.
 func (o *Owner) mayCarryOutLateStart(id jobs.WorkerID) bool {
 	o.mu.Lock()
--- a/services/control/worker_loop_test.go
+++ b/services/control/worker_loop_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/dispatch"
 	"rillsail.example/rillsail/services/platform"
 	"rillsail.example/rillsail/services/standin/kv"
 )
@@ -53,3 +55,41 @@
 		require.Less(t, worker.calls, 3*int(time.Second/lateStartRetryPause))
 	})
 }
+
+// TestManyUnreachableWorkersAreCalledLessOften guards against an owner that spends its processor time on connections to
+// refusing addresses, when it has lost many workers with starts without answer at once.
+func TestManyUnreachableWorkersAreCalledLessOften(t *testing.T) {
+	for workers, pause := range map[int]time.Duration{1: lateStartRetryPause, 40: lateStartRetryPause, 300: 150 * time.Millisecond, 1000: workerRetryPause} {
+		synctest.Test(t, func(t *testing.T) {
+			owner := newTestOwner(nil)
+			owner.loseStarts(t, workers)
+			require.Equal(t, pause, owner.pollPause("w0", platform.ErrUnreachable, 2))
+		})
+	}
+}
+
+// loseStarts starts a task on each of the given number of workers and gets no answer.
+func (o *Owner) loseStarts(t *testing.T, workers int) {
+	now := time.Now()
+	var list []jobs.Worker
+	for n := range workers {
+		list = append(list, jobs.Worker{ID: jobs.WorkerID(fmt.Sprint("w", n)), Pool: testPool, Capacity: models.Resources{CPU: 1000, Memory: 1000}})
+	}
+	o.core.SetWorkers(list, now)
+	o.core.Stored(o.core.TakeChanges(workers, now), now)
+	for _, w := range list {
+		for range 2 { // the second call renews the lease
+			o.core.LeaseCall(w.ID, 0, now)
+			o.core.Reported(w.ID, now, jobs.Report{Clock: 1000}, now)
+		}
+	}
+	spec := shortTasks(1, workers, time.Second)
+	spec.Steps[0].PerWorker = 1
+	o.core.AddJob(jobs.Record{Spec: spec, Terms: testTerms, Accepted: models.UnixMilliOf(now)}, jobs.Progress{}, true, now)
+	starts := 0
+	for _, order := range o.core.Decide(now) {
+		o.core.Started(order.(dispatch.StartOrder), dispatch.Result{Outcome: dispatch.OutcomeUnknown}, now)
+		starts++
+	}
+	require.Equal(t, workers, starts)
+}
--- a/services/dispatch/late_start.go
+++ b/services/dispatch/late_start.go
@@ -26,6 +26,9 @@
 	return now.Before(c.lateStartsUntil[id])
 }
 
+// WorkersWithLateStarts returns the number of workers whose next incarnations may carry out late starts.
+func (c *Core) WorkersWithLateStarts() int { return len(c.lateStartsUntil) }
+
 // forgetLateStarts forgets the starts that are too old to be carried out.
 func (c *Core) forgetLateStarts(now time.Time) {
 	maps.DeleteFunc(c.lateStartsUntil, func(_ jobs.WorkerID, until time.Time) bool { return !now.Before(until) })
