--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -94,13 +94,26 @@
 	lateStartRetryPause = 20 * time.Millisecond
 	// maxPromptCalls is how many calls in a row may follow without a pause on a call whose connection broke.
 	maxPromptCalls = 3
+	// maxQuickInterruptions is how many calls in a row may be interrupted without a pause before the next one: one
+	// restart interrupts a call when the list names the next incarnation, and another one when that incarnation answers.
+	maxQuickInterruptions = 2
 )
 
+// interruptionPause returns the pause after a call that was interrupted as the given number of calls in a row. Where
+// different incarnations answer by turns, each call is interrupted.
+func interruptionPause(inRow int) time.Duration {
+	if inRow <= maxQuickInterruptions {
+		return 0
+	}
+	return lateStartRetryPause
+}
+
 // workerLoop renews the lease of a worker and records its reports, also those of later incarnations, until
 // no worker has the id. It makes one call at a time, so that answers arrive in the order of the
 // incarnations. It calls an incarnation that has just become known without pause.
 func (o *Owner) workerLoop(ctx context.Context, id jobs.WorkerID) {
-	failures := 0 // failed calls in a row
+	failures := 0      // failed calls in a row
+	interruptions := 0 // interrupted calls in a row
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithCancel(ctx)
 		o.mu.Lock()
@@ -120,8 +133,11 @@
 		interrupted := callCtx.Err() != nil
 		cancel()
 		if interrupted {
+			interruptions++
+			sleep(ctx, interruptionPause(interruptions))
 			continue
 		}
+		interruptions = 0
 		failures++
 		if err == nil {
 			failures = 0
@@ -147,7 +163,7 @@
 	case o.mayCarryOutLateStart(id) && failures == 1: // a call that hung may have ended with its worker
 		return 0
 	case o.mayCarryOutLateStart(id):
-		return lateStartRetryPause
+		return o.lateStartPause()
 	case errors.Is(err, platform.ErrUnknownOutcome):
 		return o.reportPause()
 	default:
@@ -155,6 +171,18 @@
 	}
 }
 
+// maxLateStartCallRate is about how many calls per second are made to all unreachable workers together whose next
+// incarnations may carry out late starts: a call whose connection is refused takes about 0.1 ms of a core.
+const maxLateStartCallRate = 2000
+
+// lateStartPause returns the pause after a failed call to a worker whose next incarnation may carry out a late start.
+func (o *Owner) lateStartPause() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	pause := time.Duration(o.core.WorkersWithLateStarts()) * time.Second / maxLateStartCallRate
+	return min(max(pause, lateStartRetryPause), workerRetryPause)
+}
+
 // mayCarryOutLateStart reports whether a start without answer may still reach the worker's next incarnation.
 func (o *Owner) mayCarryOutLateStart(id jobs.WorkerID) bool {
 	o.mu.Lock()
--- a/services/dispatch/late_start.go
+++ b/services/dispatch/late_start.go
@@ -26,6 +26,9 @@
 	return now.Before(c.lateStartsUntil[id])
 }
 
+// WorkersWithLateStarts returns the number of workers whose next incarnations may carry out late starts.
+func (c *Core) WorkersWithLateStarts() int { return len(c.lateStartsUntil) }
+
 // forgetLateStarts forgets the starts that are too old to be carried out.
 func (c *Core) forgetLateStarts(now time.Time) {
 	maps.DeleteFunc(c.lateStartsUntil, func(_ jobs.WorkerID, until time.Time) bool { return !now.Before(until) })
@@ -35,6 +38,9 @@
 type lateStart struct {
 	worker jobs.WorkerID
 	until  time.Time // when it can no longer be carried out; zero: there is none
+	// lostAgain: a run of the task was lost with the worker since. If the task started there again and again, it would
+	// count as the cause of the worker's restarts, and its job would fail.
+	lostAgain bool
 }
 
 // bindToLateStart makes a task start again under the id of the worker whose next incarnation may carry out its start.
@@ -42,9 +48,23 @@
 	if t.step.spec.AllowDuplicates {
 		return
 	}
-	t.lateStart = lateStart{worker: id, until: t.startSentAt.Add(maxOrderDelay)}
+	if t.lateStart.worker != id {
+		t.lateStart = lateStart{worker: id}
+	}
+	t.lateStart.until = t.startSentAt.Add(maxOrderDelay)
 }
 
+// recordLoss records that a run of the task was lost with a worker.
+func (l *lateStart) recordLoss(id jobs.WorkerID) {
+	if l.worker == id {
+		l.lostAgain = true
+	}
+}
+
+// leaveLateStartWorker lets a task start on any worker from now on: the worker of its late start has not taken it, or it
+// starts elsewhere.
+func (t *task) leaveLateStartWorker() { t.lateStart = lateStart{} }
+
 // A task waits for the worker where its start may still be carried out until that worker gets starts, or for one of these
 // times at most. A new incarnation gets starts when the list and the stored roster name it.
 const (
@@ -60,24 +80,11 @@
 // carried out, and returns that worker.
 func (c *Core) awaitsLateStartWorker(t *task, now time.Time) (*worker, bool) {
 	w := c.workers[t.lateStart.worker]
-	if w == nil || !now.Before(t.lateStart.until) || w.info.Draining || !c.fits(w, t.step) {
+	if w == nil || !now.Before(t.lateStart.until) || t.lateStart.lostAgain || w.info.Draining || !c.fits(w, t.step) {
 		return nil, false
 	}
-	if w.otherEntry != nil {
-		return w, now.Sub(t.waitingSince) < maxStaleEntryWait
-	}
-	return w, now.Sub(latest(t.waitingSince, w.incarnationSince)) < maxRosterWait
-}
-
-// anyAwaitsLateStartWorker reports whether a waiting task of the step may start only on a certain worker now.
-func (c *Core) anyAwaitsLateStartWorker(s *step) bool {
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if _, only := c.awaitsLateStartWorker(t, c.now); only && t.state == taskWaiting {
-			return true
-		}
-	}
-	return false
+	entryIsDue := w.otherEntry != nil || now.Sub(latest(t.waitingSince, w.incarnationSince)) < maxRosterWait
+	return w, entryIsDue && now.Sub(t.waitingSince) < maxStaleEntryWait
 }
 
 // placeAtLateStarts starts waiting tasks of the step, other than suspects, where their earlier starts may still be carried
