Pauses between calls for reports have a file and a type of their own

The loop that asks a worker for reports had grown two counters and their rules; they are pollResults now, in poll_pause.go. The entry of a previous incarnation is a copy, so that the worker value of that incarnation is released.

--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -86,34 +86,11 @@
 	}
 }
 
-const (
-	// workerRetryPause is the pause after a failed call to a worker.
-	workerRetryPause = 200 * time.Millisecond
-	// lateStartRetryPause is the same while the worker's next incarnation may carry out a late start. Only the first
-	// call to that incarnation makes it refuse such a start.
-	lateStartRetryPause = 20 * time.Millisecond
-	// maxPromptCalls is how many calls in a row may follow without a pause on a call whose connection broke.
-	maxPromptCalls = 3
-	// maxQuickInterruptions is how many calls in a row may be interrupted without a pause before the next one: one
-	// restart interrupts a call when the list names the next incarnation, and another one when that incarnation answers.
-	maxQuickInterruptions = 2
-)
-
-// interruptionPause returns the pause after a call that was interrupted as the given number of calls in a row. Where
-// different incarnations answer by turns, each call is interrupted.
-func interruptionPause(inRow int) time.Duration {
-	if inRow <= maxQuickInterruptions {
-		return 0
-	}
-	return lateStartRetryPause
-}
-
 // workerLoop renews the lease of a worker and records its reports, also those of later incarnations, until
 // no worker has the id. It makes one call at a time, so that answers arrive in the order of the
 // incarnations. It calls an incarnation that has just become known without pause.
 func (o *Owner) workerLoop(ctx context.Context, id jobs.WorkerID) {
-	failures := 0      // failed calls in a row
-	interruptions := 0 // interrupted calls in a row
+	var results pollResults
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithCancel(ctx)
 		o.mu.Lock()
@@ -133,63 +110,15 @@
 		interrupted := callCtx.Err() != nil
 		cancel()
 		if interrupted {
-			interruptions++
-			sleep(ctx, interruptionPause(interruptions))
+			results.addInterruption()
+			sleep(ctx, results.interruptionPause())
 			continue
 		}
-		interruptions = 0
-		failures++
-		if err == nil {
-			failures = 0
-		}
-		if failures > maxPromptCalls || !connectionBroke(err, o.config.Clock.Since(sent)-call.Wait) {
-			sleep(ctx, o.pollPause(id, err, failures))
-		}
-	}
-}
-
-// connectionBroke reports whether a call ended because its connection broke, so that the worker may have restarted; took
-// is the time that the call took beyond its wait.
-func connectionBroke(err error, took time.Duration) bool {
-	return errors.Is(err, platform.ErrUnknownOutcome) && took < normalAnswerTime // a call without answer takes far longer
-}
-
-// pollPause returns the pause after a call that asked a worker for a report and ended with the given error, if any, the
-// latest of a number of failures in a row.
-func (o *Owner) pollPause(id jobs.WorkerID, err error, failures int) time.Duration {
-	switch {
-	case err == nil:
-		return o.reportPause()
-	case o.mayCarryOutLateStart(id) && failures == 1: // a call that hung may have ended with its worker
-		return 0
-	case o.mayCarryOutLateStart(id):
-		return o.lateStartPause()
-	case errors.Is(err, platform.ErrUnknownOutcome):
-		return o.reportPause()
-	default:
-		return workerRetryPause
+		results.add(err, o.config.Clock.Since(sent)-call.Wait)
+		sleep(ctx, o.pollPause(id, results))
 	}
 }
 
-// maxLateStartCallRate is about how many calls per second are made to all unreachable workers together whose next
-// incarnations may carry out late starts: a call whose connection is refused takes about 0.1 ms of a core.
-const maxLateStartCallRate = 2000
-
-// lateStartPause returns the pause after a failed call to a worker whose next incarnation may carry out a late start.
-func (o *Owner) lateStartPause() time.Duration {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	pause := time.Duration(o.core.WorkersWithLateStarts()) * time.Second / maxLateStartCallRate
-	return min(max(pause, lateStartRetryPause), workerRetryPause)
-}
-
-// mayCarryOutLateStart reports whether a start without answer may still reach the worker's next incarnation.
-func (o *Owner) mayCarryOutLateStart(id jobs.WorkerID) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.core.MayCarryOutLateStart(id, o.config.Clock.Now())
-}
-
 // pollWorker renews the lease of a worker and records the report in the answer. The result of a call that
 // this daemon cancelled is not recorded, because it does not show the state of the worker.
 func (o *Owner) pollWorker(ctx context.Context, worker jobs.Worker, call jobs.LeaseCall) error {
--- a/services/control/worker_loop_test.go
+++ b/services/control/worker_loop_test.go
@@ -63,7 +63,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			owner := newTestOwner(nil)
 			owner.loseStarts(t, workers)
-			require.Equal(t, pause, owner.pollPause("w0", platform.ErrUnreachable, 2))
+			require.Equal(t, pause, owner.pollPause("w0", pollResults{err: platform.ErrUnreachable, failures: 2}))
 		})
 	}
 }
--- a/services/dispatch/incarnation.go
+++ b/services/dispatch/incarnation.go
@@ -129,7 +129,8 @@
 	if !w.listed {
 		return nil
 	}
-	return &w.info
+	entry := w.info
+	return &entry
 }
 
 // unansweredStarts returns the tasks on the worker whose start is not answered and may still be carried out.
