A new core waits for silent workers from its takeover on

blindSince returned the time of the core's latest call while no worker had answered, which is zero before the first call, so that previous owners counted as lapsed for a moment. Nothing was ordered in that moment, since each decision sets the time first.

--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -75,7 +75,7 @@
 	case !c.answeredAt.IsZero():
 		return latest(c.config.Taken, c.answeredAt)
 	case len(c.sortedWorkers) > 0 && !c.config.OtherCells:
-		return c.now // nothing can start before a worker answers
+		return latest(c.config.Taken, c.now) // nothing can start before a worker answers
 	default:
 		return c.config.Taken
 	}
