One question about late starts for each suspect, and for each failed call

The worker to which a late start binds a suspect was asked for twice a look, once in trialWorker and once by its caller; the caller asks once now and hands over the workers. The pause after a failed call took the owner's lock three times for one answer. A task without a late start, as nearly all are, is told from the others before any worker is looked up. No change of behaviour.

--- a/services/control/poll_pause.go
+++ b/services/control/poll_pause.go
@@ -68,33 +68,32 @@
 
 // pollPause returns the pause after a call that asked a worker for a report.
 func (o *Owner) pollPause(id jobs.WorkerID, results pollResults) time.Duration {
-	switch {
-	case results.err == nil:
+	if results.err == nil {
 		return o.reportPause()
-	case results.connectionBroke() && results.failures <= maxPromptCalls:
-		return 0
-	case o.mayCarryOutLateStart(id) && results.failures == 1: // a call that hung may have ended with its worker
+	}
+	if results.connectionBroke() && results.failures <= maxPromptCalls {
 		return 0
-	case o.mayCarryOutLateStart(id):
-		return o.lateStartPause()
-	case errors.Is(results.err, platform.ErrUnknownOutcome):
+	}
+	if pause, mayArrive := o.lateStartPause(id); mayArrive {
+		if results.failures == 1 { // a call that hung may have ended with its worker
+			return 0
+		}
+		return pause
+	}
+	if errors.Is(results.err, platform.ErrUnknownOutcome) {
 		return o.reportPause()
-	default:
-		return workerRetryPause
 	}
+	return workerRetryPause
 }
 
-// lateStartPause returns the pause after a failed call to a worker whose next incarnation may carry out a late start.
-func (o *Owner) lateStartPause() time.Duration {
+// lateStartPause reports whether a start without answer may still reach the worker's next incarnation, and returns the
+// pause between failed calls to the worker in that case.
+func (o *Owner) lateStartPause(id jobs.WorkerID) (pause time.Duration, mayArrive bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	pause := time.Duration(o.core.WorkersWithLateStarts()) * time.Second / maxLateStartCallRate
-	return min(max(pause, lateStartRetryPause), workerRetryPause)
-}
-
-// mayCarryOutLateStart reports whether a start without answer may still reach the worker's next incarnation.
-func (o *Owner) mayCarryOutLateStart(id jobs.WorkerID) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.core.MayCarryOutLateStart(id, o.config.Clock.Now())
+	if !o.core.MayCarryOutLateStart(id, o.config.Clock.Now()) {
+		return 0, false
+	}
+	pause = time.Duration(o.core.WorkersWithLateStarts()) * time.Second / maxLateStartCallRate
+	return min(max(pause, lateStartRetryPause), workerRetryPause), true
 }
--- a/services/dispatch/late_start.go
+++ b/services/dispatch/late_start.go
@@ -79,8 +79,11 @@
 // awaitsLateStartWorker reports whether a waiting task may start only on the worker where its earlier start may still be
 // carried out, and returns that worker.
 func (c *Core) awaitsLateStartWorker(t *task, now time.Time) (*worker, bool) {
+	if !now.Before(t.lateStart.until) || t.lateStart.lostAgain {
+		return nil, false
+	}
 	w := c.workers[t.lateStart.worker]
-	if w == nil || !now.Before(t.lateStart.until) || t.lateStart.lostAgain || w.info.Draining || !c.fits(w, t.step) {
+	if w == nil || w.info.Draining || !c.fits(w, t.step) {
 		return nil, false
 	}
 	entryIsDue := w.otherEntry != nil || now.Sub(latest(t.waitingSince, w.incarnationSince)) < maxRosterWait
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -71,8 +71,13 @@
 		if slices.Contains(noWorker, k) {
 			continue
 		}
-		w := c.trialWorker(t, now)
-		if _, only := c.awaitsLateStartWorker(t, now); only && w == nil {
+		workers := c.sortedWorkers
+		bound, only := c.awaitsLateStartWorker(t, now)
+		if only {
+			workers = []*worker{bound}
+		}
+		w := c.trialWorker(workers, t, now)
+		if w == nil && only {
 			s.backoff = now.Add(scanBackoff)
 			continue
 		}
@@ -95,17 +100,9 @@
 // time, and the successor counts that run as unobserved.
 func (t *task) lossesAreStored() bool { return t.step.job.storedVersion >= t.lossVersion }
 
-// trialWorker returns the worker for a suspect, or nil when there is none now. Where something has just been started
-// on every worker, one of them is reserved until it is ready.
-func (c *Core) trialWorker(t *task, now time.Time) *worker {
-	if w, only := c.awaitsLateStartWorker(t, now); only {
-		return c.trialWorkerAmong([]*worker{w}, t, now)
-	}
-	return c.trialWorkerAmong(c.sortedWorkers, t, now)
-}
-
-// trialWorkerAmong returns the worker for a suspect out of the given ones, as trialWorker does.
-func (c *Core) trialWorkerAmong(workers []*worker, t *task, now time.Time) *worker {
+// trialWorker returns the one of the given workers for a suspect, or nil when there is none now. Where something has just
+// been started on each of them, one is reserved until it is ready.
+func (c *Core) trialWorker(workers []*worker, t *task, now time.Time) *worker {
 	weak := t.isWeakSuspect()
 	var ready, busy, shared, spared, avoided *worker
 	for _, w := range workers {
