A loss is compared with losses of other workers as long after earlier ones

Cause: the weight of a second loss after the same runtime assumes that a trial's beginning has nothing to do with the moment of the next loss. But a lost task starts again a fixed time after its loss (the wait until the loss is proved), so with bursts at regular times each run meets the next burst after the same runtime. The rate of losses by chance is right on average (0.075 a second), and wrong at that moment: 0.15 of the workers within 20 ms.

Change: the loss of a run that follows an earlier one of its task is also compared with how often other losses of the last 15 s were followed by a loss after the same interval. Losses of workers with a common task don't count, because that task may have crashed both, and one coincidence is allowed.

Why it works: a task that crashes its workers is lost after the same runtime without others being lost again after the same interval; one that crashes nothing is not. So the question is put to the workers that the task cannot have crashed.

--- a/services/dispatch/chance.go
+++ b/services/dispatch/chance.go
@@ -31,17 +31,30 @@
 // worker's address, or when the worker's leases are over.
 const lossRetention = 15 * time.Second
 
+// lostWorker is a worker that is lost, or silent, and the time of its loss.
+type lostWorker struct {
+	incarnation jobs.Incarnation
+	at          time.Time
+}
+
+// lostWorkerOf returns the worker with the time of its loss as far as it is known.
+func lostWorkerOf(w *worker, now time.Time) lostWorker {
+	return lostWorker{incarnation: w.info.Incarnation(), at: w.lastAlive(now)}
+}
+
 // workerLoss is the loss of a worker, or its silence, which may turn out to be a loss.
 type workerLoss struct {
-	incarnation   jobs.Incarnation
-	at            time.Time
-	taskCrashRate float64 // probability per second that one of the worker's tasks crashed it
-	count         float64 // how many losses this one counts as
+	lostWorker
+	taskCrashRate float64             // probability per second that one of the worker's tasks crashed it
+	count         float64             // how many losses this one counts as
+	earlier       []jobs.WorkerLossID // losses in which the worker's tasks had lost earlier runs
 }
 
 // newWorkerLoss describes the loss of a worker as far as it is known.
 func (c *Core) newWorkerLoss(w *worker, now time.Time) workerLoss {
-	return workerLoss{incarnation: w.info.Incarnation(), at: w.lastAlive(now), taskCrashRate: crashRate(c.neighboursOf(w, nil, now)), count: 1}
+	return workerLoss{
+		lostWorker: lostWorkerOf(w, now), taskCrashRate: crashRate(c.neighboursOf(w, nil, now)), count: 1, earlier: w.earlierLossesOfTasks(),
+	}
 }
 
 // recordWorkerLoss remembers the loss of a worker for lossRetention.
@@ -62,21 +75,27 @@
 	return losses
 }
 
-// chanceRate estimates how many losses by chance per second each worker had when the given worker was lost. The
+// lossHistory is what the loss of a worker is compared with: the recent losses of other workers.
+type lossHistory struct {
+	lostWorker
+	others  []workerLoss
+	workers float64 // in the cell
+}
+
+// lossHistoryOf returns the history for a worker, which may have been removed already.
+func (c *Core) lossHistoryOf(lost lostWorker, now time.Time) lossHistory {
+	return lossHistory{lostWorker: lost, others: c.lossesOfOthers(lost.incarnation, now), workers: float64(max(1, len(c.sortedWorkers)))}
+}
+
+// chanceRate estimates how many losses by chance per second each worker had when the worker was lost. The
 // estimate takes the highest of three rates: the losses of the last seconds, the losses around that time, both without
 // the losses that the tasks on the workers explain, and, when several workers were lost at the same moment, all losses
 // of that moment, whatever ran there. A loss in a burst is compared with all losses, a single loss with the other
 // single losses.
-func (c *Core) chanceRate(w *worker, now time.Time) float64 {
-	return c.chanceRateAt(w.info.Incarnation(), w.lastAlive(now), now)
-}
-
-// chanceRateAt does the same for an incarnation that may have been removed already.
-func (c *Core) chanceRateAt(of jobs.Incarnation, at, now time.Time) float64 {
-	losses := c.lossesOfOthers(of, now)
-	discountBursts(losses, at)
-	workers := float64(max(1, len(c.sortedWorkers)))
-	return baselineLossRate + estimateChanceRate(losses, at, workers)/workers
+func (h lossHistory) chanceRate() float64 {
+	losses := slices.Clone(h.others)
+	discountBursts(losses, h.at)
+	return baselineLossRate + estimateChanceRate(losses, h.at, h.workers)/h.workers
 }
 
 // estimateChanceRate estimates how many of the given number of workers are lost by chance per second at a time, given
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -176,10 +176,13 @@
 	return neighbours
 }
 
+// lostRuns returns the task's lost runs that an owner observed, whether chance explains them or not.
+func (t *task) lostRuns() []jobs.LostRun { return slices.Concat(t.suspicion.Lost, t.chanceLosses) }
+
 // lostRuntimes returns the runtimes after which runs of the task were lost, as far as they were observed.
 func (t *task) lostRuntimes() []time.Duration {
 	var times []time.Duration
-	for _, lost := range slices.Concat(t.suspicion.Lost, t.chanceLosses) {
+	for _, lost := range t.lostRuns() {
 		if lost.RanAtMost > 0 {
 			times = append(times, lost.RanAtMost.Duration())
 		}
@@ -187,10 +190,12 @@
 	return times
 }
 
-// lossContextOf describes the circumstances in which a task's run is lost with a worker.
-func (c *Core) lossContextOf(w *worker, t *task, ran time.Duration, chance float64, now time.Time) lossContext {
+// lossContextOf describes the circumstances in which a task's run is lost with a worker. chance is the rate of losses by
+// chance for any task on the worker.
+func (c *Core) lossContextOf(w *worker, t *task, ran time.Duration, chance float64, history lossHistory, now time.Time) lossContext {
 	return lossContext{
-		runtime: ran, earlierRuntimes: t.lostRuntimes(), neighbours: c.neighboursOf(w, t, now), chanceRate: chance, runtimeIsUpperBound: w.endTimeUnknown(t),
+		runtime: ran, earlierRuntimes: t.lostRuntimes(), neighbours: c.neighboursOf(w, t, now),
+		chanceRate: max(chance, history.recurrenceRate(t)), runtimeIsUpperBound: w.endTimeUnknown(t),
 	}
 }
 
--- a/services/dispatch/evidence_simulation_test.go
+++ b/services/dispatch/evidence_simulation_test.go
@@ -32,6 +32,8 @@
 	AloneEvery models.Milli `json:"alone_every_ms"` // how long a worker runs on average until it is lost by itself; 0: it never is
 	BurstEvery models.Milli `json:"burst_every_ms"` // 0: there are no bursts
 	BurstShare float64      `json:"burst_share"`    // of the workers
+	// BurstsAtRandom: the intervals between bursts vary, with BurstEvery as their mean.
+	BurstsAtRandom bool `json:"bursts_at_random"`
 	// Abandoned is how many jobs of a million lost innocent runs may be abandoned, and TooOften how many of a thousand
 	// tasks that crash their workers may be started a sixth time.
 	Abandoned float64 `json:"given_up_per_million"`
@@ -53,6 +55,7 @@
 	crashTimeRange      = 300 // the longest time until a crash, divided by the shortest
 	simulationsInCI     = 40  // of each case
 	simulationsOfBursts = 2000
+	simulationsOfTimes  = 240 // of each case of evidence_plays_times.json
 )
 
 // simulatedWorker is the true state of a worker in a simulation.
@@ -87,6 +90,7 @@
 	crashes     map[jobs.ID]int
 	lost        int // runs of jobs that crash no worker
 	burst       time.Time
+	burstAfter  time.Duration // time from that burst to the next one
 }
 
 func newLossSimulation(c evidenceCase, seed uint64) *lossSimulation {
@@ -95,6 +99,7 @@
 		crashing: map[jobs.ID]time.Duration{}, crashes: map[jobs.ID]int{},
 	}
 	p.now = p.began
+	p.burstAfter = p.drawBurstInterval()
 	p.Core = New(Config{Epoch: 5, Taken: p.now, Lease: 4 * time.Second, LongestLease: 8 * time.Second, Logger: zap.NewNop()})
 	p.RestoreRoster(jobs.Roster{}, p.now)
 	for range simulatedWorkers {
@@ -186,9 +191,10 @@
 // loseAndReplaceWorkers loses workers by chance, alone and in bursts, and replaces those that have been down for
 // workerDowntime.
 func (p *lossSimulation) loseAndReplaceWorkers() {
-	burst := p.BurstEvery > 0 && p.now.Sub(p.burst) >= p.BurstEvery.Duration()
+	burst := p.BurstEvery > 0 && p.now.Sub(p.burst) >= p.burstAfter
 	if burst {
 		p.burst = p.now
+		p.burstAfter = p.drawBurstInterval()
 	}
 	came := false
 	for n, w := range p.workers {
@@ -208,6 +214,14 @@
 	}
 }
 
+// drawBurstInterval returns the time from one burst to the next.
+func (p *lossSimulation) drawBurstInterval() time.Duration {
+	if p.BurstsAtRandom {
+		return time.Duration(p.random.ExpFloat64() * float64(p.BurstEvery.Duration()))
+	}
+	return p.BurstEvery.Duration()
+}
+
 func (p *lossSimulation) report() {
 	for _, w := range p.workers {
 		if !w.down.IsZero() {
@@ -262,6 +276,13 @@
 	simulateLosses(t, "testdata/evidence_plays_bursts.json", simulationsOfBursts)
 }
 
+// TestEvidenceOfLostRunsAtRegularTimes guards against innocent jobs that are abandoned where workers are lost at regular
+// times, because a lost task starts again as long after each loss: bursts of another size, and single losses beside them.
+// The same bursts at random times show that only their regularity makes the difference.
+func TestEvidenceOfLostRunsAtRegularTimes(t *testing.T) {
+	simulateLosses(t, "testdata/evidence_plays_times.json", simulationsOfTimes)
+}
+
 // simulateLosses runs the given number of simulations for each case of a file.
 func simulateLosses(t *testing.T, file string, simulations int) {
 	for _, c := range casefile.Read[[]evidenceCase](t, file) {
--- a/services/dispatch/recent.go
+++ b/services/dispatch/recent.go
@@ -20,9 +20,8 @@
 
 // recentLoss is the loss of a worker whose evidence is evaluated again later.
 type recentLoss struct {
-	incarnation jobs.Incarnation
-	at          time.Time
-	runs        []weighedRun
+	lostWorker
+	runs []weighedRun
 }
 
 // weighedRun is a lost run with the circumstances that its evidence was computed from.
@@ -49,10 +48,11 @@
 		if now.Sub(recent.at) < simultaneousLossesKnownAfter {
 			return false
 		}
-		chance := c.chanceRateAt(recent.incarnation, recent.at, now)
+		history := c.lossHistoryOf(recent.lostWorker, now)
+		chance := history.chanceRate()
 		for _, r := range recent.runs {
-			if chance > r.chanceRate {
-				r.chanceRate = chance
+			if rate := max(chance, history.recurrenceRate(r.task)); rate > r.chanceRate {
+				r.chanceRate = rate
 				c.lowerEvidence(r)
 			}
 			c.queueVerdict(r.task)
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -97,27 +97,34 @@
 		return
 	}
 	c.counts.WorkersLost++
-	chance := c.chanceRate(w, now)
-	losses := map[*task]jobs.LostRun{}
-	recent := recentLoss{incarnation: w.info.Incarnation(), at: w.lastAlive(now)}
+	lost := lostWorkerOf(w, now)
+	history := c.lossHistoryOf(lost, now)
+	chance := history.chanceRate()
+	contexts := map[*task]lossContext{}
+	recent := recentLoss{lostWorker: lost}
 	for _, t := range w.tasks {
 		if ran, known := c.runtimeAtLoss(w, t, now); known && ran < maxTimeToCrash {
-			e := c.lossContextOf(w, t, ran, chance, now)
-			losses[t] = e.lostRun(w, t)
+			e := c.lossContextOf(w, t, ran, chance, history, now)
+			contexts[t] = e
 			recent.runs = append(recent.runs, weighedRun{task: t, run: t.run, lossContext: e})
 		}
 	}
 	c.scheduleReevaluation(recent, now)
 	for _, t := range w.tasks {
-		loss, weighed := losses[t]
-		c.logLostRun(w, t, loss, chance)
-		switch {
-		case weighed && (loss.EvidenceVsChance > 0 || len(t.suspicion.Lost) > 0):
+		e, weighed := contexts[t]
+		if !weighed {
+			c.logLostRun(w, t, jobs.LostRun{}, chance)
+			if c.startUnobserved(w, t, now) {
+				c.countUnobservedRun(t, t.run)
+			}
+			continue
+		}
+		loss := e.lostRun(w, t)
+		c.logLostRun(w, t, loss, e.chanceRate)
+		if loss.EvidenceVsChance > 0 || len(t.suspicion.Lost) > 0 {
 			c.countLoss(t, loss)
-		case weighed:
+		} else {
 			t.chanceLosses = append(t.chanceLosses, loss)
-		case !weighed && c.startUnobserved(w, t, now):
-			c.countUnobservedRun(t, t.run)
 		}
 	}
 }
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -41,7 +41,7 @@
 	c.storeUnresolvedRun(t, jobs.LostRun{Run: t.run})
 	unresolved := t.suspicion.Unresolved
 	unresolved.BeganAt = c.timeOfDay(now)
-	unresolved.ChanceRate = roundToThousandths(c.chanceRate(t.worker, now))
+	unresolved.ChanceRate = roundToThousandths(c.lossHistoryOf(lostWorkerOf(t.worker, now), now).chanceRate())
 	unresolved.NeighbourRate = roundToThousandths(crashRate(c.neighboursOf(t.worker, t, now)))
 }
 
@@ -69,10 +69,11 @@
 		return
 	}
 	w.youngRunsStored = true
-	chance := c.chanceRate(w, now)
+	history := c.lossHistoryOf(lostWorkerOf(w, now), now)
+	chance := history.chanceRate()
 	for _, t := range w.tasks {
 		if ran, known := c.runtimeAtLoss(w, t, now); known && ran < youngRunLimit && t.suspicion.Unresolved == nil {
-			c.storeUnresolvedRun(t, c.lossContextOf(w, t, ran, chance, now).lostRun(w, t))
+			c.storeUnresolvedRun(t, c.lossContextOf(w, t, ran, chance, history, now).lostRun(w, t))
 		}
 	}
 }
