A VM that is lost again and again is expected to be lost once more

Cause: each loss was weighed against the rate of losses of the average worker. Where one VM restarts four times within some seconds, and the task starts there each time because no other worker of its cell has free capacity for it, four losses of that one cause add up as if they were independent.

Evidence: the log. w001 restarts at 6.8, 6.9, 7.5 and 9.3 s, by itself; task 0.0.2 starts there each time, w000 being full with its siblings, and is lost after 1795, 10, 500 and 1700 ms: weights of 2.78, 4.34, 3.17 and 0.73 against chances of 0.005, 0.038, 0.043 and 0.067 a second, 10.56 where four losses need 10. The runtimes have nothing in common. That a task is put back on such a worker beside others that would take it was suspected as well, and is not what happens: a new incarnation gets starts only when the list and the roster name it, and until then another worker takes the task.

Change: a loss is also compared with how often its VM has been lost within 15 s, over the time since the first of these losses. A single earlier loss counts for a tenth; losses in bursts count as elsewhere. The address tells the VM, because ids may change. Placement stays as it is.

Why it works: the four weights become 2.78, 1.06, -0.43 and -1.8. A task that crashes its worker at the same point each time still gets some 2 to 4 a loss on one VM, and full weight on others.

--- a/services/control/worker_restarts_test.go
+++ b/services/control/worker_restarts_test.go
@@ -134,6 +134,19 @@
 // after the start of their tasks, twice, and idle workers restart all the time.
 func TestRandomRestartsOften(t *testing.T) { checkRandomRestarts(t, frequentRestartStepKinds) }
 
+// TestJobsThatCrashNothingOutliveRestarts guards against jobs that fail although they crash no worker. In
+// one_vm_restarts_again, the only worker with free capacity in its cell restarts four times within some seconds, and each
+// loss of the task that starts there each time was weighed as if workers restarted as rarely as on average.
+func TestJobsThatCrashNothingOutliveRestarts(t *testing.T) {
+	const plays = 10
+	casefile.Each(t, "testdata/restarts_innocent/*.json", func(t *testing.T, script []scriptStep) {
+		for range plays {
+			require.Empty(t, runScript(t, script, oneCellScenario.sameIDs()))
+			require.Empty(t, runScript(t, script, twoCellScenario.sameIDs()))
+		}
+	})
+}
+
 func checkRandomRestarts(t *testing.T, kinds []string) {
 	draw := func(rt *rapid.T) scriptStep { return drawStep(rt, kinds) }
 	t.Run("one cell", func(t *testing.T) { checkRandomScripts(t, oneCellScenario.sameIDs(), draw) })
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -17,8 +17,9 @@
 // run, the likelier the task is the cause. Without this task the worker would have been lost by chance or by one of its
 // neighbours on the worker. The evidence of a loss is the logarithm of the ratio of the likelihoods with and without
 // the task as the cause; a negative value is evidence that the task is not the cause. The evidence of several
-// losses adds up, because each loss is of another run on another worker. A task that crashes nothing reaches a sum of x
-// with a probability of at most e to the minus x, however many losses the task has.
+// losses adds up, because each loss is of another run; losses that follow from earlier ones count for less, see
+// recurrence.go. A task that crashes nothing reaches a sum of x with a probability of at most e to the minus x, however
+// many losses the task has.
 
 const (
 	// meanTimeBetweenLosses is how long a worker runs on average between two losses by chance. On the worst days of
@@ -190,12 +191,11 @@
 	return times
 }
 
-// lossContextOf describes the circumstances in which a task's run is lost with a worker. chance is the rate of losses by
-// chance for any task on the worker.
-func (c *Core) lossContextOf(w *worker, t *task, ran time.Duration, chance float64, history lossHistory, now time.Time) lossContext {
+// lossContextOf describes the circumstances in which a task's run is lost with a worker.
+func (c *Core) lossContextOf(w *worker, t *task, ran time.Duration, history lossHistory, now time.Time) lossContext {
 	return lossContext{
 		runtime: ran, earlierRuntimes: t.lostRuntimes(), neighbours: c.neighboursOf(w, t, now),
-		chanceRate: max(chance, history.recurrenceRate(t)), runtimeIsUpperBound: w.endTimeUnknown(t),
+		chanceRate: history.rateFor(t), runtimeIsUpperBound: w.endTimeUnknown(t),
 	}
 }
 
--- a/services/dispatch/recurrence_test.go
+++ b/services/dispatch/recurrence_test.go
@@ -47,3 +47,30 @@
 		})
 	}
 }
+
+// repeatedLossCase is a case of testdata/repeated_losses.json: losses of workers until 10 s, when the worker with address
+// a is lost.
+type repeatedLossCase struct {
+	Name   string `json:"name"`
+	Losses []struct {
+		At      models.Milli `json:"at_ms"`
+		Address string       `json:"address"`
+	} `json:"losses"`
+	PerSecond float64 `json:"per_second"`
+}
+
+// TestVMThatIsLostAgainAndAgainIsNotTakenForACrash checks how often a VM is expected to be lost by itself: a task that
+// starts there each time is judged by that rate, and not by that of the average worker.
+func TestVMThatIsLostAgainAndAgainIsNotTakenForACrash(t *testing.T) {
+	began := time.Unix(1_000_000, 0)
+	for _, c := range casefile.Read[[]repeatedLossCase](t, "testdata/repeated_losses.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			h := lossHistory{lostWorker: lostWorker{address: "a", at: began.Add(10 * time.Second)}}
+			for _, l := range c.Losses {
+				h.others = append(h.others, workerLoss{lostWorker: lostWorker{address: l.Address, at: began.Add(l.At.Duration())}, count: 1})
+			}
+			discountBursts(h.others, h.at)
+			require.InDelta(t, c.PerSecond, h.repeatRate(), 0.001)
+		})
+	}
+}
