A VM's losses after the same runtime tell for the task, not for the VM

Cause: the VM's rate counted every earlier loss there, also those that the task itself had caused, so that a task which crashes the same VM each time lowered its own evidence.

Change: losses of the task's own runs that had lasted as long as the present one don't count for the VM.

--- a/services/dispatch/chance.go
+++ b/services/dispatch/chance.go
@@ -93,9 +93,10 @@
 	return h
 }
 
-// rateFor returns how many losses by chance per second are assumed where the loss of a task's run is weighed.
-func (h lossHistory) rateFor(t *task) float64 {
-	return max(h.chanceRate, h.repeatRate(), h.recurrenceRate(t))
+// rateFor returns how many losses by chance per second are assumed where the loss of a task's run after the given
+// runtime is weighed.
+func (h lossHistory) rateFor(t *task, ran time.Duration) float64 {
+	return max(h.chanceRate, h.repeatRate(t, ran), h.recurrenceRate(t))
 }
 
 // estimateChanceRate estimates how many of the given number of workers are lost by chance per second at a time, given
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -69,6 +69,11 @@
 	minPreciseTolerance = 20 * time.Millisecond
 )
 
+// recurrenceTolerance is how far the runtime of a recurring crash may be from an earlier one.
+func recurrenceTolerance(earlier time.Duration) time.Duration {
+	return max(minRecurringTolerance, time.Duration(recurringTolerance*float64(earlier)))
+}
+
 // crashDensityAfter is crashDensity for a task whose earlier runs were lost after the given runtimes.
 func crashDensityAfter(ran time.Duration, earlierRuntimes []time.Duration) float64 {
 	anyTime := crashDensity(ran)
@@ -77,7 +82,7 @@
 	}
 	near := 0.0
 	for _, earlier := range earlierRuntimes {
-		near += (1 - preciseShare) * uniformDensityAround(earlier, ran, max(minRecurringTolerance, time.Duration(recurringTolerance*float64(earlier))))
+		near += (1 - preciseShare) * uniformDensityAround(earlier, ran, recurrenceTolerance(earlier))
 		near += preciseShare * uniformDensityAround(earlier, ran, max(minPreciseTolerance, time.Duration(preciseTolerance*float64(earlier))))
 	}
 	return (1-recurringShare)*anyTime + recurringShare*near/float64(len(earlierRuntimes))
@@ -195,7 +200,7 @@
 func (c *Core) lossContextOf(w *worker, t *task, ran time.Duration, history lossHistory, now time.Time) lossContext {
 	return lossContext{
 		runtime: ran, earlierRuntimes: t.lostRuntimes(), neighbours: c.neighboursOf(w, t, now),
-		chanceRate: history.rateFor(t), runtimeIsUpperBound: w.endTimeUnknown(t),
+		chanceRate: history.rateFor(t, ran), runtimeIsUpperBound: w.endTimeUnknown(t),
 	}
 }
 
--- a/services/dispatch/recent.go
+++ b/services/dispatch/recent.go
@@ -50,7 +50,7 @@
 		}
 		history := c.lossHistoryOf(recent.lostWorker, now)
 		for _, r := range recent.runs {
-			if rate := history.rateFor(r.task); rate > r.chanceRate {
+			if rate := history.rateFor(r.task, r.runtime); rate > r.chanceRate {
 				r.chanceRate = rate
 				c.lowerEvidence(r)
 			}
--- a/services/dispatch/recurrence.go
+++ b/services/dispatch/recurrence.go
@@ -67,11 +67,13 @@
 const repeatedLossShare = 0.1
 
 // repeatRate estimates how often the worker's VM is lost by itself, in losses per second, from the recent losses of
-// earlier incarnations there. The first of them may be the only one, so it counts for little.
-func (h lossHistory) repeatRate() float64 {
+// earlier incarnations there. The first of them may be the only one, so it counts for little. Losses of runs of the
+// task that had lasted as long as the present one do not count: the task may have crashed the VM at the same point.
+func (h lossHistory) repeatRate(t *task, ran time.Duration) float64 {
+	alike := t.lossesAfterAbout(ran)
 	losses, first := 0.0, h.at
 	for _, l := range h.others {
-		if l.address != h.address || !l.at.Before(h.at) {
+		if l.address != h.address || !l.at.Before(h.at) || slices.Contains(alike, l.incarnation.LossID()) {
 			continue
 		}
 		losses += l.count
@@ -82,6 +84,17 @@
 	return max(0, losses-1+repeatedLossShare) / max(h.at.Sub(first), minRuntime).Seconds()
 }
 
+// lossesAfterAbout returns the losses of workers with which runs of the task were lost after about the given runtime.
+func (t *task) lossesAfterAbout(ran time.Duration) []jobs.WorkerLossID {
+	var ids []jobs.WorkerLossID
+	for _, lost := range t.lostRuns() {
+		if earlier := lost.RanAtMost.Duration(); (ran - earlier).Abs() <= recurrenceTolerance(earlier) {
+			ids = append(ids, lost.LossID)
+		}
+	}
+	return ids
+}
+
 // lossIDs returns the losses of workers with which runs of the task were lost.
 func (t *task) lossIDs() []jobs.WorkerLossID {
 	var ids []jobs.WorkerLossID
