--- a/services/dispatch/recurrence.go
+++ b/services/dispatch/recurrence.go
@@ -15,7 +15,7 @@
 // its workers at the same point of its work. Such a task differs from one that does only in what happens to other
 // workers: they too are lost again after that interval. So the loss of a run is also compared with how often other
 // losses were followed by another loss after the same interval.
-
+//
 // Likewise a task that stays on one VM loses its runs as that VM restarts: a VM that has restarted several times within
 // some seconds restarts again far more often than the average one, whatever runs there.
 
