--- a/services/dispatch/chance.go
+++ b/services/dispatch/chance.go
@@ -20,7 +20,7 @@
 	correlatedWithin   = time.Second
 	// simultaneousAllowance and correlatedAllowance are how many workers may be lost within these times of another
 	// loss without a common cause.
-	simultaneousAllowance = 1
+	simultaneousAllowance = 2
 	correlatedAllowance   = 1
 )
 
@@ -34,13 +34,12 @@
 // lostWorker is a worker that is lost, or silent, and the time of its loss.
 type lostWorker struct {
 	incarnation jobs.Incarnation
-	address     string // the same for all incarnations on a VM
 	at          time.Time
 }
 
 // lostWorkerOf returns the worker with the time of its loss as far as it is known.
 func lostWorkerOf(w *worker, now time.Time) lostWorker {
-	return lostWorker{incarnation: w.info.Incarnation(), address: w.info.Address, at: w.lastAlive(now)}
+	return lostWorker{incarnation: w.info.Incarnation(), at: w.lastAlive(now)}
 }
 
 // workerLoss is the loss of a worker, or its silence, which may turn out to be a loss.
@@ -76,34 +75,31 @@
 	return losses
 }
 
-// lossHistory is what the loss of a worker is compared with: the recent losses of other workers, and how many losses by
-// chance per second each worker had at that time.
+// lossHistory is what the loss of a worker is compared with: the recent losses of other workers.
 type lossHistory struct {
 	lostWorker
-	others     []workerLoss
-	workers    float64 // in the cell
-	chanceRate float64
+	others  []workerLoss
+	workers float64 // in the cell
 }
 
 // lossHistoryOf returns the history for a worker, which may have been removed already.
 func (c *Core) lossHistoryOf(lost lostWorker, now time.Time) lossHistory {
-	h := lossHistory{lostWorker: lost, others: c.lossesOfOthers(lost.incarnation, now), workers: float64(max(1, len(c.sortedWorkers)))}
-	discountBursts(h.others, h.at)
-	h.chanceRate = baselineLossRate + estimateChanceRate(h.others, h.at, h.workers)/h.workers
-	return h
+	return lossHistory{lostWorker: lost, others: c.lossesOfOthers(lost.incarnation, now), workers: float64(max(1, len(c.sortedWorkers)))}
 }
 
-// rateFor returns how many losses by chance per second are assumed where the loss of a task's run after the given
-// runtime is weighed.
-func (h lossHistory) rateFor(t *task, ran time.Duration) float64 {
-	return max(h.chanceRate, h.repeatRate(t, ran), h.recurrenceRate(t))
+// chanceRate estimates how many losses by chance per second each worker had when the worker was lost. The
+// estimate takes the highest of three rates: the losses of the last seconds, the losses around that time, both without
+// the losses that the tasks on the workers explain, and, when several workers were lost at the same moment, all losses
+// of that moment, whatever ran there. A loss in a burst is compared with all losses, a single loss with the other
+// single losses.
+func (h lossHistory) chanceRate() float64 {
+	losses := slices.Clone(h.others)
+	discountBursts(losses, h.at)
+	return baselineLossRate + estimateChanceRate(losses, h.at, h.workers)/h.workers
 }
 
 // estimateChanceRate estimates how many of the given number of workers are lost by chance per second at a time, given
-// the losses. The estimate takes the highest of three rates: the losses of the last seconds, the losses around that time,
-// both without the losses that the tasks on the workers explain, and, when several workers were lost at the same moment,
-// all losses of that moment, whatever ran there. A loss in a burst is compared with all losses, a single loss with the
-// other single losses.
+// the losses.
 func estimateChanceRate(losses []workerLoss, at time.Time, workers float64) float64 {
 	all := 0.0
 	for _, l := range losses {
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -17,9 +17,8 @@
 // run, the likelier the task is the cause. Without this task the worker would have been lost by chance or by one of its
 // neighbours on the worker. The evidence of a loss is the logarithm of the ratio of the likelihoods with and without
 // the task as the cause; a negative value is evidence that the task is not the cause. The evidence of several
-// losses adds up, because each loss is of another run; losses that follow from earlier ones count for less, see
-// recurrence.go. A task that crashes nothing reaches a sum of x with a probability of at most e to the minus x, however
-// many losses the task has.
+// losses adds up, because each loss is of another run on another worker. A task that crashes nothing reaches a sum of x
+// with a probability of at most e to the minus x, however many losses the task has.
 
 const (
 	// meanTimeBetweenLosses is how long a worker runs on average between two losses by chance. On the worst days of
@@ -69,11 +68,6 @@
 	minPreciseTolerance = 20 * time.Millisecond
 )
 
-// recurrenceTolerance is how far the runtime of a recurring crash may be from an earlier one.
-func recurrenceTolerance(earlier time.Duration) time.Duration {
-	return max(minRecurringTolerance, time.Duration(recurringTolerance*float64(earlier)))
-}
-
 // crashDensityAfter is crashDensity for a task whose earlier runs were lost after the given runtimes.
 func crashDensityAfter(ran time.Duration, earlierRuntimes []time.Duration) float64 {
 	anyTime := crashDensity(ran)
@@ -82,7 +76,7 @@
 	}
 	near := 0.0
 	for _, earlier := range earlierRuntimes {
-		near += (1 - preciseShare) * uniformDensityAround(earlier, ran, recurrenceTolerance(earlier))
+		near += (1 - preciseShare) * uniformDensityAround(earlier, ran, max(minRecurringTolerance, time.Duration(recurringTolerance*float64(earlier))))
 		near += preciseShare * uniformDensityAround(earlier, ran, max(minPreciseTolerance, time.Duration(preciseTolerance*float64(earlier))))
 	}
 	return (1-recurringShare)*anyTime + recurringShare*near/float64(len(earlierRuntimes))
@@ -196,11 +190,12 @@
 	return times
 }
 
-// lossContextOf describes the circumstances in which a task's run is lost with a worker.
-func (c *Core) lossContextOf(w *worker, t *task, ran time.Duration, history lossHistory, now time.Time) lossContext {
+// lossContextOf describes the circumstances in which a task's run is lost with a worker. chance is the rate of losses by
+// chance for any task on the worker.
+func (c *Core) lossContextOf(w *worker, t *task, ran time.Duration, chance float64, history lossHistory, now time.Time) lossContext {
 	return lossContext{
 		runtime: ran, earlierRuntimes: t.lostRuntimes(), neighbours: c.neighboursOf(w, t, now),
-		chanceRate: history.rateFor(t, ran), runtimeIsUpperBound: w.endTimeUnknown(t),
+		chanceRate: max(chance, history.recurrenceRate(t)), runtimeIsUpperBound: w.endTimeUnknown(t),
 	}
 }
 
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -41,8 +41,6 @@
 	importedSuspicions jobs.Suspicions // suspicions that came with tasks from other cells
 	home               jobs.CellName   // the cell whose record names this one, if it does not follow from the job's id
 	additionalCells    []jobs.CellName // other cells with tasks of the job, named by the job's record in this cell
-	trials             int             // trials of its tasks that began within trialSpacing after the time in the next field
-	trialsSince        time.Time       // when the first of these trials began
 	movesClosed        bool            // none of its tasks may move between cells any more; see jobs.Record
 }
 
--- a/services/dispatch/recurrence.go
+++ b/services/dispatch/recurrence.go
@@ -15,9 +15,6 @@
 // its workers at the same point of its work. Such a task differs from one that does only in what happens to other
 // workers: they too are lost again after that interval. So the loss of a run is also compared with how often other
 // losses were followed by another loss after the same interval.
-//
-// Likewise a task that stays on one VM loses its runs as that VM restarts: a VM that has restarted several times within
-// some seconds restarts again far more often than the average one, whatever runs there.
 
 // recurrenceAllowance is how many losses may have followed other losses after the same interval by coincidence.
 const recurrenceAllowance = 1
@@ -63,38 +60,6 @@
 	return float64(followed-recurrenceAllowance) / float64(earlier) / (2 * simultaneousWithin).Seconds()
 }
 
-// repeatedLossShare is the share of the VMs lost once that are lost again soon, by themselves.
-const repeatedLossShare = 0.1
-
-// repeatRate estimates how often the worker's VM is lost by itself, in losses per second, from the recent losses of
-// earlier incarnations there. The first of them may be the only one, so it counts for little. Losses of runs of the
-// task that had lasted as long as the present one do not count: the task may have crashed the VM at the same point.
-func (h lossHistory) repeatRate(t *task, ran time.Duration) float64 {
-	alike := t.lossesAfterAbout(ran)
-	losses, first := 0.0, h.at
-	for _, l := range h.others {
-		if l.address != h.address || !l.at.Before(h.at) || slices.Contains(alike, l.incarnation.LossID()) {
-			continue
-		}
-		losses += l.count
-		if l.at.Before(first) {
-			first = l.at
-		}
-	}
-	return max(0, losses-1+repeatedLossShare) / max(h.at.Sub(first), minRuntime).Seconds()
-}
-
-// lossesAfterAbout returns the losses of workers with which runs of the task were lost after about the given runtime.
-func (t *task) lossesAfterAbout(ran time.Duration) []jobs.WorkerLossID {
-	var ids []jobs.WorkerLossID
-	for _, lost := range t.lostRuns() {
-		if earlier := lost.RanAtMost.Duration(); (ran - earlier).Abs() <= recurrenceTolerance(earlier) {
-			ids = append(ids, lost.LossID)
-		}
-	}
-	return ids
-}
-
 // lossIDs returns the losses of workers with which runs of the task were lost.
 func (t *task) lossIDs() []jobs.WorkerLossID {
 	var ids []jobs.WorkerLossID
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -32,12 +32,6 @@
 	// maxApartWait is how long a suspect waits so as not to be tried beside a task that was lost with it: as long as
 	// the shortest trial. Most lost tasks did not cause the loss, and long-running tasks must run again soon.
 	maxApartWait = minTrialTime
-	// maxTrialsAtOnce is how many suspects of a job start within trialSpacing of each other, as far as they would not wait
-	// for longer than maxApartWait. More workers that are lost at the same moment are lost to a common cause: tasks that
-	// crash them after the same runtime started at different moments.
-	maxTrialsAtOnce = simultaneousAllowance + 1
-	// trialSpacing is longer than losses at the same moment are apart, however late a step is considered.
-	trialSpacing = 2*simultaneousWithin + scanBackoff
 	// trialReportWait is how long a report may wait for an end while a suspect is on trial.
 	trialReportWait = 100 * time.Millisecond
 )
@@ -82,10 +76,6 @@
 		if only {
 			workers = []*worker{bound}
 		}
-		if !only && s.job.trialsNow(now) >= maxTrialsAtOnce && now.Sub(t.waitingSince) < maxApartWait {
-			s.backoff = now.Add(scanBackoff)
-			continue
-		}
 		w := c.trialWorker(workers, t, now)
 		if w == nil && only {
 			s.backoff = now.Add(scanBackoff)
@@ -225,27 +215,10 @@
 	return false
 }
 
-// trialsNow returns how many trials of the job's tasks have begun within trialSpacing.
-func (j *job) trialsNow(now time.Time) int {
-	if now.Sub(j.trialsSince) >= trialSpacing {
-		return 0
-	}
-	return j.trials
-}
-
-// countTrial counts the begin of a trial of one of the job's tasks.
-func (j *job) countTrial(now time.Time) {
-	j.trials = j.trialsNow(now) + 1
-	if j.trials == 1 {
-		j.trialsSince = now
-	}
-}
-
 // startTrial starts a suspect, and has the run stored as unresolved for a successor.
 func (c *Core) startTrial(t *task, w *worker, now time.Time) {
 	c.startTask(t, w, now)
 	w.beginTrial(t)
-	t.step.job.countTrial(now)
 	c.counts.Trials++
 	c.storeUnresolvedTrial(t, now)
 	c.config.Logger.Info("suspect starts on trial", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
--- a/services/dispatch/trial_test.go
+++ b/services/dispatch/trial_test.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -40,29 +39,3 @@
 	require.GreaterOrEqual(t, b.now.Sub(began), minTrialTime)
 	require.Len(t, starts, 1)
 }
-
-// TestSuspectsOfAJobStartAtDifferentMoments guards against three suspects of a job that start at the same moment on
-// three workers: if these are lost at the same moment, three crashes can't be told from a common cause.
-func TestSuspectsOfAJobStartAtDifferentMoments(t *testing.T) {
-	b := newBench(t, 4)
-	for n := range b.ids {
-		b.report(n, jobs.Report{})
-	}
-	step := singleTaskStep
-	step.Count = 3
-	known := jobs.Suspicions{}
-	for index := range step.Count {
-		known.Set(0, index, jobs.Suspicion{Lost: []jobs.LostRun{{Run: 1, RanAtMost: 50, EvidenceVsChance: 6, EvidenceVsAll: 6}}})
-	}
-	b.AddJob(b.job(step), jobs.Progress{Suspected: known}, true, b.now)
-	began := b.now
-	require.Len(t, b.starts(), maxTrialsAtOnce)
-	var last []StartOrder
-	for len(last) == 0 {
-		b.now = b.now.Add(10 * time.Millisecond)
-		last = b.starts()
-	}
-	require.Len(t, last, 1)
-	require.GreaterOrEqual(t, b.now.Sub(began), 2*simultaneousWithin)
-	require.LessOrEqual(t, b.now.Sub(began), maxApartWait)
-}
