Nothing starts in a failure domain that operators have cordoned

Cause: nothing read the operators' requests.

The platform's adapter serves a list of cordons (services/platform CordonList), read whole and then watched. An owner reads it before its cell counts as loaded, so a successor knows it before its first start, and follows it in a watch of its own; data older than 2 s, measured against the store's other answers, stops all starts, as for jobs and workers. One predicate, closedToStarts, says that a worker drains or is cordoned; usable, trials' search for room, repeated starts and late starts ask it, so that placing, reservations, offers to and from other cells and the reported capacity follow. What runs there runs on. The load of a cell leaves cordoned workers out on both sides.

--- a/cmd/rillsaild/main.go
+++ b/cmd/rillsaild/main.go
@@ -134,7 +134,7 @@
 	})
 	list := platform.NewList(platform.ListConfig{Store: store, Logger: logger})
 	return daemon.NewScheduler(daemon.SchedulerConfig{
-		Settings: settings, Logger: logger, Store: store, List: list, Feed: list,
+		Settings: settings, Logger: logger, Store: store, List: list, Cordons: list, Feed: list,
 		Workers: platform.NewWorkers(client), WorkerCalls: workerCalls, Connections: client.Connections,
 		Callers: func(callers interfaces.JobService) http.Handler {
 			return platform.CallerHandler(platform.CallerConfig{
--- a/modules/logtrace/logtrace.go
+++ b/modules/logtrace/logtrace.go
@@ -50,9 +50,9 @@
 	"cell is recovered": true, "cell can't be loaded yet": true, "store does not answer": true, "store answers again": true,
 	"lease in the store is over": true, "configuration is in force": true, "log lines are dropped": true,
 	"calls to workers take long": true, "calls to workers are quick again": true,
-	"starts wait, what is known of jobs or workers is stale": true, "starts go on": true,
+	"starts wait, what is known of jobs, workers or cordons is stale": true, "starts go on": true,
 	"configuration can't be followed": true, "configuration is followed again": true,
-	"progress is not stored": true,
+	"progress is not stored": true, "failure domain is cordoned": true, "cordon of a failure domain is lifted": true,
 }
 
 // workerChanges are the messages of state changes of a worker, which may affect the tasks that ran on it.
--- a/services/control/cluster_connections_test.go
+++ b/services/control/cluster_connections_test.go
@@ -200,6 +200,40 @@
 	return nil
 }
 
+// testCordons is a daemon's connection to the list of cordons.
+type testCordons struct{ *testDaemon }
+
+func (l *testCordons) Cordons(ctx context.Context) ([]jobs.Cordon, platform.Version, error) {
+	if err := l.fault(ctx); err != nil {
+		return nil, 0, err
+	}
+	return l.cluster.grid.Cordons(ctx)
+}
+
+func (l *testCordons) CordonChanges(ctx context.Context, after platform.Version) ([]platform.CordonChange, platform.Version, error) {
+	if err := l.fault(ctx); err != nil {
+		return nil, 0, err
+	}
+	changes, at, err := l.cluster.grid.CordonChanges(ctx, after)
+	if failed := l.fault(ctx); failed != nil {
+		return nil, 0, failed // the answer is lost
+	}
+	return changes, at, err
+}
+
+// fault returns the error of a call to the list of cordons that the current faults cause.
+func (l *testCordons) fault(ctx context.Context) error {
+	if err := (&testList{l.testDaemon}).fault(ctx); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cordonWatchLost {
+		return platform.ErrUnknownOutcome
+	}
+	return nil
+}
+
 // testPeers calls the other daemons of the cluster.
 type testPeers struct{ *testCluster }
 
--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -78,6 +78,8 @@
 
 	exited bool // the process has exited while its VM runs: connections to its address are refused
 
+	cordonWatchLost bool // watches of the cordons fail, while other calls are answered
+
 	beforeCommit func() // called before each of the daemon's transactions; nil: nothing
 }
 
@@ -165,7 +167,7 @@
 	d.Service = New(Config{
 		Self: name, Address: name, Settings: settings, Store: store,
 		Clock:   clock.New(clock.Config{Monotonic: d.vmSuspension.steady, Meter: d.vmSuspension}),
-		Workers: &testWorkers{d}, List: &testList{d}, Feed: w.feed, Peers: &testPeers{w},
+		Workers: &testWorkers{d}, List: &testList{d}, Cordons: &testCordons{d}, Feed: w.feed, Peers: &testPeers{w},
 		NewID: func() string {
 			ids++
 			return fmt.Sprintf("%s-%d", name, ids)
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -71,6 +71,7 @@
 	WorkerCalls *calltime.Limit
 	Connections func() idleconn.Counts // connections to the store and the workers so far; nil: not counted
 	List        platform.WorkerList
+	Cordons     platform.CordonList
 	Feed        platform.ConfigurationFeed
 	Peers       Peers // nil: a client that calls over the network
 	NewID       func() string
@@ -103,6 +104,7 @@
 	c.Store = &meteredStore{c.Store, meter}
 	c.Feed = &meteredFeed{c.Feed, meter}
 	c.List = &meteredList{c.List, meter}
+	c.Cordons = &meteredCordons{c.Cordons, meter}
 	s := &Service{config: c, health: newStoreHealth(c.Logger, c.Clock), submissions: newSubmissions()}
 	s.Configurations = newConfigurations(c, s.health)
 	s.Cells = newCells(c, s.health, s.Configurations)
--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -77,7 +77,7 @@
 	for name, value := range map[string]int{
 		"jobs_active": summary.Jobs, "tasks_waiting": summary.Waiting, "tasks_running": summary.Running,
 		"serving_over_target": summary.OverTail, "filling_throttled": summary.Throttled,
-		"workers_known": summary.Workers, "workers_usable": summary.Usable, "jobs_unstored": summary.Unstored,
+		"workers_known": summary.Workers, "workers_usable": summary.Usable, "workers_cordoned": summary.Cordoned, "jobs_unstored": summary.Unstored,
 	} {
 		scope.Gauge(name).Update(float64(value))
 	}
@@ -125,6 +125,7 @@
 	Epoch   jobs.Epoch             `json:"epoch"`
 	Summary dispatch.Summary       `json:"summary"`
 	Counts  dispatch.Counts        `json:"counts"`
+	Cordons []dispatch.CordonState `json:"cordons,omitempty"`
 	Learned []jobs.LearnedFactor   `json:"learned,omitempty"`
 	Workers []dispatch.WorkerState `json:"workers,omitempty"`
 }
@@ -143,7 +144,7 @@
 		owner.mu.Lock()
 		d.Cells[cell] = CellDump{
 			Epoch: owner.epoch, Summary: owner.core.Summary(now), Counts: owner.core.Counts(),
-			Learned: owner.core.Learned(), Workers: owner.core.WorkerStates(now),
+			Cordons: owner.core.CordonStates(now), Learned: owner.core.Learned(), Workers: owner.core.WorkerStates(now),
 		}
 		owner.mu.Unlock()
 	}
--- a/services/control/metered.go
+++ b/services/control/metered.go
@@ -144,3 +144,24 @@
 	m.recordCall("watch_workers", err)
 	return changes, at, err
 }
+
+// meteredCordons is a list of cordons that counts its calls.
+type meteredCordons struct {
+	platform.CordonList
+	storeMeter
+}
+
+// Cordons implements platform.CordonList.
+func (m *meteredCordons) Cordons(ctx context.Context) ([]jobs.Cordon, platform.Version, error) {
+	start := time.Now()
+	cordons, at, err := m.CordonList.Cordons(ctx)
+	m.recordTimed("list_cordons", start, err)
+	return cordons, at, err
+}
+
+// CordonChanges implements platform.CordonList.
+func (m *meteredCordons) CordonChanges(ctx context.Context, after platform.Version) ([]platform.CordonChange, platform.Version, error) {
+	changes, at, err := m.CordonList.CordonChanges(ctx, after)
+	m.recordCall("watch_cordons", err)
+	return changes, at, err
+}
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -32,6 +32,7 @@
 	calling         map[jobs.WorkerID]context.CancelFunc // cancels the call in flight, for each worker with a loop
 	publishedCounts dispatch.Counts                      // as last published to the metrics
 
+	cordons           *cordonList // used by load, then by cordonsLoop only
 	journal           journal
 	moves             []*move   // work that is being moved to other cells
 	unfinishedCancels []jobs.ID // jobs whose cancellation may be incomplete
@@ -46,7 +47,7 @@
 func newOwner(c *Cells, cell jobs.CellName, epoch jobs.Epoch, taken time.Time) *Owner {
 	s := c.config.Settings
 	return &Owner{
-		config: c.config, cells: c, cell: cell, epoch: epoch, takenAt: taken, calling: map[jobs.WorkerID]context.CancelFunc{},
+		config: c.config, cells: c, cell: cell, epoch: epoch, takenAt: taken, cordons: newCordonList(c.config.Cordons), calling: map[jobs.WorkerID]context.CancelFunc{},
 		core: dispatch.New(dispatch.Config{
 			Epoch: epoch, Taken: taken, Lease: s.WorkerLease, LongestLease: s.LongestLease, OtherCells: c.hasMultipleCells(),
 			TimeOfDay: func(now time.Time) models.UnixMilli { return models.UnixMilliOf(c.config.Clock.TimeOfDay(now)) },
@@ -87,6 +88,7 @@
 	}
 	o.group.Go(func() { o.jobsLoop(ctx, at) })
 	o.group.Go(func() { o.workersLoop(ctx) })
+	o.group.Go(func() { o.cordonsLoop(ctx) })
 	o.group.Go(func() { o.storeLoop(ctx) })
 	o.group.Go(func() { o.learnLoop(ctx) })
 	o.group.Go(func() { o.moveLoop(ctx) })
--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -111,6 +111,7 @@
 	workers        int // 0: scriptWorkers; scripts affect the first scriptWorkers only
 	perCell        int // workers to a cell
 	naming         grid.Naming
+	domains        int  // failure domains; 0: one
 	ackFutureEnds  bool // see grid.Config.AckFutureEnds
 	maxLongRunning int  // 0: maxLongRunningTasks
 
@@ -192,7 +193,7 @@
 		s := &scriptRun{cancelled: map[jobs.ID]bool{}, maybeCancelled: map[jobs.ID]bool{}, crashing: map[jobs.ID]time.Duration{}}
 		s.scenario = in
 		s.testCluster = newTestClusterWithGrid(t, scriptDaemons, in.perCell, grid.Config{
-			Workers: cmp.Or(in.workers, scriptWorkers), RestartDelay: workerDowntime, Crash: s.crashOf, Naming: in.naming, AckFutureEnds: in.ackFutureEnds,
+			Workers: cmp.Or(in.workers, scriptWorkers), RestartDelay: workerDowntime, Crash: s.crashOf, Naming: in.naming, Domains: in.domains, AckFutureEnds: in.ackFutureEnds,
 			CrashRule: in.crashRule,
 		})
 		s.startProgressChecks()
@@ -289,6 +290,16 @@
 	case "heal worker":
 		s.grid.SetFaults(step.Place, noFaults)
 		s.grid.SetListed(step.Place, true)
+	case "cordon domain":
+		s.grid.Cordon(grid.DomainName(step.Place))
+	case "lift cordon":
+		s.grid.LiftCordon(grid.DomainName(step.Place))
+	case "kill owner":
+		s.replaceOwner()
+	case "kill all daemons":
+		for n := range scriptDaemons {
+			s.replaceDaemon(n)
+		}
 	default:
 		s.applyDaemonStep(d, step)
 	}
@@ -391,6 +402,7 @@
 
 func (s *scriptRun) heal() {
 	s.grid.NoteFault()
+	s.grid.LiftCordons()
 	s.setOutage(false)
 	for _, d := range s.daemons {
 		d.heal()
--- a/services/daemon/scheduler.go
+++ b/services/daemon/scheduler.go
@@ -31,8 +31,9 @@
 	Workers  platform.JobWorkers
 	// WorkerCalls is the time limit of calls through Workers.
 	WorkerCalls *calltime.Limit
-	Connections func() idleconn.Counts // counts the connections of Store, Workers, List and Feed so far
+	Connections func() idleconn.Counts // counts the connections of Store, Workers, List, Cordons and Feed so far
 	List        platform.WorkerList
+	Cordons     platform.CordonList
 	Feed        platform.ConfigurationFeed
 	// Callers and Ready return the handlers for the platform's form of the callers' interface and the readiness probe.
 	Callers func(platform.JobService) http.Handler
@@ -63,7 +64,7 @@
 	advertised := cmp.Or(c.Settings.Listen.PeerAdvertised, c.Settings.Listen.Peer)
 	s.control = control.New(control.Config{
 		Self: c.Settings.Daemon.ID, Address: advertised, Settings: c.Settings.Jobs,
-		Store: c.Store, Workers: c.Workers, WorkerCalls: c.WorkerCalls, Connections: c.Connections, List: c.List, Feed: c.Feed, NewID: ids.newID,
+		Store: c.Store, Workers: c.Workers, WorkerCalls: c.WorkerCalls, Connections: c.Connections, List: c.List, Cordons: c.Cordons, Feed: c.Feed, NewID: ids.newID,
 		Logger: c.Logger, Scope: s.metrics.Scope.SubScope("control"),
 	})
 	if err := s.openListeners(c); err != nil {
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -18,7 +18,7 @@
 //   - orders and their outcomes: order.go, outcome.go, stop.go; repeated starts: retry_budget.go
 //   - reports: report.go, end.go; stray runs: stray.go; checkpoints for the next run: checkpoint.go
 //   - what has to be stored: changes.go
-//   - workers: worker.go, capacity.go, speed.go, lease.go; lost workers: lost_workers.go; workers that
+//   - workers: worker.go, capacity.go, speed.go, lease.go; failure domains in which nothing starts: cordon.go; lost workers: lost_workers.go; workers that
 //     restart under the same id: incarnation.go, late_start.go
 //   - tasks that crash their workers: suspicion.go (suspects, and when a task is abandoned),
 //     evidence.go (the evidence of one loss), chance.go (the rate of worker losses by chance),
@@ -94,7 +94,8 @@
 	workers         map[jobs.WorkerID]*worker
 	sortedWorkers   []*worker       // sorted by id
 	urgentWorkers   []jobs.WorkerID // workers to be asked for a report at once; see TakeImmediatePolls
-	workersAdded    int             // how many workers were ever added; numbers their fences
+	cordons         map[models.FailureDomain]cordon
+	workersAdded    int // how many workers were ever added; numbers their fences
 	queueTerms      map[jobs.QueueName]jobs.Terms
 	waitingSteps    []*step // opened steps with waiting tasks
 	orders          []Order
@@ -162,10 +163,10 @@
 		config: config, jobs: map[jobs.ID]*job{}, repeating: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, movedOut: map[jobs.ID]movedOutJob{},
 		workers: map[jobs.WorkerID]*worker{}, queueTerms: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
 		previousLease: config.LongestLease, recovering: true, provedAt: config.Taken, model: contention.NewModel(), queueSpeeds: map[jobs.QueueName]*speed{},
-		restoredLoads: map[stepKey]contention.BaselineLoad{}, storeFreshness: storeFreshness{jobsAsOf: config.Taken, workersAsOf: config.Taken},
+		restoredLoads: map[stepKey]contention.BaselineLoad{}, storeFreshness: newStoreFreshness(config.Taken),
 		repeats: newRetryBudget(), startsLeft: math.MaxInt,
 		unresolvedRuns: map[jobs.WorkerID][]*task{}, tasksWithLosses: map[*task]struct{}{}, replaced: map[jobs.Incarnation]struct{}{},
-		lateStartsUntil: map[jobs.WorkerID]time.Time{},
+		lateStartsUntil: map[jobs.WorkerID]time.Time{}, cordons: map[models.FailureDomain]cordon{},
 	}
 }
 
--- a/services/dispatch/late_start.go
+++ b/services/dispatch/late_start.go
@@ -83,7 +83,7 @@
 		return nil, false
 	}
 	w := c.workers[t.lateStart.worker]
-	if w == nil || w.info.Draining || !c.fits(w, t.step) {
+	if w == nil || w.closedToStarts() || !c.fits(w, t.step) {
 		return nil, false
 	}
 	entryIsDue := w.otherEntry != nil || now.Sub(latest(t.waitingSince, w.incarnationSince)) < maxRosterWait
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -11,10 +11,13 @@
 )
 
 // Load returns the load of the cell: the CPU that its tasks, waiting tasks included, declare and are expected to use,
-// relative to the capacity of its usable workers.
+// relative to the capacity of its usable workers. Cordoned workers count on neither side.
 func (c *Core) Load(now time.Time) jobs.CellLoad {
 	var reserved, used, declaredByFillers, capacity models.MilliCPU
 	for _, w := range c.sortedWorkers {
+		if w.cordoned {
+			continue // what runs there runs on, and nothing is added
+		}
 		reserved += w.used.CPU
 		used += w.used.CPU - models.MilliCPU((1-longRunningUse)*float64(w.longRunningCPU))
 		declaredByFillers += w.fillerCPU
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -117,7 +117,7 @@
 func (c *Core) handleUnanswered(t *task, order StartOrder, now time.Time) {
 	c.counts.Unanswered++
 	c.recordLateStart(t, order.Worker.ID)
-	mayRepeat := !t.startRepeated && now.Sub(t.worker.reportedAt) < silentAfter && !t.step.job.cancelled && c.mayStart()
+	mayRepeat := !t.startRepeated && now.Sub(t.worker.reportedAt) < silentAfter && !t.worker.closedToStarts() && !t.step.job.cancelled && c.mayStart()
 	if mayRepeat && c.repeats.take() {
 		t.startRepeated = true
 		t.orderedAt, t.startSentAt = now, now
--- a/services/dispatch/summary.go
+++ b/services/dispatch/summary.go
@@ -20,6 +20,7 @@
 	Throttled  int  `json:"throttled"`  // filler tasks below full pace
 	Workers    int  `json:"workers"`    // known
 	Usable     int  `json:"usable"`     // workers that may get new tasks
+	Cordoned   int  `json:"cordoned"`   // workers in cordoned failure domains
 	Unstored   int  `json:"unstored"`   // jobs with changes to be stored
 	Recovering bool `json:"recovering"` // some tasks wait for workers that haven't reported since the takeover
 	// ReportAge is the median age of the reports of listed workers.
@@ -40,6 +41,9 @@
 		if c.usable(w, now) {
 			s.Usable++
 		}
+		if w.cordoned {
+			s.Cordoned++
+		}
 		s.Running += len(w.tasks)
 		for _, t := range w.tasks {
 			if t.step.spec.Serves() && t.figure > int(t.step.spec.Target) {
@@ -63,6 +67,7 @@
 	Born      models.UnixMilli `json:"born,omitempty"` // see jobs.Worker
 	Listed    bool             `json:"listed"`
 	Usable    bool             `json:"usable"`
+	Cordoned  bool             `json:"cordoned,omitempty"` // its failure domain is cordoned
 	ReportAge models.Milli     `json:"report_age_ms"`
 	Free      models.Resources `json:"free"`
 	Load      float64          `json:"load"` // the highest of a serving task
@@ -74,7 +79,7 @@
 	list := make([]WorkerState, 0, len(c.sortedWorkers))
 	for _, w := range c.sortedWorkers {
 		state := WorkerState{
-			ID: w.info.ID, Born: w.info.Born, Listed: w.listed, Usable: c.usable(w, now), ReportAge: models.MilliOf(now.Sub(w.reportedAt)),
+			ID: w.info.ID, Born: w.info.Born, Listed: w.listed, Usable: c.usable(w, now), Cordoned: w.cordoned, ReportAge: models.MilliOf(now.Sub(w.reportedAt)),
 			Free: w.free(), Load: w.maxLoad,
 		}
 		for _, t := range w.tasks {
--- a/services/dispatch/trial_wait.go
+++ b/services/dispatch/trial_wait.go
@@ -48,7 +48,7 @@
 // unusable at the moment.
 func (c *Core) hasRoom(s *step) bool {
 	return slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool {
-		return w.listed && !w.info.Draining && c.fits(w, s) && c.hasCapacity(w, s)
+		return w.listed && !w.closedToStarts() && c.fits(w, s) && c.hasCapacity(w, s)
 	})
 }
 
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -24,6 +24,7 @@
 	info                      jobs.Worker
 	fence                     jobs.Fence // sent with all calls to this incarnation
 	listed                    bool       // the platform's list names it
+	cordoned                  bool       // its failure domain is cordoned
 	inRoster                  bool       // the stored roster names it
 	youngRunsStored           bool       // its young runs are stored, because its address refuses connections
 	inPreviousRoster          bool       // the roster of a previous owner named it
@@ -154,6 +155,7 @@
 		w.info.Born = born // the worker's own reports take precedence
 	}
 	w.listed = true
+	c.markCordoned(w)
 	w.missingSince, w.leavesAt = time.Time{}, time.Time{}
 	if !info.Draining {
 		return
@@ -178,6 +180,7 @@
 func (c *Core) addWorker(info jobs.Worker, now time.Time) *worker {
 	c.workersAdded++
 	w := &worker{info: info, fence: c.config.Epoch.Fence(c.workersAdded), reportedAt: now, strays: map[jobs.TaskID]stray{}}
+	c.markCordoned(w)
 	c.workers[info.ID] = w
 	c.sortedWorkers = append(c.sortedWorkers, w)
 	slices.SortFunc(c.sortedWorkers, func(a, b *worker) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) })
@@ -226,7 +229,7 @@
 
 // usable reports whether new tasks may start on the worker.
 func (c *Core) usable(w *worker, now time.Time) bool {
-	stays := w.listed && w.inRoster && !w.info.Draining
+	stays := w.listed && w.inRoster && !w.closedToStarts()
 	reachable := w.renewed && now.Sub(w.reportedAt) < silentAfter // a start by itself is valid for no longer than maxStartAge
 	sound := !w.isFailing(now) && now.After(w.noStartsUntil) && now.After(w.stalledUntil)
 	return stays && reachable && sound && len(w.strays) == 0
--- a/services/standin/grid/grid.go
+++ b/services/standin/grid/grid.go
@@ -29,6 +29,7 @@
 type Config struct {
 	Workers      int
 	PerRack      int
+	Domains      int // failure domains, over which the places are spread in turn; 0: one
 	Pool         jobs.PoolName
 	Capacity     models.Resources
 	LongestLease time.Duration
@@ -108,11 +109,13 @@
 	calls        int                         // calls that reached a worker
 	changes      []jobs.WorkerID             // workers whose list entry changed, in order
 	changed      chan struct{}               // closed and replaced with each change
+	cordons      cordons
 }
 
 var (
 	_ platform.JobWorkers = (*Grid)(nil)
 	_ platform.WorkerList = (*Grid)(nil)
+	_ platform.CordonList = (*Grid)(nil)
 )
 
 // incarnation is one incarnation of a worker, with its state.
@@ -144,7 +147,7 @@
 	g := &Grid{
 		config: config, workers: map[jobs.WorkerID]*incarnation{}, begin: time.Now(), audit: newAudit(),
 		unlisted: map[jobs.WorkerID]bool{}, draining: map[jobs.WorkerID]time.Time{}, staleEntries: map[jobs.WorkerID]bool{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), cordons: newCordons(),
 	}
 	for n := range config.Workers {
 		g.idsByPlace = append(g.idsByPlace, g.boot(n))
@@ -160,7 +163,7 @@
 	w := &incarnation{
 		info: jobs.Worker{
 			ID: jobs.WorkerID(fmt.Sprintf("w%03d-%d", place, g.incarnations)), Pool: g.config.Pool, Address: fmt.Sprintf("place-%d", place),
-			Domain: "south/a", Capacity: g.config.Capacity, Labels: []string{"kind-a", rack}, Rack: jobs.RackLabel(rack),
+			Domain: g.config.domainOf(place), Capacity: g.config.Capacity, Labels: []string{"kind-a", rack}, Rack: jobs.RackLabel(rack),
 		},
 		place: place, up: true, startedAt: now,
 		runs: map[jobs.TaskID]*run{}, barred: map[jobs.TaskID]jobs.RunID{}, changed: make(chan struct{}),
--- a/services/standin/grid/orders.go
+++ b/services/standin/grid/orders.go
@@ -62,6 +62,7 @@
 	g.restoreCheckpoint(r, call.Checkpoint)
 	w.runs[call.Task] = r
 	g.audit.runStarted(w, r, call)
+	g.checkCordon(w, r)
 	g.updateRunningWaits()
 	if g.scheduleCrash(w, r) {
 		return platform.ErrUnknownOutcome
--- a/services/standin/grid/room.go
+++ b/services/standin/grid/room.go
@@ -10,10 +10,11 @@
 	"rillsail.example/rillsail/models/jobs"
 )
 
-// isUsable reports whether tasks can start on a worker: it is up, listed, sound and reachable, and does not drain.
+// isUsable reports whether tasks can start on a worker: it is up, listed, sound and reachable, does not drain and is not
+// cordoned.
 func (g *Grid) isUsable(w *incarnation) bool {
 	_, drains := g.draining[w.info.ID]
-	return w.up && !g.unlisted[w.info.ID] && !drains && w.faults == Faults{}
+	return w.up && !g.unlisted[w.info.ID] && !drains && !g.isCordoned(w) && w.faults == Faults{}
 }
 
 // hasRoomFor reports whether a task fits on the usable workers requiredRoom times.
