--- a/tests/integration/soak_test.go
+++ b/tests/integration/soak_test.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// cordonSeed is the seed of the run in which operators cordon failure domains.
+const cordonSeed = 505
+
+// TestSoakOfCordons cordons failure domains, one after the other and several at once, beside all other faults.
+func TestSoakOfCordons(t *testing.T) {
+	runSoak(t, soak.Config{Seed: cordonSeed, Cordons: true})
+}
+
 // runSoak runs one seed and returns its report.
 func runSoak(t *testing.T, config soak.Config) *soak.Report {
 	t.Helper()
--- a/tests/soak/callers.go
+++ b/tests/soak/callers.go
@@ -44,15 +44,21 @@
 	return err == nil && ready
 }
 
+// submissions is a series of jobs that callers submit.
+type submissions struct {
+	stream uint64 // of random numbers
+	first  int    // number of the first job
+}
+
 // submitLoop starts callers, each with one job, at a steady rate, without waiting for answers.
-func (r *run) submitLoop(ctx context.Context) {
-	random := rand.New(rand.NewPCG(r.plan.Seed, submitStream))
+func (r *run) submitLoop(ctx context.Context, series submissions) {
+	random := rand.New(rand.NewPCG(r.plan.Seed, series.stream))
 	behaviorRandom := rand.New(rand.NewPCG(r.plan.Seed, behaviorStream))
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / r.config.Rate))
 	defer ticker.Stop()
 	var group conc.WaitGroup
 	defer group.Wait()
-	for n := 1; ; n++ {
+	for n := series.first; ; n++ {
 		spec := drawJob(random, r.plan.Seed, n)
 		plan := newCallerPlan(behaviorRandom, spec, random.IntN(len(r.site.daemons)), len(r.site.daemons))
 		r.site.emulator.Grid.Expect(spec, maxTaskAttempts)
--- a/tests/soak/inject.go
+++ b/tests/soak/inject.go
@@ -32,6 +32,10 @@
 // same target: the first of the two to end would clear both. Overlapping faults are cleared independently
 // and need no reservation.
 func (r *run) inject(ctx context.Context, fault Fault) {
+	if fault.Kind == CordonDomain {
+		r.cordonDomain(ctx, fault)
+		return
+	}
 	d := r.site.daemons[fault.Target%len(r.site.daemons)]
 	place := fault.Target % r.config.Workers
 	target := faultTarget(fault, d, place)
--- a/tests/soak/plan.go
+++ b/tests/soak/plan.go
@@ -48,6 +48,7 @@
 	RepeatWorkerOrders   Kind = "worker does orders again later"
 	RestartWorker        Kind = "worker starts again while calls to it go wrong"
 	RestartWorkers       Kind = "all workers start again at once"
+	CordonDomain         Kind = "failure domain is cordoned"
 )
 
 // weightedKinds lists the kinds that drawFault draws, with their weights: the faults that daemons must
@@ -135,6 +136,9 @@
 	if config.Restarts {
 		plan.Faults = append(plan.Faults, drawRestarts(seed, length, workers)...)
 	}
+	if config.Cordons {
+		plan.Faults = append(plan.Faults, drawCordons(seed, length)...)
+	}
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/tests/soak/site.go
+++ b/tests/soak/site.go
@@ -72,7 +72,7 @@
 	var err error
 	s.emulator, err = emulator.New(emulator.Config{
 		Grid: grid.Config{
-			Workers: config.Workers, PerRack: perRack, Pool: workerPool, Capacity: models.Resources{CPU: workerCPU, Memory: workerMemory},
+			Workers: config.Workers, PerRack: perRack, Domains: config.domains(), Pool: workerPool, Capacity: models.Resources{CPU: workerCPU, Memory: workerMemory},
 			LongestLease: maxWorkerLease, StopTime: stopTime, ClockDrift: clockSlowdown, Work: taskOutcome,
 			Crash: config.crashDelay, RestartDelay: workerDowntime, Naming: gridNamings[config.Naming], CheckpointInterval: checkpointTime, RestoreTime: restoreTime,
 		},
@@ -88,6 +88,14 @@
 	return s, s.startDaemons(ctx)
 }
 
+// domains returns the number of failure domains of the workers.
+func (c Config) domains() int {
+	if c.Cordons {
+		return cordonDomains
+	}
+	return 1
+}
+
 // expose starts a proxy in front of the worker in a place and returns the proxy's address.
 func (s *site) expose(place int, address string) (string, error) {
 	p, err := s.newProxy(fmt.Sprint("worker ", place), address)
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -9,7 +9,7 @@
 //
 //	report, err := soak.Run(ctx, soak.Config{Daemon: "bin/rillsaild", Seed: 7, Length: 30 * time.Second, Folder: dir, …})
 //
-// The files: plan.go draws the faults, site.go and daemon.go start platform and daemons, inject.go
+// The files: plan.go draws the faults, cordons.go cordons failure domains, site.go and daemon.go start platform and daemons, inject.go
 // applies faults, store.go applies the store's faults, acceptances.go records the acceptances that the
 // store sees, misbehavior.go makes workers misbehave, jobs.go draws jobs, callers.go runs callers, behavior.go
 // draws how callers behave, record.go records what they observe, configuration.go changes and checks the
@@ -41,6 +41,8 @@
 	Naming Naming
 	// Restarts enables restarts of workers while calls to them fail, and of all workers at once.
 	Restarts bool
+	// Cordons spreads the workers over failure domains, which operators cordon beside the faults.
+	Cordons bool
 	// Folder gets the logs, plan, report and plot.
 	Folder string
 }
@@ -77,6 +79,9 @@
 	progress := r.startProgressChecks(ctx)
 	r.execute(ctx)
 	if r.clearFaults(ctx) {
+		if config.Cordons {
+			r.checkRemainingCordons(ctx)
+		}
 		r.checkFinalStates(ctx)
 	}
 	progress.stop()
@@ -110,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.config.Length)
 	defer cancel()
 	var group conc.WaitGroup
-	group.Go(func() { r.submitLoop(ctx) })
+	group.Go(func() { r.submitLoop(ctx, submissions{stream: submitStream, first: 1}) })
 	group.Go(func() { r.queryLoop(ctx) })
 	group.Go(func() { r.versionLoop(ctx) })
 	group.Go(func() { r.sampleLoop(ctx) })
