--- a/services/dispatch/cordon.go
+++ b/services/dispatch/cordon.go
@@ -73,6 +73,25 @@
 // domain is cordoned.
 func (w *worker) closedToStarts() bool { return w.info.Draining || w.cordoned }
 
+// logCordonWait logs, once for each job, that a step waits although cordoned workers could take its tasks.
+func (c *Core) logCordonWait(s *step) {
+	if len(c.cordons) == 0 || s.job.cordonWaitLogged {
+		return
+	}
+	cordoned := 0
+	for _, w := range c.sortedWorkers {
+		if w.cordoned && w.listed && c.fits(w, s) && c.hasCapacity(w, s) {
+			cordoned++
+		}
+	}
+	if cordoned == 0 {
+		return
+	}
+	s.job.cordonWaitLogged = true
+	c.config.Logger.Info("job waits, workers that could run it are cordoned", zap.String("job", string(s.job.spec.ID)),
+		zap.Int("step", s.number), zap.Int("cordoned", cordoned))
+}
+
 // CordonState is a cordon as the core knows it.
 type CordonState struct {
 	jobs.Cordon
--- a/services/dispatch/cordon_test.go
+++ b/services/dispatch/cordon_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
@@ -66,6 +68,24 @@
 	require.Equal(t, b.ids[0], starts[0].Worker.ID)
 }
 
+// TestWaitForCordonedWorkersIsLogged guards against a job whose log doesn't tell why it waits, and against a line for each
+// look at it.
+func TestWaitForCordonedWorkersIsLogged(t *testing.T) {
+	b := newCordonBench(t)
+	core, logs := observer.New(zap.InfoLevel)
+	b.config.Logger = zap.New(core)
+	b.cordon(cordonedDomain, "b")
+	b.AddJob(b.job(eightTasks), jobs.Progress{}, true, b.now)
+	for range 5 {
+		require.Empty(t, b.starts())
+		b.report(0, jobs.Report{})
+		b.report(1, jobs.Report{})
+	}
+	lines := logs.FilterMessage("job waits, workers that could run it are cordoned").All()
+	require.Len(t, lines, 1)
+	require.Equal(t, int64(2), lines[0].ContextMap()["cordoned"])
+}
+
 // TestRunsInCordonedDomainGoOn guards against a cordon that stops work: what runs there is renewed and reported.
 func TestRunsInCordonedDomainGoOn(t *testing.T) {
 	b := newCordonBench(t)
