Backlogs: the jobs of which the smallest part is left go first, the others in an order drawn from their ids

Cause: in the order of their deadlines above capacity a wide job starts some tasks at once and the others many seconds later, behind other jobs.

Within a priority and tier a step's place is the part of its job's work that is left, half of a started task counted, times up to 1.5 by the job's id. What is begun is finished, sizes count alike, and of the rest some are served whole. Jobs 30 s past their objective get a tenth of the starts. A job counts as late with 1.4 times its estimate to go.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -13,7 +13,7 @@
 // Files by subject:
 //
 //   - jobs and steps: job.go, step.go, task.go, ended.go; jobs divided between cells: divided_jobs.go
-//   - the order of steps and the placement of their tasks: urgency.go, place.go, places.go,
+//   - the order of steps and the placement of their tasks: urgency.go, backlog.go, place.go, places.go,
 //     score.go; capacity that long-running tasks leave to short work: reserve.go
 //   - orders and their outcomes: order.go, outcome.go, stop.go; repeated starts: retry_budget.go
 //   - reports: report.go, end.go; stray runs: stray.go; checkpoints for the next run: checkpoint.go
@@ -124,6 +124,7 @@
 	model             *contention.Model
 	modelSettledAt    time.Time                 // when the model last took new observations into its predictions
 	queueSpeeds       map[jobs.QueueName]*speed // how fast the tasks of each queue progress, relative to their estimates
+	overdueCredit     float64                   // starts that overdue jobs may have before all others
 	repeats           retryBudget
 	workerLosses      []workerLoss              // worker losses within the window of chance.go
 	unresolvedRuns    map[jobs.WorkerID][]*task // suspects that a previous owner started on the worker, until the worker reports
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -18,6 +18,7 @@
 	terms              jobs.Terms
 	accepted           models.UnixMilli
 	objectiveStart     models.UnixMilli // the start of its latency objective
+	drawn              float64          // see drawnFrom
 	criticalPath       time.Duration    // the longest chain of its steps' estimates
 	fresh              bool             // accepted after this owner took the cell: no previous owner has started any of its tasks
 	fromOtherCell      bool             // moved here from another cell
@@ -97,7 +98,7 @@
 func newJob(record jobs.Record, fresh bool) *job {
 	j := &job{
 		spec: record.Spec, terms: record.Terms, accepted: record.Accepted, objectiveStart: record.Accepted,
-		criticalPath: record.Spec.CriticalPath(), fresh: fresh, fromOtherCell: record.Transferred, recordVersion: record.Version,
+		drawn: drawnFrom(record.Spec.ID), criticalPath: record.Spec.CriticalPath(), fresh: fresh, fromOtherCell: record.Transferred, recordVersion: record.Version,
 		highestRun: record.HighestRun, importedSuspicions: record.Suspected, home: record.Home, additionalCells: record.AdditionalCells, movesClosed: record.MovesClosed,
 	}
 	for occurrence := range j.spec.Occurrences() {
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -24,6 +24,7 @@
 	candidates := c.candidates(now)
 	if len(candidates) > 0 {
 		c.updateShortWork(now)
+		c.placeOverdue(candidates, now)
 	}
 	for _, candidate := range candidates {
 		if c.startsLeft <= 0 {
@@ -128,6 +129,7 @@
 	c.takeShortCapacity(t)
 	c.startsLeft--
 	c.counts.Starts++
+	c.addOverdueCredit()
 	if t.checkpoint != nil {
 		c.counts.StartsFromText++
 	}
--- a/services/dispatch/urgency.go
+++ b/services/dispatch/urgency.go
@@ -7,33 +7,56 @@
 	"cmp"
 
 	"rillsail.example/rillsail/models"
-	"rillsail.example/rillsail/modules/compare"
 )
 
 // longRunningYield is how long past its objective a long-running task still yields capacity to ordinary work of
-// its priority that can meet its own objective: ordinary work occupies the capacity for a second, the long-running
-// task for a minute.
+// its priority: ordinary work occupies the capacity for a second, the long-running task for a minute.
 const longRunningYield = 10_000 // milliseconds
 
+// stepStretch is how long a step takes relative to the estimate of its tasks: it ends with the slowest of them.
+const stepStretch = 1.4
+
+// rank orders the steps of one priority; lower comes first.
+type rank int
+
+const (
+	rankYielded  rank = iota // long-running, and has yielded capacity for long enough
+	rankInTime               // its job can meet the objective
+	rankLate                 // its job can't meet the objective any more
+	rankYielding             // long-running, and yields capacity to short work
+)
+
 // urgency determines the order in which steps' tasks are placed; lower comes first.
 type urgency struct {
 	priority int
-	late     bool // its job can't meet the objective any more, or it is long-running and still yields capacity to short work
+	rank     rank
+	cost     float64 // see step.cost; 0 for a long-running step
 	due      models.UnixMilli
 }
 
 // compare orders by urgency.
 func (u urgency) compare(o urgency) int {
-	return cmp.Or(cmp.Compare(u.priority, o.priority), compare.Bool(u.late, o.late), cmp.Compare(u.due, o.due))
+	return cmp.Or(cmp.Compare(u.priority, o.priority), cmp.Compare(u.rank, o.rank), cmp.Compare(u.cost, o.cost), cmp.Compare(u.due, o.due))
 }
 
+// isShort reports whether the step is not long-running.
+func (u urgency) isShort() bool { return u.rank == rankInTime || u.rank == rankLate }
+
 // urgency returns the urgency of an opened step.
 func (c *Core) urgency(s *step, now models.UnixMilli) urgency {
 	u := urgency{priority: c.terms(s.job).Priority, due: c.deadline(s.job)}
-	if s.spec.LongRunning {
-		u.late = now < u.due+longRunningYield
-	} else {
-		u.late = now+models.UnixMilli(c.remainingEstimate(s)) > u.due
+	if !s.spec.LongRunning {
+		u.cost = s.cost()
+	}
+	switch {
+	case s.spec.LongRunning && now < u.due+longRunningYield:
+		u.rank = rankYielding
+	case s.spec.LongRunning:
+		u.rank = rankYielded
+	case now+models.UnixMilli(stepStretch*float64(c.remainingEstimate(s))) > u.due:
+		u.rank = rankLate
+	default:
+		u.rank = rankInTime
 	}
 	return u
 }
