--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -32,7 +32,8 @@
 	calling         map[jobs.WorkerID]context.CancelFunc // cancels the call in flight, for each worker with a loop
 	publishedCounts dispatch.Counts                      // as last published to the metrics
 
-	cordons           *cordonList // used by load, then by cordonsLoop only
+	workers           *listCopy[jobs.WorkerID, jobs.Worker]        // used by workersLoop only
+	cordons           *listCopy[models.FailureDomain, jobs.Cordon] // used by load, then by cordonsLoop only
 	journal           journal
 	moves             []*move   // work that is being moved to other cells
 	unfinishedCancels []jobs.ID // jobs whose cancellation may be incomplete
@@ -47,7 +48,7 @@
 func newOwner(c *Cells, cell jobs.CellName, epoch jobs.Epoch, taken time.Time) *Owner {
 	s := c.config.Settings
 	return &Owner{
-		config: c.config, cells: c, cell: cell, epoch: epoch, takenAt: taken, cordons: newCordonList(c.config.Cordons), calling: map[jobs.WorkerID]context.CancelFunc{},
+		config: c.config, cells: c, cell: cell, epoch: epoch, takenAt: taken, workers: newWorkerCopy(c.config.List), cordons: newCordonCopy(c.config.Cordons), calling: map[jobs.WorkerID]context.CancelFunc{},
 		core: dispatch.New(dispatch.Config{
 			Epoch: epoch, Taken: taken, Lease: s.WorkerLease, LongestLease: s.LongestLease, OtherCells: c.hasMultipleCells(),
 			TimeOfDay: func(now time.Time) models.UnixMilli { return models.UnixMilliOf(c.config.Clock.TimeOfDay(now)) },
