--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -20,8 +20,8 @@
 // loadRetryPause is the pause after a failed call to the store, when a cell is loaded, watched or stored.
 const loadRetryPause = 100 * time.Millisecond
 
-// load reads the cell's jobs, progress and roster and the cordons, and returns the version to watch from. It retries until the
-// cell is loaded or lost.
+// load reads the cell's jobs, progress and roster and the cordons, and returns the version to watch from. It retries
+// until the cell is loaded or lost.
 func (o *Owner) load(ctx context.Context) (platform.Version, bool) {
 	for ctx.Err() == nil {
 		at, err := o.tryLoad(ctx)
--- a/services/dispatch/store_freshness.go
+++ b/services/dispatch/store_freshness.go
@@ -9,10 +9,10 @@
 	"go.uber.org/zap"
 )
 
-// An owner learns from the store what forbids a start: that a job is cancelled, that a worker drains, or that a failure domain is cordoned. An owner that
-// cannot keep up, or whose watches get lost, learns of this late and would start tasks that must not start. So nothing
-// starts while the owner's data is stale, measured against the store's latest answer to any call: during an outage
-// nothing can have changed in the store, and starts go on.
+// An owner learns from the store what forbids a start: that a job is cancelled, that a worker drains, or that a failure
+// domain is cordoned. An owner that cannot keep up, or whose watches get lost, learns of this late and would start tasks
+// that must not start. So nothing starts while the owner's data is stale, measured against the store's latest answer to
+// any call: during an outage nothing can have changed in the store, and starts go on.
 
 // staleAfter is how old the owner's data may be while the store answers other calls. A watch waits for 0.8 s and the
 // list is read every 0.7 s, so one watch or one reading of the list may get lost; together with maxStartAge the bound
