Deadlines decide between queues, the part left within each

TestStepsRunWhereTheyAsk/objective_by_latency was red: of two queues alike, the one whose objective is sooner did not get the room that others leave. Cause: jobs that have not begun were ordered by their ids across all queues of a priority, and a job counted as late at 1.4 times its estimate. Now the steps of a queue take the queue's deadlines in the order of their cost, so that the deadlines decide between queues; the factor is gone. Test of the core: TestDeadlinesDecideBetweenQueues.

--- a/services/dispatch/backlog.go
+++ b/services/dispatch/backlog.go
@@ -20,7 +20,8 @@
 // used until then serves nobody. So the jobs of which the smallest part is left go first: what has begun is finished, and
 // large jobs count as much as small ones. Those that have not begun follow in an order drawn from their ids. It is
 // the same in each decision and for each owner, so that the capacity goes to some of them whole; the others wait until
-// there is capacity to spare, and jobs that have waited too long get a share of the starts.
+// there is capacity to spare, and jobs that have waited too long get a share of the starts. Between queues of one
+// priority the deadlines decide.
 
 const (
 	// startedShare is the part of its work that a started task is assumed to have done.
@@ -60,6 +61,36 @@
 	return float64(xxhash.Sum64String(string(id))) / math.MaxUint64
 }
 
+// queuePlace identifies the steps of one queue that compete by their cost.
+type queuePlace struct {
+	queue    jobs.QueueName
+	priority int
+	rank     rank
+}
+
+// assignTurns hands the deadlines of each queue's short steps out to these steps in the order of their cost. So the
+// deadlines decide between queues, and the cost decides within each.
+func assignTurns(candidates []candidate) {
+	queues := map[queuePlace][]*candidate{}
+	for i := range candidates {
+		if each := &candidates[i]; each.isShort() {
+			place := queuePlace{each.step.job.spec.Queue, each.priority, each.rank}
+			queues[place] = append(queues[place], each)
+		}
+	}
+	for _, steps := range queues {
+		deadlines := make([]models.UnixMilli, 0, len(steps))
+		for _, each := range steps {
+			deadlines = append(deadlines, each.due)
+		}
+		slices.Sort(deadlines)
+		slices.SortFunc(steps, func(a, b *candidate) int { return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.due, b.due)) })
+		for i, each := range steps {
+			each.turn = deadlines[i]
+		}
+	}
+}
+
 const (
 	// overdueAfter is how long past its objective a job is overdue: it has lost its turn to other jobs for so long that
 	// it would wait for ever under lasting overload.
--- a/services/dispatch/backlog_test.go
+++ b/services/dispatch/backlog_test.go
@@ -84,6 +84,29 @@
 	}
 }
 
+// TestDeadlinesDecideBetweenQueues guards against a queue with a long objective whose jobs go before those of a queue with a
+// short one, because of their ids.
+func TestDeadlinesDecideBetweenQueues(t *testing.T) {
+	b := newBench(t, 1)
+	b.Configure(&jobs.Configuration{Queues: []jobs.Queue{
+		{Name: "q", Terms: jobs.Terms{Pool: testPool, MaxAttempts: 3, Slack: 60_000}},
+		{Name: "soon", Terms: jobs.Terms{Pool: testPool, MaxAttempts: 3, Slack: 2000}},
+	}})
+	b.report(0, jobs.Report{})
+	b.report(0, jobs.Report{})
+	for n := range 20 {
+		record := b.job(wholeWorkerStep)
+		record.Spec.ID = jobs.ID(fmt.Sprintf("%016x", n))
+		if n%2 == 1 {
+			record.Spec.Queue = "soon"
+		}
+		b.AddJob(record, jobs.Progress{}, true, b.now)
+	}
+	for n, each := range b.candidates(b.now) {
+		require.Equal(t, n < 10, each.step.job.spec.Queue == "soon", "place %d", n)
+	}
+}
+
 // TestPartLeft follows the part of a job that is left from its acceptance to its end.
 func TestPartLeft(t *testing.T) {
 	b := newBench(t, 1)
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -75,6 +75,7 @@
 			stuck = append(stuck, c.candidate(s, now))
 		}
 	}
+	assignTurns(stuck)
 	slices.SortFunc(stuck, func(a, b candidate) int {
 		return cmp.Or(a.step.job.offeredAt.Compare(b.step.job.offeredAt), a.before(b))
 	})
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -50,6 +50,7 @@
 		}
 	}
 	c.waitingSteps = kept
+	assignTurns(candidates)
 	slices.SortFunc(candidates, candidate.before)
 	return candidates
 }
--- a/services/dispatch/urgency.go
+++ b/services/dispatch/urgency.go
@@ -13,9 +13,6 @@
 // its priority: ordinary work occupies the capacity for a second, the long-running task for a minute.
 const longRunningYield = 10_000 // milliseconds
 
-// stepStretch is how long a step takes relative to the estimate of its tasks: it ends with the slowest of them.
-const stepStretch = 1.4
-
 // rank orders the steps of one priority; lower comes first.
 type rank int
 
@@ -30,13 +27,15 @@
 type urgency struct {
 	priority int
 	rank     rank
-	cost     float64 // see step.cost; 0 for a long-running step
+	turn     models.UnixMilli // its own deadline, or that of another step of its queue; see assignTurns
+	cost     float64          // see step.cost; 0 for a long-running step
 	due      models.UnixMilli
 }
 
 // compare orders by urgency.
 func (u urgency) compare(o urgency) int {
-	return cmp.Or(cmp.Compare(u.priority, o.priority), cmp.Compare(u.rank, o.rank), cmp.Compare(u.cost, o.cost), cmp.Compare(u.due, o.due))
+	return cmp.Or(cmp.Compare(u.priority, o.priority), cmp.Compare(u.rank, o.rank), cmp.Compare(u.turn, o.turn), cmp.Compare(u.cost, o.cost),
+		cmp.Compare(u.due, o.due))
 }
 
 // isShort reports whether the step is not long-running.
@@ -44,7 +43,8 @@
 
 // urgency returns the urgency of an opened step.
 func (c *Core) urgency(s *step, now models.UnixMilli) urgency {
-	u := urgency{priority: c.terms(s.job).Priority, due: c.deadline(s.job)}
+	due := c.deadline(s.job)
+	u := urgency{priority: c.terms(s.job).Priority, turn: due, due: due}
 	if !s.spec.LongRunning {
 		u.cost = s.cost()
 	}
@@ -53,7 +53,7 @@
 		u.rank = rankYielding
 	case s.spec.LongRunning:
 		u.rank = rankYielded
-	case now+models.UnixMilli(stepStretch*float64(c.remainingEstimate(s))) > u.due:
+	case now+models.UnixMilli(c.remainingEstimate(s)) > u.due:
 		u.rank = rankLate
 	default:
 		u.rank = rankInTime
