The cordons are read beside the load of a cell, not in it

Cause: reading the cordons was one more call of the load, and each call that fails begins the load again. Now it runs beside the load and is repeated by itself; until it has succeeded the cordons count as stale, so nothing starts.

--- a/services/control/cordons.go
+++ b/services/control/cordons.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"time"
 )
 
 // cordonsLoop follows the operators' cordons until ctx ends.
@@ -19,14 +18,9 @@
 			continue
 		}
 		o.mu.Lock()
-		o.applyCordons(sent)
+		o.core.SetCordons(o.cordons.all(), o.config.Clock.Now())
+		o.core.CordonsReadAsOf(sent)
 		o.mu.Unlock()
 		wake(o.wakeDecide)
 	}
 }
-
-// applyCordons passes the cordons as of the given time to the core. The caller holds o.mu.
-func (o *Owner) applyCordons(asOf time.Time) {
-	o.core.SetCordons(o.cordons.all(), o.config.Clock.Now())
-	o.core.CordonsReadAsOf(asOf)
-}
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -33,7 +33,7 @@
 	publishedCounts dispatch.Counts                      // as last published to the metrics
 
 	workers           *listCopy[jobs.WorkerID, jobs.Worker]        // used by workersLoop only
-	cordons           *listCopy[models.FailureDomain, jobs.Cordon] // used by load, then by cordonsLoop only
+	cordons           *listCopy[models.FailureDomain, jobs.Cordon] // used by cordonsLoop only
 	journal           journal
 	moves             []*move   // work that is being moved to other cells
 	unfinishedCancels []jobs.ID // jobs whose cancellation may be incomplete
@@ -80,6 +80,7 @@
 
 // runLoops loads the cell and starts its loops. It returns when decideLoop does.
 func (o *Owner) runLoops(ctx context.Context) {
+	o.group.Go(func() { o.cordonsLoop(ctx) }) // beside load: nothing starts before the cordons are read
 	at, ok := o.load(ctx)
 	if !ok {
 		return
@@ -89,7 +90,6 @@
 	}
 	o.group.Go(func() { o.jobsLoop(ctx, at) })
 	o.group.Go(func() { o.workersLoop(ctx) })
-	o.group.Go(func() { o.cordonsLoop(ctx) })
 	o.group.Go(func() { o.storeLoop(ctx) })
 	o.group.Go(func() { o.learnLoop(ctx) })
 	o.group.Go(func() { o.moveLoop(ctx) })
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -20,8 +20,8 @@
 // loadRetryPause is the pause after a failed call to the store, when a cell is loaded, watched or stored.
 const loadRetryPause = 100 * time.Millisecond
 
-// load reads the cell's jobs, progress and roster and the cordons, and returns the version to watch from. It retries
-// until the cell is loaded or lost.
+// load reads the cell's jobs, progress and roster, and returns the version to watch from. It retries until the
+// cell is loaded or lost.
 func (o *Owner) load(ctx context.Context) (platform.Version, bool) {
 	for ctx.Err() == nil {
 		at, err := o.tryLoad(ctx)
@@ -62,16 +62,11 @@
 	if err != nil {
 		return 0, err
 	}
-	cordonsSent := o.config.Clock.Now()
-	if err := o.cordons.read(ctx); err != nil {
-		return 0, err
-	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.config.Clock.Now()
 	o.core.RestoreRoster(roster, now)
 	o.core.RestoreParameters(learned, now)
-	o.applyCordons(cordonsSent)
 	if !o.applyAll(records, progress, now) {
 		return 0, errCellLost
 	}
--- a/services/dispatch/store_freshness.go
+++ b/services/dispatch/store_freshness.go
@@ -28,9 +28,10 @@
 	stale       bool      // nothing starts; the change was logged
 }
 
-// newStoreFreshness returns the freshness of an owner that has read nothing since it took the cell over.
+// newStoreFreshness returns the freshness of an owner that has read nothing since it took the cell over. Its cordons
+// count as stale until they are read: a domain may have been cordoned long before.
 func newStoreFreshness(taken time.Time) storeFreshness {
-	return storeFreshness{jobsAsOf: taken, workersAsOf: taken, cordonsAsOf: taken}
+	return storeFreshness{jobsAsOf: taken, workersAsOf: taken}
 }
 
 // JobsReadAsOf records that all changes to the cell's jobs are known that were stored when the call was sent.
