The copies of the platform's lists need no adapter types

An owner's copy of a list took its changes through an interface with a wrapper type for each list, which converted each change into a third type of the same shape. It takes the functions of the list and a reading of its own change type now. The stand-in waits for a change of either of its lists in one place, and keeps the cordons in force rather than working them out from all changes.

--- a/services/control/cordons.go
+++ b/services/control/cordons.go
@@ -3,9 +3,7 @@
 
 package control
 
-import (
-	"context"
-)
+import "context"
 
 // cordonsLoop follows the operators' cordons until ctx ends.
 func (o *Owner) cordonsLoop(ctx context.Context) {
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -14,6 +14,7 @@
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/services/dispatch"
+	"rillsail.example/rillsail/services/platform"
 )
 
 // Owner runs one cell in one epoch. Its loops call the store and the workers and pass the results to
@@ -32,8 +33,8 @@
 	calling         map[jobs.WorkerID]context.CancelFunc // cancels the call in flight, for each worker with a loop
 	publishedCounts dispatch.Counts                      // as last published to the metrics
 
-	workers           *listCopy[jobs.WorkerID, jobs.Worker]        // used by workersLoop only
-	cordons           *listCopy[models.FailureDomain, jobs.Cordon] // used by cordonsLoop only
+	workers           *listCopy[jobs.WorkerID, jobs.Worker, platform.WorkerChange]        // used by workersLoop only
+	cordons           *listCopy[models.FailureDomain, jobs.Cordon, platform.CordonChange] // used by cordonsLoop only
 	journal           journal
 	moves             []*move   // work that is being moved to other cells
 	unfinishedCancels []jobs.ID // jobs whose cancellation may be incomplete
--- a/services/dispatch/cordon.go
+++ b/services/dispatch/cordon.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -101,7 +100,7 @@
 // CordonStates returns the cordons in force, sorted by domain.
 func (c *Core) CordonStates(now time.Time) []CordonState {
 	states := make([]CordonState, 0, len(c.cordons))
-	for each := range maps.Values(c.cordons) {
+	for _, each := range c.cordons {
 		states = append(states, CordonState{each.Cordon, models.MilliOf(now.Sub(each.since))})
 	}
 	slices.SortFunc(states, func(a, b CordonState) int { return cmp.Compare(a.Domain, b.Domain) })
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -18,7 +18,8 @@
 //   - orders and their outcomes: order.go, outcome.go, stop.go; repeated starts: retry_budget.go
 //   - reports: report.go, end.go; stray runs: stray.go; checkpoints for the next run: checkpoint.go
 //   - what has to be stored: changes.go
-//   - workers: worker.go, capacity.go, speed.go, lease.go; failure domains in which nothing starts: cordon.go; lost workers: lost_workers.go; workers that
+//   - workers: worker.go, capacity.go, speed.go, lease.go; failure domains in which nothing starts:
+//     cordon.go; lost workers: lost_workers.go; workers that
 //     restart under the same id: incarnation.go, late_start.go
 //   - tasks that crash their workers: suspicion.go (suspects, and when a task is abandoned),
 //     evidence.go (the evidence of one loss), chance.go (the rate of worker losses by chance),
--- a/services/standin/grid/cordons.go
+++ b/services/standin/grid/cordons.go
@@ -17,15 +17,21 @@
 // maxStartsAfterCordon is the users' bound for starts in a failure domain after it was cordoned.
 const maxStartsAfterCordon = 5 * time.Second
 
+// cordon is a cordon in force.
+type cordon struct {
+	jobs.Cordon
+	since time.Time
+}
+
 // cordons are the cordoned failure domains.
 type cordons struct {
-	since   map[models.FailureDomain]time.Time
+	inForce map[models.FailureDomain]cordon
 	changes []platform.CordonChange
 	changed chan struct{} // closed and replaced with each change
 }
 
 func newCordons() cordons {
-	return cordons{since: map[models.FailureDomain]time.Time{}, changed: make(chan struct{})}
+	return cordons{inForce: map[models.FailureDomain]cordon{}, changed: make(chan struct{})}
 }
 
 // domainOf returns the failure domain of a place.
@@ -43,28 +49,29 @@
 func (g *Grid) Cordon(domain models.FailureDomain) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, cordoned := g.cordons.since[domain]; cordoned {
+	if _, cordoned := g.cordons.inForce[domain]; cordoned {
 		return
 	}
-	g.cordons.since[domain] = time.Now()
-	g.noteCordonChange(platform.CordonChange{Cordon: jobs.Cordon{Domain: domain, Version: uint64(len(g.cordons.changes) + 1)}})
+	set := jobs.Cordon{Domain: domain, Version: uint64(len(g.cordons.changes) + 1)}
+	g.cordons.inForce[domain] = cordon{set, time.Now()}
+	g.noteCordonChange(platform.CordonChange{Cordon: set})
 }
 
 // LiftCordon lifts the cordon of a failure domain, if there is one.
 func (g *Grid) LiftCordon(domain models.FailureDomain) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, cordoned := g.cordons.since[domain]; !cordoned {
+	if _, cordoned := g.cordons.inForce[domain]; !cordoned {
 		return
 	}
-	delete(g.cordons.since, domain)
+	delete(g.cordons.inForce, domain)
 	g.noteCordonChange(platform.CordonChange{Cordon: jobs.Cordon{Domain: domain}, Lifted: true})
 }
 
 // LiftCordons lifts all cordons.
 func (g *Grid) LiftCordons() {
 	g.mu.Lock()
-	domains := maps.Clone(g.cordons.since)
+	domains := maps.Clone(g.cordons.inForce)
 	g.mu.Unlock()
 	for domain := range domains {
 		g.LiftCordon(domain)
@@ -84,17 +91,9 @@
 func (g *Grid) Cordons(context.Context) ([]jobs.Cordon, platform.Version, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	inForce := map[models.FailureDomain]jobs.Cordon{}
-	for _, change := range g.cordons.changes {
-		if change.Lifted {
-			delete(inForce, change.Cordon.Domain)
-		} else {
-			inForce[change.Cordon.Domain] = change.Cordon
-		}
-	}
 	var list []jobs.Cordon
-	for _, cordon := range inForce {
-		list = append(list, cordon)
+	for _, each := range g.cordons.inForce {
+		list = append(list, each.Cordon)
 	}
 	return list, platform.Version(len(g.cordons.changes)), nil
 }
@@ -105,13 +104,8 @@
 	changed := g.cordons.changed
 	waits := int(after) == len(g.cordons.changes)
 	g.mu.Unlock()
-	if waits {
-		select {
-		case <-changed:
-		case <-time.After(listWait):
-		case <-ctx.Done():
-			return nil, 0, ctx.Err()
-		}
+	if waits && !waitForChange(ctx, changed) {
+		return nil, 0, ctx.Err()
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -120,17 +114,17 @@
 
 // isCordoned reports whether a worker's failure domain is cordoned.
 func (g *Grid) isCordoned(w *incarnation) bool {
-	_, cordoned := g.cordons.since[w.info.Domain]
+	_, cordoned := g.cordons.inForce[w.info.Domain]
 	return cordoned
 }
 
 // checkCordon checks that a run doesn't start in a failure domain that has been cordoned for longer than allowed. The
 // bound holds in times of calm only.
 func (g *Grid) checkCordon(w *incarnation, r *run) {
-	since, cordoned := g.cordons.since[w.info.Domain]
+	cordon, cordoned := g.cordons.inForce[w.info.Domain]
 	now := time.Now()
 	calm := len(g.audit.ongoingFaults) == 0 && now.Sub(g.audit.lastFault) >= calmTime
-	if cordoned && calm && now.Sub(since) > maxStartsAfterCordon {
-		g.audit.breach("%s starts on %s %s after %s was cordoned", r.task, w.info.ID, now.Sub(since).Round(time.Millisecond), w.info.Domain)
+	if cordoned && calm && now.Sub(cordon.since) > maxStartsAfterCordon {
+		g.audit.breach("%s starts on %s %s after %s was cordoned", r.task, w.info.ID, now.Sub(cordon.since).Round(time.Millisecond), w.info.Domain)
 	}
 }
