Cordoned workers are searched once a second for a job that waits, not at each look for a place

While a domain is cordoned, each waiting job that no cordoned worker could take either was compared with all of them every 20 ms, for a log line that it would never get; for filler tasks that asks the interference model for each worker. The line itself is as before: once for each job, at once where it can be said (TestWaitForCordonedWorkersIsLogged).

--- a/services/dispatch/cordon.go
+++ b/services/dispatch/cordon.go
@@ -72,11 +72,16 @@
 // domain is cordoned.
 func (w *worker) closedToStarts() bool { return w.info.Draining || w.cordoned }
 
+// cordonWaitInterval is the time between two searches of the cordoned workers for a job that waits: they cost as much as
+// the search for a place, which is repeated each scanBackoff.
+const cordonWaitInterval = time.Second
+
 // logCordonWait logs, once for each job, that a step waits although cordoned workers could take its tasks.
-func (c *Core) logCordonWait(s *step) {
-	if len(c.cordons) == 0 || s.job.cordonWaitLogged {
+func (c *Core) logCordonWait(s *step, now time.Time) {
+	if len(c.cordons) == 0 || s.job.cordonWaitLogged || now.Sub(s.job.cordonsSearchedAt) < cordonWaitInterval {
 		return
 	}
+	s.job.cordonsSearchedAt = now
 	cordoned := 0
 	for _, w := range c.sortedWorkers {
 		if w.cordoned && w.listed && c.fits(w, s) && c.hasCapacity(w, s) {
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -43,6 +43,7 @@
 	home               jobs.CellName   // the cell whose record names this one, if it does not follow from the job's id
 	additionalCells    []jobs.CellName // other cells with tasks of the job, named by the job's record in this cell
 	cordonWaitLogged   bool            // it was logged that it waits for cordoned workers
+	cordonsSearchedAt  time.Time       // when cordoned workers were last searched for it
 	movesClosed        bool            // none of its tasks may move between cells any more; see jobs.Record
 }
 
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -92,7 +92,7 @@
 		}
 		if len(places) == 0 {
 			s.recordNoPlace(now)
-			c.logCordonWait(s)
+			c.logCordonWait(s, now)
 			return
 		}
 		if s.spec.LongRunning && !c.leavesCapacity(t, now) {
