The cordons are read again and again, not watched

Cause: the watch of the cordons is one more call that waits. On a link that 250 calls fill it fails with all others and is repeated at once, and the lease in the store is not renewed in time; the owner then loses its cell and takes it again every 2.4 s.

A cordon is in force after 0.7 s and one call, within the second as before (TestCordonIsInForceWithinASecond).

--- a/services/control/cluster_connections_test.go
+++ b/services/control/cluster_connections_test.go
@@ -203,22 +203,15 @@
 // testCordons is a daemon's connection to the list of cordons.
 type testCordons struct{ *testDaemon }
 
-func (l *testCordons) Cordons(ctx context.Context) ([]jobs.Cordon, platform.Version, error) {
+func (l *testCordons) Cordons(ctx context.Context) ([]jobs.Cordon, error) {
 	if err := l.fault(ctx); err != nil {
-		return nil, 0, err
-	}
-	return l.cluster.grid.Cordons(ctx)
-}
-
-func (l *testCordons) CordonChanges(ctx context.Context, after platform.Version) ([]platform.CordonChange, platform.Version, error) {
-	if err := l.fault(ctx); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	changes, at, err := l.cluster.grid.CordonChanges(ctx, after)
+	cordons, err := l.cluster.grid.Cordons(ctx)
 	if failed := l.fault(ctx); failed != nil {
-		return nil, 0, failed // the answer is lost
+		return nil, failed // the answer is lost
 	}
-	return changes, at, err
+	return cordons, err
 }
 
 // fault returns the error of a call to the list of cordons that the current faults cause.
@@ -228,7 +221,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cordonWatchLost {
+	if l.cordonsLost {
 		return platform.ErrUnknownOutcome
 	}
 	return nil
--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -78,7 +78,7 @@
 
 	exited bool // the process has exited while its VM runs: connections to its address are refused
 
-	cordonWatchLost bool // watches of the cordons fail, while other calls are answered
+	cordonsLost bool // readings of the cordons fail, while other calls are answered
 
 	beforeCommit func() // called before each of the daemon's transactions; nil: nothing
 }
--- a/services/control/cordon_test.go
+++ b/services/control/cordon_test.go
@@ -130,29 +130,29 @@
 		w.submit(w.daemons[0], longRunningJob(1, 1))
 		w.owner().kill()
 		next := w.startDaemon()
-		next.set(func() { next.cordonWatchLost = true })
+		next.set(func() { next.cordonsLost = true })
 		time.Sleep(6 * time.Second)
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
 			require.Zero(t, w.runningIn(0))
 		}
-		next.set(func() { next.cordonWatchLost = false })
+		next.set(func() { next.cordonsLost = false })
 		w.submitFor(2*time.Second, 2, func() { require.Zero(t, w.runningIn(0)) })
 		w.requireNoBreaches()
 	})
 }
 
-// TestLostWatchOfCordonsStopsStarts guards against an owner that learns of jobs and workers, but of no cordon: the
+// TestLostReadingsOfCordonsStopStarts guards against an owner that learns of jobs and workers, but of no cordon: the
 // bound holds although it knows nothing of the request, because its knowledge is stale.
-func TestLostWatchOfCordonsStopsStarts(t *testing.T) {
+func TestLostReadingsOfCordonsStopStarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newCordonCluster(t, 1)
 		d := w.owner()
-		d.set(func() { d.cordonWatchLost = true })
+		d.set(func() { d.cordonsLost = true })
 		w.grid.Cordon(grid.DomainName(0))
 		time.Sleep(3500 * time.Millisecond)
 		w.submitFor(5*time.Second, 1, func() { require.Zero(t, w.runningIn(0)) })
-		d.set(func() { d.cordonWatchLost = false })
+		d.set(func() { d.cordonsLost = false })
 		w.eventually(20*time.Second, "jobs succeed elsewhere", func() bool { return w.state(d, jobID(50)) == jobs.StateSucceeded })
 		w.requireNoBreaches()
 	})
--- a/services/control/metered.go
+++ b/services/control/metered.go
@@ -152,16 +152,9 @@
 }
 
 // Cordons implements platform.CordonList.
-func (m *meteredCordons) Cordons(ctx context.Context) ([]jobs.Cordon, platform.Version, error) {
+func (m *meteredCordons) Cordons(ctx context.Context) ([]jobs.Cordon, error) {
 	start := time.Now()
-	cordons, at, err := m.CordonList.Cordons(ctx)
+	cordons, err := m.CordonList.Cordons(ctx)
 	m.recordTimed("list_cordons", start, err)
-	return cordons, at, err
-}
-
-// CordonChanges implements platform.CordonList.
-func (m *meteredCordons) CordonChanges(ctx context.Context, after platform.Version) ([]platform.CordonChange, platform.Version, error) {
-	changes, at, err := m.CordonList.CordonChanges(ctx, after)
-	m.recordCall("watch_cordons", err)
-	return changes, at, err
+	return cordons, err
 }
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -14,7 +14,6 @@
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/services/dispatch"
-	"rillsail.example/rillsail/services/platform"
 )
 
 // Owner runs one cell in one epoch. Its loops call the store and the workers and pass the results to
@@ -33,8 +32,6 @@
 	calling         map[jobs.WorkerID]context.CancelFunc // cancels the call in flight, for each worker with a loop
 	publishedCounts dispatch.Counts                      // as last published to the metrics
 
-	workers           *listCopy[jobs.WorkerID, jobs.Worker, platform.WorkerChange]        // used by workersLoop only
-	cordons           *listCopy[models.FailureDomain, jobs.Cordon, platform.CordonChange] // used by cordonsLoop only
 	journal           journal
 	moves             []*move   // work that is being moved to other cells
 	unfinishedCancels []jobs.ID // jobs whose cancellation may be incomplete
@@ -49,7 +46,7 @@
 func newOwner(c *Cells, cell jobs.CellName, epoch jobs.Epoch, taken time.Time) *Owner {
 	s := c.config.Settings
 	return &Owner{
-		config: c.config, cells: c, cell: cell, epoch: epoch, takenAt: taken, workers: newWorkerCopy(c.config.List), cordons: newCordonCopy(c.config.Cordons), calling: map[jobs.WorkerID]context.CancelFunc{},
+		config: c.config, cells: c, cell: cell, epoch: epoch, takenAt: taken, calling: map[jobs.WorkerID]context.CancelFunc{},
 		core: dispatch.New(dispatch.Config{
 			Epoch: epoch, Taken: taken, Lease: s.WorkerLease, LongestLease: s.LongestLease, OtherCells: c.hasMultipleCells(),
 			TimeOfDay: func(now time.Time) models.UnixMilli { return models.UnixMilliOf(c.config.Clock.TimeOfDay(now)) },
@@ -81,7 +78,6 @@
 
 // runLoops loads the cell and starts its loops. It returns when decideLoop does.
 func (o *Owner) runLoops(ctx context.Context) {
-	o.group.Go(func() { o.cordonsLoop(ctx) }) // beside load: nothing starts before the cordons are read
 	at, ok := o.load(ctx)
 	if !ok {
 		return
@@ -91,6 +87,7 @@
 	}
 	o.group.Go(func() { o.jobsLoop(ctx, at) })
 	o.group.Go(func() { o.workersLoop(ctx) })
+	o.group.Go(func() { o.cordonsLoop(ctx) })
 	o.group.Go(func() { o.storeLoop(ctx) })
 	o.group.Go(func() { o.learnLoop(ctx) })
 	o.group.Go(func() { o.moveLoop(ctx) })
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -22,15 +22,16 @@
 // workersLoop watches the list of workers and starts a loop for each new worker.
 func (o *Owner) workersLoop(ctx context.Context) {
 	o.startWorkerLoops(ctx)
+	list := newWorkerList(o.config.List)
 	for ctx.Err() == nil {
 		sent := o.config.Clock.Now()
-		err := o.workers.update(ctx)
+		err := list.update(ctx)
 		o.cells.health.record(err)
 		if err != nil {
 			sleep(ctx, loadRetryPause)
 			continue
 		}
-		o.updateWorkers(sent)
+		o.updateWorkers(list, sent)
 		o.startWorkerLoops(ctx)
 		wake(o.wakeDecide)
 		wake(o.wakeStore)
@@ -38,15 +39,15 @@
 	}
 }
 
-// updateWorkers passes the copy of the list of workers as of the given time to the core. Without a configuration no
+// updateWorkers passes the list of workers as of the given time to the core. Without a configuration no
 // pool is known and nothing may start; the workers of previous owners are called nevertheless.
-func (o *Owner) updateWorkers(asOf time.Time) {
+func (o *Owner) updateWorkers(list *workerList, asOf time.Time) {
 	configuration := o.cells.configurations.current.Load()
 	layout := o.cells.layout()
 	if configuration == nil || layout == nil {
 		return
 	}
-	workers := workersInCell(o.cell, layout, workersInKnownPools(configuration, o.workers.all()))
+	workers := workersInCell(o.cell, layout, workersInKnownPools(configuration, list.all()))
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.core.SetWorkers(workers, o.config.Clock.Now())
--- a/services/platform/jobs.go
+++ b/services/platform/jobs.go
@@ -112,20 +112,10 @@
 	WorkerChanges(ctx context.Context, after Version) ([]WorkerChange, Version, error)
 }
 
-// CordonChange is a cordon that was set or lifted.
-type CordonChange struct {
-	Cordon jobs.Cordon // only the domain is set for a lifted cordon
-	Lifted bool
-}
-
 // CordonList is the operators' list of cordoned failure domains.
 type CordonList interface {
-	// Cordons reads the whole list and returns the version from which to follow changes.
-	Cordons(ctx context.Context) ([]jobs.Cordon, Version, error)
-	// CordonChanges waits until the list changes after the version. It returns the changes in order, or none when the
-	// wait is over, and the version for the next call. After ErrCompacted or ErrTooLarge the whole list has to be read
-	// again.
-	CordonChanges(ctx context.Context, after Version) ([]CordonChange, Version, error)
+	// Cordons reads the whole list.
+	Cordons(ctx context.Context) ([]jobs.Cordon, error)
 }
 
 // ConfigurationFeed is the source of the operators' configuration.
--- a/services/standin/grid/grid.go
+++ b/services/standin/grid/grid.go
@@ -109,7 +109,8 @@
 	calls        int                         // calls that reached a worker
 	changes      []jobs.WorkerID             // workers whose list entry changed, in order
 	changed      chan struct{}               // closed and replaced with each change
-	cordons      cordons
+	cordons      map[models.FailureDomain]cordon
+	cordonsSet   int // cordons set so far; numbers their versions
 }
 
 var (
@@ -147,7 +148,7 @@
 	g := &Grid{
 		config: config, workers: map[jobs.WorkerID]*incarnation{}, begin: time.Now(), audit: newAudit(),
 		unlisted: map[jobs.WorkerID]bool{}, draining: map[jobs.WorkerID]time.Time{}, staleEntries: map[jobs.WorkerID]bool{},
-		changed: make(chan struct{}), cordons: newCordons(),
+		changed: make(chan struct{}), cordons: map[models.FailureDomain]cordon{},
 	}
 	for n := range config.Workers {
 		g.idsByPlace = append(g.idsByPlace, g.boot(n))
--- a/services/standin/grid/list.go
+++ b/services/standin/grid/list.go
@@ -39,8 +39,13 @@
 	changed := g.changed
 	waits := int(after) == len(g.changes)
 	g.mu.Unlock()
-	if waits && !waitForChange(ctx, changed) {
-		return nil, 0, ctx.Err()
+	if waits {
+		select {
+		case <-changed:
+		case <-time.After(listWait):
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -52,17 +57,6 @@
 	return changes, platform.Version(len(g.changes)), nil
 }
 
-// waitForChange waits until a list changes, for listWait at most; false: ctx has ended.
-func waitForChange(ctx context.Context, changed <-chan struct{}) bool {
-	select {
-	case <-changed:
-	case <-time.After(listWait):
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
 // listed returns the worker's entry, and whether the list contains it now.
 func (g *Grid) listed(id jobs.WorkerID) (jobs.Worker, bool) {
 	worker := g.workers[id].info
