The successor's test of cordons submits its job to the successor

Cause, in the test: it submitted its job to the first owner at the moment of the cordon, which that owner may learn of milliseconds later, so that the first owner had started the task there. The job, now of eight tasks for all workers of both domains, goes to the successor.

--- a/services/control/cordon_test.go
+++ b/services/control/cordon_test.go
@@ -127,10 +127,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newCordonCluster(t, 1)
 		w.grid.Cordon(grid.DomainName(0))
-		w.submit(w.daemons[0], longRunningJob(1, 1))
 		w.owner().kill()
 		next := w.startDaemon()
 		next.set(func() { next.cordonsLost = true })
+		w.submit(next, longRunningJob(1, 8)) // on all workers of both domains
 		time.Sleep(6 * time.Second)
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
