A recovery that takes longer than a second tells what it waits for

Cause: after a takeover every task that was accepted before it waits for the workers that may still run it.

Change: a log line after the first second and whenever the basis of the wait changes, and the same in the state dump.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -27,7 +27,7 @@
 //     simultaneous losses are known), shared.go (losses shared by several tasks), trial.go (where
 //     and how suspects start), trial_wait.go (what keeps them from it), suspicion_store.go (what is stored), unobserved_losses.go (unobserved losses:
 //     runs that may have been lost without any owner knowing of them)
-//   - recovery after a takeover: takeover.go; proof that this process still owns the cell:
+//   - recovery after a takeover: takeover.go, recovery_wait.go (what it waits for); proof that this process still owns the cell:
 //     proof.go; whether its copy of the store's data is fresh enough to start tasks:
 //     store_freshness.go
 //   - work handed to another cell: movable.go (what may move), offer.go (how much work of other
@@ -108,6 +108,7 @@
 	fencedAt        time.Time     // when more than a third of the workers had reported in this epoch; zero: not yet; see updateFenced
 	answeredAt      time.Time     // when the first worker reported in this epoch; zero: none has
 	calledAt        time.Time     // when the first worker of the previous roster reported in this epoch; zero: none has
+	loggedBasis     lapseBasis    // of the wait after the takeover that was last logged; empty: none was
 	superseded      bool
 	provedAt        time.Time // when the latest transaction that proves ownership was begun; see mayOrder
 	allAskedAt      time.Time // all workers have answered a call that was sent at this time or later
--- a/services/dispatch/summary.go
+++ b/services/dispatch/summary.go
@@ -23,13 +23,15 @@
 	Cordoned   int  `json:"cordoned"`   // workers in cordoned failure domains
 	Unstored   int  `json:"unstored"`   // jobs with changes to be stored
 	Recovering bool `json:"recovering"` // some tasks wait for workers that haven't reported since the takeover
+	// RecoveryWait is what the recovery waits for; left out: nothing.
+	RecoveryWait *RecoveryWait `json:"recovery_wait,omitempty"`
 	// ReportAge is the median age of the reports of listed workers.
 	ReportAge models.Milli `json:"report_age_ms"`
 }
 
 // Summary returns the core's state in figures.
 func (c *Core) Summary(now time.Time) Summary {
-	s := Summary{Jobs: len(c.jobs), Workers: len(c.sortedWorkers), Unstored: len(c.dirty), Recovering: c.recovering}
+	s := Summary{Jobs: len(c.jobs), Workers: len(c.sortedWorkers), Unstored: len(c.dirty), Recovering: c.recovering, RecoveryWait: c.recoveryWait(now)}
 	for _, step := range c.waitingSteps {
 		s.Waiting += step.waiting
 	}
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -58,13 +58,34 @@
 const maxBlindTime = 30 * time.Second
 
 // previousOwnersLapsed returns when all runs that previous owners started on workers that do not answer have certainly
-// ended. Until a worker of the roster has answered, the time is a guess: a previous owner whose workers all answer it may
-// go on for longer.
+// ended.
 func (c *Core) previousOwnersLapsed() time.Time {
-	if c.fencedAt.IsZero() {
-		return c.blindSince().Add(maxBlindTime)
+	lapsed, _ := c.previousOwnersLapse()
+	return lapsed
+}
+
+// lapseBasis says what is known of the previous owners, and so how long the runs on silent workers are waited for.
+type lapseBasis string
+
+// What may be known of the previous owners.
+const (
+	lapseGuessed lapseBasis = "no worker of the roster has answered"
+	lapseBlind   lapseBasis = "no more than a third of the workers have answered"
+	lapseFenced  lapseBasis = "too few workers are left to the previous owner"
+)
+
+// previousOwnersLapse returns when the runs of previous owners on silent workers have ended, and what that is known
+// from. Until a worker of the roster has answered, the time is a guess: a previous owner whose workers all answer it may
+// go on for longer.
+func (c *Core) previousOwnersLapse() (time.Time, lapseBasis) {
+	switch {
+	case !c.fencedAt.IsZero():
+		return c.fencedAt.Add(driftedLease(c.previousLease) + previousOwnerMargin), lapseFenced
+	case !c.calledAt.IsZero():
+		return c.blindSince().Add(maxBlindTime), lapseBlind
+	default:
+		return c.blindSince().Add(maxBlindTime), lapseGuessed
 	}
-	return c.fencedAt.Add(driftedLease(c.previousLease) + previousOwnerMargin)
 }
 
 // blindSince returns since when the runs of silent workers are waited for while no more than a third answer.
@@ -133,10 +154,9 @@
 	if !c.recovering || len(c.sortedWorkers) == 0 && c.now.Before(c.previousOwnersLapsed()) {
 		return
 	}
-	for _, w := range c.sortedWorkers {
-		if w.inPreviousRoster && !w.answered && !c.hasLapsed(w) {
-			return
-		}
+	if silent := c.silentSinceTakeover(); len(silent) > 0 {
+		c.logRecoveryWait(silent, now)
+		return
 	}
 	c.recovering = false
 	c.countLostUnresolvedRuns()
