A failing test of takeovers beside a worker that has gone for good

Callers saw accepted tasks that could run and didn't, with most workers idle. The test plays losses of the owner (its process ends, its VM loses power for some time or for good, it lives and is cut off), with no, half, two thirds and nearly all workers cut off meanwhile, and one worker that goes for good. Within 7 s after the last fault all tasks have to run again, as callers expect.

--- a/services/control/checkpoint_random_test.go
+++ b/services/control/checkpoint_random_test.go
@@ -219,7 +219,7 @@
 // at once; beside long-running tasks it may never fit.
 func (s savingRun) bindFirstStep(spec jobs.Spec, place int) jobs.Spec {
 	spec.Steps[0].PerWorker = 2
-	if s.perCell == scriptWorkers {
+	if s.settings.WorkersPerCell == scriptWorkers {
 		spec.Steps[0].Requires = fmt.Sprint("rack-", place/2)
 	}
 	return spec
--- a/services/control/cluster_connections_test.go
+++ b/services/control/cluster_connections_test.go
@@ -228,16 +228,20 @@
 }
 
 // testPeers calls the other daemons of the cluster.
-type testPeers struct{ *testCluster }
+type testPeers struct{ caller *testDaemon }
 
 func (p *testPeers) Jobs(_ context.Context, address string, query jobs.Query) (jobs.Answer, error) {
-	p.mu.Lock()
-	d := p.byName[address]
-	p.mu.Unlock()
+	cluster := p.caller.cluster
+	cluster.mu.Lock()
+	d := cluster.byName[address]
+	cluster.mu.Unlock()
+	if !p.caller.answersPeers() {
+		return jobs.Answer{}, errNoOwner
+	}
 	if d != nil && d.hasExited() {
 		return jobs.Answer{}, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
-	if d == nil || d.isFrozen() {
+	if d == nil || !d.answersPeers() {
 		return jobs.Answer{}, errNoOwner
 	}
 	return d.Cells.Answer(query), nil
--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -38,12 +38,14 @@
 	daemons        []*testDaemon
 	feed           *testFeed
 	daemonsStarted int // number of daemons started so far
-	perCell        int
-	scope          tally.TestScope
-	daemonCores    float64 // processor cores of daemons started from now on; 0: as in testSettings
-	daemonLinkMbit float64 // link rate of daemons started from now on; 0: unknown
-	logs           zapcore.Core
-	logged         *observer.ObservedLogs
+	// processesStarted is the number of daemons' processes started so far, also on the same VM one after the other.
+	processesStarted int
+	settings         setting.Jobs
+	scope            tally.TestScope
+	daemonCores      float64 // processor cores of daemons started from now on; 0: as in testSettings
+	daemonLinkMbit   float64 // link rate of daemons started from now on; 0: unknown
+	logs             zapcore.Core
+	logged           *observer.ObservedLogs
 	// wrapStore adds faults to the store connection of daemons started from now on; nil: none.
 	wrapStore func(d *testDaemon, store platform.TxnStore) platform.TxnStore
 	// beforeStart is called before each start that a daemon sends to a worker; nil: nothing. It must be set before the
@@ -73,6 +75,7 @@
 	storeWriteDelay time.Duration          // see testStore
 	orderDelay      time.Duration          // delay of the daemon's orders to workers, whose calls time out; 0: none
 	watchLost       bool                   // watches of the store fail, while other calls are answered
+	peersCut        bool                   // the daemon and the other daemons do not reach each other
 
 	vmSuspension *suspension
 
@@ -122,12 +125,20 @@
 // newTestClusterWithGrid creates a cluster with workers as configured. It sets their racks, pool, capacity, lease and
 // stop time to the tests' defaults.
 func newTestClusterWithGrid(t *testing.T, daemons, perCell int, workers grid.Config) *testCluster {
+	t.Helper()
+	settings := testSettings
+	settings.WorkersPerCell = perCell
+	return newTestClusterWithSettings(t, daemons, settings, workers)
+}
+
+// newTestClusterWithSettings creates the same cluster, with daemons that have the given settings.
+func newTestClusterWithSettings(t *testing.T, daemons int, settings setting.Jobs, workers grid.Config) *testCluster {
 	t.Helper()
 	workers.PerRack, workers.Pool, workers.Capacity = 2, testPool, models.Resources{CPU: 4000, Memory: 8000}
 	workers.LongestLease, workers.StopTime, workers.ClockDrift = testSettings.LongestLease, 300*time.Millisecond, 0.02
 	ctx, cancel := context.WithCancel(t.Context())
 	w := &testCluster{
-		t: t, ctx: ctx, store: kv.New(kv.Config{}), perCell: perCell, scope: tally.NewTestScope("", nil),
+		t: t, ctx: ctx, store: kv.New(kv.Config{}), settings: settings, scope: tally.NewTestScope("", nil),
 		byName: map[string]*testDaemon{}, heldEntries: map[jobs.WorkerID]bool{},
 		grid: grid.New(workers),
 		feed: &testFeed{configuration: jobs.Configuration{
@@ -150,12 +161,17 @@
 
 func (w *testCluster) startDaemon() *testDaemon {
 	w.daemonsStarted++
-	name := fmt.Sprintf("daemon-%d", w.daemonsStarted)
+	return w.startDaemonAs(fmt.Sprintf("daemon-%d", w.daemonsStarted))
+}
+
+// startDaemonAs starts a daemon's process under a name, which is also its address.
+func (w *testCluster) startDaemonAs(name string) *testDaemon {
+	w.processesStarted++
+	process := w.processesStarted
 	ctx, cancel := context.WithCancel(w.ctx)
 	d := &testDaemon{cluster: w, name: name, cancel: cancel, done: make(chan struct{}), cutFrom: map[jobs.WorkerID]bool{}, vmSuspension: &suspension{}}
 	ids := 0
-	settings := testSettings
-	settings.WorkersPerCell = w.perCell
+	settings := w.settings
 	if w.daemonCores > 0 {
 		settings.Processor = w.daemonCores
 	}
@@ -167,10 +183,10 @@
 	d.Service = New(Config{
 		Self: name, Address: name, Settings: settings, Store: store,
 		Clock:   clock.New(clock.Config{Monotonic: d.vmSuspension.steady, Meter: d.vmSuspension}),
-		Workers: &testWorkers{d}, List: &testList{d}, Cordons: &testCordons{d}, Feed: w.feed, Peers: &testPeers{w},
+		Workers: &testWorkers{d}, List: &testList{d}, Cordons: &testCordons{d}, Feed: w.feed, Peers: &testPeers{d},
 		NewID: func() string {
 			ids++
-			return fmt.Sprintf("%s-%d", name, ids)
+			return fmt.Sprintf("%s-%d-%d", name, process, ids)
 		},
 		Logger: zap.New(w.logs).With(zap.String("id", name)), Scope: w.scope,
 	})
@@ -213,6 +229,21 @@
 	d.set(func() { d.exited = true })
 }
 
+// restart starts the next process of a daemon that was killed, on the same VM.
+func (d *testDaemon) restart() *testDaemon { return d.cluster.startDaemonAs(d.name) }
+
+// answersPeers reports whether calls of another daemon reach the process.
+func (d *testDaemon) answersPeers() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.done:
+		return false
+	default:
+		return d.frozen == nil && !d.peersCut
+	}
+}
+
 func (d *testDaemon) hasExited() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/services/control/takeover_test.go
+++ b/services/control/takeover_test.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,44 +12,109 @@
 	"testing/synctest"
 	"time"
 
+	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/casefile"
+	"rillsail.example/rillsail/services/standin/grid"
 )
 
 const (
 	takeoverWorkers = 12
 	takeoverGone    = 1 // workers that answer nobody from before the takeover
-	takeoverCut     = 6 // workers that answer nobody while the owner is lost
+	takeoverLease   = 4500 * time.Millisecond
 	takeoverCutTime = 12 * time.Second
 	takeoverCalm    = 4 * time.Second  // after the last fault nothing may be expected of the cell for so long
 	takeoverAllowed = 3 * time.Second  // from then on a task that could run waits no longer
 	takeoverDivided = 40 * time.Second // for which two owners reach different workers
 )
 
-// TestTasksRunSoonAfterATakeoverBehindACut guards against tasks that wait beside idle workers long after a takeover:
-// most workers answered only after a cut had healed, and only then the wait for those that had gone for good began.
+// takeoverCase is a loss of the owner of a cell in which one worker has just gone for good.
+type takeoverCase struct {
+	Name string `json:"name"`
+	Cut  int    `json:"cut"` // workers that answer nobody for takeoverCutTime from the loss on
+	// GoneBefore is how long before the loss one more worker has gone for good, without its entry in the list; 0: it goes
+	// at the loss and stays in the list.
+	GoneBefore models.Milli `json:"gone_before_ms"`
+	Lease      models.Milli `json:"lease_ms"` // that workers are granted; 0: takeoverLease
+	// Loss says how the owner is lost: its process ends, its VM loses power, or its VM is cut off from all others.
+	Loss string `json:"loss"`
+	// Back is when the process starts again after the loss, and that of the successor after its loss; 0: never.
+	Back models.Milli `json:"back_ms"`
+	// SuccessorAfter is when the process of the successor ends, from its takeover on; 0: it does not.
+	SuccessorAfter models.Milli `json:"successor_after_ms"`
+	// FromLoss says that the calm begins with the last loss of an owner, not with the end of the cut.
+	FromLoss bool `json:"from_loss"`
+}
+
+// lose loses the owner in the way of the case.
+func (c *takeoverCase) lose(d *testDaemon) {
+	switch c.Loss {
+	case "process":
+		d.killProcess()
+	case "power":
+		d.kill()
+	case "isolation":
+		d.set(func() { d.storeCut, d.workerCut, d.peersCut = true, true, true })
+		return
+	}
+	if c.Back == 0 {
+		return
+	}
+	go func() {
+		time.Sleep(c.Back.Duration())
+		d.restart()
+	}()
+}
+
+// loseSuccessor ends the process of the next owner some time after its takeover.
+func (c *takeoverCase) loseSuccessor(w *testCluster) {
+	w.eventually(10*time.Second, "another daemon owns the cell", func() bool { return w.owner() != nil })
+	time.Sleep(c.SuccessorAfter.Duration())
+	successor := w.owner()
+	successor.killProcess()
+	time.Sleep(c.Back.Duration())
+	successor.restart()
+}
+
+// play loses the owner while workers are cut off, and requires that the tasks run as soon as callers expect.
+func (c *takeoverCase) play(t *testing.T) {
+	settings := testSettings
+	settings.WorkerLease = cmp.Or(c.Lease.Duration(), takeoverLease)
+	w := newTestClusterWithSettings(t, 4, settings, grid.Config{Workers: takeoverWorkers})
+	spec := longRunningJob(1, takeoverWorkers)
+	spec.Steps[0].PerWorker = 2
+	w.submit(w.daemons[0], spec)
+	w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+	if c.GoneBefore > 0 {
+		w.grid.SetFaults(0, faultsCut)
+		w.grid.SetListed(0, false)
+	}
+	time.Sleep(c.GoneBefore.Duration())
+	for place := range takeoverGone + c.Cut {
+		w.grid.SetFaults(place, faultsCut)
+	}
+	began := time.Now()
+	c.lose(w.owner())
+	if c.SuccessorAfter > 0 {
+		c.loseSuccessor(w)
+	}
+	if !c.FromLoss {
+		time.Sleep(time.Until(began.Add(takeoverCutTime)))
+	}
+	for place := takeoverGone; place < takeoverGone+c.Cut; place++ {
+		w.grid.SetFaults(place, noFaults)
+	}
+	w.eventually(takeoverCalm+takeoverAllowed, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+	w.requireNoBreaches()
+}
+
+// TestTasksRunSoonAfterATakeoverBehindACut guards against tasks that wait beside idle workers long after a takeover
+// because of one worker that has gone for good: the wait for it began only when a cut of most workers had healed, or
+// lasted longer than the lease that the previous owner could have granted.
 func TestTasksRunSoonAfterATakeoverBehindACut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newTestCluster(t, takeoverWorkers, 3, nil)
-		spec := longRunningJob(1, takeoverWorkers)
-		spec.Steps[0].PerWorker = 2
-		w.submit(w.daemons[0], spec)
-		w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
-		for place := range takeoverGone {
-			w.grid.SetFaults(place, faultsCut)
-			w.grid.SetListed(place, false)
-		}
-		time.Sleep(3 * time.Second)
-		for place := takeoverGone; place < takeoverGone+takeoverCut; place++ {
-			w.grid.SetFaults(place, faultsCut)
-		}
-		w.owner().kill()
-		time.Sleep(takeoverCutTime)
-		for place := takeoverGone; place < takeoverGone+takeoverCut; place++ {
-			w.grid.SetFaults(place, noFaults)
-		}
-		w.eventually(takeoverCalm+takeoverAllowed, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
-		w.requireNoBreaches()
-	})
+	for _, c := range casefile.Read[[]takeoverCase](t, "testdata/takeovers.json") {
+		t.Run(c.Name, func(t *testing.T) { synctest.Test(t, c.play) })
+	}
 }
 
 // testDividedWorkers divides the workers between an owner that the store does not reach, which keeps the first ones, and
