An owner asks the daemons of the owners before it since when these have ended

Cause: after a takeover a task waits for each silent worker that may still run it, and the wait for the previous owner's leases began when more than a third of the workers had answered its successor, however long the previous owner had ended by then: behind a cut of two thirds the wait began only with the end of the cut, or lasted 30 s.

Change: the end of a claim is a fact that its daemon knows. Each claim of a cell adds itself, in the transaction that makes it, to a stored list that outlives it. An owner asks the daemons on that list. A daemon ends an owner that still runs, bars a claim that is not run yet, and says since when the claim has ended; a process that did not make it answers for the one before it on its VM. Once all have answered, runs on silent workers are over one lease after the last end, since a lease ends at a time on its worker's clock. An owner that is out of reach is waited for as before: neither a refused connection (a firewall may refuse) nor another VM at the address is an answer, and a list that is full or begins with an older version proves nothing.

--- /dev/null
+++ b/models/jobs/claims.go
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package jobs
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/models"
+)
+
+// maxClaims is how many claims a list of claims names.
+const maxClaims = 16
+
+// Claims is the stored list of the claims of a cell under which runs may exist that the latest owner has not found yet.
+// Each claim adds itself in the transaction that makes it. An owner removes the claims before its own once their runs
+// are over.
+type Claims struct {
+	Owners []Owner `json:"owners"` // in the order of their claims
+	// Incomplete says that there may have been claims that the list does not name.
+	Incomplete bool `json:"incomplete,omitempty"`
+}
+
+// Check rejects a list with too many claims or an invalid one.
+func (c Claims) Check() error {
+	if len(c.Owners) > maxClaims {
+		return errors.Newf("list has %d claims, %d are allowed", len(c.Owners), maxClaims)
+	}
+	for _, owner := range c.Owners {
+		if err := owner.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// With returns the list with one more claim. A list that is full becomes incomplete.
+func (c Claims) With(claim Owner) Claims {
+	owners := append(slices.Clone(c.Owners), claim)
+	dropped := max(0, len(owners)-maxClaims)
+	return Claims{Owners: owners[dropped:], Incomplete: c.Incomplete || dropped > 0}
+}
+
+// ClaimEnd is a daemon's answer that no owner runs under a claim of its own and that none will.
+type ClaimEnd struct {
+	Daemon string `json:"daemon"`
+	// Ago is how long before the answer the last order under the claim was given, at least.
+	Ago models.Milli `json:"ago_ms"`
+}
--- a/models/jobs/query.go
+++ b/models/jobs/query.go
@@ -18,6 +18,9 @@
 	Learned bool     `json:"learned,omitempty"` // list the interference factors that the cell has learned
 	Load    bool     `json:"load,omitempty"`
 	Demands []Demand `json:"demands,omitempty"` // count the places for them, one demand after the other
+	// EndClaim is the ClaimID of an earlier claim of the cell, which the daemon that is asked made and which the asking
+	// daemon has superseded: the daemon stops to run the cell under that claim.
+	EndClaim string `json:"end_claim,omitempty"`
 }
 
 // Demand describes tasks of a step for which an owner looks for places in other cells.
@@ -44,7 +47,7 @@
 // Answer is the answer to a Query.
 type Answer struct {
 	// IsOwner is set if the daemon owns the cell and has recovered its jobs. Otherwise the other
-	// fields are empty.
+	// fields but ClaimEnd are empty.
 	IsOwner bool         `json:"owner"`
 	States  map[ID]State `json:"states,omitempty"` // jobs that the owner does not know are left out
 	// AdditionalCells has an entry for each job of which other cells may have tasks, also if all of its tasks have been
@@ -54,6 +57,8 @@
 	Learned         []LearnedFactor   `json:"learned,omitempty"`
 	Load            CellLoad          `json:"load"`
 	Places          []int             `json:"places,omitempty"` // one count per demand, in their order
+	// ClaimEnd answers Query.EndClaim, also if the daemon does not own the cell; nil: the claim has not ended yet.
+	ClaimEnd *ClaimEnd `json:"claim_end,omitempty"`
 }
 
 // Check rejects factors whose idle tail is not positive, as they can't be converted to another unit of load.
--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -30,6 +30,7 @@
 	currentLayout *jobs.Layout
 	owners        map[jobs.CellName]ownerRecord
 	owned         map[jobs.CellName]*Owner
+	claimEnds     claimEnds
 	lease         platform.LeaseID
 	// registeredVersion is the version of this daemon's own key; 0: the key does not exist.
 	registeredVersion platform.Version
@@ -60,7 +61,7 @@
 func newCells(c Config, health *storeHealth, configurations *Configurations) *Cells {
 	return &Cells{
 		config: c, health: health, configurations: configurations,
-		owners: map[jobs.CellName]ownerRecord{}, owned: map[jobs.CellName]*Owner{},
+		owners: map[jobs.CellName]ownerRecord{}, owned: map[jobs.CellName]*Owner{}, claimEnds: newClaimEnds(c.Clock.Now()),
 		loads: map[jobs.CellName]jobs.CellLoad{}, wakeClaim: make(chan struct{}, 1), wakeLease: make(chan struct{}, 1),
 		startLimit: newStartLimit(),
 	}
@@ -129,8 +130,12 @@
 	return owners
 }
 
-// Answer answers a query about a cell that this daemon owns. For any other cell it returns the zero Answer.
+// Answer answers a query about a cell that this daemon owns, or about the end of a claim that it made. To any other
+// query it returns the zero Answer.
 func (c *Cells) Answer(query jobs.Query) jobs.Answer {
+	if query.EndClaim != "" {
+		return jobs.Answer{ClaimEnd: c.endClaim(query.Cell, query.EndClaim)}
+	}
 	c.mu.Lock()
 	owner := c.owned[query.Cell]
 	c.mu.Unlock()
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -113,11 +112,6 @@
 // claim tries to make this daemon the owner of a cell and, if that succeeds, starts running the cell.
 func (c *Cells) claim(ctx context.Context, cell jobs.CellName) bool {
 	owner := jobs.Owner{Daemon: c.config.Self, Address: c.config.Address, ClaimID: c.config.NewID()}
-	value, err := json.Marshal(owner)
-	if err != nil {
-		c.config.Logger.Error("claim of a cell not written: encoding failed", log.Err(err)...)
-		return false
-	}
 	c.mu.Lock()
 	lease := c.lease
 	c.mu.Unlock()
@@ -125,12 +119,7 @@
 		return false // the lease ended after the cell was found free; keys without lease would never expire
 	}
 	taken := c.config.Clock.Read()
-	version, err := c.config.Store.Commit(ctx, platform.Txn{
-		Require: []platform.Precondition{{Key: ownerKey(cell)}, {Key: markerKey(cell)}},
-		Put: []platform.Write{
-			{Key: ownerKey(cell), Value: value, Lease: lease}, {Key: markerKey(cell), Value: value, Lease: lease},
-		},
-	})
+	previous, version, err := c.commitClaim(ctx, cell, owner, lease)
 	if errors.Is(err, platform.ErrUnknownOutcome) {
 		version, err = c.resolveClaim(ctx, cell, owner)
 	}
@@ -141,10 +130,45 @@
 		}
 		return false
 	}
-	c.startOwner(ctx, cell, owner, version, taken)
+	c.startOwner(ctx, cell, cellClaim{owner: owner, version: version, taken: taken, previous: previous})
 	return true
 }
 
+// cellClaim is a claim of a cell that the store has accepted.
+type cellClaim struct {
+	owner    jobs.Owner
+	version  platform.Version // of the owner's keys, which is the epoch
+	taken    time.Time
+	previous jobs.Claims // made before it
+}
+
+// commitClaim makes a claim and adds it to the cell's list of claims. It returns the claims that were listed before. A
+// cell without a list and without a roster has had no owner that started anything.
+func (c *Cells) commitClaim(ctx context.Context, cell jobs.CellName, owner jobs.Owner, lease platform.LeaseID) (jobs.Claims, platform.Version, error) {
+	previous, listed, err := readWithVersion[jobs.Claims](ctx, c.config.Store, claimsKey(cell))
+	if err != nil {
+		return jobs.Claims{}, 0, err
+	}
+	txn := platform.Txn{Require: []platform.Precondition{
+		{Key: ownerKey(cell)}, {Key: markerKey(cell)}, {Key: claimsKey(cell), Version: listed},
+	}}
+	if listed == 0 {
+		_, roster, err := readWithVersion[jobs.Roster](ctx, c.config.Store, rosterKey(cell))
+		if err != nil {
+			return jobs.Claims{}, 0, err
+		}
+		previous.Incomplete = roster != 0
+		txn.Require = append(txn.Require, platform.Precondition{Key: rosterKey(cell), Version: roster})
+	}
+	txn.Put, err = encodeWrites([]keyValue{{ownerKey(cell), owner}, {markerKey(cell), owner}, {claimsKey(cell), previous.With(owner)}})
+	if err != nil {
+		return jobs.Claims{}, 0, err
+	}
+	txn.Put[0].Lease, txn.Put[1].Lease = lease, lease // the list of claims outlives the claim
+	version, err := c.config.Store.Commit(ctx, txn)
+	return previous, version, err
+}
+
 // resolveClaim finds out whether a claim of unknown outcome was applied. A claim that is applied
 // after this check is removed by removeStaleClaims.
 func (c *Cells) resolveClaim(ctx context.Context, cell jobs.CellName, owner jobs.Owner) (platform.Version, error) {
@@ -162,15 +186,24 @@
 	return record.Version, nil
 }
 
-// startOwner runs a cell that this daemon has claimed. The version of the owner's keys is the epoch.
-func (c *Cells) startOwner(ctx context.Context, cell jobs.CellName, claim jobs.Owner, version platform.Version, taken time.Time) {
-	c.config.Logger.Info("cell is taken", zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(version)))
-	c.config.Scope.Counter("cells_taken").Inc(1)
-	owner := newOwner(c, cell, jobs.Epoch(version), taken)
+// startOwner runs a cell that this daemon has claimed, unless a later owner has asked to end the claim meanwhile.
+func (c *Cells) startOwner(ctx context.Context, cell jobs.CellName, claim cellClaim) {
+	owner := newOwner(c, cell, jobs.Epoch(claim.version), claim.taken)
+	owner.claim, owner.previous = claim.owner, newPreviousOwners(claim.previous)
 	c.mu.Lock()
-	c.owners[cell] = ownerRecord{Owner: claim, version: version, seenAt: taken}
-	c.owned[cell] = owner
+	allowed := c.claimEnds.begin(claim.owner.ClaimID, owner)
+	if allowed {
+		c.owners[cell] = ownerRecord{Owner: claim.owner, version: claim.version, seenAt: claim.taken}
+		c.owned[cell] = owner
+	}
 	c.mu.Unlock()
+	if !allowed {
+		c.config.Logger.Warn("claim is not run, a later owner has superseded it", zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(claim.version)))
+		return
+	}
+	c.config.Logger.Info("cell is taken", zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(claim.version)),
+		zap.Int("previous_claims", len(claim.previous.Owners)))
+	c.config.Scope.Counter("cells_taken").Inc(1)
 	c.group.Go(func() { c.runOwner(ctx, cell, owner) })
 }
 
@@ -180,6 +213,7 @@
 	if c.owned[cell] == owner {
 		delete(c.owned, cell)
 	}
+	c.claimEnds.end(owner.claim.ClaimID, c.config.Clock.Now())
 	c.mu.Unlock()
 	c.wakeClaimLoop()
 }
--- /dev/null
+++ b/services/control/claim_ends.go
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package control
+
+import (
+	"maps"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// The owner of a cell asks the daemons of earlier owners since when these have given no orders any more: see
+// previousOwners. A daemon answers for the claims of its own VM. A process that did not make a claim answers for the
+// process before it, which had ended before this one could listen at the same address.
+
+// claimMemory is how long a daemon remembers the end of a claim and that a claim may not be run: longer than a
+// transaction can be in flight, and than leases last.
+const claimMemory = 10 * time.Minute
+
+// claimEnds is what a daemon knows of the claims that its process has made. The mutex of Cells protects it.
+type claimEnds struct {
+	startedAt time.Time            // when the process started
+	running   map[string]*Owner    // by claim id; an owner that has lost its cell stays until its loops have ended
+	ended     map[string]time.Time // when the owner under a claim had ended
+	barred    map[string]time.Time // when a later owner asked to end the claim; it must not be run from then on
+}
+
+func newClaimEnds(now time.Time) claimEnds {
+	return claimEnds{startedAt: now, running: map[string]*Owner{}, ended: map[string]time.Time{}, barred: map[string]time.Time{}}
+}
+
+// begin records that an owner runs under a claim. It reports false if the claim is barred.
+func (c *claimEnds) begin(claim string, owner *Owner) bool {
+	if _, barred := c.barred[claim]; barred {
+		return false
+	}
+	c.running[claim] = owner
+	return true
+}
+
+// end records that an owner has ended.
+func (c *claimEnds) end(claim string, now time.Time) {
+	delete(c.running, claim)
+	c.ended[claim] = now
+	forgetOld(c.ended, now)
+}
+
+// bar records that a claim must not be run from now on.
+func (c *claimEnds) bar(claim string, now time.Time) {
+	c.barred[claim] = now
+	forgetOld(c.barred, now)
+}
+
+// endedAt returns when the last order under a barred claim had been given; false: its owner has not ended yet.
+func (c *claimEnds) endedAt(claim string) (time.Time, bool) {
+	if c.running[claim] != nil {
+		return time.Time{}, false
+	}
+	if at, ok := c.ended[claim]; ok {
+		return at, true
+	}
+	return c.startedAt, true
+}
+
+// forgetOld removes the entries that are older than claimMemory.
+func forgetOld(entries map[string]time.Time, now time.Time) {
+	maps.DeleteFunc(entries, func(_ string, at time.Time) bool { return now.Sub(at) > claimMemory })
+}
+
+// endClaim ends a claim of this daemon at the word of a later owner of the cell, and returns since when it has ended;
+// nil: not yet.
+func (c *Cells) endClaim(cell jobs.CellName, claim string) *jobs.ClaimEnd {
+	c.mu.Lock()
+	now := c.config.Clock.Now()
+	c.claimEnds.bar(claim, now)
+	running := c.claimEnds.running[claim]
+	at, ended := c.claimEnds.endedAt(claim)
+	c.mu.Unlock()
+	if running != nil {
+		c.dropOwner(cell, running, "a later owner of the cell has asked to end")
+	}
+	if !ended {
+		return nil
+	}
+	return &jobs.ClaimEnd{Daemon: c.config.Self, Ago: models.MilliOf(now.Sub(at))}
+}
--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -229,6 +229,9 @@
 	d.set(func() { d.exited = true })
 }
 
+// began returns when the cluster's first daemons were started.
+func (w *testCluster) began() time.Time { return w.logged.All()[0].Time }
+
 // restart starts the next process of a daemon that was killed, on the same VM.
 func (d *testDaemon) restart() *testDaemon { return d.cluster.startDaemonAs(d.name) }
 
--- a/services/control/encoding.go
+++ b/services/control/encoding.go
@@ -65,3 +65,9 @@
 	}
 	return writes, nil
 }
+
+// putTxn returns a transaction that writes one value.
+func putTxn(key string, value any) (platform.Txn, error) {
+	writes, err := encodeWrites([]keyValue{{key, value}})
+	return platform.Txn{Put: writes}, err
+}
--- a/services/control/keys.go
+++ b/services/control/keys.go
@@ -24,6 +24,7 @@
 	rosterPrefix   = "roster/"
 	journalPrefix  = "journal/"
 	learnedPrefix  = "learned/"
+	claimsPrefix   = "claims/"
 	daemonPrefix   = "daemon/"
 	cancelSuffix   = "/cancel"
 	markerName     = "owner"
@@ -58,6 +59,7 @@
 func ownerKey(cell jobs.CellName) string           { return ownerPrefix + string(cell) }
 func rosterKey(cell jobs.CellName) string          { return rosterPrefix + string(cell) }
 func learnedKey(cell jobs.CellName) string         { return learnedPrefix + string(cell) }
+func claimsKey(cell jobs.CellName) string          { return claimsPrefix + string(cell) }
 func journalKey(cell jobs.CellName) string         { return journalPrefix + string(cell) }
 func jobKeyPrefix(cell jobs.CellName) string       { return jobPrefix + string(cell) + "/" }
 func progressKeyPrefix(cell jobs.CellName) string  { return progressPrefix + string(cell) + "/" }
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -24,6 +24,7 @@
 	cell    jobs.CellName
 	epoch   jobs.Epoch
 	takenAt time.Time
+	claim   jobs.Owner
 
 	mu              sync.Mutex
 	core            *dispatch.Core
@@ -32,6 +33,7 @@
 	calling         map[jobs.WorkerID]context.CancelFunc // cancels the call in flight, for each worker with a loop
 	publishedCounts dispatch.Counts                      // as last published to the metrics
 
+	previous          previousOwners
 	journal           journal
 	moves             []*move   // work that is being moved to other cells
 	unfinishedCancels []jobs.ID // jobs whose cancellation may be incomplete
@@ -62,6 +64,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	o.group.Go(func() { o.endLoop(ctx, cancel) })
+	o.group.Go(func() { o.previousOwnersLoop(ctx) })
 	o.runLoops(ctx)
 	o.end()
 	o.group.Wait()
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -34,6 +34,7 @@
 			continue
 		default:
 			o.executeMoves(ctx)
+			o.forgetPreviousClaims(ctx)
 			if endsErr != nil {
 				sleep(ctx, loadRetryPause)
 			}
--- a/services/control/takeover_test.go
+++ b/services/control/takeover_test.go
@@ -46,8 +46,8 @@
 	FromLoss bool `json:"from_loss"`
 }
 
-// lose loses the owner in the way of the case.
-func (c *takeoverCase) lose(d *testDaemon) {
+// lose loses the owner in the way of the case. The returned function waits until its process has started again.
+func (c *takeoverCase) lose(d *testDaemon) (waitBack func()) {
 	switch c.Loss {
 	case "process":
 		d.killProcess()
@@ -55,15 +55,17 @@
 		d.kill()
 	case "isolation":
 		d.set(func() { d.storeCut, d.workerCut, d.peersCut = true, true, true })
-		return
 	}
 	if c.Back == 0 {
-		return
+		return func() {}
 	}
+	back := make(chan struct{})
 	go func() {
+		defer close(back)
 		time.Sleep(c.Back.Duration())
 		d.restart()
 	}()
+	return func() { <-back }
 }
 
 // loseSuccessor ends the process of the next owner some time after its takeover.
@@ -94,7 +96,8 @@
 		w.grid.SetFaults(place, faultsCut)
 	}
 	began := time.Now()
-	c.lose(w.owner())
+	waitBack := c.lose(w.owner())
+	defer waitBack()
 	if c.SuccessorAfter > 0 {
 		c.loseSuccessor(w)
 	}
@@ -104,6 +107,11 @@
 	for place := takeoverGone; place < takeoverGone+c.Cut; place++ {
 		w.grid.SetFaults(place, noFaults)
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(w.log())
+		}
+	})
 	w.eventually(takeoverCalm+takeoverAllowed, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
 	w.requireNoBreaches()
 }
@@ -128,7 +136,7 @@
 		w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
 		time.Sleep(2 * time.Second)
 		previous, ids := w.owner(), w.grid.IDs()
-		previous.set(func() { previous.storeCut = true })
+		previous.set(func() { previous.storeCut, previous.peersCut = true, true })
 		for _, id := range ids[kept:] {
 			previous.cut(id)
 		}
@@ -181,7 +189,7 @@
 				time.Sleep(2 * time.Second)
 				previous, ids := w.owner(), w.grid.IDs()
 				others := slices.DeleteFunc(slices.Clone(w.daemons), func(d *testDaemon) bool { return d == previous })
-				previous.set(func() { previous.storeCut = true })
+				previous.set(func() { previous.storeCut, previous.peersCut = true, true })
 				for _, d := range others {
 					for _, id := range ids {
 						d.cut(id)
@@ -221,7 +229,7 @@
 				w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
 				time.Sleep(2 * time.Second)
 				previous := w.owner()
-				previous.set(func() { previous.storeCut = true })
+				previous.set(func() { previous.storeCut, previous.peersCut = true, true })
 				for end := time.Now().Add(divisionTime); time.Now().Before(end); {
 					w.divideWorkers(random, previous)
 					time.Sleep(time.Duration(random.Int64N(int64(maxDivisionTime))))
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -108,6 +108,8 @@
 	fencedAt        time.Time     // when more than a third of the workers had reported in this epoch; zero: not yet; see updateFenced
 	answeredAt      time.Time     // when the first worker reported in this epoch; zero: none has
 	calledAt        time.Time     // when the first worker of the previous roster reported in this epoch; zero: none has
+	previousEndedAt time.Time     // when the last of the previous owners had ended; zero: not known
+	noPreviousRuns  bool          // no previous owner had started anything
 	loggedBasis     lapseBasis    // of the wait after the takeover that was last logged; empty: none was
 	superseded      bool
 	provedAt        time.Time // when the latest transaction that proves ownership was begun; see mayOrder
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -19,6 +19,7 @@
 	switch {
 	case len(roster.Workers) == 0: // no previous owner has started anything
 		c.previousLease = c.config.Lease
+		c.noPreviousRuns = true
 	case roster.MaxLease > 0:
 		c.previousLease = min(roster.MaxLease.Duration(), c.config.LongestLease)
 	}
@@ -72,20 +73,40 @@
 	lapseGuessed lapseBasis = "no worker of the roster has answered"
 	lapseBlind   lapseBasis = "no more than a third of the workers have answered"
 	lapseFenced  lapseBasis = "too few workers are left to the previous owner"
+	lapseEnded   lapseBasis = "the previous owners have ended"
 )
 
 // previousOwnersLapse returns when the runs of previous owners on silent workers have ended, and what that is known
 // from. Until a worker of the roster has answered, the time is a guess: a previous owner whose workers all answer it may
 // go on for longer.
 func (c *Core) previousOwnersLapse() (time.Time, lapseBasis) {
-	switch {
-	case !c.fencedAt.IsZero():
-		return c.fencedAt.Add(driftedLease(c.previousLease) + previousOwnerMargin), lapseFenced
-	case !c.calledAt.IsZero():
-		return c.blindSince().Add(maxBlindTime), lapseBlind
-	default:
-		return c.blindSince().Add(maxBlindTime), lapseGuessed
+	until, basis := c.blindSince().Add(maxBlindTime), lapseGuessed
+	if !c.calledAt.IsZero() {
+		basis = lapseBlind
+	}
+	if !c.fencedAt.IsZero() {
+		until, basis = c.fencedAt.Add(driftedLease(c.previousLease)+previousOwnerMargin), lapseFenced
+	}
+	if c.previousEndedAt.IsZero() {
+		return until, basis
+	}
+	if ended := c.previousEndedAt.Add(driftedLease(c.previousLease) + clockMargin); ended.Before(until) {
+		return ended, lapseEnded
+	}
+	return until, basis
+}
+
+// PreviousOwnersEnded records that every previous owner whose runs may still exist gave its last order at the given time
+// or earlier. A lease ends at a time on its worker's clock, however late the call that grants it arrives.
+func (c *Core) PreviousOwnersEnded(at time.Time) { c.previousEndedAt = at }
+
+// PreviousOwnersAreOver reports whether no run of a previous owner exists any more that this owner has not found.
+func (c *Core) PreviousOwnersAreOver(now time.Time) bool {
+	if c.recovering {
+		return false
 	}
+	return c.noPreviousRuns || now.After(c.blindSince().Add(maxBlindTime)) ||
+		!c.previousEndedAt.IsZero() && now.After(c.previousEndedAt.Add(driftedLease(c.previousLease)+clockMargin))
 }
 
 // blindSince returns since when the runs of silent workers are waited for while no more than a third answer.
