A list of claims proves nothing if a later owner has stored something

An owner of an older version doesn't list its claim: in a rolling upgrade its successor would have counted its leases as over because all owners on the list had ended. Red without the comparison: TestOwnerThatIsNotListedIsNoEndedOne.

--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -139,15 +139,14 @@
 	owner    jobs.Owner
 	version  platform.Version // of the owner's keys, which is the epoch
 	taken    time.Time
-	previous jobs.Claims // made before it
+	previous previousOwners
 }
 
-// commitClaim makes a claim and adds it to the cell's list of claims. It returns the claims that were listed before. A
-// cell without a list and without a roster has had no owner that started anything.
-func (c *Cells) commitClaim(ctx context.Context, cell jobs.CellName, owner jobs.Owner, lease platform.LeaseID) (jobs.Claims, platform.Version, error) {
+// commitClaim makes a claim and adds it to the cell's list of claims. It returns the owners before it. A cell without a list and without a roster has had no owner that started anything.
+func (c *Cells) commitClaim(ctx context.Context, cell jobs.CellName, owner jobs.Owner, lease platform.LeaseID) (previousOwners, platform.Version, error) {
 	previous, listed, err := readWithVersion[jobs.Claims](ctx, c.config.Store, claimsKey(cell))
 	if err != nil {
-		return jobs.Claims{}, 0, err
+		return previousOwners{}, 0, err
 	}
 	txn := platform.Txn{Require: []platform.Precondition{
 		{Key: ownerKey(cell)}, {Key: markerKey(cell)}, {Key: claimsKey(cell), Version: listed},
@@ -155,18 +154,18 @@
 	if listed == 0 {
 		_, roster, err := readWithVersion[jobs.Roster](ctx, c.config.Store, rosterKey(cell))
 		if err != nil {
-			return jobs.Claims{}, 0, err
+			return previousOwners{}, 0, err
 		}
 		previous.Incomplete = roster != 0
 		txn.Require = append(txn.Require, platform.Precondition{Key: rosterKey(cell), Version: roster})
 	}
 	txn.Put, err = encodeWrites([]keyValue{{ownerKey(cell), owner}, {markerKey(cell), owner}, {claimsKey(cell), previous.With(owner)}})
 	if err != nil {
-		return jobs.Claims{}, 0, err
+		return previousOwners{}, 0, err
 	}
 	txn.Put[0].Lease, txn.Put[1].Lease = lease, lease // the list of claims outlives the claim
 	version, err := c.config.Store.Commit(ctx, txn)
-	return previous, version, err
+	return newPreviousOwners(previous, listed), version, err
 }
 
 // resolveClaim finds out whether a claim of unknown outcome was applied. A claim that is applied
@@ -189,7 +188,7 @@
 // startOwner runs a cell that this daemon has claimed, unless a later owner has asked to end the claim meanwhile.
 func (c *Cells) startOwner(ctx context.Context, cell jobs.CellName, claim cellClaim) {
 	owner := newOwner(c, cell, jobs.Epoch(claim.version), claim.taken)
-	owner.claim, owner.previous = claim.owner, newPreviousOwners(claim.previous)
+	owner.claim, owner.previous = claim.owner, claim.previous
 	c.mu.Lock()
 	allowed := c.claimEnds.begin(claim.owner.ClaimID, owner)
 	if allowed {
@@ -202,7 +201,7 @@
 		return
 	}
 	c.config.Logger.Info("cell is taken", zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(claim.version)),
-		zap.Int("previous_claims", len(claim.previous.Owners)))
+		zap.Int("previous_claims", len(claim.previous.claims.Owners)))
 	c.config.Scope.Counter("cells_taken").Inc(1)
 	c.group.Go(func() { c.runOwner(ctx, cell, owner) })
 }
--- a/services/control/previous_owners_test.go
+++ b/services/control/previous_owners_test.go
@@ -180,3 +180,24 @@
 		}
 	})
 }
+
+// TestOwnerThatIsNotListedIsNoEndedOne guards against tasks that run twice beside an owner of an older version, which does
+// not list its claim.
+func TestOwnerThatIsNotListedIsNoEndedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestCluster(t, 2, 2, nil)
+		w.eventually(10*time.Second, "cell has an owner", func() bool { return w.owner() != nil })
+		w.submit(w.daemons[0], longRunningJob(1, 2))
+		time.Sleep(3 * time.Second)
+		first := w.owner()
+		first.killProcess()
+		first.restart()
+		w.eventually(10*time.Second, "cell has another owner", func() bool { return w.owner() != nil })
+		owner := w.owner().Cells.ownedCells()[cellName(0)]
+		require.False(t, owner.previous.claims.Incomplete)
+
+		unlisted := newPreviousOwners(owner.previous.claims, owner.previous.listed)
+		unlisted.compareWith(journalEntry{Epoch: jobs.Epoch(owner.previous.listed) + 1})
+		require.True(t, unlisted.claims.Incomplete)
+	})
+}
