Capacity is left to short work for 5 s after a task's last run, not anew

Callers saw long-running tasks without a run for more than 6 s beside free room: those of a silent worker, for which the time of the silence (more than 4 s) was not counted, and those whose start was not sent, not reached, not done, refused or never answered, for which the 5 s began anew each time.

Cause: the wait counted from when the task was put back among the waiting tasks (`requeue`), whatever was known before.

Ruled out by reading: at the recovery after a takeover (`recoverJob`) the wait was zero and no capacity was left; a failed move between cells does not change it.

After a silence, little of it remains: the lease alone takes 4.5 s.

Why it works: `lastRunAt` is set only by what shows a run, a report or the answer to a start, or when the job is added.

--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -105,7 +105,7 @@
 		c.stopStray(w, run, now)
 		return
 	}
-	t.lastReport = w.reportCount
+	t.lastReport, t.lastRunAt = w.reportCount, now
 	t.figure = run.Figure
 	c.checkPace(w, t, now)
 	c.sampleSpeed(w, t, run.Progress, now)
@@ -189,7 +189,7 @@
 // confirmRunning records that a run is under way.
 func (c *Core) confirmRunning(t *task, now time.Time) {
 	t.state = taskRunning
-	t.answeredAt = now
+	t.answeredAt, t.lastRunAt = now, now
 	if now.Sub(t.startedAt) <= promptAnswer {
 		t.startedAt = now
 	}
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -13,11 +13,12 @@
 // job that is submitted later. They take all the remaining free capacity, and short work of the same priority
 // waits for seconds until replacement workers arrive. For a long-running task the cost of waiting is only the
 // time itself; a short job that waits as long misses its objective as a whole. Therefore long-running tasks
-// leave free capacity to short work for some seconds.
+// leave free capacity to short work for some seconds. These count from when the task was last known to run: callers
+// count so too, whether its worker was silent meanwhile or a start was not carried out.
 
 const (
-	// shortReserveTime is how long a waiting long-running task leaves capacity to short work: long enough for
-	// replacement workers to arrive, and less than callers allow it to be away (6 s).
+	// shortReserveTime is how long after its last run a long-running task leaves capacity to short work: long enough
+	// for replacement workers to arrive, and less than callers allow it to be away (6 s).
 	shortReserveTime = 5 * time.Second
 	// shortReserveFactor is the multiple of its demand that is left to short work, because short work comes in
 	// bursts and free capacity is fragmented over the workers.
@@ -69,10 +70,10 @@
 	return sum
 }
 
-// leavesCapacity reports whether a long-running task may start now: it has waited long enough, or enough capacity
-// remains for short work. A task that came from another cell has already waited there.
+// leavesCapacity reports whether a long-running task may start now: it has been without a run for long enough, or enough
+// capacity remains for short work. A task that came from another cell has already waited there.
 func (c *Core) leavesCapacity(t *task, now time.Time) bool {
-	if now.Sub(t.waitingSince) >= shortReserveTime {
+	if now.Sub(t.lastRunAt) >= shortReserveTime {
 		return true
 	}
 	reserve := min(shortReserveFactor*c.shortWork.demand, maxShortReserve*float64(c.shortWork.capacity))
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -50,6 +50,7 @@
 	startUnanswered         bool             // a start of the run has no answer and may still be carried out
 	fromPreviousIncarnation bool             // ordered at the worker's previous incarnation; has to be barred at the present one
 	waitingSince            time.Time        // since when the task waits; zero: waiting for long, or moved from another cell
+	lastRunAt               time.Time        // when it was last known to run, or else when its job was added; zero: not known to this owner
 	trialWait               trialWait        // why it has not been tried yet since it waits; for suspects
 	startedAt               time.Time        // when the run was ordered, then when it was known to be under way
 	lastReport              uint64           // number of the worker's report that last showed the run
@@ -83,7 +84,7 @@
 		// A task from another cell has already waited there. When that time was not counted, a long-running
 		// task left capacity to short work for the full time again in each cell that it was moved to.
 		if j := t.step.job; j.fresh && !j.fromOtherCell {
-			t.waitingSince = c.now
+			t.waitingSince, t.lastRunAt = c.now, c.now
 		}
 	}
 }
