What long-running tasks leave to short work is told in log, state dump and metrics

Callers see long-running tasks that wait beside free room for up to 5 s. No line told that this wait was meant, so it could not be told apart from a recovery or from a fault.

Change: a log line when the first task leaves capacity to short work and one when none has for a second, with the capacity that decided it; the lines are among the changes of state that `rillsail explain` shows. `leaving_capacity` in the state dump and the gauge `tasks_leaving_capacity` count the tasks.

TestCapacityLeftToShortWorkIsTold shows one line at begin and end, and the count.

--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -75,7 +75,7 @@
 	scope.Tagged(map[string]string{"by": "report"}).Counter("worker_restarts").Inc(counts.RestartsReported - before.RestartsReported)
 	scope.Tagged(map[string]string{"by": "call"}).Counter("worker_restarts").Inc(counts.RestartsMet - before.RestartsMet)
 	for name, value := range map[string]int{
-		"jobs_active": summary.Jobs, "tasks_waiting": summary.Waiting, "tasks_running": summary.Running,
+		"jobs_active": summary.Jobs, "tasks_waiting": summary.Waiting, "tasks_leaving_capacity": summary.LeavingCapacity, "tasks_running": summary.Running,
 		"serving_over_target": summary.OverTail, "filling_throttled": summary.Throttled,
 		"workers_known": summary.Workers, "workers_usable": summary.Usable, "workers_cordoned": summary.Cordoned, "jobs_unstored": summary.Unstored,
 	} {
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -21,6 +21,7 @@
 
 // placeAll starts waiting tasks on workers, the most urgent first.
 func (c *Core) placeAll(now time.Time) {
+	c.logCapacityTaken(now)
 	candidates := c.candidates(now)
 	if len(candidates) > 0 {
 		c.updateShortWork(now)
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"rillsail.example/rillsail/models"
 )
 
@@ -36,6 +38,9 @@
 	at       time.Time
 	free     models.MilliCPU // capacity that is free or used by short work, as of at
 	capacity models.MilliCPU // of all usable workers, as of at
+
+	leftSince time.Time // since when long-running tasks leave capacity to it, as logged; zero: they don't
+	leftAt    time.Time // when one last did
 }
 
 // updateShortWork updates the capacity available to short work and the demand of short work, which is what it
@@ -73,11 +78,52 @@
 // leavesCapacity reports whether a long-running task may start now: it has been without a run for long enough, or enough
 // capacity remains for short work. A task that came from another cell has already waited there.
 func (c *Core) leavesCapacity(t *task, now time.Time) bool {
-	if now.Sub(t.lastRunAt) >= shortReserveTime {
-		return true
-	}
 	reserve := min(shortReserveFactor*c.shortWork.demand, maxShortReserve*float64(c.shortWork.capacity))
-	return float64(c.shortWork.free-t.step.spec.Size.CPU) >= reserve
+	mayStart := now.Sub(t.lastRunAt) >= shortReserveTime || float64(c.shortWork.free-t.step.spec.Size.CPU) >= reserve
+	if !mayStart {
+		c.recordCapacityLeft(t, reserve, now)
+	}
+	return mayStart
+}
+
+// capacityLeftFor is how long tasks count as leaving capacity to short work since one last did: a step is not examined
+// in each decision.
+const capacityLeftFor = time.Second
+
+// recordCapacityLeft records that a task leaves capacity to short work, and logs the first one of a time in which tasks
+// do.
+func (c *Core) recordCapacityLeft(t *task, reserve float64, now time.Time) {
+	s := &c.shortWork
+	s.leftAt, t.leftCapacityAt = now, now
+	if !s.leftSince.IsZero() {
+		return
+	}
+	s.leftSince = now
+	c.config.Logger.Info("long-running tasks leave capacity to short work", zap.Stringer("first", t.id()),
+		zap.Int64("free", int64(s.free)), zap.Int64("reserve", int64(reserve)), zap.Int64("demand", int64(s.demand)))
+}
+
+// logCapacityTaken logs that no long-running task leaves capacity to short work any more.
+func (c *Core) logCapacityTaken(now time.Time) {
+	s := &c.shortWork
+	if s.leftSince.IsZero() || now.Sub(s.leftAt) < capacityLeftFor {
+		return
+	}
+	c.config.Logger.Info("long-running tasks leave no more capacity to short work", zap.Duration("after", s.leftAt.Sub(s.leftSince)))
+	s.leftSince = time.Time{}
+}
+
+// countLeavingCapacity counts the waiting tasks that leave capacity to short work.
+func (c *Core) countLeavingCapacity(now time.Time) int {
+	count := 0
+	for _, s := range c.waitingSteps {
+		for i := range s.tasks {
+			if t := &s.tasks[i]; t.state == taskWaiting && now.Sub(t.leftCapacityAt) < capacityLeftFor {
+				count++
+			}
+		}
+	}
+	return count
 }
 
 // takeShortCapacity deducts a starting long-running task from the capacity available to short work.
--- a/services/dispatch/reserve_wait_test.go
+++ b/services/dispatch/reserve_wait_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
@@ -123,3 +125,30 @@
 		})
 	}
 }
+
+// TestCapacityLeftToShortWorkIsTold guards against long-running tasks that wait beside free room while neither the log nor
+// the state dump tells why.
+func TestCapacityLeftToShortWorkIsTold(t *testing.T) {
+	s := newShortage(t)
+	core, logged := observer.New(zap.InfoLevel)
+	s.config.Logger = zap.New(core)
+	s.addWaitingShortWork()
+	s.advance(400 * time.Millisecond)
+	require.Zero(t, s.Summary(s.now).LeavingCapacity)
+
+	s.Replaced(s.ids[0], s.now)
+	s.advance(time.Second)
+	waiting := longRunningTasks - s.running(longRunningID)
+	require.Positive(t, waiting)
+	require.Equal(t, waiting, s.Summary(s.now).LeavingCapacity)
+	begin := logged.FilterMessage("long-running tasks leave capacity to short work").All()
+	require.Len(t, begin, 1, "once for all tasks")
+	require.Contains(t, begin[0].ContextMap()["first"], string(longRunningID))
+	const end = "long-running tasks leave no more capacity to short work"
+	require.Empty(t, logged.FilterMessage(end).All())
+
+	s.advance(shortReserveTime + capacityLeftFor)
+	require.Equal(t, longRunningTasks, s.running(longRunningID))
+	require.Zero(t, s.Summary(s.now).LeavingCapacity)
+	require.Len(t, logged.FilterMessage(end).All(), 1)
+}
--- a/services/dispatch/summary.go
+++ b/services/dispatch/summary.go
@@ -25,6 +25,8 @@
 	Recovering bool `json:"recovering"` // some tasks wait for workers that haven't reported since the takeover
 	// RecoveryWait is what the recovery waits for; left out: nothing.
 	RecoveryWait *RecoveryWait `json:"recovery_wait,omitempty"`
+	// LeavingCapacity is how many of the waiting tasks leave free capacity to short work.
+	LeavingCapacity int `json:"leaving_capacity"`
 	// ReportAge is the median age of the reports of listed workers.
 	ReportAge models.Milli `json:"report_age_ms"`
 }
@@ -32,6 +34,7 @@
 // Summary returns the core's state in figures.
 func (c *Core) Summary(now time.Time) Summary {
 	s := Summary{Jobs: len(c.jobs), Workers: len(c.sortedWorkers), Unstored: len(c.dirty), Recovering: c.recovering, RecoveryWait: c.recoveryWait(now)}
+	s.LeavingCapacity = c.countLeavingCapacity(now)
 	for _, step := range c.waitingSteps {
 		s.Waiting += step.waiting
 	}
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -51,6 +51,7 @@
 	fromPreviousIncarnation bool             // ordered at the worker's previous incarnation; has to be barred at the present one
 	waitingSince            time.Time        // since when the task waits; zero: waiting for long, or moved from another cell
 	lastRunAt               time.Time        // when it was last known to run, or else when its job was added; zero: not known to this owner
+	leftCapacityAt          time.Time        // when it last left capacity to short work instead of starting
 	trialWait               trialWait        // why it has not been tried yet since it waits; for suspects
 	startedAt               time.Time        // when the run was ordered, then when it was known to be under way
 	lastReport              uint64           // number of the worker's report that last showed the run
