Leases are bound to the proof of ownership on which they are granted

What callers saw: after a takeover, tasks that could run waited beside idle workers for up to 7.6 s after the workers were back, because one worker of the roster answered nobody any more.

Cause: a successor counted the leases of its predecessor as over a lease and 3 s after the fence. The 3 s were there because an owner granted leases of full length for up to 2 s after its last proof of ownership.

Change: a lease, and the deadline of a start, which is a lease as well, ends a lease and 0.5 s after the last proof at the latest, on the worker's clock, so that a late call grants no more. Each proof is older than the fence: a transaction was begun before the successor's claim; of any two thirds of the workers one has answered the successor, after a call that was sent at the time of the proof or later. So the wait is (lease + 0.5 s) × 1.03 + 200 ms after the fence, 5.35 s instead of 7.6 s with a lease of 4.5 s. Owners of older versions don't bind their leases; the stored roster says who does (allowance_ms), and where it doesn't, the wait stays as it was, until an owner has outlived all that its predecessors may have granted.

maxQuorumTime stays as it is; it may be longer now, but nothing needs it.

--- a/models/jobs/worker.go
+++ b/models/jobs/worker.go
@@ -51,6 +51,9 @@
 	Workers []Worker `json:"workers"`
 	// MaxLease is the longest lease that owners of the cell have granted to workers; 0: not known.
 	MaxLease models.Milli `json:"lease_ms,omitempty"`
+	// LeaseAllowance bounds the leases of all owners of the cell: none ends later than MaxLease and this time after the
+	// proof of ownership on which it was granted; 0: there may be leases that are not bound to a proof.
+	LeaseAllowance models.Milli `json:"allowance_ms,omitempty"`
 	// UnobservedEpochs are the latest epochs whose owners found workers lost that had never answered them. Each
 	// task accepted before such an epoch may have lost a run with them that no owner knows of.
 	UnobservedEpochs []Epoch `json:"unseen,omitempty"`
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -103,6 +103,7 @@
 	dirty           []*job
 	unsharedEnds    []*job        // divided jobs whose end is decided here and still has to be stored in all of their cells
 	previousLease   time.Duration // longest lease that a previous owner may have granted; at most LongestLease
+	previousBound   time.Duration // Roster.LeaseAllowance of the previous owners; 0: their leases may not be bound to proofs
 	jobsHeld        bool          // jobs are held back until they have been offered to other cells
 	recovering      bool          // workers that have not reported since the takeover may run tasks
 	fencedAt        time.Time     // when more than a third of the workers had reported in this epoch; zero: not yet; see updateFenced
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -69,9 +69,13 @@
 // only ask for a report, so that the lease of a silent worker expires.
 const renewWithin = 700 * time.Millisecond
 
+// leaseAllowance is how much longer than a lease after a proof of ownership the leases granted on this proof end at the
+// latest. It is at least the age of the proofs of an owner that the store answers, whose leases so have their full length.
+const leaseAllowance = 500 * time.Millisecond
+
 // grantLease returns the end of a lease that begins now, on the worker's clock.
 func (c *Core) grantLease(w *worker, now time.Time) models.Milli {
-	return w.grantFor(c.config.Lease, now)
+	return c.grantFor(w, c.config.Lease, now)
 }
 
 // maxStartAge is how old a start may be when a worker carries it out: twice the time after which an unanswered start is
@@ -83,11 +87,14 @@
 // startDeadline returns the time, on the worker's clock, after which the worker refuses a start that is ordered
 // now. The run itself lasts as long as the worker's lease, which lease calls renew.
 func (c *Core) startDeadline(w *worker, now time.Time) models.Milli {
-	return w.grantFor(min(maxStartAge, c.config.Lease), now)
+	return c.grantFor(w, min(maxStartAge, c.config.Lease), now)
 }
 
-// grantFor returns the time on the worker's clock after span, and records it as a possible end of a lease.
-func (w *worker) grantFor(span time.Duration, now time.Time) models.Milli {
+// grantFor returns the time on the worker's clock after span, or a lease and leaseAllowance after the last proof of
+// ownership if that is earlier, and records it as a possible end of a lease. The time is absolute, so that a call that
+// arrives late grants no more.
+func (c *Core) grantFor(w *worker, span time.Duration, now time.Time) models.Milli {
+	span = min(span, c.lastProof().Add(c.config.Lease+leaseAllowance).Sub(now))
 	until := w.reportClock + models.MilliOf(now.Sub(w.reportedAt)+span)
 	w.leaseEnd = max(w.leaseEnd, until)
 	return until
--- a/services/dispatch/lost_workers.go
+++ b/services/dispatch/lost_workers.go
@@ -38,6 +38,7 @@
 		}
 	}
 	c.tryRecover(now)
+	c.updateLeaseBound(now)
 }
 
 // hasLapsed reports whether the worker has certainly ended all its runs by its own clock: the lease that was granted
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -15,17 +15,20 @@
 // reached yet would obey. So an owner acts only on recent proof that it still owns the cell:
 //
 //   - for any order, and to renew a lease: a transaction of its own, which requires its key in the store, or the answers
-//     of two thirds of its workers. Once more than a third have answered a successor, too few are left, and the
-//     successor counts the previous owner's runs as lapsed a lease and previousOwnerMargin later. An owner that reaches
-//     only workers that its successor doesn't reach learns nothing from them, so that its leases have to end for lack
-//     of a proof. A successor that no more than a third answer can't tell an owner that the others prove right from one
+//     of two thirds of its workers. Once more than a third have answered a successor, too few are left: each proof is
+//     no later than the fence, for the transaction was begun before the successor's claim, and one of the workers has
+//     answered the successor after a call that was sent after the time of the proof. A lease ends at a time on its
+//     worker's clock, a lease and leaseAllowance after the proof at the latest, whenever it is granted and its call
+//     arrives, and so does the deadline of a start, which is a lease as well. So the successor counts the runs on silent
+//     workers as lapsed that long after the fence, by the slowest clock of a worker. An owner that reaches only workers
+//     that its successor doesn't reach learns nothing from them, so that its leases have to end for lack of a proof. A successor that no more than a third answer can't tell an owner that the others prove right from one
 //     whose workers are gone, and waits for maxBlindTime. So two thirds prove ownership for some time only after a
 //     transaction, or after all workers have answered: no successor can have called any of them before that.
 //   - to start the tasks of a silent worker elsewhere: a transaction after the worker's lease was over. Only this
 //     proves that no successor has renewed the lease.
 
-// proofValidity is how long orders are given and leases renewed after a proof; with the timeout of a call it stays below
-// previousOwnerMargin.
+// proofValidity is how long orders are given and leases renewed after a proof. It is shorter than a lease, and with the
+// timeout of a call below previousOwnerMargin, which owners of older versions keep.
 const proofValidity = 2 * time.Second
 
 // proofRefreshAge is the age of a proof from which a transaction is made for the sake of the proof alone.
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -18,17 +18,18 @@
 	c.takeovers.epochs = roster.UnobservedEpochs
 	switch {
 	case len(roster.Workers) == 0: // no previous owner has started anything
-		c.previousLease = c.config.Lease
+		c.previousLease, c.previousBound = c.config.Lease, leaseAllowance
 		c.noPreviousRuns = true
 	case roster.MaxLease > 0:
 		c.previousLease = min(roster.MaxLease.Duration(), c.config.LongestLease)
+		c.previousBound = roster.LeaseAllowance.Duration()
 	}
 	for _, info := range roster.Workers {
 		w, known := c.workers[info.ID]
 		if !known {
-			// A lease longer than the roster's is granted only once the stored roster names it.
+			// A lease that ends later than the roster says is granted only once the stored roster names it.
 			w = c.addWorker(info, now)
-			w.inRoster = c.previousLease >= c.config.Lease
+			w.inRoster = c.previousLease >= c.config.Lease && (c.previousBound == 0 || c.previousBound >= leaseAllowance)
 			if info.LeavesAt != 0 {
 				w.leavesAt = c.timeAt(info.LeavesAt, now)
 			}
@@ -41,6 +42,9 @@
 // because leases of previous owners may still be running.
 func (c *Core) roster() *jobs.Roster {
 	roster := &jobs.Roster{MaxLease: models.MilliOf(max(c.config.Lease, c.previousLease)), UnobservedEpochs: c.takeovers.epochs}
+	if c.previousBound > 0 {
+		roster.LeaseAllowance = models.MilliOf(max(leaseAllowance, c.previousBound))
+	}
 	for _, w := range c.sortedWorkers {
 		if !w.retired {
 			roster.Workers = append(roster.Workers, w.info)
@@ -49,8 +53,8 @@
 	return roster
 }
 
-// previousOwnerMargin is how long a previous owner may go on after the takeover: it calls all workers within about 2 s,
-// and learns of the new epoch from the first worker that has seen it.
+// previousOwnerMargin is how long after its last proof of ownership a previous owner may go on to grant leases that are
+// not bound to the proof: for proofValidity, and some time for its calls in flight.
 const previousOwnerMargin = 3 * time.Second
 
 // maxBlindTime is how long the runs of silent workers are waited for after a takeover when no more than a third of the
@@ -85,7 +89,7 @@
 		basis = lapseBlind
 	}
 	if !c.fencedAt.IsZero() {
-		until, basis = c.fencedAt.Add(driftedLease(c.previousLease)+previousOwnerMargin), lapseFenced
+		until, basis = c.fencedAt.Add(c.lastLeaseAfterFence()), lapseFenced
 	}
 	if c.previousEndedAt.IsZero() {
 		return until, basis
@@ -96,6 +100,24 @@
 	return until, basis
 }
 
+// lastLeaseAfterFence returns how long after the fence the last lease of a previous owner is over. Its proofs are older
+// than the fence, see proof.go.
+func (c *Core) lastLeaseAfterFence() time.Duration {
+	if c.previousBound == 0 {
+		return driftedLease(c.previousLease) + previousOwnerMargin
+	}
+	return driftedLease(c.previousLease+c.previousBound) + clockMargin
+}
+
+// updateLeaseBound lets the roster say that leases are bound to proofs once no lease is left of previous owners that did
+// not bind theirs.
+func (c *Core) updateLeaseBound(now time.Time) {
+	if c.previousBound == 0 && c.PreviousOwnersAreOver(now) {
+		c.previousBound = leaseAllowance
+		c.rosterChanged = true
+	}
+}
+
 // PreviousOwnersEnded records that every previous owner whose runs may still exist gave its last order at the given time
 // or earlier. A lease ends at a time on its worker's clock, however late the call that grants it arrives.
 func (c *Core) PreviousOwnersEnded(at time.Time) { c.previousEndedAt = at }
