The stand-in's workers can go for good, and the check of progress goes on beside them

Cause: no random test could find a cell that waits for a worker which has gone for good. The grid had no such worker: each crash starts the next incarnation, and a worker that is cut off or hidden for good counts as a fault that lasts, so that the time of calm after which a task may no longer wait never begins (TestWaitsThatAreAllowed asks for that, rightly, for a cut).

CrashForGood ends a worker for good: calls hang, its list entry outlives it as after a crash, and it is a fault only at the moment at which it goes.

--- a/services/standin/grid/audit_progress_test.go
+++ b/services/standin/grid/audit_progress_test.go
@@ -156,6 +156,15 @@
 			require.Empty(p.t, p.Breaches())
 			return string(waitingJob) + ".0.0.0"
 		},
+		"a long-running task whose worker is gone for good": func(p *progressTest) string {
+			p.Accepted(lastingJob)
+			p.start(0, lastingJob, 0, 0, 1)
+			p.start(1, lastingJob, 0, 1, 1)
+			p.CrashForGood(0)
+			p.pass(calmTime + maxIdleTime)
+			require.Empty(p.t, p.Breaches())
+			return string(lastingJob) + ".0.0.0"
+		},
 		"a job that waits longer than the time of calm after a fault": func(p *progressTest) string {
 			p.Accepted(waitingJob)
 			p.BeginFault("store")
--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -133,6 +133,25 @@
 	}
 }
 
+// CrashForGood ends the worker in a place with all its runs and starts no other, like a VM that is gone without notice:
+// calls to the worker hang, and its list entry outlives it.
+func (g *Grid) CrashForGood(place int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.incarnationAt(place)
+	if w.gone {
+		return
+	}
+	w.gone, w.crashedSilently, w.faults = true, true, Faults{}
+	g.endIncarnation(w)
+	time.AfterFunc(staleEntryLifetime, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.unlisted[w.info.ID] = true
+		g.noteChange(w.info.ID)
+	})
+}
+
 // endIncarnation ends a worker with all its runs.
 func (g *Grid) endIncarnation(w *incarnation) {
 	w.up = false
@@ -260,6 +279,11 @@
 func (g *Grid) callWorker(ctx context.Context, worker jobs.Worker, perform operation) (answer, error) {
 	g.mu.Lock()
 	w := g.workers[worker.ID]
+	if w != nil && w.gone {
+		g.mu.Unlock()
+		<-ctx.Done()
+		return answer{}, platform.ErrUnknownOutcome
+	}
 	if w == nil || !w.up {
 		defer g.mu.Unlock()
 		return answer{}, g.absenceError(w)
--- a/services/standin/grid/grid.go
+++ b/services/standin/grid/grid.go
@@ -128,6 +128,7 @@
 	up              bool
 	crashedByTask   bool      // a task has crashed the worker
 	crashedSilently bool      // pending calls hang: they get no answer and their connections stay open
+	gone            bool      // no other incarnation follows, and all calls hang
 	startedAt       time.Time // when its clock showed 0
 	fence           jobs.Fence
 	runs            map[jobs.TaskID]*run
--- a/services/standin/grid/progress.go
+++ b/services/standin/grid/progress.go
@@ -87,9 +87,13 @@
 	}
 }
 
-// noteWorkerFaults notes a fault while any worker has faults or is missing in the list.
+// noteWorkerFaults notes a fault while any worker has faults or is missing in the list. A worker that is gone is a fault
+// only when it goes.
 func (g *Grid) noteWorkerFaults() {
 	for _, id := range g.idsByPlace {
+		if g.workers[id].gone {
+			continue
+		}
 		if g.unlisted[id] || g.workers[id].faults != (Faults{}) {
 			g.audit.noteFault()
 		}
