The stand-in's suspended VMs read no answers

Cause: a call whose time was over while its daemon's VM was suspended came back during the suspension, and its report was recorded with the clock that stands still meanwhile; no code runs on a suspended VM.

--- a/services/control/cluster_connections_test.go
+++ b/services/control/cluster_connections_test.go
@@ -116,6 +116,7 @@
 	}
 	err := perform(ctx)
 	w.waitThawed(ctx)
+	w.vmSuspension.wait() // nobody reads an answer on a suspended VM, also if the time for it is over
 	return err
 }
 
--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -218,6 +218,7 @@
 
 // kill ends a daemon as a power failure does: it hands nothing over.
 func (d *testDaemon) kill() {
+	d.vmSuspension.end()
 	d.thaw()
 	d.cancel()
 	<-d.done
--- a/services/control/suspension_test.go
+++ b/services/control/suspension_test.go
@@ -22,6 +22,36 @@
 	mu    sync.Mutex
 	since time.Time     // start of the current suspension; zero: the VM runs
 	total time.Duration // duration of all previous suspensions
+	ended chan struct{} // closed at the end of the current suspension
+}
+
+// begin suspends the VM.
+func (s *suspension) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.since, s.ended = time.Now(), make(chan struct{})
+}
+
+// end resumes the VM if it is suspended.
+func (s *suspension) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since.IsZero() {
+		return
+	}
+	s.total += time.Since(s.since)
+	s.since = time.Time{}
+	close(s.ended)
+}
+
+// wait waits until the VM is not suspended.
+func (s *suspension) wait() {
+	s.mu.Lock()
+	suspended, ended := !s.since.IsZero(), s.ended
+	s.mu.Unlock()
+	if suspended {
+		<-ended
+	}
 }
 
 // steady returns the time of a clock that stops during suspensions.
@@ -44,17 +74,12 @@
 // suspend suspends the daemon's VM, which stops its steady clock.
 func (d *testDaemon) suspend() {
 	d.freeze()
-	d.vmSuspension.mu.Lock()
-	defer d.vmSuspension.mu.Unlock()
-	d.vmSuspension.since = time.Now()
+	d.vmSuspension.begin()
 }
 
 // resume resumes the daemon's VM.
 func (d *testDaemon) resume() {
-	d.vmSuspension.mu.Lock()
-	d.vmSuspension.total += time.Since(d.vmSuspension.since)
-	d.vmSuspension.since = time.Time{}
-	d.vmSuspension.mu.Unlock()
+	d.vmSuspension.end()
 	d.thaw()
 }
 
