--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -21,9 +21,10 @@
 //     worker's clock, a lease and leaseAllowance after the proof at the latest, whenever it is granted and its call
 //     arrives, and so does the deadline of a start, which is a lease as well. So the successor counts the runs on silent
 //     workers as lapsed that long after the fence, by the slowest clock of a worker. An owner that reaches only workers
-//     that its successor doesn't reach learns nothing from them, so that its leases have to end for lack of a proof. A successor that no more than a third answer can't tell an owner that the others prove right from one
-//     whose workers are gone, and waits for maxBlindTime. So two thirds prove ownership for some time only after a
-//     transaction, or after all workers have answered: no successor can have called any of them before that.
+//     that its successor doesn't reach learns nothing from them, so that its leases have to end for lack of a proof. A
+//     successor that no more than a third answer can't tell an owner that the others prove right from one whose workers
+//     are gone, and waits for maxBlindTime. So two thirds prove ownership for some time only after a transaction, or
+//     after all workers have answered: no successor can have called any of them before that.
 //   - to start the tasks of a silent worker elsewhere: a transaction after the worker's lease was over. Only this
 //     proves that no successor has renewed the lease.
 
