The test of moved tasks asks a daemon that runs

It asked the daemon that was started last, which may be the one that it had killed. That went unseen while the stand-in let the calls of ended processes through to their peers; since it does not, the dead daemon shows the stored state. The assertion is the same.

--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -236,18 +236,29 @@
 // restart starts the next process of a daemon that was killed, on the same VM.
 func (d *testDaemon) restart() *testDaemon { return d.cluster.startDaemonAs(d.name) }
 
-// answersPeers reports whether calls of another daemon reach the process.
-func (d *testDaemon) answersPeers() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// hasEnded reports whether the process has ended.
+func (d *testDaemon) hasEnded() bool {
 	select {
 	case <-d.done:
-		return false
+		return true
 	default:
-		return d.frozen == nil && !d.peersCut
+		return false
 	}
 }
 
+// lastLiveDaemon returns the daemon that was started last among those whose process has not ended.
+func (w *testCluster) lastLiveDaemon() *testDaemon {
+	live := slices.DeleteFunc(w.daemonList(), (*testDaemon).hasEnded)
+	return live[len(live)-1]
+}
+
+// answersPeers reports whether calls of another daemon reach the process.
+func (d *testDaemon) answersPeers() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.hasEnded() && d.frozen == nil && !d.peersCut
+}
+
 func (d *testDaemon) hasExited() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/services/control/move_test.go
+++ b/services/control/move_test.go
@@ -166,7 +166,7 @@
 				w.eventually(15*time.Second, "all tasks are running", func() bool { return w.grid.Running(jobID(1)) == 4 })
 				time.Sleep(10 * time.Second)
 				require.Equal(t, 4, w.grid.Running(jobID(1)))
-				d := w.daemons[len(w.daemons)-1]
+				d := w.lastLiveDaemon()
 				require.Equal(t, jobs.StateRunning, w.state(d, jobID(1)))
 				require.Equal(t, platform.Done{}, d.Cancel(w.ctx, jobID(1)))
 				w.eventually(2*time.Second, "tasks of both cells are stopped", func() bool { return w.grid.Running(jobID(1)) == 0 })
