The suspects of one step wait for a worker together, not one after the other

Callers saw long-running tasks of which others of the same job ran, all but the first of a step say, that did not run for 13 s after the last fault beside 45 of 48 workers with free room.

Cause: a suspect that finds no worker without other suspects takes one with a suspect that has outlived its trial after 2 s. That time was recorded only for the first suspect of a step that found no worker; the others were passed over, and began to wait when the one before them had started. So the last of n tasks waited n times as long. It shows once each worker has a suspect of several losses: after restarts of many workers with owners lost meanwhile, whose unseen losses count against all tasks.

Ruled out, in a trace of the core in such a play (two owners lost while half of 48 workers restarted at a time): the recovery (over), workers (all usable), the verdict (open, nothing contested), stored losses (all).

Evidence: TestSuspectsOfOneStepDoNotWaitInTurn failed before ("3.3s" is more than 3 s), and so did the play with groups of 24 workers 579 ms apart of TestSuspectsRunSoonAfterOwnersLostInTurn.

Why it works: all suspects of a step that are passed over begin to wait with the first one. One that has waited long enough is no longer passed over because of one that has not. Each is still tried alone, so its losses tell as much as before.

--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -50,10 +50,12 @@
 }
 
 // placeSuspects assigns workers to the step's suspects. If no worker takes a suspect, none takes another one that is as
-// weak and has lost several runs or one as well.
+// weak, has lost several runs or one as well, and has waited for a worker as long as it may, or not, as well. All of them
+// wait from then on.
 func (c *Core) placeSuspects(s *step, now time.Time) {
-	type kind struct{ weak, severalLosses bool }
+	type kind struct{ weak, severalLosses, hasWaited bool }
 	var noWorker []kind
+	hasRoom := false // once noWorker holds a kind
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != taskWaiting || !t.suspected() || c.startsLeft <= 0 || !t.lossesAreStored() {
@@ -67,8 +69,9 @@
 			c.recordContested(t, now)
 			continue
 		}
-		k := kind{weak: t.isWeakSuspect(), severalLosses: t.losses() >= minLosses}
+		k := kind{weak: t.isWeakSuspect(), severalLosses: t.losses() >= minLosses, hasWaited: t.hasWaitedForWorker(now)}
 		if slices.Contains(noWorker, k) {
+			c.recordNoWorker(t, hasRoom, now)
 			continue
 		}
 		workers := c.sortedWorkers
@@ -83,7 +86,8 @@
 		}
 		if w == nil {
 			s.recordNoPlace(now)
-			c.recordNoWorker(t, now)
+			hasRoom = c.hasRoom(s)
+			c.recordNoWorker(t, hasRoom, now)
 			noWorker = append(noWorker, k)
 			continue
 		}
@@ -126,7 +130,7 @@
 			ready = withFewerTasks(ready, w)
 		}
 	}
-	if !lasted(t.trialWait.noWorkerSince, now, maxTrialWait) {
+	if !t.hasWaitedForWorker(now) {
 		spared = nil
 	}
 	switch {
@@ -147,6 +151,11 @@
 	return nil
 }
 
+// hasWaitedForWorker reports whether the suspect has waited for a worker without other suspects for as long as it may.
+func (t *task) hasWaitedForWorker(now time.Time) bool {
+	return lasted(t.trialWait.noWorkerSince, now, maxTrialWait)
+}
+
 // isWeakSuspect reports whether chance explains the losses of a suspect: it is suspected for their number alone.
 func (t *task) isWeakSuspect() bool { return t.suspicion.EvidenceVsChance() < suspectEvidence }
 
--- a/services/dispatch/trial_wait.go
+++ b/services/dispatch/trial_wait.go
@@ -35,9 +35,9 @@
 
 // beginWait sets the begin of a wait, unless it has begun before. While there is no room for the task, it waits for that
 // alone, and the wait begins anew afterwards.
-func (c *Core) beginWait(since *time.Time, t *task, now time.Time) {
+func beginWait(since *time.Time, hasRoom bool, now time.Time) {
 	switch {
-	case !c.hasRoom(t.step):
+	case !hasRoom:
 		*since = time.Time{}
 	case since.IsZero():
 		*since = now
@@ -56,7 +56,7 @@
 // the begin of the wait.
 func (c *Core) recordContested(t *task, now time.Time) {
 	wait := &t.trialWait
-	c.beginWait(&wait.contestedSince, t, now)
+	beginWait(&wait.contestedSince, c.hasRoom(t.step), now)
 	if wait.contestedLogged {
 		return
 	}
@@ -75,9 +75,9 @@
 
 // recordNoWorker records that no worker can take a waiting suspect now, and logs a long wait with the reasons for which
 // the workers with free capacity do not take it.
-func (c *Core) recordNoWorker(t *task, now time.Time) {
+func (c *Core) recordNoWorker(t *task, hasRoom bool, now time.Time) {
 	wait := &t.trialWait
-	c.beginWait(&wait.noWorkerSince, t, now)
+	beginWait(&wait.noWorkerSince, hasRoom, now)
 	if wait.noWorkerLogged || !lasted(wait.noWorkerSince, now, longTrialWait) {
 		return
 	}
--- a/services/dispatch/trial_wait_test.go
+++ b/services/dispatch/trial_wait_test.go
@@ -81,6 +81,7 @@
 	idleSince   map[jobs.ID]time.Time     // jobs of which nothing runs
 	waitsSince  map[jobs.TaskID]time.Time // long-running tasks that do not run
 	lastRestart time.Time
+	stored      waitStore
 
 	longestJob, longestTask time.Duration
 	longestOrdinary         time.Duration // of jobs that lost no run
@@ -92,6 +93,7 @@
 	p := &waitSimulation{
 		t: t, began: time.Unix(1_000_000, 0), running: map[jobs.ID]int{}, idleSince: map[jobs.ID]time.Time{},
 		waitsSince: map[jobs.TaskID]time.Time{}, late: map[string]struct{}{},
+		stored: waitStore{epoch: 5, active: map[jobs.ID]jobs.Record{}, progress: map[jobs.ID]jobs.Progress{}},
 	}
 	p.now = p.began
 	p.Core = New(Config{Epoch: 5, Taken: p.now, Lease: 4 * time.Second, LongestLease: 8 * time.Second, Logger: zap.NewNop()})
@@ -126,10 +128,12 @@
 func (p *waitSimulation) submit(step jobs.Step) {
 	p.submitted++
 	id := jobs.ID(fmt.Sprintf("%016x", p.submitted))
-	p.AddJob(jobs.Record{
+	record := jobs.Record{
 		Spec:  jobs.Spec{ID: id, Queue: "q", Steps: []jobs.Step{step}},
 		Terms: jobs.Terms{Pool: testPool, MaxAttempts: 3, Slack: 250, Stretch: 1.5}, Accepted: models.UnixMilliOf(p.now),
-	}, jobs.Progress{}, true, p.now)
+	}
+	p.stored.active[id] = record
+	p.AddJob(record, jobs.Progress{}, true, p.now)
 	p.idleSince[id] = p.now
 	if step.LongRunning {
 		for n := range step.Count {
@@ -151,7 +155,7 @@
 			p.report()
 		}
 		p.obey()
-		p.Stored(p.TakeChanges(100, p.now), p.now)
+		p.store()
 		p.measure()
 	}
 }
@@ -409,3 +413,47 @@
 		})
 	}
 }
+
+// TestSuspectsOfOneStepDoNotWaitInTurn guards against suspects of one step that each begin to wait for a worker only when
+// the one before has found one: of a step of many tasks the last one waited for many seconds beside free workers.
+func TestSuspectsOfOneStepDoNotWaitInTurn(t *testing.T) {
+	const tasks = 3
+	twice := []jobs.LostRun{lostRunWith(lossShared, 1, 4, 3), lostRunWith(lossAlone, 2, 4, 3)}
+	b := newBench(t, tasks)
+	rows := make([][]jobs.Run, tasks)
+	report := func() {
+		for n := range b.ids {
+			b.report(n, jobs.Report{Running: rows[n]})
+		}
+	}
+	start := func() int {
+		b.store()
+		orders := b.storedStarts()
+		for _, order := range orders {
+			b.Started(order, Result{Outcome: OutcomeDone}, b.now)
+			n := slices.Index(b.ids, order.Worker.ID)
+			rows[n] = append(rows[n], jobs.Run{Task: order.Call.Task, Run: order.Call.Run})
+		}
+		return len(orders)
+	}
+	report()
+	suspicions := map[int]jobs.Suspicion{}
+	for n := range tasks {
+		suspicions[n] = jobs.Suspicion{Lost: twice}
+	}
+	step := waitSuspectStep
+	step.Count = tasks
+	b.AddJob(b.job(step), jobs.Progress{Suspected: jobs.Suspicions{0: suspicions}}, true, b.now)
+	require.Equal(t, tasks, start(), "each has a worker of its own")
+	for range 5 {
+		report()
+	}
+	other := b.job(step)
+	other.Spec.ID = otherJob
+	b.AddJob(other, jobs.Progress{Suspected: jobs.Suspicions{0: suspicions}}, true, b.now)
+	began := b.now
+	for started := 0; started < tasks; started += start() {
+		require.LessOrEqual(t, b.now.Sub(began), waitAllowed)
+		report()
+	}
+}
