A failing test of tasks of five losses that are tried one after the other

Callers may see a job with nothing running for 8 s beside idle workers after a takeover: tasks that were lost together, and may have lost as many runs as they may, are tried one after the other, each for up to 3 s (maxTrialTime), and the last one waits for maxLastTrialWait 8 s, counted anew by each owner. Callers allow 7 s after the last fault.

Not mended: 8 s protect from a sixth start of a task that crashes its workers.

--- a/services/dispatch/shared_wait_test.go
+++ b/services/dispatch/shared_wait_test.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,3 +67,38 @@
 		require.Equal(t, testJob, b.awaitStart(t).Call.Task.Job)
 	}
 }
+
+// allowedAfterATakeover is how long after a takeover, the last fault, callers allow a job to have nothing running.
+const allowedAfterATakeover = waitCalm + allowedSharedWait
+
+// TestTasksOfFiveLossesRunSoonAfterATakeover guards against tasks that were lost together, and may have lost as many runs
+// as they may, that are tried one after the other for longer than callers allow a job to wait beside idle workers.
+func TestTasksOfFiveLossesRunSoonAfterATakeover(t *testing.T) {
+	const tasks = 4
+	b := newBench(t, tasks)
+	for n := range tasks {
+		record := b.job(singleTaskStep)
+		record.Spec.ID = jobs.ID(fmt.Sprintf("00000000000000c%d", n))
+		shared := lostRunWith(lossShared, 1, 9, 8)
+		shared.RanAtMost = 1500
+		alone := lostRunWith(lossThird+jobs.WorkerLossID(n), 2, 5, 4)
+		b.AddJob(record, jobs.Progress{Suspected: jobs.Suspicions{0: {0: {Lost: []jobs.LostRun{shared, alone}, Unobserved: maxLosses - 2}}}}, true, b.now)
+	}
+	taken := b.now
+	rows := make([][]jobs.Run, tasks)
+	for reports, started := 0, 0; started < tasks; reports++ {
+		b.report(reports%tasks, jobs.Report{Running: rows[reports%tasks]})
+		b.store()
+		for _, start := range b.storedStarts() {
+			b.Started(start, Result{Outcome: OutcomeDone}, b.now)
+			n := slices.Index(b.ids, start.Worker.ID)
+			rows[n] = append(rows[n], jobs.Run{Task: start.Call.Task, Run: start.Call.Run})
+			started++
+			t.Logf("%v starts after %v", start.Call.Task, b.now.Sub(taken))
+		}
+		for _, j := range b.jobs {
+			require.Empty(t, j.end)
+		}
+		require.LessOrEqual(t, b.now.Sub(taken), allowedAfterATakeover, "a task waits beside idle workers")
+	}
+}
