--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -70,7 +70,7 @@
 const renewWithin = 700 * time.Millisecond
 
 // leaseAllowance is how much longer than a lease after a proof of ownership the leases granted on this proof end at the
-// latest. It is at least the age of the proofs of an owner that the store answers, whose leases so have their full length.
+// latest. A busy owner whose store answers has a younger proof nearly always, so that its leases have their full length.
 const leaseAllowance = 500 * time.Millisecond
 
 // grantLease returns the end of a lease that begins now, on the worker's clock.
