A longer lease is granted only once the stored roster names it

What callers could see: after a takeover by a daemon with a longer worker_lease in its settings, and a second takeover right after it, tasks on two workers. Found by reading, not seen.

Cause: starts waited for the roster that names the longer lease, but leases of runs that the owner had found were renewed with it at once; its successor, which knew the shorter one, waited less.

Evidence: TestLongerLeaseWaitsForTheRoster, red before (4 s granted where the roster names 3 s), green now.

--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"rillsail.example/rillsail/models"
@@ -78,6 +79,15 @@
 	return c.grantFor(w, c.config.Lease, now)
 }
 
+// namedLease returns the longest lease for the worker that a successor knows of from the stored roster, and how much
+// longer than it after a proof of ownership the leases granted on this proof may end.
+func (c *Core) namedLease(w *worker) (lease, allowance time.Duration) {
+	if w.inRoster {
+		return c.config.Lease, leaseAllowance
+	}
+	return min(c.config.Lease, c.previousLease), min(leaseAllowance, cmp.Or(c.previousBound, leaseAllowance))
+}
+
 // maxStartAge is how old a start may be when a worker carries it out: twice the time after which an unanswered start is
 // repeated, plus some time for the age of the report that tells the worker's clock. A worker refuses later starts, so
 // the starts of a slow owner, or of an owner whose calls are delayed, have no effect. Together with staleAfter it stays
@@ -90,11 +100,12 @@
 	return c.grantFor(w, min(maxStartAge, c.config.Lease), now)
 }
 
-// grantFor returns the time on the worker's clock after span, or a lease and leaseAllowance after the last proof of
+// grantFor returns the time on the worker's clock after span, or the end of the longest lease on the last proof of
 // ownership if that is earlier, and records it as a possible end of a lease. The time is absolute, so that a call that
 // arrives late grants no more.
 func (c *Core) grantFor(w *worker, span time.Duration, now time.Time) models.Milli {
-	span = min(span, c.lastProof().Add(c.config.Lease+leaseAllowance).Sub(now))
+	lease, allowance := c.namedLease(w)
+	span = min(span, lease, c.lastProof().Add(lease+allowance).Sub(now))
 	until := w.reportClock + models.MilliOf(now.Sub(w.reportedAt)+span)
 	w.leaseEnd = max(w.leaseEnd, until)
 	return until
--- a/services/dispatch/lease_bound_test.go
+++ b/services/dispatch/lease_bound_test.go
@@ -110,3 +110,21 @@
 	next.RestoreRoster(*changes.Roster, next.now)
 	require.EqualValues(t, 700, next.roster().LeaseAllowance, "leases of the previous owner may still be running")
 }
+
+// TestLongerLeaseWaitsForTheRoster guards against leases that a successor doesn't know of: an owner with a longer lease
+// in its settings renewed the leases of runs that it had found before the stored roster named the lease.
+func TestLongerLeaseWaitsForTheRoster(t *testing.T) {
+	const before = 3 * time.Second
+	b := newBench(t, 0)
+	b.RestoreRoster(jobs.Roster{Workers: []jobs.Worker{{ID: "w", Pool: testPool}}, MaxLease: models.MilliOf(before), LeaseAllowance: 500}, b.now)
+	b.ids = append(b.ids, "w")
+	b.reportAll(0, 1)
+	granted := func() time.Duration {
+		b.reportAll(0, 1)
+		call, _ := b.LeaseCall("w", 0, b.now)
+		return (call.Until - b.workers["w"].reportClock).Duration()
+	}
+	require.Equal(t, before, granted())
+	b.storeChanges()
+	require.Equal(t, b.config.Lease, granted())
+}
