Random divisions, and divisions that last and whose connections are refused

Divisions last up to 25 s now, half of them refuse connections, and TestTasksRunOnceWhileOwnersAreDivided draws divisions mostly. A daemon that tells the end of another's claim is not found by these tests.

--- a/services/control/takeover_random_test.go
+++ b/services/control/takeover_random_test.go
@@ -37,16 +37,19 @@
 )
 
 var (
-	passingLosses = []ownerLossKind{lossOfProcess, lossOfPower, lossByCut, lossByDivision, lossOfStore, lossByFreeze, lossBySuspend}
+	allLosses     = []ownerLossKind{lossOfProcess, lossOfPower, lossByCut, lossByDivision, lossOfStore, lossByFreeze, lossBySuspend}
+	dividedLosses = []ownerLossKind{lossByDivision, lossByDivision, lossByDivision, lossOfProcess, lossOfStore}
 	finalLosses   = []ownerLossKind{lossOfProcess, lossOfPower, lossByCut, lossByFreeze}
 )
 
 // ownerLoss is a loss of the daemon that owns the cell.
 type ownerLoss struct {
 	Kind  ownerLossKind `json:"kind"`
-	After models.Milli  `json:"after_ms"` // how long it has been the owner; for the first, how long the scenario has run
-	Back  models.Milli  `json:"back_ms"`  // after which it is back; 0: never
-	Kept  int           `json:"kept,omitempty"`
+	After models.Milli  `json:"after_ms"`       // how long it has been the owner; for the first, how long the scenario has run
+	Back  models.Milli  `json:"back_ms"`        // after which it is back; 0: never
+	Kept  int           `json:"kept,omitempty"` // of a division: workers that only the daemon reaches
+	// Refused says that connections to a divided daemon are refused, as by a firewall, though its process goes on.
+	Refused bool `json:"refused,omitempty"`
 }
 
 // randomTakeover is a scenario of takeovers. Its times are counted from its beginning.
@@ -76,6 +79,7 @@
 	maxStoreTime     = 4 * time.Second
 	maxOwnedTime     = 8 * time.Second // from a takeover to the successor's loss
 	maxBackTime      = 6 * time.Second
+	maxDividedTime   = 25 * time.Second // longer than an owner that the store doesn't reach may go on
 	maxTakeoverTime  = 10 * time.Second
 	maxTakeoverWork  = 15 * time.Second
 	takeoverObserved = 45 * time.Second // after the last fault; longer than any wait of a cell
@@ -99,9 +103,14 @@
 	return numbers
 }
 
-// drawTakeover draws a scenario in which all owners come back, or one in which they may be lost for good. All values are
-// equally likely.
-func drawTakeover(rt *rapid.T, forGood bool) randomTakeover {
+// lossKinds are the losses that a test draws.
+type lossKinds struct {
+	kinds   []ownerLossKind
+	forGood bool // half of those from which the owner need not come back are for good
+}
+
+// drawTakeover draws a scenario. All values are equally likely.
+func drawTakeover(rt *rapid.T, losses lossKinds) randomTakeover {
 	number := func(name string, numbers []int) int { return rapid.SampledFrom(numbers).Draw(rt, name) }
 	at := func(name string, from, to time.Duration) models.Milli {
 		return rapid.SampledFrom(tenths(from, to)).Draw(rt, name)
@@ -121,23 +130,26 @@
 		c.GoneAt = append(c.GoneAt, at("gone at", 0, firstLossAt+maxLeadTime))
 	}
 	c.Cut = number("cut", upTo(c.Workers-len(c.GoneAt)))
-	c.Losses = []ownerLoss{drawLoss(rt, forGood, c.Workers, tenths(firstLossAt, firstLossAt))}
+	c.Losses = []ownerLoss{losses.draw(rt, c.Workers, tenths(firstLossAt, firstLossAt))}
 	for range number("further losses", upTo(maxOwnerLosses-1)) {
-		c.Losses = append(c.Losses, drawLoss(rt, forGood, c.Workers, tenths(0, maxOwnedTime)))
+		c.Losses = append(c.Losses, losses.draw(rt, c.Workers, tenths(0, maxOwnedTime)))
 	}
 	return c
 }
 
-// drawLoss draws the loss of an owner. With forGood, half of the losses are for good if that is possible.
-func drawLoss(rt *rapid.T, forGood bool, workers int, after []models.Milli) ownerLoss {
-	loss := ownerLoss{Kind: rapid.SampledFrom(passingLosses).Draw(rt, "kind"), After: rapid.SampledFrom(after).Draw(rt, "after")}
-	if forGood && slices.Contains(finalLosses, loss.Kind) && rapid.Bool().Draw(rt, "for good") {
+// draw draws the loss of an owner.
+func (l lossKinds) draw(rt *rapid.T, workers int, after []models.Milli) ownerLoss {
+	loss := ownerLoss{Kind: rapid.SampledFrom(l.kinds).Draw(rt, "kind"), After: rapid.SampledFrom(after).Draw(rt, "after")}
+	if l.forGood && slices.Contains(finalLosses, loss.Kind) && rapid.Bool().Draw(rt, "for good") {
 		return loss
 	}
-	loss.Back = rapid.SampledFrom(tenths(100*time.Millisecond, maxBackTime)).Draw(rt, "back")
+	longest := maxBackTime
 	if loss.Kind == lossByDivision {
+		longest = maxDividedTime
 		loss.Kept = rapid.SampledFrom(upTo(workers)).Draw(rt, "kept")
+		loss.Refused = rapid.Bool().Draw(rt, "refused")
 	}
+	loss.Back = rapid.SampledFrom(tenths(100*time.Millisecond, longest)).Draw(rt, "back")
 	return loss
 }
 
@@ -295,7 +307,7 @@
 	case lossByCut:
 		return isolate(true), isolate(false)
 	case lossByDivision:
-		return func() { r.divide(d, loss.Kept) }, func() { r.joinAgain(d) }
+		return func() { r.divide(d, loss) }, func() { r.joinAgain(d) }
 	case lossOfStore:
 		return func() { d.set(func() { d.storeCut = true }) }, func() { d.set(func() { d.storeCut = false }) }
 	case lossByFreeze:
@@ -306,12 +318,12 @@
 }
 
 // divide cuts a daemon off from all others and from all workers but some, which the others don't reach.
-func (r *takeoverRun) divide(d *testDaemon, kept int) {
-	d.set(func() { d.storeCut, d.peersCut = true, true })
+func (r *takeoverRun) divide(d *testDaemon, loss ownerLoss) {
+	d.set(func() { d.storeCut, d.peersCut, d.exited = true, true, loss.Refused })
 	ids := r.grid.IDs()
 	for n, place := range r.places {
 		for _, other := range r.daemonList() {
-			if (other == d) != (n < kept) {
+			if (other == d) != (n < loss.Kept) {
 				other.cut(ids[place])
 			}
 		}
@@ -320,7 +332,7 @@
 
 // joinAgain connects a daemon, and all others, to all others and to all workers.
 func (r *takeoverRun) joinAgain(d *testDaemon) {
-	d.set(func() { d.storeCut, d.peersCut = false, false })
+	d.set(func() { d.storeCut, d.peersCut, d.exited = false, false, false })
 	for _, id := range r.grid.IDs() {
 		for _, other := range r.daemonList() {
 			other.reach(id)
@@ -364,9 +376,9 @@
 }
 
 // checkRandomTakeovers plays random scenarios.
-func checkRandomTakeovers(t *testing.T, forGood bool) {
+func checkRandomTakeovers(t *testing.T, losses lossKinds) {
 	rapid.Check(t, func(rt *rapid.T) {
-		scenario := drawTakeover(rt, forGood)
+		scenario := drawTakeover(rt, losses)
 		if failure := runTakeover(t, scenario); failure != "" {
 			data, err := json.Marshal(scenario)
 			require.NoError(t, err)
@@ -378,11 +390,21 @@
 // TestTasksRunSoonAfterRandomTakeovers guards against tasks that wait beside idle workers after takeovers, and against
 // tasks on two workers, whichever way the owners are lost, while workers go for good, others are cut off for some time
 // and the store is down for a short time.
-func TestTasksRunSoonAfterRandomTakeovers(t *testing.T) { checkRandomTakeovers(t, false) }
+func TestTasksRunSoonAfterRandomTakeovers(t *testing.T) {
+	checkRandomTakeovers(t, lossKinds{kinds: allLosses})
+}
 
 // TestTasksRunSoonAfterRandomTakeoversForGood guards against the same when owners may not come back, so that nobody can
 // say what they have done.
-func TestTasksRunSoonAfterRandomTakeoversForGood(t *testing.T) { checkRandomTakeovers(t, true) }
+func TestTasksRunSoonAfterRandomTakeoversForGood(t *testing.T) {
+	checkRandomTakeovers(t, lossKinds{kinds: allLosses, forGood: true})
+}
+
+// TestTasksRunOnceWhileOwnersAreDivided guards against tasks on two workers while owners go on with some of the workers,
+// which their successors don't reach.
+func TestTasksRunOnceWhileOwnersAreDivided(t *testing.T) {
+	checkRandomTakeovers(t, lossKinds{kinds: dividedLosses})
+}
 
 // playNamedTakeovers plays the scenarios of a folder, which are failures found by random scenarios.
 func playNamedTakeovers(t *testing.T, pattern string) {
