A failing test of a long-running task that waits until all suspects are tried

Callers may see a long-running task that has lost nothing wait beside free room: where each worker goes from one trial to the next, suspects of older jobs go before it, and it starts when all are tried (11.3 s with eight suspects on two workers, 8.7 s with twelve on four). Short work is more urgent and starts after 2.3 s.

--- a/services/dispatch/trial_wait_test.go
+++ b/services/dispatch/trial_wait_test.go
@@ -457,3 +457,42 @@
 		report()
 	}
 }
+
+// TestTaskWithoutLossesStartsBetweenTrials guards against a long-running task that has lost nothing and waits until all
+// suspects of older jobs are tried: each worker went from one trial to the next, or was reserved for it.
+func TestTaskWithoutLossesStartsBetweenTrials(t *testing.T) {
+	const suspects = 8
+	b := newBench(t, 2)
+	rows := make([][]jobs.Run, len(b.ids))
+	reports := 0
+	look := func() []StartOrder {
+		n := reports % len(b.ids)
+		reports++
+		b.report(n, jobs.Report{Running: rows[n]})
+		b.store()
+		starts := b.storedStarts()
+		for _, start := range starts {
+			b.Started(start, Result{Outcome: OutcomeDone}, b.now)
+			n := slices.Index(b.ids, start.Worker.ID)
+			rows[n] = append(rows[n], jobs.Run{Task: start.Call.Task, Run: start.Call.Run})
+		}
+		return starts
+	}
+	step := waitSuspectStep
+	step.Size.CPU = 100 // so that there is room for all
+	for n := range suspects {
+		lost := []jobs.LostRun{lostRunWith(jobs.WorkerLossID(100+n), 1, 6, 3), lostRunWith(jobs.WorkerLossID(200+n), 2, 6, 3)}
+		lost[0].RanAtMost = models.MilliOf(maxTrialTime) / 2
+		record := b.job(step)
+		record.Spec.ID = jobs.ID(fmt.Sprintf("00000000000000c%d", n))
+		b.AddJob(record, jobs.Progress{Suspected: jobs.Suspicions{0: {0: {Lost: lost}}}}, true, b.now)
+	}
+	for len(look()) == 0 {
+		require.Less(t, reports, 10)
+	}
+	b.AddJob(b.job(step), jobs.Progress{}, true, b.now)
+	began := b.now
+	for !slices.ContainsFunc(look(), func(start StartOrder) bool { return start.Call.Task.Job == testJob }) {
+		require.LessOrEqual(t, b.now.Sub(began), waitAllowedLasting)
+	}
+}
