--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -24,6 +24,7 @@
 	cell    jobs.CellName
 	epoch   jobs.Epoch
 	takenAt time.Time
+	claim   jobs.Owner
 
 	mu              sync.Mutex
 	core            *dispatch.Core
@@ -32,6 +33,7 @@
 	calling         map[jobs.WorkerID]context.CancelFunc // cancels the call in flight, for each worker with a loop
 	publishedCounts dispatch.Counts                      // as last published to the metrics
 
+	previous          previousOwners
 	journal           journal
 	moves             []*move   // work that is being moved to other cells
 	unfinishedCancels []jobs.ID // jobs whose cancellation may be incomplete
@@ -85,6 +87,7 @@
 	if configuration := o.cells.configurations.current.Load(); configuration != nil {
 		o.configure(configuration)
 	}
+	o.group.Go(func() { o.previousOwnersLoop(ctx) })
 	o.group.Go(func() { o.jobsLoop(ctx, at) })
 	o.group.Go(func() { o.workersLoop(ctx) })
 	o.group.Go(func() { o.cordonsLoop(ctx) })
