The claims of previous owners are forgotten as soon as their runs are over

What callers would have seen: tasks that wait for 30 s beside idle workers, because the owner before the last can't be asked any more, though the last owner had recovered the cell long before. Cause: an owner that was not told of all ends kept the claims before its own for 30 s from the first answer, also where its recovery knew sooner, by the fence, that their leases were over.

--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -110,9 +110,9 @@
 }
 
 // updateLeaseBound lets the roster say that leases are bound to proofs once no lease is left of previous owners that did
-// not bind theirs.
+// not bind theirs, also of those that no worker of the roster has answered.
 func (c *Core) updateLeaseBound(now time.Time) {
-	if c.previousBound == 0 && c.PreviousOwnersAreOver(now) {
+	if c.previousBound == 0 && !c.recovering && now.After(c.blindSince().Add(maxBlindTime)) {
 		c.previousBound = leaseAllowance
 		c.rosterChanged = true
 	}
@@ -124,11 +124,7 @@
 
 // PreviousOwnersAreOver reports whether no run of a previous owner exists any more that this owner has not found.
 func (c *Core) PreviousOwnersAreOver(now time.Time) bool {
-	if c.recovering {
-		return false
-	}
-	return c.noPreviousRuns || now.After(c.blindSince().Add(maxBlindTime)) ||
-		!c.previousEndedAt.IsZero() && now.After(c.previousEndedAt.Add(driftedLease(c.previousLease)+clockMargin))
+	return !c.recovering && (c.noPreviousRuns || now.After(c.previousOwnersLapsed()))
 }
 
 // blindSince returns since when the runs of silent workers are waited for while no more than a third answer.
