A failing test of jobs that are given up when owners are lost while workers restart

Callers may be shown a job as failed though none of its tasks crashes workers. In plays of the core all workers restart, one or two at a time; with the owner lost four times meanwhile 2, 3 and 4 jobs are given up, without that none.

One cause: a successor does not know which workers were lost before it took the cell (`workerLosses` begins empty), so that chance explains later losses less. Not mended: the losses would have to be stored, with the roster say, and what that does to tasks that crash their workers is to be measured.

--- a/services/dispatch/trial_takeover_test.go
+++ b/services/dispatch/trial_takeover_test.go
@@ -113,3 +113,21 @@
 		})
 	}
 }
+
+// TestTasksThatCrashNothingOutliveOwnersLost guards against jobs that fail because a successor does not know how many workers
+// were lost shortly before it took the cell, so that chance explains later losses less: each worker restarts a few times,
+// one or two at a time, and the owner is lost four times meanwhile.
+func TestTasksThatCrashNothingOutliveOwnersLost(t *testing.T) {
+	for _, r := range []rollingRestarts{
+		{group: 1, every: 150 * time.Millisecond, passes: 1},
+		{group: 2, every: 150 * time.Millisecond, passes: 3},
+		{group: 1, every: 150 * time.Millisecond, passes: 4},
+	} {
+		for _, lost := range []int{0, 4} {
+			t.Run(fmt.Sprintf("%+v, %d owners lost", r, lost), func(t *testing.T) {
+				t.Parallel()
+				require.Zero(t, successions{rollingRestarts: r, during: lost}.play(t).counts.GivenUp)
+			})
+		}
+	}
+}
