Answers fence a previous owner only once the list of workers is known

What callers could see: a task on two workers.

Change: nothing is counted before the list has been read. TestFenceAndProofExcludeEachOther gives its successor the list now, as every owner gets it.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -113,6 +113,7 @@
 	noPreviousRuns  bool          // no previous owner had started anything
 	loggedBasis     lapseBasis    // of the wait after the takeover that was last logged; empty: none was
 	superseded      bool
+	listRead        bool      // the platform's list of workers has been read
 	provedAt        time.Time // when the latest transaction that proves ownership was begun; see mayOrder
 	allAskedAt      time.Time // all workers have answered a call that was sent at this time or later
 	quorumAskedAt   time.Time // two thirds of the workers have answered a call that was sent at this time or later
--- a/services/dispatch/fence_test.go
+++ b/services/dispatch/fence_test.go
@@ -90,6 +90,7 @@
 			previous, next := New(Config{Taken: began, Logger: zap.NewNop()}), New(Config{Taken: began, Logger: zap.NewNop()})
 			previous.SetWorkers(list, began)
 			next.RestoreRoster(jobs.Roster{Workers: list}, began)
+			next.SetWorkers(list, began)
 			now := began.Add(proofValidity + time.Second)
 			for n, info := range list {
 				if n < refusing {
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -147,12 +147,13 @@
 }
 
 // updateFenced records when so many workers have reported in this epoch, and so refuse the previous owner's calls, that
-// too few are left to prove its ownership to it; from then on it ends. More than a third of the workers of its roster
-// have to, so that those that joined since don't make up for them, or more than half of all workers, because its own may
-// all have gone for good. Not covered: most workers are new to the previous owner, it has dropped workers of its roster,
-// or workers that have reported start again and meet it before the present owner.
+// too few are left to prove its ownership to it; from then on it ends. They are counted once the list of workers has been
+// read, because the previous owner counts on workers that the roster does not name. More than a third of the workers of
+// its roster have to, so that those that joined since don't make up for them, or more than half of all workers, because
+// its own may all have gone for good. Not covered: most workers are new to the previous owner, it has dropped workers of
+// its roster, or workers that have reported start again and meet it before the present owner.
 func (c *Core) updateFenced(now time.Time) {
-	if !c.fencedAt.IsZero() {
+	if !c.fencedAt.IsZero() || !c.listRead {
 		return
 	}
 	var all, ofRoster fenceCount
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -100,6 +100,7 @@
 // SetWorkers takes the platform's list of workers. Workers that the list does not name are kept until they are
 // proved to run nothing.
 func (c *Core) SetWorkers(list []jobs.Worker, now time.Time) {
+	c.listRead = true
 	for _, w := range c.workers {
 		w.listed, w.otherEntry = false, nil
 	}
