The claims of previous owners are forgotten under load, too

Found by the review: an owner that has always something else to store never came to shorten the list of claims, so that a previous owner that can't be asked would hold back the tasks of each later takeover. The list is now shortened before anything else is stored.

--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -25,6 +25,7 @@
 	ticker := time.NewTicker(o.config.Settings.StoreEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
+		o.forgetPreviousClaims(ctx)
 		endsErr := o.storeSharedEnds(ctx)
 		more, err := o.storeOnce(ctx)
 		switch {
@@ -34,7 +35,6 @@
 			continue
 		default:
 			o.executeMoves(ctx)
-			o.forgetPreviousClaims(ctx)
 			if endsErr != nil {
 				sleep(ctx, loadRetryPause)
 			}
