An owner counts on the answers of two thirds of the stored roster, too

What callers could see: tasks on two workers.

Cause, from the log of one play: the owner had taken seven silent workers of twelve out of the roster. They came back while the store did not answer it, and proved its ownership to it with one of the others: eight of twelve. Its successor restored the other five, of which two answered; at that moment it knew no more, counted them as more than a third, and started the tasks of the three silent ones, whose leases the owner went on to renew.

Change: two thirds of the workers in the stored roster have to have answered as well. The successor needs more than a third of these, so that at most one of the two counts on them, whatever other workers each knows.

TestFenceAndProofExcludeEachOther lets the successor read the list, as its previous owner does; its requirement is the same.

Open: a roster that is being stored when the owner is lost may name more workers than the owner counts on.

--- a/services/dispatch/fence_test.go
+++ b/services/dispatch/fence_test.go
@@ -90,6 +90,7 @@
 			previous, next := New(Config{Taken: began, Logger: zap.NewNop()}), New(Config{Taken: began, Logger: zap.NewNop()})
 			previous.SetWorkers(list, began)
 			next.RestoreRoster(jobs.Roster{Workers: list}, began)
+			next.SetWorkers(list, began)
 			now := began.Add(proofValidity + time.Second)
 			for n, info := range list {
 				if n < refusing {
@@ -118,3 +119,43 @@
 	b.reportAll(1, 2)
 	require.Equal(t, b.now, b.fencedAt)
 }
+
+// TestFenceAndProofExcludeEachOtherBesideWorkersThatCameBack guards against tasks on two workers: the previous owner had
+// taken silent workers out of its roster, and counted on their answers when they were back and the store was not; its
+// successor knew only the others when it counted, and a few of them were enough to it.
+func TestFenceAndProofExcludeEachOtherBesideWorkersThatCameBack(t *testing.T) {
+	const workers = 12
+	list := make([]jobs.Worker, workers)
+	for n := range list {
+		list[n] = jobs.Worker{ID: jobs.WorkerID(fmt.Sprintf("w%02d", n)), Pool: testPool}
+	}
+	for named := 1; named <= workers; named++ { // the first ones, in the stored roster
+		for of := range named + 1 { // of these refuse
+			for others := range workers - named + 1 { // of the others refuse
+				for _, listIsRead := range []bool{false, true} {
+					began := time.Unix(1_000_000, 0)
+					previous, next := New(Config{Taken: began, Logger: zap.NewNop()}), New(Config{Taken: began, Logger: zap.NewNop()})
+					previous.SetWorkers(list, began)
+					next.RestoreRoster(jobs.Roster{Workers: list[:named]}, began)
+					if listIsRead {
+						next.SetWorkers(list, began)
+					}
+					now := began.Add(proofValidity + time.Second)
+					for n, info := range list {
+						previous.workers[info.ID].inRoster = n < named
+						refuses := n < of || n >= named && n < named+others
+						if w, ok := next.workers[info.ID]; ok {
+							w.answered = refuses
+						}
+						if !refuses {
+							previous.workers[info.ID].reportAskedAt = now
+						}
+					}
+					next.updateFenced(now)
+					proved, fenced := previous.proofAge(now) <= proofValidity, !next.fencedAt.IsZero()
+					require.False(t, proved && fenced, "%d of the %d workers in the roster and %d others have answered the successor, list read: %t", of, named, others, listIsRead)
+				}
+			}
+		}
+	}
+}
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -14,17 +14,18 @@
 // the old owner's orders once the successor has called them, but calls get lost, and a worker that the successor has not
 // reached yet would obey. So an owner acts only on recent proof that it still owns the cell:
 //
-//   - for any order, and to renew a lease: a transaction of its own, which requires its key in the store, or the answers
-//     of two thirds of its workers. Once more than a third have answered a successor, too few are left: each proof is
-//     no later than the fence, for the transaction was begun before the successor's claim, and one of the workers has
-//     answered the successor after a call that was sent after the time of the proof. A lease ends at a time on its
-//     worker's clock, a lease and leaseAllowance after the proof at the latest, whenever it is granted and its call
-//     arrives, and so does the deadline of a start, which is a lease as well. So the successor counts the runs on silent
-//     workers as lapsed that long after the fence, by the slowest clock of a worker. An owner that reaches only workers
-//     that its successor doesn't reach learns nothing from them, so that its leases have to end for lack of a proof. A
-//     successor that no more than a third answer can't tell an owner that the others prove right from one whose workers
-//     are gone, and waits for maxBlindTime. So two thirds prove ownership for some time only after a transaction, or
-//     after all workers have answered: no successor can have called any of them before that.
+//   - for any order, and to renew a lease: a transaction of its own, which requires its key in the store, or the
+//     answers of two thirds of its workers, and of those that the stored roster names. Once more than a third have
+//     answered a successor, too few are left: each proof is no later than the fence, for the transaction was begun
+//     before the successor's claim, and one of the workers has answered the successor after a call that was sent after
+//     the time of the proof. A lease ends at a time on its worker's clock, a lease and leaseAllowance after the proof
+//     at the latest, whenever it is granted and its call arrives, and so does the deadline of a start, which is a
+//     lease as well. So the successor counts the runs on silent workers as lapsed that long after the fence, by the
+//     slowest clock of a worker. An owner that reaches only workers that its successor doesn't reach learns nothing
+//     from them, so that its leases have to end for lack of a proof. A successor that no more than a third answer
+//     can't tell an owner that the others prove right from one whose workers are gone, and waits for maxBlindTime. So
+//     two thirds prove ownership for some time only after a transaction, or after all workers have answered: no
+//     successor can have called any of them before that.
 //   - to start the tasks of a silent worker elsewhere: a transaction after the worker's lease was over. Only this
 //     proves that no successor has renewed the lease.
 
@@ -86,16 +87,31 @@
 	c.config.Logger.Info(message, zap.Duration("proof_age", age), zap.Int("workers", len(c.sortedWorkers)))
 }
 
-// answeredSince returns the latest times for which all workers, and two thirds of them, have answered calls that were
-// sent then or later.
+// answeredSince returns the latest times for which all workers, and two thirds of them and of those in the stored roster,
+// have answered calls that were sent then or later. A successor may know of the roster's workers only.
 func (c *Core) answeredSince() (all, twoThirds time.Time) {
 	if len(c.sortedWorkers) == 0 {
 		return time.Time{}, time.Time{}
 	}
 	sent := make([]time.Time, 0, len(c.sortedWorkers))
+	var ofRoster []time.Time
 	for _, w := range c.sortedWorkers {
 		sent = append(sent, w.reportAskedAt)
+		if w.inRoster {
+			ofRoster = append(ofRoster, w.reportAskedAt)
+		}
 	}
+	all, twoThirds = answerTimes(sent)
+	if len(ofRoster) > 0 {
+		if _, since := answerTimes(ofRoster); since.Before(twoThirds) {
+			twoThirds = since
+		}
+	}
+	return all, twoThirds
+}
+
+// answerTimes returns the latest times for which all, and two thirds of, some times are then or later.
+func answerTimes(sent []time.Time) (all, twoThirds time.Time) {
 	slices.SortFunc(sent, time.Time.Compare)
 	return sent[0], sent[dispensableWorkers(len(sent))]
 }
