--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -65,6 +65,9 @@
 func (g *Grid) SetListed(place int, listed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.incarnationAt(place).gone {
+		return
+	}
 	if g.unlisted[g.idsByPlace[place]] == listed {
 		g.audit.noteFault()
 	}
@@ -99,9 +102,12 @@
 	g.restart(place)
 }
 
-// restart ends the worker in a place and starts the next incarnation.
+// restart ends the worker in a place and starts the next incarnation, unless the worker is gone for good.
 func (g *Grid) restart(place int) (ended, next *incarnation) {
 	ended = g.incarnationAt(place)
+	if ended.gone {
+		return ended, ended
+	}
 	g.endIncarnation(ended)
 	g.replace(ended)
 	return ended, g.incarnationAt(place)
@@ -134,7 +140,7 @@
 }
 
 // CrashForGood ends the worker in a place with all its runs and starts no other, like a VM that is gone without notice:
-// calls to the worker hang, and its list entry outlives it.
+// calls to the worker hang, and its list entry outlives it. Later faults of the place have no effect.
 func (g *Grid) CrashForGood(place int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/tests/soak/inject.go
+++ b/tests/soak/inject.go
@@ -95,6 +95,10 @@
 		r.restartWorker(ctx, fault, place)
 	case RestartWorkers:
 		r.restartWorkers()
+	case LoseWorker:
+		r.site.emulator.Grid.CrashForGood(place)
+	case CutWorkers:
+		r.cutWorkers(ctx, fault)
 	default:
 		r.applyWorkerFault(ctx, fault, place)
 	}
--- a/tests/soak/plan.go
+++ b/tests/soak/plan.go
@@ -49,6 +49,8 @@
 	RestartWorker        Kind = "worker starts again while calls to it go wrong"
 	RestartWorkers       Kind = "all workers start again at once"
 	CordonDomain         Kind = "failure domain is cordoned"
+	LoseWorker           Kind = "worker is gone for good"
+	CutWorkers           Kind = "several workers are silent"
 )
 
 // weightedKinds lists the kinds that drawFault draws, with their weights: the faults that daemons must
@@ -139,6 +141,9 @@
 	if config.Cordons {
 		plan.Faults = append(plan.Faults, drawCordons(seed, length)...)
 	}
+	if config.Takeovers {
+		plan.Faults = append(plan.Faults, drawTakeovers(seed, length, daemons, workers)...)
+	}
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -9,7 +9,7 @@
 //
 //	report, err := soak.Run(ctx, soak.Config{Daemon: "bin/rillsaild", Seed: 7, Length: 30 * time.Second, Folder: dir, …})
 //
-// The files: plan.go draws the faults, cordons.go cordons failure domains, site.go and daemon.go start platform and daemons, inject.go
+// The files: plan.go draws the faults, cordons.go cordons failure domains, takeovers.go loses workers and daemons together, site.go and daemon.go start platform and daemons, inject.go
 // applies faults, store.go applies the store's faults, acceptances.go records the acceptances that the
 // store sees, misbehavior.go makes workers misbehave, jobs.go draws jobs, callers.go runs callers, behavior.go
 // draws how callers behave, record.go records what they observe, configuration.go changes and checks the
@@ -43,6 +43,8 @@
 	Restarts bool
 	// Cordons spreads the workers over failure domains, which operators cordon beside the faults.
 	Cordons bool
+	// Takeovers has workers go for good while others are silent and daemons are lost.
+	Takeovers bool
 	// Folder gets the logs, plan, report and plot.
 	Folder string
 }
