A process tells of the one before it only from when it listens

The end of the process before was dated to the start of this one, but until this one listens at the same address the other may still run. Until then it tells nothing. Red without the change: TestProcessThatMayNotListenYetTellsNoEnd.

--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -61,14 +61,17 @@
 func newCells(c Config, health *storeHealth, configurations *Configurations) *Cells {
 	return &Cells{
 		config: c, health: health, configurations: configurations,
-		owners: map[jobs.CellName]ownerRecord{}, owned: map[jobs.CellName]*Owner{}, claimEnds: newClaimEnds(c.Clock.Now()),
+		owners: map[jobs.CellName]ownerRecord{}, owned: map[jobs.CellName]*Owner{}, claimEnds: newClaimEnds(),
 		loads: map[jobs.CellName]jobs.CellLoad{}, wakeClaim: make(chan struct{}, 1), wakeLease: make(chan struct{}, 1),
 		startLimit: newStartLimit(),
 	}
 }
 
-// Run claims and runs cells until ctx ends.
+// Run claims and runs cells until ctx ends. The daemon listens at its address before.
 func (c *Cells) Run(ctx context.Context) {
+	c.mu.Lock()
+	c.claimEnds.beganAt = c.config.Clock.Now()
+	c.mu.Unlock()
 	var group conc.WaitGroup
 	group.Go(func() { c.leaseLoop(ctx) })
 	group.Go(func() { c.watchLoop(ctx) })
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -142,7 +142,8 @@
 	previous previousOwners
 }
 
-// commitClaim makes a claim and adds it to the cell's list of claims. It returns the owners before it. A cell without a list and without a roster has had no owner that started anything.
+// commitClaim makes a claim and adds it to the cell's list of claims. It returns the owners before it. A cell without a
+// list and without a roster has had no owner that started anything.
 func (c *Cells) commitClaim(ctx context.Context, cell jobs.CellName, owner jobs.Owner, lease platform.LeaseID) (previousOwners, platform.Version, error) {
 	previous, listed, err := readWithVersion[jobs.Claims](ctx, c.config.Store, claimsKey(cell))
 	if err != nil {
--- a/services/control/claim_ends.go
+++ b/services/control/claim_ends.go
@@ -13,7 +13,7 @@
 
 // The owner of a cell asks the daemons of earlier owners since when these have given no orders any more: see
 // previousOwners. A daemon answers for the claims of its own VM. A process that did not make a claim answers for the
-// process before it, which had ended before this one could listen at the same address.
+// process before it, which had ended before this one listened at the same address.
 
 // claimMemory is how long a daemon remembers the end of a claim and that a claim may not be run: longer than a
 // transaction can be in flight, and than leases last.
@@ -21,14 +21,14 @@
 
 // claimEnds is what a daemon knows of the claims that its process has made. The mutex of Cells protects it.
 type claimEnds struct {
-	startedAt time.Time            // when the process started
+	beganAt   time.Time            // when this process listened at its address; zero: it may not yet
 	running   map[string]*Owner    // by claim id; an owner that has lost its cell stays until its loops have ended
 	ended     map[string]time.Time // when the owner under a claim had ended
 	barred    map[string]time.Time // when a later owner asked to end the claim; it must not be run from then on
 }
 
-func newClaimEnds(now time.Time) claimEnds {
-	return claimEnds{startedAt: now, running: map[string]*Owner{}, ended: map[string]time.Time{}, barred: map[string]time.Time{}}
+func newClaimEnds() claimEnds {
+	return claimEnds{running: map[string]*Owner{}, ended: map[string]time.Time{}, barred: map[string]time.Time{}}
 }
 
 // begin records that an owner runs under a claim. It reports false if the claim is barred.
@@ -53,7 +53,7 @@
 	forgetOld(c.barred, now)
 }
 
-// endedAt returns when the last order under a barred claim had been given; false: its owner has not ended yet.
+// endedAt returns when the last order under a barred claim had been given; false: its owner may not have ended yet.
 func (c *claimEnds) endedAt(claim string) (time.Time, bool) {
 	if c.running[claim] != nil {
 		return time.Time{}, false
@@ -61,7 +61,7 @@
 	if at, ok := c.ended[claim]; ok {
 		return at, true
 	}
-	return c.startedAt, true
+	return c.beganAt, !c.beganAt.IsZero()
 }
 
 // forgetOld removes the entries that are older than claimMemory.
--- a/services/control/previous_owners_test.go
+++ b/services/control/previous_owners_test.go
@@ -151,6 +151,12 @@
 	})
 }
 
+// TestProcessThatMayNotListenYetTellsNoEnd guards against tasks that run twice: the process before may still run until
+// this one listens at its address.
+func TestProcessThatMayNotListenYetTellsNoEnd(t *testing.T) {
+	require.Nil(t, newManualOwner(t).cells.endClaim(cellHere, "of the process before"))
+}
+
 // TestAnotherDaemonAtTheAddressIsNoEnd guards against an answer of a VM that has the address of a VM that went.
 func TestAnotherDaemonAtTheAddressIsNoEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
