--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -110,9 +110,9 @@
 }
 
 // updateLeaseBound lets the roster say that leases are bound to proofs once no lease is left of previous owners that did
-// not bind theirs.
+// not bind theirs, also of those that no worker of the roster has answered.
 func (c *Core) updateLeaseBound(now time.Time) {
-	if c.previousBound == 0 && c.PreviousOwnersAreOver(now) {
+	if c.previousBound == 0 && !c.recovering && now.After(c.blindSince().Add(maxBlindTime)) {
 		c.previousBound = leaseAllowance
 		c.rosterChanged = true
 	}
@@ -124,11 +124,7 @@
 
 // PreviousOwnersAreOver reports whether no run of a previous owner exists any more that this owner has not found.
 func (c *Core) PreviousOwnersAreOver(now time.Time) bool {
-	if c.recovering {
-		return false
-	}
-	return c.noPreviousRuns || now.After(c.blindSince().Add(maxBlindTime)) ||
-		!c.previousEndedAt.IsZero() && now.After(c.previousEndedAt.Add(driftedLease(c.previousLease)+clockMargin))
+	return !c.recovering && (c.noPreviousRuns || now.After(c.previousOwnersLapsed()))
 }
 
 // blindSince returns since when the runs of silent workers are waited for while no more than a third answer.
@@ -151,12 +147,13 @@
 }
 
 // updateFenced records when so many workers have reported in this epoch, and so refuse the previous owner's calls, that
-// too few are left to prove its ownership to it; from then on it ends. More than a third of the workers of its roster
-// have to, so that those that joined since don't make up for them, or more than half of all workers, because its own may
-// all have gone for good. Not covered: most workers are new to the previous owner, it has dropped workers of its roster,
-// or workers that have reported start again and meet it before the present owner.
+// too few are left to prove its ownership to it; from then on it ends. They are counted once the list of workers has been
+// read, because the previous owner counts on workers that the roster does not name. More than a third of the workers of
+// its roster have to, so that those that joined since don't make up for them, or more than half of all workers, because
+// its own may all have gone for good. Not covered: most workers are new to the previous owner, it has dropped workers of
+// its roster, or workers that have reported start again and meet it before the present owner.
 func (c *Core) updateFenced(now time.Time) {
-	if !c.fencedAt.IsZero() {
+	if !c.fencedAt.IsZero() || !c.listRead {
 		return
 	}
 	var all, ofRoster fenceCount
