--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -142,31 +142,31 @@
 	previous previousOwners
 }
 
-// commitClaim makes a claim and adds it to the cell's list of claims. It returns the owners before it. A cell without a
-// list and without a roster has had no owner that started anything.
+// commitClaim makes a claim and adds it to the cell's list of claims. It returns the owners before it. The list is
+// incomplete if an owner that came after all of those on the list has stored something: daemons of older versions do not
+// list their claims. An owner that has stored nothing has started nothing.
 func (c *Cells) commitClaim(ctx context.Context, cell jobs.CellName, owner jobs.Owner, lease platform.LeaseID) (previousOwners, platform.Version, error) {
 	previous, listed, err := readWithVersion[jobs.Claims](ctx, c.config.Store, claimsKey(cell))
 	if err != nil {
 		return previousOwners{}, 0, err
 	}
-	txn := platform.Txn{Require: []platform.Precondition{
-		{Key: ownerKey(cell)}, {Key: markerKey(cell)}, {Key: claimsKey(cell), Version: listed},
-	}}
-	if listed == 0 {
-		_, roster, err := readWithVersion[jobs.Roster](ctx, c.config.Store, rosterKey(cell))
-		if err != nil {
-			return previousOwners{}, 0, err
-		}
-		previous.Incomplete = roster != 0
-		txn.Require = append(txn.Require, platform.Precondition{Key: rosterKey(cell), Version: roster})
+	last, journaled, err := readWithVersion[journalEntry](ctx, c.config.Store, journalKey(cell))
+	if err != nil {
+		return previousOwners{}, 0, err
 	}
-	txn.Put, err = encodeWrites([]keyValue{{ownerKey(cell), owner}, {markerKey(cell), owner}, {claimsKey(cell), previous.With(owner)}})
+	previous.Incomplete = previous.Incomplete || last.Epoch > jobs.Epoch(listed)
+	writes, err := encodeWrites([]keyValue{{ownerKey(cell), owner}, {markerKey(cell), owner}, {claimsKey(cell), previous.With(owner)}})
 	if err != nil {
 		return previousOwners{}, 0, err
 	}
-	txn.Put[0].Lease, txn.Put[1].Lease = lease, lease // the list of claims outlives the claim
-	version, err := c.config.Store.Commit(ctx, txn)
-	return newPreviousOwners(previous, listed), version, err
+	writes[0].Lease, writes[1].Lease = lease, lease // the list of claims outlives the claim
+	version, err := c.config.Store.Commit(ctx, platform.Txn{
+		Require: []platform.Precondition{
+			{Key: ownerKey(cell)}, {Key: markerKey(cell)}, {Key: claimsKey(cell), Version: listed}, {Key: journalKey(cell), Version: journaled},
+		},
+		Put: writes,
+	})
+	return newPreviousOwners(previous), version, err
 }
 
 // resolveClaim finds out whether a claim of unknown outcome was applied. A claim that is applied
--- a/services/control/claim_ends.go
+++ b/services/control/claim_ends.go
@@ -21,10 +21,10 @@
 
 // claimEnds is what a daemon knows of the claims that its process has made. The mutex of Cells protects it.
 type claimEnds struct {
-	beganAt   time.Time            // when this process listened at its address; zero: it may not yet
-	running   map[string]*Owner    // by claim id; an owner that has lost its cell stays until its loops have ended
-	ended     map[string]time.Time // when the owner under a claim had ended
-	barred    map[string]time.Time // when a later owner asked to end the claim; it must not be run from then on
+	beganAt time.Time            // when this process listened at its address; zero: it may not yet
+	running map[string]*Owner    // by claim id; an owner that has lost its cell stays until its loops have ended
+	ended   map[string]time.Time // when the owner under a claim had ended
+	barred  map[string]time.Time // when a later owner asked to end the claim; it must not be run from then on
 }
 
 func newClaimEnds() claimEnds {
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -49,7 +49,6 @@
 	if err := o.journal.load(ctx, store, o.cell); err != nil {
 		return 0, err
 	}
-	o.previous.compareWith(o.journal.last)
 	progress, err := o.loadProgress(ctx)
 	if err != nil {
 		return 0, err
--- a/services/control/previous_owners.go
+++ b/services/control/previous_owners.go
@@ -11,7 +11,6 @@
 
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/log"
-	"rillsail.example/rillsail/services/platform"
 )
 
 // previousOwnersPause is the pause between two rounds of calls to the daemons of previous owners.
@@ -24,23 +23,14 @@
 //
 // A refused connection is no such answer: a firewall may refuse connections to a daemon that goes on.
 type previousOwners struct {
-	claims     jobs.Claims      // that precede the owner's own, as stored
-	listed     platform.Version // of the stored list of these claims
+	claims     jobs.Claims // that precede the owner's own, as stored
 	unresolved []jobs.Owner
 	endedAt    time.Time // when the last of those that have answered had ended
 	forgotten  bool      // the stored list names only the owner's own claim
 }
 
-func newPreviousOwners(claims jobs.Claims, listed platform.Version) previousOwners {
-	return previousOwners{claims: claims, listed: listed, unresolved: claims.Owners}
-}
-
-// compareWith takes the list for incomplete if a later owner than the list knows of has stored something. Daemons of
-// older versions do not list their claims.
-func (p *previousOwners) compareWith(last journalEntry) {
-	if last.Epoch > jobs.Epoch(p.listed) {
-		p.claims.Incomplete = true
-	}
+func newPreviousOwners(claims jobs.Claims) previousOwners {
+	return previousOwners{claims: claims, unresolved: claims.Owners}
 }
 
 // previousOwnersLoop asks the daemons of the previous owners until all of them have answered, their runs are over, or ctx
--- a/services/control/previous_owners_test.go
+++ b/services/control/previous_owners_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/services/platform"
 )
 
 // dividedCluster is a cluster whose workers are divided between an owner that has lost the store and the other daemons.
@@ -191,19 +192,26 @@
 // not list its claim.
 func TestOwnerThatIsNotListedIsNoEndedOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newTestCluster(t, 2, 2, nil)
+		w := newTestCluster(t, 1, 1, nil)
 		w.eventually(10*time.Second, "cell has an owner", func() bool { return w.owner() != nil })
-		w.submit(w.daemons[0], longRunningJob(1, 2))
-		time.Sleep(3 * time.Second)
-		first := w.owner()
-		first.killProcess()
-		first.restart()
-		w.eventually(10*time.Second, "cell has another owner", func() bool { return w.owner() != nil })
-		owner := w.owner().Cells.ownedCells()[cellName(0)]
-		require.False(t, owner.previous.claims.Incomplete)
-
-		unlisted := newPreviousOwners(owner.previous.claims, owner.previous.listed)
-		unlisted.compareWith(journalEntry{Epoch: jobs.Epoch(owner.previous.listed) + 1})
-		require.True(t, unlisted.claims.Incomplete)
+		cells := w.daemons[0].Cells
+		claimAndRemove := func() previousOwners {
+			claim := jobs.Owner{Daemon: "d", Address: "a", ClaimID: "next"}
+			previous, version, err := cells.commitClaim(t.Context(), cellThere, claim, 0)
+			require.NoError(t, err)
+			require.NoError(t, cells.removeOwner(t.Context(), cellThere, version))
+			return previous
+		}
+		require.False(t, claimAndRemove().claims.Incomplete, "nothing is stored for the cell")
+		require.False(t, claimAndRemove().claims.Incomplete, "the owner before is listed")
+
+		later, err := cells.config.Store.Commit(t.Context(), platform.Txn{Put: []platform.Write{{Key: "any"}}})
+		require.NoError(t, err)
+		txn, err := putTxn(journalKey(cellThere), journalEntry{Epoch: jobs.Epoch(later)})
+		require.NoError(t, err)
+		_, err = cells.config.Store.Commit(t.Context(), txn)
+		require.NoError(t, err)
+		require.True(t, claimAndRemove().claims.Incomplete, "a later owner has stored something")
+		require.True(t, claimAndRemove().claims.Incomplete, "the list remembers it")
 	})
 }
--- a/services/dispatch/recovery_wait.go
+++ b/services/dispatch/recovery_wait.go
@@ -25,7 +25,7 @@
 type RecoveryWait struct {
 	Workers []jobs.WorkerID `json:"workers"` // that a previous owner used and that have not answered
 	// Remaining is how long they are still waited for, and negative if only a transaction is missing.
-	Remaining models.Milli `json:"remaining_ms"`
+	Remaining models.Milli `json:"ends_in_ms"`
 	Basis     lapseBasis   `json:"basis"` // what the time is known from
 }
 
