The stored roster counts for the proof of ownership, not the one to be stored

What callers could see: tasks on two workers.

Change: a worker counts as named by the roster until a roster without it is stored. While a roster is being stored, or it is not known whether it was, two thirds of both are needed.

Open: several rosters of unknown outcome one after the other; of these the latest counts.

--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -57,6 +57,10 @@
 	c.dirty = slices.Clone(c.dirty[taken:])
 	if c.rosterChanged && !slices.ContainsFunc(c.dirty, (*job).hasUnstoredLoss) {
 		changes.Roster = c.roster()
+		c.rosterUnresolved = true
+		for _, w := range c.sortedWorkers {
+			w.namedNext = !w.retired
+		}
 		c.rosterChanged = false
 	}
 	if !changes.Empty() {
@@ -164,8 +168,17 @@
 		return
 	}
 	c.takeovers.rosterStored(changes.Roster)
+	c.rosterUnresolved = false
+	for _, w := range c.sortedWorkers {
+		w.named = false
+	}
 	for _, info := range changes.Roster.Workers {
-		if w, ok := c.workers[info.ID]; ok && !w.info.Incarnation().Differs(info.Incarnation()) {
+		w, ok := c.workers[info.ID]
+		if !ok {
+			continue
+		}
+		w.named = true
+		if !w.info.Incarnation().Differs(info.Incarnation()) {
 			w.inRoster = true
 		}
 	}
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -125,6 +125,7 @@
 	now             time.Time // as passed to the latest call
 
 	rosterChanged     bool
+	rosterUnresolved  bool      // a roster is being stored, or it is not known whether it was
 	forgotten         []jobs.ID // ended jobs to be deleted from the store
 	model             *contention.Model
 	modelSettledAt    time.Time                 // when the model last took new observations into its predictions
--- a/services/dispatch/fence_test.go
+++ b/services/dispatch/fence_test.go
@@ -142,7 +142,7 @@
 					}
 					now := began.Add(proofValidity + time.Second)
 					for n, info := range list {
-						previous.workers[info.ID].inRoster = n < named
+						previous.workers[info.ID].named = n < named
 						refuses := n < of || n >= named && n < named+others
 						if w, ok := next.workers[info.ID]; ok {
 							w.answered = refuses
@@ -159,3 +159,30 @@
 		}
 	}
 }
+
+// TestOwnerCountsOnTheRosterThatIsStored guards against the same after the owner has taken the workers that answer its
+// successor out of its roster, when it could not store that.
+func TestOwnerCountsOnTheRosterThatIsStored(t *testing.T) {
+	const workers, named, lost, answering = 12, 6, 3, 11
+	b := newBench(t, workers)
+	retire := func(from, to int) {
+		for _, id := range b.ids[from:to] {
+			b.setRetired(b.workers[id], true)
+		}
+	}
+	retire(named, workers)
+	b.storeChanges()
+	retire(0, lost)
+	changes := b.TakeChanges(10, b.now)
+	b.now = b.now.Add(proofValidity + time.Second)
+	for _, id := range b.ids[lost:answering] {
+		b.workers[id].reportAskedAt = b.now
+	}
+	require.Greater(t, b.proofAge(b.now), proofValidity, "half of the stored roster has answered")
+	b.Unstored(changes)
+	b.now = b.now.Add(answerCountInterval)
+	require.Greater(t, b.proofAge(b.now), proofValidity)
+	b.Stored(b.TakeChanges(10, b.now), b.now)
+	b.provedAt, b.now = b.now.Add(-proofValidity), b.now.Add(answerCountInterval)
+	require.LessOrEqual(t, b.proofAge(b.now), proofValidity, "all of the roster stored now have answered")
+}
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -88,22 +88,29 @@
 }
 
 // answeredSince returns the latest times for which all workers, and two thirds of them and of those in the stored roster,
-// have answered calls that were sent then or later. A successor may know of the roster's workers only.
+// have answered calls that were sent then or later. A successor may know of the roster's workers only. While a roster is
+// being stored, it may read either one.
 func (c *Core) answeredSince() (all, twoThirds time.Time) {
 	if len(c.sortedWorkers) == 0 {
 		return time.Time{}, time.Time{}
 	}
 	sent := make([]time.Time, 0, len(c.sortedWorkers))
-	var ofRoster []time.Time
+	var named, namedNext []time.Time
 	for _, w := range c.sortedWorkers {
 		sent = append(sent, w.reportAskedAt)
-		if w.inRoster {
-			ofRoster = append(ofRoster, w.reportAskedAt)
+		if w.named {
+			named = append(named, w.reportAskedAt)
+		}
+		if c.rosterUnresolved && w.namedNext {
+			namedNext = append(namedNext, w.reportAskedAt)
 		}
 	}
 	all, twoThirds = answerTimes(sent)
-	if len(ofRoster) > 0 {
-		if _, since := answerTimes(ofRoster); since.Before(twoThirds) {
+	for _, roster := range [][]time.Time{named, namedNext} {
+		if len(roster) == 0 {
+			continue
+		}
+		if _, since := answerTimes(roster); since.Before(twoThirds) {
 			twoThirds = since
 		}
 	}
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -34,7 +34,7 @@
 				w.leavesAt = c.timeAt(info.LeavesAt, now)
 			}
 		}
-		w.inPreviousRoster = true
+		w.inPreviousRoster, w.named = true, true
 	}
 }
 
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -26,6 +26,8 @@
 	listed                    bool       // the platform's list names it
 	cordoned                  bool       // its failure domain is cordoned
 	inRoster                  bool       // the stored roster names it
+	named                     bool       // the latest roster that is known to be stored names it, or names an earlier incarnation
+	namedNext                 bool       // the same of the latest roster that was to be stored
 	youngRunsStored           bool       // its young runs are stored, because its address refuses connections
 	inPreviousRoster          bool       // the roster of a previous owner named it
 	retired                   bool       // left out of the roster, because it was silent until its lease was over
