--- a/services/control/takeover_random_test.go
+++ b/services/control/takeover_random_test.go
@@ -350,14 +350,7 @@
 func (r *takeoverRun) liveDaemons() []*testDaemon {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.DeleteFunc(r.daemonList(), func(d *testDaemon) bool {
-		select {
-		case <-d.done:
-			return true
-		default:
-			return r.lost[d]
-		}
-	})
+	return slices.DeleteFunc(r.daemonList(), func(d *testDaemon) bool { return d.hasEnded() || r.lost[d] })
 }
 
 // anyDaemon returns a daemon that runs and is not lost; there are more daemons than losses.
--- a/services/control/takeover_test.go
+++ b/services/control/takeover_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"rillsail.example/rillsail/models"
-	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/casefile"
 	"rillsail.example/rillsail/services/standin/grid"
 )
@@ -130,25 +129,9 @@
 func testDividedWorkers(t *testing.T, kept int) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := newTestCluster(t, takeoverWorkers, 3, nil)
-		spec := longRunningJob(1, takeoverWorkers)
-		w.submit(w.daemons[0], spec)
-		w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
-		time.Sleep(2 * time.Second)
-		previous, ids := w.owner(), w.grid.IDs()
-		previous.set(func() { previous.storeCut, previous.peersCut = true, true })
-		for _, id := range ids[kept:] {
-			previous.cut(id)
-		}
-		others := slices.DeleteFunc(slices.Clone(w.daemons), func(d *testDaemon) bool { return d == previous })
-		for _, d := range others {
-			for _, id := range ids[:kept] {
-				d.cut(id)
-			}
-		}
-		w.eventually(10*time.Second, "another daemon owns the cell", func() bool {
-			return slices.ContainsFunc(others, func(d *testDaemon) bool { return d.Cells.Answer(jobs.Query{Cell: cellName(0)}).IsOwner })
-		})
+		w := newDividedCluster(t, kept)
+		w.previous.set(func() { w.previous.peersCut = true })
+		w.waitForSuccessor()
 		time.Sleep(takeoverDivided)
 		w.requireNoBreaches()
 	})
