Previous owners are asked while the cell is loaded, and an unreadable list keeps no cell without owner

Found by the review: the daemons of previous owners were asked only once the cell was loaded, so that an outage of the store after the claim delayed their answers; and a list of claims that can't be decoded would have left the cell without owner for ever (TestUnreadableListOfClaimsKeepsNoCellWithoutOwner, red before). An owner is dropped, and that logged, at the first question only.

--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -146,7 +146,7 @@
 // incomplete if an owner that came after all of those on the list has stored something: daemons of older versions do not
 // list their claims. An owner that has stored nothing has started nothing.
 func (c *Cells) commitClaim(ctx context.Context, cell jobs.CellName, owner jobs.Owner, lease platform.LeaseID) (previousOwners, platform.Version, error) {
-	previous, listed, err := readWithVersion[jobs.Claims](ctx, c.config.Store, claimsKey(cell))
+	previous, listed, err := c.readClaims(ctx, cell)
 	if err != nil {
 		return previousOwners{}, 0, err
 	}
@@ -169,6 +169,24 @@
 	return newPreviousOwners(previous), version, err
 }
 
+// readClaims reads a cell's list of claims. A list that cannot be decoded costs a later owner a longer wait, and is no
+// reason to leave the cell without owner.
+func (c *Cells) readClaims(ctx context.Context, cell jobs.CellName) (jobs.Claims, platform.Version, error) {
+	record, err := c.config.Store.Get(ctx, claimsKey(cell))
+	if errors.Is(err, platform.ErrNotFound) {
+		return jobs.Claims{}, 0, nil
+	}
+	if err != nil {
+		return jobs.Claims{}, 0, err
+	}
+	claims, err := decode[jobs.Claims](record)
+	if err != nil {
+		c.config.Logger.Error("claims of previous owners cannot be decoded; the list begins anew", append(log.Err(err), zap.String("cell", string(cell)))...)
+		return jobs.Claims{Incomplete: true}, record.Version, nil
+	}
+	return claims, record.Version, nil
+}
+
 // resolveClaim finds out whether a claim of unknown outcome was applied. A claim that is applied
 // after this check is removed by removeStaleClaims.
 func (c *Cells) resolveClaim(ctx context.Context, cell jobs.CellName, owner jobs.Owner) (platform.Version, error) {
--- a/services/control/claim_ends.go
+++ b/services/control/claim_ends.go
@@ -47,10 +47,12 @@
 	forgetOld(c.ended, now)
 }
 
-// bar records that a claim must not be run from now on.
-func (c *claimEnds) bar(claim string, now time.Time) {
+// bar records that a claim must not be run from now on, and reports whether that is new.
+func (c *claimEnds) bar(claim string, now time.Time) bool {
+	_, known := c.barred[claim]
 	c.barred[claim] = now
 	forgetOld(c.barred, now)
+	return !known
 }
 
 // endedAt returns when the last order under a barred claim had been given; false: its owner may not have ended yet.
@@ -74,11 +76,11 @@
 func (c *Cells) endClaim(cell jobs.CellName, claim string) *jobs.ClaimEnd {
 	c.mu.Lock()
 	now := c.config.Clock.Now()
-	c.claimEnds.bar(claim, now)
+	first := c.claimEnds.bar(claim, now)
 	running := c.claimEnds.running[claim]
 	at, ended := c.claimEnds.endedAt(claim)
 	c.mu.Unlock()
-	if running != nil {
+	if first && running != nil {
 		c.dropOwner(cell, running, "a later owner of the cell has asked to end")
 	}
 	if !ended {
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -64,6 +64,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	o.group.Go(func() { o.endLoop(ctx, cancel) })
+	o.group.Go(func() { o.previousOwnersLoop(ctx) })
 	o.runLoops(ctx)
 	o.end()
 	o.group.Wait()
@@ -87,7 +88,6 @@
 	if configuration := o.cells.configurations.current.Load(); configuration != nil {
 		o.configure(configuration)
 	}
-	o.group.Go(func() { o.previousOwnersLoop(ctx) })
 	o.group.Go(func() { o.jobsLoop(ctx, at) })
 	o.group.Go(func() { o.workersLoop(ctx) })
 	o.group.Go(func() { o.cordonsLoop(ctx) })
--- a/services/control/previous_owners_test.go
+++ b/services/control/previous_owners_test.go
@@ -215,3 +215,13 @@
 		require.True(t, claimAndRemove().claims.Incomplete, "the list remembers it")
 	})
 }
+
+// TestUnreadableListOfClaimsKeepsNoCellWithoutOwner guards against a cell that nobody can claim.
+func TestUnreadableListOfClaimsKeepsNoCellWithoutOwner(t *testing.T) {
+	o := newManualOwner(t)
+	_, err := o.store.Commit(t.Context(), platform.Txn{Put: []platform.Write{{Key: claimsKey(cellThere), Value: []byte("{")}}})
+	require.NoError(t, err)
+	previous, _, err := o.cells.commitClaim(t.Context(), cellThere, jobs.Owner{Daemon: "d", Address: "a", ClaimID: "c"}, 0)
+	require.NoError(t, err)
+	require.True(t, previous.claims.Incomplete)
+}
