--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -59,7 +59,7 @@
 		changes.Roster = c.roster()
 		c.rosterUnresolved = true
 		for _, w := range c.sortedWorkers {
-			w.namedNext = !w.retired
+			w.inPendingRoster = !w.retired
 		}
 		c.rosterChanged = false
 	}
@@ -170,14 +170,14 @@
 	c.takeovers.rosterStored(changes.Roster)
 	c.rosterUnresolved = false
 	for _, w := range c.sortedWorkers {
-		w.named = false
+		w.inStoredRoster = false
 	}
 	for _, info := range changes.Roster.Workers {
 		w, ok := c.workers[info.ID]
 		if !ok {
 			continue
 		}
-		w.named = true
+		w.inStoredRoster = true
 		if !w.info.Incarnation().Differs(info.Incarnation()) {
 			w.inRoster = true
 		}
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -86,44 +86,44 @@
 
 // Core decides for one cell. It is not safe for concurrent use.
 type Core struct {
-	config          Config
-	jobs            map[jobs.ID]*job
-	repeating       map[jobs.ID]*job // jobs that repeat
-	ended           map[jobs.ID]endedJob
-	movedOut        map[jobs.ID]movedOutJob // jobs whose tasks are all in other cells
-	endedSweptAt    time.Time               // when expired ended jobs were last removed
-	workers         map[jobs.WorkerID]*worker
-	sortedWorkers   []*worker       // sorted by id
-	urgentWorkers   []jobs.WorkerID // workers to be asked for a report at once; see TakeImmediatePolls
-	cordons         map[models.FailureDomain]cordon
-	workersAdded    int // how many workers were ever added; numbers their fences
-	queueTerms      map[jobs.QueueName]jobs.Terms
-	waitingSteps    []*step // opened steps with waiting tasks
-	orders          []Order
-	dirty           []*job
-	unsharedEnds    []*job        // divided jobs whose end is decided here and still has to be stored in all of their cells
-	previousLease   time.Duration // longest lease that a previous owner may have granted; at most LongestLease
-	previousBound   time.Duration // Roster.LeaseAllowance of the previous owners; 0: their leases may not be bound to proofs
-	jobsHeld        bool          // jobs are held back until they have been offered to other cells
-	recovering      bool          // workers that have not reported since the takeover may run tasks
-	fencedAt        time.Time     // when more than a third of the workers had reported in this epoch; zero: not yet; see updateFenced
-	answeredAt      time.Time     // when the first worker reported in this epoch; zero: none has
-	calledAt        time.Time     // when the first worker of the previous roster reported in this epoch; zero: none has
-	previousEndedAt time.Time     // when the last of the previous owners had ended; zero: not known
-	noPreviousRuns  bool          // no previous owner had started anything
-	loggedBasis     lapseBasis    // of the wait after the takeover that was last logged; empty: none was
-	superseded      bool
-	listRead        bool      // the platform's list of workers has been read
-	provedAt        time.Time // when the latest transaction that proves ownership was begun; see mayOrder
-	allAskedAt      time.Time // all workers have answered a call that was sent at this time or later
-	quorumAskedAt   time.Time // two thirds of the workers have answered a call that was sent at this time or later
-	quorumCheckedAt time.Time // when the answers of the workers were last counted for mayOrder
-	wantsProof      bool      // a transaction is wanted for the proof of ownership alone
-	wantsLapseProof bool      // the leases of a worker out of the roster are over, and a transaction has to prove it
-	awaitingProof   bool      // orders are held back until ownership is proved again
-	storeFreshness  storeFreshness
-	stopping        map[*task]struct{}
-	now             time.Time // as passed to the latest call
+	config            Config
+	jobs              map[jobs.ID]*job
+	repeating         map[jobs.ID]*job // jobs that repeat
+	ended             map[jobs.ID]endedJob
+	movedOut          map[jobs.ID]movedOutJob // jobs whose tasks are all in other cells
+	endedSweptAt      time.Time               // when expired ended jobs were last removed
+	workers           map[jobs.WorkerID]*worker
+	sortedWorkers     []*worker       // sorted by id
+	urgentWorkers     []jobs.WorkerID // workers to be asked for a report at once; see TakeImmediatePolls
+	cordons           map[models.FailureDomain]cordon
+	workersAdded      int // how many workers were ever added; numbers their fences
+	queueTerms        map[jobs.QueueName]jobs.Terms
+	waitingSteps      []*step // opened steps with waiting tasks
+	orders            []Order
+	dirty             []*job
+	unsharedEnds      []*job        // divided jobs whose end is decided here and still has to be stored in all of their cells
+	previousLease     time.Duration // longest lease that a previous owner may have granted; at most LongestLease
+	previousAllowance time.Duration // Roster.LeaseAllowance of the previous owners; 0: their leases may not be bound to proofs
+	jobsHeld          bool          // jobs are held back until they have been offered to other cells
+	recovering        bool          // workers that have not reported since the takeover may run tasks
+	fencedAt          time.Time     // when more than a third of the workers had reported in this epoch; zero: not yet; see updateFenced
+	answeredAt        time.Time     // when the first worker reported in this epoch; zero: none has
+	calledAt          time.Time     // when the first worker of the previous roster reported in this epoch; zero: none has
+	previousEndedAt   time.Time     // when the last of the previous owners had ended; zero: not known
+	noPreviousRuns    bool          // no previous owner had started anything
+	loggedBasis       lapseBasis    // of the wait after the takeover that was last logged; empty: none was
+	superseded        bool
+	listRead          bool      // the platform's list of workers has been read
+	provedAt          time.Time // when the latest transaction that proves ownership was begun; see mayOrder
+	allAskedAt        time.Time // all workers have answered a call that was sent at this time or later
+	quorumAskedAt     time.Time // two thirds of the workers have answered a call that was sent at this time or later
+	quorumCheckedAt   time.Time // when the answers of the workers were last counted for mayOrder
+	wantsProof        bool      // a transaction is wanted for the proof of ownership alone
+	wantsLapseProof   bool      // the leases of a worker out of the roster are over, and a transaction has to prove it
+	awaitingProof     bool      // orders are held back until ownership is proved again
+	storeFreshness    storeFreshness
+	stopping          map[*task]struct{}
+	now               time.Time // as passed to the latest call
 
 	rosterChanged     bool
 	rosterUnresolved  bool      // a roster is being stored, or it is not known whether it was
--- a/services/dispatch/fence_test.go
+++ b/services/dispatch/fence_test.go
@@ -142,7 +142,7 @@
 					}
 					now := began.Add(proofValidity + time.Second)
 					for n, info := range list {
-						previous.workers[info.ID].named = n < named
+						previous.workers[info.ID].inStoredRoster = n < named
 						refuses := n < of || n >= named && n < named+others
 						if w, ok := next.workers[info.ID]; ok {
 							w.answered = refuses
--- a/services/dispatch/incarnation.go
+++ b/services/dispatch/incarnation.go
@@ -110,7 +110,7 @@
 	info.Born, info.Draining, info.Remaining, info.LeavesAt = born, false, 0, 0
 	next := c.addWorker(info, now)
 	next.incarnationSince = since
-	next.named, next.namedNext = w.named, w.namedNext
+	next.inStoredRoster, next.inPendingRoster = w.inStoredRoster, w.inPendingRoster
 	next.inPreviousRoster = w.inPreviousRoster && !w.answered
 	next.missingSince = now
 	switch {
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -79,13 +79,13 @@
 	return c.grantFor(w, c.config.Lease, now)
 }
 
-// namedLease returns the longest lease for the worker that a successor knows of from the stored roster, and how much
+// storedLease returns the longest lease for the worker that a successor knows of from the stored roster, and how much
 // longer than it after a proof of ownership the leases granted on this proof may end.
-func (c *Core) namedLease(w *worker) (lease, allowance time.Duration) {
+func (c *Core) storedLease(w *worker) (lease, allowance time.Duration) {
 	if w.inRoster {
 		return c.config.Lease, leaseAllowance
 	}
-	return min(c.config.Lease, c.previousLease), min(leaseAllowance, cmp.Or(c.previousBound, leaseAllowance))
+	return min(c.config.Lease, c.previousLease), min(leaseAllowance, cmp.Or(c.previousAllowance, leaseAllowance))
 }
 
 // maxStartAge is how old a start may be when a worker carries it out: twice the time after which an unanswered start is
@@ -104,7 +104,7 @@
 // ownership if that is earlier, and records it as a possible end of a lease. The time is absolute, so that a call that
 // arrives late grants no more.
 func (c *Core) grantFor(w *worker, span time.Duration, now time.Time) models.Milli {
-	lease, allowance := c.namedLease(w)
+	lease, allowance := c.storedLease(w)
 	span = min(span, lease, c.lastProof().Add(lease+allowance).Sub(now))
 	until := w.reportClock + models.MilliOf(now.Sub(w.reportedAt)+span)
 	w.leaseEnd = max(w.leaseEnd, until)
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -95,18 +95,18 @@
 		return time.Time{}, time.Time{}
 	}
 	sent := make([]time.Time, 0, len(c.sortedWorkers))
-	var named, namedNext []time.Time
+	var stored, pending []time.Time
 	for _, w := range c.sortedWorkers {
 		sent = append(sent, w.reportAskedAt)
-		if w.named {
-			named = append(named, w.reportAskedAt)
+		if w.inStoredRoster {
+			stored = append(stored, w.reportAskedAt)
 		}
-		if c.rosterUnresolved && w.namedNext {
-			namedNext = append(namedNext, w.reportAskedAt)
+		if c.rosterUnresolved && w.inPendingRoster {
+			pending = append(pending, w.reportAskedAt)
 		}
 	}
 	all, twoThirds = answerTimes(sent)
-	for _, roster := range [][]time.Time{named, namedNext} {
+	for _, roster := range [][]time.Time{stored, pending} {
 		if len(roster) == 0 {
 			continue
 		}
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -18,23 +18,23 @@
 	c.takeovers.epochs = roster.UnobservedEpochs
 	switch {
 	case len(roster.Workers) == 0: // no previous owner has started anything
-		c.previousLease, c.previousBound = c.config.Lease, leaseAllowance
+		c.previousLease, c.previousAllowance = c.config.Lease, leaseAllowance
 		c.noPreviousRuns = true
 	case roster.MaxLease > 0:
 		c.previousLease = min(roster.MaxLease.Duration(), c.config.LongestLease)
-		c.previousBound = roster.LeaseAllowance.Duration()
+		c.previousAllowance = roster.LeaseAllowance.Duration()
 	}
 	for _, info := range roster.Workers {
 		w, known := c.workers[info.ID]
 		if !known {
 			// A lease that ends later than the roster says is granted only once the stored roster names it.
 			w = c.addWorker(info, now)
-			w.inRoster = c.previousLease >= c.config.Lease && (c.previousBound == 0 || c.previousBound >= leaseAllowance)
+			w.inRoster = c.previousLease >= c.config.Lease && (c.previousAllowance == 0 || c.previousAllowance >= leaseAllowance)
 			if info.LeavesAt != 0 {
 				w.leavesAt = c.timeAt(info.LeavesAt, now)
 			}
 		}
-		w.inPreviousRoster, w.named = true, true
+		w.inPreviousRoster, w.inStoredRoster = true, true
 	}
 }
 
@@ -42,8 +42,8 @@
 // because leases of previous owners may still be running.
 func (c *Core) roster() *jobs.Roster {
 	roster := &jobs.Roster{MaxLease: models.MilliOf(max(c.config.Lease, c.previousLease)), UnobservedEpochs: c.takeovers.epochs}
-	if c.previousBound > 0 {
-		roster.LeaseAllowance = models.MilliOf(max(leaseAllowance, c.previousBound))
+	if c.previousAllowance > 0 {
+		roster.LeaseAllowance = models.MilliOf(max(leaseAllowance, c.previousAllowance))
 	}
 	for _, w := range c.sortedWorkers {
 		if !w.retired {
@@ -103,17 +103,17 @@
 // lastLeaseAfterFence returns how long after the fence the last lease of a previous owner is over. Its proofs are older
 // than the fence, see proof.go.
 func (c *Core) lastLeaseAfterFence() time.Duration {
-	if c.previousBound == 0 {
+	if c.previousAllowance == 0 {
 		return driftedLease(c.previousLease) + previousOwnerMargin
 	}
-	return driftedLease(c.previousLease+c.previousBound) + clockMargin
+	return driftedLease(c.previousLease+c.previousAllowance) + clockMargin
 }
 
 // updateLeaseBound lets the roster say that leases are bound to proofs once no lease is left of previous owners that did
 // not bind theirs, also of those that no worker of the roster has answered.
 func (c *Core) updateLeaseBound(now time.Time) {
-	if c.previousBound == 0 && !c.recovering && now.After(c.blindSince().Add(maxBlindTime)) {
-		c.previousBound = leaseAllowance
+	if c.previousAllowance == 0 && !c.recovering && now.After(c.blindSince().Add(maxBlindTime)) {
+		c.previousAllowance = leaseAllowance
 		c.rosterChanged = true
 	}
 }
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -25,9 +25,9 @@
 	fence                     jobs.Fence // sent with all calls to this incarnation
 	listed                    bool       // the platform's list names it
 	cordoned                  bool       // its failure domain is cordoned
-	inRoster                  bool       // the stored roster names it
-	named                     bool       // the latest roster that is known to be stored names it, or names an earlier incarnation
-	namedNext                 bool       // the same of the latest roster that was to be stored
+	inRoster                  bool       // a roster that names it has been stored since it was last left out, so that it may get starts
+	inStoredRoster            bool       // the latest roster that is known to be stored names it, or an earlier incarnation of it
+	inPendingRoster           bool       // the same of the latest roster that was to be stored
 	youngRunsStored           bool       // its young runs are stored, because its address refuses connections
 	inPreviousRoster          bool       // the roster of a previous owner named it
 	retired                   bool       // left out of the roster, because it was silent until its lease was over
