--- a/models/jobs/query.go
+++ b/models/jobs/query.go
@@ -21,6 +21,8 @@
 	// EndClaim is the ClaimID of an earlier claim of the cell, which the daemon that is asked made and which the asking
 	// daemon has superseded: the daemon stops to run the cell under that claim.
 	EndClaim string `json:"end_claim,omitempty"`
+	// Witness asks the daemon as a witness, whether it owns the cell or not; nil: it is not asked.
+	Witness *WitnessCall `json:"witness,omitempty"`
 }
 
 // Demand describes tasks of a step for which an owner looks for places in other cells.
@@ -36,6 +38,11 @@
 	if q.Cell == "" || len(q.Jobs) > maxQueryJobs || len(q.Demands) > maxQueryJobs {
 		return errors.Newf("query names no cell, or more than %d jobs or demands", maxQueryJobs)
 	}
+	if q.Witness != nil {
+		if err := q.Witness.Check(); err != nil {
+			return err
+		}
+	}
 	for i, demand := range q.Demands {
 		if err := demand.Step.check(MaxSteps); err != nil {
 			return errors.Wrapf(err, "demand %d", i)
@@ -47,7 +54,7 @@
 // Answer is the answer to a Query.
 type Answer struct {
 	// IsOwner is set if the daemon owns the cell and has recovered its jobs. Otherwise the other
-	// fields but ClaimEnd are empty.
+	// fields but ClaimEnd and Witness are empty.
 	IsOwner bool         `json:"owner"`
 	States  map[ID]State `json:"states,omitempty"` // jobs that the owner does not know are left out
 	// AdditionalCells has an entry for each job of which other cells may have tasks, also if all of its tasks have been
@@ -59,6 +66,8 @@
 	Places          []int             `json:"places,omitempty"` // one count per demand, in their order
 	// ClaimEnd answers Query.EndClaim, also if the daemon does not own the cell; nil: the claim has not ended yet.
 	ClaimEnd *ClaimEnd `json:"claim_end,omitempty"`
+	// Witness answers Query.Witness; nil: the daemon does not answer as a witness.
+	Witness *WitnessAnswer `json:"witness,omitempty"`
 }
 
 // Check rejects factors whose idle tail is not positive, as they can't be converted to another unit of load.
@@ -113,6 +122,9 @@
 	Cores float64 `json:"processor,omitempty"`
 	// LinkMbps is the bandwidth in Mbit/s with which the VM may send and receive; 0: not known.
 	LinkMbps float64 `json:"link,omitempty"`
+	// Address and Process name the daemon as a witness. Daemons of older versions publish neither.
+	Address string    `json:"address,omitempty"`
+	Process ProcessID `json:"process,omitempty"`
 }
 
 // Check rejects negative amounts.
@@ -129,12 +141,20 @@
 	Daemon  string `json:"daemon"`
 	Address string `json:"address"` // at which other daemons call the owner
 	ClaimID string `json:"claim"`   // unique per claim
+	// Witnesses are the processes that vouch for the claim. Only the list of claims names them.
+	Witnesses []Witness `json:"witnesses,omitempty"`
 }
 
-// Check rejects an owner without address or claim.
+// WithoutWitnesses returns the owner as its own key has it.
+func (o Owner) WithoutWitnesses() Owner {
+	o.Witnesses = nil
+	return o
+}
+
+// Check rejects an owner without address or claim, or with invalid witnesses.
 func (o Owner) Check() error {
 	if o.Address == "" || o.ClaimID == "" {
 		return errors.New("owner has no address or claim")
 	}
-	return nil
+	return checkWitnesses(o.Witnesses)
 }
--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -31,6 +31,8 @@
 	owners        map[jobs.CellName]ownerRecord
 	owned         map[jobs.CellName]*Owner
 	claimEnds     claimEnds
+	vouching      vouching
+	daemons       registrations // as last read
 	lease         platform.LeaseID
 	// registeredVersion is the version of this daemon's own key; 0: the key does not exist.
 	registeredVersion platform.Version
@@ -61,7 +63,7 @@
 func newCells(c Config, health *storeHealth, configurations *Configurations) *Cells {
 	return &Cells{
 		config: c, health: health, configurations: configurations,
-		owners: map[jobs.CellName]ownerRecord{}, owned: map[jobs.CellName]*Owner{}, claimEnds: newClaimEnds(),
+		owners: map[jobs.CellName]ownerRecord{}, owned: map[jobs.CellName]*Owner{}, claimEnds: newClaimEnds(), vouching: newVouching(),
 		loads: map[jobs.CellName]jobs.CellLoad{}, wakeClaim: make(chan struct{}, 1), wakeLease: make(chan struct{}, 1),
 		startLimit: newStartLimit(),
 	}
@@ -71,6 +73,7 @@
 func (c *Cells) Run(ctx context.Context) {
 	c.mu.Lock()
 	c.claimEnds.beganAt = c.config.Clock.Now()
+	c.vouching.process = jobs.ProcessID(c.config.NewID())
 	c.mu.Unlock()
 	var group conc.WaitGroup
 	group.Go(func() { c.leaseLoop(ctx) })
@@ -133,9 +136,12 @@
 	return owners
 }
 
-// Answer answers a query about a cell that this daemon owns, or about the end of a claim that it made. To any other
-// query it returns the zero Answer.
+// Answer answers a query about a cell that this daemon owns, or about the end of a claim that it made, or to it as a
+// witness. To any other query it returns the zero Answer.
 func (c *Cells) Answer(query jobs.Query) jobs.Answer {
+	if query.Witness != nil {
+		return jobs.Answer{Witness: c.answerAsWitness(query.Cell, *query.Witness)}
+	}
 	if query.EndClaim != "" {
 		return jobs.Answer{ClaimEnd: c.endClaim(query.Cell, query.EndClaim)}
 	}
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -118,6 +118,7 @@
 	if lease == 0 {
 		return false // the lease ended after the cell was found free; keys without lease would never expire
 	}
+	owner.Witnesses = c.findWitnesses(ctx)
 	taken := c.config.Clock.Read()
 	previous, version, err := c.commitClaim(ctx, cell, owner, lease)
 	if errors.Is(err, platform.ErrUnknownOutcome) {
@@ -155,7 +156,8 @@
 		return previousOwners{}, 0, err
 	}
 	previous.Incomplete = previous.Incomplete || last.Epoch > jobs.Epoch(listed)
-	writes, err := encodeWrites([]keyValue{{ownerKey(cell), owner}, {markerKey(cell), owner}, {claimsKey(cell), previous.With(owner)}})
+	key := owner.WithoutWitnesses()
+	writes, err := encodeWrites([]keyValue{{ownerKey(cell), key}, {markerKey(cell), key}, {claimsKey(cell), previous.With(owner)}})
 	if err != nil {
 		return previousOwners{}, 0, err
 	}
@@ -208,10 +210,11 @@
 func (c *Cells) startOwner(ctx context.Context, cell jobs.CellName, claim cellClaim) {
 	owner := newOwner(c, cell, jobs.Epoch(claim.version), claim.taken)
 	owner.claim, owner.previous = claim.owner, claim.previous
+	owner.core.WitnessesStored(claim.owner.Witnesses)
 	c.mu.Lock()
 	allowed := c.claimEnds.begin(claim.owner.ClaimID, owner)
 	if allowed {
-		c.owners[cell] = ownerRecord{Owner: claim.owner, version: claim.version, seenAt: claim.taken}
+		c.owners[cell] = ownerRecord{Owner: claim.owner.WithoutWitnesses(), version: claim.version, seenAt: claim.taken}
 		c.owned[cell] = owner
 	}
 	c.mu.Unlock()
--- a/services/control/cluster_connections_test.go
+++ b/services/control/cluster_connections_test.go
@@ -228,6 +228,13 @@
 	return nil
 }
 
+// ofSide returns the side of the daemon.
+func (d *testDaemon) ofSide() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.side
+}
+
 // testPeers calls the other daemons of the cluster.
 type testPeers struct{ caller *testDaemon }
 
@@ -242,7 +249,7 @@
 	if d != nil && d.hasExited() {
 		return jobs.Answer{}, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
-	if d == nil || !d.answersPeers() {
+	if d == nil || !d.answersPeers() || d.ofSide() != p.caller.ofSide() {
 		return jobs.Answer{}, errNoOwner
 	}
 	return d.Cells.Answer(query), nil
--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -76,6 +76,7 @@
 	orderDelay      time.Duration          // delay of the daemon's orders to workers, whose calls time out; 0: none
 	watchLost       bool                   // watches of the store fail, while other calls are answered
 	peersCut        bool                   // the daemon and the other daemons do not reach each other
+	side            int                    // daemons of different sides do not reach each other
 
 	vmSuspension *suspension
 
@@ -111,9 +112,10 @@
 
 var testTerms = jobs.Terms{Pool: testPool, MaxAttempts: testAttempts, Slack: 250, Stretch: 1.5}
 
-func newTestCluster(t *testing.T, workers, daemons int, work func(jobs.TaskID, jobs.RunID) (time.Duration, jobs.End)) *testCluster {
+// newTestCluster creates a cluster of one cell. The changes are made before its first daemon starts.
+func newTestCluster(t *testing.T, workers, daemons int, work func(jobs.TaskID, jobs.RunID) (time.Duration, jobs.End), changes ...clusterChange) *testCluster {
 	t.Helper()
-	return newTestClusterWithCells(t, workers, daemons, testSettings.WorkersPerCell, work)
+	return newTestClusterWithSettings(t, daemons, testSettings, grid.Config{Workers: workers, Work: work}, changes...)
 }
 
 // newTestClusterWithCells creates a cluster with perCell workers in each cell.
@@ -132,7 +134,7 @@
 }
 
 // newTestClusterWithSettings creates the same cluster, with daemons that have the given settings.
-func newTestClusterWithSettings(t *testing.T, daemons int, settings setting.Jobs, workers grid.Config) *testCluster {
+func newTestClusterWithSettings(t *testing.T, daemons int, settings setting.Jobs, workers grid.Config, changes ...clusterChange) *testCluster {
 	t.Helper()
 	workers.PerRack, workers.Pool, workers.Capacity = 2, testPool, models.Resources{CPU: 4000, Memory: 8000}
 	workers.LongestLease, workers.StopTime, workers.ClockDrift = testSettings.LongestLease, 300*time.Millisecond, 0.02
@@ -147,6 +149,9 @@
 		}},
 	}
 	w.logs, w.logged = observer.New(zap.InfoLevel)
+	for _, change := range changes {
+		change(w)
+	}
 	for range daemons {
 		w.startDaemon()
 	}
--- a/services/control/divided_in_turn_test.go
+++ b/services/control/divided_in_turn_test.go
@@ -24,14 +24,16 @@
 func TestTasksRunOnceWhileOwnersAreLostInTurnBesideADivision(t *testing.T) {
 	for seed := range uint64(dividedInTurnPlays) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playDividedInTurn(t, rand.New(rand.NewPCG(seed, 11))) })
+			withAndWithoutWitnesses(t, func(t *testing.T, changes ...clusterChange) {
+				synctest.Test(t, func(t *testing.T) { playDividedInTurn(t, rand.New(rand.NewPCG(seed, 11)), changes...) })
+			})
 		})
 	}
 }
 
-func playDividedInTurn(t *testing.T, random *rand.Rand) {
+func playDividedInTurn(t *testing.T, random *rand.Rand, changes ...clusterChange) {
 	t.Helper()
-	w := newTestCluster(t, takeoverWorkers, 4, nil)
+	w := newTestCluster(t, takeoverWorkers, 4, nil, changes...)
 	spec := longRunningJob(1, takeoverWorkers)
 	w.submit(w.daemons[0], spec)
 	w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -67,6 +67,7 @@
 		"jobs_given_up":     counts.GivenUp - before.GivenUp,
 		"suspects_waiting":  counts.Contested - before.Contested,
 		"trials_delayed":    counts.TrialsDelayed - before.TrialsDelayed,
+		"witnesses_missing": counts.WitnessesMissing - before.WitnessesMissing,
 		"starts_from_text":  counts.StartsFromText - before.StartsFromText,
 	} {
 		scope.Counter(name).Inc(delta)
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -34,6 +34,7 @@
 	publishedCounts dispatch.Counts                      // as last published to the metrics
 
 	previous          previousOwners
+	witnessCheck      witnessCheck
 	journal           journal
 	moves             []*move   // work that is being moved to other cells
 	unfinishedCancels []jobs.ID // jobs whose cancellation may be incomplete
@@ -94,6 +95,7 @@
 	o.group.Go(func() { o.storeLoop(ctx) })
 	o.group.Go(func() { o.learnLoop(ctx) })
 	o.group.Go(func() { o.moveLoop(ctx) })
+	o.group.Go(func() { o.witnessLoop(ctx) })
 	o.decideLoop(ctx)
 }
 
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -26,6 +26,7 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		o.forgetPreviousClaims(ctx)
+		o.renewWitnesses(ctx)
 		endsErr := o.storeSharedEnds(ctx)
 		more, err := o.storeOnce(ctx)
 		switch {
--- a/services/control/owners_in_turn_test.go
+++ b/services/control/owners_in_turn_test.go
@@ -25,18 +25,20 @@
 func TestTasksRunOnceWhileOwnersAreCutOffInTurn(t *testing.T) {
 	for seed := range uint64(ownersInTurnPlays) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playOwnersInTurn(t, rand.New(rand.NewPCG(seed, 17))) })
+			withAndWithoutWitnesses(t, func(t *testing.T, changes ...clusterChange) {
+				synctest.Test(t, func(t *testing.T) { playOwnersInTurn(t, rand.New(rand.NewPCG(seed, 17)), changes...) })
+			})
 		})
 	}
 }
 
 // playOwnersInTurn cuts off one daemon after the other, mostly the owner, from the store, other daemons and some of the
 // workers, and suspends some of their VMs.
-func playOwnersInTurn(t *testing.T, random *rand.Rand) {
+func playOwnersInTurn(t *testing.T, random *rand.Rand, changes ...clusterChange) {
 	t.Helper()
 	settings := testSettings
 	settings.WorkerLease = takeoverLease
-	w := newTestClusterWithSettings(t, 3, settings, grid.Config{Workers: takeoverWorkers})
+	w := newTestClusterWithSettings(t, 3, settings, grid.Config{Workers: takeoverWorkers}, changes...)
 	spec := longRunningJob(1, takeoverWorkers)
 	w.submit(w.daemons[0], spec)
 	w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
--- a/services/control/previous_owners.go
+++ b/services/control/previous_owners.go
@@ -5,12 +5,15 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/log"
+	"rillsail.example/rillsail/services/dispatch"
 )
 
 // previousOwnersPause is the pause between two rounds of calls to the daemons of previous owners.
@@ -18,58 +21,160 @@
 
 // previousOwners is what an owner learns of the owners before it. A worker that answers nobody may still run what one of
 // them started, until the last lease that it can have been granted is over. The successor learns when that is from the
-// daemons of the previous owners themselves: they stop when they are asked, or have another process since. Without
-// answers of all of them it depends on how many workers answer the successor (dispatch).
+// daemons of the previous owners themselves: they stop when they are asked, or have another process since. Where such a
+// daemon does not answer, the witnesses of its claim do: they stop to vouch for it, or have another process since. Without
+// either for all of them it depends on how many workers answer the successor (dispatch).
 //
 // A refused connection is no such answer: a firewall may refuse connections to a daemon that goes on.
 type previousOwners struct {
-	claims     jobs.Claims // that precede the owner's own, as stored
-	unresolved []jobs.Owner
-	endedAt    time.Time // when the last of those that have answered had ended
-	forgotten  bool      // the stored list names only the owner's own claim
+	claims    jobs.Claims // that precede the owner's own, as stored
+	forgotten bool        // the stored list names only the owner's own claim
+
+	// The mutex of the Owner protects the fields below.
+
+	ends map[string]time.Time       // by claim id: when the owner had ended
+	left map[jobs.Witness]time.Time // when the answer arrived that the process vouches for none of the claims
+	told lapseTimes                 // as the core was told last
 }
 
+// lapseTimes say when previous owners had ended, and when the others had too few witnesses left.
+type lapseTimes struct{ ended, fenced time.Time }
+
 func newPreviousOwners(claims jobs.Claims) previousOwners {
-	return previousOwners{claims: claims, unresolved: claims.Owners}
+	return previousOwners{claims: claims, ends: map[string]time.Time{}, left: map[jobs.Witness]time.Time{}}
 }
 
-// previousOwnersLoop asks the daemons of the previous owners until all of them have answered, their runs are over, or ctx
-// ends. If the list of claims is incomplete, their answers prove nothing, but a previous owner that lives stops.
-func (o *Owner) previousOwnersLoop(ctx context.Context) {
-	for len(o.previous.unresolved) > 0 {
-		o.askPreviousOwners(ctx)
-		if ctx.Err() != nil || o.previousOwnersAreOver() {
-			return
+// fencedAt returns when too few witnesses were left to a claim; false: enough may still vouch for it, or it has none.
+func (p *previousOwners) fencedAt(claim jobs.Owner) (time.Time, bool) {
+	var times []time.Time
+	for _, witness := range claim.Witnesses {
+		if at, ok := p.left[witness]; ok {
+			times = append(times, at)
 		}
-		if len(o.previous.unresolved) > 0 {
-			sleep(ctx, previousOwnersPause)
+	}
+	needed := dispatch.WitnessesToStop(len(claim.Witnesses))
+	if len(claim.Witnesses) == 0 || len(times) < needed {
+		return time.Time{}, false
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times[needed-1], true
+}
+
+// lapseTimes returns what is known of the ends of all claims; false: one of them may go on, or is not known. An end counts
+// rather than the witnesses' answers unless these came first.
+func (p *previousOwners) lapseTimes() (times lapseTimes, ok bool) {
+	if p.claims.Incomplete || len(p.claims.Owners) == 0 {
+		return lapseTimes{}, false
+	}
+	for _, claim := range p.claims.Owners {
+		ended, hasEnded := p.ends[claim.ClaimID]
+		fenced, isFenced := p.fencedAt(claim)
+		switch {
+		case hasEnded && (!isFenced || !ended.After(fenced)):
+			times.ended = latest(times.ended, ended)
+		case isFenced:
+			times.fenced = latest(times.fenced, fenced)
+		default:
+			return lapseTimes{}, false
 		}
 	}
-	if o.previous.claims.Incomplete || len(o.previous.claims.Owners) == 0 {
-		return
+	return times, true
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// previousOwnersLoop asks the daemons and the witnesses of the previous owners until all of these have ended, their runs
+// are over, or ctx ends. If the list of claims is incomplete, the answers prove nothing, but a previous owner that lives
+// stops.
+func (o *Owner) previousOwnersLoop(ctx context.Context) {
+	for o.askPreviousOwners(ctx) && ctx.Err() == nil && !o.previousOwnersAreOver() {
+		sleep(ctx, previousOwnersPause)
 	}
-	o.mu.Lock()
-	o.core.PreviousOwnersEnded(o.previous.endedAt)
-	o.mu.Unlock()
-	o.config.Logger.Info("previous owners have ended", zap.String("cell", string(o.cell)), zap.Int("claims", len(o.previous.claims.Owners)),
-		zap.Duration("ago", o.config.Clock.Since(o.previous.endedAt)))
-	wake(o.wakeDecide)
 }
 
-// askPreviousOwners asks the daemon of each previous owner that is not known to have ended.
-func (o *Owner) askPreviousOwners(ctx context.Context) {
-	var unresolved []jobs.Owner
-	for _, claim := range o.previous.unresolved {
-		end := o.cells.askClaimEnd(ctx, o.cell, claim)
-		if end == nil {
-			unresolved = append(unresolved, claim)
+// askPreviousOwners asks, at the same time, the daemon of each previous owner that is not known to have ended and its
+// witnesses that are not known to have stopped. It reports whether there is more to ask.
+func (o *Owner) askPreviousOwners(ctx context.Context) (more bool) {
+	claims, witnesses := o.unansweredClaims()
+	var group conc.WaitGroup
+	for _, claim := range claims {
+		group.Go(func() { o.askPreviousOwner(ctx, claim) })
+	}
+	for _, witness := range witnesses {
+		group.Go(func() { o.askToStop(ctx, witness) })
+	}
+	group.Wait()
+	claims, _ = o.unansweredClaims()
+	return len(claims) > 0
+}
+
+// unansweredClaims returns the claims of which it is not known that they have ended, and those of their witnesses that may
+// still vouch for them.
+func (o *Owner) unansweredClaims() (claims []jobs.Owner, witnesses []jobs.Witness) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, claim := range o.previous.claims.Owners {
+		if _, ended := o.previous.ends[claim.ClaimID]; ended {
 			continue
 		}
-		if at := o.config.Clock.Read().Add(-end.Ago.Duration()); at.After(o.previous.endedAt) {
-			o.previous.endedAt = at
+		claims = append(claims, claim)
+		for _, witness := range claim.Witnesses {
+			if _, left := o.previous.left[witness]; !left && !slices.Contains(witnesses, witness) {
+				witnesses = append(witnesses, witness)
+			}
 		}
 	}
-	o.previous.unresolved = unresolved
+	return claims, witnesses
+}
+
+// askPreviousOwner asks the daemon of a previous owner since when this has ended.
+func (o *Owner) askPreviousOwner(ctx context.Context, claim jobs.Owner) {
+	end := o.cells.askClaimEnd(ctx, o.cell, claim)
+	if end == nil {
+		return
+	}
+	at := o.config.Clock.Read().Add(-end.Ago.Duration())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.previous.ends[claim.ClaimID] = at
+	o.recordLapse()
+}
+
+// askToStop asks a witness of previous owners to stop to vouch for them. A process other than the one that is named has
+// never vouched for them, and the one that is named has ended.
+func (o *Owner) askToStop(ctx context.Context, witness jobs.Witness) {
+	if o.cells.askWitness(ctx, o.cell, witness, jobs.WitnessCall{Epoch: o.epoch, Stop: true}) == nil {
+		return
+	}
+	at := o.config.Clock.Read()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.previous.left[witness] = at
+	o.recordLapse()
+}
+
+// recordLapse tells the core what is known of the ends of the previous owners. The caller holds the mutex.
+func (o *Owner) recordLapse() {
+	times, ok := o.previous.lapseTimes()
+	if !ok || times == o.previous.told {
+		return
+	}
+	o.previous.told = times
+	message := "previous owners have ended"
+	if times.fenced.IsZero() {
+		o.core.PreviousOwnersEnded(times.ended)
+	} else {
+		o.core.PreviousOwnersFenced(times.fenced, times.ended)
+		message = "previous owners have ended or have too few witnesses left"
+	}
+	o.config.Logger.Info(message, zap.String("cell", string(o.cell)), zap.Int("claims", len(o.previous.claims.Owners)),
+		zap.Duration("ago", o.config.Clock.Since(latest(times.ended, times.fenced))))
+	wake(o.wakeDecide)
 }
 
 // askClaimEnd asks the daemon that made a claim since when the claim has ended; nil: it has not, or that is not known.
@@ -77,6 +182,8 @@
 	if claim.Daemon == c.config.Self && claim.Address == c.config.Address {
 		return c.endClaim(cell, claim.ClaimID)
 	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
 	answer, err := c.config.Peers.Jobs(ctx, claim.Address, jobs.Query{Cell: cell, EndClaim: claim.ClaimID})
 	if err != nil {
 		c.config.Logger.Debug("daemon of a previous owner does not answer", append(log.Err(err), zap.String("cell", string(cell)),
@@ -94,15 +201,7 @@
 	if o.previous.forgotten || !o.previousOwnersAreOver() {
 		return
 	}
-	txn, err := putTxn(claimsKey(o.cell), jobs.Claims{Owners: []jobs.Owner{o.claim}})
-	if err == nil {
-		_, err = o.commitJournaled(ctx, txn)
-		o.cells.health.record(err)
-	}
-	if err != nil {
-		if !isOutage(err) {
-			o.config.Logger.Warn("claims of previous owners are not removed", append(log.Err(err), zap.String("cell", string(o.cell)))...)
-		}
+	if !o.storeClaims(ctx, jobs.Claims{Owners: []jobs.Owner{o.claim}}) {
 		return
 	}
 	o.previous.forgotten = true
--- a/services/control/previous_owners_test.go
+++ b/services/control/previous_owners_test.go
@@ -26,8 +26,8 @@
 
 // newDividedCluster runs a task on each worker and divides them: the first kept ones are reached only by their owner, the
 // others only by the other daemons.
-func newDividedCluster(t *testing.T, kept int) *dividedCluster {
-	w := &dividedCluster{testCluster: newTestCluster(t, takeoverWorkers, 3, nil), spec: longRunningJob(1, takeoverWorkers)}
+func newDividedCluster(t *testing.T, kept int, changes ...clusterChange) *dividedCluster {
+	w := &dividedCluster{testCluster: newTestCluster(t, takeoverWorkers, 3, nil, changes...), spec: longRunningJob(1, takeoverWorkers)}
 	w.submit(w.daemons[0], w.spec)
 	w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(w.spec.ID) == takeoverWorkers })
 	time.Sleep(2 * time.Second)
@@ -63,9 +63,13 @@
 // TestOwnerThatLivesEndsAtTheWordOfItsSuccessor guards against tasks that wait for 30 s for workers that only a previous
 // owner reaches, although the previous owner could be asked to end.
 func TestOwnerThatLivesEndsAtTheWordOfItsSuccessor(t *testing.T) {
+	withAndWithoutWitnesses(t, testOwnerThatLives)
+}
+
+func testOwnerThatLives(t *testing.T, changes ...clusterChange) {
 	synctest.Test(t, func(t *testing.T) {
 		const kept = takeoverWorkers - takeoverWorkers/3
-		w := newDividedCluster(t, kept)
+		w := newDividedCluster(t, kept, changes...)
 		w.waitForSuccessor()
 		taken := time.Now()
 		w.eventually(12*time.Second, "all tasks run on the workers of the successor", func() bool {
@@ -85,31 +89,40 @@
 func TestSuccessorWaitsForEachPreviousOwner(t *testing.T) {
 	for kept := takeoverWorkers - takeoverWorkers/3; kept < takeoverWorkers; kept++ {
 		t.Run(fmt.Sprintf("%d of %d workers are the first owner's", kept, takeoverWorkers), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := newDividedCluster(t, kept)
-				w.previous.set(func() { w.previous.peersCut = true })
-				second := w.waitForSuccessor()
-				time.Sleep(time.Second)
-				second.killProcess()
-				time.Sleep(500 * time.Millisecond)
-				next := second.restart()
-				for _, id := range w.grid.IDs()[:kept] {
-					next.cut(id)
-				}
-				w.others = []*testDaemon{next, w.others[0], w.others[1]}
-				w.waitForSuccessor()
-				time.Sleep(takeoverDivided)
-				w.requireNoBreaches()
-			})
+			withAndWithoutWitnesses(t, func(t *testing.T, changes ...clusterChange) { testOwnersInTurn(t, kept, changes...) })
 		})
 	}
 }
 
+func testOwnersInTurn(t *testing.T, kept int, changes ...clusterChange) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newDividedCluster(t, kept, changes...)
+		w.previous.set(func() { w.previous.peersCut = true })
+		second := w.waitForSuccessor()
+		time.Sleep(time.Second)
+		second.killProcess()
+		time.Sleep(500 * time.Millisecond)
+		next := second.restart()
+		for _, id := range w.grid.IDs()[:kept] {
+			next.cut(id)
+		}
+		w.others = []*testDaemon{next, w.others[0], w.others[1]}
+		w.waitForSuccessor()
+		time.Sleep(takeoverDivided)
+		w.requireNoBreaches()
+	})
+}
+
 // TestRefusedConnectionIsNoEndOfAnOwner guards against tasks that run twice: a firewall refuses the connections to an
 // owner that goes on.
 func TestRefusedConnectionIsNoEndOfAnOwner(t *testing.T) {
+	withAndWithoutWitnesses(t, testRefusedConnection)
+}
+
+func testRefusedConnection(t *testing.T, changes ...clusterChange) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newDividedCluster(t, takeoverWorkers-takeoverWorkers/3)
+		w := newDividedCluster(t, takeoverWorkers-takeoverWorkers/3, changes...)
 		w.previous.set(func() { w.previous.exited = true })
 		w.waitForSuccessor()
 		time.Sleep(takeoverDivided)
--- a/services/control/takeover_random_test.go
+++ b/services/control/takeover_random_test.go
@@ -106,6 +106,7 @@
 // lossKinds are the losses that a test draws.
 type lossKinds struct {
 	kinds   []ownerLossKind
+	changes []clusterChange
 	forGood bool // half of those from which the owner need not come back are for good
 }
 
@@ -166,13 +167,13 @@
 }
 
 // runTakeover plays a scenario and describes what was wrong; empty if nothing.
-func runTakeover(t *testing.T, scenario randomTakeover) (failure string) {
+func runTakeover(t *testing.T, scenario randomTakeover, changes ...clusterChange) (failure string) {
 	outer := t
 	synctest.Test(t, func(t *testing.T) {
 		settings := testSettings
 		settings.WorkerLease = scenario.Lease.Duration()
 		r := &takeoverRun{
-			scriptRun: &scriptRun{testCluster: newTestClusterWithSettings(t, takeoverDaemons, settings, grid.Config{Workers: scenario.Workers})},
+			scriptRun: &scriptRun{testCluster: newTestClusterWithSettings(t, takeoverDaemons, settings, grid.Config{Workers: scenario.Workers}, changes...)},
 			takeover:  scenario, lost: map[*testDaemon]bool{},
 			places: rand.New(rand.NewPCG(scenario.Order, 0)).Perm(scenario.Workers),
 		}
@@ -372,7 +373,7 @@
 func checkRandomTakeovers(t *testing.T, losses lossKinds) {
 	rapid.Check(t, func(rt *rapid.T) {
 		scenario := drawTakeover(rt, losses)
-		if failure := runTakeover(t, scenario); failure != "" {
+		if failure := runTakeover(t, scenario, losses.changes...); failure != "" {
 			data, err := json.Marshal(scenario)
 			require.NoError(t, err)
 			rt.Fatalf("%s\n%s", failure, data)
@@ -399,6 +400,17 @@
 	checkRandomTakeovers(t, lossKinds{kinds: dividedLosses})
 }
 
+// TestTasksRunOnceWhileOwnersWithoutWitnessesAreDivided guards against the same where the workers alone prove ownership.
+func TestTasksRunOnceWhileOwnersWithoutWitnessesAreDivided(t *testing.T) {
+	checkRandomTakeovers(t, lossKinds{kinds: dividedLosses, changes: []clusterChange{withoutWitnesses}})
+}
+
+// TestTasksRunSoonAfterRandomTakeoversWithoutWitnesses guards against waits after takeovers where daemons of older versions
+// vouch for no owner.
+func TestTasksRunSoonAfterRandomTakeoversWithoutWitnesses(t *testing.T) {
+	checkRandomTakeovers(t, lossKinds{kinds: allLosses, changes: []clusterChange{withoutWitnesses}})
+}
+
 // playNamedTakeovers plays the scenarios of a folder, which are failures found by random scenarios.
 func playNamedTakeovers(t *testing.T, pattern string) {
 	casefile.Each(t, pattern, func(t *testing.T, scenario randomTakeover) {
--- a/services/control/takeover_test.go
+++ b/services/control/takeover_test.go
@@ -22,8 +22,9 @@
 	takeoverGone    = 1 // workers that answer nobody from before the takeover
 	takeoverLease   = 4500 * time.Millisecond
 	takeoverCutTime = 12 * time.Second
-	takeoverCalm    = 4 * time.Second  // after the last fault nothing may be expected of the cell for so long
-	takeoverAllowed = 3 * time.Second  // from then on a task that could run waits no longer
+	takeoverCalm    = 4 * time.Second // after the last fault nothing may be expected of the cell for so long
+	takeoverAllowed = 3 * time.Second // from then on a task that could run waits no longer
+	leaveLateAfter  = 25 * time.Second
 	takeoverDivided = 40 * time.Second // for which two owners reach different workers
 )
 
@@ -43,6 +44,8 @@
 	SuccessorAfter models.Milli `json:"successor_after_ms"`
 	// FromLoss says that the calm begins with the last loss of an owner, not with the end of the cut.
 	FromLoss bool `json:"from_loss"`
+	// Allowed is how long after the cut, or the loss, the tasks may wait; 0: takeoverCalm and takeoverAllowed.
+	Allowed models.Milli `json:"allowed_ms"`
 }
 
 // lose loses the owner in the way of the case. The returned function waits until its process has started again.
@@ -111,7 +114,7 @@
 			t.Log(w.log())
 		}
 	})
-	w.eventually(takeoverCalm+takeoverAllowed, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+	w.eventually(cmp.Or(c.Allowed.Duration(), takeoverCalm+takeoverAllowed), "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
 	w.requireNoBreaches()
 }
 
@@ -128,12 +131,14 @@
 // its successor, which reaches only the others. No task may run on two workers.
 func testDividedWorkers(t *testing.T, kept int) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		w := newDividedCluster(t, kept)
-		w.previous.set(func() { w.previous.peersCut = true })
-		w.waitForSuccessor()
-		time.Sleep(takeoverDivided)
-		w.requireNoBreaches()
+	withAndWithoutWitnesses(t, func(t *testing.T, changes ...clusterChange) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newDividedCluster(t, kept, changes...)
+			w.previous.set(func() { w.previous.peersCut = true })
+			w.waitForSuccessor()
+			time.Sleep(takeoverDivided)
+			w.requireNoBreaches()
+		})
 	})
 }
 
@@ -161,37 +166,41 @@
 // TestTasksRunOnceWhenWorkersLeaveThePreviousOwnerLate guards against the same when all workers are the previous owner's
 // for long after the takeover, and some of them reach only its successor from then on.
 func TestTasksRunOnceWhenWorkersLeaveThePreviousOwnerLate(t *testing.T) {
-	const late = 25 * time.Second
 	for kept := takeoverWorkers - takeoverWorkers/3; kept < takeoverWorkers; kept++ {
 		t.Run(fmt.Sprintf("%d of %d workers stay the previous owner's", kept, takeoverWorkers), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := newTestCluster(t, takeoverWorkers, 3, nil)
-				spec := longRunningJob(1, takeoverWorkers)
-				w.submit(w.daemons[0], spec)
-				w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
-				time.Sleep(2 * time.Second)
-				previous, ids := w.owner(), w.grid.IDs()
-				others := slices.DeleteFunc(slices.Clone(w.daemons), func(d *testDaemon) bool { return d == previous })
-				previous.set(func() { previous.storeCut, previous.peersCut = true, true })
-				for _, d := range others {
-					for _, id := range ids {
-						d.cut(id)
-					}
-				}
-				time.Sleep(late)
-				for _, id := range ids[kept:] {
-					previous.cut(id)
-					for _, d := range others {
-						d.reach(id)
-					}
-				}
-				time.Sleep(takeoverDivided)
-				w.requireNoBreaches()
-			})
+			withAndWithoutWitnesses(t, func(t *testing.T, changes ...clusterChange) { testWorkersLeaveLate(t, kept, changes...) })
 		})
 	}
 }
 
+func testWorkersLeaveLate(t *testing.T, kept int, changes ...clusterChange) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestCluster(t, takeoverWorkers, 3, nil, changes...)
+		spec := longRunningJob(1, takeoverWorkers)
+		w.submit(w.daemons[0], spec)
+		w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+		time.Sleep(2 * time.Second)
+		previous, ids := w.owner(), w.grid.IDs()
+		others := slices.DeleteFunc(slices.Clone(w.daemons), func(d *testDaemon) bool { return d == previous })
+		previous.set(func() { previous.storeCut, previous.peersCut = true, true })
+		for _, d := range others {
+			for _, id := range ids {
+				d.cut(id)
+			}
+		}
+		time.Sleep(leaveLateAfter)
+		for _, id := range ids[kept:] {
+			previous.cut(id)
+			for _, d := range others {
+				d.reach(id)
+			}
+		}
+		time.Sleep(takeoverDivided)
+		w.requireNoBreaches()
+	})
+}
+
 const (
 	divisionPlays   = 60
 	divisionTime    = 110 * time.Second
@@ -204,25 +213,30 @@
 func TestTasksRunOnceWhileTheDivisionChanges(t *testing.T) {
 	for seed := range uint64(divisionPlays) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				random := rand.New(rand.NewPCG(seed, 7))
-				w := newTestCluster(t, takeoverWorkers, 3, nil)
-				spec := longRunningJob(1, takeoverWorkers)
-				w.submit(w.daemons[0], spec)
-				w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
-				time.Sleep(2 * time.Second)
-				previous := w.owner()
-				previous.set(func() { previous.storeCut, previous.peersCut = true, true })
-				for end := time.Now().Add(divisionTime); time.Now().Before(end); {
-					w.divideWorkers(random, previous)
-					time.Sleep(time.Duration(random.Int64N(int64(maxDivisionTime))))
-				}
-				w.requireNoBreaches()
-			})
+			withAndWithoutWitnesses(t, func(t *testing.T, changes ...clusterChange) { testDivisionChanges(t, seed, changes...) })
 		})
 	}
 }
 
+func testDivisionChanges(t *testing.T, seed uint64, changes ...clusterChange) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		w := newTestCluster(t, takeoverWorkers, 3, nil, changes...)
+		spec := longRunningJob(1, takeoverWorkers)
+		w.submit(w.daemons[0], spec)
+		w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+		time.Sleep(2 * time.Second)
+		previous := w.owner()
+		previous.set(func() { previous.storeCut, previous.peersCut = true, true })
+		for end := time.Now().Add(divisionTime); time.Now().Before(end); {
+			w.divideWorkers(random, previous)
+			time.Sleep(time.Duration(random.Int64N(int64(maxDivisionTime))))
+		}
+		w.requireNoBreaches()
+	})
+}
+
 // divideWorkers draws which workers one daemon reaches; the others reach most of the rest.
 func (w *testCluster) divideWorkers(random *rand.Rand, previous *testDaemon) {
 	share := random.Float64()
--- a/services/control/unlisted_owners_test.go
+++ b/services/control/unlisted_owners_test.go
@@ -13,9 +13,18 @@
 	"rillsail.example/rillsail/services/platform"
 )
 
-// unlistedStore is the store of a daemon of an older version, which neither reads nor writes the list of claims.
+// unlistedStore is the store of a daemon of an older version, which neither reads nor writes the list of claims, and has no
+// witnesses and is none.
 type unlistedStore struct{ platform.TxnStore }
 
+func (s *unlistedStore) List(ctx context.Context, prefix string) ([]platform.Record, platform.Version, error) {
+	records, at, err := s.TxnStore.List(ctx, prefix)
+	if prefix == daemonPrefix {
+		records = nil
+	}
+	return records, at, err
+}
+
 func (s *unlistedStore) Get(ctx context.Context, key string) (platform.Record, error) {
 	if key == claimsKey(cellName(0)) {
 		return platform.Record{}, platform.ErrNotFound
@@ -39,7 +48,9 @@
 		spec := longRunningJob(1, takeoverWorkers)
 		w.submit(w.daemons[0], spec)
 		w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
-		w.wrapStore = func(_ *testDaemon, store platform.TxnStore) platform.TxnStore { return &unlistedStore{store} }
+		w.wrapStore = func(_ *testDaemon, store platform.TxnStore) platform.TxnStore {
+			return &unlistedStore{&witnesslessStore{store}}
+		}
 		older := w.startDaemon()
 		w.wrapStore = nil
 		first := w.daemons[0]
--- a/services/control/worker_capacity.go
+++ b/services/control/worker_capacity.go
@@ -62,7 +62,7 @@
 // self returns this daemon's registration record.
 func (c *Cells) self() jobs.Daemon {
 	s := c.config.Settings
-	return jobs.Daemon{ID: c.config.Self, Cores: s.Processor, LinkMbps: s.Link}
+	return jobs.Daemon{ID: c.config.Self, Cores: s.Processor, LinkMbps: s.Link, Address: c.config.Address, Process: c.processID()}
 }
 
 // cellSize returns the average number of workers in a cell.
@@ -97,5 +97,8 @@
 		}
 		daemons = append(daemons, daemon)
 	}
+	c.mu.Lock()
+	c.daemons = registrations{daemons, c.config.Clock.Now()}
+	c.mu.Unlock()
 	return daemons, nil
 }
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -110,17 +110,20 @@
 	answeredAt        time.Time     // when the first worker reported in this epoch; zero: none has
 	calledAt          time.Time     // when the first worker of the previous roster reported in this epoch; zero: none has
 	previousEndedAt   time.Time     // when the last of the previous owners had ended; zero: not known
-	noPreviousRuns    bool          // no previous owner had started anything
-	loggedBasis       lapseBasis    // of the wait after the takeover that was last logged; empty: none was
+	previousFence     witnessFence
+	noPreviousRuns    bool       // no previous owner had started anything
+	loggedBasis       lapseBasis // of the wait after the takeover that was last logged; empty: none was
 	superseded        bool
 	listRead          bool      // the platform's list of workers has been read
 	provedAt          time.Time // when the latest transaction that proves ownership was begun; see mayOrder
 	allAskedAt        time.Time // all workers have answered a call that was sent at this time or later
 	quorumAskedAt     time.Time // two thirds of the workers have answered a call that was sent at this time or later
 	quorumCheckedAt   time.Time // when the answers of the workers were last counted for mayOrder
-	wantsProof        bool      // a transaction is wanted for the proof of ownership alone
-	wantsLapseProof   bool      // the leases of a worker out of the roster are over, and a transaction has to prove it
-	awaitingProof     bool      // orders are held back until ownership is proved again
+	witnesses         witnesses
+	lacksWitnesses    bool // two thirds of the workers answer, but too few witnesses vouch for this owner
+	wantsProof        bool // a transaction is wanted for the proof of ownership alone
+	wantsLapseProof   bool // the leases of a worker out of the roster are over, and a transaction has to prove it
+	awaitingProof     bool // orders are held back until ownership is proved again
 	storeFreshness    storeFreshness
 	stopping          map[*task]struct{}
 	now               time.Time // as passed to the latest call
@@ -160,6 +163,7 @@
 	LostUnseen                                                             int64 // runs that may have been lost with a worker, while no owner observed their start or their loss
 	Trials, GivenUp, Cleared                                               int64 // trials of tasks suspected of crashing workers; tasks abandoned; tasks cleared
 	Contested, TrialsDelayed                                               int64 // waits of suspects for the outcome of other tasks, and long ones for a worker
+	WitnessesMissing                                                       int64 // times that orders waited because too few witnesses vouched for the owner
 	StartsFromText                                                         int64 // starts from a checkpoint
 	// Checkpoints in reports that were not taken, by reason: see checkpointResult.
 	TextsNotAskedOf, TextsOlder, TextsUnordered, TextsFailed int64
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -25,7 +25,8 @@
 //     from them, so that its leases have to end for lack of a proof. A successor that no more than a third answer
 //     can't tell an owner that the others prove right from one whose workers are gone, and waits for maxBlindTime. So
 //     two thirds prove ownership for some time only after a transaction, or after all workers have answered: no
-//     successor can have called any of them before that.
+//     successor can have called any of them before that. Either counts only up to the time up to which the claim's
+//     witnesses vouch for it, if it has any: see witnesses.go.
 //   - to start the tasks of a silent worker elsewhere: a transaction after the worker's lease was over. Only this
 //     proves that no successor has renewed the lease.
 
@@ -44,11 +45,21 @@
 	known := now.Sub(c.lastProof())
 	if now.Sub(c.quorumCheckedAt) >= answerCountInterval || known > proofValidity {
 		c.quorumCheckedAt = now
-		c.allAskedAt, c.quorumAskedAt = c.answeredSince()
+		c.countAnswers(now)
 	}
 	return now.Sub(c.lastProof())
 }
 
+// countAnswers updates the times up to which the workers' answers prove ownership.
+func (c *Core) countAnswers(now time.Time) {
+	c.allAskedAt, c.quorumAskedAt = c.answeredSince()
+	since, witnessed := c.witnesses.vouchedSince()
+	c.lacksWitnesses = witnessed && now.Sub(since) > proofValidity && now.Sub(c.quorumAskedAt) <= proofValidity
+	if witnessed {
+		c.allAskedAt, c.quorumAskedAt = earliest(c.allAskedAt, since), earliest(c.quorumAskedAt, since)
+	}
+}
+
 // lastProof returns the time of the latest proof that this core still is the cell's owner.
 func (c *Core) lastProof() time.Time {
 	full := latest(c.provedAt, c.allAskedAt)
@@ -80,11 +91,15 @@
 		return
 	}
 	c.awaitingProof = awaiting
+	if awaiting && c.lacksWitnesses {
+		c.counts.WitnessesMissing++
+	}
 	message := "orders resume"
 	if awaiting {
 		message = "orders wait for a recent proof of ownership"
 	}
-	c.config.Logger.Info(message, zap.Duration("proof_age", age), zap.Int("workers", len(c.sortedWorkers)))
+	c.config.Logger.Info(message, zap.Duration("proof_age", age), zap.Int("workers", len(c.sortedWorkers)),
+		zap.Bool("lacks_witnesses", c.lacksWitnesses))
 }
 
 // answeredSince returns the latest times for which all workers, and two thirds of them and of those in the stored roster,
@@ -133,3 +148,10 @@
 	}
 	return b
 }
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -78,6 +78,7 @@
 	lapseBlind   lapseBasis = "no more than a third of the workers have answered"
 	lapseFenced  lapseBasis = "too few workers are left to the previous owner"
 	lapseEnded   lapseBasis = "the previous owners have ended"
+	lapseLeft    lapseBasis = "too few witnesses are left to the previous owners that have not ended"
 )
 
 // previousOwnersLapse returns when the runs of previous owners on silent workers have ended, and what that is known
@@ -91,15 +92,25 @@
 	if !c.fencedAt.IsZero() {
 		until, basis = c.fencedAt.Add(c.lastLeaseAfterFence()), lapseFenced
 	}
+	if left := c.previousFence.at; !left.IsZero() {
+		if left = latest(left.Add(c.lastLeaseAfterFence()), c.lastLeaseAfterEnd(c.previousFence.endedAt)); left.Before(until) {
+			until, basis = left, lapseLeft
+		}
+	}
 	if c.previousEndedAt.IsZero() {
 		return until, basis
 	}
-	if ended := c.previousEndedAt.Add(driftedLease(c.previousLease) + clockMargin); ended.Before(until) {
+	if ended := c.lastLeaseAfterEnd(c.previousEndedAt); ended.Before(until) {
 		return ended, lapseEnded
 	}
 	return until, basis
 }
 
+// lastLeaseAfterEnd returns when the last lease of a previous owner is over that had ended at the given time.
+func (c *Core) lastLeaseAfterEnd(ended time.Time) time.Time {
+	return ended.Add(driftedLease(c.previousLease) + clockMargin)
+}
+
 // lastLeaseAfterFence returns how long after the fence the last lease of a previous owner is over. Its proofs are older
 // than the fence, see proof.go.
 func (c *Core) lastLeaseAfterFence() time.Duration {
@@ -122,6 +133,18 @@
 // or earlier. A lease ends at a time on its worker's clock, however late the call that grants it arrives.
 func (c *Core) PreviousOwnersEnded(at time.Time) { c.previousEndedAt = at }
 
+// witnessFence is what is known of previous owners of which some have ended and the others have too few witnesses left.
+type witnessFence struct {
+	at      time.Time // when too few witnesses were left to each of those that have not ended; zero: not known
+	endedAt time.Time // when the last of the others had ended; zero: there are none
+}
+
+// PreviousOwnersFenced records that each previous owner whose runs may still exist had given its last order at endedAt, or
+// had too few witnesses left at the given time or earlier, so that its last proof of ownership is older.
+func (c *Core) PreviousOwnersFenced(at, endedAt time.Time) {
+	c.previousFence = witnessFence{at, endedAt}
+}
+
 // PreviousOwnersAreOver reports whether no run of a previous owner exists any more that this owner has not found.
 func (c *Core) PreviousOwnersAreOver(now time.Time) bool {
 	return !c.recovering && (c.noPreviousRuns || now.After(c.previousOwnersLapsed()))
--- /dev/null
+++ b/services/dispatch/witnesses_test.go
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// testWitnesses returns some witnesses.
+func testWitnesses(prefix string, count int) []jobs.Witness {
+	var witnesses []jobs.Witness
+	for n := range count {
+		witnesses = append(witnesses, jobs.Witness{Daemon: fmt.Sprint(prefix, n), Address: "a", Process: "p"})
+	}
+	return witnesses
+}
+
+// TestWorkersProveNothingWithoutWitnesses guards against an owner that goes on by its workers' answers while a successor has
+// asked its witnesses to stop.
+func TestWorkersProveNothingWithoutWitnesses(t *testing.T) {
+	for named := range jobs.MaxWitnesses + 1 {
+		b := newBench(t, 3)
+		witnesses := testWitnesses("w", named)
+		b.WitnessesStored(witnesses)
+		taken := b.now
+		b.now = b.now.Add(10 * time.Second)
+		b.reportAll(0, 3)
+		asked := b.now.Add(-time.Second)
+		for n := range named {
+			b.countAnswers(b.now)
+			require.Equal(t, taken, b.lastProof(), "%d of %d vouch", n, named)
+			if 3*n > named {
+				t.Fatalf("%d of %d witnesses are more than a third", n, named)
+			}
+			b.Vouched(witnesses[named-1-n], asked)
+			if 3*(n+1) > named {
+				break
+			}
+		}
+		b.countAnswers(b.now)
+		expected := asked
+		if named == 0 {
+			expected = b.workers[b.ids[0]].reportAskedAt
+		}
+		require.Equal(t, expected, b.lastProof(), "%d witnesses", named)
+	}
+}
+
+// TestVouchingAndStoppedWitnessesOverlap guards against two owners: among the witnesses that vouch there is one that a
+// successor has waited for.
+func TestVouchingAndStoppedWitnessesOverlap(t *testing.T) {
+	for n := 1; n <= jobs.MaxWitnesses; n++ {
+		require.Equal(t, n+1, vouchingWitnesses(n)+WitnessesToStop(n))
+	}
+}
+
+// TestAllSetsOfWitnessesVouch guards against an owner that goes on by witnesses which its successor does not know of: either
+// set may be stored.
+func TestAllSetsOfWitnessesVouch(t *testing.T) {
+	b := newBench(t, 3)
+	taken := b.now
+	former, next := testWitnesses("f", 2), testWitnesses("n", 2)
+	b.WitnessesStored(former)
+	b.now = b.now.Add(10 * time.Second)
+	b.NameWitnesses(next)
+	b.NameWitnesses(next)
+	b.NameWitnesses(nil) // that could be stored as well, and asks for nothing
+	require.Len(t, b.WitnessesToAsk(b.now), 4)
+	b.reportAll(0, 3)
+	prove := func(witness jobs.Witness) time.Time {
+		b.Vouched(witness, b.now)
+		b.countAnswers(b.now)
+		return b.lastProof()
+	}
+	require.Equal(t, taken, prove(next[0]))
+	require.Less(t, taken, prove(former[0]))
+	b.WitnessesStored(next)
+	require.Equal(t, []jobs.Witness{next[0]}, func() []jobs.Witness {
+		b.now = b.now.Add(witnessInterval)
+		return b.WitnessesToAsk(b.now)
+	}())
+}
+
+// TestFewWitnessesAreAsked guards against calls to all witnesses where some suffice, and against a wait for one that does
+// not answer.
+func TestFewWitnessesAreAsked(t *testing.T) {
+	b := newBench(t, 3)
+	witnesses := testWitnesses("w", 8)
+	b.WitnessesStored(witnesses)
+	require.Empty(t, b.WitnessesToAsk(b.now.Add(witnessAfter-1)), "a transaction is recent")
+	b.now = b.now.Add(witnessAfter)
+	require.Len(t, b.WitnessesToAsk(b.now), 8, "none has answered yet")
+	for _, n := range []int{7, 2, 5} {
+		b.Vouched(witnesses[n], b.now)
+	}
+	require.Empty(t, b.WitnessesToAsk(b.now.Add(witnessInterval-1)))
+	require.ElementsMatch(t, []jobs.Witness{witnesses[7], witnesses[2], witnesses[5]}, b.WitnessesToAsk(b.now.Add(witnessInterval)))
+	require.Len(t, b.WitnessesToAsk(b.now.Add(witnessesLateAfter)), 8)
+}
+
+// TestWaitAfterTheWitnessesLeft guards against runs on silent workers that are waited for until a cut heals, or not for as
+// long as the last lease of a previous owner may last.
+func TestWaitAfterTheWitnessesLeft(t *testing.T) {
+	for _, allowance := range []time.Duration{0, leaseAllowance} {
+		b := newBench(t, 12)
+		lease := b.config.Lease
+		b.RestoreRoster(jobs.Roster{Workers: b.Workers(), MaxLease: models.MilliOf(lease), LeaseAllowance: models.MilliOf(allowance)}, b.now)
+		b.report(0, jobs.Report{})
+		_, basis := b.previousOwnersLapse()
+		require.Equal(t, lapseBlind, basis)
+		left := b.now
+		b.PreviousOwnersFenced(left, left.Add(-time.Minute))
+		until, basis := b.previousOwnersLapse()
+		require.Equal(t, lapseLeft, basis)
+		last := driftedLease(lease+allowance) + clockMargin
+		if allowance == 0 {
+			last = driftedLease(lease) + previousOwnerMargin
+		}
+		require.Equal(t, left.Add(last), until)
+
+		b.PreviousOwnersFenced(left, left.Add(previousOwnerMargin))
+		until, _ = b.previousOwnersLapse()
+		require.Equal(t, latest(left.Add(last), left.Add(previousOwnerMargin+driftedLease(lease)+clockMargin)), until, "another one ended later")
+
+		b.PreviousOwnersEnded(left.Add(-time.Second))
+		until, basis = b.previousOwnersLapse()
+		require.Equal(t, lapseEnded, basis)
+		require.Equal(t, left.Add(-time.Second+driftedLease(lease)+clockMargin), until)
+	}
+}
