The rate of losses by chance is computed in one place

Left by an earlier reading: the larger of the general rate and that after the same interval stood in lossContextOf and in reevaluateLosses, with the general rate passed beside the history that gives it. Also, a state dump lists the silent workers only while the cell recovers.

--- a/services/dispatch/chance.go
+++ b/services/dispatch/chance.go
@@ -80,13 +80,20 @@
 	lostWorker
 	others  []workerLoss
 	workers float64 // in the cell
+	// chance is how many losses by chance per second each worker had at the time of the loss.
+	chance float64
 }
 
 // lossHistoryOf returns the history for a worker, which may have been removed already.
 func (c *Core) lossHistoryOf(lost lostWorker, now time.Time) lossHistory {
-	return lossHistory{lostWorker: lost, others: c.lossesOfOthers(lost.incarnation, now), workers: float64(max(1, len(c.sortedWorkers)))}
+	h := lossHistory{lostWorker: lost, others: c.lossesOfOthers(lost.incarnation, now), workers: float64(max(1, len(c.sortedWorkers)))}
+	h.chance = h.chanceRate()
+	return h
 }
 
+// rateFor returns how many losses by chance per second the run of a task is compared with.
+func (h lossHistory) rateFor(t *task) float64 { return max(h.chance, h.recurrenceRate(t)) }
+
 // chanceRate estimates how many losses by chance per second each worker had when the worker was lost. The
 // estimate takes the highest of three rates: the losses of the last seconds, the losses around that time, both without
 // the losses that the tasks on the workers explain, and, when several workers were lost at the same moment, all losses
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -190,12 +190,11 @@
 	return times
 }
 
-// lossContextOf describes the circumstances in which a task's run is lost with a worker. chance is the rate of losses by
-// chance for any task on the worker.
-func (c *Core) lossContextOf(w *worker, t *task, ran time.Duration, chance float64, history lossHistory, now time.Time) lossContext {
+// lossContextOf describes the circumstances in which a task's run is lost with a worker.
+func (c *Core) lossContextOf(w *worker, t *task, ran time.Duration, history lossHistory, now time.Time) lossContext {
 	return lossContext{
 		runtime: ran, earlierRuntimes: t.lostRuntimes(), neighbours: c.neighboursOf(w, t, now),
-		chanceRate: max(chance, history.recurrenceRate(t)), runtimeIsUpperBound: w.endTimeUnknown(t),
+		chanceRate: history.rateFor(t), runtimeIsUpperBound: w.endTimeUnknown(t),
 	}
 }
 
--- a/services/dispatch/recent.go
+++ b/services/dispatch/recent.go
@@ -49,9 +49,8 @@
 			return false
 		}
 		history := c.lossHistoryOf(recent.lostWorker, now)
-		chance := history.chanceRate()
 		for _, r := range recent.runs {
-			if rate := max(chance, history.recurrenceRate(r.task)); rate > r.chanceRate {
+			if rate := history.rateFor(r.task); rate > r.chanceRate {
 				r.chanceRate = rate
 				c.lowerEvidence(r)
 			}
--- a/services/dispatch/recovery_wait.go
+++ b/services/dispatch/recovery_wait.go
@@ -31,8 +31,11 @@
 
 // recoveryWait returns what the recovery waits for; nil: nothing.
 func (c *Core) recoveryWait(now time.Time) *RecoveryWait {
+	if !c.recovering {
+		return nil
+	}
 	silent := c.silentSinceTakeover()
-	if !c.recovering || len(silent) == 0 {
+	if len(silent) == 0 {
 		return nil
 	}
 	until, basis := c.previousOwnersLapse()
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -99,12 +99,11 @@
 	c.counts.WorkersLost++
 	lost := lostWorkerOf(w, now)
 	history := c.lossHistoryOf(lost, now)
-	chance := history.chanceRate()
 	contexts := map[*task]lossContext{}
 	recent := recentLoss{lostWorker: lost}
 	for _, t := range w.tasks {
 		if ran, known := c.runtimeAtLoss(w, t, now); known && ran < maxTimeToCrash {
-			e := c.lossContextOf(w, t, ran, chance, history, now)
+			e := c.lossContextOf(w, t, ran, history, now)
 			contexts[t] = e
 			recent.runs = append(recent.runs, weighedRun{task: t, run: t.run, lossContext: e})
 		}
@@ -113,7 +112,7 @@
 	for _, t := range w.tasks {
 		e, weighed := contexts[t]
 		if !weighed {
-			c.logLostRun(w, t, jobs.LostRun{}, chance)
+			c.logLostRun(w, t, jobs.LostRun{}, history.chance)
 			if c.startUnobserved(w, t, now) {
 				c.countUnobservedRun(t, t.run)
 			}
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -41,7 +41,7 @@
 	c.storeUnresolvedRun(t, jobs.LostRun{Run: t.run})
 	unresolved := t.suspicion.Unresolved
 	unresolved.BeganAt = c.timeOfDay(now)
-	unresolved.ChanceRate = roundToThousandths(c.lossHistoryOf(lostWorkerOf(t.worker, now), now).chanceRate())
+	unresolved.ChanceRate = roundToThousandths(c.lossHistoryOf(lostWorkerOf(t.worker, now), now).chance)
 	unresolved.NeighbourRate = roundToThousandths(crashRate(c.neighboursOf(t.worker, t, now)))
 }
 
@@ -70,10 +70,9 @@
 	}
 	w.youngRunsStored = true
 	history := c.lossHistoryOf(lostWorkerOf(w, now), now)
-	chance := history.chanceRate()
 	for _, t := range w.tasks {
 		if ran, known := c.runtimeAtLoss(w, t, now); known && ran < youngRunLimit && t.suspicion.Unresolved == nil {
-			c.storeUnresolvedRun(t, c.lossContextOf(w, t, ran, chance, history, now).lostRun(w, t))
+			c.storeUnresolvedRun(t, c.lossContextOf(w, t, ran, history, now).lostRun(w, t))
 		}
 	}
 }
