A test of an owner whose VM is gone for good beside one lost worker, red

Callers saw accepted work that could run and doesn't. The cell's claim ends 2 s after the VM, the successor's proof that the previous owner lacks workers comes after that, and only then a lease of 5.35 s is counted: 7.1 to 7.9 s, where 7 s after the last fault are allowed.

The plays of takeovers count the end of silent workers' runs before they look whether all tasks run: a worker that is cut off goes on running for a lease, so that the two cases without a cut had shown nothing.

--- a/services/control/takeover_test.go
+++ b/services/control/takeover_test.go
@@ -22,9 +22,10 @@
 	takeoverGone    = 1 // workers that answer nobody from before the takeover
 	takeoverLease   = 4500 * time.Millisecond
 	takeoverCutTime = 12 * time.Second
-	takeoverCalm    = 4 * time.Second  // after the last fault nothing may be expected of the cell for so long
-	takeoverAllowed = 3 * time.Second  // from then on a task that could run waits no longer
-	takeoverDivided = 40 * time.Second // for which two owners reach different workers
+	takeoverCalm    = 4 * time.Second        // after the last fault nothing may be expected of the cell for so long
+	takeoverAllowed = 3 * time.Second        // from then on a task that could run waits no longer
+	takeoverLapse   = 300 * time.Millisecond // in addition to a lease, until a worker has ended its runs
+	takeoverDivided = 40 * time.Second       // for which two owners reach different workers
 )
 
 // takeoverCase is a loss of the owner of a cell in which one worker has just gone for good.
@@ -35,6 +36,8 @@
 	// at the loss and stays in the list.
 	GoneBefore models.Milli `json:"gone_before_ms"`
 	Lease      models.Milli `json:"lease_ms"` // that workers are granted; 0: takeoverLease
+	// After is how long the tasks run before the first of these faults.
+	After models.Milli `json:"after_ms"`
 	// Loss says how the owner is lost: its process ends, its VM loses power, or its VM is cut off from all others.
 	Loss string `json:"loss"`
 	// Back is when the process starts again after the loss, and that of the successor after its loss; 0: never.
@@ -86,6 +89,7 @@
 	spec.Steps[0].PerWorker = 2
 	w.submit(w.daemons[0], spec)
 	w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+	time.Sleep(c.After.Duration())
 	if c.GoneBefore > 0 {
 		w.grid.SetFaults(0, faultsCut)
 		w.grid.SetListed(0, false)
@@ -100,9 +104,11 @@
 	if c.SuccessorAfter > 0 {
 		c.loseSuccessor(w)
 	}
-	if !c.FromLoss {
-		time.Sleep(time.Until(began.Add(takeoverCutTime)))
+	calm := began.Add(takeoverCutTime)
+	if c.FromLoss {
+		calm = time.Now()
 	}
+	time.Sleep(time.Until(calm))
 	for place := takeoverGone; place < takeoverGone+c.Cut; place++ {
 		w.grid.SetFaults(place, noFaults)
 	}
@@ -111,7 +117,9 @@
 			t.Log(w.log())
 		}
 	})
-	w.eventually(takeoverCalm+takeoverAllowed, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+	time.Sleep(time.Until(began.Add(settings.WorkerLease + takeoverLapse))) // runs on silent workers have ended
+	allowed := calm.Add(takeoverCalm + takeoverAllowed)
+	w.eventually(time.Until(allowed), "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
 	w.requireNoBreaches()
 }
 
@@ -124,6 +132,17 @@
 	}
 }
 
+// TestTasksRunSoonAfterTheOwnersVMIsGoneForGood guards against tasks that wait beside idle workers, none of which is cut off:
+// the owner's VM and one worker have gone for good, and the wait for its last lease began only with its successor.
+func TestTasksRunSoonAfterTheOwnersVMIsGoneForGood(t *testing.T) {
+	for _, c := range casefile.Read[[]takeoverCase](t, "testdata/takeovers_gone.json") {
+		for _, after := range tenths(0, time.Second) { // the daemons renew their leases in the store every half second
+			c.After = after
+			t.Run(fmt.Sprint(c.Name, " ", after), func(t *testing.T) { synctest.Test(t, c.play) })
+		}
+	}
+}
+
 // testDividedWorkers divides the workers between an owner that the store does not reach, which keeps the first ones, and
 // its successor, which reaches only the others. No task may run on two workers.
 func testDividedWorkers(t *testing.T, kept int) {
