Each second the owner logs what has waited for long, and why

Callers saw accepted tasks that could run and didn't, and the log said neither why nor which workers had room: suspects that wait for each other or for a worker leave a line at the begin of the wait at most, and tasks without losses that wait beside workers kept for suspects leave none.

The line 'tasks wait for long' counts the tasks that have waited for 3 s by reason, names the one that has waited longest, and says how many workers are usable and how much CPU is free on them. It is computed once a second at most; the same stands in the state dump. Nothing else changes.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -32,7 +32,8 @@
 //     store_freshness.go
 //   - work handed to another cell: movable.go (what may move), offer.go (how much work of other
 //     cells fits here), move.go (the tasks while a move is being stored)
-//   - the load of the cell: load.go; figures for operators: summary.go, figures.go
+//   - the load of the cell: load.go; figures for operators: summary.go, figures.go;
+//     what has waited for long: long_wait.go
 //   - interference: the model is package contention; learn.go feeds it; learned_parameters.go
 //     stores its parameters for a successor
 //   - use of the interference model: expect.go (predicted loads), filler.go (placement and CPU
@@ -123,7 +124,9 @@
 	awaitingProof     bool      // orders are held back until ownership is proved again
 	storeFreshness    storeFreshness
 	stopping          map[*task]struct{}
-	now               time.Time // as passed to the latest call
+	now               time.Time  // as passed to the latest call
+	longWaits         *LongWaits // as of longWaitsAt; nil: nothing waited for long
+	longWaitsAt       time.Time
 
 	rosterChanged     bool
 	rosterUnresolved  bool      // a roster is being stored, or it is not known whether it was
@@ -220,6 +223,7 @@
 		}
 		c.throttle(now)
 	}
+	c.sumUpLongWaits(now)
 	c.forgetEnded(now)
 	c.forgetLateStarts(now)
 	orders := c.orders
--- /dev/null
+++ b/services/dispatch/long_wait.go
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"rillsail.example/rillsail/models"
+)
+
+// Work that waits although there is room leaves no line when it is started at last, or when its owner is lost. So the log
+// and the state dump sum up, once a second, what has waited for long and why, and how much room the usable workers have.
+
+const (
+	// longWait is how long a task waits before it is summed up: as long as callers allow a job to have nothing running.
+	longWait = 3 * time.Second
+	// longWaitInterval is the time between two summaries.
+	longWaitInterval = time.Second
+)
+
+// waitReason is why a task that could run waits.
+type waitReason string
+
+const (
+	waitRecovery      waitReason = "recovery"       // a previous owner may have started it on a worker that has not answered
+	waitUnstored      waitReason = "unstored"       // losses are not stored yet
+	waitContested     waitReason = "contested"      // a suspect: other tasks may have caused its losses
+	waitNoTrialWorker waitReason = "no_trial"       // a suspect: no worker with room takes it on trial
+	waitShortWork     waitReason = "short_work"     // it leaves capacity to short work
+	waitNoRoom        waitReason = "no_room"        // no worker that stays has room for it
+	waitWorkersClosed waitReason = "workers_closed" // each worker with room is kept for suspects or not usable now
+	waitOther         waitReason = "other"          // starts are held back, or it is to start on a certain worker
+)
+
+// LongWaits sums up the tasks that have waited for longer than longWait, as far as this owner knows. Filler tasks, for
+// which nothing is owed, are left out.
+type LongWaits struct {
+	Tasks   map[waitReason]int `json:"tasks"`
+	Longest models.Milli       `json:"longest_ms"`
+	Task    string             `json:"task"`     // that has waited longest
+	Reason  waitReason         `json:"reason"`   // why that one waits
+	Usable  int                `json:"usable"`   // workers
+	FreeCPU models.MilliCPU    `json:"free_cpu"` // on usable workers, in thousandths of a core
+}
+
+// sumUpLongWaits updates the summary of what waits for long, and logs it, at most each longWaitInterval.
+func (c *Core) sumUpLongWaits(now time.Time) {
+	if now.Sub(c.longWaitsAt) < longWaitInterval {
+		return
+	}
+	c.longWaitsAt = now
+	c.longWaits = c.findLongWaits(now)
+	if waits := c.longWaits; waits != nil {
+		c.config.Logger.Info("tasks wait for long", zap.Any("tasks", waits.Tasks), zap.Duration("longest", waits.Longest.Duration()),
+			zap.String("task", waits.Task), zap.String("reason", string(waits.Reason)), zap.Int("usable", waits.Usable), zap.Int64("free_cpu", int64(waits.FreeCPU)))
+	}
+}
+
+// findLongWaits returns the summary of what waits for long; nil: nothing.
+func (c *Core) findLongWaits(now time.Time) *LongWaits {
+	waits := &LongWaits{Tasks: map[waitReason]int{}}
+	for _, s := range c.stepsWithIdleTasks() {
+		c.addLongWaits(waits, s, now)
+	}
+	if len(waits.Tasks) == 0 {
+		return nil
+	}
+	for _, w := range c.sortedWorkers {
+		if c.usable(w, now) {
+			waits.Usable++
+			waits.FreeCPU += w.free().CPU
+		}
+	}
+	return waits
+}
+
+// addLongWaits adds the tasks of a step that wait for long.
+func (c *Core) addLongWaits(waits *LongWaits, s *step, now time.Time) {
+	var hasRoom, roomKnown bool // of all tasks of the step
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		waited := now.Sub(latest(t.idleSince, s.openedAt))
+		if t.state != taskWaiting && t.state != taskUnknown || waited < longWait {
+			continue
+		}
+		if !roomKnown {
+			hasRoom, roomKnown = c.hasRoom(s), true
+		}
+		waits.add(t, c.waitReasonOf(t, hasRoom, now), waited)
+	}
+}
+
+func (l *LongWaits) add(t *task, reason waitReason, waited time.Duration) {
+	l.Tasks[reason]++
+	if ms := models.MilliOf(waited); ms > l.Longest {
+		l.Longest, l.Task, l.Reason = ms, t.id().String(), reason
+	}
+}
+
+// stepsWithIdleTasks returns the opened steps that may have tasks that do not run, without those of filler tasks.
+func (c *Core) stepsWithIdleTasks() []*step {
+	var steps []*step
+	for _, s := range c.waitingSteps {
+		if s.mayHaveIdleTasks() {
+			steps = append(steps, s)
+		}
+	}
+	if !c.recovering {
+		return steps
+	}
+	for _, j := range c.jobs {
+		for _, s := range j.steps {
+			if !s.inWaitingSteps && s.opened && s.mayHaveIdleTasks() {
+				steps = append(steps, s)
+			}
+		}
+	}
+	return steps
+}
+
+func (s *step) mayHaveIdleTasks() bool {
+	return !s.spec.Filler && s.done < len(s.tasks) && s.job.end == "" && !s.job.cancelled
+}
+
+// waitReasonOf returns why a task does not run.
+func (c *Core) waitReasonOf(t *task, hasRoom bool, now time.Time) waitReason {
+	switch {
+	case t.state == taskUnknown:
+		return waitRecovery
+	case c.awaitingProof:
+		return waitOther
+	case !t.lossesAreStored() || c.takeovers.blocksStarts(t.step.job):
+		return waitUnstored
+	case !hasRoom:
+		return waitNoRoom
+	case t.suspected() && t.trialWait.contested:
+		return waitContested
+	case t.suspected() && !t.trialWait.noWorkerSince.IsZero():
+		return waitNoTrialWorker
+	case now.Sub(t.leftCapacityAt) < capacityLeftFor:
+		return waitShortWork
+	case !t.step.stuckSince.IsZero():
+		return waitWorkersClosed
+	default:
+		return waitOther
+	}
+}
--- /dev/null
+++ b/services/dispatch/long_wait_test.go
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// longWaitBench is a core whose lines about long waits are kept.
+type longWaitBench struct {
+	*bench
+	logged *observer.ObservedLogs
+}
+
+func newLongWaitBench(t *testing.T, workers int) longWaitBench {
+	t.Helper()
+	b := newBench(t, workers)
+	core, logged := observer.New(zap.InfoLevel)
+	b.config.Logger = zap.New(core)
+	return longWaitBench{b, logged}
+}
+
+// waits lets the workers in the list report for some time and returns the lines about long waits of that time.
+func (b longWaitBench) waits(passed time.Duration, reporting ...int) []map[string]any {
+	b.logged.TakeAll()
+	for until := b.now.Add(passed); b.now.Before(until); {
+		for _, n := range reporting {
+			b.report(n, jobs.Report{})
+		}
+		b.store()
+		b.Decide(b.now)
+	}
+	var lines []map[string]any
+	for _, entry := range b.logged.FilterMessage("tasks wait for long").All() {
+		lines = append(lines, entry.ContextMap())
+	}
+	return lines
+}
+
+// TestLongWaitsAreSummedUpByReason guards against tasks that wait beside free workers without a trace of why, and with
+// how much room.
+func TestLongWaitsAreSummedUpByReason(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(b longWaitBench)
+		reason  waitReason
+	}{
+		"the cell recovers": {func(b longWaitBench) {
+			b.RestoreRoster(jobs.Roster{Workers: b.Workers()}, b.now)
+			b.AddJob(b.job(singleTaskStep), jobs.Progress{}, false, b.now)
+		}, waitRecovery},
+		"no worker is large enough": {func(b longWaitBench) {
+			b.AddJob(b.job(jobs.Step{Count: 1, Size: oversizedStep.Size, Estimate: 500}), jobs.Progress{}, true, b.now)
+		}, waitNoRoom},
+		"a suspect, the worker is kept for another one": {func(b longWaitBench) {
+			lost := []jobs.LostRun{lostRunWith(lossShared, 1, 4, 3), lostRunWith(lossAlone, 2, 4, 3)}
+			b.AddJob(b.job(singleTaskStep), jobs.Progress{Suspected: jobs.Suspicions{0: {0: {Lost: lost}}}}, true, b.now)
+			b.workers[b.ids[0]].reservedUntil = b.now.Add(time.Minute)
+		}, waitNoTrialWorker},
+		"the worker is kept for suspects": {func(b longWaitBench) {
+			b.AddJob(b.job(singleTaskStep), jobs.Progress{}, true, b.now)
+			b.workers[b.ids[0]].reservedUntil = b.now.Add(time.Minute)
+		}, waitWorkersClosed},
+		"room is left to short work": {func(b longWaitBench) {
+			lasting := waitSuspectStep
+			lasting.Size.CPU = 3500
+			b.AddJob(b.job(lasting), jobs.Progress{}, true, b.now)
+			short := b.job(jobs.Step{Count: 4, Size: oversizedStep.Size, Estimate: 500})
+			short.Spec.ID = otherJob
+			b.AddJob(short, jobs.Progress{}, true, b.now)
+		}, waitShortWork},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newLongWaitBench(t, 2)
+			b.workers[b.ids[1]].info.Draining = true
+			c.prepare(b)
+			require.Empty(t, b.waits(longWait-200*time.Millisecond, 0), "nothing waits for long yet")
+			lines := b.waits(longWaitInterval+200*time.Millisecond, 0)
+			require.NotEmpty(t, lines)
+			require.LessOrEqual(t, len(lines), 2, "once a second")
+			require.Contains(t, lines[0]["tasks"], c.reason)
+			require.EqualValues(t, 1, lines[0]["usable"])
+			require.EqualValues(t, 4000, lines[0]["free_cpu"])
+			require.Positive(t, b.Summary(b.now).LongWaits.Tasks[c.reason])
+		})
+	}
+}
+
+// TestContestedSuspectsAreSummedUp guards against the same for tasks that wait for the outcome of another one.
+func TestContestedSuspectsAreSummedUp(t *testing.T) {
+	b := longWaitBench{bench: newSharedSuccessor(t, maxLosses-2)}
+	core, logged := observer.New(zap.InfoLevel)
+	b.config.Logger, b.logged = zap.New(core), logged
+	b.waits(time.Second, 0) // one of them is on trial, and its worker is silent from now on
+	lines := b.waits(longWait+longWaitInterval, 1)
+	require.NotEmpty(t, lines)
+	require.Equal(t, map[waitReason]int{waitContested: 1}, lines[0]["tasks"])
+}
+
+// TestNothingIsSummedUpOnceNothingWaits guards against a state dump that shows waits that are over, and against lines
+// about tasks whose step has not been opened, or that have just begun to wait.
+func TestNothingIsSummedUpOnceNothingWaits(t *testing.T) {
+	b := newLongWaitBench(t, 1)
+	b.AddJob(b.job(jobs.Step{Count: 1, Size: oversizedStep.Size, Estimate: 500}), jobs.Progress{}, true, b.now)
+	require.NotEmpty(t, b.waits(longWait+longWaitInterval, 0))
+	require.NotNil(t, b.Summary(b.now).LongWaits)
+	b.workers[b.ids[0]].info.Capacity = models.Resources{CPU: 8000, Memory: 8000}
+	require.Empty(t, b.waits(longWaitInterval, 0))
+	require.Nil(t, b.Summary(b.now).LongWaits)
+}
+
+// TestStepThatIsNotOpenDoesNotWait guards against lines about tasks whose step has just been opened.
+func TestStepThatIsNotOpenDoesNotWait(t *testing.T) {
+	b := newLongWaitBench(t, 1)
+	second := jobs.Step{Count: 1, Size: oversizedStep.Size, After: []int{0}}
+	b.AddJob(b.job(singleTaskStep, second), jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	start := b.startOne(t)
+	row := jobs.Run{Task: start.Call.Task, Run: start.Call.Run}
+	for until := b.now.Add(2 * longWait); b.now.Before(until); {
+		b.report(0, jobs.Report{Running: []jobs.Run{row}})
+		b.Decide(b.now)
+	}
+	b.report(0, jobs.Report{Ended: []jobs.Ended{{Number: 1, Task: row.Task, Run: row.Run, How: jobs.EndSucceeded}}})
+	require.Empty(t, b.waits(longWait/2, 0))
+	require.NotEmpty(t, b.waits(longWait/2+longWaitInterval, 0))
+}
--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -20,6 +20,7 @@
 	done            int                     // tasks that have succeeded
 	waiting         int                     // tasks that are waiting
 	opened          bool                    // the steps that it depends on are done, and its time has come
+	openedAt        time.Time               // when that was so
 	inWaitingSteps  bool                    // is among the core's steps with waiting tasks
 	backoff         time.Time               // workers are not searched for its tasks before then
 	stuckSince      time.Time               // since when no worker can take a waiting task; zero: the last search found one
@@ -60,7 +61,9 @@
 		if due := j.spec.DueAt(s.occurrence); c.timeOfDay(now) < due {
 			continue
 		}
-		s.opened = s.mayOpen()
+		if s.opened = s.mayOpen(); s.opened {
+			s.openedAt = now
+		}
 		c.listWaiting(s)
 	}
 }
--- a/services/dispatch/summary.go
+++ b/services/dispatch/summary.go
@@ -27,6 +27,8 @@
 	RecoveryWait *RecoveryWait `json:"recovery_wait,omitempty"`
 	// LeavingCapacity is how many of the waiting tasks leave free capacity to short work.
 	LeavingCapacity int `json:"leaving_capacity"`
+	// LongWaits sums up the tasks that wait for long, as of the last second; left out: none.
+	LongWaits *LongWaits `json:"long_waits,omitempty"`
 	// ReportAge is the median age of the reports of listed workers.
 	ReportAge models.Milli `json:"report_age_ms"`
 }
@@ -34,7 +36,7 @@
 // Summary returns the core's state in figures.
 func (c *Core) Summary(now time.Time) Summary {
 	s := Summary{Jobs: len(c.jobs), Workers: len(c.sortedWorkers), Unstored: len(c.dirty), Recovering: c.recovering, RecoveryWait: c.recoveryWait(now)}
-	s.LeavingCapacity = c.countLeavingCapacity(now)
+	s.LeavingCapacity, s.LongWaits = c.countLeavingCapacity(now), c.longWaits
 	for _, step := range c.waitingSteps {
 		s.Waiting += step.waiting
 	}
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -50,6 +50,7 @@
 	startUnanswered         bool             // a start of the run has no answer and may still be carried out
 	fromPreviousIncarnation bool             // ordered at the worker's previous incarnation; has to be barred at the present one
 	waitingSince            time.Time        // since when the task waits; zero: waiting for long, or moved from another cell
+	idleSince               time.Time        // since when this owner has known the task, or knows that it does not run, whichever is later
 	lastRunAt               time.Time        // when it was last known to run, or else when its job was added; zero: not known to this owner
 	leftCapacityAt          time.Time        // when it last left capacity to short work instead of starting
 	trialWait               trialWait        // why it has not been tried yet since it waits; for suspects
@@ -76,6 +77,7 @@
 // initTask sets a task of a new job to waiting, or to unknown while it may run on a worker that has not
 // reported yet.
 func (c *Core) initTask(t *task) {
+	t.idleSince = c.now
 	switch {
 	case t.state == taskDone, t.state == taskElsewhere:
 	case c.mayRunUnobserved(t):
@@ -126,7 +128,7 @@
 	}
 	if t.state != taskWaiting {
 		t.step.waiting++
-		t.waitingSince = c.now
+		t.waitingSince, t.idleSince = c.now, c.now
 	}
 	t.state = taskWaiting
 	c.listWaiting(t.step)
--- a/services/dispatch/trial_wait.go
+++ b/services/dispatch/trial_wait.go
@@ -14,6 +14,7 @@
 // begins anew with each run and with each owner: a successor does not know since when a task waits for a place.
 type trialWait struct {
 	contestedSince  time.Time // since when it was first not tried because other tasks may have caused its losses; zero: it never was, or there is no room
+	contested       bool      // other tasks may have caused its losses, as of when it was last considered
 	contestedLogged bool
 	noWorkerSince   time.Time // since when it first found no worker that takes it; zero: it always found one, or there is no room
 	noWorkerLogged  bool
@@ -56,6 +57,7 @@
 // the begin of the wait.
 func (c *Core) recordContested(t *task, now time.Time) {
 	wait := &t.trialWait
+	wait.contested = true
 	beginWait(&wait.contestedSince, c.hasRoom(t.step), now)
 	if wait.contestedLogged {
 		return
@@ -77,6 +79,7 @@
 // the workers with free capacity do not take it.
 func (c *Core) recordNoWorker(t *task, hasRoom bool, now time.Time) {
 	wait := &t.trialWait
+	wait.contested = false
 	beginWait(&wait.noWorkerSince, hasRoom, now)
 	if wait.noWorkerLogged || !lasted(wait.noWorkerSince, now, longTrialWait) {
 		return
