A suspect that came from another cell is tried where it is

Callers saw a task that had lost two runs wait beside free room while two cells handed it to each other. In each cell a worker with a suspect that has outlived its trial counts as a place (Places), but takes another suspect only after it has waited for maxTrialWait, and each cell began that wait anew. After 400 ms the task was offered on.

A suspect that came from another cell and has not run since, or that has waited for maxTrialWait, is no longer offered while a usable worker has room for it. So it waits for 0.4 s, one move and 2 s, and is offered once, so that idle workers of another cell still take it. Counting spared workers as no places was not done: other cells' owners ask without saying whether a demand is for a suspect.

--- a/services/dispatch/divided_jobs.go
+++ b/services/dispatch/divided_jobs.go
@@ -42,7 +42,7 @@
 			case holds && t.state == taskElsewhere:
 				t.run = max(t.run, record.HighestRun)
 				t.suspicion, t.unobservedAtTakeover = record.Suspected[flat][i], 0
-				t.trialWait, t.idleSince = trialWait{}, c.now
+				t.trialWait, t.idleSince, t.cameWaiting = trialWait{}, c.now, true
 				c.trackLosses(t)
 				t.state = taskWaiting
 				s.waiting++
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -129,20 +129,30 @@
 }
 
 // addWaiting adds the step's waiting tasks to a move, without those that may start only on a certain worker of this cell
-// now.
+// now, and suspects whose wait for a trial would begin anew.
 func (c *Core) addWaiting(move *Move, s *step) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != taskWaiting {
 			continue
 		}
-		if _, only := c.awaitsLateStartWorker(t, c.now); only {
+		if _, only := c.awaitsLateStartWorker(t, c.now); only || c.awaitsTrialHere(t) {
 			continue
 		}
 		move.add(t)
 	}
 }
 
+// awaitsTrialHere reports whether a waiting suspect is tried in this cell: a worker has room for it, and it came from
+// another cell, or has waited for a worker without other suspects as long as it may. In each cell that it is handed to it
+// would wait as long once more, while a worker with another suspect counts as a place there.
+func (c *Core) awaitsTrialHere(t *task) bool {
+	if !t.suspected() || !t.cameWaiting && !t.hasWaitedForWorker(c.now) {
+		return false
+	}
+	return slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return c.mayTakeSuspect(w, t.step, c.now) })
+}
+
 // add adds a waiting task.
 func (m *Move) add(t *task) {
 	flat := t.step.flat()
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -52,6 +52,7 @@
 	waitingSince            time.Time        // since when the task waits; zero: waiting for long, or moved from another cell
 	idleSince               time.Time        // since when this owner has known the task, or knows that it does not run, whichever is later
 	lastRunAt               time.Time        // when it was last known to run, or else when its job was added; zero: not known to this owner
+	cameWaiting             bool             // it came from another cell and has not run since
 	leftCapacityAt          time.Time        // when it last left capacity to short work instead of starting
 	trialWait               trialWait        // why it has not been tried yet since it waits; for suspects
 	startedAt               time.Time        // when the run was ordered, then when it was known to be under way
@@ -77,7 +78,7 @@
 // initTask sets a task of a new job to waiting, or to unknown while it may run on a worker that has not
 // reported yet.
 func (c *Core) initTask(t *task) {
-	t.idleSince = c.now
+	t.idleSince, t.cameWaiting = c.now, t.step.job.fromOtherCell
 	switch {
 	case t.state == taskDone, t.state == taskElsewhere:
 	case c.mayRunUnobserved(t):
@@ -112,6 +113,7 @@
 // requeue puts a task that is proved not to run back among the waiting tasks.
 func (c *Core) requeue(t *task) {
 	c.unassign(t)
+	t.cameWaiting = false
 	if t.state == taskDone {
 		return
 	}
