A long-running task that has lost nothing starts between two trials

Callers saw a long-running task without losses wait for 11.3 s beside eight suspects of older jobs and two workers with room (17.3 s beside twelve). A worker with a suspect on trial takes nothing but suspects, and when the trial ended the next suspect of an older job was considered first, so that the task waited for the trials of all of them. Short tasks are more urgent and did not.

Once such a task has waited for maxTrialWait beside room, it keeps one worker, the one whose trials end first, from further trials until it has started there: 2 s and one trial of at most 3 s. Only the task's step starts on that worker meanwhile, and at most a quarter of the workers are kept.

Tried and taken back: the same for short tasks. Without keeping the worker to the step that waited, newer and more urgent jobs took each kept worker, and the step that had waited kept one after the other.

--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -93,6 +93,7 @@
 		}
 		if len(places) == 0 {
 			s.recordNoPlace(now)
+			c.keepFromTrials(s, now)
 			c.logCordonWait(s, now)
 			return
 		}
@@ -108,6 +109,7 @@
 		}
 		c.rescoreFirst(&places, s, now)
 	}
+	s.closedSince = time.Time{}
 }
 
 // recordNoPlace records that no worker can take a waiting task of the step.
@@ -127,6 +129,9 @@
 	if t.step.spec.Filler {
 		w.fillersChangedAt = now
 	}
+	if w.keptFor == t.step {
+		w.keptFor, w.keptUntil = nil, time.Time{}
+	}
 	w.add(t)
 	c.takeShortCapacity(t)
 	c.startsLeft--
--- a/services/dispatch/places.go
+++ b/services/dispatch/places.go
@@ -71,7 +71,7 @@
 
 // mayTake reports whether a task of the step may start on the worker now.
 func (c *Core) mayTake(w *worker, s *step, now time.Time) bool {
-	return !w.isReserved(now) && c.mayTakeSuspect(w, s, now)
+	return !w.isReserved(now) && !w.isKeptForOther(s, now) && c.mayTakeSuspect(w, s, now)
 }
 
 // isReserved reports whether only suspects may start on the worker.
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -110,7 +110,7 @@
 	weak := t.isWeakSuspect()
 	var ready, busy, shared, spared, avoided *worker
 	for _, w := range workers {
-		if !c.mayTakeSuspect(w, t.step, now) || w.isReservedForOther(t, now) || w.hasUndecidedSharer(t, now) {
+		if !c.mayTakeSuspect(w, t.step, now) || w.isKeptFromTrials(now) || w.isReservedForOther(t, now) || w.hasUndecidedSharer(t, now) {
 			continue
 		}
 		losses := w.maxSuspectLosses()
