A task of five possible losses doesn't wait for a trial that ends after its wait

Callers saw the last of four tasks that were lost together, and may have lost five runs each, wait for 8 s after a takeover beside idle workers, 7 s allowed. Each waited for the trial of the one before (3 s each), the last one until maxLastTrialWait was over.

The last 2 s of that wait could change nothing: the task is abandoned only if the others outlive their trials, and the trial that began after 6.1 s ends after 9.1 s. If the other task crashes its worker meanwhile, that speaks for the one that waits. So the task starts as soon as the trials under way last longer than its wait, unless its losses suffice without those that it shares with them.

What is left: a task still waits for 8 s where the trials end within that time (six tasks with trials of 2 s: 8.1 s, a trial). A shorter maxLastTrialWait was not chosen: the ends of two workers lost in turn are known only after some 6.8 s.

--- a/services/dispatch/shared.go
+++ b/services/dispatch/shared.go
@@ -77,7 +77,7 @@
 	switch {
 	case len(others) == 0 || t.crashesWithout(others):
 		return verdictCrashes
-	case c.isTriedBefore(t, others) || t.hasWaitedForOthers(now):
+	case c.isTriedBefore(t, others) || t.hasWaitedForOthers(now) || t.waitsInVain(others):
 		return verdictOpen // the next run decides
 	default:
 		return verdictContested
@@ -92,6 +92,24 @@
 	return lasted(t.trialWait.contestedSince, now, maxTrialWait)
 }
 
+// waitsInVain reports whether a task that may have lost maxLosses runs can't be abandoned any more before it has waited for as
+// long as it may: the trials of others last longer than that, and the losses that it does not share with them do not
+// suffice. If one of these others crashes its worker meanwhile, that speaks for the task.
+func (t *task) waitsInVain(others []*task) bool {
+	if t.losses() < maxLosses || t.trialWait.contestedSince.IsZero() {
+		return false
+	}
+	until := t.trialWait.contestedSince.Add(maxLastTrialWait)
+	var undecided []*task
+	for _, other := range others {
+		started := other.state == taskStarting || other.state == taskRunning
+		if started && other.startedAt.Add(other.trialTime()).After(until) {
+			undecided = append(undecided, other)
+		}
+	}
+	return len(undecided) > 0 && !t.crashesWithout(undecided)
+}
+
 // undecidedSharers returns the other tasks that share a loss with the task and that may or may not crash their
 // workers.
 func (c *Core) undecidedSharers(t *task, now time.Time) []*task {
--- a/services/dispatch/shared_wait_test.go
+++ b/services/dispatch/shared_wait_test.go
@@ -102,3 +102,31 @@
 		require.LessOrEqual(t, b.now.Sub(taken), allowedAfterATakeover, "a task waits beside idle workers")
 	}
 }
+
+// TestTaskThatAllOthersOutlivedIsNotTried guards against a sixth start of a task that crashes its workers: it was tried
+// although the trials of all tasks that share its losses end before it has waited for as long as it may.
+func TestTaskThatAllOthersOutlivedIsNotTried(t *testing.T) {
+	const tasks = 3
+	b := newBench(t, tasks)
+	for n := range tasks {
+		record := b.job(waitSuspectStep)
+		record.Spec.ID = jobs.ID(fmt.Sprintf("00000000000000c%d", n))
+		shared := lostRunWith(lossShared, 1, 9, 8)
+		shared.RanAtMost = 1500
+		alone := lostRunWith(lossThird+jobs.WorkerLossID(n), 2, 5, 4)
+		b.AddJob(record, jobs.Progress{Suspected: jobs.Suspicions{0: {0: {Lost: []jobs.LostRun{shared, alone}, Unobserved: maxLosses - 2}}}}, true, b.now)
+	}
+	last := jobs.ID("00000000000000c2")
+	rows := make([][]jobs.Run, tasks)
+	for reports := 0; b.jobs[last] != nil && b.jobs[last].end == ""; reports++ {
+		b.report(reports%tasks, jobs.Report{Running: rows[reports%tasks]})
+		b.store()
+		for _, start := range b.storedStarts() {
+			require.NotEqual(t, last, start.Call.Task.Job)
+			b.Started(start, Result{Outcome: OutcomeDone}, b.now)
+			n := slices.Index(b.ids, start.Worker.ID)
+			rows[n] = append(rows[n], jobs.Run{Task: start.Call.Task, Run: start.Call.Run})
+		}
+		require.Less(t, reports, 100)
+	}
+}
