Plays of many long-running tasks after owners were lost in turn

204 long-running tasks and short jobs on 48 workers, which restart in groups while two to four owners are lost.

The line 'tasks wait for long' tells why: hundreds of suspects that are no weak ones are tried one a worker, 3 s each, and short tasks without losses find only workers on trial. It is not mended here.

--- a/services/dispatch/trial_wait_test.go
+++ b/services/dispatch/trial_wait_test.go
@@ -84,7 +84,8 @@
 	stored      waitStore
 
 	longestJob, longestTask time.Duration
-	longestOrdinary         time.Duration // of jobs that lost no run
+	longestOrdinary         time.Duration                // of jobs that lost no run
+	longestByLosses         [maxLosses + 1]time.Duration // of long-running tasks, by the number of losses; the last one: that number or more
 	late                    map[string]struct{}
 }
 
@@ -293,7 +294,10 @@
 	if !idle || t == nil || !t.step.spec.LongRunning || p.lastRestart.IsZero() {
 		return
 	}
-	p.longestTask = max(p.longestTask, p.now.Sub(latest(since, p.lastRestart)))
+	waited := p.now.Sub(latest(since, p.lastRestart))
+	p.longestTask = max(p.longestTask, waited)
+	longest := &p.longestByLosses[min(t.losses(), maxLosses)]
+	*longest = max(*longest, waited)
 	if p.now.Sub(since) > waitAllowedLasting && p.now.Sub(p.lastRestart) > waitCalm {
 		p.late[id.String()] = struct{}{}
 	}
