--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -20,9 +20,11 @@
 	done            int                     // tasks that have succeeded
 	waiting         int                     // tasks that are waiting
 	opened          bool                    // the steps that it depends on are done, and its time has come
+	openedAt        time.Time               // when that was so
 	inWaitingSteps  bool                    // is among the core's steps with waiting tasks
 	backoff         time.Time               // workers are not searched for its tasks before then
 	stuckSince      time.Time               // since when no worker can take a waiting task; zero: the last search found one
+	closedSince     time.Time               // long-running steps: since when no worker takes a task that is no suspect although there is room; zero: one does
 	baseline        contention.BaselineLoad // baseline load of a serving step
 	aloneReportedAt time.Time               // when a task of it without filler tasks beside it was last reported
 }
@@ -60,7 +62,9 @@
 		if due := j.spec.DueAt(s.occurrence); c.timeOfDay(now) < due {
 			continue
 		}
-		s.opened = s.mayOpen()
+		if s.opened = s.mayOpen(); s.opened {
+			s.openedAt = now
+		}
 		c.listWaiting(s)
 	}
 }
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -50,7 +50,9 @@
 	startUnanswered         bool             // a start of the run has no answer and may still be carried out
 	fromPreviousIncarnation bool             // ordered at the worker's previous incarnation; has to be barred at the present one
 	waitingSince            time.Time        // since when the task waits; zero: waiting for long, or moved from another cell
+	idleSince               time.Time        // since when this owner has known the task, or knows that it does not run, whichever is later
 	lastRunAt               time.Time        // when it was last known to run, or else when its job was added; zero: not known to this owner
+	cameWaiting             bool             // it came from another cell and has not run since
 	leftCapacityAt          time.Time        // when it last left capacity to short work instead of starting
 	trialWait               trialWait        // why it has not been tried yet since it waits; for suspects
 	startedAt               time.Time        // when the run was ordered, then when it was known to be under way
@@ -76,6 +78,7 @@
 // initTask sets a task of a new job to waiting, or to unknown while it may run on a worker that has not
 // reported yet.
 func (c *Core) initTask(t *task) {
+	t.idleSince, t.cameWaiting = c.now, t.step.job.fromOtherCell
 	switch {
 	case t.state == taskDone, t.state == taskElsewhere:
 	case c.mayRunUnobserved(t):
@@ -110,6 +113,7 @@
 // requeue puts a task that is proved not to run back among the waiting tasks.
 func (c *Core) requeue(t *task) {
 	c.unassign(t)
+	t.cameWaiting = false
 	if t.state == taskDone {
 		return
 	}
@@ -126,7 +130,7 @@
 	}
 	if t.state != taskWaiting {
 		t.step.waiting++
-		t.waitingSince = c.now
+		t.waitingSince, t.idleSince = c.now, c.now
 	}
 	t.state = taskWaiting
 	c.listWaiting(t.step)
