--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -171,8 +171,10 @@
 
 // startDaemonAs starts a daemon's process under a name, which is also its address.
 func (w *testCluster) startDaemonAs(name string) *testDaemon {
+	w.mu.Lock()
 	w.processesStarted++
 	process := w.processesStarted
+	w.mu.Unlock()
 	ctx, cancel := context.WithCancel(w.ctx)
 	d := &testDaemon{cluster: w, name: name, cancel: cancel, done: make(chan struct{}), cutFrom: map[jobs.WorkerID]bool{}, vmSuspension: &suspension{}}
 	ids := 0
