The last proof of an owner is known from the daemons that vouched for it

Callers saw accepted work that could run and doesn't.

Cause: a clock that begins when something is proved, and not when it was. Witnesses vouched for proofs by workers' answers only, so that they could not tell when the last proof was.

Now any proof counts only as far as more than a third of the witnesses have vouched, by answers to calls sent later, and a witness that is asked to stop tells how long ago it last vouched. If too few answer, the owner stores another list, of those that vouch at that moment or none, and goes on. The latest of the times that n - n/3 witnesses tell is no earlier than the last proof.

--- a/contrib/mutations.sh
+++ b/contrib/mutations.sh
@@ -20,7 +20,7 @@
 tests() {
 	go test -skip "^($red)\$" ./services/dispatch
 	go test ./platform -run 'Lives|Incarnation|NotAsked|NotAnswered'
-	go test ./services/control -run 'UnderItsID|UsedSoon|NewIncarnation|LateAcknowledgement|AllTheTime|FormerIncarnationSays|Successor|RefusedConnection|EndsAClaim|ClaimEnd|AnotherDaemonAt|ClaimsOf|ATakeover|NotListed|Unlisted|TellsNoEnd|Witness|GoneForGoodBehind'
+	go test ./services/control -run 'UnderItsID|UsedSoon|NewIncarnation|LateAcknowledgement|AllTheTime|FormerIncarnationSays|Successor|RefusedConnection|EndsAClaim|OtherDaemons|OwnersVM|LostOwner|ClaimEnd|AnotherDaemonAt|ClaimsOf|ATakeover|NotListed|Unlisted|TellsNoEnd|Witness|GoneForGoodBehind'
 }
 
 missed=0
--- a/models/jobs/claims.go
+++ b/models/jobs/claims.go
@@ -36,6 +36,11 @@
 	return nil
 }
 
+// Names reports whether a claim of the list is by a daemon.
+func (c Claims) Names(daemon string) bool {
+	return slices.ContainsFunc(c.Owners, func(owner Owner) bool { return owner.Daemon == daemon })
+}
+
 // With returns the list with one more claim. A list that is full becomes incomplete.
 func (c Claims) With(claim Owner) Claims {
 	owners := append(slices.Clone(c.Owners), claim)
--- a/models/jobs/witness.go
+++ b/models/jobs/witness.go
@@ -3,13 +3,17 @@
 
 package jobs
 
-import "github.com/cockroachdb/errors"
+import (
+	"github.com/cockroachdb/errors"
+
+	"rillsail.example/rillsail/models"
+)
 
 // ProcessID identifies a process of a daemon. Each process draws a new one.
 type ProcessID string
 
 // Witness is the process of another daemon that vouches for a claim until a later owner of the cell asks it to stop.
-// The workers' answers prove ownership only while enough witnesses vouch for it.
+// Nothing proves ownership to an owner that has witnesses but up to the time at which enough of them vouched for it.
 type Witness struct {
 	Daemon  string    `json:"daemon"`
 	Address string    `json:"address"` // at which other daemons call it
@@ -24,7 +28,7 @@
 	return nil
 }
 
-// MaxWitnesses is how many witnesses a claim names. More of them cost an owner more calls in an outage of the store.
+// MaxWitnesses is how many witnesses a claim names. More of them cost a successor more calls.
 const MaxWitnesses = 8
 
 // checkWitnesses rejects too many witnesses, an invalid one, or a daemon that is named twice.
@@ -68,4 +72,7 @@
 	// Vouches says that no later owner had asked the process to stop. It holds for an earlier time as well, and so for
 	// the time at which the call was sent.
 	Vouches bool `json:"vouches,omitempty"`
+	// Ago is how long before the answer to a call to stop the process last vouched for an earlier owner, at least. It is
+	// the time since the process began if it never did.
+	Ago models.Milli `json:"ago_ms,omitempty"`
 }
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -120,7 +121,7 @@
 	}
 	owner.Witnesses = c.findWitnesses(ctx)
 	taken := c.config.Clock.Read()
-	previous, version, err := c.commitClaim(ctx, cell, owner, lease)
+	previous, version, err := c.commitClaim(ctx, cell, &owner, lease)
 	if errors.Is(err, platform.ErrUnknownOutcome) {
 		version, err = c.resolveClaim(ctx, cell, owner)
 	}
@@ -143,10 +144,11 @@
 	previous previousOwners
 }
 
-// commitClaim makes a claim and adds it to the cell's list of claims. It returns the owners before it. The list is
+// commitClaim makes a claim and adds it to the cell's list of claims. It returns the owners before it, whose daemons are no
+// witnesses of the claim yet: the last of them has probably just been lost, and is still registered. The list is
 // incomplete if an owner that came after all of those on the list has stored something: daemons of older versions do not
 // list their claims. An owner that has stored nothing has started nothing.
-func (c *Cells) commitClaim(ctx context.Context, cell jobs.CellName, owner jobs.Owner, lease platform.LeaseID) (previousOwners, platform.Version, error) {
+func (c *Cells) commitClaim(ctx context.Context, cell jobs.CellName, owner *jobs.Owner, lease platform.LeaseID) (previousOwners, platform.Version, error) {
 	previous, listed, err := c.readClaims(ctx, cell)
 	if err != nil {
 		return previousOwners{}, 0, err
@@ -156,8 +158,9 @@
 		return previousOwners{}, 0, err
 	}
 	previous.Incomplete = previous.Incomplete || last.Epoch > jobs.Epoch(listed)
+	owner.Witnesses = slices.DeleteFunc(owner.Witnesses, func(w jobs.Witness) bool { return previous.Names(w.Daemon) })
 	key := owner.WithoutWitnesses()
-	writes, err := encodeWrites([]keyValue{{ownerKey(cell), key}, {markerKey(cell), key}, {claimsKey(cell), previous.With(owner)}})
+	writes, err := encodeWrites([]keyValue{{ownerKey(cell), key}, {markerKey(cell), key}, {claimsKey(cell), previous.With(*owner)}})
 	if err != nil {
 		return previousOwners{}, 0, err
 	}
--- a/services/control/claim_ends.go
+++ b/services/control/claim_ends.go
@@ -67,8 +67,8 @@
 }
 
 // forgetOld removes the entries that are older than claimMemory.
-func forgetOld(entries map[string]time.Time, now time.Time) {
-	maps.DeleteFunc(entries, func(_ string, at time.Time) bool { return now.Sub(at) > claimMemory })
+func forgetOld[K comparable](entries map[K]time.Time, now time.Time) {
+	maps.DeleteFunc(entries, func(_ K, at time.Time) bool { return now.Sub(at) > claimMemory })
 }
 
 // endClaim ends a claim of this daemon at the word of a later owner of the cell, and returns since when it has ended;
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -66,6 +66,7 @@
 	defer cancel()
 	o.group.Go(func() { o.endLoop(ctx, cancel) })
 	o.group.Go(func() { o.previousOwnersLoop(ctx) })
+	o.group.Go(func() { o.witnessLoop(ctx) })
 	o.runLoops(ctx)
 	o.end()
 	o.group.Wait()
@@ -95,7 +96,6 @@
 	o.group.Go(func() { o.storeLoop(ctx) })
 	o.group.Go(func() { o.learnLoop(ctx) })
 	o.group.Go(func() { o.moveLoop(ctx) })
-	o.group.Go(func() { o.witnessLoop(ctx) })
 	o.decideLoop(ctx)
 }
 
--- a/services/control/previous_owners.go
+++ b/services/control/previous_owners.go
@@ -33,7 +33,7 @@
 	// The mutex of the Owner protects the fields below.
 
 	ends map[string]time.Time       // by claim id: when the owner had ended
-	left map[jobs.Witness]time.Time // when the answer arrived that the process vouches for none of the claims
+	left map[jobs.Witness]time.Time // when a process that has stopped last vouched for a claim, at the latest
 	told lapseTimes                 // as the core was told last
 }
 
@@ -44,7 +44,8 @@
 	return previousOwners{claims: claims, ends: map[string]time.Time{}, left: map[jobs.Witness]time.Time{}}
 }
 
-// fencedAt returns when too few witnesses were left to a claim; false: enough may still vouch for it, or it has none.
+// fencedAt returns the time after which too few witnesses have vouched for a claim; false: enough may still vouch for it, or
+// it has none.
 func (p *previousOwners) fencedAt(claim jobs.Owner) (time.Time, bool) {
 	var times []time.Time
 	for _, witness := range claim.Witnesses {
@@ -145,13 +146,14 @@
 	o.recordLapse()
 }
 
-// askToStop asks a witness of previous owners to stop to vouch for them. A process other than the one that is named has
-// never vouched for them, and the one that is named has ended.
+// askToStop asks a witness of previous owners to stop to vouch for them. If another process answers than the one that is
+// named, that one had ended before it began.
 func (o *Owner) askToStop(ctx context.Context, witness jobs.Witness) {
-	if o.cells.askWitness(ctx, o.cell, witness, jobs.WitnessCall{Epoch: o.epoch, Stop: true}) == nil {
+	answer := o.cells.askWitness(ctx, o.cell, witness, jobs.WitnessCall{Epoch: o.epoch, Stop: true})
+	if answer == nil {
 		return
 	}
-	at := o.config.Clock.Read()
+	at := o.config.Clock.Read().Add(-answer.Ago.Duration())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.previous.left[witness] = at
--- a/services/control/witnesses.go
+++ b/services/control/witnesses.go
@@ -17,7 +17,7 @@
 
 const (
 	// witnessLoopInterval is how often an owner looks whether it has to ask its witnesses.
-	witnessLoopInterval = 200 * time.Millisecond
+	witnessLoopInterval = 100 * time.Millisecond
 	// witnessTimeout bounds a call to a witness, or to the daemon of a previous owner, so that a VM without power does
 	// not delay the next round of calls for long.
 	witnessTimeout = 300 * time.Millisecond
@@ -31,11 +31,7 @@
 		o.mu.Lock()
 		asked := o.core.WitnessesToAsk(o.config.Clock.Now())
 		o.mu.Unlock()
-		var group conc.WaitGroup
-		for _, witness := range asked {
-			group.Go(func() { o.askToVouch(ctx, witness) })
-		}
-		group.Wait()
+		o.askAllToVouch(ctx, asked)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -43,22 +39,41 @@
 	}
 }
 
-// askToVouch asks a witness to vouch for this owner. A witness that has stopped names a later owner.
-func (o *Owner) askToVouch(ctx context.Context, witness jobs.Witness) {
+// askToVouch asks a witness to vouch for this owner, and reports whether it does. A witness that has stopped has heard of a
+// later owner.
+func (o *Owner) askToVouch(ctx context.Context, witness jobs.Witness) bool {
 	sent := o.config.Clock.Read()
 	o.config.Scope.Counter("witness_calls").Inc(1)
 	answer := o.cells.askWitness(ctx, o.cell, witness, jobs.WitnessCall{Epoch: o.epoch})
 	if answer == nil || answer.Process != witness.Process {
-		return
+		return false
 	}
 	if !answer.Vouches {
 		o.cells.dropOwner(o.cell, o, "a witness has been asked to stop by a later owner")
-		return
+		return false
 	}
 	o.mu.Lock()
 	o.core.Vouched(witness, sent)
 	o.mu.Unlock()
 	wake(o.wakeDecide)
+	return true
+}
+
+// askAllToVouch asks witnesses to vouch for this owner at the same time, and returns those that do.
+func (o *Owner) askAllToVouch(ctx context.Context, witnesses []jobs.Witness) []jobs.Witness {
+	vouch := make([]bool, len(witnesses))
+	var group conc.WaitGroup
+	for n, witness := range witnesses {
+		group.Go(func() { vouch[n] = o.askToVouch(ctx, witness) })
+	}
+	group.Wait()
+	var vouching []jobs.Witness
+	for n, witness := range witnesses {
+		if vouch[n] {
+			vouching = append(vouching, witness)
+		}
+	}
+	return vouching
 }
 
 // askWitness calls the daemon of a witness, which may be this one; nil: the daemon has not answered.
@@ -167,19 +182,33 @@
 }
 
 // renewWitnesses names other witnesses in the stored list of claims when daemons have come, have gone or have another
-// process. Until it is known that the list is stored, both the former and the new witnesses have to vouch.
+// process, or when too few of those that are named answer. Only those are named that vouch for this owner now, so that it
+// never waits for one; if there are none, transactions and the workers prove its ownership alone. Until it is known that the
+// list is stored, both the former and the new witnesses have to vouch.
 func (o *Owner) renewWitnesses(ctx context.Context) {
-	now := o.config.Clock.Now()
-	if now.Sub(o.takenAt) < firstWitnessCheck || !o.witnessCheck.at.IsZero() && now.Sub(o.witnessCheck.at) < witnessCheckInterval || !o.cells.health.available() {
+	if !o.cells.health.available() {
 		return
 	}
-	daemons, err := o.cells.daemonsSince(ctx, now.Add(-firstWitnessCheck))
-	if err != nil {
+	now := o.config.Clock.Now()
+	o.mu.Lock()
+	unresolved := o.core.WitnessesUnresolved()
+	absent := unresolved || o.core.WitnessesAbsent(now)
+	o.mu.Unlock()
+	due := now.Sub(o.takenAt) >= firstWitnessCheck && (o.witnessCheck.at.IsZero() || now.Sub(o.witnessCheck.at) >= witnessCheckInterval)
+	witnesses := o.claim.Witnesses
+	switch {
+	case due && !absent:
+		daemons, err := o.cells.daemonsSince(ctx, now.Add(-firstWitnessCheck))
+		if err != nil {
+			return
+		}
+		witnesses = o.cells.chooseWitnesses(o.claim.Witnesses, daemons, o.witnessCheck.daemons)
+		o.witnessCheck = witnessCheck{now, daemons}
+	case !absent:
 		return
 	}
-	witnesses := o.cells.chooseWitnesses(o.claim.Witnesses, daemons, o.witnessCheck.daemons)
-	o.witnessCheck = witnessCheck{now, daemons}
-	if slices.Equal(witnesses, o.claim.Witnesses) {
+	witnesses = o.askAllToVouch(ctx, witnesses)
+	if slices.Equal(witnesses, o.claim.Witnesses) && !unresolved {
 		return
 	}
 	claim := o.claim
@@ -196,9 +225,9 @@
 // storeClaims stores the list of claims, whose last one is this owner's, and reports whether that is known to be done.
 func (o *Owner) storeClaims(ctx context.Context, claims jobs.Claims) bool {
 	witnesses := claims.Owners[len(claims.Owners)-1].Witnesses
-	o.mu.Lock()
-	o.core.NameWitnesses(witnesses)
-	o.mu.Unlock()
+	if !o.nameWitnesses(ctx, witnesses) {
+		return false
+	}
 	txn, err := putTxn(claimsKey(o.cell), claims)
 	if err == nil {
 		_, err = o.commitJournaled(ctx, txn)
@@ -216,3 +245,19 @@
 	o.mu.Unlock()
 	return true
 }
+
+// nameWitnesses lets proofs of ownership count only as far as these witnesses vouch, too, and reports whether they have
+// vouched after each proof so far: only then may the stored list name them.
+func (o *Owner) nameWitnesses(ctx context.Context, witnesses []jobs.Witness) bool {
+	covered := func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.core.NameWitnesses(witnesses)
+		return o.core.WitnessesCover(witnesses)
+	}
+	if covered() {
+		return true
+	}
+	o.askAllToVouch(ctx, witnesses)
+	return covered()
+}
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -125,6 +125,7 @@
 	wantsProof        bool // a transaction is wanted for the proof of ownership alone
 	wantsLapseProof   bool // the leases of a worker out of the roster are over, and a transaction has to prove it
 	awaitingProof     bool // orders are held back until ownership is proved again
+	loggedAwaiting    bool // the log says so
 	storeFreshness    storeFreshness
 	stopping          map[*task]struct{}
 	now               time.Time  // as passed to the latest call
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -105,7 +105,9 @@
 // arrives late grants no more.
 func (c *Core) grantFor(w *worker, span time.Duration, now time.Time) models.Milli {
 	lease, allowance := c.storedLease(w)
-	span = min(span, lease, c.lastProof().Add(lease+allowance).Sub(now))
+	proof := c.lastProof()
+	c.witnesses.grantedOn = latest(c.witnesses.grantedOn, proof)
+	span = min(span, lease, proof.Add(lease+allowance).Sub(now))
 	until := w.reportClock + models.MilliOf(now.Sub(w.reportedAt)+span)
 	w.leaseEnd = max(w.leaseEnd, until)
 	return until
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -25,8 +25,8 @@
 //     from them, so that its leases have to end for lack of a proof. A successor that no more than a third answer
 //     can't tell an owner that the others prove right from one whose workers are gone, and waits for maxBlindTime. So
 //     two thirds prove ownership for some time only after a transaction, or after all workers have answered: no
-//     successor can have called any of them before that. Either counts only up to the time up to which the claim's
-//     witnesses vouch for it, if it has any: see witnesses.go.
+//     successor can have called any of them before that. Each of these proofs counts only up to the time up to which the
+//     claim's witnesses vouch for it, if it has any: see witnesses.go.
 //   - to start the tasks of a silent worker elsewhere: a transaction after the worker's lease was over. Only this
 //     proves that no successor has renewed the lease.
 
@@ -53,15 +53,21 @@
 // countAnswers updates the times up to which the workers' answers prove ownership.
 func (c *Core) countAnswers(now time.Time) {
 	c.allAskedAt, c.quorumAskedAt = c.answeredSince()
-	since, witnessed := c.witnesses.vouchedSince()
-	c.lacksWitnesses = witnessed && now.Sub(since) > proofValidity && now.Sub(c.quorumAskedAt) <= proofValidity
-	if witnessed {
-		c.allAskedAt, c.quorumAskedAt = earliest(c.allAskedAt, since), earliest(c.quorumAskedAt, since)
-	}
+	c.lacksWitnesses = now.Sub(c.lastProof()) > proofValidity && now.Sub(c.lastUnwitnessedProof()) <= proofValidity
 }
 
 // lastProof returns the time of the latest proof that this core still is the cell's owner.
 func (c *Core) lastProof() time.Time {
+	proof := c.lastUnwitnessedProof()
+	if c.witnesses.named() {
+		return earliest(proof, c.witnesses.vouchedSince)
+	}
+	return proof
+}
+
+// lastUnwitnessedProof returns the time up to which transactions or the workers' answers prove ownership, for as long as
+// the witnesses vouch for it.
+func (c *Core) lastUnwitnessedProof() time.Time {
 	full := latest(c.provedAt, c.allAskedAt)
 	limit := full.Add(c.maxQuorumTime())
 	if c.quorumAskedAt.After(limit) {
@@ -91,6 +97,10 @@
 		return
 	}
 	c.awaitingProof = awaiting
+	if c.witnesses.firstAsked() || !awaiting && !c.loggedAwaiting {
+		return // each takeover begins with calls to the witnesses
+	}
+	c.loggedAwaiting = awaiting
 	if awaiting && c.lacksWitnesses {
 		c.counts.WitnessesMissing++
 	}
