Test: the owner's VM goes for good, and no worker is cut off

Nobody can be asked for its end, its key has to lapse (2 s), and the wait for the silent workers begins only then (5.4 s): 7.4 to 7.5 s, where callers allow 7 s after the last fault. No test had such a loss beside workers that all answer.

Change: TestTasksRunSoonAfterTheOwnersVMIsGone, 21 cases: the owner lost at seven phases of its key's renewal, without power for good, cut off for good, and without power for good while the store is away.

The two "no worker cut off" cases of TestTasksRunSoonAfterATakeoverBehindACut checked nothing: they looked at once, while the task on the worker that had gone still ran there until its lease was over, so that all tasks ran. Both tests now look from the end of the leases on, up to the same 7 s after the last fault; in the cases with a cut nothing changes, because the cut lasts longer than the leases.

--- a/services/control/takeover_test.go
+++ b/services/control/takeover_test.go
@@ -22,9 +22,10 @@
 	takeoverGone    = 1 // workers that answer nobody from before the takeover
 	takeoverLease   = 4500 * time.Millisecond
 	takeoverCutTime = 12 * time.Second
-	takeoverCalm    = 4 * time.Second  // after the last fault nothing may be expected of the cell for so long
-	takeoverAllowed = 3 * time.Second  // from then on a task that could run waits no longer
-	takeoverDivided = 40 * time.Second // for which two owners reach different workers
+	takeoverCalm    = 4 * time.Second        // after the last fault nothing may be expected of the cell for so long
+	takeoverAllowed = 3 * time.Second        // from then on a task that could run waits no longer
+	takeoverLapse   = 200 * time.Millisecond // for which a lease lasts longer by a slow clock of its worker
+	takeoverDivided = 40 * time.Second       // for which two owners reach different workers
 )
 
 // takeoverCase is a loss of the owner of a cell in which one worker has just gone for good.
@@ -35,13 +36,17 @@
 	// at the loss and stays in the list.
 	GoneBefore models.Milli `json:"gone_before_ms"`
 	Lease      models.Milli `json:"lease_ms"` // that workers are granted; 0: takeoverLease
+	// LossAfter is how much later the owner is lost, so that its key in the store was renewed at another time before.
+	LossAfter models.Milli `json:"loss_after_ms"`
+	// Outage is for how long the store answers nobody, from the loss on; 0: it answers.
+	Outage models.Milli `json:"outage_ms"`
 	// Loss says how the owner is lost: its process ends, its VM loses power, or its VM is cut off from all others.
 	Loss string `json:"loss"`
 	// Back is when the process starts again after the loss, and that of the successor after its loss; 0: never.
 	Back models.Milli `json:"back_ms"`
 	// SuccessorAfter is when the process of the successor ends, from its takeover on; 0: it does not.
 	SuccessorAfter models.Milli `json:"successor_after_ms"`
-	// FromLoss says that the calm begins with the last loss of an owner, not with the end of the cut.
+	// FromLoss says that the calm begins with the last loss of an owner or the end of the outage, not with the end of the cut.
 	FromLoss bool `json:"from_loss"`
 }
 
@@ -94,8 +99,11 @@
 	for place := range takeoverGone + c.Cut {
 		w.grid.SetFaults(place, faultsCut)
 	}
+	time.Sleep(c.LossAfter.Duration())
 	began := time.Now()
-	waitBack := c.lose(w.owner())
+	owner := w.owner()
+	w.setOutage(c.Outage > 0)
+	waitBack := c.lose(owner)
 	defer waitBack()
 	if c.SuccessorAfter > 0 {
 		c.loseSuccessor(w)
@@ -111,7 +119,14 @@
 			t.Log(w.log())
 		}
 	})
-	w.eventually(takeoverCalm+takeoverAllowed, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+	if c.Outage > 0 {
+		time.Sleep(time.Until(began.Add(c.Outage.Duration())))
+		w.setOutage(false)
+	}
+	calmSince := time.Now()
+	time.Sleep(time.Until(began.Add(settings.WorkerLease + takeoverLapse))) // until then tasks still run on workers that are gone
+	w.eventually(time.Until(calmSince.Add(takeoverCalm+takeoverAllowed)), "all tasks run again",
+		func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
 	w.requireNoBreaches()
 }
 
