--- a/services/control/takeover_test.go
+++ b/services/control/takeover_test.go
@@ -39,13 +39,15 @@
 	Lease      models.Milli `json:"lease_ms"` // that workers are granted; 0: takeoverLease
 	// After is how long the tasks run before the first of these faults.
 	After models.Milli `json:"after_ms"`
+	// Outage is for how long the store answers nobody, from the loss on; 0: it answers.
+	Outage models.Milli `json:"outage_ms"`
 	// Loss says how the owner is lost: its process ends, its VM loses power, or its VM is cut off from all others.
 	Loss string `json:"loss"`
 	// Back is when the process starts again after the loss, and that of the successor after its loss; 0: never.
 	Back models.Milli `json:"back_ms"`
 	// SuccessorAfter is when the process of the successor ends, from its takeover on; 0: it does not.
 	SuccessorAfter models.Milli `json:"successor_after_ms"`
-	// FromLoss says that the calm begins with the last loss of an owner, not with the end of the cut.
+	// FromLoss says that the calm begins with the last loss of an owner or the end of the outage, not with the end of the cut.
 	FromLoss bool `json:"from_loss"`
 	// Allowed is how long after the cut, or the loss, the tasks may wait; 0: takeoverCalm and takeoverAllowed.
 	Allowed models.Milli `json:"allowed_ms"`
@@ -102,16 +104,22 @@
 		w.grid.SetFaults(place, faultsCut)
 	}
 	began := time.Now()
-	waitBack := c.lose(w.owner())
+	owner := w.owner()
+	w.setOutage(c.Outage > 0)
+	waitBack := c.lose(owner)
 	defer waitBack()
 	if c.SuccessorAfter > 0 {
 		c.loseSuccessor(w)
 	}
 	calm := began.Add(takeoverCutTime)
-	if c.FromLoss {
+	switch {
+	case c.Outage > 0:
+		calm = began.Add(c.Outage.Duration())
+	case c.FromLoss:
 		calm = time.Now()
 	}
 	time.Sleep(time.Until(calm))
+	w.setOutage(false)
 	for place := takeoverGone; place < takeoverGone+c.Cut; place++ {
 		w.grid.SetFaults(place, noFaults)
 	}
