A missing witness costs no writes, and is replaced

While too few of them vouched, each decision asked for a transaction, which helps none of them: 169 writes in the second after a takeover of two daemons. One witness of two that had gone kept its owner's successor from the others' answers for up to 10 s, because an owner asks only as many as it needs.

All witnesses are asked each second, and one that has not answered for 2.3 s is replaced. The read of the daemons is bounded.

--- a/services/control/witnesses.go
+++ b/services/control/witnesses.go
@@ -198,7 +198,7 @@
 	witnesses := o.claim.Witnesses
 	switch {
 	case due && !absent:
-		daemons, err := o.cells.daemonsSince(ctx, now.Add(-firstWitnessCheck))
+		daemons, err := o.registeredDaemons(ctx, now)
 		if err != nil {
 			return
 		}
@@ -218,10 +218,20 @@
 		claims = o.previous.claims.With(claim)
 	}
 	if o.storeClaims(ctx, claims) {
+		if absent {
+			o.witnessCheck.at = time.Time{} // other daemons may vouch
+		}
 		o.config.Logger.Info("witnesses are renewed", zap.String("cell", string(o.cell)), zap.Int("witnesses", len(witnesses)))
 	}
 }
 
+// registeredDaemons returns the daemons that were registered shortly before.
+func (o *Owner) registeredDaemons(ctx context.Context, now time.Time) ([]jobs.Daemon, error) {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	return o.cells.daemonsSince(ctx, now.Add(-firstWitnessCheck))
+}
+
 // storeClaims stores the list of claims, whose last one is this owner's, and reports whether that is known to be done.
 func (o *Owner) storeClaims(ctx context.Context, claims jobs.Claims) bool {
 	witnesses := claims.Owners[len(claims.Owners)-1].Witnesses
--- a/services/dispatch/witnesses.go
+++ b/services/dispatch/witnesses.go
@@ -25,6 +25,10 @@
 	// witnessesAbsentAfter is the time after which an owner does without the witnesses that have not answered, if the store
 	// takes that: so long before the end of proofValidity that no orders wait.
 	witnessesAbsentAfter = 3 * witnessInterval
+	// witnessRoundInterval is how often all witnesses are asked, so that those that are gone are noticed.
+	witnessRoundInterval = time.Second
+	// witnessLostAfter is the time after which a single witness that has not answered is replaced.
+	witnessLostAfter = 2*witnessRoundInterval + witnessInterval
 )
 
 // witnesses is what an owner knows of the witnesses of its claim.
@@ -37,6 +41,7 @@
 	// vouchedSince is the latest time for which enough witnesses of each set have vouched after calls that were sent then or
 	// later.
 	vouchedSince time.Time
+	roundAt      time.Time // when all witnesses were last asked
 	// grantedOn is the latest proof of ownership on which a lease was granted.
 	grantedOn time.Time
 }
@@ -77,11 +82,20 @@
 }
 
 // WitnessesToAsk returns the witnesses that are to be asked now: those that answered last while they suffice, and
-// otherwise all.
+// otherwise all. Each witnessRoundInterval it returns all.
 func (c *Core) WitnessesToAsk(now time.Time) []jobs.Witness {
+	w := &c.witnesses
+	round := now.Sub(w.roundAt) >= witnessRoundInterval
+	if round {
+		w.roundAt = now
+	}
 	var asked []jobs.Witness
-	for _, set := range c.witnesses.sets {
-		for _, witness := range c.witnesses.toAsk(set, now) {
+	for _, set := range w.sets {
+		toAsk := set
+		if !round {
+			toAsk = w.toAsk(set, now)
+		}
+		for _, witness := range toAsk {
 			if !slices.Contains(asked, witness) {
 				asked = append(asked, witness)
 			}
@@ -90,10 +104,14 @@
 	return asked
 }
 
-// WitnessesAbsent reports whether too few witnesses have answered for so long that the owner should name others.
+// WitnessesAbsent reports whether too few witnesses have answered, or one of them has not, for so long that the owner should
+// name others.
 func (c *Core) WitnessesAbsent(now time.Time) bool {
 	w := &c.witnesses
-	return w.named() && now.Sub(latest(w.vouchedSince, c.config.Taken)) > witnessesAbsentAfter
+	unheard := func(since time.Time) time.Duration { return now.Sub(latest(since, c.config.Taken)) }
+	lost := func(witness jobs.Witness) bool { return unheard(w.vouchedAt[witness]) > witnessLostAfter }
+	return w.named() && (unheard(w.vouchedSince) > witnessesAbsentAfter ||
+		slices.ContainsFunc(w.sets, func(set []jobs.Witness) bool { return slices.ContainsFunc(set, lost) }))
 }
 
 // named reports whether the stored list of claims may name any witnesses.
--- a/services/dispatch/witnesses_test.go
+++ b/services/dispatch/witnesses_test.go
@@ -155,3 +155,24 @@
 	b.Vouched(next[0], b.now)
 	require.True(t, b.WitnessesCover(next))
 }
+
+// TestMissingWitnessesAskForNoTransactions guards against a write to the store with each decision while too few witnesses
+// vouch: a transaction that proves ownership does not help them, and writes beyond the store's rate turn others away.
+func TestMissingWitnessesAskForNoTransactions(t *testing.T) {
+	for name, witnesses := range map[string][]jobs.Witness{"none named": nil, "none answers": testWitnesses("w", 2)} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 3)
+			b.WitnessesStored(witnesses)
+			writes := 0
+			for range 100 { // one second
+				b.now = b.now.Add(10 * time.Millisecond)
+				b.Decide(b.now)
+				if b.HasUrgentChanges() {
+					b.Stored(b.TakeChanges(10, b.now), b.now)
+					writes++
+				}
+			}
+			require.LessOrEqual(t, writes, 2, "in a second")
+		})
+	}
+}
