An end soon after the witnesses' last vouch counts

Callers could wait half a second longer than what is known: leases last for a lease after an end, and for a lease and the allowance after the last vouch, but an end that came up to the allowance later was passed over. TestEndSoonAfterTheWitnessesLeftCounts was red before.

--- a/services/control/previous_owners.go
+++ b/services/control/previous_owners.go
@@ -61,8 +61,8 @@
 	return times[needed-1], true
 }
 
-// lapseTimes returns what is known of the ends of all claims; false: one of them may go on, or is not known. An end counts
-// rather than the witnesses' answers unless these came first.
+// lapseTimes returns what is known of the ends of all claims; false: one of them may go on, or is not known. Where
+// both an end and the witnesses' last vouch are known, the one counts after which the leases are over sooner.
 func (p *previousOwners) lapseTimes() (times lapseTimes, ok bool) {
 	if p.claims.Incomplete || len(p.claims.Owners) == 0 {
 		return lapseTimes{}, false
@@ -71,7 +71,7 @@
 		ended, hasEnded := p.ends[claim.ClaimID]
 		fenced, isFenced := p.fencedAt(claim)
 		switch {
-		case hasEnded && (!isFenced || !ended.After(fenced)):
+		case hasEnded && (!isFenced || dispatch.EndCounts(ended, fenced)):
 			times.ended = latest(times.ended, ended)
 		case isFenced:
 			times.fenced = latest(times.fenced, fenced)
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -133,6 +133,10 @@
 // or earlier. A lease ends at a time on its worker's clock, however late the call that grants it arrives.
 func (c *Core) PreviousOwnersEnded(at time.Time) { c.previousEndedAt = at }
 
+// EndCounts reports whether the leases of a previous owner that had ended, and for which too few witnesses have vouched after
+// another time, are over sooner by its end.
+func EndCounts(ended, fenced time.Time) bool { return !ended.After(fenced.Add(leaseAllowance)) }
+
 // witnessFence is what is known of previous owners of which some have ended and the others have too few witnesses left.
 type witnessFence struct {
 	at      time.Time // when too few witnesses were left to each of those that have not ended; zero: not known
