--- a/services/control/end_after_fence_test.go
+++ b/services/control/end_after_fence_test.go
@@ -19,9 +19,9 @@
 	begin := time.Now()
 	witness := jobs.Witness{Daemon: "w", Address: "a", Process: "p"}
 	p := newPreviousOwners(jobs.Claims{Owners: []jobs.Owner{{ClaimID: "c", Witnesses: []jobs.Witness{witness}}}})
-	p.left[witness] = begin
+	p.vouchedUntil[witness] = begin
 	p.ends["c"] = begin.Add(80 * time.Millisecond)
-	times, ok := p.lapseTimes()
+	times, ok := p.lapse()
 	require.True(t, ok)
-	require.Equal(t, lapseTimes{ended: begin.Add(80 * time.Millisecond)}, times)
+	require.Equal(t, previousLapse{ended: begin.Add(80 * time.Millisecond)}, times)
 }
--- a/services/control/previous_owners.go
+++ b/services/control/previous_owners.go
@@ -32,16 +32,16 @@
 
 	// The mutex of the Owner protects the fields below.
 
-	ends map[string]time.Time       // by claim id: when the owner had ended
-	left map[jobs.Witness]time.Time // when a process that has stopped last vouched for a claim, at the latest
-	told lapseTimes                 // as the core was told last
+	ends         map[string]time.Time       // by claim id: when the owner had ended
+	vouchedUntil map[jobs.Witness]time.Time // when a process that has stopped last vouched for a claim, at the latest
+	told         previousLapse              // as the core was told last
 }
 
-// lapseTimes say when previous owners had ended, and when the others had too few witnesses left.
-type lapseTimes struct{ ended, fenced time.Time }
+// previousLapse says when previous owners had ended, and until when enough witnesses may have vouched for the others.
+type previousLapse struct{ ended, fenced time.Time }
 
 func newPreviousOwners(claims jobs.Claims) previousOwners {
-	return previousOwners{claims: claims, ends: map[string]time.Time{}, left: map[jobs.Witness]time.Time{}}
+	return previousOwners{claims: claims, ends: map[string]time.Time{}, vouchedUntil: map[jobs.Witness]time.Time{}}
 }
 
 // fencedAt returns the time after which too few witnesses have vouched for a claim; false: enough may still vouch for it, or
@@ -49,7 +49,7 @@
 func (p *previousOwners) fencedAt(claim jobs.Owner) (time.Time, bool) {
 	var times []time.Time
 	for _, witness := range claim.Witnesses {
-		if at, ok := p.left[witness]; ok {
+		if at, ok := p.vouchedUntil[witness]; ok {
 			times = append(times, at)
 		}
 	}
@@ -61,11 +61,11 @@
 	return times[needed-1], true
 }
 
-// lapseTimes returns what is known of the ends of all claims; false: one of them may go on, or is not known. Where
+// lapse returns what is known of the ends of all claims; false: one of them may go on, or is not known. Where
 // both an end and the witnesses' last vouch are known, the one counts after which the leases are over sooner.
-func (p *previousOwners) lapseTimes() (times lapseTimes, ok bool) {
+func (p *previousOwners) lapse() (times previousLapse, ok bool) {
 	if p.claims.Incomplete || len(p.claims.Owners) == 0 {
-		return lapseTimes{}, false
+		return previousLapse{}, false
 	}
 	for _, claim := range p.claims.Owners {
 		ended, hasEnded := p.ends[claim.ClaimID]
@@ -76,7 +76,7 @@
 		case isFenced:
 			times.fenced = latest(times.fenced, fenced)
 		default:
-			return lapseTimes{}, false
+			return previousLapse{}, false
 		}
 	}
 	return times, true
@@ -125,7 +125,7 @@
 		}
 		claims = append(claims, claim)
 		for _, witness := range claim.Witnesses {
-			if _, left := o.previous.left[witness]; !left && !slices.Contains(witnesses, witness) {
+			if _, stopped := o.previous.vouchedUntil[witness]; !stopped && !slices.Contains(witnesses, witness) {
 				witnesses = append(witnesses, witness)
 			}
 		}
@@ -156,13 +156,13 @@
 	at := o.config.Clock.Read().Add(-answer.Ago.Duration())
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.previous.left[witness] = at
+	o.previous.vouchedUntil[witness] = at
 	o.recordLapse()
 }
 
 // recordLapse tells the core what is known of the ends of the previous owners. The caller holds the mutex.
 func (o *Owner) recordLapse() {
-	times, ok := o.previous.lapseTimes()
+	times, ok := o.previous.lapse()
 	if !ok || times == o.previous.told {
 		return
 	}
--- a/services/control/witnesses.go
+++ b/services/control/witnesses.go
@@ -116,7 +116,7 @@
 }
 
 // findWitnesses returns the witnesses of a claim that this daemon is about to make. A claim that has none, because the store
-// answers late, is proved by the workers alone until renewWitnesses finds some. Claims that follow each other share a read.
+// answers late, is proved without any until renewWitnesses finds some. Claims that follow each other share a read.
 func (c *Cells) findWitnesses(ctx context.Context) []jobs.Witness {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
@@ -183,7 +183,7 @@
 
 // renewWitnesses names other witnesses in the stored list of claims when daemons have come, have gone or have another
 // process, or when too few of those that are named answer. Only those are named that vouch for this owner now, so that it
-// never waits for one; if there are none, transactions and the workers prove its ownership alone. Until it is known that the
+// never waits for one; if there are none, its ownership is proved without any. Until it is known that the
 // list is stored, both the former and the new witnesses have to vouch.
 func (o *Owner) renewWitnesses(ctx context.Context) {
 	if !o.cells.health.available() {
--- a/services/control/witnesses_test.go
+++ b/services/control/witnesses_test.go
@@ -312,25 +312,25 @@
 	second := jobs.Owner{ClaimID: "second"} // of an older version
 	p := newPreviousOwners(jobs.Claims{Owners: []jobs.Owner{first, second}})
 	known := func() bool {
-		_, ok := p.lapseTimes()
+		_, ok := p.lapse()
 		return ok
 	}
 	p.ends["second"] = at(1)
-	p.left[witnesses[0]], p.left[witnesses[1]] = at(2), at(5)
+	p.vouchedUntil[witnesses[0]], p.vouchedUntil[witnesses[1]] = at(2), at(5)
 	require.False(t, known(), "two of four witnesses may vouch for the first")
-	p.left[witnesses[3]] = at(3)
-	times, ok := p.lapseTimes()
+	p.vouchedUntil[witnesses[3]] = at(3)
+	times, ok := p.lapse()
 	require.True(t, ok)
-	require.Equal(t, lapseTimes{ended: at(1), fenced: at(5)}, times)
-	p.left[witnesses[2]] = at(9)
-	times, _ = p.lapseTimes()
+	require.Equal(t, previousLapse{ended: at(1), fenced: at(5)}, times)
+	p.vouchedUntil[witnesses[2]] = at(9)
+	times, _ = p.lapse()
 	require.Equal(t, at(5), times.fenced, "three of four suffice")
 
 	delete(p.ends, "second")
 	require.False(t, known(), "the second has no witnesses")
 	p.ends["second"], p.ends["first"] = at(1), at(4)
-	times, _ = p.lapseTimes()
-	require.Equal(t, lapseTimes{ended: at(4)}, times, "the end is older than the answers")
+	times, _ = p.lapse()
+	require.Equal(t, previousLapse{ended: at(4)}, times, "the end is older than the answers")
 	p.claims.Incomplete = true
 	require.False(t, known(), "there may have been others")
 }
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -42,7 +42,7 @@
 	kept := c.waitingSteps[:0]
 	for _, s := range c.waitingSteps {
 		if s.waiting == 0 || s.job.end != "" || s.job.cancelled {
-			s.inWaitingSteps = false
+			s.inWaitingSteps, s.closedSince = false, time.Time{}
 			continue
 		}
 		kept = append(kept, s)
