--- a/services/control/witnesses.go
+++ b/services/control/witnesses.go
@@ -191,38 +191,54 @@
 	}
 	now := o.config.Clock.Now()
 	o.mu.Lock()
-	unresolved := o.core.WitnessesUnresolved()
-	absent := unresolved || o.core.WitnessesAbsent(now)
+	unresolved, absent := o.core.WitnessesUnresolved(), o.core.WitnessesAbsent(now)
 	o.mu.Unlock()
-	due := now.Sub(o.takenAt) >= firstWitnessCheck && (o.witnessCheck.at.IsZero() || now.Sub(o.witnessCheck.at) >= witnessCheckInterval)
-	witnesses := o.claim.Witnesses
-	switch {
-	case due && !absent:
-		daemons, err := o.registeredDaemons(ctx, now)
-		if err != nil {
+	candidates := o.claim.Witnesses
+	if !unresolved && !absent {
+		registered, ok := o.registeredWitnesses(ctx, now)
+		if !ok {
 			return
 		}
-		witnesses = o.cells.chooseWitnesses(o.claim.Witnesses, daemons, o.witnessCheck.daemons)
-		o.witnessCheck = witnessCheck{now, daemons}
-	case !absent:
-		return
+		candidates = registered
 	}
-	witnesses = o.askAllToVouch(ctx, witnesses)
-	if slices.Equal(witnesses, o.claim.Witnesses) && !unresolved {
+	vouching := o.askAllToVouch(ctx, candidates)
+	if slices.Equal(vouching, o.claim.Witnesses) && !unresolved {
 		return
 	}
+	if o.storeWitnesses(ctx, vouching) && absent {
+		o.witnessCheck.at = time.Time{} // other daemons may vouch
+	}
+}
+
+// registeredWitnesses returns the witnesses that the claim would have by the registered daemons; false: they are not to be
+// compared yet, or not known.
+func (o *Owner) registeredWitnesses(ctx context.Context, now time.Time) ([]jobs.Witness, bool) {
+	check := &o.witnessCheck
+	if now.Sub(o.takenAt) < firstWitnessCheck || !check.at.IsZero() && now.Sub(check.at) < witnessCheckInterval {
+		return nil, false
+	}
+	daemons, err := o.registeredDaemons(ctx, now)
+	if err != nil {
+		return nil, false
+	}
+	witnesses := o.cells.chooseWitnesses(o.claim.Witnesses, daemons, check.daemons)
+	*check = witnessCheck{now, daemons}
+	return witnesses, true
+}
+
+// storeWitnesses names the witnesses of the claim in the stored list, and reports whether that is known to be done.
+func (o *Owner) storeWitnesses(ctx context.Context, witnesses []jobs.Witness) bool {
 	claim := o.claim
 	claim.Witnesses = witnesses
 	claims := jobs.Claims{Owners: []jobs.Owner{claim}}
 	if !o.previous.forgotten {
 		claims = o.previous.claims.With(claim)
 	}
-	if o.storeClaims(ctx, claims) {
-		if absent {
-			o.witnessCheck.at = time.Time{} // other daemons may vouch
-		}
-		o.config.Logger.Info("witnesses are renewed", zap.String("cell", string(o.cell)), zap.Int("witnesses", len(witnesses)))
+	if !o.storeClaims(ctx, claims) {
+		return false
 	}
+	o.config.Logger.Info("witnesses are renewed", zap.String("cell", string(o.cell)), zap.Int("witnesses", len(witnesses)))
+	return true
 }
 
 // registeredDaemons returns the daemons that were registered shortly before.
