The log says that witnesses are missing by how long ago they vouched

TestOwnerGoesOnWhileItsWitnessesAnswer was red in 18 of 150 plays: the log compared the witnesses with the workers' answers, whose last ones may be as old at the moment at which orders begin to wait. Now the age of the witnesses' last vouch decides; 0 of 150.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -121,7 +121,6 @@
 	quorumAskedAt     time.Time // two thirds of the workers have answered a call that was sent at this time or later
 	quorumCheckedAt   time.Time // when the answers of the workers were last counted for mayOrder
 	witnesses         witnesses
-	lacksWitnesses    bool // two thirds of the workers answer, but too few witnesses vouch for this owner
 	wantsProof        bool // a transaction is wanted for the proof of ownership alone
 	wantsLapseProof   bool // the leases of a worker out of the roster are over, and a transaction has to prove it
 	awaitingProof     bool // orders are held back until ownership is proved again
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -45,16 +45,13 @@
 	known := now.Sub(c.lastProof())
 	if now.Sub(c.quorumCheckedAt) >= answerCountInterval || known > proofValidity {
 		c.quorumCheckedAt = now
-		c.countAnswers(now)
+		c.countAnswers()
 	}
 	return now.Sub(c.lastProof())
 }
 
 // countAnswers updates the times up to which the workers' answers prove ownership.
-func (c *Core) countAnswers(now time.Time) {
-	c.allAskedAt, c.quorumAskedAt = c.answeredSince()
-	c.lacksWitnesses = now.Sub(c.lastProof()) > proofValidity && now.Sub(c.lastUnwitnessedProof()) <= proofValidity
-}
+func (c *Core) countAnswers() { c.allAskedAt, c.quorumAskedAt = c.answeredSince() }
 
 // lastProof returns the time of the latest proof that this core still is the cell's owner.
 func (c *Core) lastProof() time.Time {
@@ -87,12 +84,12 @@
 func (c *Core) mayOrder(now time.Time) bool {
 	age := c.proofAge(now)
 	c.wantsProof = c.wantsLapseProof || now.Sub(c.lastUnwitnessedProof()) > proofRefreshAge // a transaction helps no missing witness
-	c.setAwaitingProof(age > proofValidity, age)
+	c.setAwaitingProof(age > proofValidity, now)
 	return !c.awaitingProof
 }
 
 // setAwaitingProof records whether orders wait for a proof, and logs each change.
-func (c *Core) setAwaitingProof(awaiting bool, age time.Duration) {
+func (c *Core) setAwaitingProof(awaiting bool, now time.Time) {
 	if awaiting == c.awaitingProof {
 		return
 	}
@@ -101,15 +98,16 @@
 		return // each takeover begins with calls to the witnesses
 	}
 	c.loggedAwaiting = awaiting
-	if awaiting && c.lacksWitnesses {
+	lacksWitnesses := c.witnesses.named() && now.Sub(c.witnesses.vouchedSince) > witnessesAbsentAfter
+	if awaiting && lacksWitnesses {
 		c.counts.WitnessesMissing++
 	}
 	message := "orders resume"
 	if awaiting {
 		message = "orders wait for a recent proof of ownership"
 	}
-	c.config.Logger.Info(message, zap.Duration("proof_age", age), zap.Int("workers", len(c.sortedWorkers)),
-		zap.Bool("lacks_witnesses", c.lacksWitnesses))
+	c.config.Logger.Info(message, zap.Duration("proof_age", c.proofAge(now)), zap.Int("workers", len(c.sortedWorkers)),
+		zap.Bool("lacks_witnesses", lacksWitnesses))
 }
 
 // answeredSince returns the latest times for which all workers, and two thirds of them and of those in the stored roster,
--- a/services/dispatch/witnesses_test.go
+++ b/services/dispatch/witnesses_test.go
@@ -35,7 +35,7 @@
 		b.reportAll(0, 3)
 		asked := b.now.Add(-time.Second)
 		for n := range named {
-			b.countAnswers(b.now)
+			b.countAnswers()
 			require.Zero(t, b.lastProof(), "%d of %d vouch", n, named)
 			if 3*n > named {
 				t.Fatalf("%d of %d witnesses are more than a third", n, named)
@@ -45,7 +45,7 @@
 				break
 			}
 		}
-		b.countAnswers(b.now)
+		b.countAnswers()
 		expected := asked
 		if named == 0 {
 			expected = latest(b.provedAt, b.workers[b.ids[0]].reportAskedAt)
@@ -76,7 +76,7 @@
 	b.reportAll(0, 3)
 	prove := func(witness jobs.Witness) time.Time {
 		b.Vouched(witness, b.now)
-		b.countAnswers(b.now)
+		b.countAnswers()
 		return b.lastProof()
 	}
 	require.Zero(t, prove(next[0]))
