--- a/services/dispatch/witnesses.go
+++ b/services/dispatch/witnesses.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -59,6 +60,7 @@
 // WitnessesStored records that the stored list of claims names these witnesses of this owner's claim and no others.
 func (c *Core) WitnessesStored(witnesses []jobs.Witness) {
 	c.witnesses.sets = [][]jobs.Witness{slices.Clone(witnesses)}
+	maps.DeleteFunc(c.witnesses.vouchedAt, func(w jobs.Witness, _ time.Time) bool { return !slices.Contains(witnesses, w) })
 	c.witnesses.update()
 }
 
