--- a/services/control/witnesses.go
+++ b/services/control/witnesses.go
@@ -182,9 +182,9 @@
 }
 
 // renewWitnesses names other witnesses in the stored list of claims when daemons have come, have gone or have another
-// process, or when too few of those that are named answer. Only those are named that vouch for this owner now, so that it
-// never waits for one; if there are none, its ownership is proved without any. Until it is known that the
-// list is stored, both the former and the new witnesses have to vouch.
+// process, or when one of those that are named has not answered for long. Only those are named that vouch for this owner
+// now; if there are none, its ownership is proved without any. Until it is known that the list is stored, both the former
+// and the new witnesses have to vouch.
 func (o *Owner) renewWitnesses(ctx context.Context) {
 	if !o.cells.health.available() {
 		return
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -139,12 +139,12 @@
 
 // witnessFence is what is known of previous owners of which some have ended and the others have too few witnesses left.
 type witnessFence struct {
-	at      time.Time // when too few witnesses were left to each of those that have not ended; zero: not known
+	at      time.Time // after which too few witnesses have vouched for each of those that have not ended; zero: not known
 	endedAt time.Time // when the last of the others had ended; zero: there are none
 }
 
 // PreviousOwnersFenced records that each previous owner whose runs may still exist had given its last order at endedAt, or
-// had too few witnesses left at the given time or earlier, so that its last proof of ownership is older.
+// that too few witnesses have vouched for it after the other time, so that its last proof of ownership is no later.
 func (c *Core) PreviousOwnersFenced(at, endedAt time.Time) {
 	c.previousFence = witnessFence{at, endedAt}
 }
