review: a draining runner that is cut off counts as left before its lease is over (TWICE)

A runner says draining, with the least time left of 2 s, and is cut off while it drains. When its entry has gone after three reports of silence, the owner takes it for gone and starts its tasks elsewhere, 1.2 to 1.7 s before the lease that it granted the runner is over.

--- /dev/null
+++ b/review/standin/drain.go
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+//go:build review
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// The scenario of a runner that is cut off while it drains. The bounds are those of the sheet and the site file.
+const (
+	drainStay     = 12 * time.Second        // that the runner serves on after its notice: "at times many seconds"
+	silentReports = 3                       // after which the store drops a runner's entry
+	cutTime       = 5500 * time.Millisecond // for_s of node_cut, how servers
+	drainWork     = 7 * time.Second
+	drainObserved = 14 * time.Second
+)
+
+// playDrain lets a runner say that it drains, and cuts it off from all machines soon after.
+func playDrain(ctx context.Context, o options, r *record) ([]string, error) {
+	size := amounts{CPU: 500, Memory: 512}
+	work := func(string) (amounts, time.Duration) { return size, drainWork }
+	var workers []*worker
+	for n := range 3 {
+		workers = append(workers, &worker{id: fmt.Sprintf("i-0000000%d", n+1), capacity: amounts{16000, 62500}, work: work})
+	}
+	s, err := newSite(ctx, o, r, wapfhaSched, workers, 3)
+	if s != nil {
+		defer s.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	sleep(ctx, 6*time.Second) // until the deployment is calm
+	job := map[string]any{"task_spec": "batch", "steps": []any{map[string]any{
+		"count": 20, "cpu": size.CPU, "mem_mb": size.Memory, "estimated_ms": drainWork.Milliseconds(),
+	}}}
+	for n := range 3 {
+		if !s.submit(ctx, fmt.Sprintf("%016x", 0x5bc0000000000000+n), job) {
+			return nil, fmt.Errorf("job %d is not accepted", n)
+		}
+	}
+	leaving := workers[0]
+	if !waitFor(ctx, 5*time.Second, func() bool { n, _ := leaving.count(); return n >= 10 }) {
+		return nil, fmt.Errorf("the runner has too few tasks")
+	}
+	if err := s.store.Write(ctx, "servers/"+leaving.id, leaving.entry(service, true, wapfhaSched.drain)); err != nil {
+		return nil, err
+	}
+	r.note("%s says draining, remaining_ms %d", leaving.id, wapfhaSched.drain.Milliseconds())
+	said := time.Now()
+	if o.trouble {
+		leaving.waitForHold(ctx)
+		leaving.cutOff(true)
+		r.note("%s is cut off from all machines and the store", leaving.id)
+		time.AfterFunc(cutTime, func() {
+			leaving.cutOff(false)
+			r.note("%s is no longer cut off", leaving.id)
+		})
+		sleep(ctx, time.Until(said.Add(silentReports*wapfhaSched.heartbeat)))
+	} else {
+		sleep(ctx, time.Until(said.Add(drainStay)))
+		leaving.leave()
+		r.note("%s leaves", leaving.id)
+	}
+	if err := s.removeEntry(ctx, leaving); err != nil {
+		return nil, err
+	}
+	r.note("the entry of %s goes", leaving.id)
+	sleep(ctx, drainObserved)
+	return s.audit.twice(), nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -41,7 +41,8 @@
 type scenario func(ctx context.Context, o options, r *record) ([]string, error)
 
 var scenarios = map[string]scenario{
-	"ends": playEnds,
+	"drain": playDrain,
+	"ends":  playEnds,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
