review: a few timed jobs keep every owner past its memory limit (LOST)

An owner makes a value for each task of each time of a job when it loads the job. Four accepted jobs, every minute for a week with two steps of 8 tasks, take it past memory_mb (284); the platform kills it, and then each owner after it. All short jobs that are accepted meanwhile never run.

--- a/review/standin/audit.go
+++ b/review/standin/audit.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -125,3 +126,20 @@
 	}
 	return ""
 }
+
+// doneByJob returns how many tasks of each job have a run that ended done.
+func (a *audit) doneByJob() map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	done := map[string]int{}
+	for task, runs := range a.runs {
+		id, _, _ := strings.Cut(task, ".")
+		for _, r := range runs {
+			if r.how == "done" {
+				done[id]++
+				break
+			}
+		}
+	}
+	return done
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -41,8 +41,9 @@
 type scenario func(ctx context.Context, o options, r *record) ([]string, error)
 
 var scenarios = map[string]scenario{
-	"drain": playDrain,
-	"ends":  playEnds,
+	"drain":    playDrain,
+	"ends":     playEnds,
+	"schedule": playSchedule,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -430,3 +431,13 @@
 
 // String implements fmt.Stringer.
 func (w *worker) String() string { return fmt.Sprintf("%s at %s", w.id, w.address) }
+
+// jobsRunning adds the jobs of which a task runs here.
+func (w *worker) jobsRunning(ids map[string]bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task := range w.running {
+		id, _, _ := strings.Cut(task, ".")
+		ids[id] = true
+	}
+}
