--- a/review/standin/ends.go
+++ b/review/standin/ends.go
@@ -9,21 +9,25 @@
 	"context"
 	"fmt"
 	"time"
+
+	"rillsail.example/rillsail/services/platform"
+	"rillsail.example/rillsail/services/standin/kv"
 )
 
-// The load of the scenario: two runners of 64 cores full of short tasks of a tenth of a core.
+// The load of the scenario: two runners full of short tasks, and jobs that wait for them.
 const (
-	endsJobs     = 64
-	endsTasks    = 20
-	endsWork     = 1200 * time.Millisecond
-	endsRestart  = 3500 * time.Millisecond // that a killed process stays away
+	endsJobs     = 150
+	endsTasks    = 20                      // of a job, as in the example of PROTOCOL.md
+	endsCPU      = 500                     // of a task, as in the same example
+	endsWork     = 640 * time.Millisecond  // of a task, as of match-quote on the sheet
+	endsOutage   = 4500 * time.Millisecond // for_s of platform_down in the site file
 	endsObserved = 25 * time.Second
 )
 
-// playEnds kills the process that gives the orders while each runner runs more tasks than one answer lists ends. They end
-// done before a successor calls the runners.
+// playEnds lets the store answer 503 for some seconds while the runners work on what they were told to run. No end can be
+// taken note of meanwhile, so that each runner soon has more of them than one answer lists.
 func playEnds(ctx context.Context, o options, r *record) ([]string, error) {
-	size := amounts{CPU: 100, Memory: 128}
+	size := amounts{CPU: endsCPU, Memory: 256}
 	work := func(string) (amounts, time.Duration) { return size, endsWork }
 	workers := []*worker{
 		{id: "i-00000001", capacity: amounts{64000, 250000}, work: work},
@@ -36,11 +40,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if !waitFor(ctx, 10*time.Second, func() bool { return s.owner() != nil }) {
-		return nil, fmt.Errorf("no daemon owns the cell")
-	}
-	sleep(ctx, time.Second)
-	job := map[string]any{"task_spec": "match", "steps": []any{map[string]any{
+	sleep(ctx, 6*time.Second) // until the deployment is calm
+	job := map[string]any{"task_spec": "quote", "steps": []any{map[string]any{
 		"count": endsTasks, "cpu": size.CPU, "mem_mb": size.Memory, "estimated_ms": endsWork.Milliseconds(),
 	}}}
 	for n := range endsJobs {
@@ -48,18 +49,13 @@
 			return nil, fmt.Errorf("job %d is not accepted", n)
 		}
 	}
-	most := 0
-	waitFor(ctx, 10*time.Second, func() bool {
-		n, _ := workers[0].count()
-		m, _ := workers[1].count()
-		most = max(most, n+m)
-		return n+m < most || n > 600 && m > 600
-	})
-	r.note("%d runs are under way", most)
 	if o.trouble {
-		killed := s.owner()
-		s.kill(killed)
-		time.AfterFunc(endsRestart, func() { _ = s.startDaemon(killed) })
+		s.store.SetFault(func(context.Context, bool, bool, string) error { return platform.ErrUnavailable })
+		r.note("the store answers each call with 503")
+		time.AfterFunc(endsOutage, func() {
+			s.store.SetFault(kv.NoFault)
+			r.note("the store answers again")
+		})
 	}
 	sleep(ctx, endsObserved)
 	r.note("%d of %d tasks have ended done", s.audit.done(), endsJobs*endsTasks)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,9 @@
 	exitNotRun = 2
 )
 
+// maxListed is how many breaches the record lists.
+const maxListed = 100
+
 // maxRunTime bounds a scenario; a script may take 120 s.
 const maxRunTime = 110 * time.Second
 
@@ -82,8 +85,8 @@
 		fmt.Println("the rule held")
 		return exitHeld
 	}
-	r.note("the rule was broken %d times", len(breaches))
-	for _, breach := range breaches {
+	r.note("the rule was broken %d times; the first of them:", len(breaches))
+	for _, breach := range breaches[:min(len(breaches), maxListed)] {
 		r.note("broken: %s", breach)
 	}
 	fmt.Printf("the rule was broken %d times; first: %s\n", len(breaches), breaches[0])
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -91,7 +91,7 @@
 	}
 	for n, w := range workers {
 		w.record, w.audit, w.bounds = r, s.audit, b
-		if err := startWorker(w, fmt.Sprintf("%s.%d", s.network, 100+n)); err != nil {
+		if err := startWorker(w, fmt.Sprintf("%s.%d:0", s.network, 100+n)); err != nil {
 			return s, err
 		}
 		if err := s.store.Write(ctx, "servers/"+w.id, w.entry(service, false, 0)); err != nil {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -42,6 +42,7 @@
 	highest  map[string]uint64 // the highest run that was stopped, barred or has ended, by task
 	ends     []workerEnd
 	lastEnd  uint64
+	mostEnds int // that were unnoted at a time, as recorded
 	leaseEnd time.Time
 	lease    *time.Timer
 	changed  chan struct{} // closed and replaced with each end
@@ -49,6 +50,7 @@
 	gone     bool          // it has left
 	address  string
 	listener *net.TCPListener
+	server   *http.Server
 	filling  []net.Conn    // fill the queue of new connections during a cut
 	held     chan struct{} // closed and replaced with each hold
 }
@@ -87,10 +89,10 @@
 }
 
 // startWorker starts a worker that listens on a loopback address.
-func startWorker(w *worker, ip string) error {
+func startWorker(w *worker, address string) error {
 	w.began, w.running, w.highest = time.Now(), map[string]*workerRun{}, map[string]uint64{}
 	w.changed, w.held = make(chan struct{}), make(chan struct{})
-	listener, err := net.Listen("tcp", ip+":0")
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -102,7 +104,8 @@
 	mux.HandleFunc("POST /rillsail/pace", w.handler(w.pace))
 	mux.HandleFunc("POST /rillsail/hold", w.handler(w.hold))
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
-	go func() { _ = http.Serve(&pausableListener{Listener: listener, worker: w}, mux) }()
+	w.server = &http.Server{Handler: mux}
+	go func() { _ = w.server.Serve(&pausableListener{Listener: listener, worker: w}) }()
 	return nil
 }
 
@@ -273,7 +276,8 @@
 	for _, e := range w.ends[:min(len(w.ends), maxEndsPerAnswer)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
 	}
-	if len(w.ends) > maxEndsPerAnswer {
+	if len(w.ends) > maxEndsPerAnswer && len(w.ends) > w.mostEnds {
+		w.mostEnds = len(w.ends)
 		w.record.note("%s lists %d of %d ends, and %d running", w.id, len(ended), len(w.ends), len(running))
 	}
 	return answer{http.StatusOK, map[string]any{"running": running, "ended_at": ended}}
@@ -417,6 +421,25 @@
 	w.gone = true
 }
 
+// crash ends the worker without a word: its runs are gone, its connections break and its address refuses new ones.
+func (w *worker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gone = true
+	_ = w.server.Close()
+	for _, r := range w.running {
+		w.audit.ended(w.id, r.task, r.run, "lost")
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+	}
+	w.record.note("%s crashes, %d runs are lost", w.id, len(w.running))
+	clear(w.running)
+	if w.lease != nil {
+		w.lease.Stop()
+	}
+}
+
 // pausableListener accepts no connections while its worker is cut off.
 type pausableListener struct {
 	net.Listener
