--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -50,7 +50,6 @@
 	gone     bool          // it has left
 	address  string
 	listener *net.TCPListener
-	server   *http.Server
 	filling  []net.Conn    // fill the queue of new connections during a cut
 	held     chan struct{} // closed and replaced with each hold
 }
@@ -104,8 +103,7 @@
 	mux.HandleFunc("POST /rillsail/pace", w.handler(w.pace))
 	mux.HandleFunc("POST /rillsail/hold", w.handler(w.hold))
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
-	w.server = &http.Server{Handler: mux}
-	go func() { _ = w.server.Serve(&pausableListener{Listener: listener, worker: w}) }()
+	go func() { _ = http.Serve(&pausableListener{Listener: listener, worker: w}, mux) }()
 	return nil
 }
 
@@ -421,25 +419,6 @@
 	w.gone = true
 }
 
-// crash ends the worker without a word: its runs are gone, its connections break and its address refuses new ones.
-func (w *worker) crash() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.gone = true
-	_ = w.server.Close()
-	for _, r := range w.running {
-		w.audit.ended(w.id, r.task, r.run, "lost")
-		if r.timer != nil {
-			r.timer.Stop()
-		}
-	}
-	w.record.note("%s crashes, %d runs are lost", w.id, len(w.running))
-	clear(w.running)
-	if w.lease != nil {
-		w.lease.Stop()
-	}
-}
-
 // pausableListener accepts no connections while its worker is cut off.
 type pausableListener struct {
 	net.Listener
