--- a/review/standin/audit.go
+++ b/review/standin/audit.go
@@ -14,7 +14,7 @@
 
 // audit follows the runs on all workers and finds breaches of TWICE: two simultaneous runs of one task, or a start that
 // follows a run that ended done where that end is taken note of at that time or afterwards. An end is taken note of once
-// last_seen reaches it, except where the runner's lease lapsed in between.
+// an acknowledgement reaches it, except where the runner's lease lapsed in between.
 type audit struct {
 	record *record
 
@@ -58,7 +58,7 @@
 	r.end, r.how = time.Now(), how
 }
 
-// noted records that last_seen has reached an end.
+// noted records that an acknowledgement has reached an end.
 func (a *audit) noted(worker, task string, run uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -39,8 +39,8 @@
 		return nil, err
 	}
 	sleep(ctx, 6*time.Second) // until the deployment is calm
-	job := map[string]any{"task_spec": "batch", "steps": []any{map[string]any{
-		"count": 20, "cpu": size.CPU, "mem_mb": size.Memory, "estimated_ms": drainWork.Milliseconds(),
+	job := map[string]any{wire["payload"]: "batch", "steps": []any{map[string]any{
+		"count": 20, "cpu": size.CPU, wire["memory"]: size.Memory, wire["estimate"]: drainWork.Milliseconds(),
 	}}}
 	for n := range 3 {
 		if !s.submit(ctx, fmt.Sprintf("%016x", 0x5bc0000000000000+n), job) {
@@ -54,7 +54,7 @@
 	if err := s.store.Write(ctx, "servers/"+leaving.id, leaving.entry(service, true, wapfhaSched.drain)); err != nil {
 		return nil, err
 	}
-	r.note("%s says draining, remaining_ms %d", leaving.id, wapfhaSched.drain.Milliseconds())
+	r.note("%s says draining, least time left %d ms", leaving.id, wapfhaSched.drain.Milliseconds())
 	said := time.Now()
 	if o.trouble {
 		leaving.waitForHold(ctx)
--- a/review/standin/ends.go
+++ b/review/standin/ends.go
@@ -41,8 +41,8 @@
 		return nil, err
 	}
 	sleep(ctx, 6*time.Second) // until the deployment is calm
-	job := map[string]any{"task_spec": "quote", "steps": []any{map[string]any{
-		"count": endsTasks, "cpu": size.CPU, "mem_mb": size.Memory, "estimated_ms": endsWork.Milliseconds(),
+	job := map[string]any{wire["payload"]: "quote", "steps": []any{map[string]any{
+		"count": endsTasks, "cpu": size.CPU, wire["memory"]: size.Memory, wire["estimate"]: endsWork.Milliseconds(),
 	}}}
 	for n := range endsJobs {
 		if !s.submit(ctx, fmt.Sprintf("%016x", 0x5bc0000000000000+n), job) {
--- a/review/standin/schedule.go
+++ b/review/standin/schedule.go
@@ -101,11 +101,11 @@
 
 // submitTimed hands in the timed jobs, which fall due for the first time in an hour.
 func (s *site) submitTimed(ctx context.Context) {
-	step := map[string]any{"count": timedTasks, "cpu": 7000, "mem_mb": 4096, "estimated_ms": 1700}
-	second := map[string]any{"count": timedTasks, "cpu": 7000, "mem_mb": 4096, "estimated_ms": 1700, "depends_on": []int{0}}
+	step := map[string]any{"count": timedTasks, "cpu": 7000, wire["memory"]: 4096, wire["estimate"]: 1700}
+	second := map[string]any{"count": timedTasks, "cpu": 7000, wire["memory"]: 4096, wire["estimate"]: 1700, wire["after"]: []int{0}}
 	job := map[string]any{
-		"task_spec": "pool", "steps": []any{step, second}, "repeat_count": timedRuns,
-		"start_delay_ms": time.Now().Add(time.Hour).UnixMilli(), "interval_ms": timedInterval.Milliseconds(),
+		wire["payload"]: "pool", "steps": []any{step, second}, wire["times"]: timedRuns,
+		wire["first"]: time.Now().Add(time.Hour).UnixMilli(), wire["every"]: timedInterval.Milliseconds(),
 	}
 	body, _ := json.Marshal(job)
 	for n := range timedJobs {
@@ -115,8 +115,8 @@
 
 // submitShort hands in short jobs, spread over the time of the traffic, and returns those that are accepted.
 func (s *site) submitShort(ctx context.Context) []string {
-	job := map[string]any{"task_spec": "quote", "steps": []any{
-		map[string]any{"count": 4, "cpu": 1000, "mem_mb": 512, "estimated_ms": shortWork.Milliseconds()},
+	job := map[string]any{wire["payload"]: "quote", "steps": []any{
+		map[string]any{"count": 4, "cpu": 1000, wire["memory"]: 512, wire["estimate"]: shortWork.Milliseconds()},
 	}}
 	var accepted []string
 	for n := range shortJobs {
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -116,10 +116,10 @@
 	configuration, _ := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
-			"name": "r-1", "hostname": host, "path_prefix": prefix, "type": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 1000,
+			"name": "r-1", "hostname": host, wire["prefix"]: prefix, "type": "non_idempotent", "timeout_ms": 3000, wire["slack"]: 1000,
 			"priority": 0, "backend": service, "max_attempts": maxTries, "extension": 2.0,
 		}},
-		"services": []any{map[string]any{"name": service, "health_check_path": "/health", "max_connections": 64, "protocol": "h1", "rejects_overload": true}},
+		"services": []any{map[string]any{"name": service, "health_check_path": "/health", "max_connections": 64, "protocol": "h1", wire["guards"]: true}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	if err := s.store.WriteConfiguration(ctx, configuration); err != nil {
@@ -256,7 +256,7 @@
 	}
 	request.Host = host
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Request-Deadline-Ms", "3000")
+	request.Header.Set(wire["deadline header"], "3000")
 	response, err := s.client.Do(request)
 	if err != nil {
 		s.record.note("%s %s at %s: no answer (%v)", method, id, d.name, err)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -56,8 +56,8 @@
 
 // amounts are a runner's capacity, or what a task needs of it.
 type amounts struct {
-	CPU    int `json:"cpu"`
-	Memory int `json:"mem_mb"`
+	CPU    int
+	Memory int
 }
 
 // workerRun is a run under way.
@@ -79,12 +79,12 @@
 
 // workerCall has the fields of all calls to a worker.
 type workerCall struct {
-	Task   string `json:"task"`
-	Run    uint64 `json:"run_id"`
-	Until  int64  `json:"deadline_ms"`
-	Fence  uint64 `json:"fencing_token"`
-	Seen   uint64 `json:"last_seen"`
-	WaitMS int64  `json:"wait_ms"`
+	Task   string
+	Run    uint64
+	Until  int64
+	Fence  uint64
+	Seen   uint64
+	WaitMS int64
 }
 
 // startWorker starts a worker that listens on a loopback address.
@@ -98,10 +98,10 @@
 	w.listener = listener.(*net.TCPListener)
 	w.address = listener.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /rillsail/run-start", w.handler(w.start))
-	mux.HandleFunc("POST /rillsail/run-stop", w.handler(w.stop))
-	mux.HandleFunc("POST /rillsail/pace", w.handler(w.pace))
-	mux.HandleFunc("POST /rillsail/hold", w.handler(w.hold))
+	mux.HandleFunc("POST "+wire["start"], w.handler(w.start))
+	mux.HandleFunc("POST "+wire["stop"], w.handler(w.stop))
+	mux.HandleFunc("POST "+wire["pace"], w.handler(w.pace))
+	mux.HandleFunc("POST "+wire["hold"], w.handler(w.hold))
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	go func() { _ = http.Serve(&pausableListener{Listener: listener, worker: w}, mux) }()
 	return nil
@@ -111,11 +111,11 @@
 func (w *worker) entry(service string, draining bool, remaining time.Duration) []byte {
 	entry := map[string]any{
 		"backend": service, "address": w.address, "zone": "hofud-a", "version": "v1", "slots": 8, "state": "ready",
-		"cold_remaining_ms": 0, "capacity": map[string]int{"cpu": w.capacity.CPU, "mem_mb": w.capacity.Memory, "gpus": 0},
+		"cold_remaining_ms": 0, "capacity": map[string]int{"cpu": w.capacity.CPU, wire["memory"]: w.capacity.Memory, "gpus": 0},
 		"labels": []string{"a", "r1-1"}, "clock_ms": w.clock(), "sequence": 1,
 	}
 	if draining {
-		entry["state"], entry["remaining_ms"] = "draining", remaining.Milliseconds()
+		entry["state"], entry[wire["remaining"]] = "draining", remaining.Milliseconds()
 	}
 	value, _ := json.Marshal(entry)
 	return value
@@ -141,7 +141,7 @@
 		if w.waitWhileCut(r.Context()) || w.hasLeft() {
 			panic(http.ErrAbortHandler)
 		}
-		if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != w.id {
+		if expected := r.Header.Get(wire["instance header"]); expected != "" && expected != w.id {
 			out.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
@@ -198,7 +198,7 @@
 	w.used.CPU += needs.CPU
 	w.used.Memory += needs.Memory
 	w.running[call.Task] = r
-	w.record.note("%s starts %s run %d (fencing_token %d)", w.id, call.Task, call.Run, call.Fence)
+	w.record.note("%s starts %s run %d (fence %d)", w.id, call.Task, call.Run, call.Fence)
 	w.audit.started(w.id, call.Task, call.Run)
 	if length > 0 {
 		r.timer = time.AfterFunc(length, func() {
@@ -240,7 +240,7 @@
 	return answer{http.StatusOK, nil}
 }
 
-// hold carries out hold: it extends the lease, forgets the ends up to last_seen and lists what runs and has ended.
+// hold carries out hold: it extends the lease, forgets the acknowledged ends and lists what runs and has ended.
 func (w *worker) hold(ctx context.Context, call workerCall) answer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -278,7 +278,7 @@
 		w.mostEnds = len(w.ends)
 		w.record.note("%s lists %d of %d ends, and %d running", w.id, len(ended), len(w.ends), len(running))
 	}
-	return answer{http.StatusOK, map[string]any{"running": running, "ended_at": ended}}
+	return answer{http.StatusOK, map[string]any{"running": running, wire["ended"]: ended}}
 }
 
 // forget drops the ends up to a number, which the daemons have taken note of.
