Long waits tell why workers are closed to starts

The line "tasks wait for long" said workers_closed for workers on trial, workers kept for a waiting task and workers that are not usable, and nothing of workers that are left out as not listed or draining. It now counts the workers on which no task without losses may start by reason, with the free capacity on these; the state dump shows the same. No decision changes.

--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -44,6 +44,10 @@
 	Reason  waitReason         `json:"reason"`   // why that one waits
 	Usable  int                `json:"usable"`   // workers
 	FreeCPU models.MilliCPU    `json:"free_cpu"` // on usable workers, in thousandths of a core
+	// Closed counts the workers on which no task without losses may start now, by reason, and ClosedCPU is the free
+	// capacity on these, in thousandths of a core.
+	Closed    map[closedReason]int             `json:"closed"`
+	ClosedCPU map[closedReason]models.MilliCPU `json:"closed_cpu"`
 }
 
 // sumUpLongWaits updates the summary of what waits for long, and logs it, at most each longWaitInterval.
@@ -55,13 +59,14 @@
 	c.longWaits = c.findLongWaits(now)
 	if waits := c.longWaits; waits != nil {
 		c.config.Logger.Info("tasks wait for long", zap.Any("tasks", waits.Tasks), zap.Duration("longest", waits.Longest.Duration()),
-			zap.String("task", waits.Task), zap.String("reason", string(waits.Reason)), zap.Int("usable", waits.Usable), zap.Int64("free_cpu", int64(waits.FreeCPU)))
+			zap.String("task", waits.Task), zap.String("reason", string(waits.Reason)), zap.Int("usable", waits.Usable), zap.Int64("free_cpu", int64(waits.FreeCPU)),
+			zap.Any("closed", waits.Closed), zap.Any("closed_cpu", waits.ClosedCPU))
 	}
 }
 
 // findLongWaits returns the summary of what waits for long; nil: nothing.
 func (c *Core) findLongWaits(now time.Time) *LongWaits {
-	waits := &LongWaits{Tasks: map[waitReason]int{}}
+	waits := &LongWaits{Tasks: map[waitReason]int{}, Closed: map[closedReason]int{}, ClosedCPU: map[closedReason]models.MilliCPU{}}
 	for _, s := range c.stepsWithIdleTasks() {
 		c.addLongWaits(waits, s, now)
 	}
@@ -69,10 +74,7 @@
 		return nil
 	}
 	for _, w := range c.sortedWorkers {
-		if c.usable(w, now) {
-			waits.Usable++
-			waits.FreeCPU += w.free().CPU
-		}
+		waits.addWorker(w, c.usable(w, now), c.closedReason(w, now))
 	}
 	return waits
 }
@@ -93,6 +95,19 @@
 	}
 }
 
+// addWorker adds the room on a worker.
+func (l *LongWaits) addWorker(w *worker, usable bool, closed closedReason) {
+	free := w.free().CPU
+	if usable {
+		l.Usable++
+		l.FreeCPU += free
+	}
+	if closed != "" {
+		l.Closed[closed]++
+		l.ClosedCPU[closed] += free
+	}
+}
+
 func (l *LongWaits) add(t *task, reason waitReason, waited time.Duration) {
 	l.Tasks[reason]++
 	if ms := models.MilliOf(waited); ms > l.Longest {
--- a/services/dispatch/long_wait_test.go
+++ b/services/dispatch/long_wait_test.go
@@ -105,6 +105,34 @@
 	require.Equal(t, map[waitReason]int{waitContested: 1}, lines[0]["tasks"])
 }
 
+// TestLongWaitsTellWhyWorkersAreClosed guards against lines about long waits that do not tell workers kept for suspects from
+// workers that are not usable, and why those are not.
+func TestLongWaitsTellWhyWorkersAreClosed(t *testing.T) {
+	closed := []struct {
+		reason  closedReason
+		prepare func(w *worker, b longWaitBench)
+	}{
+		{closedReserved, func(w *worker, b longWaitBench) { w.reservedUntil = b.now.Add(time.Minute) }},
+		{closedTrial, func(w *worker, _ longWaitBench) { w.trials = 1 }},
+		{closedStalled, func(w *worker, b longWaitBench) { w.stalledUntil = b.now.Add(time.Minute) }},
+		{closedUnlisted, func(w *worker, _ longWaitBench) { w.listed = false }},
+		{closedDraining, func(w *worker, _ longWaitBench) { w.info.Draining = true }},
+		{closedNotInRoster, func(w *worker, _ longWaitBench) { w.inRoster = false }},
+	}
+	b := newLongWaitBench(t, len(closed))
+	b.AddJob(b.job(singleTaskStep), jobs.Progress{}, true, b.now)
+	want := map[closedReason]int{}
+	for n, c := range closed {
+		c.prepare(b.workers[b.ids[n]], b)
+		want[c.reason] = 1
+	}
+	lines := b.waits(longWait+longWaitInterval, 0, 1, 2, 3)
+	require.NotEmpty(t, lines)
+	require.Equal(t, want, lines[0]["closed"])
+	require.EqualValues(t, 2, lines[0]["usable"])
+	require.EqualValues(t, 4000, lines[0]["closed_cpu"].(map[closedReason]models.MilliCPU)[closedStalled])
+}
+
 // TestNothingIsSummedUpOnceNothingWaits guards against a state dump that shows waits that are over, and against lines
 // about tasks whose step has not been opened, or that have just begun to wait.
 func TestNothingIsSummedUpOnceNothingWaits(t *testing.T) {
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -233,11 +233,3 @@
 func (w *worker) isFailing(now time.Time) bool {
 	return len(w.failedJobs) >= failingJobs && now.Sub(w.failedAt) < failingPause
 }
-
-// usable reports whether new tasks may start on the worker.
-func (c *Core) usable(w *worker, now time.Time) bool {
-	stays := w.listed && w.inRoster && !w.closedToStarts()
-	reachable := w.renewed && now.Sub(w.reportedAt) < silentAfter // a start by itself is valid for no longer than maxStartAge
-	sound := !w.isFailing(now) && now.After(w.noStartsUntil) && now.After(w.stalledUntil)
-	return stays && reachable && sound && len(w.strays) == 0
-}
