--- a/services/dispatch/wait_simulation_test.go
+++ b/services/dispatch/wait_simulation_test.go
@@ -86,6 +86,16 @@
 	longestOrdinary         time.Duration                // of jobs that lost no run
 	longestByLosses         [maxLosses + 1]time.Duration // of long-running tasks, by the number of losses; the last one: that number or more
 	late                    map[string]struct{}
+
+	crashEvery, crashed  int                       // each so many submitted short jobs crash workers; workers crashed by tasks
+	crashTime            time.Duration             // after which the first task of these jobs crashes its worker
+	crashAfter           map[jobs.ID]time.Duration // the jobs whose first task crashes its workers, and after which time
+	crashesOf            map[jobs.ID]int           // workers that the job has crashed
+	startsTooMany        int                       // starts of a task that has crashed maxLosses workers
+	besideRoomSince      map[jobs.TaskID]time.Time // long-running tasks that wait while most of the capacity is free
+	longestBesideRoom    time.Duration             // of these
+	jobBesideRoomSince   map[jobs.ID]time.Time     // jobs of which nothing runs, meanwhile
+	longestJobBesideRoom time.Duration             // of these
 }
 
 func newWaitSimulation(t *testing.T) *waitSimulation {
@@ -93,6 +103,7 @@
 	p := &waitSimulation{
 		t: t, began: time.Unix(1_000_000, 0), running: map[jobs.ID]int{}, idleSince: map[jobs.ID]time.Time{},
 		waitsSince: map[jobs.TaskID]time.Time{}, late: map[string]struct{}{},
+		crashesOf: map[jobs.ID]int{}, besideRoomSince: map[jobs.TaskID]time.Time{}, jobBesideRoomSince: map[jobs.ID]time.Time{},
 		stored: waitStore{epoch: 5, active: map[jobs.ID]jobs.Record{}, progress: map[jobs.ID]jobs.Progress{}},
 	}
 	p.now = p.began
@@ -125,9 +136,15 @@
 	p.SetWorkers(list, p.now)
 }
 
+// nextID is the id of the job that is submitted next.
+func (p *waitSimulation) nextID() jobs.ID { return jobs.ID(fmt.Sprintf("%016x", p.submitted+1)) }
+
 func (p *waitSimulation) submit(step jobs.Step) {
+	id := p.nextID()
 	p.submitted++
-	id := jobs.ID(fmt.Sprintf("%016x", p.submitted))
+	if p.crashEvery > 0 && !step.LongRunning && p.submitted%p.crashEvery == 0 {
+		p.crashAfter[id] = p.crashTime
+	}
 	record := jobs.Record{
 		Spec:  jobs.Spec{ID: id, Queue: "q", Steps: []jobs.Step{step}},
 		Terms: jobs.Terms{Pool: testPool, MaxAttempts: 3, Slack: 250, Stretch: 1.5}, Accepted: models.UnixMilliOf(p.now),
@@ -150,6 +167,7 @@
 			p.submit(waitShortSteps[p.submitted%len(waitShortSteps)])
 		}
 		p.completeRuns()
+		p.crashWorkers()
 		p.listNewIncarnations()
 		if p.now.Sub(p.began)%reportInterval < simulationStep {
 			p.report()
@@ -253,6 +271,9 @@
 
 func (p *waitSimulation) start(w *waitWorker, order StartOrder) {
 	id := order.Call.Task
+	if id.Index == 0 && p.crashesOf[id.Job] >= maxLosses {
+		p.startsTooMany++
+	}
 	w.runs[id] = simulatedRun{run: order.Call.Run, began: p.now}
 	p.running[id.Job]++
 	p.measureJob(id.Job)
@@ -262,6 +283,77 @@
 	p.Started(order, Result{Outcome: OutcomeDone}, p.now)
 }
 
+// crashWorkers lets the workers end that a task crashes now.
+func (p *waitSimulation) crashWorkers() {
+	for n, w := range p.workers {
+		for id, r := range w.runs {
+			after, crashes := p.crashAfter[id.Job]
+			if crashes && id.Index == 0 && p.now.Sub(r.began) >= after {
+				p.crashed++
+				p.crashesOf[id.Job]++
+				p.restart(n, 1)
+				break
+			}
+		}
+	}
+}
+
+// measureBesideRoom measures how long long-running tasks, and jobs of which nothing runs, have been waiting while most of
+// the capacity of the workers that are up is free, whatever faults there are.
+func (p *waitSimulation) measureBesideRoom() {
+	used, capacity := models.MilliCPU(0), models.MilliCPU(0)
+	for _, w := range p.workers {
+		if !w.up(p.now) {
+			continue
+		}
+		capacity += waitCapacity.CPU
+		for id := range w.runs {
+			used += p.find(id).step.spec.Size.CPU
+		}
+	}
+	if 2*used >= capacity {
+		clear(p.besideRoomSince)
+		clear(p.jobBesideRoomSince)
+		return
+	}
+	p.longestBesideRoom = max(p.longestBesideRoom, p.extendWaits())
+	p.longestJobBesideRoom = max(p.longestJobBesideRoom, p.extendJobWaits())
+}
+
+// extendWaits notes the long-running tasks that wait now, and returns the longest wait.
+func (p *waitSimulation) extendWaits() time.Duration {
+	return extend(p.besideRoomSince, p.waitsSince, p.now, func(id jobs.TaskID) bool {
+		t := p.find(id)
+		return t != nil && t.step.spec.LongRunning
+	})
+}
+
+// extendJobWaits notes the jobs of which nothing runs now, and returns the longest wait.
+func (p *waitSimulation) extendJobWaits() time.Duration {
+	return extend(p.jobBesideRoomSince, p.idleSince, p.now, func(id jobs.ID) bool {
+		j := p.jobs[id]
+		return j != nil && j.end == ""
+	})
+}
+
+// extend notes what waits now and counts, forgets what does not wait any more, and returns the longest wait.
+func extend[K comparable](since map[K]time.Time, waiting map[K]time.Time, now time.Time, counts func(K) bool) time.Duration {
+	maps.DeleteFunc(since, func(k K, _ time.Time) bool {
+		_, waits := waiting[k]
+		return !waits || !counts(k)
+	})
+	longest := time.Duration(0)
+	for k := range waiting {
+		if _, noted := since[k]; !noted && counts(k) {
+			since[k] = now
+		}
+	}
+	for _, from := range since {
+		longest = max(longest, now.Sub(from))
+	}
+	return longest
+}
+
 // measure measures how long jobs and tasks have been waiting.
 func (p *waitSimulation) measure() {
 	for id := range p.idleSince {
@@ -270,6 +362,9 @@
 	for id := range p.waitsSince {
 		p.measureTask(id)
 	}
+	if p.crashAfter != nil {
+		p.measureBesideRoom()
+	}
 }
 
 func (p *waitSimulation) measureJob(id jobs.ID) {
