The whole wait of a task beside room is bounded

Cause: each reason to wait for the sake of evidence had a clock of its own: contested losses, no worker for a trial, a worker that is kept for suspects. Where many suspects are tried, a task passes from one to the next; a start that was not carried out began them anew; short work beside trials had no bound at all, and long-running work one only for a quarter of the workers.

Change: a step knows since when there is room for its waiting tasks, and a task since when it does not run, which a start that was not carried out does not change.

Tests of the log line about long waits had a worker kept for suspects for a minute; such a worker takes tasks now, so that the worker stands still instead; the lines are checked as before, and the room of the closed worker as well.

--- a/services/dispatch/closed.go
+++ b/services/dispatch/closed.go
@@ -20,7 +20,6 @@
 	closedStrays      closedReason = "strays"        // runs that should not be there have not ended yet
 	closedTrial       closedReason = "trial"         // a suspect is on trial there
 	closedReserved    closedReason = "reserved"      // a suspect waits for it
-	closedKept        closedReason = "kept"          // a long-running task that is no suspect waits for it
 )
 
 // unusableReason returns why nothing at all may start on a worker.
@@ -62,8 +61,6 @@
 		return closedTrial
 	case w.isReserved(now):
 		return closedReserved
-	case w.isKeptFromTrials(now):
-		return closedKept
 	default:
 		return ""
 	}
--- a/services/dispatch/long_wait_test.go
+++ b/services/dispatch/long_wait_test.go
@@ -60,14 +60,14 @@
 		"no worker is large enough": {func(b longWaitBench) {
 			b.AddJob(b.job(jobs.Step{Count: 1, Size: oversizedStep.Size, Estimate: 500}), jobs.Progress{}, true, b.now)
 		}, waitNoRoom},
-		"a suspect, the worker is kept for another one": {func(b longWaitBench) {
+		"a suspect, the worker is not usable": {func(b longWaitBench) {
 			lost := []jobs.LostRun{lostRunWith(lossShared, 1, 4, 3), lostRunWith(lossAlone, 2, 4, 3)}
 			b.AddJob(b.job(singleTaskStep), jobs.Progress{Suspected: jobs.Suspicions{0: {0: {Lost: lost}}}}, true, b.now)
-			b.workers[b.ids[0]].reservedUntil = b.now.Add(time.Minute)
+			b.workers[b.ids[0]].stalledUntil = b.now.Add(time.Minute)
 		}, waitNoTrialWorker},
-		"the worker is kept for suspects": {func(b longWaitBench) {
+		"the worker is not usable": {func(b longWaitBench) {
 			b.AddJob(b.job(singleTaskStep), jobs.Progress{}, true, b.now)
-			b.workers[b.ids[0]].reservedUntil = b.now.Add(time.Minute)
+			b.workers[b.ids[0]].stalledUntil = b.now.Add(time.Minute)
 		}, waitWorkersClosed},
 		"room is left to short work": {func(b longWaitBench) {
 			lasting := waitSuspectStep
@@ -87,8 +87,13 @@
 			require.NotEmpty(t, lines)
 			require.LessOrEqual(t, len(lines), 2, "once a second")
 			require.Contains(t, lines[0]["tasks"], c.reason)
-			require.EqualValues(t, 1, lines[0]["usable"])
-			require.EqualValues(t, 4000, lines[0]["free_cpu"])
+			usable, closed := 1, 0
+			if !b.workers[b.ids[0]].stalledUntil.IsZero() {
+				usable, closed = 0, 1
+			}
+			require.EqualValues(t, usable, lines[0]["usable"])
+			require.EqualValues(t, 4000*usable, lines[0]["free_cpu"])
+			require.EqualValues(t, 4000*closed, lines[0]["closed_cpu"].(map[closedReason]models.MilliCPU)[closedStalled])
 			require.Positive(t, b.Summary(b.now).LongWaits.Tasks[c.reason])
 		})
 	}
@@ -120,7 +125,7 @@
 		{closedNotInRoster, func(w *worker, _ longWaitBench) { w.inRoster = false }},
 	}
 	b := newLongWaitBench(t, len(closed))
-	b.AddJob(b.job(singleTaskStep), jobs.Progress{}, true, b.now)
+	b.AddJob(b.job(jobs.Step{Count: 1, Size: oversizedStep.Size, Estimate: 500}), jobs.Progress{}, true, b.now)
 	want := map[closedReason]int{}
 	for n, c := range closed {
 		c.prepare(b.workers[b.ids[n]], b)
--- a/services/dispatch/offer.go
+++ b/services/dispatch/offer.go
@@ -43,7 +43,7 @@
 		// The free capacity of a worker that is reserved for a suspect is not available to other tasks. When it
 		// was counted, the work that was moved here for it could not be placed here either, and was handed back
 		// and forth between the cells.
-		if !w.suits(pool, s.spec) || !c.usable(w, now) || w.isReserved(now) || w.isKeptForOther(s, now) {
+		if !w.suits(pool, s.spec) || !c.usable(w, now) || w.isReserved(now) {
 			continue
 		}
 		for n := w.countFitting(s, wanted-count, promised[w]); n > 0; n-- {
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -46,7 +46,7 @@
 		c.handleUnanswered(t, order, now)
 	case OutcomeNotDone, OutcomeUnreached:
 		w.noStartsUntil = now.Add(notDonePause)
-		c.requeue(t)
+		c.requeueUnstarted(t)
 	default:
 		c.handleRefused(t, w, result.Refusal, now)
 	}
@@ -66,7 +66,7 @@
 		c.markChanged(t.step.job)
 	}
 	if t.state == taskStarting || t.state == taskStopping && t.fromPreviousIncarnation {
-		c.requeue(t)
+		c.requeueUnstarted(t)
 	}
 }
 
@@ -77,7 +77,7 @@
 		c.stop(t, "its first start has no answer, and the second was not sent")
 		return
 	}
-	c.requeue(t)
+	c.requeueUnstarted(t)
 }
 
 // Pauses after which a worker or a step is tried again.
@@ -110,7 +110,7 @@
 		w.avoidUntil = now.Add(refusedAvoidPause)
 	}
 	t.leaveLateStartWorker()
-	c.requeue(t)
+	c.requeueUnstarted(t)
 }
 
 // handleUnanswered repeats an unanswered start once; after that, the run is barred.
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -42,7 +42,7 @@
 	kept := c.waitingSteps[:0]
 	for _, s := range c.waitingSteps {
 		if s.waiting == 0 || s.job.end != "" || s.job.cancelled {
-			s.inWaitingSteps, s.closedSince = false, time.Time{}
+			s.inWaitingSteps, s.roomSince = false, time.Time{}
 			continue
 		}
 		kept = append(kept, s)
@@ -91,9 +91,11 @@
 		if c.startsLeft <= 0 {
 			return
 		}
+		if len(places) == 0 && c.noteRoom(s, now) && t.hasWaitedBesideRoom(now) {
+			places = c.findPlaceBesideTrials(s, now)
+		}
 		if len(places) == 0 {
 			s.recordNoPlace(now)
-			c.keepFromTrials(s, now)
 			c.logCordonWait(s, now)
 			return
 		}
@@ -109,7 +111,6 @@
 		}
 		c.rescoreFirst(&places, s, now)
 	}
-	s.closedSince = time.Time{}
 }
 
 // recordNoPlace records that no worker can take a waiting task of the step.
@@ -129,9 +130,6 @@
 	if t.step.spec.Filler {
 		w.fillersChangedAt = now
 	}
-	if w.keptFor == t.step {
-		w.keptFor, w.keptUntil = nil, time.Time{}
-	}
 	w.add(t)
 	c.takeShortCapacity(t)
 	c.startsLeft--
--- a/services/dispatch/places.go
+++ b/services/dispatch/places.go
@@ -69,9 +69,20 @@
 	return list
 }
 
+// findPlaceBesideTrials returns the worker for a task of the step that has waited beside room for as long as it may: the one
+// whose trials end first.
+func (c *Core) findPlaceBesideTrials(s *step, now time.Time) placeHeap {
+	list := c.placeBuffer[:0]
+	if w := c.workerBesideTrials(c.sortedWorkers, s, now); w != nil {
+		list = append(list, place{w, c.score(w, s)})
+	}
+	c.placeBuffer = list
+	return list
+}
+
 // mayTake reports whether a task of the step may start on the worker now.
 func (c *Core) mayTake(w *worker, s *step, now time.Time) bool {
-	return !w.isReserved(now) && !w.isKeptForOther(s, now) && c.mayTakeSuspect(w, s, now)
+	return !w.isReserved(now) && c.mayTakeSuspect(w, s, now)
 }
 
 // isReserved reports whether only suspects may start on the worker.
--- a/services/dispatch/shared.go
+++ b/services/dispatch/shared.go
@@ -89,7 +89,7 @@
 	if t.losses() >= maxLosses {
 		return lasted(t.trialWait.contestedSince, now, maxLastTrialWait)
 	}
-	return lasted(t.trialWait.contestedSince, now, maxTrialWait)
+	return lasted(t.trialWait.contestedSince, now, maxTrialWait) || t.hasWaitedBesideRoom(now)
 }
 
 // waitsInVain reports whether a task that may have lost maxLosses runs can't be abandoned any more before it has waited for as
--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -24,7 +24,7 @@
 	inWaitingSteps  bool                    // is among the core's steps with waiting tasks
 	backoff         time.Time               // workers are not searched for its tasks before then
 	stuckSince      time.Time               // since when no worker can take a waiting task; zero: the last search found one
-	closedSince     time.Time               // long-running steps: since when some tasks that are no suspects find no worker although there is room; zero: none waits for one
+	roomSince       time.Time               // since when there has been room for its waiting tasks, as of when one was last not started; zero: there is none
 	baseline        contention.BaselineLoad // baseline load of a serving step
 	aloneReportedAt time.Time               // when a task of it without filler tasks beside it was last reported
 }
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -50,7 +50,7 @@
 	startUnanswered         bool             // a start of the run has no answer and may still be carried out
 	fromPreviousIncarnation bool             // ordered at the worker's previous incarnation; has to be barred at the present one
 	waitingSince            time.Time        // since when the task waits; zero: waiting for long, or moved from another cell
-	idleSince               time.Time        // since when this owner has known the task, or knows that it does not run, whichever is later
+	idleSince               time.Time        // since when this owner has known the task, or knows that it does not run, whichever is later; starts that were not carried out change nothing
 	lastRunAt               time.Time        // when it was last known to run, or else when its job was added; zero: not known to this owner
 	cameWaiting             bool             // it came from another cell and has not run since
 	leftCapacityAt          time.Time        // when it last left capacity to short work instead of starting
@@ -138,6 +138,13 @@
 	c.endIfDone(t.step.job)
 }
 
+// requeueUnstarted puts a task back whose start was certainly not carried out: it has been without a run all the time.
+func (c *Core) requeueUnstarted(t *task) {
+	idleSince := t.idleSince
+	c.requeue(t)
+	t.idleSince = idleSince
+}
+
 // unassign removes a task from its worker.
 func (c *Core) unassign(t *task) {
 	if t.worker == nil {
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -86,7 +86,7 @@
 		}
 		if w == nil {
 			s.recordNoPlace(now)
-			hasRoom = c.hasRoom(s)
+			hasRoom = c.noteRoom(s, now)
 			c.recordNoWorker(t, hasRoom, now)
 			noWorker = append(noWorker, k)
 			continue
@@ -110,7 +110,7 @@
 	weak := t.isWeakSuspect()
 	var ready, busy, shared, spared, avoided *worker
 	for _, w := range workers {
-		if !c.mayTakeSuspect(w, t.step, now) || w.isKeptFromTrials(now) || w.isReservedForOther(t, now) || w.hasUndecidedSharer(t, now) {
+		if !c.mayTakeSuspect(w, t.step, now) || w.isReservedForOther(t, now) || w.hasUndecidedSharer(t, now) {
 			continue
 		}
 		losses := w.maxSuspectLosses()
@@ -145,6 +145,9 @@
 	case cmp.Or(busy, shared, spared) == nil && avoided.isPastTrials(now):
 		return avoided
 	}
+	if t.hasWaitedBesideRoom(now) {
+		return c.workerBesideTrials(workers, t.step, now)
+	}
 	if next := cmp.Or(busy, shared, spared); next != nil {
 		next.reserveForTrial(t, now)
 	}
--- a/services/dispatch/trial_storm_test.go
+++ b/services/dispatch/trial_storm_test.go
@@ -46,26 +46,53 @@
 	p.advance(s.lasts)
 	p.crashEvery = 0
 	p.advance(stormWatched)
-	t.Logf("%+v: long-running tasks waited for %v beside most of the room, jobs for %v; %d workers crashed, %d trials, %d jobs given up, %d starts too many",
-		s, p.longestBesideRoom, p.longestJobBesideRoom, p.crashed, p.counts.Trials, p.counts.GivenUp, p.startsTooMany)
+	t.Logf("%+v: long-running tasks waited for %v beside most of the room, jobs for %v (of those that crash workers %v, %v); %d workers crashed, %d trials, %d jobs given up, %d starts too many, %d innocent",
+		s, p.besideRoom.longestTask, p.besideRoom.longestJob, p.crashersBesideRoom.longestTask, p.crashersBesideRoom.longestJob, p.crashed, p.counts.Trials, p.counts.GivenUp, p.startsTooMany, p.innocentGivenUp())
 	return p
 }
 
-// TestLongRunningTasksRunSoonWhileOthersCrashWorkers guards against long-running tasks that wait beside workers with most of
-// their capacity free, for as long as tasks that crash their workers are tried there.
+// storms are scripts of such jobs after all workers have restarted twice.
+var storms = []storm{
+	{every: 5, after: 20 * time.Millisecond, lasts: 10 * time.Second, longRunning: 20, passes: 2},
+	{every: 5, after: 300 * time.Millisecond, lasts: 10 * time.Second, longRunning: 20, passes: 2},
+	{every: 3, after: 300 * time.Millisecond, lasts: 10 * time.Second, longRunning: 8, passes: 2},
+	{every: 3, after: 600 * time.Millisecond, lasts: 10 * time.Second, longRunning: 20, passes: 2},
+	{every: 5, after: 900 * time.Millisecond, lasts: 10 * time.Second, longRunning: 20, passes: 2},
+}
+
+// TestWorkRunsSoonWhileOthersCrashWorkers guards against work of jobs that crash nothing which waits beside workers with most
+// of their capacity free, for as long as tasks that crash their workers are tried there.
+func TestWorkRunsSoonWhileOthersCrashWorkers(t *testing.T) {
+	for _, s := range storms {
+		t.Run(fmt.Sprintf("%+v", s), func(t *testing.T) {
+			t.Parallel()
+			p := s.play(t)
+			assert.LessOrEqual(t, p.besideRoom.longestTask, stormAllowed)
+			assert.LessOrEqual(t, p.besideRoom.longestJob, waitAllowed)
+			assert.Zero(t, p.innocentGivenUp())
+		})
+	}
+}
+
+// TestLongRunningTasksRunSoonWhileOthersCrashWorkers guards against the same for all long-running tasks, those that crash their
+// workers among them: each runs, or its job fails.
 func TestLongRunningTasksRunSoonWhileOthersCrashWorkers(t *testing.T) {
-	for _, s := range []storm{
-		{every: 5, after: 20 * time.Millisecond, lasts: 10 * time.Second, longRunning: 20, passes: 2},
-		{every: 5, after: 300 * time.Millisecond, lasts: 10 * time.Second, longRunning: 20, passes: 2},
-		{every: 3, after: 300 * time.Millisecond, lasts: 10 * time.Second, longRunning: 8, passes: 2},
-		{every: 3, after: 600 * time.Millisecond, lasts: 10 * time.Second, longRunning: 20, passes: 2},
-		{every: 5, after: 900 * time.Millisecond, lasts: 10 * time.Second, longRunning: 20, passes: 2},
-	} {
+	for _, s := range storms {
 		t.Run(fmt.Sprintf("%+v", s), func(t *testing.T) {
 			t.Parallel()
 			p := s.play(t)
-			assert.LessOrEqual(t, p.longestBesideRoom, stormAllowed)
-			assert.LessOrEqual(t, p.longestJobBesideRoom, waitAllowed)
+			assert.LessOrEqual(t, max(p.besideRoom.longestTask, p.crashersBesideRoom.longestTask), stormAllowed)
+		})
+	}
+}
+
+// TestJobsThatCrashWorkersRunSoonBesideRoom guards against the same for short jobs whose tasks crash their workers: something
+// of them runs, or they fail.
+func TestJobsThatCrashWorkersRunSoonBesideRoom(t *testing.T) {
+	for _, s := range storms {
+		t.Run(fmt.Sprintf("%+v", s), func(t *testing.T) {
+			t.Parallel()
+			assert.LessOrEqual(t, s.play(t).crashersBesideRoom.longestJob, waitAllowed)
 		})
 	}
 }
--- a/services/dispatch/wait_simulation_test.go
+++ b/services/dispatch/wait_simulation_test.go
@@ -87,15 +87,13 @@
 	longestByLosses         [maxLosses + 1]time.Duration // of long-running tasks, by the number of losses; the last one: that number or more
 	late                    map[string]struct{}
 
-	crashEvery, crashed  int                       // each so many submitted short jobs crash workers; workers crashed by tasks
-	crashTime            time.Duration             // after which the first task of these jobs crashes its worker
-	crashAfter           map[jobs.ID]time.Duration // the jobs whose first task crashes its workers, and after which time
-	crashesOf            map[jobs.ID]int           // workers that the job has crashed
-	startsTooMany        int                       // starts of a task that has crashed maxLosses workers
-	besideRoomSince      map[jobs.TaskID]time.Time // long-running tasks that wait while most of the capacity is free
-	longestBesideRoom    time.Duration             // of these
-	jobBesideRoomSince   map[jobs.ID]time.Time     // jobs of which nothing runs, meanwhile
-	longestJobBesideRoom time.Duration             // of these
+	crashEvery, crashed int                       // each so many submitted short jobs crash workers; workers crashed by tasks
+	crashTime           time.Duration             // after which the first task of these jobs crashes its worker
+	crashAfter          map[jobs.ID]time.Duration // the jobs whose first task crashes its workers, and after which time
+	crashesOf           map[jobs.ID]int           // workers that the job has crashed
+	startsTooMany       int                       // starts of a task that has crashed maxLosses workers
+	besideRoom          waitsBesideRoom           // of jobs of which no task crashes workers
+	crashersBesideRoom  waitsBesideRoom           // of the others
 }
 
 func newWaitSimulation(t *testing.T) *waitSimulation {
@@ -103,7 +101,7 @@
 	p := &waitSimulation{
 		t: t, began: time.Unix(1_000_000, 0), running: map[jobs.ID]int{}, idleSince: map[jobs.ID]time.Time{},
 		waitsSince: map[jobs.TaskID]time.Time{}, late: map[string]struct{}{},
-		crashesOf: map[jobs.ID]int{}, besideRoomSince: map[jobs.TaskID]time.Time{}, jobBesideRoomSince: map[jobs.ID]time.Time{},
+		crashesOf: map[jobs.ID]int{}, besideRoom: newWaitsBesideRoom(), crashersBesideRoom: newWaitsBesideRoom(),
 		stored: waitStore{epoch: 5, active: map[jobs.ID]jobs.Record{}, progress: map[jobs.ID]jobs.Progress{}},
 	}
 	p.now = p.began
@@ -136,6 +134,17 @@
 	p.SetWorkers(list, p.now)
 }
 
+// innocentGivenUp counts the jobs that were given up although none of their tasks crashes workers.
+func (p *waitSimulation) innocentGivenUp() int {
+	count := 0
+	for id, ended := range p.ended {
+		if _, crashes := p.crashAfter[id]; !crashes && ended.state == jobs.StateFailed {
+			count++
+		}
+	}
+	return count
+}
+
 // nextID is the id of the job that is submitted next.
 func (p *waitSimulation) nextID() jobs.ID { return jobs.ID(fmt.Sprintf("%016x", p.submitted+1)) }
 
@@ -311,29 +320,39 @@
 			used += p.find(id).step.spec.Size.CPU
 		}
 	}
-	if 2*used >= capacity {
-		clear(p.besideRoomSince)
-		clear(p.jobBesideRoomSince)
-		return
-	}
-	p.longestBesideRoom = max(p.longestBesideRoom, p.extendWaits())
-	p.longestJobBesideRoom = max(p.longestJobBesideRoom, p.extendJobWaits())
+	mostFree := 2*used < capacity
+	p.besideRoom.extend(p, mostFree, false)
+	p.crashersBesideRoom.extend(p, mostFree, true)
 }
 
-// extendWaits notes the long-running tasks that wait now, and returns the longest wait.
-func (p *waitSimulation) extendWaits() time.Duration {
-	return extend(p.besideRoomSince, p.waitsSince, p.now, func(id jobs.TaskID) bool {
-		t := p.find(id)
-		return t != nil && t.step.spec.LongRunning
-	})
+// waitsBesideRoom are waits while most of the capacity is free.
+type waitsBesideRoom struct {
+	taskSince               map[jobs.TaskID]time.Time // long-running tasks
+	jobSince                map[jobs.ID]time.Time     // jobs of which nothing runs
+	longestTask, longestJob time.Duration
 }
 
-// extendJobWaits notes the jobs of which nothing runs now, and returns the longest wait.
-func (p *waitSimulation) extendJobWaits() time.Duration {
-	return extend(p.jobBesideRoomSince, p.idleSince, p.now, func(id jobs.ID) bool {
+func newWaitsBesideRoom() waitsBesideRoom {
+	return waitsBesideRoom{taskSince: map[jobs.TaskID]time.Time{}, jobSince: map[jobs.ID]time.Time{}}
+}
+
+// extend notes what waits now, of the jobs that crash workers or of the others.
+func (b *waitsBesideRoom) extend(p *waitSimulation, mostFree, crashing bool) {
+	if !mostFree {
+		clear(b.taskSince)
+		clear(b.jobSince)
+		return
+	}
+	of := func(id jobs.ID) bool {
+		_, crashes := p.crashAfter[id]
 		j := p.jobs[id]
-		return j != nil && j.end == ""
-	})
+		return crashes == crashing && j != nil && j.end == ""
+	}
+	b.longestTask = max(b.longestTask, extend(b.taskSince, p.waitsSince, p.now, func(id jobs.TaskID) bool {
+		t := p.find(id)
+		return of(id.Job) && t != nil && t.step.spec.LongRunning
+	}))
+	b.longestJob = max(b.longestJob, extend(b.jobSince, p.idleSince, p.now, of))
 }
 
 // extend notes what waits now and counts, forgets what does not wait any more, and returns the longest wait.
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -78,8 +78,6 @@
 	trialsSince      time.Time // when the first of these trials began
 	reservedUntil    time.Time // reserved until then for the task in the next field
 	reservedFor      *task     // a waiting suspect
-	keptUntil        time.Time // no trial begins until then, for the sake of the step in the next field
-	keptFor          *step     // with a waiting task that is no suspect
 
 	loadExpectations []servingTask // cached by Core.expectedLoads
 	expectedValid    bool
