A successor learns from owners that have ended until when their leases last

Cause: a worker goes for good, and its cell is handed over before its lease is over. The successor counted a whole lease from the end of the owner, although that one knew which lease it had granted the worker last: a clock that begins anew with each owner.

Change: once a previous owner has ended, its daemon tells until when the leases last that it granted each worker (Query.ClaimLeases), counted from the answer on the successor's clock. Nothing is stored, no clocks of VMs are compared, and the owner has ended before it tells.

--- a/models/jobs/claims.go
+++ b/models/jobs/claims.go
@@ -54,3 +54,21 @@
 	// Ago is how long before the answer the last order under the claim was given, at least.
 	Ago models.Milli `json:"ago_ms"`
 }
+
+// ClaimLeases is a daemon's answer about the leases that were granted under a claim of its own, which has ended.
+type ClaimLeases struct {
+	Daemon string `json:"daemon"`
+	// Remaining is how long after the answer these leases last, and the runs under them, for each worker on which any do. On
+	// all other workers they are over, or there were none.
+	Remaining map[WorkerID]models.Milli `json:"remaining_ms,omitempty"`
+}
+
+// Check rejects leases that would be over before the answer.
+func (c ClaimLeases) Check() error {
+	for worker, remaining := range c.Remaining {
+		if remaining < 0 {
+			return errors.Newf("leases of worker %q last for a negative time", worker)
+		}
+	}
+	return nil
+}
--- a/models/jobs/query.go
+++ b/models/jobs/query.go
@@ -21,6 +21,9 @@
 	// EndClaim is the ClaimID of an earlier claim of the cell, which the daemon that is asked made and which the asking
 	// daemon has superseded: the daemon stops to run the cell under that claim.
 	EndClaim string `json:"end_claim,omitempty"`
+	// ClaimLeases is the ClaimID of an earlier claim of the cell, which the daemon that is asked made and which has ended.
+	// Daemons of older versions don't know the question, so that it comes apart from that for the end.
+	ClaimLeases string `json:"claim_leases,omitempty"`
 	// Witness asks the daemon as a witness, whether it owns the cell or not; nil: it is not asked.
 	Witness *WitnessCall `json:"witness,omitempty"`
 }
@@ -54,7 +57,7 @@
 // Answer is the answer to a Query.
 type Answer struct {
 	// IsOwner is set if the daemon owns the cell and has recovered its jobs. Otherwise the other
-	// fields but ClaimEnd and Witness are empty.
+	// fields but ClaimEnd, ClaimLeases and Witness are empty.
 	IsOwner bool         `json:"owner"`
 	States  map[ID]State `json:"states,omitempty"` // jobs that the owner does not know are left out
 	// AdditionalCells has an entry for each job of which other cells may have tasks, also if all of its tasks have been
@@ -66,17 +69,23 @@
 	Places          []int             `json:"places,omitempty"` // one count per demand, in their order
 	// ClaimEnd answers Query.EndClaim, also if the daemon does not own the cell; nil: the claim has not ended yet.
 	ClaimEnd *ClaimEnd `json:"claim_end,omitempty"`
+	// ClaimLeases answers Query.ClaimLeases; nil: the claim has not ended, or its process has.
+	ClaimLeases *ClaimLeases `json:"claim_leases,omitempty"`
 	// Witness answers Query.Witness; nil: the daemon does not answer as a witness.
 	Witness *WitnessAnswer `json:"witness,omitempty"`
 }
 
-// Check rejects factors whose idle tail is not positive, as they can't be converted to another unit of load.
+// Check rejects factors whose idle tail is not positive, as they can't be converted to another unit of load, and invalid
+// leases.
 func (a Answer) Check() error {
 	for _, l := range a.Learned {
 		if !(l.IdleTail > 0) {
 			return errors.Newf("factor of %s beside %s has no unit", l.Filler, l.Serving)
 		}
 	}
+	if a.ClaimLeases != nil {
+		return a.ClaimLeases.Check()
+	}
 	return nil
 }
 
--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -136,8 +136,8 @@
 	return owners
 }
 
-// Answer answers a query about a cell that this daemon owns, or about the end of a claim that it made, or to it as a
-// witness. To any other query it returns the zero Answer.
+// Answer answers a query about a cell that this daemon owns, or about the end or the leases of a claim that it made, or to
+// it as a witness. To any other query it returns the zero Answer.
 func (c *Cells) Answer(query jobs.Query) jobs.Answer {
 	if query.Witness != nil {
 		return jobs.Answer{Witness: c.answerAsWitness(query.Cell, *query.Witness)}
@@ -145,6 +145,9 @@
 	if query.EndClaim != "" {
 		return jobs.Answer{ClaimEnd: c.endClaim(query.Cell, query.EndClaim)}
 	}
+	if query.ClaimLeases != "" {
+		return jobs.Answer{ClaimLeases: c.claimLeases(query.ClaimLeases)}
+	}
 	c.mu.Lock()
 	owner := c.owned[query.Cell]
 	c.mu.Unlock()
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -233,11 +233,14 @@
 
 func (c *Cells) runOwner(ctx context.Context, cell jobs.CellName, owner *Owner) {
 	owner.Run(ctx)
+	owner.mu.Lock()
+	leases := owner.core.GrantedLeases()
+	owner.mu.Unlock()
 	c.mu.Lock()
 	if c.owned[cell] == owner {
 		delete(c.owned, cell)
 	}
-	c.claimEnds.end(owner.claim.ClaimID, c.config.Clock.Now())
+	c.claimEnds.end(owner.claim.ClaimID, leases, c.config.Clock.Now())
 	c.mu.Unlock()
 	c.wakeClaimLoop()
 }
--- a/services/control/claim_ends.go
+++ b/services/control/claim_ends.go
@@ -24,11 +24,13 @@
 	beganAt time.Time            // when this process listened at its address; zero: it may not yet
 	running map[string]*Owner    // by claim id; an owner that has lost its cell stays until its loops have ended
 	ended   map[string]time.Time // when the owner under a claim had ended
-	barred  map[string]time.Time // when a later owner asked to end the claim; it must not be run from then on
+	// leases are those granted under the claims in ended: until when the runs under them last.
+	leases map[string]map[jobs.WorkerID]time.Time
+	barred map[string]time.Time // when a later owner asked to end the claim; it must not be run from then on
 }
 
 func newClaimEnds() claimEnds {
-	return claimEnds{running: map[string]*Owner{}, ended: map[string]time.Time{}, barred: map[string]time.Time{}}
+	return claimEnds{running: map[string]*Owner{}, ended: map[string]time.Time{}, leases: map[string]map[jobs.WorkerID]time.Time{}, barred: map[string]time.Time{}}
 }
 
 // begin records that an owner runs under a claim. It reports false if the claim is barred.
@@ -40,11 +42,15 @@
 	return true
 }
 
-// end records that an owner has ended.
-func (c *claimEnds) end(claim string, now time.Time) {
+// end records that an owner has ended, and the leases that it had granted.
+func (c *claimEnds) end(claim string, leases map[jobs.WorkerID]time.Time, now time.Time) {
 	delete(c.running, claim)
-	c.ended[claim] = now
+	c.ended[claim], c.leases[claim] = now, leases
 	forgetOld(c.ended, now)
+	maps.DeleteFunc(c.leases, func(claim string, _ map[jobs.WorkerID]time.Time) bool {
+		_, known := c.ended[claim]
+		return !known
+	})
 }
 
 // bar records that a claim must not be run from now on, and reports whether that is new.
@@ -88,3 +94,22 @@
 	}
 	return &jobs.ClaimEnd{Daemon: c.config.Self, Ago: models.MilliOf(now.Sub(at))}
 }
+
+// claimLeases returns how long the leases still last that were granted under a claim of this daemon; nil: the claim has not
+// ended, or this process did not run it.
+func (c *Cells) claimLeases(claim string) *jobs.ClaimLeases {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	leases, known := c.claimEnds.leases[claim]
+	if !known {
+		return nil
+	}
+	answer := &jobs.ClaimLeases{Daemon: c.config.Self, Remaining: map[jobs.WorkerID]models.Milli{}}
+	now := c.config.Clock.Now()
+	for worker, until := range leases {
+		if remaining := until.Sub(now); remaining > 0 {
+			answer.Remaining[worker] = models.MilliOf(remaining) + 1 // rounded up
+		}
+	}
+	return answer
+}
--- a/services/control/previous_owners.go
+++ b/services/control/previous_owners.go
@@ -32,16 +32,21 @@
 
 	// The mutex of the Owner protects the fields below.
 
-	ends         map[string]time.Time       // by claim id: when the owner had ended
-	vouchedUntil map[jobs.Witness]time.Time // when a process that has stopped last vouched for a claim, at the latest
-	told         previousLapse              // as the core was told last
+	ends         map[string]time.Time                   // by claim id: when the owner had ended
+	leases       map[string]map[jobs.WorkerID]time.Time // by claim id: until when the runs on workers last that were granted leases
+	leaseAsks    map[string]int                         // by claim id: how often its daemon was asked for the leases
+	vouchedUntil map[jobs.Witness]time.Time             // when a process that has stopped last vouched for a claim, at the latest
+	told         previousLapse                          // as the core was told last
 }
 
 // previousLapse says when previous owners had ended, and until when enough witnesses may have vouched for the others.
 type previousLapse struct{ ended, fenced time.Time }
 
 func newPreviousOwners(claims jobs.Claims) previousOwners {
-	return previousOwners{claims: claims, ends: map[string]time.Time{}, vouchedUntil: map[jobs.Witness]time.Time{}}
+	return previousOwners{
+		claims: claims, ends: map[string]time.Time{}, leases: map[string]map[jobs.WorkerID]time.Time{}, leaseAsks: map[string]int{},
+		vouchedUntil: map[jobs.Witness]time.Time{},
+	}
 }
 
 // fencedAt returns the time after which too few witnesses have vouched for a claim; false: enough may still vouch for it, or
@@ -82,6 +87,25 @@
 	return times, true
 }
 
+// lastLeases returns, for each worker that was granted leases, until when the runs under these last; false: not all previous
+// owners have told.
+func (p *previousOwners) lastLeases() (last map[jobs.WorkerID]time.Time, ok bool) {
+	if p.claims.Incomplete || len(p.claims.Owners) == 0 {
+		return nil, false
+	}
+	last = map[jobs.WorkerID]time.Time{}
+	for _, claim := range p.claims.Owners {
+		leases, told := p.leases[claim.ClaimID]
+		if !told {
+			return nil, false
+		}
+		for worker, until := range leases {
+			last[worker] = latest(last[worker], until)
+		}
+	}
+	return last, true
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -99,10 +123,14 @@
 }
 
 // askPreviousOwners asks, at the same time, the daemon of each previous owner that is not known to have ended and its
-// witnesses that are not known to have stopped. It reports whether there is more to ask.
+// witnesses that are not known to have stopped, and each one that has ended for its leases. It reports whether there is more
+// to ask.
 func (o *Owner) askPreviousOwners(ctx context.Context) (more bool) {
 	claims, witnesses := o.unansweredClaims()
 	var group conc.WaitGroup
+	for _, claim := range o.claimsWithoutLeases() {
+		group.Go(func() { o.askForLeases(ctx, claim) })
+	}
 	for _, claim := range claims {
 		group.Go(func() { o.askPreviousOwner(ctx, claim) })
 	}
@@ -111,7 +139,25 @@
 	}
 	group.Wait()
 	claims, _ = o.unansweredClaims()
-	return len(claims) > 0
+	return len(claims) > 0 || len(o.claimsWithoutLeases()) > 0
+}
+
+// maxLeaseAsks is how often the daemon of an ended owner is asked for the leases: one of an older version never answers.
+const maxLeaseAsks = 5
+
+// claimsWithoutLeases returns the claims that have ended and whose daemons are to be asked for the leases.
+func (o *Owner) claimsWithoutLeases() []jobs.Owner {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var claims []jobs.Owner
+	for _, claim := range o.previous.claims.Owners {
+		_, ended := o.previous.ends[claim.ClaimID]
+		_, told := o.previous.leases[claim.ClaimID]
+		if ended && !told && o.previous.leaseAsks[claim.ClaimID] < maxLeaseAsks {
+			claims = append(claims, claim)
+		}
+	}
+	return claims
 }
 
 // unansweredClaims returns the claims of which it is not known that they have ended, and those of their witnesses that may
@@ -146,6 +192,28 @@
 	o.recordLapse()
 }
 
+// askForLeases asks the daemon of a previous owner that has ended until when the leases last that this had granted. They
+// are counted from the answer, so that no clocks of different VMs are compared, and they last longer if it comes late.
+func (o *Owner) askForLeases(ctx context.Context, claim jobs.Owner) {
+	leases := o.cells.askClaimLeases(ctx, o.cell, claim)
+	answered := o.config.Clock.Read()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.previous.leaseAsks[claim.ClaimID]++
+	if leases == nil {
+		return
+	}
+	until := map[jobs.WorkerID]time.Time{}
+	for worker, remaining := range leases.Remaining {
+		until[worker] = answered.Add(remaining.Duration())
+	}
+	o.previous.leases[claim.ClaimID] = until
+	if last, ok := o.previous.lastLeases(); ok {
+		o.core.PreviousLeasesEnd(last)
+		wake(o.wakeDecide)
+	}
+}
+
 // askToStop asks a witness of previous owners to stop to vouch for them. If another process answers than the one that is
 // named, that one had ended before it began.
 func (o *Owner) askToStop(ctx context.Context, witness jobs.Witness) {
@@ -184,18 +252,36 @@
 	if claim.Daemon == c.config.Self && claim.Address == c.config.Address {
 		return c.endClaim(cell, claim.ClaimID)
 	}
+	answer := c.askPrevious(ctx, claim, jobs.Query{Cell: cell, EndClaim: claim.ClaimID})
+	if answer.ClaimEnd == nil || answer.ClaimEnd.Daemon != claim.Daemon { // another VM may have the address now
+		return nil
+	}
+	return answer.ClaimEnd
+}
+
+// askClaimLeases asks the daemon that made a claim which has ended for the leases; nil: they are not known.
+func (c *Cells) askClaimLeases(ctx context.Context, cell jobs.CellName, claim jobs.Owner) *jobs.ClaimLeases {
+	if claim.Daemon == c.config.Self && claim.Address == c.config.Address {
+		return c.claimLeases(claim.ClaimID)
+	}
+	answer := c.askPrevious(ctx, claim, jobs.Query{Cell: cell, ClaimLeases: claim.ClaimID})
+	if answer.ClaimLeases == nil || answer.ClaimLeases.Daemon != claim.Daemon {
+		return nil
+	}
+	return answer.ClaimLeases
+}
+
+// askPrevious sends a query to the daemon of a previous owner. It returns the zero Answer if that one does not answer.
+func (c *Cells) askPrevious(ctx context.Context, claim jobs.Owner, query jobs.Query) jobs.Answer {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	answer, err := c.config.Peers.Jobs(ctx, claim.Address, jobs.Query{Cell: cell, EndClaim: claim.ClaimID})
+	answer, err := c.config.Peers.Jobs(ctx, claim.Address, query)
 	if err != nil {
-		c.config.Logger.Debug("daemon of a previous owner does not answer", append(log.Err(err), zap.String("cell", string(cell)),
+		c.config.Logger.Debug("daemon of a previous owner does not answer", append(log.Err(err), zap.String("cell", string(query.Cell)),
 			zap.String("daemon", claim.Daemon))...)
-		return nil
+		return jobs.Answer{}
 	}
-	if answer.ClaimEnd == nil || answer.ClaimEnd.Daemon != claim.Daemon { // another VM may have the address now
-		return nil
-	}
-	return answer.ClaimEnd
+	return answer
 }
 
 // forgetPreviousClaims removes the claims of previous owners from the stored list once all their runs are over.
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -27,7 +27,8 @@
 //     simultaneous losses are known), shared.go (losses shared by several tasks), trial.go (where
 //     and how suspects start), trial_wait.go (what keeps them from it), suspicion_store.go (what is stored), unobserved_losses.go (unobserved losses:
 //     runs that may have been lost without any owner knowing of them)
-//   - recovery after a takeover: takeover.go, recovery_wait.go (what it waits for); proof that this process still owns the cell:
+//   - recovery after a takeover: takeover.go, recovery_wait.go (what it waits for),
+//     previous_leases.go (what previous owners tell of their leases); proof that this process still owns the cell:
 //     proof.go; whether its copy of the store's data is fresh enough to start tasks:
 //     store_freshness.go
 //   - work handed to another cell: movable.go (what may move), offer.go (how much work of other
@@ -117,9 +118,10 @@
 	calledAt          time.Time     // when the first worker of the previous roster reported in this epoch; zero: none has
 	previousEndedAt   time.Time     // when the last of the previous owners had ended; zero: not known
 	previousFence     witnessFence
-	noPreviousRuns    bool       // no previous owner had started anything
-	loggedBasis       lapseBasis // of the wait after the takeover that was last logged; empty: none was
-	loggedHiddenEnds  bool       // it was logged that the recovery waits for ended runs that are not listed
+	previousLeases    map[jobs.WorkerID]time.Time // see PreviousLeasesEnd; nil: not known
+	noPreviousRuns    bool                        // no previous owner had started anything
+	loggedBasis       lapseBasis                  // of the wait after the takeover that was last logged; empty: none was
+	loggedHiddenEnds  bool                        // it was logged that the recovery waits for ended runs that are not listed
 	superseded        bool
 	listRead          bool      // the platform's list of workers has been read
 	provedAt          time.Time // when the latest transaction that proves ownership was begun; see mayOrder
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -134,7 +134,7 @@
 // leaseLapsedAt returns when all leases that the worker was granted are over.
 func (c *Core) leaseLapsedAt(w *worker) time.Time {
 	if !w.answered {
-		return c.previousOwnersLapsed()
+		return c.previousRunsLapsed(w)
 	}
 	remaining := time.Duration(float64((w.leaseEnd - w.reportClock).Duration()) * clockDriftFactor)
 	return w.reportedAt.Add(max(remaining, 0) + clockMargin)
--- a/services/dispatch/lost_workers.go
+++ b/services/dispatch/lost_workers.go
@@ -22,6 +22,7 @@
 		if w.info.Draining && c.vacateDraining(w, now) {
 			continue
 		}
+		c.wantsLapseProof = c.wantsLapseProof || c.lacksLapseProof(w, now)
 		if now.Sub(w.reportedAt) <= silentAfter || now.Before(c.lapsedAt(w)) {
 			continue
 		}
@@ -50,6 +51,11 @@
 // leases of previous owners may last longer.
 func (c *Core) hasLapsed(w *worker) bool { return c.provedAt.After(c.lapsedAt(w)) }
 
+// lacksLapseProof reports whether the recovery after a takeover waits for the proof that a worker has ended all its runs.
+func (c *Core) lacksLapseProof(w *worker, now time.Time) bool {
+	return c.recovering && w.inPreviousRoster && !w.answered && !now.Before(c.lapsedAt(w)) && !c.hasLapsed(w)
+}
+
 // setRetired takes a silent worker that certainly runs nothing out of the roster, so that the next owner does not
 // wait for it, or puts a worker that has answered back into it. Either way the worker gets no starts until a roster
 // that names it is stored: a roster that is being stored now may be older.
--- a/services/dispatch/recovery_wait.go
+++ b/services/dispatch/recovery_wait.go
@@ -41,8 +41,8 @@
 	if len(unreported) == 0 {
 		return nil
 	}
-	until, basis := c.previousOwnersLapse()
-	_, hiding := divideByAnswer(unreported)
+	silent, hiding := divideByAnswer(unreported)
+	until, basis := c.silentRunsLapse(silent)
 	wait := &RecoveryWait{Remaining: models.MilliOf(until.Sub(now)), Basis: basis, HidingEnds: len(hiding)}
 	for _, w := range unreported {
 		wait.Workers = append(wait.Workers, w.info.ID)
@@ -73,7 +73,7 @@
 		c.loggedHiddenEnds = true
 		c.config.Logger.Info("recovery waits for workers to list all ended runs", zap.Int("hiding", len(hiding)), zap.Strings("workers", firstNames(hiding)))
 	}
-	until, basis := c.previousOwnersLapse()
+	until, basis := c.silentRunsLapse(silent)
 	if len(silent) == 0 || basis == c.loggedBasis {
 		return
 	}
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -78,6 +78,7 @@
 	lapseBlind   lapseBasis = "no more than a third of the workers have answered"
 	lapseFenced  lapseBasis = "too few workers are left to the previous owner"
 	lapseEnded   lapseBasis = "the previous owners have ended"
+	lapseTold    lapseBasis = "the previous owners have told when their leases end"
 	lapseLeft    lapseBasis = "too few witnesses are left to the previous owners that have not ended"
 )
 
