The time for which cells without owner are left to other daemons is bounded as a whole

Cause: a daemon claims the cells of a lost daemon one after the other, and waited before each for 150 ms for each cell that it owned by then: with eight cells of its own the last of eight followed after 13 s.

Change: no cell is left to others for longer than 2 s from when it is known to be free (maxClaimWait), which is longer than the delay of a daemon without capacity. After each claim a daemon pauses for 10 ms, so that others that have waited as long claim the next cell.

--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -36,6 +36,7 @@
 	lease         platform.LeaseID
 	// registeredVersion is the version of this daemon's own key; 0: the key does not exist.
 	registeredVersion platform.Version
+	freeSince         map[jobs.CellName]time.Time     // since when cells without owner are known to be free
 	leaseRenewedAt    time.Time                       // when the last answered renewal was sent
 	loads             map[jobs.CellName]jobs.CellLoad // as last reported by the owners
 	ownersSynced      bool                            // owners reflects a recent state of the store
@@ -64,7 +65,7 @@
 	return &Cells{
 		config: c, health: health, configurations: configurations,
 		owners: map[jobs.CellName]ownerRecord{}, owned: map[jobs.CellName]*Owner{}, claimEnds: newClaimEnds(), vouching: newVouching(),
-		loads: map[jobs.CellName]jobs.CellLoad{}, wakeClaim: make(chan struct{}, 1), wakeLease: make(chan struct{}, 1),
+		loads: map[jobs.CellName]jobs.CellLoad{}, freeSince: map[jobs.CellName]time.Time{}, wakeClaim: make(chan struct{}, 1), wakeLease: make(chan struct{}, 1),
 		startLimit: newStartLimit(),
 	}
 }
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -68,9 +68,10 @@
 		}
 	}
 	owned := len(c.owned)
+	c.noteFree(free...)
 	c.mu.Unlock()
 	for _, cell := range free {
-		if wait := c.claimDelay(owned); wait > 0 {
+		if wait := c.claimWait(cell, owned); wait > 0 {
 			sleep(ctx, wait)
 			if _, taken := c.ownerOf(cell); taken {
 				continue
@@ -78,6 +79,31 @@
 		}
 		if c.claim(ctx, cell) {
 			owned++
+			sleep(ctx, claimPause)
+		}
+	}
+}
+
+// maxClaimWait is how long a daemon leaves a cell without owner to others, however many cells it owns or claims before. It
+// is longer than the delay for lack of capacity. With the owner's lease in the store, it is shorter than a worker's lease.
+const maxClaimWait = 2 * time.Second
+
+// claimPause is the pause after each claim, in which other daemons that have waited as long claim the next cell.
+const claimPause = 10 * time.Millisecond
+
+// claimWait returns how long this daemon still leaves a cell to others.
+func (c *Cells) claimWait(cell jobs.CellName, owned int) time.Duration {
+	c.mu.Lock()
+	since := c.freeSince[cell]
+	c.mu.Unlock()
+	return min(c.claimDelay(owned), maxClaimWait-c.config.Clock.Since(since))
+}
+
+// noteFree records since when cells are free. The caller holds the mutex.
+func (c *Cells) noteFree(cells ...jobs.CellName) {
+	for _, cell := range cells {
+		if _, known := c.freeSince[cell]; !known {
+			c.freeSince[cell] = c.config.Clock.Now()
 		}
 	}
 }
@@ -218,6 +244,7 @@
 	allowed := c.claimEnds.begin(claim.owner.ClaimID, owner)
 	if allowed {
 		c.owners[cell] = ownerRecord{Owner: claim.owner.WithoutWitnesses(), version: claim.version, seenAt: claim.taken}
+		delete(c.freeSince, cell)
 		c.owned[cell] = owner
 	}
 	c.mu.Unlock()
--- a/services/control/watch.go
+++ b/services/control/watch.go
@@ -91,9 +91,12 @@
 		return
 	}
 	c.mu.Lock()
-	if record.Deleted {
+	switch {
+	case record.Deleted:
 		delete(c.owners, cell)
-	} else if c.owners[cell].version != record.Version {
+		c.noteFree(cell)
+	case c.owners[cell].version != record.Version:
+		delete(c.freeSince, cell)
 		c.owners[cell] = ownerRecord{Owner: owner, version: record.Version, seenAt: c.config.Clock.Now()}
 	}
 	local := c.owned[cell]
