An owner whose claim has no witnesses looks for some early

Cause: after an outage of the store the first daemon that is registered again claims the cell at once and finds no other one registered, so that its claim names no witnesses, and looked for some after 2 s. Lost within these, it was waited for as if nothing told when its last proof was: 6.9 s from its successor's claim with leases of 6 s.

Change: until the first comparison after 2 s, an owner without witnesses reads the registered daemons every 200 ms and names those that vouch for it, in the way in which it renews them later.

--- a/services/control/witnesses.go
+++ b/services/control/witnesses.go
@@ -171,6 +171,9 @@
 const (
 	// firstWitnessCheck is how long after its takeover an owner first compares its witnesses with the registered daemons.
 	firstWitnessCheck = 2 * time.Second
+	// earlyWitnessCheck is how often it does so before, while its claim has no witnesses: an outage of the store ends with a
+	// claim before other daemons are registered again.
+	earlyWitnessCheck = 200 * time.Millisecond
 	// witnessCheckInterval is how often it does so later.
 	witnessCheckInterval = 10 * time.Second
 )
@@ -179,6 +182,7 @@
 type witnessCheck struct {
 	at      time.Time // of the last one
 	daemons []jobs.Daemon
+	earlyAt time.Time // of the last one before firstWitnessCheck
 }
 
 // renewWitnesses names other witnesses in the stored list of claims when daemons have come, have gone or have another
@@ -214,18 +218,36 @@
 // compared yet, or not known.
 func (o *Owner) registeredWitnesses(ctx context.Context, now time.Time) ([]jobs.Witness, bool) {
 	check := &o.witnessCheck
+	if now.Sub(o.takenAt) < firstWitnessCheck && len(o.claim.Witnesses) == 0 {
+		return o.earlyWitnesses(ctx, now)
+	}
 	if now.Sub(o.takenAt) < firstWitnessCheck || !check.at.IsZero() && now.Sub(check.at) < witnessCheckInterval {
 		return nil, false
 	}
-	daemons, err := o.registeredDaemons(ctx, now)
+	daemons, err := o.registeredDaemons(ctx, now.Add(-firstWitnessCheck))
 	if err != nil {
 		return nil, false
 	}
 	witnesses := o.cells.chooseWitnesses(o.claim.Witnesses, daemons, check.daemons)
-	*check = witnessCheck{now, daemons}
+	check.at, check.daemons = now, daemons
 	return witnesses, true
 }
 
+// earlyWitnesses returns the witnesses of a claim that had found none; false: they are not to be looked for yet, there are
+// still none, or they are not known.
+func (o *Owner) earlyWitnesses(ctx context.Context, now time.Time) ([]jobs.Witness, bool) {
+	if now.Sub(latest(o.takenAt, o.witnessCheck.earlyAt)) < earlyWitnessCheck {
+		return nil, false
+	}
+	o.witnessCheck.earlyAt = now
+	daemons, err := o.registeredDaemons(ctx, now.Add(-earlyWitnessCheck))
+	if err != nil {
+		return nil, false
+	}
+	witnesses := o.cells.chooseWitnesses(nil, daemons, nil)
+	return witnesses, len(witnesses) > 0
+}
+
 // storeWitnesses names the witnesses of the claim in the stored list, and reports whether that is known to be done.
 func (o *Owner) storeWitnesses(ctx context.Context, witnesses []jobs.Witness) bool {
 	claim := o.claim
@@ -241,11 +263,11 @@
 	return true
 }
 
-// registeredDaemons returns the daemons that were registered shortly before.
-func (o *Owner) registeredDaemons(ctx context.Context, now time.Time) ([]jobs.Daemon, error) {
+// registeredDaemons returns the daemons that are registered, as read at the given time or later.
+func (o *Owner) registeredDaemons(ctx context.Context, since time.Time) ([]jobs.Daemon, error) {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	return o.cells.daemonsSince(ctx, now.Add(-firstWitnessCheck))
+	return o.cells.daemonsSince(ctx, since)
 }
 
 // storeClaims stores the list of claims, whose last one is this owner's, and reports whether that is known to be done.
