The wait simulation's jobs have versions, as those of the store have

Cause: records that a successor reads carry the version of their key (control/encoding.go), and takeovers before that version don't count against the job's tasks. The simulation's records had none, so its successors counted each earlier takeover against jobs that were accepted after it: traced in TestTasksThatCrashNothingOutliveOwnersLost, a job accepted in the third epoch had three unobserved losses before it had lost a run.

Change: submit sets the owner's epoch, which is greater than that of all earlier takeovers and less than the next one. What the tests require is unchanged.

--- a/services/dispatch/wait_simulation_test.go
+++ b/services/dispatch/wait_simulation_test.go
@@ -131,6 +131,7 @@
 	record := jobs.Record{
 		Spec:  jobs.Spec{ID: id, Queue: "q", Steps: []jobs.Step{step}},
 		Terms: jobs.Terms{Pool: testPool, MaxAttempts: 3, Slack: 250, Stretch: 1.5}, Accepted: models.UnixMilliOf(p.now),
+		Version: uint64(p.stored.epoch),
 	}
 	p.stored.active[id] = record
 	p.AddJob(record, jobs.Progress{}, true, p.now)
