A successor knows the recent losses of workers

Cause: Core.workerLosses was empty after each takeover. The rate of losses by chance then was that of a calm cell, so that later losses weighed more, made strong suspects of tasks that crash nothing, and ended jobs.

They are a value of their own, losses/CELL, because daemons reject a roster with a field that they do not know; a value that can't be read is passed over.

Ruled out: all names of earlier losses with a bound on their sum (1024): in a storm the names of a few losses reached it, and 54 losses of 256 were known.

--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -14,6 +14,7 @@
 
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/log"
+	"rillsail.example/rillsail/modules/wire"
 	"rillsail.example/rillsail/services/platform"
 )
 
@@ -46,6 +47,11 @@
 	if err != nil {
 		return 0, err
 	}
+	losses, err := readOptional[jobs.WorkerLosses](ctx, o, lossesKey(o.cell), "recent losses of workers are not known")
+	if err != nil {
+		return 0, err
+	}
+	roster.Losses = losses.Losses
 	if err := o.journal.load(ctx, store, o.cell); err != nil {
 		return 0, err
 	}
@@ -58,7 +64,7 @@
 	if err != nil {
 		return 0, err
 	}
-	learned, err := o.loadLearned(ctx)
+	learned, err := readOptional[jobs.LearnedParameters](ctx, o, learnedKey(o.cell), "learning starts over")
 	if err != nil {
 		return 0, err
 	}
@@ -78,22 +84,23 @@
 	return at, nil
 }
 
-// loadLearned reads the parameters that the previous owner has learned. A value that cannot be decoded
-// costs some seconds of learning, and is no reason to leave the cell without owner.
-func (o *Owner) loadLearned(ctx context.Context) (jobs.LearnedParameters, error) {
-	record, err := o.config.Store.Get(ctx, learnedKey(o.cell))
+// readOptional reads a value that the previous owner has left and that a successor can do without. A value that cannot be
+// decoded is no reason to leave the cell without owner.
+func readOptional[T wire.Checker](ctx context.Context, o *Owner, key, without string) (T, error) {
+	var zero T
+	record, err := o.config.Store.Get(ctx, key)
 	if errors.Is(err, platform.ErrNotFound) {
-		return jobs.LearnedParameters{}, nil
+		return zero, nil
 	}
 	if err != nil {
-		return jobs.LearnedParameters{}, err
+		return zero, err
 	}
-	learned, err := decode[jobs.LearnedParameters](record)
+	value, err := decode[T](record)
 	if err != nil {
-		o.config.Logger.Error("learned parameters of the previous owner cannot be decoded; learning starts over", append(log.Err(err), zap.String("cell", string(o.cell)))...)
-		return jobs.LearnedParameters{}, nil
+		o.config.Logger.Error("a value of the previous owner cannot be decoded", append(log.Err(err), zap.String("cell", string(o.cell)), zap.String("without", without))...)
+		return zero, nil
 	}
-	return learned, nil
+	return value, nil
 }
 
 // loadProgress reads the progress of the cell's active jobs.
