Revert "A successor knows the recent losses of workers"

Cause: with the losses known chance explains more after a takeover, for the innocent as for the guilty. Tasks that crash their workers and have lost runs that no owner saw then reach the sum of 5 later, after a sixth start.

Ruled out: that losses caused by tasks which are abandoned later count as chance.

--- a/models/jobs/worker.go
+++ b/models/jobs/worker.go
@@ -57,8 +57,6 @@
 	// UnobservedEpochs are the latest epochs whose owners found workers lost that had never answered them. Each
 	// task accepted before such an epoch may have lost a run with them that no owner knows of.
 	UnobservedEpochs []Epoch `json:"unseen,omitempty"`
-	// Losses are the recent losses of workers, stored in the same transaction as a value of their own.
-	Losses []WorkerLoss `json:"-"`
 }
 
 // Check validates the capacity of each worker.
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -13,7 +13,6 @@
 //	job/CELL/ID/cancel        jobs.Cancellation
 //	progress/CELL/ID          jobs.Progress, written by the cell's owner
 //	roster/CELL               jobs.Roster
-//	losses/CELL               jobs.WorkerLosses, the recent losses of workers, written together with the roster
 //	claims/CELL               jobs.Claims, added to by each claim of the cell and shortened by its owner
 //	learned/CELL              jobs.LearnedParameters, the parameters that the owner has learned from reports
 //	journal/CELL              the last transaction of the cell's owner
--- a/services/control/keys.go
+++ b/services/control/keys.go
@@ -22,7 +22,6 @@
 	jobPrefix      = "job/"
 	progressPrefix = "progress/"
 	rosterPrefix   = "roster/"
-	lossesPrefix   = "losses/"
 	journalPrefix  = "journal/"
 	learnedPrefix  = "learned/"
 	claimsPrefix   = "claims/"
@@ -59,7 +58,6 @@
 
 func ownerKey(cell jobs.CellName) string           { return ownerPrefix + string(cell) }
 func rosterKey(cell jobs.CellName) string          { return rosterPrefix + string(cell) }
-func lossesKey(cell jobs.CellName) string          { return lossesPrefix + string(cell) }
 func learnedKey(cell jobs.CellName) string         { return learnedPrefix + string(cell) }
 func claimsKey(cell jobs.CellName) string          { return claimsPrefix + string(cell) }
 func journalKey(cell jobs.CellName) string         { return journalPrefix + string(cell) }
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -14,7 +14,6 @@
 
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/log"
-	"rillsail.example/rillsail/modules/wire"
 	"rillsail.example/rillsail/services/platform"
 )
 
@@ -47,11 +46,6 @@
 	if err != nil {
 		return 0, err
 	}
-	losses, err := readOptional[jobs.WorkerLosses](ctx, o, lossesKey(o.cell), "recent losses of workers are not known")
-	if err != nil {
-		return 0, err
-	}
-	roster.Losses = losses.Losses
 	if err := o.journal.load(ctx, store, o.cell); err != nil {
 		return 0, err
 	}
@@ -64,7 +58,7 @@
 	if err != nil {
 		return 0, err
 	}
-	learned, err := readOptional[jobs.LearnedParameters](ctx, o, learnedKey(o.cell), "learning starts over")
+	learned, err := o.loadLearned(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -84,23 +78,22 @@
 	return at, nil
 }
 
-// readOptional reads a value that the previous owner has left and that a successor can do without. A value that cannot be
-// decoded is no reason to leave the cell without owner.
-func readOptional[T wire.Checker](ctx context.Context, o *Owner, key, without string) (T, error) {
-	var zero T
-	record, err := o.config.Store.Get(ctx, key)
+// loadLearned reads the parameters that the previous owner has learned. A value that cannot be decoded
+// costs some seconds of learning, and is no reason to leave the cell without owner.
+func (o *Owner) loadLearned(ctx context.Context) (jobs.LearnedParameters, error) {
+	record, err := o.config.Store.Get(ctx, learnedKey(o.cell))
 	if errors.Is(err, platform.ErrNotFound) {
-		return zero, nil
+		return jobs.LearnedParameters{}, nil
 	}
 	if err != nil {
-		return zero, err
+		return jobs.LearnedParameters{}, err
 	}
-	value, err := decode[T](record)
+	learned, err := decode[jobs.LearnedParameters](record)
 	if err != nil {
-		o.config.Logger.Error("a value of the previous owner cannot be decoded", append(log.Err(err), zap.String("cell", string(o.cell)), zap.String("without", without))...)
-		return zero, nil
+		o.config.Logger.Error("learned parameters of the previous owner cannot be decoded; learning starts over", append(log.Err(err), zap.String("cell", string(o.cell)))...)
+		return jobs.LearnedParameters{}, nil
 	}
-	return value, nil
+	return learned, nil
 }
 
 // loadProgress reads the progress of the cell's active jobs.
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -17,8 +17,8 @@
 )
 
 // jobsPerTxn keeps a transaction within the store's limit of entries. An ended job takes three entries
-// at most, a forgotten job a key in each of its cells, and the owner itself six.
-const jobsPerTxn = (platform.MaxTxnEntries - 6) / (cellsPerJob + 1)
+// at most, a forgotten job a key in each of its cells, and the owner itself five.
+const jobsPerTxn = (platform.MaxTxnEntries - 5) / (cellsPerJob + 1)
 
 // storeLoop stores the changes of the core.
 func (o *Owner) storeLoop(ctx context.Context) {
@@ -91,9 +91,6 @@
 	var puts []keyValue
 	if changes.Roster != nil {
 		puts = append(puts, keyValue{rosterKey(o.cell), changes.Roster})
-		if losses := changes.Roster.Losses; len(losses) > 0 {
-			puts = append(puts, keyValue{lossesKey(o.cell), jobs.WorkerLosses{Losses: losses}})
-		}
 	}
 	for _, change := range changes.Jobs {
 		if change.Ended == nil {
--- a/services/dispatch/chance.go
+++ b/services/dispatch/chance.go
@@ -62,14 +62,10 @@
 	c.workerLosses = append(c.workerLosses, c.newWorkerLoss(w, now))
 }
 
-// forgetOldLosses forgets losses older than lossRetention, which say nothing about the current rate.
-func (c *Core) forgetOldLosses(now time.Time) {
-	c.workerLosses = slices.DeleteFunc(c.workerLosses, func(l workerLoss) bool { return now.Sub(l.at) > lossRetention })
-}
-
-// lossesOfOthers returns the recent losses of other workers, and the workers that are silent now.
+// lossesOfOthers returns the recent losses of other workers, and the workers that are silent now. Losses older than
+// lossRetention say nothing about the current rate.
 func (c *Core) lossesOfOthers(except jobs.Incarnation, now time.Time) []workerLoss {
-	c.forgetOldLosses(now)
+	c.workerLosses = slices.DeleteFunc(c.workerLosses, func(l workerLoss) bool { return now.Sub(l.at) > lossRetention })
 	losses := slices.DeleteFunc(slices.Clone(c.workerLosses), func(l workerLoss) bool { return l.incarnation == except })
 	for _, other := range c.sortedWorkers {
 		if other.info.Incarnation() != except && !other.unansweredSince.IsZero() {
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -57,7 +57,6 @@
 	c.dirty = slices.Clone(c.dirty[taken:])
 	if c.rosterChanged && !slices.ContainsFunc(c.dirty, (*job).hasUnstoredLoss) {
 		changes.Roster = c.roster()
-		changes.Roster.Losses = c.storedLosses(now)
 		c.rosterUnresolved = true
 		for _, w := range c.sortedWorkers {
 			w.inPendingRoster = !w.retired
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -16,7 +16,6 @@
 // platform's list names them now or not.
 func (c *Core) RestoreRoster(roster jobs.Roster, now time.Time) {
 	c.takeovers.epochs = roster.UnobservedEpochs
-	c.restoreLosses(roster.Losses, now)
 	switch {
 	case len(roster.Workers) == 0: // no previous owner has started anything
 		c.previousLease, c.previousAllowance = c.config.Lease, leaseAllowance
