Tests compare what owners believe of workers with what is so, once all is calm

Random scripts ended as soon as each job had its expected state. Capacity that an owner counts as used by a run that is over, a worker that is never used again, a run that stays in stopping and a job of unknown acceptance that waits for good were seen only if a job of the script needed that room. The state dump tells of each worker why it is closed.

--- a/services/control/crash_mix_test.go
+++ b/services/control/crash_mix_test.go
@@ -135,4 +135,5 @@
 	for n := range mixLongRunningJobs {
 		require.Equal(p.t, 3, p.grid.Running(jobID(1+n)), "long-running tasks")
 	}
+	require.Empty(p.t, p.awaitTrueBelief(p.restDaemons))
 }
--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -451,7 +451,10 @@
 	if breaches := s.grid.Breaches(); len(breaches) > 0 {
 		return fmt.Sprint("breaches: ", breaches)
 	}
-	return problem
+	if problem != "" {
+		return problem
+	}
+	return s.awaitTrueBelief(s.restDaemons)
 }
 
 // unmet describes an accepted job that is not yet in its expected state; empty if there is none.
--- a/services/control/room_waits_test.go
+++ b/services/control/room_waits_test.go
@@ -205,6 +205,7 @@
 		d.lastAt = time.Now()
 		d.pass(roomWatched)
 		require.Empty(t, d.grid.Breaches())
+		require.Empty(t, d.awaitTrueBelief(d.restDaemons))
 	})
 	return d
 }
--- a/services/control/takeover_random_test.go
+++ b/services/control/takeover_random_test.go
@@ -204,7 +204,10 @@
 	if breaches := r.grid.Breaches(); len(breaches) > 0 {
 		return fmt.Sprint("breaches: ", breaches)
 	}
-	return r.unfinished()
+	if problem := r.unfinished(); problem != "" {
+		return problem
+	}
+	return r.awaitTrueBelief(r.liveDaemons)
 }
 
 // unfinished describes an accepted job that has not reached its expected state; empty if there is none.
--- a/services/dispatch/summary.go
+++ b/services/dispatch/summary.go
@@ -75,6 +75,7 @@
 	Listed    bool             `json:"listed"`
 	Usable    bool             `json:"usable"`
 	Cordoned  bool             `json:"cordoned,omitempty"` // its failure domain is cordoned
+	Closed    closedReason     `json:"closed,omitempty"`   // why no task without losses may start there
 	ReportAge models.Milli     `json:"report_age_ms"`
 	Free      models.Resources `json:"free"`
 	Load      float64          `json:"load"` // the highest of a serving task
@@ -87,7 +88,7 @@
 	for _, w := range c.sortedWorkers {
 		state := WorkerState{
 			ID: w.info.ID, Born: w.info.Born, Listed: w.listed, Usable: c.usable(w, now), Cordoned: w.cordoned, ReportAge: models.MilliOf(now.Sub(w.reportedAt)),
-			Free: w.free(), Load: w.maxLoad,
+			Closed: c.closedReason(w, now), Free: w.free(), Load: w.maxLoad,
 		}
 		for _, t := range w.tasks {
 			state.Tasks = append(state.Tasks, t.id().String())
--- a/services/standin/grid/room.go
+++ b/services/standin/grid/room.go
@@ -4,6 +4,7 @@
 package grid
 
 import (
+	"maps"
 	"slices"
 
 	"rillsail.example/rillsail/models"
@@ -17,6 +18,29 @@
 	return w.up && !g.unlisted[w.info.ID] && !drains && !g.isCordoned(w) && w.faults == Faults{}
 }
 
+// WorkerState is what the incarnation in a place really runs.
+type WorkerState struct {
+	ID     jobs.WorkerID
+	Born   models.UnixMilli
+	Usable bool // tasks can start there
+	Free   models.Resources
+	Tasks  []jobs.TaskID
+}
+
+// WorkerStates returns what the latest incarnations run, by place.
+func (g *Grid) WorkerStates() []WorkerState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	states := make([]WorkerState, 0, len(g.idsByPlace))
+	for _, id := range g.idsByPlace {
+		w := g.workers[id]
+		states = append(states, WorkerState{
+			ID: id, Born: w.info.Born, Usable: g.isUsable(w), Free: w.info.Capacity.Sub(w.used()), Tasks: slices.Collect(maps.Keys(w.runs)),
+		})
+	}
+	return states
+}
+
 // hasRoomFor reports whether a task fits on the usable workers requiredRoom times.
 func (g *Grid) hasRoomFor(task jobs.TaskID, step *jobs.Step) bool {
 	room := 0
