The emulator's isolation of a worker ends with its restart under the same id

An isolated worker's list entry goes some seconds later, also when the worker had started again under its id without the fault meanwhile: the entry of a sound worker went for good, which counts as a fault that lasts, so that the audit of waits never saw a time of calm. The entry now goes only if the incarnation that has the id then is isolated. Only scripts that mix isolation and ids that stay were affected; in the package's random tests there are none, in rillsail-soak they can be asked for.

Measured: TestRestartEndsAnIsolationUnderTheSameID red 1 of 1 without the change, green with it; the emulator's tests green.

--- a/services/standin/grid/faults.go
+++ b/services/standin/grid/faults.go
@@ -109,7 +109,7 @@
 	time.AfterFunc(staleEntryLifetime, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if w.faults.Isolated {
+		if g.workers[w.info.ID].faults.Isolated {
 			g.unlisted[w.info.ID] = true
 			g.noteChange(w.info.ID)
 		}
