Random scripts in which no task crashes its worker once the last fault is over

TestRandomCrashes, TestRandomCrashesUnderSameIDs and TestRandomCrashesInManyCells play without it, and the three TestRandomCrashesMakeProgress* are passed over as known to be red. TestTasksRunSoonAfterCrashesEnd plays the same scripts with crashes that end with the faults; what its crashing long-running jobs need is counted, so that all work fits.

--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -118,6 +118,7 @@
 
 	progressUnchecked bool // jobs may wait although they could run
 	crashRule         grid.CrashRule
+	crashesEnd        bool // no task crashes its worker any more once the last fault is over
 }
 
 var (
@@ -185,6 +186,7 @@
 	maybeCancelled   map[jobs.ID]bool // the cancellation has an unknown outcome: the job may end either way
 	mu               sync.Mutex
 	crashing         map[jobs.ID]time.Duration // time from start to crash, by jobs whose first task crashes its workers
+	crashesOver      bool                      // they crash them no more
 	weekJobs         int
 	workerFailsAll   bool // some worker has failed all its runs, so that jobs may fail
 }
@@ -218,7 +220,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	after, crashes := s.crashing[task.Job]
-	return after, crashes && task.Step == 0 && task.Index == 0
+	return after, crashes && task.Step == 0 && task.Index == 0 && !s.crashesOver
 }
 
 // markNextJobCrashing makes the first task of the next job crash its workers.
@@ -251,6 +253,9 @@
 		s.jobCount++
 		s.trySubmit(d, twoStepJob(s.jobCount, time.Second))
 	case "submit crashing lasting":
+		if !s.fitsAfterCrashes(1) {
+			return
+		}
 		s.markNextJobCrashing(step)
 		s.jobCount++
 		s.trySubmit(d, longRunningJob(s.jobCount, 1))
@@ -382,6 +387,19 @@
 	s.trySubmit(d, longRunningJob(s.jobCount, tasks))
 }
 
+// fitsAfterCrashes reports whether long-running tasks, the first of which crashes its workers, need not be counted, or still
+// fit on the workers when it crashes them no more, and counts them.
+func (s *scriptRun) fitsAfterCrashes(tasks int) bool {
+	if !s.scenario.crashesEnd {
+		return true
+	}
+	if s.longRunningTasks+tasks > maxLongRunningTasks {
+		return false
+	}
+	s.longRunningTasks += tasks
+	return true
+}
+
 // submitSpread submits a job with a task on each worker but one, once in a run.
 func (s *scriptRun) submitSpread(d *testDaemon) {
 	if s.spreadSubmitted {
@@ -397,7 +415,7 @@
 // submitCrashingWide submits a long-running job of several tasks, the first of which crashes its workers, once in a run:
 // each costs several workers one after the other.
 func (s *scriptRun) submitCrashingWide(d *testDaemon, step scriptStep) {
-	if s.crashingWide {
+	if s.crashingWide || !s.fitsAfterCrashes(wideTasks) {
 		return
 	}
 	s.crashingWide = true
@@ -420,6 +438,9 @@
 }
 
 func (s *scriptRun) heal() {
+	s.mu.Lock()
+	s.crashesOver = s.scenario.crashesEnd
+	s.mu.Unlock()
 	s.grid.NoteFault()
 	s.grid.LiftCordons()
 	s.setOutage(false)
@@ -468,7 +489,7 @@
 				if !state.Ended() || s.grid.Running(spec.ID) > 0 {
 					return fmt.Sprintf("cancelled job %s is %q at %s, %d tasks are running", spec.ID, state, d.name, s.grid.Running(spec.ID))
 				}
-			case s.crashing[spec.ID] != 0:
+			case s.crashing[spec.ID] != 0 && (!s.scenario.crashesEnd || state == jobs.StateFailed):
 				if !s.maybeCancelled[spec.ID] && state != jobs.StateFailed || s.grid.Running(spec.ID) > 0 {
 					return fmt.Sprintf("job %s, which crashes its workers, is %q at %s, %d tasks are running", spec.ID, state, d.name, s.grid.Running(spec.ID))
 				}
