Told leases of a claim are bounded

An answer with a huge time would overflow a duration, so that leases which last would count as over. Found by the review; no run shows it. TestToldLeasesAreBounded.

--- a/models/jobs/claims.go
+++ b/models/jobs/claims.go
@@ -63,11 +63,14 @@
 	Remaining map[WorkerID]models.Milli `json:"remaining_ms,omitempty"`
 }
 
-// Check rejects leases that would be over before the answer.
+// maxLeaseRemaining is longer than any lease; a longer one would count as over where it overflows a duration.
+const maxLeaseRemaining models.Milli = 3_600_000
+
+// Check rejects leases that would be over before the answer, and such as no worker grants.
 func (c ClaimLeases) Check() error {
 	for worker, remaining := range c.Remaining {
-		if remaining < 0 {
-			return errors.Newf("leases of worker %q last for a negative time", worker)
+		if remaining < 0 || remaining > maxLeaseRemaining {
+			return errors.Newf("leases of worker %q last for %d ms", worker, remaining)
 		}
 	}
 	return nil
--- a/models/jobs/claims_test.go
+++ b/models/jobs/claims_test.go
@@ -5,9 +5,12 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
 )
 
 // TestFullListOfClaimsIsIncomplete guards against a list that drops a claim without a trace: its runs would count as over.
@@ -24,3 +27,12 @@
 	require.True(t, claims.With(Owner{ClaimID: "next"}).Incomplete)
 	require.Error(t, claims.With(Owner{ClaimID: "no address"}).Check())
 }
+
+// TestToldLeasesAreBounded guards against an answer about leases whose times overflow, so that leases which last would count
+// as over.
+func TestToldLeasesAreBounded(t *testing.T) {
+	for remaining, valid := range map[models.Milli]bool{0: true, 4500: true, -1: false, math.MaxInt64: false} {
+		err := ClaimLeases{Remaining: map[WorkerID]models.Milli{"w": remaining}}.Check()
+		require.Equal(t, valid, err == nil, "%d ms", remaining)
+	}
+}
