Time spent on waits that find a place counts as wait beside room

Found by the review: a task that waited for the worker of its late start, or left capacity to short work, began its wait beside room only afterwards, so that both added up: 6.0 s for a short task, 3 s allowed (TestLateStartWaitCountsAsWaitBesideRoom, red before). Room is noted there as well now; the task starts once the first of the two waits is over.

--- a/services/dispatch/late_start_test.go
+++ b/services/dispatch/late_start_test.go
@@ -111,3 +111,20 @@
 	b.OtherIncarnationAnswered(start.Worker.Incarnation(), secondStartTime, b.now)
 	require.Equal(t, []jobs.WorkerID{start.Worker.ID}, b.TakeImmediatePolls())
 }
+
+// TestLateStartWaitCountsAsWaitBesideRoom guards against a task that waits for the worker of its late start for as long as it
+// may, and then begins to wait anew beside workers that are kept for suspects.
+func TestLateStartWaitCountsAsWaitBesideRoom(t *testing.T) {
+	b := newLongWaitBench(t, 2)
+	b.AddJob(b.job(singleTaskStep), jobs.Progress{}, true, b.now)
+	late, kept := b.workers[b.ids[0]], b.workers[b.ids[1]]
+	task := &b.waitingSteps[0].tasks[0]
+	task.lateStart = lateStart{worker: late.info.ID, until: b.now.Add(time.Minute)}
+	late.otherEntry, late.inRoster, late.stalledUntil = late.listEntry(), true, b.now.Add(time.Minute)
+	kept.reservedUntil = b.now.Add(time.Minute)
+	began := b.now
+	for b.counts.Starts == 0 && b.now.Sub(began) < 10*time.Second {
+		b.waits(100*time.Millisecond, 1)
+	}
+	require.LessOrEqual(t, b.now.Sub(began), maxStaleEntryWait+500*time.Millisecond)
+}
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -86,6 +86,7 @@
 			continue
 		}
 		if _, only := c.awaitsLateStartWorker(t, now); only {
+			c.noteRoom(s, now)
 			continue
 		}
 		if c.startsLeft <= 0 {
@@ -100,6 +101,7 @@
 			return
 		}
 		if s.spec.LongRunning && !c.leavesCapacity(t, now) {
+			c.noteRoom(s, now)
 			s.backoff = now.Add(scanBackoff) // a worker could take the task, so the step is not stuck
 			continue                         // other tasks of the step may have waited longer
 		}
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -81,6 +81,7 @@
 		}
 		w := c.trialWorker(workers, t, now)
 		if w == nil && only {
+			c.noteRoom(s, now)
 			s.backoff = now.Add(scanBackoff)
 			continue
 		}
@@ -92,6 +93,7 @@
 			continue
 		}
 		if s.spec.LongRunning && !c.leavesCapacity(t, now) {
+			c.noteRoom(s, now)
 			continue
 		}
 		s.stuckSince = time.Time{}
--- a/services/dispatch/wait_simulation_test.go
+++ b/services/dispatch/wait_simulation_test.go
@@ -296,9 +296,10 @@
 // crashWorkers lets the workers end that a task crashes now.
 func (p *waitSimulation) crashWorkers() {
 	for n, w := range p.workers {
-		for id, r := range w.runs {
+		for _, row := range w.rows() {
+			id := row.Task
 			after, crashes := p.crashAfter[id.Job]
-			if crashes && id.Index == 0 && p.now.Sub(r.began) >= after {
+			if crashes && id.Index == 0 && p.now.Sub(w.runs[id].began) >= after {
 				p.crashed++
 				p.crashesOf[id.Job]++
 				p.restart(n, 1)
