--- a/models/jobs/claims.go
+++ b/models/jobs/claims.go
@@ -60,7 +60,7 @@
 	Daemon string `json:"daemon"`
 	// Remaining is how long after the answer these leases last, and the runs under them, for each worker on which any do. On
 	// all other workers they are over, or there were none.
-	Remaining map[WorkerID]models.Milli `json:"remaining_ms,omitempty"`
+	Remaining map[WorkerID]models.Milli `json:"lease_left_ms,omitempty"`
 }
 
 // maxLeaseRemaining is longer than any lease; a longer one would count as over where it overflows a duration.
