Only room that can be used counts as wait beside room

Cause: the wait beside room also ran while the only workers with room were not usable (not in the roster, silent). So a suspect of three losses started beside the trial of others as soon as one was usable, and its loss said nothing.

--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -92,8 +92,8 @@
 		if c.startsLeft <= 0 {
 			return
 		}
-		if len(places) == 0 && c.noteRoom(s, now) && t.hasWaitedBesideRoom(now) {
-			places = c.findPlaceBesideTrials(s, now)
+		if len(places) == 0 {
+			places = c.placeAfterWait(t, now)
 		}
 		if len(places) == 0 {
 			s.recordNoPlace(now)
--- a/services/dispatch/places.go
+++ b/services/dispatch/places.go
@@ -69,12 +69,16 @@
 	return list
 }
 
-// findPlaceBesideTrials returns the worker for a task of the step that has waited beside room for as long as it may: the one
-// whose trials end first.
-func (c *Core) findPlaceBesideTrials(s *step, now time.Time) placeHeap {
+// placeAfterWait returns the worker for a task for which there is no place, if it has waited beside room for as long as it
+// may: the one whose trials end first.
+func (c *Core) placeAfterWait(t *task, now time.Time) placeHeap {
+	c.noteRoom(t.step, now)
 	list := c.placeBuffer[:0]
-	if w := c.workerBesideTrials(c.sortedWorkers, s, now); w != nil {
-		list = append(list, place{w, c.score(w, s)})
+	if !t.hasWaitedBesideRoom(now) {
+		return list
+	}
+	if w := c.workerBesideTrials(c.sortedWorkers, t.step, now); w != nil {
+		list = append(list, place{w, c.score(w, t.step)})
 	}
 	c.placeBuffer = list
 	return list
--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -24,7 +24,7 @@
 	inWaitingSteps  bool                    // is among the core's steps with waiting tasks
 	backoff         time.Time               // workers are not searched for its tasks before then
 	stuckSince      time.Time               // since when no worker can take a waiting task; zero: the last search found one
-	roomSince       time.Time               // since when some worker has had room for a task of it, checked each time a waiting task is not started; zero: none has
+	roomSince       time.Time               // since when some usable worker has had room for a task of it, checked each time a waiting task is not started; zero: none has
 	baseline        contention.BaselineLoad // baseline load of a serving step
 	aloneReportedAt time.Time               // when a task of it without filler tasks beside it was last reported
 }
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -87,7 +87,8 @@
 		}
 		if w == nil {
 			s.recordNoPlace(now)
-			hasRoom = c.noteRoom(s, now)
+			c.noteRoom(s, now)
+			hasRoom = c.hasRoom(s)
 			c.recordNoWorker(t, hasRoom, now)
 			noWorker = append(noWorker, k)
 			continue
--- a/services/dispatch/trial_wait.go
+++ b/services/dispatch/trial_wait.go
@@ -58,7 +58,8 @@
 func (c *Core) recordContested(t *task, now time.Time) {
 	wait := &t.trialWait
 	wait.contested = true
-	beginWait(&wait.contestedSince, c.noteRoom(t.step, now), now)
+	c.noteRoom(t.step, now)
+	beginWait(&wait.contestedSince, c.hasRoom(t.step), now)
 	if wait.contestedLogged {
 		return
 	}
--- a/services/dispatch/wait_bound.go
+++ b/services/dispatch/wait_bound.go
@@ -3,7 +3,10 @@
 
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A task that could run may wait for several reasons in turn: a suspect for the outcome of other tasks and for a worker
 // without other suspects, any other task for a worker that is not kept for suspects. Each of these waits is for the sake of
@@ -23,11 +26,11 @@
 	maxOwnTrialWait = 4500 * time.Millisecond
 )
 
-// noteRoom records that tasks of the step wait, and whether there is room for them.
-func (c *Core) noteRoom(s *step, now time.Time) (hasRoom bool) {
-	hasRoom = c.hasRoom(s)
+// noteRoom records that tasks of the step wait, and whether there is room for them that can be used now: beside room on other
+// workers alone, a task would find none at the end of its wait, and would start beside trials as soon as there is some.
+func (c *Core) noteRoom(s *step, now time.Time) {
+	hasRoom := slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return c.mayTakeSuspect(w, s, now) })
 	beginWait(&s.roomSince, hasRoom, now)
-	return hasRoom
 }
 
 // hasWaitedBesideRoom reports whether a task has waited beside room for as long as it may.
