A place that is found needs no search for room

A long-running task that leaves its place to short work scanned all workers once more for each of its step's tasks, in each decision, only to note that there is room: the worker that was found for it is usable and has room, by the same check (mayTakeSuspect). The wait is noted as before. The package comment names the files of closed workers and of the bound of waits.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -18,14 +18,15 @@
 //   - orders and their outcomes: order.go, outcome.go, stop.go; repeated starts: retry_budget.go
 //   - reports: report.go, end.go; ended runs that are not listed yet: listed_ends.go; stray runs: stray.go; checkpoints for the next run: checkpoint.go
 //   - what has to be stored: changes.go
-//   - workers: worker.go, capacity.go, speed.go, lease.go; failure domains in which nothing starts:
+//   - workers: worker.go, closed.go (why nothing starts there), capacity.go, speed.go, lease.go; failure domains in which nothing starts:
 //     cordon.go; lost workers: lost_workers.go; workers that
 //     restart under the same id: incarnation.go, late_start.go
 //   - tasks that crash their workers: suspicion.go (suspects, and when a task is abandoned),
 //     evidence.go (the evidence of one loss), chance.go (the rate of worker losses by chance),
 //     burst.go (workers lost together), recent.go (losses that are evaluated again when
 //     simultaneous losses are known), shared.go (losses shared by several tasks), trial.go (where
-//     and how suspects start), trial_wait.go (what keeps them from it), suspicion_store.go (what is stored), unobserved_losses.go (unobserved losses:
+//     and how suspects start), trial_wait.go (what keeps them from it), wait_bound.go (the bound of
+//     all these waits together), suspicion_store.go (what is stored), unobserved_losses.go (unobserved losses:
 //     runs that may have been lost without any owner knowing of them)
 //   - recovery after a takeover: takeover.go, recovery_wait.go (what it waits for),
 //     previous_leases.go (what previous owners tell of their leases); proof that this process still owns the cell:
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -101,7 +101,7 @@
 			return
 		}
 		if s.spec.LongRunning && !c.leavesCapacity(t, now) {
-			c.noteRoom(s, now)
+			beginWait(&s.roomSince, true, now)
 			s.backoff = now.Add(scanBackoff) // a worker could take the task, so the step is not stuck
 			continue                         // other tasks of the step may have waited longer
 		}
--- a/services/dispatch/trial.go
+++ b/services/dispatch/trial.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		if s.spec.LongRunning && !c.leavesCapacity(t, now) {
-			c.noteRoom(s, now)
+			beginWait(&s.roomSince, true, now)
 			continue
 		}
 		s.stuckSince = time.Time{}
