The log line about long waits counts tasks that may not run, and starts meanwhile

Cause: a task whose start had no answer, that is being stopped after that, or whose worker does not answer, runs nowhere and was in no line; nor did the line tell a wait without room from one in which other tasks took the room. Change: reasons unconfirmed and silent_worker; size and fitting workers of the task that has waited longest; starts since the previous line. TestContestedSuspectsAreSummedUp expects the trial whose start has no answer, too. Measured: the new test is red without the change (no line).

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -139,6 +139,7 @@
 	now               time.Time  // as passed to the latest call
 	longWaits         *LongWaits // as of longWaitsAt; nil: nothing waited for long
 	longWaitsAt       time.Time
+	longWaitsStarts   int64 // counts.Starts at that time
 
 	rosterChanged     bool
 	rosterUnresolved  bool      // a roster is being stored, or it is not known whether it was
--- a/services/dispatch/incarnation.go
+++ b/services/dispatch/incarnation.go
@@ -154,7 +154,7 @@
 		}
 		t.step.waiting--
 		t.step.job.running++
-		t.state = taskRunning
+		t.state, t.confirmed = taskRunning, false
 		t.fromPreviousIncarnation = true
 		t.bindToLateStart(w.info.ID)
 		c.recordLateStart(t, w.info.ID)
--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -33,6 +33,8 @@
 	waitNoRoom        waitReason = "no_room"        // no worker that stays has room for it
 	waitWorkersClosed waitReason = "workers_closed" // each worker with room is kept for suspects or not usable now
 	waitOther         waitReason = "other"          // starts are held back, or it is to start on a certain worker
+	waitUnconfirmed   waitReason = "unconfirmed"    // its start has no answer, and it may not start elsewhere yet
+	waitSilentWorker  waitReason = "silent_worker"  // it may run on a worker that does not answer
 )
 
 // LongWaits sums up the tasks that have waited for longer than longWait, as far as this owner knows. Filler tasks, for
@@ -42,12 +44,17 @@
 	Longest models.Milli       `json:"longest_ms"`
 	Task    string             `json:"task"`     // that has waited longest
 	Reason  waitReason         `json:"reason"`   // why that one waits
+	Size    models.MilliCPU    `json:"size"`     // that it needs, in thousandths of a core
+	Fitting int                `json:"fitting"`  // usable workers with room for it
+	Starts  int64              `json:"starts"`   // ordered since the previous summary, of all tasks
 	Usable  int                `json:"usable"`   // workers
 	FreeCPU models.MilliCPU    `json:"free_cpu"` // on usable workers, in thousandths of a core
 	// Closed counts the workers on which no task without losses may start now, by reason, and ClosedCPU is the free
 	// capacity on these, in thousandths of a core.
 	Closed    map[closedReason]int             `json:"closed"`
 	ClosedCPU map[closedReason]models.MilliCPU `json:"closed_cpu"`
+
+	step *step // of Task
 }
 
 // sumUpLongWaits updates the summary of what waits for long, and logs it, at most each longWaitInterval.
@@ -57,9 +64,11 @@
 	}
 	c.longWaitsAt = now
 	c.longWaits = c.findLongWaits(now)
+	c.longWaitsStarts = c.counts.Starts
 	if waits := c.longWaits; waits != nil {
 		c.config.Logger.Info("tasks wait for long", zap.Any("tasks", waits.Tasks), zap.Duration("longest", waits.Longest.Duration()),
-			zap.String("task", waits.Task), zap.String("reason", string(waits.Reason)), zap.Int("usable", waits.Usable), zap.Int64("free_cpu", int64(waits.FreeCPU)),
+			zap.String("task", waits.Task), zap.String("reason", string(waits.Reason)), zap.Int64("size", int64(waits.Size)),
+			zap.Int("fitting", waits.Fitting), zap.Int64("starts", waits.Starts), zap.Int("usable", waits.Usable), zap.Int64("free_cpu", int64(waits.FreeCPU)),
 			zap.Any("closed", waits.Closed), zap.Any("closed_cpu", waits.ClosedCPU))
 	}
 }
@@ -70,9 +79,18 @@
 	for _, s := range c.stepsWithIdleTasks() {
 		c.addLongWaits(waits, s, now)
 	}
+	for _, w := range c.sortedWorkers {
+		waits.addUncertainRuns(w, now)
+	}
 	if len(waits.Tasks) == 0 {
 		return nil
 	}
+	waits.Starts = c.counts.Starts - c.longWaitsStarts
+	for _, w := range c.sortedWorkers {
+		if c.mayTakeSuspect(w, waits.step, now) {
+			waits.Fitting++
+		}
+	}
 	for _, w := range c.sortedWorkers {
 		waits.addWorker(w, c.usable(w, now), c.closedReason(w, now))
 	}
@@ -95,6 +113,23 @@
 	}
 }
 
+// addUncertainRuns adds the tasks on a worker that may not run: their starts have no answer, or the worker has not answered
+// for long.
+func (l *LongWaits) addUncertainRuns(w *worker, now time.Time) {
+	for _, t := range w.tasks {
+		if t.step.spec.Filler {
+			continue
+		}
+		waited, reason := now.Sub(w.reportedAt), waitSilentWorker
+		if !t.confirmed && now.Sub(t.startedAt) >= longWaitInterval {
+			waited, reason = now.Sub(latest(t.idleSince, t.step.openedAt)), waitUnconfirmed
+		}
+		if waited >= longWait {
+			l.add(t, reason, waited)
+		}
+	}
+}
+
 // addWorker adds the room on a worker.
 func (l *LongWaits) addWorker(w *worker, usable bool, closed closedReason) {
 	free := w.free().CPU
@@ -111,7 +146,7 @@
 func (l *LongWaits) add(t *task, reason waitReason, waited time.Duration) {
 	l.Tasks[reason]++
 	if ms := models.MilliOf(waited); ms > l.Longest {
-		l.Longest, l.Task, l.Reason = ms, t.id().String(), reason
+		l.Longest, l.Task, l.Reason, l.Size, l.step = ms, t.id().String(), reason, t.step.spec.Size.CPU, t.step
 	}
 }
 
--- a/services/dispatch/long_wait_test.go
+++ b/services/dispatch/long_wait_test.go
@@ -99,7 +99,8 @@
 	}
 }
 
-// TestContestedSuspectsAreSummedUp guards against the same for tasks that wait for the outcome of another one.
+// TestContestedSuspectsAreSummedUp guards against the same for tasks that wait for the outcome of another one, and for that
+// other one, whose start has no answer.
 func TestContestedSuspectsAreSummedUp(t *testing.T) {
 	b := longWaitBench{bench: newSharedSuccessor(t, maxLosses-2)}
 	core, logged := observer.New(zap.InfoLevel)
@@ -107,7 +108,7 @@
 	b.waits(time.Second, 0) // one of them is on trial, and its worker is silent from now on
 	lines := b.waits(longWait+longWaitInterval, 1)
 	require.NotEmpty(t, lines)
-	require.Equal(t, map[waitReason]int{waitContested: 1}, lines[0]["tasks"])
+	require.Equal(t, map[waitReason]int{waitContested: 1, waitUnconfirmed: 1}, lines[0]["tasks"])
 }
 
 // TestLongWaitsTellWhyWorkersAreClosed guards against lines about long waits that do not tell workers kept for suspects from
@@ -166,3 +167,28 @@
 	require.Empty(t, b.waits(longWait/2, 0))
 	require.NotEmpty(t, b.waits(longWait/2+longWaitInterval, 0))
 }
+
+// TestTasksThatMayNotRunAreSummedUp guards against tasks that run nowhere without a line: their start has no answer, or their
+// worker does not answer.
+func TestTasksThatMayNotRunAreSummedUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome   Outcome
+		reporting int // the worker that goes on to report
+		reason    waitReason
+	}{
+		"the start has no answer":    {OutcomeUnknown, 0, waitUnconfirmed},
+		"the worker does not answer": {OutcomeDone, 1, waitSilentWorker},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newLongWaitBench(t, 2)
+			b.AddJob(b.job(singleTaskStep), jobs.Progress{}, true, b.now)
+			b.report(0, jobs.Report{})
+			start := b.startOne(t)
+			b.Started(start, Result{Outcome: c.outcome}, b.now)
+			lines := b.waits(longWait+longWaitInterval, c.reporting)
+			require.NotEmpty(t, lines)
+			require.Equal(t, map[waitReason]int{c.reason: 1}, lines[0]["tasks"])
+			require.EqualValues(t, singleTaskStep.Size.CPU, lines[0]["size"])
+		})
+	}
+}
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -170,6 +170,7 @@
 	t.answeredAt, t.sampledAt = time.Time{}, time.Time{}
 	t.orderedAt, t.startSentAt, t.startedAt, t.pacedAt = now, now, now, now
 	t.startRepeated, t.startUnanswered, t.fromPreviousIncarnation, t.paceUncertain = false, true, false, false
+	t.confirmed = false
 	t.pace = jobs.FullSpeed
 	t.loadOffset, t.shownLoad, t.averageLoad, t.figure = 0, 0, 0, 0
 }
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -126,7 +126,7 @@
 	if t.state == taskWaiting {
 		t.step.waiting--
 	}
-	t.state = taskRunning
+	t.state, t.confirmed = taskRunning, true
 	t.trialWait = trialWait{}
 	t.run = run.Run
 	t.orderedHere = false
@@ -187,7 +187,7 @@
 
 // confirmRunning records that a run is under way.
 func (c *Core) confirmRunning(t *task, now time.Time) {
-	t.state = taskRunning
+	t.state, t.confirmed = taskRunning, true
 	t.answeredAt, t.lastRunAt = now, now
 	if now.Sub(t.startedAt) <= promptAnswer {
 		t.startedAt = now
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -48,6 +48,7 @@
 	startRepeated           bool             // the start was repeated
 	lateStart               lateStart        // a start sent to a previous incarnation of a worker, which may still be carried out
 	startUnanswered         bool             // a start of the run has no answer and may still be carried out
+	confirmed               bool             // the worker has answered the start of the run, or shown the run
 	fromPreviousIncarnation bool             // ordered at the worker's previous incarnation; has to be barred at the present one
 	waitingSince            time.Time        // since when the task waits; zero: waiting for long, or moved from another cell
 	idleSince               time.Time        // since when this owner has known the task, or knows that it does not run, whichever is later; starts that were not carried out change nothing
