--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -30,6 +30,7 @@
 	waitContested     waitReason = "contested"      // a suspect: other tasks may have caused its losses
 	waitNoTrialWorker waitReason = "no_trial"       // a suspect: no worker with room takes it on trial
 	waitShortWork     waitReason = "short_work"     // it leaves capacity to short work
+	waitInterference  waitReason = "interference"   // a filler task: it would push serving tasks over their targets, or no CPU is unused
 	waitNoRoom        waitReason = "no_room"        // no worker that stays has room for it
 	waitWorkersClosed waitReason = "workers_closed" // each worker with room is kept for suspects or not usable now
 	waitOther         waitReason = "other"          // starts are held back, or it is to start on a certain worker
@@ -37,8 +38,7 @@
 	waitSilentWorker  waitReason = "silent_worker"  // it may run on a worker that does not answer
 )
 
-// LongWaits sums up the tasks that have waited for longer than longWait, as far as this owner knows. Filler tasks, for
-// which nothing is owed, are left out.
+// LongWaits sums up the tasks that have waited for longer than longWait, as far as this owner knows.
 type LongWaits struct {
 	Tasks   map[waitReason]int `json:"tasks"`
 	Longest models.Milli       `json:"longest_ms"`
@@ -117,9 +117,6 @@
 // for long.
 func (l *LongWaits) addUncertainRuns(w *worker, now time.Time) {
 	for _, t := range w.tasks {
-		if t.step.spec.Filler {
-			continue
-		}
 		waited, reason := now.Sub(w.reportedAt), waitSilentWorker
 		if !t.confirmed && now.Sub(t.startedAt) >= longWaitInterval {
 			waited, reason = now.Sub(latest(t.idleSince, t.step.openedAt)), waitUnconfirmed
@@ -150,7 +147,7 @@
 	}
 }
 
-// stepsWithIdleTasks returns the opened steps that may have tasks that do not run, without those of filler tasks.
+// stepsWithIdleTasks returns the opened steps that may have tasks that do not run.
 func (c *Core) stepsWithIdleTasks() []*step {
 	var steps []*step
 	for _, s := range c.waitingSteps {
@@ -172,7 +169,7 @@
 }
 
 func (s *step) mayHaveIdleTasks() bool {
-	return !s.spec.Filler && s.done < len(s.tasks) && s.job.end == "" && !s.job.cancelled
+	return s.done < len(s.tasks) && s.job.end == "" && !s.job.cancelled
 }
 
 // waitReasonOf returns why a task does not run.
@@ -184,6 +181,8 @@
 		return waitOther
 	case !t.lossesAreStored() || c.takeovers.blocksStarts(t.step.job):
 		return waitUnstored
+	case !hasRoom && t.step.spec.Filler:
+		return waitInterference
 	case !hasRoom:
 		return waitNoRoom
 	case t.suspected() && t.trialWait.contested:
--- a/services/dispatch/long_wait_test.go
+++ b/services/dispatch/long_wait_test.go
@@ -69,6 +69,11 @@
 			b.AddJob(b.job(singleTaskStep), jobs.Progress{}, true, b.now)
 			b.workers[b.ids[0]].stalledUntil = b.now.Add(time.Minute)
 		}, waitWorkersClosed},
+		"a filler task, no CPU is unused": {func(b longWaitBench) {
+			filler := fillerStep
+			filler.Size.CPU = oversizedStep.Size.CPU
+			b.AddJob(b.job(filler), jobs.Progress{}, true, b.now)
+		}, waitInterference},
 		"room is left to short work": {func(b longWaitBench) {
 			lasting := waitSuspectStep
 			lasting.Size.CPU = 3500
