Jobs of filler tasks have something running while most of the capacity is free

Cause: a filler task starts only where the predicted loads of the serving tasks allow it, and the jobs that are placed first take all that they allow, so that nothing of the others runs for 25 s and more. Class: a wait that a rule of its own keeps out of the bound of all waits. Change: while most of the CPU is free, a job of which nothing has run for a second goes before others with one filler task, and after 2.5 s one starts whatever the loads, where it does least harm, and is throttled like others.

--- a/services/dispatch/filler.go
+++ b/services/dispatch/filler.go
@@ -18,9 +18,14 @@
 	return w.info.Capacity.CPU - ordinary - models.MilliCPU(longRunningUse*float64(w.longRunningCPU))
 }
 
-// mayRunFiller reports whether a filler task may be placed on the worker: enough CPU must be unused, and the
-// serving tasks' loads must stay low enough.
+// mayRunFiller reports whether a filler task may be placed on the worker.
 func (c *Core) mayRunFiller(w *worker, s *step) bool {
+	return c.loadsAllow(w, s) || c.startsWhateverTheLoads(w, s)
+}
+
+// loadsAllow reports whether enough CPU is unused for a filler task on the worker, and the serving tasks' loads stay low
+// enough beside it.
+func (c *Core) loadsAllow(w *worker, s *step) bool {
 	if w.fillerCPU+s.spec.Size.CPU > w.unusedCPU() {
 		return false
 	}
--- /dev/null
+++ b/services/dispatch/filler_wait.go
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Filler tasks start only where the predicted loads of the serving tasks allow it. Where each worker has a serving task, the
+// jobs that are placed first can take all that the loads allow, or the loads allow nothing for as long as they are high. But callers
+// expect of each job that something of it runs soon while most of the capacity is free. So a job of filler tasks
+// of which nothing has run for some time goes before the others with one task. If the loads allow not even that, the task starts all the same
+// a little later, where it does the least harm, and is throttled like others.
+
+const (
+	// fillerTurnAfter is how long nothing of a job runs until one of its filler tasks goes before those of other jobs. Callers look
+	// at what runs from time to time, and may not see a run of half a second.
+	fillerTurnAfter = time.Second
+	// maxFillerWait is how long nothing of a job runs until one of its filler tasks starts whatever the loads: less than the 3 s for
+	// which callers allow a job to have nothing running.
+	maxFillerWait = 2500 * time.Millisecond
+	// mostlyFreeBelow is the share of the CPU declared by other than filler tasks below which the cell is mostly free. Callers
+	// count half; what they see is older or newer than what the owner knows.
+	mostlyFreeBelow = 0.6
+)
+
+// idleTime returns for how long nothing of the job has run, while the step could.
+func (s *step) idleTime(now time.Time) time.Duration {
+	if s.job == nil || s.job.running > 0 {
+		return 0
+	}
+	return now.Sub(latest(s.job.lastRunEndedAt, s.openedAt))
+}
+
+// isMostlyFree reports whether callers may expect that each job runs: most of the CPU of the usable workers is free.
+func (c *Core) isMostlyFree() bool {
+	return float64(c.shortWork.used) < mostlyFreeBelow*float64(c.shortWork.capacity)
+}
+
+// placeIdleFillers starts one filler task of each job of which nothing has run for fillerTurnAfter, the longest first.
+func (c *Core) placeIdleFillers(candidates []candidate, now time.Time) {
+	if !c.isMostlyFree() {
+		return
+	}
+	var idle []*step
+	for _, each := range candidates {
+		if each.step.spec.Filler && each.step.idleTime(now) >= fillerTurnAfter {
+			idle = append(idle, each.step)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.idleTime(now), a.idleTime(now)) })
+	for _, s := range idle {
+		if c.startsLeft <= 0 {
+			return
+		}
+		c.placeOne(s, now)
+	}
+}
+
+// placeOne starts one of the step's waiting tasks at most.
+func (c *Core) placeOne(s *step, now time.Time) {
+	withheld := c.startsLeft - 1
+	c.startsLeft = 1
+	c.placeStep(s, now)
+	c.startsLeft += withheld
+}
+
+// startsWhateverTheLoads reports whether a filler task of the step may be placed on the worker although the loads of the
+// serving tasks there are too high: nothing of its job has run for long, and no other filler task has just changed these loads.
+func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
+	return s.idleTime(c.now) >= maxFillerWait && c.isMostlyFree() && c.now.Sub(w.fillersChangedAt) >= settleTime
+}
--- a/services/dispatch/filler_wait_test.go
+++ b/services/dispatch/filler_wait_test.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,3 +92,52 @@
 	starts, _ := b.pass(2 * fillerAllowed)
 	require.Zero(t, starts)
 }
+
+// TestFillerJobsTakeTurns guards against jobs of filler tasks of which nothing runs while jobs that are placed before them take all
+// the CPU that is unused, although most of the capacity is free.
+func TestFillerJobsTakeTurns(t *testing.T) {
+	const (
+		fillerJobs = 6
+		runtime    = 500 * time.Millisecond
+	)
+	b := newBench(t, 2)
+	step := fillerStep
+	step.Count, step.Size.CPU, step.Estimate = 8, 4000, models.MilliOf(runtime)
+	idleSince := map[jobs.ID]time.Time{}
+	for n := range fillerJobs {
+		record := b.job(step)
+		record.Spec.ID = jobs.ID(fmt.Sprintf("%016x", n+1))
+		b.AddJob(record, jobs.Progress{}, true, b.now)
+		idleSince[record.Spec.ID] = b.now
+	}
+	running, began := [2]*jobs.Run{}, [2]time.Time{}
+	ended, succeeded := [2][]jobs.Ended{}, map[jobs.ID]int{}
+	for end := b.now.Add(20 * time.Second); b.now.Before(end); {
+		for n, id := range b.ids {
+			if run := running[n]; run != nil && b.now.Sub(began[n]) >= runtime {
+				ended[n] = append(ended[n], jobs.Ended{Number: uint64(len(ended[n]) + 1), Task: run.Task, Run: run.Run, How: jobs.EndSucceeded})
+				running[n] = nil
+				idleSince[run.Task.Job] = b.now
+				succeeded[run.Task.Job]++
+			}
+			report := jobs.Report{Ended: ended[n]}
+			if running[n] != nil {
+				report.Running = []jobs.Run{*running[n]}
+			}
+			b.report(n, report)
+			for _, start := range b.storedStarts() {
+				at := slices.Index(b.ids, start.Worker.ID)
+				require.Nil(t, running[at], "no CPU is unused on %s", id)
+				running[at], began[at] = &jobs.Run{Task: start.Call.Task, Run: start.Call.Run, Figure: 3600}, b.now
+				b.Started(start, Result{Outcome: OutcomeDone}, b.now)
+				delete(idleSince, start.Call.Task.Job)
+			}
+		}
+		for job, since := range idleSince {
+			require.Less(t, b.now.Sub(since), fillerAllowed, "%s after %d tasks", job, succeeded[job])
+			if succeeded[job] == step.Count {
+				delete(idleSince, job)
+			}
+		}
+	}
+}
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -31,6 +31,7 @@
 	end                jobs.State      // decided but perhaps not stored yet; empty while the job is active
 	endUnshared        bool            // end has to be stored in all cells of the job at once; see SharedEnd
 	running            int             // tasks that may be on a worker
+	lastRunEndedAt     time.Time       // when a run of it last left its worker, or else when the job was added
 	version            uint64          // of its progress, incremented by each change
 	storedVersion      uint64          // the latest version that is stored
 	lossVersion        uint64          // the version at which a lost run was last counted
@@ -80,6 +81,7 @@
 	}
 	delete(c.movedOut, id)
 	j := newJob(record, fresh && !record.Rewritten)
+	j.lastRunEndedAt = now
 	c.jobs[id] = j
 	if record.Part {
 		c.markElsewhere(j, record)
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -26,11 +26,15 @@
 	if len(candidates) > 0 {
 		c.updateShortWork(now)
 		c.placeOverdue(candidates, now)
+		c.placeIdleFillers(candidates, now)
 	}
 	for _, candidate := range candidates {
 		if c.startsLeft <= 0 {
 			return
 		}
+		if now.Before(candidate.step.backoff) {
+			continue // no worker was found for it a moment ago
+		}
 		c.placeStep(candidate.step, now)
 	}
 }
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -157,6 +157,9 @@
 	t.worker.remove(t)
 	t.worker, t.endHidden = nil, false
 	t.step.job.running--
+	if t.confirmed {
+		t.step.job.lastRunEndedAt = c.now
+	}
 }
 
 // find returns a task of an active job that this cell has; nil when there is none. An occurrence that is not held yet is
