Errors of odd input are short

An error of encoding/json quotes the number that it can't decode, the parser of reports names every level of the nesting, and checks quote names.

--- a/modules/wire/wire.go
+++ b/modules/wire/wire.go
@@ -23,6 +23,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"rillsail.example/rillsail/modules/errtext"
 	"rillsail.example/rillsail/modules/stall"
 )
 
@@ -88,13 +89,13 @@
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&value); err != nil {
-		return value, &Error{Kind: KindMalformed, cause: err}
+		return value, &Error{Kind: KindMalformed, cause: errtext.Limit(err)}
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return value, &Error{Kind: KindMalformed, cause: errors.New("data after the end of the value")}
 	}
 	if err := value.Check(); err != nil {
-		return value, &Error{Kind: KindInvalid, cause: err}
+		return value, &Error{Kind: KindInvalid, cause: errtext.Limit(err)}
 	}
 	return value, nil
 }
