--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -179,7 +179,7 @@
 	if err != nil {
 		return previousOwners{}, 0, err
 	}
-	last, journaled, err := readWithVersion[journalEntry](ctx, c.config.Store, journalKey(cell))
+	last, journaled, err := readJournal(ctx, c.config, cell)
 	if err != nil {
 		return previousOwners{}, 0, err
 	}
--- a/services/control/journal.go
+++ b/services/control/journal.go
@@ -6,10 +6,13 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/services/platform"
 )
 
@@ -32,19 +35,36 @@
 // Check implements wire.Checker; every value is valid.
 func (e journalEntry) Check() error { return nil }
 
-// load reads the journal's key.
-func (j *journal) load(ctx context.Context, store platform.Store, cell jobs.CellName) error {
-	record, err := store.Get(ctx, journalKey(cell))
+// unknownEntry stands for an entry that cannot be decoded: it is no transaction of any owner known, and may be that of a
+// later epoch.
+var unknownEntry = journalEntry{Epoch: math.MaxUint64}
+
+// readJournal reads the journal's key of a cell; the version is 0 if there is none. An entry that cannot be decoded is no
+// reason to leave the cell without owner: the next transaction replaces it.
+func readJournal(ctx context.Context, config Config, cell jobs.CellName) (journalEntry, platform.Version, error) {
+	record, err := config.Store.Get(ctx, journalKey(cell))
 	if errors.Is(err, platform.ErrNotFound) {
-		j.version = 0
-		return nil
+		return journalEntry{}, 0, nil
 	}
 	if err != nil {
-		return err
+		return journalEntry{}, 0, err
 	}
 	entry, err := decode[journalEntry](record)
-	j.last, j.version = entry, record.Version
-	return err
+	if err != nil {
+		config.Logger.Error("journal of a cell cannot be decoded; the next transaction replaces it", append(log.Err(err), zap.String("cell", string(cell)))...)
+		return unknownEntry, record.Version, nil
+	}
+	return entry, record.Version, nil
+}
+
+// load reads the journal's key.
+func (j *journal) load(ctx context.Context, config Config, cell jobs.CellName) error {
+	entry, version, err := readJournal(ctx, config, cell)
+	if err != nil {
+		return err
+	}
+	j.last, j.version = entry, version
+	return nil
 }
 
 // commitJournaled commits a transaction as the owner's next one in the journal, and returns its version.
@@ -80,7 +100,7 @@
 // the version of the transaction if it was applied, and the cause otherwise. The error of a read that
 // fails here is only added to the text, not wrapped, because it is no answer to the transaction.
 func (o *Owner) resolveCommit(ctx context.Context, attempted journalEntry, cause error) (platform.Version, error) {
-	if err := o.journal.load(ctx, o.config.Store, o.cell); err != nil {
+	if err := o.journal.load(ctx, o.config, o.cell); err != nil {
 		return 0, errors.Wrapf(cause, "journal could not be read to resolve the transaction (%v)", err)
 	}
 	if o.journal.last == attempted {
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := o.journal.load(ctx, store, o.cell); err != nil {
+	if err := o.journal.load(ctx, o.config, o.cell); err != nil {
 		return 0, err
 	}
 	progress, err := o.loadProgress(ctx)
