--- a/cmd/rillsail-soak/main.go
+++ b/cmd/rillsail-soak/main.go
@@ -99,6 +99,7 @@
 	flags.BoolVar(&o.Cordons, "cordons", false, "cordon failure domains beside the faults")
 	flags.BoolVar(&o.Takeovers, "takeovers", false, "have workers go for good while others are silent and daemons are lost")
 	flags.BoolVar(&o.Drains, "drains", false, "have workers that drain cut off while they run on")
+	flags.BoolVar(&o.OddEntries, "odd-entries", false, "have another writer leave odd entries among those of the workers")
 	flags.IntVar(&o.EndsPerReport, "ends-per-report", 0, "how many ended runs a worker lists at once; 0: as on the users' platform")
 	flags.StringVar(&o.folder, "folder", "soak", "folder that keeps the files of runs that broke a guarantee")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("RILLSAIL_SOAK")); err != nil {
--- a/tests/integration/soak_test.go
+++ b/tests/integration/soak_test.go
@@ -47,9 +47,10 @@
 // cordonSeed is the seed of the run in which operators cordon failure domains.
 const cordonSeed = 505
 
-// TestSoakOfCordons cordons failure domains, one after the other and several at once, beside all other faults.
+// TestSoakOfCordons cordons failure domains, one after the other and several at once, beside all other faults and odd entries
+// of another writer among those of the workers, which must end no daemon.
 func TestSoakOfCordons(t *testing.T) {
-	runSoak(t, soak.Config{Seed: cordonSeed, Cordons: true})
+	runSoak(t, soak.Config{Seed: cordonSeed, Cordons: true, OddEntries: true})
 }
 
 // drainSeed is the seed of the run in which workers that drain are cut off.
--- a/tests/soak/inject.go
+++ b/tests/soak/inject.go
@@ -36,6 +36,10 @@
 		r.cordonDomain(ctx, fault)
 		return
 	}
+	if fault.Kind == OddEntry {
+		r.writeOddEntry(ctx, fault)
+		return
+	}
 	d := r.site.daemons[fault.Target%len(r.site.daemons)]
 	place := fault.Target % r.config.Workers
 	target := faultTarget(fault, d, place)
--- a/tests/soak/plan.go
+++ b/tests/soak/plan.go
@@ -52,6 +52,7 @@
 	LoseWorker           Kind = "worker is gone for good"
 	CutWorkers           Kind = "several workers are silent"
 	DrainSilentWorker    Kind = "worker drains, is silent and runs on"
+	OddEntry             Kind = "odd entry among those of the workers"
 	DrainRefusingWorker  Kind = "worker drains, refuses connections and runs on"
 )
 
@@ -149,6 +150,9 @@
 	if config.Drains {
 		plan.Faults = append(plan.Faults, drawDrains(seed, length, workers)...)
 	}
+	if config.OddEntries {
+		plan.Faults = append(plan.Faults, drawOddEntries(seed, length)...)
+	}
 	slices.SortStableFunc(plan.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -49,6 +49,8 @@
 	Takeovers bool
 	// Drains has workers that drain cut off while they run on.
 	Drains bool
+	// OddEntries has another writer leave entries among those of the workers that no worker would write.
+	OddEntries bool
 	// EndsPerReport is how many ended runs a worker lists at once; 0: as on the users' platform.
 	EndsPerReport int
 	// Folder gets the logs, plan, report and plot.
