An owner's key that another writer has overwritten does not keep a cell without owner

A cell's owner has two keys, of the same version and lease. When another writer had overwritten one of them, the owner lost the cell, and nobody could claim it any more: the overwritten key has no lease, a claim requires that neither key exists, and their removal requires that both have one version. A key of the owner that can't be decoded was ignored besides, so that the others went on to call the owner before it. Now such a cell counts as free, and after three failed claims, or a failed removal of an own stale claim, keys of different versions are removed on condition that both are unchanged. Under such keys no owner can store anything; one that still runs is fenced by its successor, as in the removal of a dead owner's keys. Keys of one version are never removed so, whatever they hold: daemons of a later version may have written them.

--- a/services/control/cells.go
+++ b/services/control/cells.go
@@ -39,6 +39,7 @@
 	freeSince         map[jobs.CellName]time.Time     // since when cells without owner are known to be free
 	leaseRenewedAt    time.Time                       // when the last answered renewal was sent
 	loads             map[jobs.CellName]jobs.CellLoad // as last reported by the owners
+	failedClaims      map[jobs.CellName]int           // failed claims of a cell since the last check of its owner's keys; used by the claim loop only
 	ownersSynced      bool                            // owners reflects a recent state of the store
 	stopping          bool
 
@@ -65,7 +66,7 @@
 	return &Cells{
 		config: c, health: health, configurations: configurations,
 		owners: map[jobs.CellName]ownerRecord{}, owned: map[jobs.CellName]*Owner{}, claimEnds: newClaimEnds(), vouching: newVouching(),
-		loads: map[jobs.CellName]jobs.CellLoad{}, freeSince: map[jobs.CellName]time.Time{}, wakeClaim: make(chan struct{}, 1), wakeLease: make(chan struct{}, 1),
+		loads: map[jobs.CellName]jobs.CellLoad{}, freeSince: map[jobs.CellName]time.Time{}, failedClaims: map[jobs.CellName]int{}, wakeClaim: make(chan struct{}, 1), wakeLease: make(chan struct{}, 1),
 		startLimit: newStartLimit(),
 	}
 }
--- a/services/control/claim.go
+++ b/services/control/claim.go
@@ -77,7 +77,9 @@
 				continue
 			}
 		}
-		if c.claim(ctx, cell) {
+		claimed := c.claim(ctx, cell)
+		c.recordClaim(ctx, cell, claimed)
+		if claimed {
 			owned++
 			sleep(ctx, claimPause)
 		}
@@ -124,6 +126,9 @@
 		err := c.removeOwner(ctx, cell, version)
 		c.health.record(err)
 		c.config.Logger.Info("tried to remove a stale claim", append(log.Err(err), zap.String("cell", string(cell)))...)
+		if errors.Is(err, platform.ErrConflict) {
+			c.removeInconsistentOwner(ctx, cell)
+		}
 	}
 }
 
--- a/services/control/watch.go
+++ b/services/control/watch.go
@@ -87,12 +87,11 @@
 	cell := jobs.CellName(record.Key[len(ownerPrefix):])
 	owner, err := wire.DecodeBytes[jobs.Owner](record.Value)
 	if !record.Deleted && err != nil {
-		c.config.Logger.Error("stored owner of a cell cannot be decoded; ignoring it", append(log.Err(err), zap.String("cell", string(cell)))...)
-		return
+		c.config.Logger.Error("stored owner of a cell cannot be decoded; the cell counts as free", append(log.Err(err), zap.String("cell", string(cell)))...)
 	}
 	c.mu.Lock()
 	switch {
-	case record.Deleted:
+	case record.Deleted, err != nil:
 		delete(c.owners, cell)
 		c.noteFree(cell)
 	case c.owners[cell].version != record.Version:
