A roster that can't be decoded does not keep its cell without owner

When another writer had overwritten the roster of a cell with something that can't be decoded, no daemon could load the cell: each failed again after 100 ms, and the cell stayed without owner. Such a roster now stands for a worker that never answers, which is not called, so that the recovery waits for runs on workers that nobody knows as long as it does for silent ones (30 s at most), and jobs accepted since the takeover start meanwhile.

TestCellsGoOnBesideOddRecords, two rosters, failed before: the third job did not succeed within 60 s. TestRunsOfAnOddRosterEndBeforeTheyStartAgain fails if the roster counts as empty instead: three tasks run on two workers.

--- a/services/control/claims_under_load_test.go
+++ b/services/control/claims_under_load_test.go
@@ -54,7 +54,7 @@
 		}
 		submits.Wait()
 		require.True(t, w.grid.Ran(jobID(n-1000)), "jobs run")
-		claims, err := read[jobs.Claims](t.Context(), owner.Cells.config.Store, claimsKey(cellName(0)))
+		claims, _, err := readWithVersion[jobs.Claims](t.Context(), owner.Cells.config.Store, claimsKey(cellName(0)))
 		require.NoError(t, err)
 		require.Len(t, claims.Owners, 1, "%d jobs were submitted in %s", n, time.Since(began))
 	})
--- a/services/control/encoding.go
+++ b/services/control/encoding.go
@@ -34,12 +34,6 @@
 	return value, record.Version, err
 }
 
-// read reads the value of a key, or the zero value if the key does not exist.
-func read[T wire.Checker](ctx context.Context, store platform.Store, key string) (T, error) {
-	value, _, err := readWithVersion[T](ctx, store, key)
-	return value, err
-}
-
 // decodeRecord decodes the record of a job and sets its version to that of the key.
 func decodeRecord(stored platform.Record) (jobs.Record, error) {
 	record, err := decode[jobs.Record](stored)
--- a/services/control/faulty_store_test.go
+++ b/services/control/faulty_store_test.go
@@ -99,7 +99,7 @@
 		if !strings.HasSuffix(key, "/"+string(id)) {
 			continue
 		}
-		record, err := read[jobs.Record](context.Background(), local, key)
+		record, _, err := readWithVersion[jobs.Record](context.Background(), local, key)
 		if err != nil || record.Ended != jobs.StateBarred {
 			keys = append(keys, key)
 		}
--- a/services/control/odd_records_test.go
+++ b/services/control/odd_records_test.go
@@ -62,6 +62,30 @@
 	w.requireNoBreaches()
 }
 
+// TestRunsOfAnOddRosterEndBeforeTheyStartAgain guards against a second run of a task whose worker only the roster names: the
+// roster can't be decoded, and the worker is silent and not listed when another owner takes over.
+func TestRunsOfAnOddRosterEndBeforeTheyStartAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const work = 20 * time.Second
+		w := newTestCluster(t, 4, 2, func(jobs.TaskID, jobs.RunID) (time.Duration, jobs.End) { return work, jobs.EndSucceeded })
+		spec := twoStepJob(1, work)
+		spec.Steps = spec.Steps[:1]
+		w.submit(w.daemons[0], spec)
+		w.eventually(oddRecordRunTime, "job runs", func() bool { return w.grid.Running(spec.ID) == spec.Steps[0].Count })
+		silent := 0
+		for w.grid.RunningOn(silent) == 0 {
+			silent++
+		}
+		owner := w.owner()
+		w.grid.SetFaults(silent, faultsCut)
+		w.grid.SetListed(silent, false)
+		owner.kill()
+		oddRecord{Key: rosterKey(cellName(0)), Value: "{"}.write(w)
+		w.requireSuccess(oddRecordTakeoverTime+work, spec.ID)
+		w.requireNoBreaches()
+	})
+}
+
 // write writes the record as another writer would.
 func (r oddRecord) write(w *testCluster) {
 	w.t.Helper()
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 	"rillsail.example/rillsail/modules/log"
 	"rillsail.example/rillsail/services/platform"
@@ -42,7 +43,7 @@
 // tryLoad reads the cell once. It returns errCellLost if the cell has another owner or none.
 func (o *Owner) tryLoad(ctx context.Context) (platform.Version, error) {
 	store := o.config.Store
-	roster, err := read[jobs.Roster](ctx, store, rosterKey(o.cell))
+	roster, err := o.loadRoster(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -78,6 +79,30 @@
 	return at, nil
 }
 
+// unknownWorker stands for the workers of a roster that cannot be decoded. It never answers, so that the recovery waits
+// until all runs of previous owners on unknown workers have ended.
+const unknownWorker jobs.WorkerID = "roster cannot be decoded"
+
+// loadRoster reads the roster. A roster that cannot be decoded costs the longest wait for runs on silent workers, and is no
+// reason to leave the cell without owner.
+func (o *Owner) loadRoster(ctx context.Context) (jobs.Roster, error) {
+	record, err := o.config.Store.Get(ctx, rosterKey(o.cell))
+	if errors.Is(err, platform.ErrNotFound) {
+		return jobs.Roster{}, nil
+	}
+	if err != nil {
+		return jobs.Roster{}, err
+	}
+	roster, err := decode[jobs.Roster](record)
+	if err != nil {
+		o.config.Logger.Error("roster of a cell cannot be decoded; recovery waits for unknown workers", append(log.Err(err), zap.String("cell", string(o.cell)))...)
+		return jobs.Roster{
+			Workers: []jobs.Worker{{ID: unknownWorker}}, MaxLease: models.MilliOf(o.config.Settings.LongestLease),
+		}, nil
+	}
+	return roster, nil
+}
+
 // loadLearned reads the parameters that the previous owner has learned. A value that cannot be decoded
 // costs some seconds of learning, and is no reason to leave the cell without owner.
 func (o *Owner) loadLearned(ctx context.Context) (jobs.LearnedParameters, error) {
--- a/services/control/owner_workers.go
+++ b/services/control/owner_workers.go
@@ -123,7 +123,7 @@
 // this daemon cancelled is not recorded, because it does not show the state of the worker.
 func (o *Owner) pollWorker(ctx context.Context, worker jobs.Worker, call jobs.LeaseCall) error {
 	sent := o.beginCall()
-	report, err := o.config.Workers.RenewLease(ctx, worker, call)
+	report, err := o.renewLease(ctx, worker, call)
 	if ctx.Err() != nil {
 		o.cells.workerCalls.Add(-1)
 		return err
@@ -134,6 +134,14 @@
 	return err
 }
 
+// renewLease calls a worker. unknownWorker has no address.
+func (o *Owner) renewLease(ctx context.Context, worker jobs.Worker, call jobs.LeaseCall) (jobs.Report, error) {
+	if worker.ID == unknownWorker {
+		return jobs.Report{}, platform.ErrUnreachable
+	}
+	return o.config.Workers.RenewLease(ctx, worker, call)
+}
+
 // recordReport passes the result of a call that renews a lease to the core.
 func (o *Owner) recordReport(worker jobs.Worker, fence jobs.Fence, sent time.Time, report jobs.Report, err error) {
 	result := classifyCall(err)
--- a/services/control/previous_owners_test.go
+++ b/services/control/previous_owners_test.go
@@ -192,7 +192,7 @@
 			w.eventually(10*time.Second, "cell has an owner", func() bool { return w.owner() != nil })
 			time.Sleep(8 * time.Second)
 			owner := w.owner()
-			claims, err := read[jobs.Claims](t.Context(), owner.Cells.config.Store, claimsKey(cellName(0)))
+			claims, _, err := readWithVersion[jobs.Claims](t.Context(), owner.Cells.config.Store, claimsKey(cellName(0)))
 			require.NoError(t, err)
 			require.Equal(t, jobs.Claims{Owners: []jobs.Owner{owner.Cells.ownedCells()[cellName(0)].claim}}, claims)
 			owner.killProcess()
