An answer of the next incarnation bars the starts of the previous one

Cause: a start had no answer and its worker started again under its id. The run was kept until the next incarnation had answered a stop. Change: each incarnation has a fence of its own, higher than those before. Its first answer to a call with that fence bars all starts that were sent to the incarnation before, so a run that this report doesn't show waits again at once. Runs that it shows, or whose ends may be hidden, stay as before.

--- a/services/dispatch/incarnation_test.go
+++ b/services/dispatch/incarnation_test.go
@@ -387,3 +387,44 @@
 		})
 	}
 }
+
+// TestAnswerOfTheNextIncarnationBarsStartsOfThePreviousOne guards against a task that waits for 23 s beside idle workers: its
+// start had no answer, and the worker's next incarnation has answered a call but no stop before it went for good.
+func TestAnswerOfTheNextIncarnationBarsStartsOfThePreviousOne(t *testing.T) {
+	b, start := newIncarnationStart(t, 1)
+	task := b.taskOf(testJob)
+	b.reportIncarnation(secondStartTime, 30, jobs.Report{})
+	require.NotNil(t, task.worker, "this report answers a call with the previous incarnation's fence, which bars nothing")
+	b.Decide(b.now)
+	call, _ := b.LeaseCall(b.ids[0], time.Second, b.now)
+	require.Greater(t, call.Fence, start.Call.Fence)
+	b.reportIncarnation(secondStartTime, 130, jobs.Report{})
+	require.Nil(t, task.worker, "from this fence on, the start is refused")
+}
+
+// TestLateStartThatAnAnswerShowsIsNotMadeElsewhere guards against a task that runs on two workers, because its late start was
+// carried out before the call that would have barred it, or has ended in a way that is not listed yet.
+func TestLateStartThatAnAnswerShowsIsNotMadeElsewhere(t *testing.T) {
+	other := jobs.Ended{Number: 1, Task: taskOf(9), Run: 1, How: jobs.EndStopped}
+	for name, report := range map[string]func(run jobs.Run) jobs.Report{
+		"it runs":               func(run jobs.Run) jobs.Report { return jobs.Report{Running: []jobs.Run{run}} },
+		"its end may be hidden": func(jobs.Run) jobs.Report { return jobs.Report{Ended: []jobs.Ended{other}} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, start := newIncarnationStart(t, 1)
+			b.config.EndsPerReport = 1
+			task := b.taskOf(testJob)
+			b.reportIncarnation(secondStartTime, 30, jobs.Report{})
+			shown := report(jobs.Run{Task: start.Call.Task, Run: start.Call.Run})
+			b.reportIncarnation(secondStartTime, 130, shown)
+			b.reportIncarnation(secondStartTime, 230, shown)
+			began := b.now
+			for b.now.Sub(began) < maxOrderDelay {
+				require.NotNil(t, task.worker)
+				b.now = b.now.Add(100 * time.Millisecond)
+				b.Decide(b.now)
+				b.store()
+			}
+		})
+	}
+}
--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -52,7 +52,7 @@
 	if proved && w.answered && now.Sub(w.reportedAt) < renewWithin+wait { // the lease is on the worker's clock, known from its report
 		call.Until = c.grantLease(w, now)
 	}
-	w.renewing = call.Until != 0
+	w.renewing, w.fenceSent = call.Until != 0, true
 	return call, true
 }
 
--- a/services/dispatch/listed_ends.go
+++ b/services/dispatch/listed_ends.go
@@ -32,12 +32,12 @@
 		zap.Uint64("acknowledged", w.acked))
 }
 
-// releaseMissingRuns returns tasks to waiting that are assigned to the worker but missing from its report, if
-// the report's call was sent after their last order was answered and the report lists all ends.
+// releaseMissingRuns returns tasks to waiting that are assigned to the worker but missing from its report, if the report
+// shows that they do not run and never will, and lists all ends.
 func (c *Core) releaseMissingRuns(w *worker, sent time.Time) {
 	for i := len(w.tasks) - 1; i >= 0; i-- {
 		t := w.tasks[i]
-		if t.lastReport == w.reportCount || t.answeredAt.IsZero() || !sent.After(t.answeredAt) {
+		if t.lastReport == w.reportCount || !w.settles(t, sent) {
 			continue
 		}
 		if w.endsHidden {
@@ -50,3 +50,13 @@
 		c.requeue(t)
 	}
 }
+
+// settles reports whether the worker's report, which answers a call sent at the given time, shows a task's run unless it does
+// not run and never will: the call was sent after the task's last order was answered, or it bars all starts that were sent to
+// the worker's previous incarnation, because its fence is higher than theirs.
+func (w *worker) settles(t *task, sent time.Time) bool {
+	if t.fromPreviousIncarnation && w.fenceSent {
+		return true
+	}
+	return !t.answeredAt.IsZero() && sent.After(t.answeredAt)
+}
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -38,6 +38,7 @@
 	longRunningCPU            models.MilliCPU  // declared by its long-running tasks
 	fillerCPU                 models.MilliCPU  // declared by its filler tasks
 	answered                  bool             // has reported in this epoch
+	fenceSent                 bool             // a call with its fence has asked for a report
 	reportedAt                time.Time        // when the last report was received
 	reportAskedAt             time.Time        // when the call that the last report answers was sent
 	overdue                   bool             // the latest call that asked for a report was not answered
