Entries that have never answered an owner prove nothing and are in no roster

What callers saw: with entries in the list of workers that look well and that nobody answers, written by somebody else, all work was lost in an outage of the store (four workers: one such entry and an outage of 40 s, four and 15 s), and a takeover in which no worker is lost held the cell back for 7.14 s where an entry was a second old, with twelve of them for more than 20 s.

Cause: the owner's proof counted each listed worker, also one that has never answered anybody, so that one entry kept all from having answered, and more than a third kept two thirds from it; and the roster named each listed worker, so that a successor waited for entries as for silent workers.

Change: the roster names a worker once an incarnation of it has answered an owner. Starts go to workers of a stored roster only, so that no owner has ordered anything on the others. The proof counts the workers that have answered, and the others for silentAfter from when they were listed.

--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -59,7 +59,7 @@
 		changes.Roster = c.roster()
 		c.rosterUnresolved = true
 		for _, w := range c.sortedWorkers {
-			w.inPendingRoster = !w.retired
+			w.inPendingRoster = w.isInRosters()
 		}
 		c.rosterChanged = false
 	}
--- a/services/dispatch/fence_list_test.go
+++ b/services/dispatch/fence_list_test.go
@@ -25,7 +25,7 @@
 		list[n] = jobs.Worker{ID: jobs.WorkerID(fmt.Sprintf("w%d", n)), Pool: testPool}
 	}
 	previous, next := New(Config{Taken: began, Logger: zap.NewNop()}), New(Config{Taken: began, Logger: zap.NewNop()})
-	previous.SetWorkers(list, began)
+	previous.setAnsweringWorkers(list, began)
 	next.RestoreRoster(jobs.Roster{Workers: list[:roster]}, began)
 	now := began.Add(proofValidity + time.Second)
 	for _, info := range list[:refusing] {
--- a/services/dispatch/fence_test.go
+++ b/services/dispatch/fence_test.go
@@ -32,6 +32,14 @@
 	fenceLease   = 4 * time.Second  // that the previous owner granted
 )
 
+// setAnsweringWorkers lets the list name workers that have all answered this owner or one before it.
+func (c *Core) setAnsweringWorkers(list []jobs.Worker, now time.Time) {
+	c.SetWorkers(list, now)
+	for _, w := range c.workers {
+		c.recordFirstAnswer(w)
+	}
+}
+
 // TestRecoveryDoesNotWaitForMostWorkers guards against tasks that wait beside idle workers long after a takeover: what
 // runs on the silent workers was waited for only from when most workers had answered, which a cut kept from answering.
 func TestRecoveryDoesNotWaitForMostWorkers(t *testing.T) {
@@ -88,7 +96,7 @@
 		for refusing := range workers + 1 {
 			began := time.Unix(1_000_000, 0)
 			previous, next := New(Config{Taken: began, Logger: zap.NewNop()}), New(Config{Taken: began, Logger: zap.NewNop()})
-			previous.SetWorkers(list, began)
+			previous.setAnsweringWorkers(list, began)
 			next.RestoreRoster(jobs.Roster{Workers: list}, began)
 			next.SetWorkers(list, began)
 			now := began.Add(proofValidity + time.Second)
@@ -135,7 +143,7 @@
 				for _, listIsRead := range []bool{false, true} {
 					began := time.Unix(1_000_000, 0)
 					previous, next := New(Config{Taken: began, Logger: zap.NewNop()}), New(Config{Taken: began, Logger: zap.NewNop()})
-					previous.SetWorkers(list, began)
+					previous.setAnsweringWorkers(list, began)
 					next.RestoreRoster(jobs.Roster{Workers: list[:named]}, began)
 					if listIsRead {
 						next.SetWorkers(list, began)
@@ -186,3 +194,63 @@
 	b.provedAt, b.now = b.now.Add(-proofValidity), b.now.Add(answerCountInterval)
 	require.LessOrEqual(t, b.proofAge(b.now), proofValidity, "all of the roster stored now have answered")
 }
+
+// neverAnsweredCase divides the workers of a cell between a previous owner and its successor.
+type neverAnsweredCase struct {
+	named, others, silent int // in the stored roster; not in it, but answering the previous owner until now; never answering that one
+	of, ofOthers, real    int // of each kind that answer the successor
+}
+
+// workers returns the list of the workers, those in the roster first.
+func (c neverAnsweredCase) workers() []jobs.Worker {
+	list := make([]jobs.Worker, c.named+c.others+c.silent)
+	for n := range list {
+		list[n] = jobs.Worker{ID: jobs.WorkerID(fmt.Sprintf("w%02d", n)), Pool: testPool}
+	}
+	return list
+}
+
+// play returns whether the previous owner has proof of its ownership, and whether it is fenced for its successor.
+func (c neverAnsweredCase) play(allowance time.Duration) (proved, fenced bool) {
+	began := time.Unix(1_000_000, 0)
+	list, answering := c.workers(), c.named+c.others
+	roster := jobs.Roster{Workers: list[:c.named], MaxLease: 4000, LeaseAllowance: models.MilliOf(allowance)}
+	previous, next := New(Config{Taken: began, Logger: zap.NewNop()}), New(Config{Taken: began, Logger: zap.NewNop()})
+	previous.RestoreRoster(roster, began)
+	previous.SetWorkers(list, began)
+	next.RestoreRoster(roster, began)
+	next.SetWorkers(list, began)
+	now := began.Add(silentAfter + proofValidity)
+	for n, info := range list {
+		refuses := n < c.of || n >= c.named && n < c.named+c.ofOthers || n >= answering && n < answering+c.real
+		next.workers[info.ID].answered = refuses
+		if n < answering {
+			previous.recordFirstAnswer(previous.workers[info.ID])
+			if !refuses {
+				previous.workers[info.ID].reportAskedAt = now
+			}
+		}
+	}
+	next.now = now
+	next.updateFenced(now)
+	return previous.proofAge(now) <= proofValidity, !next.fencedAt.IsZero()
+}
+
+// TestFenceAndProofExcludeEachOtherBesideWorkersThatNeverAnswer guards against two owners: entries that have never answered the
+// previous owner are left out when it counts, and some of them answer its successor.
+func TestFenceAndProofExcludeEachOtherBesideWorkersThatNeverAnswer(t *testing.T) {
+	for _, allowance := range []time.Duration{0, leaseAllowance} {
+		for kinds := range 7 * 5 * 9 {
+			c := neverAnsweredCase{named: 1 + kinds%7, others: kinds / 7 % 5, silent: kinds / 35}
+			for answers := range (c.named + 1) * (c.others + 1) * (c.silent + 1) {
+				c.of, c.ofOthers = answers%(c.named+1), answers/(c.named+1)%(c.others+1)
+				c.real = answers / (c.named + 1) / (c.others + 1)
+				proved, fenced := c.play(allowance)
+				require.False(t, proved && fenced, "%+v, allowance %v", c, allowance)
+				if c.ofOthers+c.others+c.real == 0 && c.silent <= c.named-2*c.of {
+					require.Equal(t, c.of <= dispensableWorkers(c.named), proved, "%+v", c)
+				}
+			}
+		}
+	}
+}
--- a/services/dispatch/incarnation.go
+++ b/services/dispatch/incarnation.go
@@ -109,6 +109,7 @@
 	info := w.info
 	info.Born, info.Draining, info.Remaining, info.LeavesAt = born, false, 0, 0
 	next := c.addWorker(info, now)
+	c.recordFirstAnswer(next)
 	next.incarnationSince = since
 	next.inStoredRoster, next.inPendingRoster = w.inStoredRoster, w.inPendingRoster
 	next.inPreviousRoster = w.inPreviousRoster && !w.answered
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -30,6 +30,7 @@
 	if w.retired && !(w.info.Draining && w.isVacant()) {
 		c.setRetired(w, false)
 	}
+	c.recordFirstAnswer(w)
 	w.beginReport(report, sent, now)
 	if first && w.inPreviousRoster {
 		// The worker refuses calls of previous owners from now on, but a lease that they granted remains valid.
--- a/services/dispatch/takeover.go
+++ b/services/dispatch/takeover.go
@@ -35,6 +35,7 @@
 			}
 		}
 		w.inPreviousRoster, w.inStoredRoster = true, true
+		c.recordFirstAnswer(w)
 	}
 }
 
@@ -46,7 +47,7 @@
 		roster.LeaseAllowance = models.MilliOf(max(leaseAllowance, c.previousAllowance))
 	}
 	for _, w := range c.sortedWorkers {
-		if !w.retired {
+		if w.isInRosters() {
 			roster.Workers = append(roster.Workers, w.info)
 		}
 	}
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -38,6 +38,7 @@
 	longRunningCPU            models.MilliCPU  // declared by its long-running tasks
 	fillerCPU                 models.MilliCPU  // declared by its filler tasks
 	answered                  bool             // has reported in this epoch
+	everAnswered              bool             // an incarnation of it has answered this owner, or the roster of a previous owner named it
 	reportedAt                time.Time        // when the last report was received
 	reportAskedAt             time.Time        // when the call that the last report answers was sent
 	overdue                   bool             // the latest call that asked for a report was not answered
@@ -118,7 +119,7 @@
 			continue // gets no starts; if a previous owner started tasks there, the roster names it
 		}
 		if !known {
-			w = c.addWorker(info, now)
+			w = c.addWorker(info, now) // the roster names it once it has answered
 		}
 		if w.info.Incarnation().Differs(info.Incarnation()) {
 			c.recordListEntry(w, info)
@@ -181,6 +182,17 @@
 	return c.timeOfDayThen(w.leavesAt, now)
 }
 
+// isInRosters reports whether a roster that is taken now names the worker. One that has answered no owner yet may get no
+// starts, so that a successor need not wait for it.
+func (w *worker) isInRosters() bool { return w.everAnswered && !w.retired }
+
+// recordFirstAnswer lets the roster name a worker that has answered an owner for the first time.
+func (c *Core) recordFirstAnswer(w *worker) {
+	if !w.everAnswered {
+		w.everAnswered, c.rosterChanged = true, true
+	}
+}
+
 // addWorker adds a worker that was not known. It gets tasks once the stored roster names it.
 func (c *Core) addWorker(info jobs.Worker, now time.Time) *worker {
 	c.workersAdded++
@@ -191,7 +203,6 @@
 	slices.SortFunc(c.sortedWorkers, func(a, b *worker) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) })
 	c.config.Logger.Info("worker joins", zap.String("worker", string(info.ID)), zap.String("address", info.Address),
 		zap.Int64("born", int64(info.Born)))
-	c.rosterChanged = true
 	return w
 }
 
