Calls for told leases that get no answer don't count among those that end the asking

What callers saw: after a handover, tasks of a worker that had been silent before waited for a whole lease counted from the handover, where the first five calls for the leases of the owner before were lost, although its daemon answered later.

Cause: a daemon was asked five times in all, so that one of an older version, which answers without telling, is not asked for ever; calls without answer counted as well.

Change: only answers that tell no leases count. Unanswered calls are repeated until no run of a previous owner can exist any more, which ends the loop.

--- a/services/control/cluster_connections_test.go
+++ b/services/control/cluster_connections_test.go
@@ -252,5 +252,8 @@
 	if d == nil || !d.answersPeers() || d.ofSide() != p.caller.ofSide() {
 		return jobs.Answer{}, errNoOwner
 	}
+	if cluster.losesQuery != nil && cluster.losesQuery(query) {
+		return jobs.Answer{}, errNoOwner
+	}
 	return d.Cells.Answer(query), nil
 }
--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -51,6 +51,9 @@
 	// beforeStart is called before each start that a daemon sends to a worker; nil: nothing. It must be set before the
 	// first job is submitted.
 	beforeStart func(to jobs.Worker)
+	// losesQuery reports whether a query to another daemon gets no answer; nil: none. It must be set before the first daemon
+	// is lost.
+	losesQuery func(query jobs.Query) bool
 
 	mu          sync.Mutex
 	outage      bool
--- a/services/control/previous_owners.go
+++ b/services/control/previous_owners.go
@@ -34,7 +34,7 @@
 
 	ends         map[string]time.Time                   // by claim id: when the owner had ended
 	leases       map[string]map[jobs.WorkerID]time.Time // by claim id: until when the runs on workers last that were granted leases
-	leaseAsks    map[string]int                         // by claim id: how often its daemon was asked for the leases
+	leasesUntold map[string]int                         // by claim id: how often its daemon has answered without telling the leases
 	vouchedUntil map[jobs.Witness]time.Time             // when a process that has stopped last vouched for a claim, at the latest
 	told         previousLapse                          // as the core was told last
 }
@@ -44,7 +44,7 @@
 
 func newPreviousOwners(claims jobs.Claims) previousOwners {
 	return previousOwners{
-		claims: claims, ends: map[string]time.Time{}, leases: map[string]map[jobs.WorkerID]time.Time{}, leaseAsks: map[string]int{},
+		claims: claims, ends: map[string]time.Time{}, leases: map[string]map[jobs.WorkerID]time.Time{}, leasesUntold: map[string]int{},
 		vouchedUntil: map[jobs.Witness]time.Time{},
 	}
 }
@@ -142,8 +142,9 @@
 	return len(claims) > 0 || len(o.claimsWithoutLeases()) > 0
 }
 
-// maxLeaseAsks is how often the daemon of an ended owner is asked for the leases: one of an older version never answers.
-const maxLeaseAsks = 5
+// maxLeasesUntold is how often the daemon of an ended owner may answer without telling the leases, as one of an older version
+// does, until it is not asked any more.
+const maxLeasesUntold = 5
 
 // claimsWithoutLeases returns the claims that have ended and whose daemons are to be asked for the leases.
 func (o *Owner) claimsWithoutLeases() []jobs.Owner {
@@ -153,7 +154,7 @@
 	for _, claim := range o.previous.claims.Owners {
 		_, ended := o.previous.ends[claim.ClaimID]
 		_, told := o.previous.leases[claim.ClaimID]
-		if ended && !told && o.previous.leaseAsks[claim.ClaimID] < maxLeaseAsks {
+		if ended && !told && o.previous.leasesUntold[claim.ClaimID] < maxLeasesUntold {
 			claims = append(claims, claim)
 		}
 	}
@@ -195,12 +196,15 @@
 // askForLeases asks the daemon of a previous owner that has ended until when the leases last that this had granted. They
 // are counted from the answer, so that no clocks of different VMs are compared, and they last longer if it comes late.
 func (o *Owner) askForLeases(ctx context.Context, claim jobs.Owner) {
-	leases := o.cells.askClaimLeases(ctx, o.cell, claim)
+	leases, isAnswered := o.cells.askClaimLeases(ctx, o.cell, claim)
+	if !isAnswered {
+		return
+	}
 	answered := o.config.Clock.Read()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.previous.leaseAsks[claim.ClaimID]++
 	if leases == nil {
+		o.previous.leasesUntold[claim.ClaimID]++
 		return
 	}
 	until := map[jobs.WorkerID]time.Time{}
@@ -252,36 +256,37 @@
 	if claim.Daemon == c.config.Self && claim.Address == c.config.Address {
 		return c.endClaim(cell, claim.ClaimID)
 	}
-	answer := c.askPrevious(ctx, claim, jobs.Query{Cell: cell, EndClaim: claim.ClaimID})
+	answer, _ := c.askPrevious(ctx, claim, jobs.Query{Cell: cell, EndClaim: claim.ClaimID})
 	if answer.ClaimEnd == nil || answer.ClaimEnd.Daemon != claim.Daemon { // another VM may have the address now
 		return nil
 	}
 	return answer.ClaimEnd
 }
 
-// askClaimLeases asks the daemon that made a claim which has ended for the leases; nil: they are not known.
-func (c *Cells) askClaimLeases(ctx context.Context, cell jobs.CellName, claim jobs.Owner) *jobs.ClaimLeases {
+// askClaimLeases asks the daemon that made a claim which has ended for the leases, and reports whether it has answered;
+// nil: the leases are not known.
+func (c *Cells) askClaimLeases(ctx context.Context, cell jobs.CellName, claim jobs.Owner) (leases *jobs.ClaimLeases, isAnswered bool) {
 	if claim.Daemon == c.config.Self && claim.Address == c.config.Address {
-		return c.claimLeases(claim.ClaimID)
+		return c.claimLeases(claim.ClaimID), true
 	}
-	answer := c.askPrevious(ctx, claim, jobs.Query{Cell: cell, ClaimLeases: claim.ClaimID})
+	answer, isAnswered := c.askPrevious(ctx, claim, jobs.Query{Cell: cell, ClaimLeases: claim.ClaimID})
 	if answer.ClaimLeases == nil || answer.ClaimLeases.Daemon != claim.Daemon {
-		return nil
+		return nil, isAnswered
 	}
-	return answer.ClaimLeases
+	return answer.ClaimLeases, true
 }
 
-// askPrevious sends a query to the daemon of a previous owner. It returns the zero Answer if that one does not answer.
-func (c *Cells) askPrevious(ctx context.Context, claim jobs.Owner, query jobs.Query) jobs.Answer {
+// askPrevious sends a query to the daemon of a previous owner, and reports whether it has answered.
+func (c *Cells) askPrevious(ctx context.Context, claim jobs.Owner, query jobs.Query) (answer jobs.Answer, isAnswered bool) {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
 	answer, err := c.config.Peers.Jobs(ctx, claim.Address, query)
 	if err != nil {
 		c.config.Logger.Debug("daemon of a previous owner does not answer", append(log.Err(err), zap.String("cell", string(query.Cell)),
 			zap.String("daemon", claim.Daemon))...)
-		return jobs.Answer{}
+		return jobs.Answer{}, false
 	}
-	return answer
+	return answer, true
 }
 
 // forgetPreviousClaims removes the claims of previous owners from the stored list once all their runs are over.
--- a/services/control/takeover_waits_test.go
+++ b/services/control/takeover_waits_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,6 +74,48 @@
 	}
 }
 
+// TestTasksRunSoonAfterAHandoverWhileCallsAreLost guards against a wait of a whole lease because the calls for the leases of the
+// owner before, which has ended and answers other calls, were lost for some time.
+func TestTasksRunSoonAfterAHandoverWhileCallsAreLost(t *testing.T) {
+	const (
+		after    = 2 * time.Second // from the worker's loss to the handover
+		lostFor  = 1500 * time.Millisecond
+		maxWait  = 4 * time.Second // a lease from the loss on, and some transactions
+		lostCall = 4               // at least so many calls are lost
+	)
+	synctest.Test(t, func(t *testing.T) {
+		settings := testSettings
+		settings.WorkerLease = takeoverLease
+		w := newTestClusterWithSettings(t, 4, settings, grid.Config{Workers: takeoverWorkers})
+		spec := longRunningJob(1, takeoverWorkers)
+		spec.Steps[0].PerWorker = 2
+		w.submit(w.daemons[0], spec)
+		w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+		time.Sleep(5 * time.Second)
+		w.grid.SetFaults(0, faultsCut)
+		w.grid.SetListed(0, false)
+		gone := time.Now()
+		time.Sleep(after)
+		var lost atomic.Int32
+		began := time.Now()
+		w.losesQuery = func(query jobs.Query) bool {
+			if query.ClaimLeases == "" || time.Since(began) > lostFor {
+				return false
+			}
+			lost.Add(1)
+			return true
+		}
+		owner := w.owner()
+		require.NoError(t, owner.Cells.handOver(w.ctx, cellName(0), owner.Cells.ownedCells()[cellName(0)], "test"))
+		time.Sleep(time.Until(gone.Add(settings.WorkerLease + takeoverLapse))) // runs on the silent worker have ended
+		w.eventually(20*time.Second, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+		t.Logf("all run after %v, %d calls lost", time.Since(began), lost.Load())
+		require.GreaterOrEqual(t, lost.Load(), int32(lostCall))
+		require.LessOrEqual(t, time.Since(began), maxWait)
+		w.requireNoBreaches()
+	})
+}
+
 // testOwnersVMFollowsAWitness loses one of the owner's witnesses for good, and some time later the owner's VM and a worker.
 func testOwnersVMFollowsAWitness(t *testing.T, daemons int, between time.Duration) {
 	t.Run(fmt.Sprintf("%d daemons, %v between", daemons, between), func(t *testing.T) {
