--- a/cmd/rillsaild/main.go
+++ b/cmd/rillsaild/main.go
@@ -135,7 +135,7 @@
 	list := platform.NewList(platform.ListConfig{Store: store, Logger: logger})
 	return daemon.NewScheduler(daemon.SchedulerConfig{
 		Settings: settings, Logger: logger, Store: store, List: list, Cordons: list, Feed: list,
-		Workers: platform.NewWorkers(client), WorkerCalls: workerCalls, Connections: client.Connections,
+		Workers: platform.NewWorkers(client), WorkerCalls: workerCalls, Connections: client.Connections, Problems: list.Problems,
 		Callers: func(callers interfaces.JobService) http.Handler {
 			return platform.CallerHandler(platform.CallerConfig{
 				Callers: callers, MaxBody: int64(settings.Listen.MaxBody), MaxTimeout: settings.Entry.Deadline,
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -71,6 +71,7 @@
 	// WorkerCalls is the adaptive timeout of the calls through Workers. The service feeds it with call results.
 	WorkerCalls *calltime.Limit
 	Connections func() idleconn.Counts // connections to the store and the workers so far; nil: not counted
+	Problems    func() int64           // versions of workers' entries and cordons that could not be used as they are; nil: not counted
 	List        platform.WorkerList
 	Cordons     platform.CordonList
 	Feed        platform.ConfigurationFeed
--- a/services/control/worker_calls.go
+++ b/services/control/worker_calls.go
@@ -34,6 +34,7 @@
 	slowCalls    *log.OutageLogger
 	startBacklog *log.OutageLogger
 	closedConns  *log.OutageLogger
+	lastProblems int64           // count at the last publication
 	lastConns    idleconn.Counts // counts at the last call of publishConnections
 }
 
@@ -57,11 +58,20 @@
 	if config.Connections != nil {
 		m.publishConnections(config.Connections())
 	}
+	if config.Problems != nil {
+		m.publishProblems(config.Problems())
+	}
 	if config.WorkerCalls != nil {
 		m.publishCallTimeout(config.WorkerCalls)
 	}
 }
 
+// publishProblems publishes how many versions of workers' entries and cordons could not be used as they are.
+func (m *callMonitor) publishProblems(now int64) {
+	m.cells.config.Scope.Counter("records_invalid").Inc(now - m.lastProblems)
+	m.lastProblems = now
+}
+
 // publishConnections publishes how many connections were opened and how many were closed as silent. Both
 // counts rise once when all open connections go silent, and keep rising when calls get lost.
 func (m *callMonitor) publishConnections(now idleconn.Counts) {
--- a/services/control/worker_calls_test.go
+++ b/services/control/worker_calls_test.go
@@ -35,3 +35,13 @@
 	require.EqualValues(t, 12, counters["connections_opened+"].Value())
 	require.EqualValues(t, 7, counters["connections_given_up+"].Value())
 }
+
+// TestRecordsThatCannotBeUsedAreCounted guards against odd entries that only the log tells of.
+func TestRecordsThatCannotBeUsedAreCounted(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	monitor := newCallMonitor(&Cells{config: Config{Logger: zap.NewNop(), Scope: scope}})
+	for _, problems := range []int64{0, 2, 2, 5} {
+		monitor.publishProblems(problems)
+	}
+	require.EqualValues(t, 5, scope.Snapshot().Counters()["records_invalid+"].Value())
+}
--- a/services/daemon/scheduler.go
+++ b/services/daemon/scheduler.go
@@ -32,6 +32,7 @@
 	// WorkerCalls is the time limit of calls through Workers.
 	WorkerCalls *calltime.Limit
 	Connections func() idleconn.Counts // counts the connections of Store, Workers, List, Cordons and Feed so far
+	Problems    func() int64           // counts the versions of entries and cordons that List and Cordons could not use as they are
 	List        platform.WorkerList
 	Cordons     platform.CordonList
 	Feed        platform.ConfigurationFeed
@@ -64,7 +65,7 @@
 	advertised := cmp.Or(c.Settings.Listen.PeerAdvertised, c.Settings.Listen.Peer)
 	s.control = control.New(control.Config{
 		Self: c.Settings.Daemon.ID, Address: advertised, Settings: c.Settings.Jobs,
-		Store: c.Store, Workers: c.Workers, WorkerCalls: c.WorkerCalls, Connections: c.Connections, List: c.List, Cordons: c.Cordons, Feed: c.Feed, NewID: ids.newID,
+		Store: c.Store, Workers: c.Workers, WorkerCalls: c.WorkerCalls, Connections: c.Connections, Problems: c.Problems, List: c.List, Cordons: c.Cordons, Feed: c.Feed, NewID: ids.newID,
 		Logger: c.Logger, Scope: s.metrics.Scope.SubScope("control"),
 	})
 	if err := s.openListeners(c); err != nil {
