--- /dev/null
+++ b/services/dispatch/filler_bound_test.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// harmlessImage is a filler image that adds nothing to the loads of serving tasks.
+const harmlessImage = jobs.ImageName("harmless")
+
+// setHarmless makes the core certain that one filler image would push serving tasks over their targets and the other one adds
+// nothing to their loads.
+func (b *bench) setHarmless() {
+	b.Core.model.Restore(jobs.LearnedParameters{FillerImages: []jobs.ImageName{fillerStep.Image, harmlessImage}, Factors: []jobs.ImageParameters{{
+		Serving: servingStep.Image, IdleTail: 0.2, TargetRatioSum: 1000, ObservedSeconds: 1000 * 0.2 / 0.55, Mean: []float64{20, 0}, Covariance: []float64{0, 0, 0, 0},
+	}}}, 0)
+}
+
+// endRuns ends the runs of a job that began at least the given time ago.
+func (b *fillerWaitBench) endRuns(id jobs.ID, after time.Duration, began map[jobs.TaskID]time.Time, ended *[2][]jobs.Ended) {
+	for n := range b.running {
+		b.running[n] = slices.DeleteFunc(b.running[n], func(r jobs.Run) bool {
+			if r.Task.Job != id || b.now.Sub(began[r.Task]) < after {
+				return false
+			}
+			ended[n] = append(ended[n], jobs.Ended{Number: uint64(len(ended[n]) + 1), Task: r.Task, Run: r.Run, How: jobs.EndSucceeded})
+			return true
+		})
+	}
+}
+
+// TestFillerJobsStartBesideOtherFillerTasks guards against jobs of filler tasks of which nothing runs for as long as short filler tasks
+// of other jobs, which the loads allow, begin and end on each worker again and again.
+func TestFillerJobsStartBesideOtherFillerTasks(t *testing.T) {
+	const (
+		otherFillerJob = jobs.ID("00000000000000cc")
+		runtime        = 300 * time.Millisecond
+	)
+	b := newFillerWaitBench(t, 1000)
+	b.setHarmless()
+	other := fillerStep
+	other.Count, other.Image, other.Estimate = 200, harmlessImage, 300
+	record := b.job(other)
+	record.Spec.ID = otherFillerJob
+	b.AddJob(record, jobs.Progress{}, true, b.now)
+	b.pass(time.Second)
+	b.AddJob(b.job(fillerStep), jobs.Progress{}, true, b.now)
+	began, ended := map[jobs.TaskID]time.Time{}, [2][]jobs.Ended{}
+	for begin := b.now; b.now.Sub(begin) < fillerAllowed; {
+		for _, start := range b.storedStarts() {
+			if start.Call.Task.Job == testJob {
+				return
+			}
+			b.Started(start, Result{Outcome: OutcomeDone}, b.now)
+			n := slices.Index(b.ids, start.Worker.ID)
+			b.running[n] = append(b.running[n], jobs.Run{Task: start.Call.Task, Run: start.Call.Run, Figure: 900})
+			began[start.Call.Task] = b.now
+		}
+		b.endRuns(otherFillerJob, runtime, began, &ended)
+		for n := range b.ids {
+			b.report(n, jobs.Report{Running: b.running[n], Ended: ended[n]})
+		}
+	}
+	require.Fail(t, "nothing of the job runs", "%d tasks of the other job have run", len(ended[0])+len(ended[1]))
+}
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -135,6 +135,9 @@
 	}
 	if t.step.spec.Filler {
 		w.fillersChangedAt = now
+		if !c.loadsAllow(w, t.step) {
+			w.loadsIgnoredAt = now
+		}
 	}
 	w.add(t)
 	c.takeShortCapacity(t)
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -74,6 +74,7 @@
 	averageExcess    float64   // the same for the moving averages of the loads
 	overTargetSince  time.Time // since when a tail latency is over its target; zero: none is
 	fillersChangedAt time.Time // when its filler tasks or their paces last changed
+	loadsIgnoredAt   time.Time // when a filler task that the loads did not allow was last placed here
 	trials           int       // suspects on trial here; nothing else starts meanwhile
 	trialsSince      time.Time // when the first of these trials began
 	reservedUntil    time.Time // reserved until then for the task in the next field
