Filler tasks too large for a worker do not start whatever the loads

Cause: a task that starts whatever the loads was placed by its memory alone, also where its declared CPU is more than what other tasks have not declared there, or more than the worker has. Callers expect a start only where there is room. Change: its declared CPU has to be free of what others but filler tasks declare. Not run: the other tests of the package.

--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -69,8 +69,9 @@
 }
 
 // startsWhateverTheLoads reports whether a filler task of the step may be placed on the worker although the loads of the
-// serving tasks there are too high: nothing of its job has run for long, and no other task has just been placed there so. Filler
-// tasks that the loads allow do not count: where these are short, they come and go all the time.
+// serving tasks there are too high: nothing of its job has run for long, the CPU that others have not declared is enough, and no other
+// task has just been placed there so. Filler tasks that the loads allow do not count: where these are short, they come and go
+// all the time.
 func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
-	return s.idleTime(c.now) >= maxFillerWait && c.isMostlyFree() && c.now.Sub(w.loadsIgnoredAt) >= settleTime
+	return s.idleTime(c.now) >= maxFillerWait && c.isMostlyFree() && s.spec.Size.CPU <= w.free().CPU && c.now.Sub(w.loadsIgnoredAt) >= settleTime
 }
