Jobs of filler tasks do not wait for the loads and for suspects in turn

What callers see: nothing of a job of filler tasks runs for 4.8 s although most of the capacity is free. Cause: while the loads keep a filler task from a worker, that worker counts as no room, so the bound of all waits begins only after 2.5 s of the wait for the loads; where all workers are kept for suspects, 2 s more pass, and for a suspect 2.3 s. Change: a worker that only the loads keep from an idle job's first task counts as room.

--- a/services/dispatch/filler_bound_test.go
+++ b/services/dispatch/filler_bound_test.go
@@ -71,3 +71,28 @@
 	}
 	require.Fail(t, "nothing of the job runs", "%d tasks of the other job have run", len(ended[0])+len(ended[1]))
 }
+
+// TestFillerJobsStartOnWorkersKeptForSuspects guards against jobs of filler tasks whose wait for a worker that is kept for suspects begins
+// only once the wait for the loads is over.
+func TestFillerJobsStartOnWorkersKeptForSuspects(t *testing.T) {
+	lost := jobs.LostRun{Run: 1, EvidenceVsChance: 4, EvidenceVsAll: 3, RanAtMost: 100}
+	for name, progress := range map[string]jobs.Progress{
+		"new":       {},
+		"a suspect": {Suspected: jobs.Suspicions{0: {0: {Lost: []jobs.LostRun{lost, lost}}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFillerWaitBench(t, 1000)
+			b.AddJob(b.job(fillerStep), progress, true, b.now)
+			other := &task{}
+			for begin := b.now; b.now.Sub(begin) < fillerAllowed; {
+				for _, w := range b.sortedWorkers {
+					w.reserveForTrial(other, b.now)
+				}
+				if starts, _ := b.pass(100 * time.Millisecond); starts > 0 {
+					return
+				}
+			}
+			require.Fail(t, "nothing of the job runs")
+		})
+	}
+}
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"rillsail.example/rillsail/models"
 )
 
 // Filler tasks start only where the predicted loads of the serving tasks allow it. Where each worker has a serving task, the
@@ -75,3 +77,10 @@
 func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
 	return s.idleTime(c.now) >= maxFillerWait && c.isMostlyFree() && s.spec.Size.CPU <= w.free().CPU && c.now.Sub(w.loadsIgnoredAt) >= settleTime
 }
+
+// waitsForLoadsOn reports whether nothing but the loads of the serving tasks on a usable worker keeps the step's first task from
+// starting there, which they do for maxFillerWait at most.
+func (c *Core) waitsForLoadsOn(w *worker, s *step, now time.Time) bool {
+	return s.spec.Filler && s.idleTime(now) > 0 && c.isMostlyFree() && c.usable(w, now) && c.fits(w, s) &&
+		s.spec.Size.CPU <= w.free().CPU && w.countFitting(s, 1, models.Resources{}) > 0
+}
--- a/services/dispatch/wait_bound.go
+++ b/services/dispatch/wait_bound.go
@@ -29,7 +29,7 @@
 // noteRoom records that tasks of the step wait, and whether there is room for them that can be used now: beside room on other
 // workers alone, a task would find none at the end of its wait, and would start beside trials as soon as there is some.
 func (c *Core) noteRoom(s *step, now time.Time) {
-	hasRoom := slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return c.mayTakeSuspect(w, s, now) })
+	hasRoom := slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return c.mayTakeSuspect(w, s, now) || c.waitsForLoadsOn(w, s, now) })
 	beginWait(&s.roomSince, hasRoom, now)
 }
 
