Jobs of filler tasks that come from another cell have waited there

What callers see: nothing of a job of filler tasks runs for longer than 3 s: it is handed to another cell, where the place that it was handed over for is taken, and it waits for the loads anew, in each cell. Change: a job that has never run and comes from another cell is idle since it was accepted, as far as that counts. Measured: TestFillerJobsFromOtherCellsHaveWaitedThere red before (not started 3 s after it was accepted), green now, with the package's tests of fillers, throttling, paces, long waits and moves. Not run: the rest of the package; no run of several cells.

--- a/services/dispatch/filler_bound_test.go
+++ b/services/dispatch/filler_bound_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
 
@@ -120,3 +121,15 @@
 	}
 	require.Fail(t, "nothing of the job runs")
 }
+
+// TestFillerJobsFromOtherCellsHaveWaitedThere guards against jobs of filler tasks whose wait begins anew in each cell that they are
+// handed to.
+func TestFillerJobsFromOtherCellsHaveWaitedThere(t *testing.T) {
+	const waited = 2 * time.Second
+	b := newFillerWaitBench(t, 1000)
+	record := b.job(fillerStep)
+	record.Transferred, record.Accepted = true, models.UnixMilliOf(b.now.Add(-waited))
+	b.AddJob(record, jobs.Progress{}, true, b.now)
+	starts, _ := b.pass(fillerAllowed - waited)
+	require.Equal(t, 1, starts)
+}
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -34,7 +34,7 @@
 	if s.job == nil || s.job.running > 0 && s.job.silentSince.IsZero() {
 		return 0
 	}
-	return now.Sub(latest(latest(s.job.lastRunEndedAt, s.openedAt), s.job.silentSince))
+	return now.Sub(latest(latest(s.job.lastRunEndedAt, s.openedAt), s.job.silentSince)) + s.job.waitedElsewhere
 }
 
 // updateSilentJobs updates since when all that may run of a job has been on workers that do not answer.
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -32,6 +32,7 @@
 	endUnshared        bool            // end has to be stored in all cells of the job at once; see SharedEnd
 	running            int             // tasks that may be on a worker
 	silentSince        time.Time       // since when all tasks that may run are on workers that do not answer; zero: not all are
+	waitedElsewhere    time.Duration   // how long a job that has never run has waited in other cells, as far as it counts
 	lastRunEndedAt     time.Time       // when a run of it last left its worker, or else when the job was added
 	version            uint64          // of its progress, incremented by each change
 	storedVersion      uint64          // the latest version that is stored
@@ -83,6 +84,9 @@
 	delete(c.movedOut, id)
 	j := newJob(record, fresh && !record.Rewritten)
 	j.lastRunEndedAt = now
+	if j.fresh && j.fromOtherCell {
+		j.waitedElsewhere = min(maxFillerWait, max(0, time.Duration(c.timeOfDay(now)-j.accepted)*time.Millisecond))
+	}
 	c.jobs[id] = j
 	if record.Part {
 		c.markElsewhere(j, record)
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -169,7 +169,7 @@
 func (c *Core) beginRun(t *task, now time.Time) {
 	t.step.waiting--
 	t.step.job.running++
-	t.step.job.silentSince = time.Time{}
+	t.step.job.silentSince, t.step.job.waitedElsewhere = time.Time{}, 0
 	t.starts++
 	t.trialWait = trialWait{}
 	t.orderedHere = true
