--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"rillsail.example/rillsail/models"
 )
 
 // Filler tasks start only where the predicted loads of the serving tasks allow it. Where each worker has a serving task, the
@@ -29,10 +31,33 @@
 
 // idleTime returns for how long nothing of the job has run, while the step could.
 func (s *step) idleTime(now time.Time) time.Duration {
-	if s.job == nil || s.job.running > 0 {
+	if s.job == nil || s.job.running > 0 && s.job.silentSince.IsZero() {
 		return 0
 	}
-	return now.Sub(latest(s.job.lastRunEndedAt, s.openedAt))
+	return now.Sub(latest(latest(s.job.lastRunEndedAt, s.openedAt), s.job.silentSince)) + s.job.waitedElsewhere
+}
+
+// updateSilentJobs updates since when all that may run of a job has been on workers that do not answer.
+func (c *Core) updateSilentJobs() {
+	for j := range c.silentJobs {
+		j.silentSince = time.Time{}
+	}
+	clear(c.silentJobs)
+	for _, w := range c.sortedWorkers {
+		if w.unansweredSince.IsZero() {
+			continue
+		}
+		for _, t := range w.tasks {
+			j := t.step.job
+			c.silentJobs[j]++
+			j.silentSince = latest(j.silentSince, w.unansweredSince)
+		}
+	}
+	for j, silent := range c.silentJobs {
+		if silent < j.running {
+			j.silentSince = time.Time{}
+		}
+	}
 }
 
 // isMostlyFree reports whether callers may expect that each job runs: most of the CPU of the usable workers is free.
@@ -42,6 +67,7 @@
 
 // placeIdleFillers starts one filler task of each job of which nothing has run for fillerTurnAfter, the longest first.
 func (c *Core) placeIdleFillers(candidates []candidate, now time.Time) {
+	c.updateSilentJobs()
 	if !c.isMostlyFree() {
 		return
 	}
@@ -69,7 +95,16 @@
 }
 
 // startsWhateverTheLoads reports whether a filler task of the step may be placed on the worker although the loads of the
-// serving tasks there are too high: nothing of its job has run for long, and no other filler task has just changed these loads.
+// serving tasks there are too high: nothing of its job has run for long, the CPU that others have not declared is enough, and no other
+// task has just been placed there so. Filler tasks that the loads allow do not count: where these are short, they come and go
+// all the time.
 func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
-	return s.idleTime(c.now) >= maxFillerWait && c.isMostlyFree() && c.now.Sub(w.fillersChangedAt) >= settleTime
+	return s.idleTime(c.now) >= maxFillerWait && c.isMostlyFree() && s.spec.Size.CPU <= w.free().CPU && c.now.Sub(w.loadsIgnoredAt) >= settleTime
+}
+
+// waitsForLoadsOn reports whether nothing but the loads of the serving tasks on a usable worker keeps the step's first task from
+// starting there, which they do for maxFillerWait at most.
+func (c *Core) waitsForLoadsOn(w *worker, s *step, now time.Time) bool {
+	return s.spec.Filler && s.idleTime(now) > 0 && c.isMostlyFree() && c.usable(w, now) && c.fits(w, s) &&
+		s.spec.Size.CPU <= w.free().CPU && w.countFitting(s, 1, models.Resources{}) > 0
 }
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -135,6 +135,9 @@
 	}
 	if t.step.spec.Filler {
 		w.fillersChangedAt = now
+		if !c.loadsAllow(w, t.step) {
+			w.loadsIgnoredAt = now
+		}
 	}
 	w.add(t)
 	c.takeShortCapacity(t)
@@ -166,6 +169,7 @@
 func (c *Core) beginRun(t *task, now time.Time) {
 	t.step.waiting--
 	t.step.job.running++
+	t.step.job.silentSince, t.step.job.waitedElsewhere = time.Time{}, 0
 	t.starts++
 	t.trialWait = trialWait{}
 	t.orderedHere = true
