A worker may tell its ended runs for a second after the first call to it

What callers saw: nothing is known; found by review. A task could run again although it had ended on a worker that had no lease any more, where loading the cell took longer than a second.

Cause: after told leases a worker without a lease is waited for until firstAnswerWait after the takeover, so that it can tell its ended runs; the cell may be loaded later than that, and the worker has not been called by then.

Change: the time counts from the first call to the worker. Until then the wait is the one of the table in docs/design/takeovers.md.

Test: TestWorkerMayTellItsEndsAfterALongLoad failed before (200 ms in place of at least 500 ms after the first call) and passes. The tests of told leases call the silent worker first, as an owner does; their bounds are unchanged.

--- a/services/dispatch/lease.go
+++ b/services/dispatch/lease.go
@@ -31,6 +31,9 @@
 	if !ok {
 		return jobs.LeaseCall{}, false
 	}
+	if w.firstCalledAt.IsZero() {
+		w.firstCalledAt = now
+	}
 	c.advanceAck(w)
 	call := jobs.LeaseCall{Fence: w.fence, Acknowledged: w.acked, Wait: wait}
 	if !w.overTargetSince.IsZero() && w.fillerCPU > 0 {
--- a/services/dispatch/previous_leases.go
+++ b/services/dispatch/previous_leases.go
@@ -13,8 +13,8 @@
 // worker that had been silent to it for some time is not waited for as if it had been granted another lease at the end.
 // That is when the ended owner itself would have let the worker's tasks start elsewhere, for it grants nothing any more.
 
-// firstAnswerWait is how long after a takeover a worker that runs nothing any more may still tell which runs have ended
-// there.
+// firstAnswerWait is how long after the first call to it a worker that runs nothing any more may still tell which runs have
+// ended there.
 const firstAnswerWait = time.Second
 
 // GrantedLeases returns, for each worker that may still run something under leases that this owner granted, when all of that
@@ -54,9 +54,9 @@
 // previousRunsLapsed returns when the runs of previous owners on a worker that has not answered have certainly ended.
 func (c *Core) previousRunsLapsed(w *worker) time.Time {
 	lapsed := c.previousOwnersLapsed()
-	if c.previousLeases == nil {
+	if c.previousLeases == nil || w.firstCalledAt.IsZero() {
 		return lapsed
 	}
-	told := latest(c.previousLeases[w.info.ID], c.config.Taken.Add(firstAnswerWait))
+	told := latest(c.previousLeases[w.info.ID], w.firstCalledAt.Add(firstAnswerWait))
 	return earliest(lapsed, told)
 }
--- a/services/dispatch/previous_leases_test.go
+++ b/services/dispatch/previous_leases_test.go
@@ -24,6 +24,13 @@
 	return b
 }
 
+// takenAndCalled returns the same once the silent worker has been called.
+func takenAndCalled(t *testing.T) *bench {
+	b := takenBeside(t)
+	b.LeaseCall(b.ids[2], 0, b.now)
+	return b
+}
+
 // waited returns for how long the task waits for the silent worker.
 func (b *bench) waited(t *testing.T) time.Duration {
 	t.Helper()
@@ -45,24 +52,24 @@
 		told = 2 * time.Second
 		step = time.Second // a transaction and some reports
 	)
-	b := takenBeside(t)
+	b := takenAndCalled(t)
 	silent := b.ids[2]
 	b.PreviousLeasesEnd(map[jobs.WorkerID]time.Time{silent: b.now.Add(told)})
 	waited := b.waited(t)
 	require.Greater(t, waited, told)
 	require.LessOrEqual(t, waited, told+step)
 
-	b = takenBeside(t)
+	b = takenAndCalled(t)
 	b.PreviousLeasesEnd(map[jobs.WorkerID]time.Time{silent: b.now.Add(time.Minute)})
 	require.Greater(t, b.waited(t), driftedLease(b.config.Lease), "a told lease that lasts longer than any lease changes nothing")
 
-	b = takenBeside(t)
+	b = takenAndCalled(t)
 	b.PreviousLeasesEnd(map[jobs.WorkerID]time.Time{})
 	waited = b.waited(t)
 	require.Greater(t, waited, firstAnswerWait, "the worker may tell of ended runs")
 	require.LessOrEqual(t, waited, firstAnswerWait+step)
 
-	b = takenBeside(t)
+	b = takenAndCalled(t)
 	require.Greater(t, b.waited(t), driftedLease(b.config.Lease), "nothing is told")
 }
 
@@ -80,3 +87,19 @@
 	require.Equal(t, b.now.Add(driftedLease(b.config.Lease)+clockMargin), leases[b.ids[1]], "it may run under a lease of an earlier owner")
 	require.Zero(t, leases[b.ids[2]], "this owner has granted it nothing")
 }
+
+// TestWorkerMayTellItsEndsAfterALongLoad guards against a task that runs again although it had ended: loading the cell took longer
+// than firstAnswerWait, so that a worker without a lease counted as over before it was called.
+func TestWorkerMayTellItsEndsAfterALongLoad(t *testing.T) {
+	const load = 3 * firstAnswerWait
+	b := takenBeside(t)
+	b.now = b.now.Add(load)
+	b.PreviousLeasesEnd(map[jobs.WorkerID]time.Time{})
+	b.report(0, jobs.Report{})
+	b.report(1, jobs.Report{})
+	require.Empty(t, b.storedStarts(), "the worker has not been called yet")
+	b.LeaseCall(b.ids[2], 0, b.now)
+	waited := b.waited(t)
+	require.Greater(t, waited, firstAnswerWait-500*time.Millisecond)
+	require.LessOrEqual(t, waited, firstAnswerWait+time.Second)
+}
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -41,6 +41,7 @@
 	everAnswered              bool             // an incarnation of it has answered this owner, or the roster of a previous owner named it
 	reportedAt                time.Time        // when the last report was received
 	reportAskedAt             time.Time        // when the call that the last report answers was sent
+	firstCalledAt             time.Time        // when it was first called by this owner; zero: not yet
 	overdue                   bool             // the latest call that asked for a report was not answered
 	unansweredSince           time.Time        // when the first call since the last report was found to be unanswered; zero: none
 	connectionRefused         bool             // the worker's address refused that call's connection
