The answers of all workers prove ownership only if each listed worker has answered

Cause: left entries that never answer out of this proof as well. It has no limit in time, and a worker that is listed and has never answered the owner, because of a cut between the two, may be the first that answers a successor. That one guesses from then on for 30 s as long as no worker of the roster answers it; the owner would go on for longer, with the answers of all others.

Change: that proof counts each listed worker again, as before. Two thirds of the workers still leave such entries out; that proof ends within the time that a successor waits.

--- a/services/dispatch/fence_test.go
+++ b/services/dispatch/fence_test.go
@@ -254,3 +254,15 @@
 		}
 	}
 }
+
+// TestEntriesThatNeverAnswerKeepNoPreviousOwnerFromBeingFenced guards against a wait of maxBlindTime for one lost worker: entries
+// that nobody has ever answered count among the workers of which more than a third have to refuse the previous owner.
+func TestEntriesThatNeverAnswerKeepNoPreviousOwnerFromBeingFenced(t *testing.T) {
+	for _, silent := range []int{0, 2, 4, 12} {
+		t.Run(fmt.Sprint(silent), func(t *testing.T) {
+			c := neverAnsweredCase{named: 4, silent: silent, of: 3}
+			_, fenced := c.play(leaseAllowance)
+			require.True(t, fenced, "three of the four workers of the roster have answered the successor")
+		})
+	}
+}
--- a/services/dispatch/proof.go
+++ b/services/dispatch/proof.go
@@ -112,8 +112,9 @@
 
 // answeredSince returns the latest times for which all workers, and two thirds of them and of those in the stored roster,
 // have answered calls that were sent then or later. A successor may know of the roster's workers only. While a roster is
-// being stored, it may read either one. Workers of the list that never answer are left out, as long as at least half of the
-// whole list has answered: more than half of it fence a successor's previous owner, whatever the roster names.
+// being stored, it may read either one. Two thirds leave out workers of the list that never answer, as long as at least half
+// of the whole list has answered: more than half of it fence a successor's previous owner, whatever the roster names. All
+// leave out none: that proof has no limit in time, and one worker that answers a successor lets this count its wait.
 func (c *Core) answeredSince(now time.Time) (all, twoThirds time.Time) {
 	var listed, expected, stored, pending []time.Time
 	for _, w := range c.sortedWorkers {
@@ -131,15 +132,15 @@
 	if len(expected) == 0 {
 		return time.Time{}, time.Time{}
 	}
-	all, twoThirds = answerTimes(expected)
+	_, twoThirds = answerTimes(expected)
 	for _, roster := range [][]time.Time{stored, pending} {
 		if len(roster) > 0 {
 			_, since := answerTimes(roster)
 			twoThirds = earliest(twoThirds, since)
 		}
 	}
-	half := halfAnsweredSince(listed)
-	return earliest(all, half), earliest(twoThirds, half)
+	all, _ = answerTimes(listed)
+	return all, earliest(twoThirds, halfAnsweredSince(listed))
 }
 
 // isExpectedToAnswer reports whether the worker counts among those whose answers prove ownership. An entry of the list that
