The audit adds up the room that a waiting task has had

Cause: the audit of tasks that could run and don't counts a span. A moment without room for the task twice over, seen by a check each 100 ms, begins the wait anew, as does less than half of the workers free for jobs. A task that waits while others take all room again and again is never reported. By default a worker that a task crashes counts as a fault as well (CrashRule). Change: besides, the audit adds up the time in calm and with room twice over on usable workers, by their true state, since the task last ran (for jobs: since anything of the job ran). A fault begins the sum anew, with 4 s of calm, and so does the loss of a worker that holds a task of the job under CrashesHoldTheirTasks. The bounds are the same: 3 s, for long-running tasks from 6 s after their last run on. It is checked in all scripts that check progress, and in the soak.

--- a/services/standin/grid/audit_progress.go
+++ b/services/standin/grid/audit_progress.go
@@ -39,8 +39,9 @@
 
 // unfinishedJob is an accepted job that has neither ended nor been cancelled, as far as is known.
 type unfinishedJob struct {
-	spec  jobs.Spec
-	waits map[jobs.TaskID]*wait // waits that last now, by the key of waitKey
+	spec      jobs.Spec
+	waits     map[jobs.TaskID]*wait     // waits that last now, by the key of waitKey
+	roomWaits map[jobs.TaskID]*roomWait // by the same key
 }
 
 // wait is a time for which a task could run and doesn't.
@@ -165,6 +166,7 @@
 		}
 	}
 	job.waits = lasting
+	g.updateRoomWaits(job)
 }
 
 // mustRun reports whether a task whose turn has come ought to run and doesn't: there is room for it, and it is long-running
@@ -209,11 +211,11 @@
 	}
 }
 
-// updateRunningWaits ends the waits that the start of a run has ended, which may be over before the next check. Changes of
-// the workers need no such update, because each is a fault.
-func (g *Grid) updateRunningWaits() {
-	for _, job := range g.audit.unfinished {
-		if len(job.waits) > 0 {
+// updateRunningWaits ends the waits that the start of a run of a job has ended, which may be over before the next check.
+// Changes of the workers need no such update, because each is a fault.
+func (g *Grid) updateRunningWaits(started jobs.ID) {
+	for id, job := range g.audit.unfinished {
+		if len(job.waits) > 0 || id == started {
 			g.updateJobWaits(job)
 		}
 	}
@@ -260,15 +262,19 @@
 func (g *Grid) reportWait(w *wait) {
 	w.reported = true
 	step := g.audit.step(w.task)
-	remark := ""
-	if g.crashesWorkers(w.task.Job) {
-		remark = " (its job crashes its workers)"
-	}
 	g.audit.breach("%s of job %s could run and doesn't%s: it needs %+v, waits for %s since %s after the start, last fault at %s, free workers %v, share in use %.2f",
-		w.task, w.task.Job, remark, step.Size, time.Since(w.since).Round(time.Millisecond), g.audit.sinceStart(w.since), g.audit.sinceStart(g.audit.lastFault),
+		w.task, w.task.Job, g.remarkOn(w.task.Job), step.Size, time.Since(w.since).Round(time.Millisecond), g.audit.sinceStart(w.since), g.audit.sinceStart(g.audit.lastFault),
 		g.workersWithRoom(w.task, step), g.busyShare())
 }
 
+// remarkOn returns what a breach says about a job.
+func (g *Grid) remarkOn(id jobs.ID) string {
+	if g.crashesWorkers(id) {
+		return " (its job crashes its workers)"
+	}
+	return ""
+}
+
 // crashesWorkers reports whether a task of a job has crashed a worker.
 func (g *Grid) crashesWorkers(id jobs.ID) bool {
 	for task := range g.audit.crashes {
--- a/services/standin/grid/orders.go
+++ b/services/standin/grid/orders.go
@@ -63,7 +63,7 @@
 	w.runs[call.Task] = r
 	g.audit.runStarted(w, r, call)
 	g.checkCordon(w, r)
-	g.updateRunningWaits()
+	g.updateRunningWaits(call.Task.Job)
 	if g.scheduleCrash(w, r) {
 		return platform.ErrUnknownOutcome
 	}
--- a/services/standin/grid/progress.go
+++ b/services/standin/grid/progress.go
@@ -62,6 +62,7 @@
 		}
 		g.reportIfStillOverdue(w)
 	}
+	g.checkRoomWaits(hasEnded)
 }
 
 // findOverdueWaits brings all waits up to date and returns those that are longer than allowed.
