--- a/services/dispatch/filler_harm_test.go
+++ b/services/dispatch/filler_harm_test.go
@@ -157,7 +157,7 @@
 		for n := range workers {
 			workers[n].pass(idle, adds, work, b.now)
 		}
-		b.reportHarm(workers, begin, step)
+		b.reportHarm(workers, step)
 		for _, order := range b.Decide(b.now) {
 			b.obeyHarm(workers, order)
 		}
@@ -175,7 +175,7 @@
 }
 
 // reportHarm lets the workers report twice a second.
-func (b *bench) reportHarm(workers []harmWorker, begin time.Time, step int) {
+func (b *bench) reportHarm(workers []harmWorker, step int) {
 	for n := range workers {
 		if (step+n)%int(500*time.Millisecond/simulationStep) == 0 {
 			report := jobs.Report{Clock: models.MilliOf(b.now.Sub(time.Unix(1_000_000, 0))), Running: workers[n].rows(), Ended: workers[n].ended}
