Workers that get no starts for a moment count in whether most of the capacity is free

What callers see: nothing of a job of filler tasks runs although less than half of the capacity is in use. Cause: only usable workers counted. Where empty workers refuse starts or are paused again and again, the others look mostly in use. Change: all workers that are listed, have answered, answer and stay count. Measured: TestFillerJobsStartBesidePausedWorkers red before (not started in 3 s), green now, with the package's tests of fillers, throttling, paces, long waits, moves and the capacity left to short work. Not run: the rest of the package.

--- a/services/dispatch/filler_bound_test.go
+++ b/services/dispatch/filler_bound_test.go
@@ -133,3 +133,25 @@
 	starts, _ := b.pass(fillerAllowed - waited)
 	require.Equal(t, 1, starts)
 }
+
+// TestFillerJobsStartBesidePausedWorkers guards against jobs of filler tasks that wait without end beside the only worker that gets starts
+// and is mostly in use, while empty workers get none: callers count these as well.
+func TestFillerJobsStartBesidePausedWorkers(t *testing.T) {
+	b := &fillerWaitBench{bench: newBench(t, 2)}
+	b.setInterference(fillerStep.Image, 20)
+	serving := servingStep
+	serving.Size.CPU = 2500
+	record := b.job(serving)
+	record.Spec.ID = otherJob
+	b.AddJob(record, jobs.Progress{}, true, b.now)
+	b.pass(time.Second)
+	empty := slices.IndexFunc(b.running[:], func(rows []jobs.Run) bool { return len(rows) == 0 })
+	b.AddJob(b.job(fillerStep), jobs.Progress{}, true, b.now)
+	for begin := b.now; b.now.Sub(begin) < fillerAllowed; {
+		b.workers[b.ids[empty]].noStartsUntil = b.now.Add(notDonePause)
+		if starts, _ := b.pass(100 * time.Millisecond); starts > 0 {
+			return
+		}
+	}
+	require.Fail(t, "nothing of the job runs")
+}
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -60,9 +60,10 @@
 	}
 }
 
-// isMostlyFree reports whether callers may expect that each job runs: most of the CPU of the usable workers is free.
+// isMostlyFree reports whether callers may expect that each job runs: most of the CPU of the workers that stay is free. Those that
+// get no starts for a moment count, as callers do not know of that.
 func (c *Core) isMostlyFree() bool {
-	return float64(c.shortWork.used) < mostlyFreeBelow*float64(c.shortWork.capacity)
+	return float64(c.shortWork.used) < mostlyFreeBelow*float64(c.shortWork.present)
 }
 
 // placeIdleFillers starts one filler task of each job of which nothing has run for fillerTurnAfter, the longest first.
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -38,6 +38,7 @@
 	at       time.Time
 	free     models.MilliCPU // capacity that is free or used by short work, as of at
 	capacity models.MilliCPU // of all usable workers, as of at
+	present  models.MilliCPU // capacity of all workers that stay and answer, also of those that get no starts for a moment, as of at
 	used     models.MilliCPU // declared on these by all tasks but filler tasks, as of at
 
 	leftSince time.Time // since when long-running tasks leave capacity to it, as logged; zero: they don't
@@ -49,14 +50,17 @@
 func (c *Core) updateShortWork(now time.Time) {
 	s := &c.shortWork
 	elapsed := now.Sub(s.at)
-	s.free, s.capacity, s.used = 0, 0, 0
+	s.free, s.capacity, s.present, s.used = 0, 0, 0, 0
 	taken := models.MilliCPU(0)
 	for _, w := range c.sortedWorkers {
+		if w.listed && w.answered && !w.closedToStarts() && w.unansweredSince.IsZero() {
+			s.present += w.info.Capacity.CPU
+			s.used += w.used.CPU
+		}
 		if !c.usable(w, now) {
 			continue
 		}
 		s.capacity += w.info.Capacity.CPU
-		s.used += w.used.CPU
 		s.free += w.info.Capacity.CPU - w.longRunningCPU
 		taken += w.used.CPU - w.longRunningCPU
 	}
