--- a/services/standin/grid/room.go
+++ b/services/standin/grid/room.go
@@ -41,6 +41,21 @@
 	return states
 }
 
+// roomCache holds for which steps of a job there is room at one moment; the tasks of a step are all alike.
+type roomCache map[jobs.TaskID]bool
+
+// hasRoomFor reports the same as Grid.hasRoomFor.
+func (r roomCache) hasRoomFor(g *Grid, task jobs.TaskID, step *jobs.Step) bool {
+	key := task
+	key.Index = 0
+	hasRoom, known := r[key]
+	if !known {
+		hasRoom = g.hasRoomFor(task, step)
+		r[key] = hasRoom
+	}
+	return hasRoom
+}
+
 // hasRoomFor reports whether a task fits on the usable workers requiredRoom times.
 func (g *Grid) hasRoomFor(task jobs.TaskID, step *jobs.Step) bool {
 	room := 0
