A test of lost calls looks at handovers to another daemon

Change: the bounds hold in each play; the scenario is played until another daemon takes the cell, where calls have to be lost.

--- a/services/control/takeover_waits_test.go
+++ b/services/control/takeover_waits_test.go
@@ -78,10 +78,27 @@
 // owner before, which has ended and answers other calls, were lost for some time.
 func TestTasksRunSoonAfterAHandoverWhileCallsAreLost(t *testing.T) {
 	const (
-		after    = 2 * time.Second // from the worker's loss to the handover
-		lostFor  = 1500 * time.Millisecond
-		maxWait  = 4 * time.Second // a lease from the loss on, and some transactions
-		lostCall = 4               // at least so many calls are lost
+		lostCalls = 4  // at least so many calls are lost where another daemon takes the cell over
+		maxPlays  = 20 // the daemon that hands the cell over may take it again, and calls nobody then
+	)
+	for range maxPlays {
+		lost, isOther := playHandoverWhileCallsAreLost(t)
+		if isOther {
+			require.GreaterOrEqual(t, lost, lostCalls)
+			return
+		}
+	}
+	require.Fail(t, "no other daemon has taken the cell over")
+}
+
+// playHandoverWhileCallsAreLost hands a cell over beside a lost worker while calls for leases are lost. It returns how many were
+// lost, and whether another daemon has taken the cell over.
+func playHandoverWhileCallsAreLost(t *testing.T) (lostCalls int, isOther bool) {
+	t.Helper()
+	const (
+		after   = 2 * time.Second // from the worker's loss to the handover
+		lostFor = 1500 * time.Millisecond
+		maxWait = 4 * time.Second // a lease from the loss on, and some transactions
 	)
 	synctest.Test(t, func(t *testing.T) {
 		settings := testSettings
@@ -109,11 +126,12 @@
 		require.NoError(t, owner.Cells.handOver(w.ctx, cellName(0), owner.Cells.ownedCells()[cellName(0)], "test"))
 		time.Sleep(time.Until(gone.Add(settings.WorkerLease + takeoverLapse))) // runs on the silent worker have ended
 		w.eventually(20*time.Second, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
-		t.Logf("all run after %v, %d calls lost", time.Since(began), lost.Load())
-		require.GreaterOrEqual(t, lost.Load(), int32(lostCall))
+		lostCalls, isOther = int(lost.Load()), w.owner() != owner
+		t.Logf("all run after %v, %d calls lost, taken over by another daemon: %v", time.Since(began), lostCalls, isOther)
 		require.LessOrEqual(t, time.Since(began), maxWait)
 		w.requireNoBreaches()
 	})
+	return lostCalls, isOther
 }
 
 // testOwnersVMFollowsAWitness loses one of the owner's witnesses for good, and some time later the owner's VM and a worker.
