The audit of progress finds out once what holds for all jobs

Cause: the share in use and what runs were found out again for each job, by the sums a second time, and the due tasks twice. Change: once for each look at all jobs; the due tasks are passed on. No bound or check changes.

--- a/services/standin/grid/audit_progress.go
+++ b/services/standin/grid/audit_progress.go
@@ -149,13 +149,31 @@
 	return jobs.TaskID{Job: task.Job, Step: jobKeyStep}
 }
 
+// progressMoment is what holds for all jobs when their waits are brought up to date.
+type progressMoment struct {
+	mayIdle  bool             // so much of the capacity is in use that jobs may have nothing running
+	withRuns map[jobs.ID]bool // the jobs that have something running
+}
+
+// progressMoment looks at all workers once.
+func (g *Grid) progressMoment() progressMoment {
+	now := progressMoment{mayIdle: g.busyShare() >= maxBusyShare, withRuns: map[jobs.ID]bool{}}
+	for _, id := range g.idsByPlace {
+		for task := range g.workers[id].runs {
+			now.withRuns[task.Job] = true
+		}
+	}
+	return now
+}
+
 // updateJobWaits brings the waits of a job up to date: a wait begins when a task could run and doesn't, and ends when it
 // runs or could not run any more.
-func (g *Grid) updateJobWaits(job *unfinishedJob) {
+func (g *Grid) updateJobWaits(job *unfinishedJob, now progressMoment) {
 	lasting := map[jobs.TaskID]*wait{}
-	mayIdle := g.busyShare() >= maxBusyShare || g.hasRun(job.spec.ID)
+	mayIdle := now.mayIdle || now.withRuns[job.spec.ID]
 	rooms := roomCache{}
-	for _, task := range g.audit.dueTasks(&job.spec) {
+	due := g.audit.dueTasks(&job.spec)
+	for _, task := range due {
 		step := &job.spec.Steps[task.Step]
 		key := waitKey(task, step)
 		if lasting[key] != nil || !g.mustRun(task, step, mayIdle, rooms) {
@@ -167,7 +185,7 @@
 		}
 	}
 	job.waits = lasting
-	g.updateRoomWaits(job, rooms)
+	g.updateRoomWaits(job, due, now, rooms)
 }
 
 // mustRun reports whether a task whose turn has come ought to run and doesn't: there is room for it, and it is long-running
@@ -189,35 +207,25 @@
 	return g.config.CrashRule == CrashesHoldTheirTasks && w != nil && w.crashedByTask && g.incarnationAt(w.place) == w
 }
 
-// hasRun reports whether any task of a job runs.
-func (g *Grid) hasRun(id jobs.ID) bool {
-	for _, place := range g.idsByPlace {
-		for task := range g.workers[place].runs {
-			if task.Job == id {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // updateWaits brings the waits of all jobs up to date.
 func (g *Grid) updateWaits() {
+	now := g.progressMoment()
 	for id, job := range g.audit.unfinished {
 		if g.audit.isFinished(&job.spec) {
 			delete(g.audit.unfinished, id)
 			continue
 		}
-		g.updateJobWaits(job)
+		g.updateJobWaits(job, now)
 	}
 }
 
 // updateRunningWaits ends the waits that the start of a run of a job has ended, which may be over before the next check.
 // Changes of the workers need no such update, because each is a fault.
 func (g *Grid) updateRunningWaits(started jobs.ID) {
+	now := g.progressMoment()
 	for id, job := range g.audit.unfinished {
 		if len(job.waits) > 0 || id == started {
-			g.updateJobWaits(job)
+			g.updateJobWaits(job, now)
 		}
 	}
 }
--- a/services/standin/grid/audit_room_waits.go
+++ b/services/standin/grid/audit_room_waits.go
@@ -24,13 +24,13 @@
 	reported bool
 }
 
-// updateRoomWaits brings the sums of a job up to date; rooms holds what is known of the room for its tasks now.
-func (g *Grid) updateRoomWaits(job *unfinishedJob, rooms roomCache) {
+// updateRoomWaits brings the sums of a job up to date; due are its tasks whose turn has come, and rooms holds what is known of
+// the room for them.
+func (g *Grid) updateRoomWaits(job *unfinishedJob, due []jobs.TaskID, now progressMoment, rooms roomCache) {
 	idle := map[jobs.TaskID]*roomWait{}
 	couldRun := map[jobs.TaskID]bool{}
-	hasRun := g.hasRun(job.spec.ID)
-	mayIdle := g.busyShare() >= maxBusyShare
-	for _, task := range g.audit.dueTasks(&job.spec) {
+	hasRun := now.withRuns[job.spec.ID]
+	for _, task := range due {
 		step := &job.spec.Steps[task.Step]
 		if step.LongRunning && len(g.audit.running[task]) > 0 || !step.LongRunning && hasRun {
 			continue
@@ -39,7 +39,7 @@
 		if idle[key] = job.roomWaits[key]; idle[key] == nil {
 			idle[key] = &roomWait{task: task, checked: time.Now()}
 		}
-		couldRun[key] = couldRun[key] || g.mustRun(task, step, mayIdle, rooms)
+		couldRun[key] = couldRun[key] || g.mustRun(task, step, now.mayIdle, rooms)
 		if g.isHeld(task) {
 			idle[key].beside = 0 // the loss of its worker counts like a fault for this job
 		}
