--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -12,10 +12,10 @@
 )
 
 // Filler tasks start only where the predicted loads of the serving tasks allow it. Where each worker has a serving task, the
-// jobs that are placed first can take all that the loads allow, or the loads allow nothing for as long as they are high. But callers
-// expect of each job that something of it runs soon while most of the capacity is free. So a job of filler tasks
-// of which nothing has run for some time goes before the others with one task. If the loads allow not even that, the task starts all the same
-// a little later, where it does the least harm, and is throttled like others.
+// jobs that are placed first can take all that the loads allow, or the loads allow nothing for as long as they are high.
+// But callers expect of each job that something of it runs soon while most of the capacity is free. So a job of filler
+// tasks of which nothing has run for some time goes before the others with one task. If the loads do not allow even that,
+// the task starts all the same a little later, where it does the least harm, and is throttled like others.
 
 const (
 	// fillerTurnAfter is how long nothing of a job runs until one of its filler tasks goes before those of other jobs. Callers look
@@ -100,12 +100,18 @@
 // task has just been placed there so. Filler tasks that the loads allow do not count: where these are short, they come and go
 // all the time.
 func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
-	return s.idleTime(c.now) >= maxFillerWait && c.isMostlyFree() && s.spec.Size.CPU <= w.free().CPU && c.now.Sub(w.loadsIgnoredAt) >= settleTime
+	return s.idleTime(c.now) >= maxFillerWait && c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime
+}
+
+// hasDeclaredRoom reports whether the cell is mostly free, and the worker has the CPU that a filler task of the step declares
+// beside what others declare.
+func (c *Core) hasDeclaredRoom(w *worker, s *step) bool {
+	return c.isMostlyFree() && s.spec.Size.CPU <= w.free().CPU
 }
 
 // waitsForLoadsOn reports whether nothing but the loads of the serving tasks on a usable worker keeps the step's first task from
 // starting there, which they do for maxFillerWait at most.
 func (c *Core) waitsForLoadsOn(w *worker, s *step, now time.Time) bool {
-	return s.spec.Filler && s.idleTime(now) > 0 && c.isMostlyFree() && c.usable(w, now) && c.fits(w, s) &&
-		s.spec.Size.CPU <= w.free().CPU && w.countFitting(s, 1, models.Resources{}) > 0
+	return s.spec.Filler && s.idleTime(now) > 0 && c.hasDeclaredRoom(w, s) && c.usable(w, now) && c.fits(w, s) &&
+		w.countFitting(s, 1, models.Resources{}) > 0
 }
--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -87,13 +87,11 @@
 	}
 	waits.Starts = c.counts.Starts - c.longWaitsStarts
 	for _, w := range c.sortedWorkers {
+		waits.addWorker(w, c.usable(w, now), c.closedReason(w, now))
 		if c.mayTakeSuspect(w, waits.step, now) {
 			waits.Fitting++
 		}
 	}
-	for _, w := range c.sortedWorkers {
-		waits.addWorker(w, c.usable(w, now), c.closedReason(w, now))
-	}
 	return waits
 }
 
