--- a/services/control/takeover_waits_test.go
+++ b/services/control/takeover_waits_test.go
@@ -45,19 +45,26 @@
 	})
 }
 
+// newSpreadJob runs a long-running job with tasks on all workers of a new cluster.
+func newSpreadJob(t *testing.T, daemons int) (*testCluster, jobs.Spec) {
+	t.Helper()
+	settings := testSettings
+	settings.WorkerLease = takeoverLease
+	w := newTestClusterWithSettings(t, daemons, settings, grid.Config{Workers: takeoverWorkers})
+	spec := longRunningJob(1, takeoverWorkers)
+	spec.Steps[0].PerWorker = 2
+	w.submit(w.daemons[0], spec)
+	w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+	return w, spec
+}
+
 // TestTasksRunSoonAfterAHandover guards against a wait that begins anew with each owner although no owner was lost: a
 // worker goes for good, and its cell is handed over, as to a daemon with more capacity, before its lease is over.
 func TestTasksRunSoonAfterAHandover(t *testing.T) {
 	for _, after := range []time.Duration{0, time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
 		t.Run(fmt.Sprintf("%v after the loss", after), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				settings := testSettings
-				settings.WorkerLease = takeoverLease
-				w := newTestClusterWithSettings(t, 4, settings, grid.Config{Workers: takeoverWorkers})
-				spec := longRunningJob(1, takeoverWorkers)
-				spec.Steps[0].PerWorker = 2
-				w.submit(w.daemons[0], spec)
-				w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+				w, spec := newSpreadJob(t, 4)
 				time.Sleep(5 * time.Second)
 				w.grid.SetFaults(0, faultsCut)
 				w.grid.SetListed(0, false)
@@ -65,7 +72,7 @@
 				time.Sleep(after)
 				owner := w.owner()
 				require.NoError(t, owner.Cells.handOver(w.ctx, cellName(0), owner.Cells.ownedCells()[cellName(0)], "test"))
-				time.Sleep(time.Until(lost.Add(settings.WorkerLease + takeoverLapse))) // runs on the silent worker have ended
+				time.Sleep(time.Until(lost.Add(takeoverLease + takeoverLapse))) // runs on the silent worker have ended
 				w.eventually(20*time.Second, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
 				require.LessOrEqual(t, time.Since(lost), takeoverCalm+takeoverAllowed)
 				w.requireNoBreaches()
@@ -101,13 +108,7 @@
 		maxWait = 4 * time.Second // a lease from the loss on, and some transactions
 	)
 	synctest.Test(t, func(t *testing.T) {
-		settings := testSettings
-		settings.WorkerLease = takeoverLease
-		w := newTestClusterWithSettings(t, 4, settings, grid.Config{Workers: takeoverWorkers})
-		spec := longRunningJob(1, takeoverWorkers)
-		spec.Steps[0].PerWorker = 2
-		w.submit(w.daemons[0], spec)
-		w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+		w, spec := newSpreadJob(t, 4)
 		time.Sleep(5 * time.Second)
 		w.grid.SetFaults(0, faultsCut)
 		w.grid.SetListed(0, false)
@@ -124,7 +125,7 @@
 		}
 		owner := w.owner()
 		require.NoError(t, owner.Cells.handOver(w.ctx, cellName(0), owner.Cells.ownedCells()[cellName(0)], "test"))
-		time.Sleep(time.Until(gone.Add(settings.WorkerLease + takeoverLapse))) // runs on the silent worker have ended
+		time.Sleep(time.Until(gone.Add(takeoverLease + takeoverLapse))) // runs on the silent worker have ended
 		w.eventually(20*time.Second, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
 		lostCalls, isOther = int(lost.Load()), w.owner() != owner
 		t.Logf("all run after %v, %d calls lost, taken over by another daemon: %v", time.Since(began), lostCalls, isOther)
@@ -138,13 +139,7 @@
 func testOwnersVMFollowsAWitness(t *testing.T, daemons int, between time.Duration) {
 	t.Run(fmt.Sprintf("%d daemons, %v between", daemons, between), func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			settings := testSettings
-			settings.WorkerLease = takeoverLease
-			w := newTestClusterWithSettings(t, daemons, settings, grid.Config{Workers: takeoverWorkers})
-			spec := longRunningJob(1, takeoverWorkers)
-			spec.Steps[0].PerWorker = 2
-			w.submit(w.daemons[0], spec)
-			w.eventually(10*time.Second, "all tasks run", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
+			w, spec := newSpreadJob(t, daemons)
 			time.Sleep(firstWitnessCheck + time.Second)
 			owner := w.owner()
 			for _, d := range w.daemonList() {
@@ -157,7 +152,7 @@
 			w.grid.SetFaults(0, faultsCut)
 			lost := time.Now()
 			owner.kill()
-			time.Sleep(time.Until(lost.Add(settings.WorkerLease + takeoverLapse))) // runs on the silent worker have ended
+			time.Sleep(time.Until(lost.Add(takeoverLease + takeoverLapse))) // runs on the silent worker have ended
 			w.eventually(40*time.Second, "all tasks run again", func() bool { return w.grid.Running(spec.ID) == takeoverWorkers })
 			require.LessOrEqual(t, time.Since(lost), takeoverCalm+takeoverAllowed)
 			w.requireNoBreaches()
