--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -69,6 +69,7 @@
 		"trials_delayed":    counts.TrialsDelayed - before.TrialsDelayed,
 		"witnesses_missing": counts.WitnessesMissing - before.WitnessesMissing,
 		"starts_from_text":  counts.StartsFromText - before.StartsFromText,
+		"starts_at_limit":   counts.LimitReached - before.LimitReached,
 	} {
 		scope.Counter(name).Inc(delta)
 	}
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -32,6 +32,7 @@
 	storing         bool                                 // a transaction is in flight
 	calling         map[jobs.WorkerID]context.CancelFunc // cancels the call in flight, for each worker with a loop
 	publishedCounts dispatch.Counts                      // as last published to the metrics
+	slowDecisionAt  time.Time                            // when a slow decision was last logged
 
 	previous          previousOwners
 	witnessCheck      witnessCheck
--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/modules/inflight"
 	"rillsail.example/rillsail/services/dispatch"
@@ -31,6 +32,7 @@
 		o.core.AllowStarts(o.cells.startLimit.Free())
 		decided := o.config.Clock.Read()
 		orders := o.core.Decide(decided)
+		o.logSlowDecision(o.config.Clock.Since(decided), decided)
 		superseded := o.core.Superseded()
 		urgent := o.core.HasUrgentChanges()
 		held := o.core.TakeJobsHeld()
@@ -60,6 +62,22 @@
 	}
 }
 
+const (
+	// slowDecision is from which duration on decisions delay the starts that they order noticeably.
+	slowDecision = 100 * time.Millisecond
+	// slowDecisionInterval is the time between two lines about slow decisions.
+	slowDecisionInterval = time.Second
+)
+
+// logSlowDecision logs a decision that took long, at most one each slowDecisionInterval. The caller holds o.mu.
+func (o *Owner) logSlowDecision(took time.Duration, decided time.Time) {
+	if took < slowDecision || decided.Sub(o.slowDecisionAt) < slowDecisionInterval {
+		return
+	}
+	o.slowDecisionAt = decided
+	o.config.Logger.Info("decision takes long", zap.String("cell", string(o.cell)), zap.Duration("took", took), zap.Int("free", o.cells.startLimit.Free()))
+}
+
 // executeOrder sends one order, which the core decided at the given time, and records its result in the
 // core.
 func (o *Owner) executeOrder(ctx context.Context, order dispatch.Order, decided time.Time) {
--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -52,6 +52,11 @@
 	}
 }
 
+// isPresent reports whether the worker stays and answers, even if it gets no starts for a moment.
+func (w *worker) isPresent() bool {
+	return w.listed && w.answered && !w.closedToStarts() && w.unansweredSince.IsZero()
+}
+
 // free returns the resources that no task has declared.
 func (w *worker) free() models.Resources { return w.info.Capacity.Sub(w.used) }
 
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -141,6 +141,7 @@
 	longWaits         *LongWaits // as of longWaitsAt; nil: nothing waited for long
 	longWaitsAt       time.Time
 	longWaitsStarts   int64 // counts.Starts at that time
+	longWaitsLimited  int64 // counts.LimitReached at that time
 
 	rosterChanged     bool
 	rosterUnresolved  bool      // a roster is being stored, or it is not known whether it was
@@ -179,6 +180,7 @@
 	Contested, TrialsDelayed                                               int64 // waits of suspects for the outcome of other tasks, and long ones for a worker
 	WitnessesMissing                                                       int64 // times that orders waited because too few witnesses vouched for the owner
 	StartsFromText                                                         int64 // starts from a checkpoint
+	LimitReached                                                           int64 // decisions that ordered all the starts that they might
 	// Checkpoints in reports that were not taken, by reason: see checkpointResult.
 	TextsNotAskedOf, TextsOlder, TextsUnordered, TextsFailed int64
 }
@@ -236,6 +238,9 @@
 		c.retryStops(now)
 		if c.mayStart() {
 			c.placeAll(now)
+			if c.startsLeft <= 0 {
+				c.counts.LimitReached++
+			}
 		}
 		c.throttle(now)
 	}
--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -54,6 +54,14 @@
 	Closed    map[closedReason]int             `json:"closed"`
 	ClosedCPU map[closedReason]models.MilliCPU `json:"closed_cpu"`
 
+	IdleJobs       int          `json:"idle_jobs"`      // with a task that could run, and nothing running for longWait
+	LongestIdleJob models.Milli `json:"idle_job_ms"`    // for how long nothing of the longest of these has run
+	Fillers        int          `json:"fillers"`        // filler tasks on workers
+	HaltedFillers  int          `json:"halted_fillers"` // of these, those at pace 0
+	UsedCPU        float64      `json:"used_cpu"`       // share of the CPU of workers that stay that other than filler tasks declare
+	UsedMemory     float64      `json:"used_memory"`    // share of their memory that all tasks declare
+	LimitReached   int64        `json:"limit_reached"`  // decisions since the previous summary that ordered all the starts that they might
+
 	step *step // of Task
 }
 
@@ -64,20 +72,27 @@
 	}
 	c.longWaitsAt = now
 	c.longWaits = c.findLongWaits(now)
-	c.longWaitsStarts = c.counts.Starts
+	c.longWaitsStarts, c.longWaitsLimited = c.counts.Starts, c.counts.LimitReached
 	if waits := c.longWaits; waits != nil {
 		c.config.Logger.Info("tasks wait for long", zap.Any("tasks", waits.Tasks), zap.Duration("longest", waits.Longest.Duration()),
 			zap.String("task", waits.Task), zap.String("reason", string(waits.Reason)), zap.Int64("size", int64(waits.Size)),
 			zap.Int("fitting", waits.Fitting), zap.Int64("starts", waits.Starts), zap.Int("usable", waits.Usable), zap.Int64("free_cpu", int64(waits.FreeCPU)),
-			zap.Any("closed", waits.Closed), zap.Any("closed_cpu", waits.ClosedCPU))
+			zap.Any("closed", waits.Closed), zap.Any("closed_cpu", waits.ClosedCPU),
+			zap.Int("idle_jobs", waits.IdleJobs), zap.Duration("idle_job", waits.LongestIdleJob.Duration()),
+			zap.Int("fillers", waits.Fillers), zap.Int("halted_fillers", waits.HaltedFillers), zap.Float64("used_cpu", waits.UsedCPU),
+			zap.Float64("used_memory", waits.UsedMemory), zap.Int64("limit_reached", waits.LimitReached))
 	}
 }
 
 // findLongWaits returns the summary of what waits for long; nil: nothing.
 func (c *Core) findLongWaits(now time.Time) *LongWaits {
 	waits := &LongWaits{Tasks: map[waitReason]int{}, Closed: map[closedReason]int{}, ClosedCPU: map[closedReason]models.MilliCPU{}}
+	idle := map[*job]time.Duration{}
 	for _, s := range c.stepsWithIdleTasks() {
 		c.addLongWaits(waits, s, now)
+		if waited := s.idleTime(now); waited >= longWait {
+			idle[s.job] = max(idle[s.job], waited)
+		}
 	}
 	for _, w := range c.sortedWorkers {
 		waits.addUncertainRuns(w, now)
@@ -85,7 +100,9 @@
 	if len(waits.Tasks) == 0 {
 		return nil
 	}
-	waits.Starts = c.counts.Starts - c.longWaitsStarts
+	waits.addIdleJobs(idle)
+	waits.Starts, waits.LimitReached = c.counts.Starts-c.longWaitsStarts, c.counts.LimitReached-c.longWaitsLimited
+	c.addUse(waits)
 	for _, w := range c.sortedWorkers {
 		waits.addWorker(w, c.usable(w, now), c.closedReason(w, now))
 		if c.mayTakeSuspect(w, waits.step, now) {
@@ -95,6 +112,36 @@
 	return waits
 }
 
+// addIdleJobs adds the jobs of which nothing has run for long.
+func (l *LongWaits) addIdleJobs(idle map[*job]time.Duration) {
+	l.IdleJobs = len(idle)
+	for _, waited := range idle {
+		l.LongestIdleJob = max(l.LongestIdleJob, models.MilliOf(waited))
+	}
+}
+
+// addUse adds the use of the workers that stay, and the filler tasks on them.
+func (c *Core) addUse(l *LongWaits) {
+	var used, capacity models.Resources
+	for _, w := range c.sortedWorkers {
+		if !w.isPresent() {
+			continue
+		}
+		used, capacity = used.Add(w.used), capacity.Add(w.info.Capacity)
+		for _, t := range w.tasks {
+			if !t.step.spec.Filler {
+				continue
+			}
+			l.Fillers++
+			if t.pace == 0 {
+				l.HaltedFillers++
+			}
+		}
+	}
+	l.UsedCPU = float64(used.CPU) / float64(max(1, capacity.CPU))
+	l.UsedMemory = float64(used.Memory) / float64(max(1, capacity.Memory))
+}
+
 // addLongWaits adds the tasks of a step that wait for long.
 func (c *Core) addLongWaits(waits *LongWaits, s *step, now time.Time) {
 	var hasRoom, roomKnown bool // of all tasks of the step
--- a/services/dispatch/long_wait_test.go
+++ b/services/dispatch/long_wait_test.go
@@ -197,3 +197,33 @@
 		})
 	}
 }
+
+// TestLongWaitsTellIdleJobsAndUse guards against lines about long waits that do not tell how many jobs have nothing running, and
+// whether so little of the cell is in use that something of each should run.
+func TestLongWaitsTellIdleJobsAndUse(t *testing.T) {
+	b := newLongWaitBench(t, 1)
+	idle := fillerStep
+	idle.Size.CPU = oversizedStep.Size.CPU
+	b.AddJob(b.job(idle), jobs.Progress{}, true, b.now)
+	running := b.job(fillerStep)
+	running.Spec.ID = otherJob
+	b.AddJob(running, jobs.Progress{}, true, b.now)
+	b.report(0, jobs.Report{})
+	start := b.startOne(t)
+	b.Started(start, Result{Outcome: OutcomeDone}, b.now)
+	row := jobs.Run{Task: start.Call.Task, Run: start.Call.Run}
+	for until := b.now.Add(longWait + longWaitInterval); b.now.Before(until); {
+		b.report(0, jobs.Report{Running: []jobs.Run{row}})
+		b.find(row.Task).pace = 0
+		b.store()
+		b.Decide(b.now)
+	}
+	waits := b.Summary(b.now).LongWaits
+	require.NotNil(t, waits)
+	require.Equal(t, 1, waits.IdleJobs)
+	require.GreaterOrEqual(t, waits.LongestIdleJob, models.MilliOf(longWait))
+	require.Equal(t, 1, waits.Fillers)
+	require.Equal(t, 1, waits.HaltedFillers)
+	require.Zero(t, waits.UsedCPU)
+	require.Positive(t, waits.UsedMemory)
+}
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -53,7 +53,7 @@
 	s.free, s.capacity, s.present, s.used = 0, 0, 0, 0
 	taken := models.MilliCPU(0)
 	for _, w := range c.sortedWorkers {
-		if w.listed && w.answered && !w.closedToStarts() && w.unansweredSince.IsZero() {
+		if w.isPresent() {
 			s.present += w.info.Capacity.CPU
 			s.used += w.used.CPU
 		}
