A test of crowds of filler jobs beside serving tasks, red

While most of the capacity is free, callers expect that something of each job runs, whatever the number of jobs. TestSomethingOfEachFillerJobRuns plays one owner with 48 simulated workers, each with a serving task, and 100, 1,000 and 3,000 jobs of six filler tasks of a second, submitted within 3 s. It looks at what truly runs on the workers: for how long nothing of a job does, whether that grows with the number of jobs, and for how long serving tasks are over their targets. The workers are those of the simulation of harm, which now share the unused CPU if told so, and carry out stops.

--- /dev/null
+++ b/services/dispatch/filler_crowd_test.go
@@ -0,0 +1,262 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+	"rillsail.example/rillsail/modules/casefile"
+)
+
+// crowdScript is a script of testdata/filler_crowds.json: jobs of filler tasks that are submitted within a few seconds in a cell
+// whose workers each have a serving task.
+type crowdScript struct {
+	Name  string       `json:"name"`
+	Jobs  int          `json:"jobs"`
+	Tasks int          `json:"tasks"` // of each job
+	Work  models.Milli `json:"work_ms"`
+	Idle  float64      `json:"idle_tail_ms"` // tail latency without filler tasks
+	Adds  float64      `json:"adds_ms"`      // tail latency that a filler task adds at full pace
+}
+
+const (
+	crowdWorkers     = 48
+	crowdBefore      = 2 * time.Second // until the first job is submitted
+	crowdSubmitTime  = 3 * time.Second // from the first job to the last
+	crowdTime        = 15 * time.Second
+	crowdDecidePause = 100 * time.Millisecond // the longest one of an owner
+	crowdServingCPU  = 1000
+	crowdReportPause = 60 * time.Millisecond  // from a report to the next one that tells an end
+	crowdReportWait  = 500 * time.Millisecond // from a report to the next one that tells no end
+	crowdChanges     = 200                    // jobs in a transaction at most
+	crowdMostUsed    = 0.5                    // share of the capacity in use from which on nothing of a job has to run
+	// crowdGrowth is by how much longer nothing may run of a job among three times as many.
+	crowdGrowth = 500 * time.Millisecond
+)
+
+var crowdStep = jobs.Step{Size: models.Resources{CPU: 250, Memory: 40}, Image: "filling", Filler: true}
+
+// fillerCrowd is a simulation of one script.
+type fillerCrowd struct {
+	*bench
+	crowdScript
+	began      time.Time
+	submitted  int
+	workers    []harmWorker
+	reportedAt []time.Time
+	told       []uint64 // the last end that a worker has told
+	audit      crowdAudit
+}
+
+func newFillerCrowd(t *testing.T, script crowdScript) *fillerCrowd {
+	p := &fillerCrowd{
+		bench: newBench(t, crowdWorkers), crowdScript: script, workers: make([]harmWorker, crowdWorkers),
+		reportedAt: make([]time.Time, crowdWorkers), told: make([]uint64, crowdWorkers), audit: newCrowdAudit(),
+	}
+	p.began = p.now
+	serving := servingStep
+	serving.Count, serving.Size.CPU, serving.PerWorker = crowdWorkers, crowdServingCPU, 1
+	record := p.job(serving)
+	record.Spec.ID = otherJob
+	p.AddJob(record, jobs.Progress{}, true, p.now)
+	for n := range p.workers {
+		p.workers[n].unused = p.capacity().CPU - crowdServingCPU
+	}
+	return p
+}
+
+// capacity is that of a worker.
+func (p *fillerCrowd) capacity() models.Resources { return p.Core.workers[p.ids[0]].info.Capacity }
+
+// advance lets time pass.
+func (p *fillerCrowd) advance(passed time.Duration) {
+	for until := p.now.Add(passed); p.now.Before(until); {
+		p.now = p.now.Add(simulationStep)
+		p.submitDue()
+		for n := range p.workers {
+			p.workers[n].pass(p.Idle, p.Adds, p.Work.Duration(), p.now)
+			p.audit.noteEnds(&p.workers[n], p.now)
+		}
+		p.report()
+		if p.now.Sub(p.began)%crowdDecidePause < simulationStep {
+			p.decide()
+		}
+		p.audit.look(p)
+	}
+}
+
+// decide lets the workers carry out the owner's orders, and stores its changes.
+func (p *fillerCrowd) decide() {
+	for _, order := range p.Decide(p.now) {
+		p.obeyHarm(p.workers, order)
+	}
+	if changes := p.TakeChanges(crowdChanges, p.now); !changes.Empty() {
+		p.Stored(changes, p.now)
+	}
+}
+
+// submitDue submits the jobs whose time has come.
+func (p *fillerCrowd) submitDue() {
+	passed := p.now.Sub(p.began) - crowdBefore
+	for p.submitted < p.Jobs && passed >= crowdSubmitTime*time.Duration(p.submitted)/time.Duration(p.Jobs) {
+		step := crowdStep
+		step.Count, step.Estimate = p.Tasks, p.Work
+		record := p.job(step)
+		p.submitted++
+		record.Spec.ID = jobs.ID(fmt.Sprintf("%016x", 0x100+p.submitted))
+		p.AddJob(record, jobs.Progress{}, true, p.now)
+		p.audit.expect(record.Spec.ID, p.Tasks, p.now)
+	}
+}
+
+// report lets the workers report which have an end to tell, or have not reported for long.
+func (p *fillerCrowd) report() {
+	for n := range p.workers {
+		w := &p.workers[n]
+		passed := p.now.Sub(p.reportedAt[n])
+		if passed < crowdReportPause || passed < crowdReportWait && w.ends == p.told[n] {
+			continue
+		}
+		p.reportedAt[n], p.told[n] = p.now, w.ends
+		sent := p.now.Add(-time.Millisecond)
+		call, _ := p.LeaseCall(p.ids[n], time.Second, sent)
+		w.ended = slices.DeleteFunc(w.ended, func(e jobs.Ended) bool { return e.Number <= call.Acknowledged })
+		p.Reported(p.ids[n], sent, jobs.Report{Clock: models.MilliOf(p.now.Sub(time.Unix(1_000_000, 0))), Running: w.rows(), Ended: w.ended}, p.now)
+	}
+}
+
+// crowdAudit follows what truly runs on the workers.
+type crowdAudit struct {
+	left      map[jobs.ID]int // tasks of a job that have not ended
+	done      map[jobs.TaskID]bool
+	idleSince map[jobs.ID]time.Time // since when nothing of a job has run, while most of the capacity has been free
+	longest   time.Duration         // for which that was so
+	longestOf jobs.ID
+	mostUsed  float64
+	jobsEnded int
+}
+
+func newCrowdAudit() crowdAudit {
+	return crowdAudit{left: map[jobs.ID]int{}, done: map[jobs.TaskID]bool{}, idleSince: map[jobs.ID]time.Time{}}
+}
+
+// expect notes a job that is submitted.
+func (a *crowdAudit) expect(id jobs.ID, tasks int, now time.Time) {
+	a.left[id] = tasks
+	a.idleSince[id] = now
+}
+
+// noteEnds notes the successes that a worker lists.
+func (a *crowdAudit) noteEnds(w *harmWorker, now time.Time) {
+	for _, ended := range w.ended {
+		id := ended.Task.Job
+		if ended.How != jobs.EndSucceeded || a.done[ended.Task] {
+			continue
+		}
+		a.done[ended.Task] = true
+		a.idleSince[id] = now
+		if a.left[id]--; a.left[id] == 0 {
+			delete(a.left, id)
+			a.jobsEnded++
+		}
+	}
+}
+
+// look notes for how long nothing of a job has run.
+func (a *crowdAudit) look(p *fillerCrowd) {
+	used := p.used()
+	a.mostUsed = max(a.mostUsed, used)
+	running := p.running()
+	for id := range a.left {
+		if used >= crowdMostUsed || running[id] > 0 {
+			a.idleSince[id] = p.now
+		} else if idle := p.now.Sub(a.idleSince[id]); idle > a.longest {
+			a.longest, a.longestOf = idle, id
+		}
+	}
+}
+
+// used returns the share of the capacity in use: of the CPU that others than filler tasks declare, or of the memory.
+func (p *fillerCrowd) used() float64 {
+	var used models.Resources
+	for n := range p.workers {
+		for _, r := range p.workers[n].runs {
+			if r.filler {
+				used.Memory += crowdStep.Size.Memory
+			} else {
+				used = used.Add(models.Resources{CPU: r.cpu, Memory: servingStep.Size.Memory})
+			}
+		}
+	}
+	capacity := p.capacity()
+	return max(float64(used.CPU)/float64(capacity.CPU), float64(used.Memory)/float64(capacity.Memory)) / crowdWorkers
+}
+
+// running returns how many tasks of each job run on the workers.
+func (p *fillerCrowd) running() map[jobs.ID]int {
+	running := map[jobs.ID]int{}
+	for n := range p.workers {
+		for _, r := range p.workers[n].runs {
+			running[r.row.Task.Job]++
+		}
+	}
+	return running
+}
+
+// overTarget returns for how long a serving task was over its target at most while filler tasks beside it worked.
+func (p *fillerCrowd) overTarget() time.Duration {
+	longest := time.Duration(0)
+	for n := range p.workers {
+		longest = max(longest, p.workers[n].longest)
+	}
+	return longest
+}
+
+// logResult logs what is measured without a bound.
+func (p *fillerCrowd) logResult(t *testing.T) {
+	starts, halted, fillers := 0, 0, 0
+	for n := range p.workers {
+		starts += p.workers[n].starts
+		for _, r := range p.workers[n].runs {
+			if r.filler {
+				fillers++
+			}
+			if r.filler && r.pace == 0 {
+				halted++
+			}
+		}
+	}
+	t.Logf("nothing of a job runs for %v at most (%s), a serving task is over its target for %v; %d of %d jobs ended, %d tasks, %d starts, %d pace orders; %.2f in use at most; at the end %d filler tasks, %d at pace 0",
+		p.audit.longest, p.audit.longestOf, p.overTarget(), p.audit.jobsEnded, p.Jobs, len(p.audit.done), starts, p.counts.Paces, p.audit.mostUsed, fillers, halted)
+}
+
+// TestSomethingOfEachFillerJobRuns guards against jobs of filler tasks of which nothing runs for longer than callers allow because many
+// others wait for the same loads, although most of the capacity is free.
+func TestSomethingOfEachFillerJobRuns(t *testing.T) {
+	scripts := casefile.Read[[]crowdScript](t, "testdata/filler_crowds.json")
+	longest := make([]time.Duration, len(scripts))
+	t.Run("scripts", func(t *testing.T) {
+		for n, script := range scripts {
+			t.Run(script.Name, func(t *testing.T) {
+				t.Parallel()
+				p := newFillerCrowd(t, script)
+				p.advance(crowdBefore + crowdTime)
+				p.logResult(t)
+				longest[n] = p.audit.longest
+				require.LessOrEqual(t, p.audit.longest, fillerAllowed)
+				require.Less(t, p.overTarget(), harmAllowed)
+			})
+		}
+	})
+	last := len(scripts) - 1
+	require.Equal(t, 3*scripts[last-1].Jobs, scripts[last].Jobs)
+	require.LessOrEqual(t, longest[last], longest[last-1]+crowdGrowth, "the time grows with the number of jobs")
+}
--- a/services/dispatch/filler_harm_test.go
+++ b/services/dispatch/filler_harm_test.go
@@ -31,6 +31,7 @@
 type harmRun struct {
 	row    jobs.Run
 	filler bool
+	cpu    models.MilliCPU // that it declares
 	pace   jobs.Percent
 	next   jobs.Percent
 	nextAt time.Time
@@ -39,19 +40,36 @@
 
 type harmWorker struct {
 	runs      []*harmRun
+	unused    models.MilliCPU // shared by the filler tasks; 0: enough for all
 	ended     []jobs.Ended
+	ends      uint64
 	tails     []float64 // of the last harmSpan
 	overSince time.Time
 	longest   time.Duration
 	starts    int
 }
 
+// speed returns the part of its pace that each filler task gets of the CPU.
+func (w *harmWorker) speed() float64 {
+	wanted := 0.0
+	for _, r := range w.runs {
+		if r.filler {
+			wanted += fillerUse * float64(r.cpu) * float64(r.pace) / float64(jobs.FullSpeed)
+		}
+	}
+	if w.unused == 0 || wanted <= float64(w.unused) {
+		return 1
+	}
+	return float64(w.unused) / wanted
+}
+
 // tail returns the tail latency now: that of the idle worker and what each filler task adds at its pace.
 func (w *harmWorker) tail(idle, adds float64) (tail float64, working bool) {
 	tail = idle
+	speed := w.speed()
 	for _, r := range w.runs {
 		if r.filler && r.pace > 0 {
-			tail += adds * float64(r.pace) / float64(jobs.FullSpeed)
+			tail += adds * speed * float64(r.pace) / float64(jobs.FullSpeed)
 			working = true
 		}
 	}
@@ -83,12 +101,30 @@
 
 // endRuns ends the filler tasks whose work is done.
 func (w *harmWorker) endRuns(work time.Duration) {
+	speed := w.speed()
 	w.runs = slices.DeleteFunc(w.runs, func(r *harmRun) bool {
-		r.done += simulationStep * time.Duration(r.pace) / time.Duration(jobs.FullSpeed)
+		r.done += time.Duration(speed * float64(simulationStep) * float64(r.pace) / float64(jobs.FullSpeed))
 		if !r.filler || r.done < work {
 			return false
 		}
-		w.ended = append(w.ended, jobs.Ended{Number: uint64(len(w.ended) + 1), Task: r.row.Task, Run: r.row.Run, How: jobs.EndSucceeded})
+		w.end(r, jobs.EndSucceeded)
+		return true
+	})
+}
+
+// end lists the end of a run.
+func (w *harmWorker) end(r *harmRun, how jobs.End) {
+	w.ends++
+	w.ended = append(w.ended, jobs.Ended{Number: w.ends, Task: r.row.Task, Run: r.row.Run, How: how})
+}
+
+// stop ends the run of a task.
+func (w *harmWorker) stop(call jobs.StopCall) {
+	w.runs = slices.DeleteFunc(w.runs, func(r *harmRun) bool {
+		if r.row.Task != call.Task || r.row.Run != call.Run {
+			return false
+		}
+		w.end(r, jobs.EndStopped)
 		return true
 	})
 }
@@ -96,11 +132,12 @@
 // rows returns the runs as reported: the highest tail latency of the last half second, and the CPU in use of filler tasks.
 func (w *harmWorker) rows() []jobs.Run {
 	var rows []jobs.Run
+	speed := w.speed()
 	for _, r := range w.runs {
 		row := r.row
 		row.Figure = int(slices.Max(w.tails))
 		if r.filler {
-			row.Figure = int(fillerUse * float64(fillerStep.Size.CPU) * float64(r.pace) / float64(jobs.FullSpeed))
+			row.Figure = int(fillerUse * speed * float64(r.cpu) * float64(r.pace) / float64(jobs.FullSpeed))
 		}
 		rows = append(rows, row)
 	}
@@ -193,7 +230,9 @@
 	case StartOrder:
 		w := &workers[slices.Index(b.ids, order.Worker.ID)]
 		filler := order.Call.Task.Job != otherJob
-		w.runs = append(w.runs, &harmRun{row: jobs.Run{Task: order.Call.Task, Run: order.Call.Run}, filler: filler, pace: jobs.FullSpeed})
+		w.runs = append(w.runs, &harmRun{
+			row: jobs.Run{Task: order.Call.Task, Run: order.Call.Run}, filler: filler, cpu: b.find(order.Call.Task).step.spec.Size.CPU, pace: jobs.FullSpeed,
+		})
 		if filler {
 			w.starts++
 		}
@@ -205,5 +244,8 @@
 			}
 		}
 		b.Paced(order, Result{Outcome: OutcomeDone}, b.now)
+	case StopOrder:
+		workers[slices.Index(b.ids, order.Worker.ID)].stop(order.Call)
+		b.Stopped(order, Result{Outcome: OutcomeDone}, b.now)
 	}
 }
