--- a/services/dispatch/backlog.go
+++ b/services/dispatch/backlog.go
@@ -42,7 +42,7 @@
 		whole += each.workOf(float64(len(each.tasks)))
 		notDone := float64(len(each.tasks) - each.done)
 		if each.opened {
-			notDone -= startedShare * float64(len(each.tasks)-each.done-each.waiting)
+			notDone -= startedShare * float64(len(each.tasks)-each.done-each.waiting-each.standby)
 		}
 		left += each.workOf(notDone)
 	}
@@ -123,6 +123,7 @@
 		}
 		withheld := c.startsLeft - allowed
 		c.startsLeft = allowed
+		c.resumeStandby(each.step, now)
 		c.placeStep(each.step, now)
 		c.overdueCredit -= float64(allowed - c.startsLeft)
 		c.startsLeft += withheld
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -243,6 +243,7 @@
 			}
 		}
 		c.throttle(now)
+		c.haltStandby(now)
 	}
 	c.sumUpLongWaits(now)
 	c.forgetEnded(now)
--- a/services/dispatch/filler.go
+++ b/services/dispatch/filler.go
@@ -18,6 +18,9 @@
 	return w.info.Capacity.CPU - ordinary - models.MilliCPU(longRunningUse*float64(w.longRunningCPU))
 }
 
+// activeFillerCPU returns the CPU that the worker's filler tasks declare, but for those on standby.
+func (w *worker) activeFillerCPU() models.MilliCPU { return w.fillerCPU - w.standbyCPU }
+
 // mayRunFiller reports whether a filler task may be placed on the worker.
 func (c *Core) mayRunFiller(w *worker, s *step) bool {
 	return c.loadsAllow(w, s) || c.startsWhateverTheLoads(w, s)
@@ -26,7 +29,7 @@
 // loadsAllow reports whether enough CPU is unused for a filler task on the worker, and the serving tasks' loads stay low
 // enough beside it.
 func (c *Core) loadsAllow(w *worker, s *step) bool {
-	if w.fillerCPU+s.spec.Size.CPU > w.unusedCPU() {
+	if w.activeFillerCPU()+s.spec.Size.CPU > w.unusedCPU() {
 		return false
 	}
 	share := w.fullShare(s)
@@ -49,7 +52,7 @@
 
 // fillerScore returns the score of the worker as a place for a filler task.
 func (c *Core) fillerScore(w *worker, s *step) float64 {
-	score := idleWeight * float64(w.unusedCPU()-w.fillerCPU-s.spec.Size.CPU) / w.cpuCapacity()
+	score := idleWeight * float64(w.unusedCPU()-w.activeFillerCPU()-s.spec.Size.CPU) / w.cpuCapacity()
 	share := w.fullShare(s)
 	image := c.model.Index(s.spec.Image)
 	for _, serving := range c.expectedLoads(w) {
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -4,8 +4,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"rillsail.example/rillsail/models"
@@ -63,36 +61,8 @@
 // isMostlyFree reports whether callers may expect that each job runs: most of the CPU of the workers that stay is free. Those that
 // get no starts for a moment count, as callers do not know of that.
 func (c *Core) isMostlyFree() bool {
-	return float64(c.shortWork.used) < mostlyFreeBelow*float64(c.shortWork.present)
-}
-
-// placeIdleFillers starts one filler task of each job of which nothing has run for fillerTurnAfter, the longest first.
-func (c *Core) placeIdleFillers(candidates []candidate, now time.Time) {
-	c.updateSilentJobs()
-	if !c.isMostlyFree() {
-		return
-	}
-	var idle []*step
-	for _, each := range candidates {
-		if each.step.spec.Filler && each.step.idleTime(now) >= fillerTurnAfter {
-			idle = append(idle, each.step)
-		}
-	}
-	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.idleTime(now), a.idleTime(now)) })
-	for _, s := range idle {
-		if c.startsLeft <= 0 {
-			return
-		}
-		c.placeOne(s, now)
-	}
-}
-
-// placeOne starts one of the step's waiting tasks at most.
-func (c *Core) placeOne(s *step, now time.Time) {
-	withheld := c.startsLeft - 1
-	c.startsLeft = 1
-	c.placeStep(s, now)
-	c.startsLeft += withheld
+	used, present := c.shortWork.used, c.shortWork.present
+	return float64(used.CPU) < mostlyFreeBelow*float64(present.CPU) && float64(used.Memory) < mostlyFreeBelow*float64(present.Memory)
 }
 
 // startsWhateverTheLoads reports whether a filler task of the step may be placed on the worker although the loads of the
--- a/services/dispatch/pace.go
+++ b/services/dispatch/pace.go
@@ -23,11 +23,16 @@
 	if small && !t.paceUncertain {
 		return
 	}
-	c.config.Logger.Info("run's pace is changed", zap.Stringer("task", t.id()), zap.Int("from", int(t.pace)), zap.Int("to", int(pace)),
+	w.throttledAt = now
+	c.orderPace(w, t, t.pace, pace, now)
+}
+
+// orderPace orders a pace; before is the one that is in force if the order is not carried out.
+func (c *Core) orderPace(w *worker, t *task, before, pace jobs.Percent, now time.Time) {
+	c.config.Logger.Info("run's pace is changed", zap.Stringer("task", t.id()), zap.Int("from", int(before)), zap.Int("to", int(pace)),
 		zap.String("worker", string(w.info.ID)), zap.Float64("load", w.maxLoad), zap.Int64("figure_age_ms", now.Sub(w.reportedAt).Milliseconds()))
-	before := t.pace
 	t.pace, t.pacedAt = pace, now
-	w.throttledAt, w.fillersChangedAt = now, now
+	w.fillersChangedAt = now
 	w.expectedValid = false
 	c.counts.Paces++
 	c.orders = append(c.orders, PaceOrder{Worker: w.info, Before: before, Call: jobs.PaceCall{
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -26,13 +26,14 @@
 	if len(candidates) > 0 {
 		c.updateShortWork(now)
 		c.placeOverdue(candidates, now)
-		c.placeIdleFillers(candidates, now)
+		c.startIdleFillers(candidates, now)
 	}
 	for _, candidate := range candidates {
 		if c.startsLeft <= 0 {
 			return
 		}
-		if now.Before(candidate.step.backoff) {
+		c.resumeStandby(candidate.step, now)
+		if candidate.step.waiting == 0 || now.Before(candidate.step.backoff) {
 			continue // no worker was found for it a moment ago
 		}
 		c.placeStep(candidate.step, now)
@@ -45,12 +46,12 @@
 	candidates := make([]candidate, 0, len(c.waitingSteps))
 	kept := c.waitingSteps[:0]
 	for _, s := range c.waitingSteps {
-		if s.waiting == 0 || s.job.end != "" || s.job.cancelled {
+		if !s.hasTasksToPlace() || s.job.end != "" || s.job.cancelled {
 			s.inWaitingSteps, s.roomSince = false, time.Time{}
 			continue
 		}
 		kept = append(kept, s)
-		if now.After(s.backoff) && !c.takeovers.blocksStarts(s.job) {
+		if (s.standby > 0 || now.After(s.backoff)) && !c.takeovers.blocksStarts(s.job) {
 			candidates = append(candidates, c.candidate(s, now))
 		}
 	}
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -138,6 +138,9 @@
 	t.step.job.running++
 	t.step.job.begun = true
 	w.add(t)
+	if t.step.spec.Filler && t.pace == 0 {
+		c.beginStandby(t)
+	}
 	if t.suspected() {
 		w.beginTrial(t)
 	}
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -38,8 +38,8 @@
 	at       time.Time
 	free     models.MilliCPU // capacity that is free or used by short work, as of at
 	capacity models.MilliCPU // of all usable workers, as of at
-	present  models.MilliCPU // capacity of all workers that stay and answer, also of those that get no starts for a moment, as of at
-	used     models.MilliCPU // declared on these by all tasks but filler tasks, as of at
+	present  models.Resources // capacity of all workers that stay and answer, also of those that get no starts for a moment, as of at
+	used     models.Resources // declared on these, of filler tasks the memory only, as of at and by starts since then
 
 	leftSince time.Time // since when long-running tasks leave capacity to it, as logged; zero: they don't
 	leftAt    time.Time // when one last did
@@ -50,12 +50,13 @@
 func (c *Core) updateShortWork(now time.Time) {
 	s := &c.shortWork
 	elapsed := now.Sub(s.at)
-	s.free, s.capacity, s.present, s.used = 0, 0, 0, 0
+	s.free, s.capacity = 0, 0
+	s.present, s.used = models.Resources{}, models.Resources{}
 	taken := models.MilliCPU(0)
 	for _, w := range c.sortedWorkers {
 		if w.isPresent() {
-			s.present += w.info.Capacity.CPU
-			s.used += w.used.CPU
+			s.present = s.present.Add(w.info.Capacity)
+			s.used = s.used.Add(w.used)
 		}
 		if !c.usable(w, now) {
 			continue
@@ -132,8 +133,9 @@
 	return count
 }
 
-// takeShortCapacity deducts a starting long-running task from the capacity available to short work.
+// takeShortCapacity deducts a starting task from the capacity available to others.
 func (c *Core) takeShortCapacity(t *task) {
+	c.shortWork.used = c.shortWork.used.Add(t.step.footprint())
 	if t.step.spec.LongRunning {
 		c.shortWork.free -= t.step.spec.Size.CPU
 	}
--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -19,6 +19,7 @@
 	tasks           []task
 	done            int                     // tasks that have succeeded
 	waiting         int                     // tasks that are waiting
+	standby         int                     // tasks on standby
 	opened          bool                    // the steps that it depends on are done, and its time has come
 	openedAt        time.Time               // when that was so
 	inWaitingSteps  bool                    // is among the core's steps with waiting tasks
@@ -62,9 +63,12 @@
 	}
 }
 
-// listWaiting adds an opened step with waiting tasks to the steps to be placed.
+// hasTasksToPlace reports whether tasks of the step wait, or stand by for their turn.
+func (s *step) hasTasksToPlace() bool { return s.waiting+s.standby > 0 }
+
+// listWaiting adds an opened step with such tasks to the steps to be placed.
 func (c *Core) listWaiting(s *step) {
-	if s.inWaitingSteps || !s.opened || s.waiting == 0 || s.job.end != "" || s.job.cancelled {
+	if s.inWaitingSteps || !s.opened || !s.hasTasksToPlace() || s.job.end != "" || s.job.cancelled {
 		return
 	}
 	s.inWaitingSteps = true
--- a/services/dispatch/stop.go
+++ b/services/dispatch/stop.go
@@ -18,6 +18,7 @@
 	}
 	c.config.Logger.Info("run is to stop", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(t.run)),
 		zap.String("worker", string(t.worker.info.ID)), zap.String("reason", reason))
+	c.endStandby(t)
 	t.state = taskStopping
 	t.answeredAt = time.Time{}
 	t.orderedAt = time.Time{}
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -62,6 +62,7 @@
 	checkpoint              *savedCheckpoint // where the next run resumes; nil: the run starts from the beginning
 	pace                    jobs.Percent     // as ordered
 	pacedAt                 time.Time        // when the run began or its pace was last changed
+	standby                 bool             // its run stands at pace 0 until its turn comes; see standby.go
 	paceUncertain           bool             // a pace order had no answer: the pace in force may be higher
 	figure                  int              // as last reported; see jobs.Run
 
@@ -157,6 +158,7 @@
 	if j := t.step.job; t.confirmed {
 		j.lastRunEndedAt = latest(j.lastRunEndedAt, t.worker.lastAlive(c.now))
 	}
+	c.endStandby(t)
 	t.worker.remove(t)
 	t.worker, t.endHidden = nil, false
 	t.step.job.running--
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -37,6 +37,7 @@
 	used                      models.Resources // declared by its tasks; of filler tasks the memory only
 	longRunningCPU            models.MilliCPU  // declared by its long-running tasks
 	fillerCPU                 models.MilliCPU  // declared by its filler tasks
+	standbyCPU                models.MilliCPU  // of this, declared by those on standby
 	answered                  bool             // has reported in this epoch
 	fenceSent                 bool             // a call with its fence has asked for a report
 	everAnswered              bool             // an incarnation of it has answered this owner, or the roster of a previous owner named it
