--- a/services/control/figures.go
+++ b/services/control/figures.go
@@ -78,7 +78,7 @@
 	scope.Tagged(map[string]string{"by": "call"}).Counter("worker_restarts").Inc(counts.RestartsMet - before.RestartsMet)
 	for name, value := range map[string]int{
 		"jobs_active": summary.Jobs, "tasks_waiting": summary.Waiting, "tasks_leaving_capacity": summary.LeavingCapacity, "tasks_running": summary.Running,
-		"serving_over_target": summary.OverTail, "filling_throttled": summary.Throttled,
+		"serving_over_target": summary.OverTail, "filling_throttled": summary.Throttled, "filling_standby": summary.Standby,
 		"workers_known": summary.Workers, "workers_usable": summary.Usable, "workers_cordoned": summary.Cordoned, "jobs_unstored": summary.Unstored,
 	} {
 		scope.Gauge(name).Update(float64(value))
--- a/services/dispatch/filler.go
+++ b/services/dispatch/filler.go
@@ -52,16 +52,22 @@
 
 // fillerScore returns the score of the worker as a place for a filler task.
 func (c *Core) fillerScore(w *worker, s *step) float64 {
-	score := idleWeight * float64(w.unusedCPU()-w.activeFillerCPU()-s.spec.Size.CPU) / w.cpuCapacity()
+	return idleWeight*float64(w.unusedCPU()-w.activeFillerCPU()-s.spec.Size.CPU)/w.cpuCapacity() - harmWeight*c.addedHarm(w, s)
+}
+
+// addedHarm returns by how much a filler task of the step on the worker raises the probability that a serving task there gets
+// over its target, summed over the serving images.
+func (c *Core) addedHarm(w *worker, s *step) float64 {
+	harm := 0.0
 	share := w.fullShare(s)
 	image := c.model.Index(s.spec.Image)
 	for _, serving := range c.expectedLoads(w) {
 		added, variance := serving.service.AddedLoadBy(image, share)
 		soon := serving.overTarget(added, variance) - serving.overProbability
 		later := serving.later.overTarget(added, variance) - serving.later.overProbability
-		score -= harmWeight * (soon + later) / 2
+		harm += (soon + later) / 2
 	}
-	return score
+	return harm
 }
 
 // fillerUse is the part of its declared CPU that a filler task uses at full pace.
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -12,18 +12,15 @@
 // Filler tasks start only where the predicted loads of the serving tasks allow it. Where each worker has a serving task, the
 // jobs that are placed first can take all that the loads allow, or the loads allow nothing for as long as they are high.
 // But callers expect of each job that something of it runs soon while most of the capacity is free. So a job of filler
-// tasks of which nothing has run for some time goes before the others with one task. If the loads do not allow even that,
-// the task starts all the same a little later, where it does the least harm, and is throttled like others.
+// tasks of which nothing has run for some time starts one task on standby; see standby.go. A suspect, which has to work for
+// its trial, starts all the same a little later, where it does the least harm, and is throttled like others.
 
 const (
-	// fillerTurnAfter is how long nothing of a job runs until one of its filler tasks goes before those of other jobs. Callers look
-	// at what runs from time to time, and may not see a run of half a second.
-	fillerTurnAfter = time.Second
 	// maxFillerWait is how long nothing of a job runs until one of its filler tasks starts whatever the loads: less than the 3 s for
 	// which callers allow a job to have nothing running.
 	maxFillerWait = 2500 * time.Millisecond
-	// mostlyFreeBelow is the share of the CPU declared by other than filler tasks below which the cell is mostly free. Callers
-	// count half; what they see is older or newer than what the owner knows.
+	// mostlyFreeBelow is the share of the CPU declared by other than filler tasks, and of the memory declared by all, below which
+	// the cell is mostly free. Callers count half; what they see is older or newer than what the owner knows.
 	mostlyFreeBelow = 0.6
 )
 
@@ -58,7 +55,7 @@
 	}
 }
 
-// isMostlyFree reports whether callers may expect that each job runs: most of the CPU of the workers that stay is free. Those that
+// isMostlyFree reports whether callers may expect that each job runs: most of the CPU and of the memory of the workers that stay is free. Those that
 // get no starts for a moment count, as callers do not know of that.
 func (c *Core) isMostlyFree() bool {
 	used, present := c.shortWork.used, c.shortWork.present
--- a/services/dispatch/filler_wait_test.go
+++ b/services/dispatch/filler_wait_test.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -94,50 +93,44 @@
 }
 
 // TestFillerJobsTakeTurns guards against jobs of filler tasks of which nothing runs while jobs that are placed before them take all
-// the CPU that is unused, although most of the capacity is free.
+// the CPU that is unused, although most of the capacity is free; and against more of them at work than there is CPU for.
 func TestFillerJobsTakeTurns(t *testing.T) {
 	const (
 		fillerJobs = 6
-		runtime    = 500 * time.Millisecond
+		settled    = 200 * time.Millisecond // within which the pace of a new run is in force
 	)
-	b := newBench(t, 2)
+	b := newStandbyBench(t, 2)
 	step := fillerStep
-	step.Count, step.Size.CPU, step.Estimate = 8, 4000, models.MilliOf(runtime)
+	step.Count, step.Size.CPU, step.Estimate = 8, 4000, 500
 	idleSince := map[jobs.ID]time.Time{}
 	for n := range fillerJobs {
-		record := b.job(step)
-		record.Spec.ID = jobs.ID(fmt.Sprintf("%016x", n+1))
-		b.AddJob(record, jobs.Progress{}, true, b.now)
-		idleSince[record.Spec.ID] = b.now
+		id := jobs.ID(fmt.Sprintf("%016x", n+1))
+		b.submit(id, step)
+		idleSince[id] = b.now
 	}
-	running, began := [2]*jobs.Run{}, [2]time.Time{}
-	ended, succeeded := [2][]jobs.Ended{}, map[jobs.ID]int{}
-	for end := b.now.Add(20 * time.Second); b.now.Before(end); {
-		for n, id := range b.ids {
-			if run := running[n]; run != nil && b.now.Sub(began[n]) >= runtime {
-				ended[n] = append(ended[n], jobs.Ended{Number: uint64(len(ended[n]) + 1), Task: run.Task, Run: run.Run, How: jobs.EndSucceeded})
-				running[n] = nil
-				idleSince[run.Task.Job] = b.now
-				succeeded[run.Task.Job]++
-			}
-			report := jobs.Report{Ended: ended[n]}
-			if running[n] != nil {
-				report.Running = []jobs.Run{*running[n]}
-			}
-			b.report(n, report)
-			for _, start := range b.storedStarts() {
-				at := slices.Index(b.ids, start.Worker.ID)
-				require.Nil(t, running[at], "no CPU is unused on %s", id)
-				running[at], began[at] = &jobs.Run{Task: start.Call.Task, Run: start.Call.Run, Figure: 3600}, b.now
-				b.Started(start, Result{Outcome: OutcomeDone}, b.now)
-				delete(idleSince, start.Call.Task.Job)
+	crowdedSince := [2]time.Time{}
+	b.pass(20*time.Second, func() {
+		for id, since := range idleSince {
+			if len(b.runsOf(id)) > 0 || b.succeeded[id] == step.Count {
+				idleSince[id] = b.now
+				continue
 			}
+			require.Less(t, b.now.Sub(since), fillerAllowed, "%s after %d tasks", id, b.succeeded[id])
 		}
-		for job, since := range idleSince {
-			require.Less(t, b.now.Sub(since), fillerAllowed, "%s after %d tasks", job, succeeded[job])
-			if succeeded[job] == step.Count {
-				delete(idleSince, job)
+		for n, runs := range b.runs {
+			working := 0
+			for _, r := range runs {
+				if r.pace > 0 {
+					working++
+				}
+			}
+			if working <= 1 {
+				crowdedSince[n] = b.now
 			}
+			require.LessOrEqual(t, b.now.Sub(crowdedSince[n]), settled, "%d tasks work on worker %d, which has CPU for one", working, n)
 		}
+	})
+	for id := range idleSince {
+		require.Equal(t, step.Count, b.succeeded[id], "%s", id)
 	}
 }
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -128,17 +128,22 @@
 	}
 }
 
-// startTask assigns a task to a worker and orders its run.
+// startTask assigns a task to a worker and orders its run, which works from the beginning.
 func (c *Core) startTask(t *task, w *worker, now time.Time) {
+	if t.step.spec.Filler && !c.loadsAllow(w, t.step) {
+		w.loadsIgnoredAt = now
+	}
+	c.orderStart(t, w, now)
+}
+
+// orderStart assigns a task to a worker and orders its run.
+func (c *Core) orderStart(t *task, w *worker, now time.Time) {
 	c.beginRun(t, now)
 	if w.info.ID != t.lateStart.worker {
 		t.leaveLateStartWorker()
 	}
 	if t.step.spec.Filler {
 		w.fillersChangedAt = now
-		if !c.loadsAllow(w, t.step) {
-			w.loadsIgnoredAt = now
-		}
 	}
 	w.add(t)
 	c.takeShortCapacity(t)
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -36,8 +36,8 @@
 type shortWork struct {
 	demand   float64 // thousandths of a core; its peaks fade over demandWindow
 	at       time.Time
-	free     models.MilliCPU // capacity that is free or used by short work, as of at
-	capacity models.MilliCPU // of all usable workers, as of at
+	free     models.MilliCPU  // capacity that is free or used by short work, as of at
+	capacity models.MilliCPU  // of all usable workers, as of at
 	present  models.Resources // capacity of all workers that stay and answer, also of those that get no starts for a moment, as of at
 	used     models.Resources // declared on these, of filler tasks the memory only, as of at and by starts since then
 
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -54,31 +54,36 @@
 		}
 		if w := c.standbyWorker(t, now); w != nil {
 			s.stuckSince = time.Time{}
-			c.startTask(t, w, now)
+			c.orderStart(t, w, now)
 			c.beginStandby(t)
-			t.pace, t.pacedAt, t.paceUncertain = 0, time.Time{}, true
+			t.pace, t.pacedAt, t.paceUncertain = 0, time.Time{}, true // the run begins at full pace
 		}
 		return
 	}
 }
 
-// standbyWorker returns the worker with the largest share of free memory of those that can take the task; nil: none can.
+// standbyWorker returns the best worker for a task on standby; nil: none can take it.
 func (c *Core) standbyWorker(t *task, now time.Time) *worker {
-	var best *worker
-	mostFree := 0.0
+	var best place
 	for _, w := range c.sortedWorkers {
 		if w.isReserved(now) && !t.hasWaitedBesideRoom(now) || !c.hasStandbyRoom(w, t.step, now) {
 			continue
 		}
-		free := float64(w.free().Memory) / float64(max(1, w.info.Capacity.Memory))
-		if now.Before(w.avoidUntil) {
-			free -= avoidWeight
-		}
-		if best == nil || free > mostFree {
-			best, mostFree = w, free
+		if score := c.standbyScore(w, t.step); best.worker == nil || score > best.score {
+			best = place{w, score}
 		}
 	}
-	return best
+	return best.worker
+}
+
+// standbyScore returns how good a place the worker is for a task on standby: the more of its memory is free, and the less harm
+// the task does there until it stands and once it goes on, the better.
+func (c *Core) standbyScore(w *worker, s *step) float64 {
+	score := float64(w.free().Memory)/float64(max(1, w.info.Capacity.Memory)) - c.addedHarm(w, s)
+	if c.now.Before(w.avoidUntil) {
+		score -= avoidWeight
+	}
+	return score
 }
 
 // hasStandbyRoom reports whether the worker is usable and has what a task of the step declares, beside what others declare.
@@ -104,11 +109,13 @@
 	t.worker.standbyCPU -= t.step.spec.Size.CPU
 }
 
-// resumeStandby lets tasks of the step that stand by go on where the loads allow it.
+// resumeStandby lets tasks of the step that stand by go on where the loads allow it. If no task of the step waits, one that
+// can't go on moves to a worker where it can.
 func (c *Core) resumeStandby(s *step, now time.Time) {
 	if s.standby == 0 {
 		return
 	}
+	mayMove := s.waiting == 0 && now.After(s.backoff)
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if c.startsLeft <= 0 {
@@ -117,27 +124,80 @@
 		if !t.standby || t.state != taskRunning {
 			continue
 		}
-		if w := t.worker; c.loadsAllow(w, s) && c.usable(w, now) && !w.isReserved(now) {
-			c.endStandby(t)
-			t.startedAt = now
-			c.startsLeft--
-			c.orderPace(w, t, t.pace, jobs.FullSpeed, now)
+		if c.mayResume(t.worker, s, now) {
+			c.resume(t, jobs.FullSpeed, now)
+			continue
+		}
+		if !mayMove || now.Sub(t.startedAt) < moveAfter {
+			continue
+		}
+		if mayMove = len(c.findPlaces(s, now)) > 0; mayMove {
+			c.stop(t, "it stands by, and another worker can run it")
+			continue
+		}
+		s.backoff = now.Add(scanBackoff)
+	}
+}
+
+// mayResume reports whether a task of the step that stands by on the worker may go on.
+func (c *Core) mayResume(w *worker, s *step, now time.Time) bool {
+	return c.loadsAllow(w, s) && c.usable(w, now) && !w.isReserved(now)
+}
+
+// resume lets a task that stands by go on. Its run counts from now on, because it has done nothing before.
+func (c *Core) resume(t *task, pace jobs.Percent, now time.Time) {
+	c.endStandby(t)
+	t.startedAt = now
+	c.startsLeft--
+	c.orderPace(t.worker, t, t.pace, pace, now)
+}
+
+// resumePartly lets the most urgent task that stands by on a worker go on as fast as the loads allow, if no other filler task
+// works there: where they never allow a whole one, it would stand by without end.
+func (c *Core) resumePartly(w *worker, now time.Time) {
+	if w.standbyCPU == 0 || w.activeFillerCPU() > 0 || !c.usable(w, now) || w.isReserved(now) {
+		return
+	}
+	t := c.mostUrgentOnStandby(w, now)
+	if t == nil {
+		return
+	}
+	image, excess := c.mostOverTarget(w, aimCaution)
+	pace := c.filler(w, t, image).gainWithin(-excess)
+	pace = min(pace, jobs.Percent(max(0, w.unusedCPU())*models.MilliCPU(jobs.FullSpeed)/max(1, t.step.spec.Size.CPU)))
+	if pace >= minPaceChange {
+		c.resume(t, pace, now)
+		w.throttledAt = now
+	}
+}
+
+// mostUrgentOnStandby returns the most urgent task that stands by on a worker; nil: none does.
+func (c *Core) mostUrgentOnStandby(w *worker, now time.Time) *task {
+	var best *task
+	for _, t := range w.tasks {
+		if t.standby && t.state == taskRunning && (best == nil || c.candidate(t.step, now).before(c.candidate(best.step, now)) < 0) {
+			best = t
 		}
 	}
+	return best
 }
 
-// haltStandby orders pace 0 for runs that stand by and may not stand yet.
+// haltStandby orders pace 0 for the runs that stand by, until the order is answered.
 func (c *Core) haltStandby(now time.Time) {
 	for _, s := range c.waitingSteps {
 		if s.standby == 0 {
 			continue
 		}
 		for i := range s.tasks {
-			t := &s.tasks[i]
-			if t.standby && t.state == taskRunning && (t.paceUncertain || t.pace > 0) && now.Sub(t.pacedAt) >= settleTime {
+			if t := &s.tasks[i]; t.mayNotStandYet() && now.Sub(t.pacedAt) >= settleTime {
 				t.paceUncertain = true
 				c.orderPace(t.worker, t, jobs.FullSpeed, 0, now)
 			}
 		}
 	}
 }
+
+// mayNotStandYet reports whether the run of a task that stands by may be at another pace than 0.
+func (t *task) mayNotStandYet() bool {
+	return t.standby && t.state == taskRunning && (t.paceUncertain || t.pace > 0)
+}
--- /dev/null
+++ b/services/dispatch/standby_bench_test.go
@@ -0,0 +1,162 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// standbyTick is the time between two reports of each worker of a standby bench.
+const standbyTick = 50 * time.Millisecond
+
+// standbyRun is a run on a worker of a standby bench.
+type standbyRun struct {
+	row  jobs.Run
+	step *jobs.Step
+	pace jobs.Percent
+	done time.Duration // of its work at full pace
+}
+
+// standbyBench is a core whose workers do the work of their runs at the paces that were ordered.
+type standbyBench struct {
+	*bench
+	runs  [][]*standbyRun
+	ended [][]jobs.Ended
+	// paced returns what becomes of an order on a pace; nil: it is carried out.
+	paced func(PaceOrder) Outcome
+	// paces are the orders on paces so far.
+	paces []PaceOrder
+	// succeeded counts the tasks that have ended by job.
+	succeeded map[jobs.ID]int
+}
+
+func newStandbyBench(t *testing.T, workers int) *standbyBench {
+	t.Helper()
+	return &standbyBench{
+		bench: newBench(t, workers), runs: make([][]*standbyRun, workers), ended: make([][]jobs.Ended, workers), succeeded: map[jobs.ID]int{},
+	}
+}
+
+// submit adds a job with one step.
+func (b *standbyBench) submit(id jobs.ID, step jobs.Step) {
+	record := b.job(step)
+	record.Spec.ID = id
+	b.AddJob(record, jobs.Progress{}, true, b.now)
+}
+
+// pass lets time pass; each is called after each step of it.
+func (b *standbyBench) pass(passed time.Duration, each func()) {
+	for until := b.now.Add(passed); b.now.Before(until); {
+		b.now = b.now.Add(standbyTick)
+		for n := range b.ids {
+			b.work(n)
+			b.answer(n)
+		}
+		for range 2 { // jobs are stored at once
+			for _, order := range b.Decide(b.now) {
+				b.obey(order)
+			}
+			b.Stored(b.TakeChanges(100, b.now), b.now)
+		}
+		if each != nil {
+			each()
+		}
+	}
+}
+
+// work lets the runs of a worker work, and ends those whose work is done.
+func (b *standbyBench) work(n int) {
+	b.runs[n] = slices.DeleteFunc(b.runs[n], func(r *standbyRun) bool {
+		r.done += standbyTick * time.Duration(r.pace) / time.Duration(jobs.FullSpeed)
+		if r.step.LongRunning || r.done < r.step.Estimate.Duration() {
+			return false
+		}
+		b.end(n, r, jobs.EndSucceeded)
+		b.succeeded[r.row.Task.Job]++
+		return true
+	})
+}
+
+// end lists the end of a run.
+func (b *standbyBench) end(n int, r *standbyRun, how jobs.End) {
+	b.ended[n] = append(b.ended[n], jobs.Ended{Number: uint64(len(b.ended[n]) + 1), Task: r.row.Task, Run: r.row.Run, How: how})
+}
+
+// answer lets a worker report.
+func (b *standbyBench) answer(n int) {
+	report := jobs.Report{Clock: models.MilliOf(b.now.Sub(time.Unix(1_000_000, 0))), Ended: b.ended[n]}
+	for _, r := range b.runs[n] {
+		row := r.row
+		row.Figure = 40
+		if r.step.Filler {
+			row.Figure = int(fillerUse * float64(r.step.Size.CPU) * float64(r.pace) / float64(jobs.FullSpeed))
+		}
+		report.Running = append(report.Running, row)
+	}
+	b.call(n, report)
+	if w := b.workers[b.ids[n]]; w != nil && !w.renewed {
+		b.call(n, report)
+	}
+}
+
+// obey carries out an order.
+func (b *standbyBench) obey(order Order) {
+	switch order := order.(type) {
+	case StartOrder:
+		n := slices.Index(b.ids, order.Worker.ID)
+		step := b.find(order.Call.Task).step.spec
+		b.runs[n] = append(b.runs[n], &standbyRun{row: jobs.Run{Task: order.Call.Task, Run: order.Call.Run}, step: step, pace: jobs.FullSpeed})
+		b.Started(order, Result{Outcome: OutcomeDone}, b.now)
+	case PaceOrder:
+		b.paces = append(b.paces, order)
+		outcome := OutcomeDone
+		if b.paced != nil {
+			outcome = b.paced(order)
+		}
+		if r := b.run(order.Call.Task); r != nil && outcome == OutcomeDone {
+			r.pace = order.Call.Pace
+		}
+		b.Paced(order, Result{Outcome: outcome}, b.now)
+	case StopOrder:
+		n := slices.Index(b.ids, order.Worker.ID)
+		b.runs[n] = slices.DeleteFunc(b.runs[n], func(r *standbyRun) bool {
+			stops := r.row.Task == order.Call.Task
+			if stops {
+				b.end(n, r, jobs.EndStopped)
+			}
+			return stops
+		})
+		b.Stopped(order, Result{Outcome: OutcomeDone}, b.now)
+	}
+}
+
+// run returns the run of a task; nil: it does not run.
+func (b *standbyBench) run(task jobs.TaskID) *standbyRun {
+	for _, runs := range b.runs {
+		for _, r := range runs {
+			if r.row.Task == task {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// runsOf returns the runs of a job.
+func (b *standbyBench) runsOf(id jobs.ID) []*standbyRun {
+	var list []*standbyRun
+	for _, runs := range b.runs {
+		for _, r := range runs {
+			if r.row.Task.Job == id {
+				list = append(list, r)
+			}
+		}
+	}
+	return list
+}
--- a/services/dispatch/summary.go
+++ b/services/dispatch/summary.go
@@ -17,7 +17,8 @@
 	Waiting    int  `json:"waiting"`    // tasks ready to be placed
 	Running    int  `json:"running"`    // tasks on workers, including starting and stopping ones
 	OverTail   int  `json:"over_tail"`  // serving tasks whose tail latency is over its target
-	Throttled  int  `json:"throttled"`  // filler tasks below full pace
+	Throttled  int  `json:"throttled"`  // filler tasks below full pace, but for those on standby
+	Standby    int  `json:"standby"`    // filler tasks that stand at pace 0 until their turn comes
 	Workers    int  `json:"workers"`    // known
 	Usable     int  `json:"usable"`     // workers that may get new tasks
 	Cordoned   int  `json:"cordoned"`   // workers in cordoned failure domains
@@ -56,7 +57,10 @@
 			if t.step.spec.Serves() && t.figure > int(t.step.spec.Target) {
 				s.OverTail++
 			}
-			if t.step.spec.Filler && t.pace < jobs.FullSpeed {
+			switch {
+			case t.standby:
+				s.Standby++
+			case t.step.spec.Filler && t.pace < jobs.FullSpeed:
 				s.Throttled++
 			}
 		}
--- a/services/dispatch/throttle.go
+++ b/services/dispatch/throttle.go
@@ -32,6 +32,7 @@
 		if w.fillerCPU == 0 || !w.hasSettled(now) {
 			continue
 		}
+		c.resumePartly(w, now)
 		if !w.overTargetSince.IsZero() && now.Sub(w.overTargetSince) > maxOverTarget {
 			c.haltFillers(w, now)
 		} else if _, excess := c.mostOverTarget(w, throttleCaution); excess >= 0 {
@@ -47,9 +48,9 @@
 	return w.answered && now.Sub(w.throttledAt) >= settleTime && now.Sub(w.reportedAt) <= settleTime
 }
 
-// hasThrottledTasks reports whether a task on the worker is below full pace.
+// hasThrottledTasks reports whether a task on the worker is below full pace, but for those on standby.
 func (w *worker) hasThrottledTasks() bool {
-	return slices.ContainsFunc(w.tasks, func(t *task) bool { return t.pace < jobs.FullSpeed })
+	return slices.ContainsFunc(w.tasks, func(t *task) bool { return t.pace < jobs.FullSpeed && !t.standby })
 }
 
 // filler is a filler task with the load that it adds to a serving task at full pace.
@@ -79,14 +80,18 @@
 	return jobs.Percent(min(1, max(0, allowance/f.adds)) * float64(jobs.FullSpeed))
 }
 
-// fillers returns the worker's running filler tasks with the load that they add to a serving image, the largest
-// first.
+// filler returns a filler task with the load that it adds to a serving image.
+func (c *Core) filler(w *worker, t *task, serving jobs.ImageName) filler {
+	return filler{t, w.fullShare(t.step) * c.model.Service(serving).Factor(c.model.Index(t.step.spec.Image))}
+}
+
+// fillers returns the worker's running filler tasks, but for those on standby, with the load that they add to a serving
+// image, the largest first.
 func (c *Core) fillers(w *worker, serving jobs.ImageName) []filler {
 	var list []filler
-	service := c.model.Service(serving)
 	for _, t := range w.tasks {
-		if t.step.spec.Filler && t.state == taskRunning {
-			list = append(list, filler{t, w.fullShare(t.step) * service.Factor(c.model.Index(t.step.spec.Image))})
+		if t.step.spec.Filler && t.state == taskRunning && !t.standby {
+			list = append(list, c.filler(w, t, serving))
 		}
 	}
 	slices.SortFunc(list, func(a, b filler) int {
@@ -115,7 +120,7 @@
 // haltFillers throttles all filler tasks of the worker to a halt.
 func (c *Core) haltFillers(w *worker, now time.Time) {
 	for _, t := range w.tasks {
-		if t.step.spec.Filler && t.state == taskRunning {
+		if t.step.spec.Filler && t.state == taskRunning && !t.standby {
 			c.setPace(w, t, 0, now)
 		}
 	}
