--- a/services/dispatch/drain.go
+++ b/services/dispatch/drain.go
@@ -33,18 +33,18 @@
 }
 
 // evacuateBefore is how long before a draining worker may leave its long-running and checkpointing tasks are
-// stopped: a stop takes less than a second, and a report as long.
+// stopped, and those on standby: a stop takes less than a second, and a report as long.
 const evacuateBefore = 2200 * time.Millisecond
 
-// evacuate stops the runs that would be lost when their worker leaves: long-running tasks, and tasks that can resume
-// elsewhere from a checkpoint.
+// evacuate stops the runs that would be lost when their worker leaves: long-running tasks, tasks that can resume elsewhere
+// from a checkpoint, and those on standby, which have done nothing.
 func (c *Core) evacuate(now time.Time) {
 	for _, w := range c.sortedWorkers {
 		if w.leavesAt.IsZero() || now.Before(w.leavesAt.Add(-evacuateBefore)) {
 			continue
 		}
 		for _, t := range w.tasks {
-			if t.state == taskRunning && (t.step.spec.LongRunning || t.step.spec.Checkpoints) {
+			if t.state == taskRunning && (t.step.spec.LongRunning || t.step.spec.Checkpoints || t.standby) {
 				c.stop(t, "its worker leaves")
 			}
 		}
--- a/services/dispatch/score.go
+++ b/services/dispatch/score.go
@@ -16,17 +16,27 @@
 
 // score returns how good a place the worker is for a task of the step; the highest score wins.
 func (c *Core) score(w *worker, s *step) float64 {
+	return c.useScore(w, s) + c.positionScore(w, s)
+}
+
+// useScore returns how well the worker's free capacity and its tasks suit a task of the step.
+func (c *Core) useScore(w *worker, s *step) float64 {
 	spec := s.spec
 	capacity := w.cpuCapacity()
-	var score float64
 	switch {
 	case spec.Filler:
-		score = c.fillerScore(w, s)
+		return c.fillerScore(w, s)
 	case spec.LongRunning:
-		score = w.imageAffinity(spec.Image) - float64(w.free().CPU)/capacity
+		return w.imageAffinity(spec.Image) - float64(w.free().CPU)/capacity
 	default:
-		score = -float64(w.free().CPU-spec.Size.CPU) / capacity // best fit, which keeps large free blocks for large tasks
+		return -float64(w.free().CPU-spec.Size.CPU) / capacity // best fit, which keeps large free blocks for large tasks
 	}
+}
+
+// positionScore returns how good the worker is for a task of the step whatever runs there: near its data and the step's other
+// tasks, and with no reason to avoid it.
+func (c *Core) positionScore(w *worker, s *step) float64 {
+	spec, score := s.spec, 0.0
 	if spec.DataRack != "" && w.info.Rack == spec.DataRack {
 		score += dataWeight
 	}
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -79,11 +79,8 @@
 // standbyScore returns how good a place the worker is for a task on standby: the more of its memory is free, and the less harm
 // the task does there until it stands and once it goes on, the better.
 func (c *Core) standbyScore(w *worker, s *step) float64 {
-	score := float64(w.free().Memory)/float64(max(1, w.info.Capacity.Memory)) - c.addedHarm(w, s)
-	if c.now.Before(w.avoidUntil) {
-		score -= avoidWeight
-	}
-	return score
+	freeMemory := float64(w.free().Memory) / float64(max(1, w.info.Capacity.Memory))
+	return freeMemory - c.addedHarm(w, s) + c.positionScore(w, s)
 }
 
 // hasStandbyRoom reports whether the worker is usable and has what a task of the step declares, beside what others declare.
--- a/services/dispatch/standby_bench_test.go
+++ b/services/dispatch/standby_bench_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -160,3 +161,13 @@
 	}
 	return list
 }
+
+// addFreeWorker adds a worker without tasks.
+func (b *standbyBench) addFreeWorker() {
+	id := jobs.WorkerID(fmt.Sprintf("w%d", len(b.ids)))
+	b.ids, b.runs, b.ended = append(b.ids, id), append(b.runs, nil), append(b.ended, nil)
+	list := b.Workers()
+	added := list[0]
+	added.ID, added.Address = id, string(id)
+	b.SetWorkers(append(list, added), b.now)
+}
