--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -36,6 +36,8 @@
 //     cells fits here), move.go (the tasks while a move is being stored)
 //   - the load of the cell: load.go; figures for operators: summary.go, figures.go;
 //     what has waited for long: long_wait.go
+//   - filler tasks of idle jobs: filler_wait.go (how long nothing of a job has run), standby.go (tasks that hold a place at
+//     pace 0)
 //   - interference: the model is package contention; learn.go feeds it; learned_parameters.go
 //     stores its parameters for a successor
 //   - use of the interference model: expect.go (predicted loads), filler.go (placement and CPU
