--- a/services/dispatch/backlog.go
+++ b/services/dispatch/backlog.go
@@ -123,8 +123,7 @@
 		}
 		withheld := c.startsLeft - allowed
 		c.startsLeft = allowed
-		c.resumeStandby(each.step, now)
-		c.placeStep(each.step, now)
+		c.serveStep(each.step, now)
 		c.overdueCredit -= float64(allowed - c.startsLeft)
 		c.startsLeft += withheld
 	}
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -32,11 +32,16 @@
 		if c.startsLeft <= 0 {
 			return
 		}
-		c.resumeStandby(candidate.step, now)
-		if candidate.step.waiting == 0 || now.Before(candidate.step.backoff) {
-			continue // no worker was found for it a moment ago
-		}
-		c.placeStep(candidate.step, now)
+		c.serveStep(candidate.step, now)
+	}
+}
+
+// serveStep lets the step's tasks that stand by go on, and starts those that wait, unless no worker was found for one a moment
+// ago.
+func (c *Core) serveStep(s *step, now time.Time) {
+	c.resumeStandby(s, now)
+	if s.waiting > 0 && !now.Before(s.backoff) {
+		c.placeStep(s, now)
 	}
 }
 
