Whether jobs may be idle depends on all cells

Cause: the owner of a cell of which 0.6 of the CPU is in use starts nothing of an idle job of filler tasks, however free the service's other cells are; callers count the capacity of the whole service. Change: owners tell what is in use in their cells with the loads that they tell each other already; a cell is mostly free if all cells together are. Measured: TestIdleFillerJobsStandByInFullCellsBesideFreeOnes, without what other cells tell no run (the case 'there are no other cells').

--- a/models/jobs/load.go
+++ b/models/jobs/load.go
@@ -18,6 +18,24 @@
 	ExpectedUse float64 `json:"filling"`
 	// Capacity is the processor time of the usable workers; 0 while the load is not known.
 	Capacity models.MilliCPU `json:"capacity"`
+	// Use is what tasks on the cell's workers hold.
+	Use Use `json:"use"`
+}
+
+// Use is what the tasks on some workers declare, beside what the workers have. Workers that leave count on neither side.
+type Use struct {
+	// Used is what all tasks declare; of filler tasks the memory only.
+	Used models.Resources `json:"used"`
+	// Present is what the workers have.
+	Present models.Resources `json:"present"`
+}
+
+// Add returns the sum of two uses.
+func (u Use) Add(o Use) Use { return Use{Used: u.Used.Add(o.Used), Present: u.Present.Add(o.Present)} }
+
+// IsBelow reports whether less than the given share of the CPU and of the memory is in use.
+func (u Use) IsBelow(share float64) bool {
+	return float64(u.Used.CPU) < share*float64(u.Present.CPU) && float64(u.Used.Memory) < share*float64(u.Present.Memory)
 }
 
 // For returns the load that decides for a job: the declared load if any of its tasks needs free capacity, and
--- a/services/control/load.go
+++ b/services/control/load.go
@@ -41,6 +41,18 @@
 	c.loads[cell] = load
 }
 
+// useOfOthers returns the use of all other cells, as last reported by their owners.
+func (c *Cells) useOfOthers(cell jobs.CellName) jobs.Use {
+	others := c.otherCells(cell)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var use jobs.Use
+	for _, other := range others {
+		use = use.Add(c.loads[other].Use)
+	}
+	return use
+}
+
 // loadWithoutOwner is the assumed load of a cell whose owner doesn't answer: jobs avoid the cell unless all of their
 // cells are full.
 const loadWithoutOwner = 1.5
--- a/services/control/owner_orders.go
+++ b/services/control/owner_orders.go
@@ -27,7 +27,9 @@
 	ticker := time.NewTicker(maxDecidePause)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
+		others := o.cells.useOfOthers(o.cell)
 		o.mu.Lock()
+		o.core.SetOtherCells(others)
 		o.core.StoreAnswered(o.cells.health.answeredAt())
 		o.core.AllowStarts(o.cells.startLimit.Free())
 		decided := o.config.Clock.Read()
--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -3,7 +3,10 @@
 
 package dispatch
 
-import "rillsail.example/rillsail/models"
+import (
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
 
 // add assigns a task to the worker and deducts its resources.
 func (w *worker) add(t *task) {
@@ -57,6 +60,17 @@
 	return w.listed && w.answered && !w.closedToStarts() && w.unansweredSince.IsZero()
 }
 
+// use returns what is in use of the workers that stay and answer.
+func (c *Core) use() jobs.Use {
+	var use jobs.Use
+	for _, w := range c.sortedWorkers {
+		if w.isPresent() {
+			use = use.Add(jobs.Use{Used: w.used, Present: w.info.Capacity})
+		}
+	}
+	return use
+}
+
 // free returns the resources that no task has declared.
 func (w *worker) free() models.Resources { return w.info.Capacity.Sub(w.used) }
 
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -163,7 +163,8 @@
 	replaced          map[jobs.Incarnation]struct{} // incarnations that have certainly ended but are still in the platform's list
 	storeUrgently     bool                          // dirty jobs have changes that are to be stored without delay
 	shortWork         shortWork
-	startsLeft        int // how many more starts Decide may order
+	otherCells        jobs.Use // of the other cells, as last known
+	startsLeft        int      // how many more starts Decide may order
 	counts            Counts
 	figures           JobFigures
 	placeBuffer       placeHeap                           // reused by Core.findPlaces
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
 )
 
 // Filler tasks start only where the predicted loads of the serving tasks allow it. Where each worker has a serving task, the
@@ -20,7 +21,7 @@
 	// which callers allow a job to have nothing running.
 	maxFillerWait = 2500 * time.Millisecond
 	// mostlyFreeBelow is the share of the CPU declared by other than filler tasks, and of the memory declared by all, below which
-	// the cell is mostly free. Callers count half; what they see is older or newer than what the owner knows.
+	// capacity is mostly free. Callers count half; what they see is older or newer than what the owner knows.
 	mostlyFreeBelow = 0.6
 )
 
@@ -55,11 +56,13 @@
 	}
 }
 
-// isMostlyFree reports whether callers may expect that each job runs: most of the CPU and of the memory of the workers that stay is free. Those that
-// get no starts for a moment count, as callers do not know of that.
+// SetOtherCells takes the use of the other cells, as last known.
+func (c *Core) SetOtherCells(use jobs.Use) { c.otherCells = use }
+
+// isMostlyFree reports whether callers may expect that each job runs: most of the CPU and of the memory is free on the workers of
+// all cells that stay. Workers that get no starts for a moment count, as callers do not know of that.
 func (c *Core) isMostlyFree() bool {
-	used, present := c.shortWork.used, c.shortWork.present
-	return float64(used.CPU) < mostlyFreeBelow*float64(present.CPU) && float64(used.Memory) < mostlyFreeBelow*float64(present.Memory)
+	return c.shortWork.use.Add(c.otherCells).IsBelow(mostlyFreeBelow)
 }
 
 // startsWhateverTheLoads reports whether a filler task of the step may be placed on the worker although the loads of the
--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -120,14 +120,12 @@
 	}
 }
 
-// addUse adds the use of the workers that stay, and the filler tasks on them.
+// addUse adds the use of the workers that stay, and the filler tasks on workers.
 func (c *Core) addUse(l *LongWaits) {
-	var used, capacity models.Resources
+	use := c.use()
+	l.UsedCPU = float64(use.Used.CPU) / float64(max(1, use.Present.CPU))
+	l.UsedMemory = float64(use.Used.Memory) / float64(max(1, use.Present.Memory))
 	for _, w := range c.sortedWorkers {
-		if !w.isPresent() {
-			continue
-		}
-		used, capacity = used.Add(w.used), capacity.Add(w.info.Capacity)
 		for _, t := range w.tasks {
 			if !t.step.spec.Filler {
 				continue
@@ -138,8 +136,6 @@
 			}
 		}
 	}
-	l.UsedCPU = float64(used.CPU) / float64(max(1, capacity.CPU))
-	l.UsedMemory = float64(used.Memory) / float64(max(1, capacity.Memory))
 }
 
 // addLongWaits adds the tasks of a step that wait for long.
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
 )
 
 // When many workers leave at once, the long-running tasks on them all look for another worker, before any short
@@ -36,10 +37,9 @@
 type shortWork struct {
 	demand   float64 // thousandths of a core; its peaks fade over demandWindow
 	at       time.Time
-	free     models.MilliCPU  // capacity that is free or used by short work, as of at
-	capacity models.MilliCPU  // of all usable workers, as of at
-	present  models.Resources // capacity of all workers that stay and answer, also of those that get no starts for a moment, as of at
-	used     models.Resources // declared on these, of filler tasks the memory only, as of at and by starts since then
+	free     models.MilliCPU // capacity that is free or used by short work, as of at
+	capacity models.MilliCPU // of all usable workers, as of at
+	use      jobs.Use        // of all workers that stay and answer, also of those that get no starts for a moment, as of at and by starts since then
 
 	leftSince time.Time // since when long-running tasks leave capacity to it, as logged; zero: they don't
 	leftAt    time.Time // when one last did
@@ -51,13 +51,9 @@
 	s := &c.shortWork
 	elapsed := now.Sub(s.at)
 	s.free, s.capacity = 0, 0
-	s.present, s.used = models.Resources{}, models.Resources{}
+	s.use = c.use()
 	taken := models.MilliCPU(0)
 	for _, w := range c.sortedWorkers {
-		if w.isPresent() {
-			s.present = s.present.Add(w.info.Capacity)
-			s.used = s.used.Add(w.used)
-		}
 		if !c.usable(w, now) {
 			continue
 		}
@@ -135,7 +131,7 @@
 
 // takeShortCapacity deducts a starting task from the capacity available to others.
 func (c *Core) takeShortCapacity(t *task) {
-	c.shortWork.used = c.shortWork.used.Add(t.step.footprint())
+	c.shortWork.use.Used = c.shortWork.use.Used.Add(t.step.footprint())
 	if t.step.spec.LongRunning {
 		c.shortWork.free -= t.step.spec.Size.CPU
 	}
--- a/services/dispatch/standby_test.go
+++ b/services/dispatch/standby_test.go
@@ -252,3 +252,29 @@
 	b.requireStandby(t, testJob)
 	require.NotEqual(t, drains, b.find(b.runsOf(testJob)[0].row.Task).worker.info.ID)
 }
+
+// TestIdleFillerJobsStandByInFullCellsBesideFreeOnes guards against jobs of filler tasks of which nothing runs because their cell is not
+// mostly free, although all cells together are.
+func TestIdleFillerJobsStandByInFullCellsBesideFreeOnes(t *testing.T) {
+	for name, c := range map[string]struct {
+		others int // workers of the other cells, which are empty
+		runs   int
+	}{
+		"the other cells are free": {others: 2, runs: 1},
+		"there are no other cells": {others: 0, runs: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarmedBench(t, 2)
+			full := servingStepOn(2)
+			full.Size.CPU, full.Image = 1500, "other"
+			b.submit("00000000000000dd", full)
+			b.pass(time.Second, nil)
+			for range c.others {
+				b.SetOtherCells(b.otherCells.Add(jobs.Use{Present: b.sortedWorkers[0].info.Capacity}))
+			}
+			b.submit(testJob, fillerStep)
+			b.pass(2*fillerAllowed, nil)
+			require.Len(t, b.runsOf(testJob), c.runs)
+		})
+	}
+}
