--- a/services/dispatch/filler_crowd_test.go
+++ b/services/dispatch/filler_crowd_test.go
@@ -5,12 +5,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
@@ -29,12 +31,16 @@
 	Adds  float64      `json:"adds_ms"`      // tail latency that a filler task adds at full pace
 	// AsLongAs names a script of fewer jobs with which the longest time without a run is as long.
 	AsLongAs string `json:"as_long_as"`
+	// OwnerLost is when the owner is lost, from the first job on; 0: it is not.
+	OwnerLost   models.Milli `json:"owner_lost_ms"`
+	WorkersLost int          `json:"workers_lost"` // for good, with the owner
 }
 
 const (
 	crowdWorkers     = 48
 	crowdBefore      = 2 * time.Second        // until the first job is submitted
 	crowdTime        = 12 * time.Second       // from the first job on
+	crowdCalmTime    = 7 * time.Second        // watched after a takeover
 	crowdDecidePause = 100 * time.Millisecond // the longest one of an owner
 	crowdServingCPU  = 1000
 	crowdReportPause = 60 * time.Millisecond  // from a report to the next one that tells an end
@@ -45,7 +51,10 @@
 	crowdGrowth = 500 * time.Millisecond
 )
 
-var crowdStep = jobs.Step{Size: models.Resources{CPU: 250, Memory: 40}, Image: "filling", Filler: true}
+var (
+	crowdCapacity = models.Resources{CPU: 4000, Memory: 8000} // of each worker of a bench
+	crowdStep     = jobs.Step{Size: models.Resources{CPU: 250, Memory: 40}, Image: "filling", Filler: true}
+)
 
 // fillerCrowd is a simulation of one script.
 type fillerCrowd struct {
@@ -53,7 +62,9 @@
 	crowdScript
 	began      time.Time
 	submitted  int
+	stored     waitStore
 	workers    []harmWorker
+	lost       int // workers that are gone, the first ones
 	reportedAt []time.Time
 	told       []uint64 // the last end that a worker has told
 	audit      crowdAudit
@@ -63,31 +74,32 @@
 	p := &fillerCrowd{
 		bench: newBench(t, crowdWorkers), crowdScript: script, workers: make([]harmWorker, crowdWorkers),
 		reportedAt: make([]time.Time, crowdWorkers), told: make([]uint64, crowdWorkers), audit: newCrowdAudit(),
+		stored: waitStore{epoch: 5, active: map[jobs.ID]jobs.Record{}, progress: map[jobs.ID]jobs.Progress{}},
 	}
 	p.began = p.now
 	serving := servingStep
 	serving.Count, serving.Size.CPU, serving.PerWorker = crowdWorkers, crowdServingCPU, 1
 	record := p.job(serving)
 	record.Spec.ID = otherJob
-	p.AddJob(record, jobs.Progress{}, true, p.now)
+	p.add(record)
 	for n := range p.workers {
-		p.workers[n].unused = p.capacity().CPU - crowdServingCPU
+		p.workers[n].unused = crowdCapacity.CPU - crowdServingCPU
 	}
 	return p
 }
 
-// capacity is that of a worker.
-func (p *fillerCrowd) capacity() models.Resources { return p.Core.workers[p.ids[0]].info.Capacity }
+// add hands a job in.
+func (p *fillerCrowd) add(record jobs.Record) {
+	record.Version = uint64(p.stored.epoch)
+	p.stored.active[record.Spec.ID] = record
+	p.AddJob(record, jobs.Progress{}, true, p.now)
+}
 
 // advance lets time pass.
 func (p *fillerCrowd) advance(passed time.Duration) {
 	for until := p.now.Add(passed); p.now.Before(until); {
-		p.now = p.now.Add(simulationStep)
+		p.work()
 		p.submitDue()
-		for n := range p.workers {
-			p.workers[n].pass(p.Idle, p.Adds, p.Work.Duration(), p.now)
-			p.audit.noteEnds(&p.workers[n], p.now)
-		}
 		p.report()
 		if p.now.Sub(p.began)%crowdDecidePause < simulationStep {
 			p.decide()
@@ -96,14 +108,23 @@
 	}
 }
 
+// work lets the workers work for a moment.
+func (p *fillerCrowd) work() {
+	p.now = p.now.Add(simulationStep)
+	for n := range p.workers {
+		p.workers[n].pass(p.Idle, p.Adds, p.Work.Duration(), p.now)
+		p.audit.noteEnds(&p.workers[n], p.now)
+	}
+}
+
 // decide lets the workers carry out the owner's orders, and stores its changes.
 func (p *fillerCrowd) decide() {
 	for _, order := range p.Decide(p.now) {
 		p.obeyHarm(p.workers, order)
 	}
-	if changes := p.TakeChanges(crowdChanges, p.now); !changes.Empty() {
-		p.Stored(changes, p.now)
-	}
+	changes := p.TakeChanges(crowdChanges, p.now)
+	p.stored.take(changes)
+	p.Stored(changes, p.now)
 }
 
 // submitDue submits the jobs whose time has come.
@@ -115,17 +136,17 @@
 		record := p.job(step)
 		p.submitted++
 		record.Spec.ID = jobs.ID(fmt.Sprintf("%016x", 0x100+p.submitted))
-		p.AddJob(record, jobs.Progress{}, true, p.now)
+		p.add(record)
 		p.audit.expect(record.Spec.ID, p.Tasks, p.now)
 	}
 }
 
 // report lets the workers report which have an end to tell, or have not reported for long.
 func (p *fillerCrowd) report() {
-	for n := range p.workers {
+	for n := p.lost; n < crowdWorkers; n++ {
 		w := &p.workers[n]
 		passed := p.now.Sub(p.reportedAt[n])
-		if passed < crowdReportPause || passed < crowdReportWait && w.ends == p.told[n] {
+		if passed < crowdReportPause || passed < crowdReportWait && w.ends == p.told[n] && p.Core.workers[p.ids[n]].renewed {
 			continue
 		}
 		p.reportedAt[n], p.told[n] = p.now, w.ends
@@ -145,6 +166,7 @@
 	longestOf jobs.ID
 	mostUsed  float64
 	jobsEnded int
+	calmFrom  time.Time // nothing is expected before
 }
 
 func newCrowdAudit() crowdAudit {
@@ -179,7 +201,7 @@
 	a.mostUsed = max(a.mostUsed, used)
 	running := p.running()
 	for id := range a.left {
-		if used >= crowdMostUsed || running[id] > 0 {
+		if used >= crowdMostUsed || running[id] > 0 || p.now.Before(a.calmFrom) {
 			a.idleSince[id] = p.now
 		} else if idle := p.now.Sub(a.idleSince[id]); idle > a.longest {
 			a.longest, a.longestOf = idle, id
@@ -187,6 +209,29 @@
 	}
 }
 
+// forgetEnds takes the successes back that a lost worker has not been able to tell. If the owner knows of one all the same, the
+// job ends in its view.
+func (a *crowdAudit) forgetEnds(w *harmWorker) {
+	for _, ended := range w.ended {
+		if id := ended.Task.Job; a.done[ended.Task] {
+			delete(a.done, ended.Task)
+			if a.left[id]++; a.left[id] == 1 {
+				a.jobsEnded--
+			}
+		}
+	}
+}
+
+// dropEnded forgets the jobs that the owner shows as ended.
+func (a *crowdAudit) dropEnded(c *Core) {
+	for id := range a.left {
+		if _, ended := c.ended[id]; ended {
+			delete(a.left, id)
+			a.jobsEnded++
+		}
+	}
+}
+
 // used returns the share of the capacity in use: of the CPU that others than filler tasks declare, or of the memory.
 func (p *fillerCrowd) used() float64 {
 	var used models.Resources
@@ -199,8 +244,8 @@
 			}
 		}
 	}
-	capacity := p.capacity()
-	return max(float64(used.CPU)/float64(capacity.CPU), float64(used.Memory)/float64(capacity.Memory)) / crowdWorkers
+	workers := float64(crowdWorkers - p.lost)
+	return max(float64(used.CPU)/float64(crowdCapacity.CPU), float64(used.Memory)/float64(crowdCapacity.Memory)) / workers
 }
 
 // running returns how many tasks of each job run on the workers.
@@ -269,3 +314,50 @@
 		}
 	}
 }
+
+// loseOwner lets a successor take the cell a moment after the owner and some workers are lost. Nothing is expected before all has
+// been calm for waitCalm.
+func (p *fillerCrowd) loseOwner() {
+	p.audit.calmFrom, p.audit.longest = p.now.Add(waitCalm), 0
+	p.lost = p.WorkersLost
+	for n := range p.lost {
+		w := &p.workers[n]
+		p.audit.forgetEnds(w)
+		w.runs, w.ended = nil, nil
+	}
+	for until := p.now.Add(waitOwnerless); p.now.Before(until); {
+		p.work()
+	}
+	listed := p.Workers()
+	p.stored.epoch++
+	p.Core = New(Config{Epoch: p.stored.epoch, Taken: p.now, Lease: 4 * time.Second, LongestLease: 8 * time.Second, Logger: zap.NewNop()})
+	p.RestoreRoster(p.stored.roster, p.now)
+	p.RestoreParameters(p.stored.learned, p.now)
+	for _, id := range slices.Sorted(maps.Keys(p.stored.active)) {
+		p.AddJob(p.stored.active[id], p.stored.progress[id], false, p.now)
+	}
+	p.SetWorkers(listed, p.now)
+}
+
+// TestSomethingOfEachFillerJobRunsAfterATakeover guards against the same after a takeover, where all waits begin anew while the
+// successor waits for lost workers.
+func TestSomethingOfEachFillerJobRunsAfterATakeover(t *testing.T) {
+	for _, script := range casefile.Read[[]crowdScript](t, "testdata/filler_crowds_takeover.json") {
+		t.Run(script.Name, func(t *testing.T) {
+			t.Parallel()
+			p := newFillerCrowd(t, script)
+			p.advance(crowdBefore + script.OwnerLost.Duration())
+			p.logResult(t)
+			p.loseOwner()
+			p.advance(p.audit.calmFrom.Sub(p.now))
+			p.audit.dropEnded(p.Core)
+			for n := range p.workers {
+				p.workers[n].overSince, p.workers[n].longest = time.Time{}, 0
+			}
+			p.advance(crowdCalmTime)
+			p.logResult(t)
+			require.LessOrEqual(t, p.audit.longest, fillerAllowed)
+			require.Less(t, p.overTarget(), harmAllowed)
+		})
+	}
+}
--- a/services/dispatch/trial_takeover_test.go
+++ b/services/dispatch/trial_takeover_test.go
@@ -22,20 +22,29 @@
 	roster   jobs.Roster
 	active   map[jobs.ID]jobs.Record
 	progress map[jobs.ID]jobs.Progress
+	learned  jobs.LearnedParameters
 }
 
-// store stores the owner's changes.
-func (p *waitSimulation) store() {
-	changes := p.TakeChanges(100, p.now)
+// take takes what an owner stores.
+func (s *waitStore) take(changes Changes) {
 	for _, change := range changes.Jobs {
-		p.stored.progress[change.ID] = change.Progress
+		s.progress[change.ID] = change.Progress
 		if change.Ended != nil {
-			delete(p.stored.active, change.ID)
+			delete(s.active, change.ID)
 		}
 	}
 	if changes.Roster != nil {
-		p.stored.roster = *changes.Roster
+		s.roster = *changes.Roster
 	}
+	if changes.LearnedParameters != nil {
+		s.learned = *changes.LearnedParameters
+	}
+}
+
+// store stores the owner's changes.
+func (p *waitSimulation) store() {
+	changes := p.TakeChanges(100, p.now)
+	p.stored.take(changes)
 	p.Stored(changes, p.now)
 }
 
