Starts on standby come in bursts on a worker

Cause: a run on standby works at full pace until the order to stand is in force. Change: a worker gets starts on standby within half a second, and then none for a second; a worker whose burst has begun is preferred, so that fewer are disturbed. However many jobs there are, a start waits for the end of a pause at most.

--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -20,6 +20,17 @@
 // its start has been sent.
 const standbyAfter = 1500 * time.Millisecond
 
+// A run on standby works at full pace until it is throttled, and where such runs follow one another, serving tasks could be over
+// their targets without a break. So starts on standby come in bursts.
+const (
+	// standbyBurst is the time within which a worker gets starts on standby in a row.
+	standbyBurst = 500 * time.Millisecond
+	// standbyPause is the time after a burst without such starts, in which the figures of the worker show it undisturbed.
+	standbyPause = time.Second
+	// burstWeight is how much less of a worker's memory may be free, as a share, for a start to go on a burst that has begun.
+	burstWeight = 0.25
+)
+
 // startIdleFillers starts one filler task on standby of each job of which nothing has run for standbyAfter, the longest first,
 // while the cell is mostly free.
 func (c *Core) startIdleFillers(candidates []candidate, now time.Time) {
@@ -54,6 +65,7 @@
 		}
 		if w := c.standbyWorker(t, now); w != nil {
 			s.stuckSince = time.Time{}
+			w.noteStandbyStart(now)
 			c.orderStart(t, w, now)
 			c.beginStandby(t)
 			t.pace, t.pacedAt, t.paceUncertain = 0, time.Time{}, true // the run begins at full pace
@@ -79,13 +91,28 @@
 // standbyScore returns how good a place the worker is for a task on standby: the more of its memory is free, and the less harm
 // the task does there until it stands and once it goes on, the better.
 func (c *Core) standbyScore(w *worker, s *step) float64 {
-	freeMemory := float64(w.free().Memory) / float64(max(1, w.info.Capacity.Memory))
-	return freeMemory - c.addedHarm(w, s) + c.positionScore(w, s)
+	score := float64(w.free().Memory) / float64(max(1, w.info.Capacity.Memory))
+	if w.isInBurst(c.now) {
+		return score + burstWeight + c.positionScore(w, s)
+	}
+	return score - c.addedHarm(w, s) + c.positionScore(w, s)
+}
+
+// isInBurst reports whether the worker gets starts on standby in a row.
+func (w *worker) isInBurst(now time.Time) bool { return now.Sub(w.standbyFrom) < standbyBurst }
+
+// noteStandbyStart records a start on standby.
+func (w *worker) noteStandbyStart(now time.Time) {
+	if !w.isInBurst(now) {
+		w.standbyFrom = now
+	}
 }
 
-// hasStandbyRoom reports whether the worker is usable and has what a task of the step declares, beside what others declare.
+// hasStandbyRoom reports whether a task of the step may start on standby on the worker: it is usable, has what the task declares
+// beside what others declare, and does not rest from a burst.
 func (c *Core) hasStandbyRoom(w *worker, s *step, now time.Time) bool {
-	return c.usable(w, now) && c.fits(w, s) && s.spec.Size.CPU <= w.free().CPU && w.countFitting(s, 1, models.Resources{}) > 0
+	rests := !w.isInBurst(now) && now.Sub(w.standbyFrom) < standbyBurst+standbyPause
+	return !rests && c.usable(w, now) && c.fits(w, s) && s.spec.Size.CPU <= w.free().CPU && w.countFitting(s, 1, models.Resources{}) > 0
 }
 
 // beginStandby records that the run of a task on a worker stands by.
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -78,6 +78,7 @@
 	averageExcess    float64   // the same for the moving averages of the loads
 	overTargetSince  time.Time // since when a tail latency is over its target; zero: none is
 	fillersChangedAt time.Time // when its filler tasks or their paces last changed
+	standbyFrom      time.Time // when the first of the latest starts on standby was ordered here
 	loadsIgnoredAt   time.Time // when a filler task that the loads did not allow was last placed here
 	trials           int       // suspects on trial here; nothing else starts meanwhile
 	trialsSince      time.Time // when the first of these trials began
