--- a/services/dispatch/filler_crowd_test.go
+++ b/services/dispatch/filler_crowd_test.go
@@ -359,6 +359,7 @@
 			p.logResult(t)
 			require.LessOrEqual(t, p.audit.longest, fillerAllowed)
 			require.Less(t, p.overTarget(), harmAllowed)
+			require.Zero(t, p.counts.GivenUp)
 		})
 	}
 }
