Moves have their turn while there is more to store

Cause: the loop that stores an owner's changes handed work to other cells only in a round that left nothing to store. Beside many short tasks something has changed by the end of each transaction, and work that is being handed over runs in neither cell meanwhile. Change: the moves in progress have their turn after 32 transactions at the latest, which take about as long as eight moves.

--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -20,22 +20,31 @@
 // at most, a forgotten job a key in each of its cells, and the owner itself five.
 const jobsPerTxn = (platform.MaxTxnEntries - 5) / (cellsPerJob + 1)
 
+// maxStoresPerMoves is how many transactions store changes until pending moves have their turn, although there is more to store.
+// These take about as long as the moves that are in progress at once, so that each gets half of the time.
+const maxStoresPerMoves = 4 * maxMovesInProgress
+
 // storeLoop stores the changes of the core.
 func (o *Owner) storeLoop(ctx context.Context) {
 	ticker := time.NewTicker(o.config.Settings.StoreEvery)
 	defer ticker.Stop()
-	for ctx.Err() == nil {
+	for stored := 0; ctx.Err() == nil; {
 		o.forgetPreviousClaims(ctx)
 		o.renewWitnesses(ctx)
 		endsErr := o.storeSharedEnds(ctx)
 		more, err := o.storeOnce(ctx)
+		stored++
 		switch {
 		case err != nil:
 			sleep(ctx, loadRetryPause)
-		case more:
+		case more && stored < maxStoresPerMoves:
 			continue
 		default:
+			stored = 0
 			o.executeMoves(ctx)
+			if more {
+				continue
+			}
 			if endsErr != nil {
 				sleep(ctx, loadRetryPause)
 			}
