Runs on standby that work are halted again

Cause: a run that had just begun when a successor adopted it shows no use, and was taken for one that stands although it works; and an order to work that is carried out late, after the one to stand, was not seen. Nothing halts such a run, because it counts as halted. Change: an adopted run on standby is ordered to stand; one whose figure shows work once its pace must have settled is ordered so again. Measured: TestRunsOnStandbyThatWorkAreHalted and TestTasksOnStandbyAreKnownToTheNextOwner red before.

--- a/services/dispatch/pace.go
+++ b/services/dispatch/pace.go
@@ -64,6 +64,10 @@
 // carried out seconds late, after newer ones. A run found this way is sped up again like other throttled runs.
 func (c *Core) checkPace(w *worker, t *task, now time.Time) {
 	spec := t.step.spec
+	if t.standby && t.state == taskRunning {
+		c.checkStandby(w, t, now)
+		return
+	}
 	if !spec.Filler || t.state != taskRunning || t.pace < minSampledPace || now.Sub(t.pacedAt) < paceSettleTime {
 		return
 	}
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -140,6 +140,7 @@
 	w.add(t)
 	if t.step.spec.Filler && t.pace == 0 {
 		c.beginStandby(t)
+		t.expectFullPace() // the figure of a run that has just begun shows nothing
 	}
 	if t.suspected() {
 		w.beginTrial(t)
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
@@ -68,7 +70,7 @@
 			w.noteStandbyStart(now)
 			c.orderStart(t, w, now)
 			c.beginStandby(t)
-			t.pace, t.pacedAt, t.paceUncertain = 0, time.Time{}, true // the run begins at full pace
+			t.expectFullPace()
 		}
 		return
 	}
@@ -123,6 +125,20 @@
 	c.listWaiting(t.step)
 }
 
+// expectFullPace records that the run of a task that stands by may work at full pace, so that it is ordered to stand at once.
+func (t *task) expectFullPace() { t.pace, t.pacedAt, t.paceUncertain = 0, time.Time{}, true }
+
+// checkStandby detects runs on standby that work, because an order that was given before they were to stand has been carried out
+// late. They are ordered to stand once more.
+func (c *Core) checkStandby(w *worker, t *task, now time.Time) {
+	if t.paceUncertain || now.Sub(t.pacedAt) < paceSettleTime || inferPace(t.step.spec, t.figure) < stalledPace {
+		return
+	}
+	c.config.Logger.Info("run on standby works; it is ordered to stand once more", zap.Stringer("task", t.id()), zap.Int("figure", t.figure),
+		zap.String("worker", string(w.info.ID)))
+	t.expectFullPace()
+}
+
 // endStandby records that a run on standby goes on or ends.
 func (c *Core) endStandby(t *task) {
 	if !t.standby {
--- a/services/dispatch/standby_test.go
+++ b/services/dispatch/standby_test.go
@@ -178,6 +178,7 @@
 	next.pass(time.Second, nil)
 	require.Same(t, run, next.run(run.row.Task))
 	next.requireStandby(t, testJob)
+	require.NotEmpty(t, next.paces, "a run that has just begun is taken for one on standby, too, and must stand then")
 }
 
 // TestTaskOnStandbyMovesWhereItCanRun guards against the last tasks of a job that stand by beside a serving task while another
@@ -278,3 +279,15 @@
 		})
 	}
 }
+
+// TestRunsOnStandbyThatWorkAreHalted guards against runs on standby that work, because an order that was given before is carried out
+// late, and harm serving tasks although they count as standing.
+func TestRunsOnStandbyThatWorkAreHalted(t *testing.T) {
+	b := newHarmedBench(t, 1)
+	b.submit(testJob, fillerStep)
+	b.pass(standbyWait, nil)
+	b.requireStandby(t, testJob)
+	b.runsOf(testJob)[0].pace = jobs.FullSpeed
+	b.pass(paceSettleTime+settleTime, nil)
+	b.requireStandby(t, testJob)
+}
