--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -18,9 +18,9 @@
 // when its turn comes and the loads allow it. So a cell that is mostly free has something of each job on a worker, however
 // many jobs there are and whatever the loads, and the order in which jobs get the CPU is that of all waiting tasks.
 
-// standbyAfter is how long nothing of a job runs until one of its tasks starts on standby. Callers allow 3 s, and see a run once
-// its start has been sent.
-const standbyAfter = 1500 * time.Millisecond
+// standbyAfter is how long nothing of a job runs until one of its tasks starts on standby. Callers allow 3 s; they look at what runs
+// from time to time, and may not see a short run between two such times.
+const standbyAfter = time.Second
 
 // A run on standby works at full pace until it is throttled, and where such runs follow one another, serving tasks could be over
 // their targets without a break. So starts on standby come in bursts.
