Tasks on standby move one to a place

Cause: each step whose tasks stand by looked for a place elsewhere by itself, and a stop takes no place. So all of them stopped for the same one in one decision, their jobs had nothing running for standbyAfter and more, and their next runs began at full pace. Change: a worker is the place for one such task at a time (claimTime).

--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -31,6 +31,10 @@
 	burstWeight = 0.25
 )
 
+// claimTime is how long a worker is the place for one task that stood by elsewhere: until that task has been stopped and started there,
+// if its worker answers soon.
+const claimTime = 300 * time.Millisecond
+
 // startIdleFillers starts one filler task on standby of each job of which nothing has run for standbyAfter, the longest first,
 // while the cell is mostly free.
 func (c *Core) startIdleFillers(candidates []candidate, now time.Time) {
@@ -155,7 +159,7 @@
 		if !mayMove || now.Sub(t.startedAt) < moveAfter {
 			continue
 		}
-		if mayMove = len(c.findPlaces(s, now)) > 0; mayMove {
+		if mayMove = c.claimPlace(s, now); mayMove {
 			c.stop(t, "it stands by, and another worker can run it")
 			continue
 		}
@@ -163,6 +167,18 @@
 	}
 }
 
+// claimPlace reports whether a worker can run a task of the step that stands by elsewhere, and is not the place for which another
+// one has just been stopped: if all that stand by went for the same place, most of their jobs would have nothing running.
+func (c *Core) claimPlace(s *step, now time.Time) bool {
+	for _, p := range c.findPlaces(s, now) {
+		if now.Sub(p.worker.claimedAt) >= claimTime {
+			p.worker.claimedAt = now
+			return true
+		}
+	}
+	return false
+}
+
 // mayResume reports whether a task of the step that stands by on the worker may go on.
 func (c *Core) mayResume(w *worker, s *step, now time.Time) bool {
 	return c.loadsAllow(w, s) && c.usable(w, now) && !w.isReserved(now)
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -79,6 +79,7 @@
 	overTargetSince  time.Time // since when a tail latency is over its target; zero: none is
 	fillersChangedAt time.Time // when its filler tasks or their paces last changed
 	standbyFrom      time.Time // when the first of the latest starts on standby was ordered here
+	claimedAt        time.Time // when a task on standby elsewhere was last stopped to go on here
 	loadsIgnoredAt   time.Time // when a filler task that the loads did not allow was last placed here
 	trials           int       // suspects on trial here; nothing else starts meanwhile
 	trialsSince      time.Time // when the first of these trials began
