Standing by is no evidence for a task

Cause: recordSurvival counted the time at pace 0. A task with a loss that does not make it a suspect yet was cleared after 10 s on standby, and a suspect that a successor took for standby outlived its trial so. Change: recordSurvival leaves runs on standby out, and an adopted suspect does not stand by. Measured: TestStandbyProvesNothing and TestAdoptedSuspectsDoNotStandBy, red before, pass.

--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -138,7 +138,7 @@
 	t.step.job.running++
 	t.step.job.begun = true
 	w.add(t)
-	if t.step.spec.Filler && t.pace == 0 {
+	if t.step.spec.Filler && t.pace == 0 && !t.suspected() {
 		c.beginStandby(t)
 	}
 	if t.suspected() {
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -178,8 +178,11 @@
 func (t *task) abandonThreshold() float64 { return abandonThresholds[min(t.losses(), maxLosses)] }
 
 // recordSurvival clears a task whose run has lasted long enough, and lets other tasks start beside a task that has
-// outlived its trial.
+// outlived its trial. A run on standby does nothing that could crash its worker.
 func (c *Core) recordSurvival(w *worker, t *task, now time.Time) {
+	if t.standby {
+		return
+	}
 	ran := now.Sub(t.startedAt)
 	if ran >= maxTimeToCrash {
 		t.chanceLosses = nil
