Runs on standby that work are halted again

Cause: a successor takes a filler run with figure 0 for one on standby. The figure covers the last half second, so it is 0 for a run that has just begun or gone on, too. Nothing throttles runs on standby, and haltStandby took this one's pace 0 for certain: it worked on beside serving tasks. Change: checkPace halts a run on standby whose figure shows work.

--- a/services/dispatch/pace.go
+++ b/services/dispatch/pace.go
@@ -64,6 +64,10 @@
 // carried out seconds late, after newer ones. A run found this way is sped up again like other throttled runs.
 func (c *Core) checkPace(w *worker, t *task, now time.Time) {
 	spec := t.step.spec
+	if t.standby {
+		c.checkStandby(w, t, now)
+		return
+	}
 	if !spec.Filler || t.state != taskRunning || t.pace < minSampledPace || now.Sub(t.pacedAt) < paceSettleTime {
 		return
 	}
@@ -74,3 +78,14 @@
 		w.expectedValid = false
 	}
 }
+
+// checkStandby detects runs on standby that work: a run that has just begun or gone on uses no CPU in the report by which a
+// successor takes it for one on standby. It is halted again.
+func (c *Core) checkStandby(w *worker, t *task, now time.Time) {
+	if t.state != taskRunning || t.mayNotStandYet() || now.Sub(t.pacedAt) < paceSettleTime || inferPace(t.step.spec, t.figure) < minPaceChange {
+		return
+	}
+	c.config.Logger.Info("run on standby works; it is halted again", zap.Stringer("task", t.id()),
+		zap.Int("figure", t.figure), zap.String("worker", string(w.info.ID)))
+	t.paceUncertain = true
+}
