Loads of serving tasks beside tasks on standby alone are learned

Cause: learnUnit took each filler task on the worker for one that works. While tasks stand by, which may be on each worker and for long, no figure of a serving task by itself was taken. Change: tasks that stand by for certain do not count. Measured: TestStandbyTasksLeaveServingTasksAlone, 5.2 s without such a figure before, passes now.

--- a/services/dispatch/learn.go
+++ b/services/dispatch/learn.go
@@ -53,11 +53,11 @@
 	}
 }
 
-// learnUnit uses a tail latency measured while no filler task was beside the serving task for the whole span of
+// learnUnit uses a tail latency measured while no filler task worked beside the serving task for the whole span of
 // the figure to estimate the unit in which its service's loads are expressed, and rescales the loads when the
 // unit changes.
 func (c *Core) learnUnit(w *worker, t *task, service *contention.Service, now time.Time) {
-	if w.fillerCPU > 0 || now.Sub(w.fillersChangedAt) < figureSpan {
+	if w.hasWorkingFillers() || now.Sub(w.fillersChangedAt) < figureSpan {
 		return
 	}
 	seconds := now.Sub(t.step.aloneReportedAt).Seconds()
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -241,3 +241,10 @@
 func (t *task) mayNotStandYet() bool {
 	return t.standby && t.state == taskRunning && (t.paceUncertain || t.pace > 0)
 }
+
+// hasWorkingFillers reports whether a filler task on the worker may be working: one that does not stand by for certain.
+func (w *worker) hasWorkingFillers() bool {
+	return w.activeFillerCPU() > 0 || w.standbyCPU > 0 && slices.ContainsFunc(w.tasks, func(t *task) bool {
+		return t.standby && (t.state != taskRunning || t.mayNotStandYet())
+	})
+}
