Whether jobs may be idle depends on their pool

Cause: callers count what is in use of the service, that is the pool, that a job's tasks run in. The owner summed over the workers of all pools: in a free pool beside a full one no task started on standby, nor whatever the loads. Change: the use is kept, and told to other cells, by pool.

--- a/models/jobs/load.go
+++ b/models/jobs/load.go
@@ -19,7 +19,7 @@
 	// Capacity is the processor time of the usable workers; 0 while the load is not known.
 	Capacity models.MilliCPU `json:"capacity"`
 	// Use is what tasks on the cell's workers hold.
-	Use Use `json:"use"`
+	Use UseOfPools `json:"use"`
 }
 
 // Use is what the tasks on some workers declare, beside what the workers have. Workers that leave count on neither side.
@@ -30,6 +30,16 @@
 	Present models.Resources `json:"present"`
 }
 
+// UseOfPools is the use of the workers of each pool.
+type UseOfPools map[PoolName]Use
+
+// Add adds another use.
+func (u UseOfPools) Add(o UseOfPools) {
+	for pool, use := range o {
+		u[pool] = u[pool].Add(use)
+	}
+}
+
 // Add returns the sum of two uses.
 func (u Use) Add(o Use) Use { return Use{Used: u.Used.Add(o.Used), Present: u.Present.Add(o.Present)} }
 
--- a/services/control/load.go
+++ b/services/control/load.go
@@ -42,13 +42,13 @@
 }
 
 // useOfOthers returns the use of all other cells, as last reported by their owners.
-func (c *Cells) useOfOthers(cell jobs.CellName) jobs.Use {
+func (c *Cells) useOfOthers(cell jobs.CellName) jobs.UseOfPools {
 	others := c.otherCells(cell)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var use jobs.Use
+	use := jobs.UseOfPools{}
 	for _, other := range others {
-		use = use.Add(c.loads[other].Use)
+		use.Add(c.loads[other].Use)
 	}
 	return use
 }
--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -61,11 +61,11 @@
 }
 
 // use returns what is in use of the workers that stay and answer.
-func (c *Core) use() jobs.Use {
-	var use jobs.Use
+func (c *Core) use() jobs.UseOfPools {
+	use := jobs.UseOfPools{}
 	for _, w := range c.sortedWorkers {
 		if w.isPresent() {
-			use = use.Add(jobs.Use{Used: w.used, Present: w.info.Capacity})
+			use.Add(jobs.UseOfPools{w.info.Pool: {Used: w.used, Present: w.info.Capacity}})
 		}
 	}
 	return use
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -163,8 +163,8 @@
 	replaced          map[jobs.Incarnation]struct{} // incarnations that have certainly ended but are still in the platform's list
 	storeUrgently     bool                          // dirty jobs have changes that are to be stored without delay
 	shortWork         shortWork
-	otherCells        jobs.Use // of the other cells, as last known
-	startsLeft        int      // how many more starts Decide may order
+	otherCells        jobs.UseOfPools // of the other cells, as last known
+	startsLeft        int             // how many more starts Decide may order
 	counts            Counts
 	figures           JobFigures
 	placeBuffer       placeHeap                           // reused by Core.findPlaces
@@ -196,7 +196,7 @@
 		workers: map[jobs.WorkerID]*worker{}, queueTerms: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
 		previousLease: config.LongestLease, recovering: true, provedAt: config.Taken, model: contention.NewModel(), queueSpeeds: map[jobs.QueueName]*speed{},
 		restoredLoads: map[stepKey]contention.BaselineLoad{}, storeFreshness: newStoreFreshness(config.Taken),
-		repeats: newRetryBudget(), startsLeft: math.MaxInt,
+		repeats: newRetryBudget(), startsLeft: math.MaxInt, shortWork: shortWork{use: jobs.UseOfPools{}},
 		unresolvedRuns: map[jobs.WorkerID][]*task{}, tasksWithLosses: map[*task]struct{}{}, replaced: map[jobs.Incarnation]struct{}{},
 		lateStartsUntil: map[jobs.WorkerID]time.Time{}, cordons: map[models.FailureDomain]cordon{},
 	}
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -57,12 +57,12 @@
 }
 
 // SetOtherCells takes the use of the other cells, as last known.
-func (c *Core) SetOtherCells(use jobs.Use) { c.otherCells = use }
+func (c *Core) SetOtherCells(use jobs.UseOfPools) { c.otherCells = use }
 
-// isMostlyFree reports whether callers may expect that each job runs: most of the CPU and of the memory is free on the workers of
-// all cells that stay. Workers that get no starts for a moment count, as callers do not know of that.
-func (c *Core) isMostlyFree() bool {
-	return c.shortWork.use.Add(c.otherCells).IsBelow(mostlyFreeBelow)
+// isMostlyFree reports whether callers may expect that each job of a pool runs: most of the CPU and of the memory is free on the
+// workers of the pool in all cells that stay. Workers that get no starts for a moment count, as callers do not know of that.
+func (c *Core) isMostlyFree(pool jobs.PoolName) bool {
+	return c.shortWork.use[pool].Add(c.otherCells[pool]).IsBelow(mostlyFreeBelow)
 }
 
 // startsWhateverTheLoads reports whether a filler task of the step may be placed on the worker although the loads of the
@@ -73,10 +73,10 @@
 	return s.idleTime(c.now) >= maxFillerWait && c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime
 }
 
-// hasDeclaredRoom reports whether the cell is mostly free, and the worker has the CPU that a filler task of the step declares
+// hasDeclaredRoom reports whether the worker's pool is mostly free, and the worker has the CPU that a filler task of the step declares
 // beside what others declare.
 func (c *Core) hasDeclaredRoom(w *worker, s *step) bool {
-	return c.isMostlyFree() && s.spec.Size.CPU <= w.free().CPU
+	return c.isMostlyFree(w.info.Pool) && s.spec.Size.CPU <= w.free().CPU
 }
 
 // waitsForLoadsOn reports whether nothing but the loads of the serving tasks on a usable worker keeps the step's first task from
--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
 )
 
 // Work that waits although there is room leaves no line when it is started at last, or when its owner is lost. So the log
@@ -122,7 +123,10 @@
 
 // addUse adds the use of the workers that stay, and the filler tasks on workers.
 func (c *Core) addUse(l *LongWaits) {
-	use := c.use()
+	var use jobs.Use
+	for _, ofPool := range c.use() {
+		use = use.Add(ofPool)
+	}
 	l.UsedCPU = float64(use.Used.CPU) / float64(max(1, use.Present.CPU))
 	l.UsedMemory = float64(use.Used.Memory) / float64(max(1, use.Present.Memory))
 	for _, w := range c.sortedWorkers {
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -39,7 +39,7 @@
 	at       time.Time
 	free     models.MilliCPU // capacity that is free or used by short work, as of at
 	capacity models.MilliCPU // of all usable workers, as of at
-	use      jobs.Use        // of all workers that stay and answer, also of those that get no starts for a moment, as of at and by starts since then
+	use      jobs.UseOfPools // of all workers that stay and answer, also of those that get no starts for a moment, as of at and by starts since then
 
 	leftSince time.Time // since when long-running tasks leave capacity to it, as logged; zero: they don't
 	leftAt    time.Time // when one last did
@@ -131,7 +131,7 @@
 
 // takeShortCapacity deducts a starting task from the capacity available to others.
 func (c *Core) takeShortCapacity(t *task) {
-	c.shortWork.use.Used = c.shortWork.use.Used.Add(t.step.footprint())
+	c.shortWork.use.Add(jobs.UseOfPools{t.worker.info.Pool: {Used: t.step.footprint()}})
 	if t.step.spec.LongRunning {
 		c.shortWork.free -= t.step.spec.Size.CPU
 	}
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -36,7 +36,7 @@
 const claimTime = 300 * time.Millisecond
 
 // startIdleFillers starts one filler task on standby of each job of which nothing has run for standbyAfter, the longest first,
-// while the cell is mostly free.
+// while its pool is mostly free.
 func (c *Core) startIdleFillers(candidates []candidate, now time.Time) {
 	c.updateSilentJobs()
 	var idle []*step
@@ -47,10 +47,10 @@
 	}
 	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.idleTime(now), a.idleTime(now)) })
 	for _, s := range idle {
-		if c.startsLeft <= 0 || !c.isMostlyFree() {
+		if c.startsLeft <= 0 {
 			return
 		}
-		if s.idleTime(now) >= standbyAfter { // no other step of its job has just started a task
+		if c.isMostlyFree(c.terms(s.job).Pool) && s.idleTime(now) >= standbyAfter { // no other step of its job has just started a task
 			c.startOnStandby(s, now)
 		}
 	}
--- a/services/dispatch/standby_bench_test.go
+++ b/services/dispatch/standby_bench_test.go
@@ -177,3 +177,10 @@
 	added.ID, added.Address = id, string(id)
 	b.SetWorkers(append(list, added), b.now)
 }
+
+// addOtherCell adds a free worker of the same pool to the other cells.
+func (b *standbyBench) addOtherCell() {
+	use := jobs.UseOfPools{testPool: {Present: b.sortedWorkers[0].info.Capacity}}
+	use.Add(b.otherCells)
+	b.SetOtherCells(use)
+}
--- a/services/dispatch/standby_faults_test.go
+++ b/services/dispatch/standby_faults_test.go
@@ -93,7 +93,7 @@
 func TestTasksOnStandbyLeaveRoomForOthers(t *testing.T) {
 	b := newHarmedBench(t, 2)
 	for range 4 {
-		b.SetOtherCells(b.otherCells.Add(jobs.Use{Present: b.sortedWorkers[0].info.Capacity}))
+		b.addOtherCell()
 	}
 	step := fillerStep
 	step.Size.Memory = 800
--- a/services/dispatch/standby_test.go
+++ b/services/dispatch/standby_test.go
@@ -270,7 +270,7 @@
 			b.submit("00000000000000dd", full)
 			b.pass(time.Second, nil)
 			for range c.others {
-				b.SetOtherCells(b.otherCells.Add(jobs.Use{Present: b.sortedWorkers[0].info.Capacity}))
+				b.addOtherCell()
 			}
 			b.submit(testJob, fillerStep)
 			b.pass(2*fillerAllowed, nil)
