--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -8,8 +8,6 @@
 	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
@@ -33,8 +31,12 @@
 	burstWeight = 0.25
 )
 
+// claimTime is how long a worker is the place for one task that stood by elsewhere: until that task has been stopped and started there,
+// if its worker answers soon.
+const claimTime = 300 * time.Millisecond
+
 // startIdleFillers starts one filler task on standby of each job of which nothing has run for standbyAfter, the longest first,
-// while the cell is mostly free.
+// while its pool is mostly free.
 func (c *Core) startIdleFillers(candidates []candidate, now time.Time) {
 	c.updateSilentJobs()
 	var idle []*step
@@ -45,10 +47,10 @@
 	}
 	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.idleTime(now), a.idleTime(now)) })
 	for _, s := range idle {
-		if c.startsLeft <= 0 || !c.isMostlyFree() {
+		if c.startsLeft <= 0 {
 			return
 		}
-		if s.idleTime(now) >= standbyAfter { // no other step of its job has just started a task
+		if c.isMostlyFree(c.terms(s.job).Pool) && s.idleTime(now) >= standbyAfter { // no other step of its job has just started a task
 			c.startOnStandby(s, now)
 		}
 	}
@@ -128,17 +130,6 @@
 // expectFullPace records that the run of a task that stands by may work at full pace, so that it is ordered to stand at once.
 func (t *task) expectFullPace() { t.pace, t.pacedAt, t.paceUncertain = 0, time.Time{}, true }
 
-// checkStandby detects runs on standby that work, because an order that was given before they were to stand has been carried out
-// late. They are ordered to stand once more.
-func (c *Core) checkStandby(w *worker, t *task, now time.Time) {
-	if t.paceUncertain || now.Sub(t.pacedAt) < paceSettleTime || inferPace(t.step.spec, t.figure) < stalledPace {
-		return
-	}
-	c.config.Logger.Info("run on standby works; it is ordered to stand once more", zap.Stringer("task", t.id()), zap.Int("figure", t.figure),
-		zap.String("worker", string(w.info.ID)))
-	t.expectFullPace()
-}
-
 // endStandby records that a run on standby goes on or ends.
 func (c *Core) endStandby(t *task) {
 	if !t.standby {
@@ -171,7 +162,7 @@
 		if !mayMove || now.Sub(t.startedAt) < moveAfter {
 			continue
 		}
-		if mayMove = len(c.findPlaces(s, now)) > 0; mayMove {
+		if mayMove = c.claimPlace(s, now); mayMove {
 			c.stop(t, "it stands by, and another worker can run it")
 			continue
 		}
@@ -179,6 +170,18 @@
 	}
 }
 
+// claimPlace reports whether a worker can run a task of the step that stands by elsewhere, and is not the place for which another
+// one has just been stopped: if all that stand by went for the same place, most of their jobs would have nothing running.
+func (c *Core) claimPlace(s *step, now time.Time) bool {
+	for _, p := range c.findPlaces(s, now) {
+		if now.Sub(p.worker.claimedAt) >= claimTime {
+			p.worker.claimedAt = now
+			return true
+		}
+	}
+	return false
+}
+
 // mayResume reports whether a task of the step that stands by on the worker may go on.
 func (c *Core) mayResume(w *worker, s *step, now time.Time) bool {
 	return c.loadsAllow(w, s) && c.usable(w, now) && !w.isReserved(now)
@@ -241,3 +244,10 @@
 func (t *task) mayNotStandYet() bool {
 	return t.standby && t.state == taskRunning && (t.paceUncertain || t.pace > 0)
 }
+
+// hasWorkingFillers reports whether a filler task on the worker may be working: one that does not stand by for certain.
+func (w *worker) hasWorkingFillers() bool {
+	return w.activeFillerCPU() > 0 || w.standbyCPU > 0 && slices.ContainsFunc(w.tasks, func(t *task) bool {
+		return t.standby && (t.state != taskRunning || t.mayNotStandYet())
+	})
+}
