Tasks on standby leave memory of each worker to others

Cause: beside free cells a cell is mostly free however full its own memory is, so that tasks on standby took all of it, and an ordinary task found none; a second way to it was the start whatever the loads, which is meant for suspects. Change: tasks start on standby up to 0.75 of a worker's memory; only suspects start whatever the loads. Measured: TestTasksOnStandbyLeaveRoomForOthers red before. What it costs: in a cell whose memory is fuller, beside free ones, an idle job waits for its turn.

--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -65,12 +65,22 @@
 	return c.shortWork.use[pool].Add(c.otherCells[pool]).IsBelow(mostlyFreeBelow)
 }
 
-// startsWhateverTheLoads reports whether a filler task of the step may be placed on the worker although the loads of the
-// serving tasks there are too high: nothing of its job has run for long, the CPU that others have not declared is enough, and no other
-// task has just been placed there so. Filler tasks that the loads allow do not count: where these are short, they come and go
-// all the time.
+// startsWhateverTheLoads reports whether a task of the step, of which a suspect waits, may be placed on the worker although the loads
+// of the serving tasks there are too high: nothing of its job has run for long, the CPU that others have not declared is enough,
+// and no other task has just been placed there so. Filler tasks that the loads allow do not count: where these are short, they
+// come and go all the time.
 func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
-	return s.idleTime(c.now) >= maxFillerWait && c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime
+	return s.idleTime(c.now) >= maxFillerWait && s.hasWaitingSuspect() && c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime
+}
+
+// hasWaitingSuspect reports whether a task of the step that waits is a suspect.
+func (s *step) hasWaitingSuspect() bool {
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.state == taskWaiting && t.suspected() {
+			return true
+		}
+	}
+	return false
 }
 
 // hasDeclaredRoom reports whether the worker's pool is mostly free, and the worker has the CPU that a filler task of the step declares
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -20,6 +20,10 @@
 // from time to time, and may not see a short run between two such times.
 const standbyAfter = time.Second
 
+// maxStandbyMemory is the share of a worker's memory in use up to which tasks start on standby there, so that other tasks find
+// room beside them.
+const maxStandbyMemory = 0.75
+
 // A run on standby works at full pace until it is throttled, and where such runs follow one another, serving tasks could be over
 // their targets without a break. So starts on standby come in bursts.
 const (
@@ -113,10 +117,12 @@
 }
 
 // hasStandbyRoom reports whether a task of the step may start on standby on the worker: it is usable, has what the task declares
-// beside what others declare, and does not rest from a burst.
+// beside what others declare, and memory to spare, and does not rest from a burst.
 func (c *Core) hasStandbyRoom(w *worker, s *step, now time.Time) bool {
 	rests := !w.isInBurst(now) && now.Sub(w.standbyFrom) < standbyBurst+standbyPause
-	return !rests && c.usable(w, now) && c.fits(w, s) && s.spec.Size.CPU <= w.free().CPU && w.countFitting(s, 1, models.Resources{}) > 0
+	memory := float64(w.used.Memory + s.spec.Size.Memory)
+	return !rests && memory <= maxStandbyMemory*float64(w.info.Capacity.Memory) && c.usable(w, now) && c.fits(w, s) &&
+		s.spec.Size.CPU <= w.free().CPU && w.countFitting(s, 1, models.Resources{}) > 0
 }
 
 // beginStandby records that the run of a task on a worker stands by.
