--- a/services/dispatch/filler_crowd_test.go
+++ b/services/dispatch/filler_crowd_test.go
@@ -209,15 +209,17 @@
 	}
 }
 
-// forgetEnds takes the successes back that a lost worker has not been able to tell. If the owner knows of one all the same, the
-// job ends in its view.
-func (a *crowdAudit) forgetEnds(w *harmWorker) {
+// forgetEnds notes that the successes that a lost worker listed are lost with it, but for those that the owner has stored.
+func (a *crowdAudit) forgetEnds(w *harmWorker, stored waitStore) {
 	for _, ended := range w.ended {
-		if id := ended.Task.Job; a.done[ended.Task] {
-			delete(a.done, ended.Task)
-			if a.left[id]++; a.left[id] == 1 {
-				a.jobsEnded--
-			}
+		id, task := ended.Task.Job, ended.Task
+		_, active := stored.active[id]
+		if !a.done[task] || !active || slices.Contains(stored.progress[id].Done[task.Step], task.Index) {
+			continue
+		}
+		delete(a.done, task)
+		if a.left[id]++; a.left[id] == 1 {
+			a.jobsEnded--
 		}
 	}
 }
@@ -323,7 +325,7 @@
 	p.lost = p.WorkersLost
 	for n := range p.lost {
 		w := &p.workers[n]
-		p.audit.forgetEnds(w)
+		p.audit.forgetEnds(w, p.stored)
 		w.runs, w.ended = nil, nil
 	}
 	for until := p.now.Add(waitOwnerless); p.now.Before(until); {
