The most urgent task on standby gets the CPU that it lacks

Cause: less urgent small tasks took the CPU that others left on its worker, one after the other, so that a large task stood by for 15 s and more. Change: no other filler task starts or goes on at the worker of the most urgent task if that one stands by and lacks nothing but CPU.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -163,6 +163,7 @@
 	replaced          map[jobs.Incarnation]struct{} // incarnations that have certainly ended but are still in the platform's list
 	storeUrgently     bool                          // dirty jobs have changes that are to be stored without delay
 	shortWork         shortWork
+	cpuHeldFor        *task           // see holdCPU; nil: no task
 	otherCells        jobs.UseOfPools // of the other cells, as last known
 	startsLeft        int             // how many more starts Decide may order
 	counts            Counts
--- a/services/dispatch/filler.go
+++ b/services/dispatch/filler.go
@@ -29,7 +29,7 @@
 // loadsAllow reports whether enough CPU is unused for a filler task on the worker, and the serving tasks' loads stay low
 // enough beside it.
 func (c *Core) loadsAllow(w *worker, s *step) bool {
-	if w.activeFillerCPU()+s.spec.Size.CPU > w.unusedCPU() {
+	if c.isCPUHeld(w, s) || w.activeFillerCPU()+s.spec.Size.CPU > w.unusedCPU() {
 		return false
 	}
 	share := w.fullShare(s)
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -28,11 +28,17 @@
 		c.placeOverdue(candidates, now)
 		c.startIdleFillers(candidates, now)
 	}
+	urgentFiller := true
 	for _, candidate := range candidates {
 		if c.startsLeft <= 0 {
 			return
 		}
-		c.serveStep(candidate.step, now)
+		s := candidate.step
+		c.serveStep(s, now)
+		if urgentFiller && s.spec.Filler && s.hasTasksToPlace() {
+			urgentFiller = false
+			c.holdCPU(s)
+		}
 	}
 }
 
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -141,6 +141,9 @@
 	if !t.standby {
 		return
 	}
+	if c.cpuHeldFor == t {
+		c.cpuHeldFor = nil
+	}
 	t.standby = false
 	t.step.standby--
 	t.worker.standbyCPU -= t.step.spec.Size.CPU
@@ -176,6 +179,37 @@
 	}
 }
 
+// holdCPU keeps other filler tasks from the worker of a task of the step that stands by and lacks nothing but CPU, until it goes on:
+// a large one would not go on beside small ones that follow one another. The step is the most urgent one that has tasks to
+// place.
+func (c *Core) holdCPU(s *step) {
+	if held := c.cpuHeldFor; held != nil && held.lacksCPU() {
+		return
+	}
+	c.cpuHeldFor = nil
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.lacksCPU() {
+			c.cpuHeldFor = t
+			return
+		}
+	}
+}
+
+// lacksCPU reports whether a task stands by and its worker lacks the CPU for it as long as other filler tasks work there.
+func (t *task) lacksCPU() bool {
+	if !t.standby || t.state != taskRunning {
+		return false
+	}
+	unused, size := t.worker.unusedCPU(), t.step.spec.Size.CPU
+	return size <= unused && t.worker.activeFillerCPU()+size > unused
+}
+
+// isCPUHeld reports whether the worker's CPU is kept for a task of another step that stands by there.
+func (c *Core) isCPUHeld(w *worker, s *step) bool {
+	held := c.cpuHeldFor
+	return held != nil && held.worker == w && held.step != s
+}
+
 // claimPlace reports whether a worker can run a task of the step that stands by elsewhere, and is not the place for which another
 // one has just been stopped: if all that stand by went for the same place, most of their jobs would have nothing running.
 func (c *Core) claimPlace(s *step, now time.Time) bool {
