Many jobs move to other cells soon

Cause: an owner handed eight jobs at a time to other cells, with three reads and a transaction for each, one after the other, and looked for the next ones at its next tick of 200 ms: 40 a second. Of N jobs in a cell that has lost its workers the last one waited for N / 40 s, in a service that is mostly free. Change: as many move at once as are offered in one query (32); the records of eight moves are read at the same time, their transactions follow one by one, and the owner's changes have their turn between; the end of the last move wakes the loop that offers work. Moves of unknown outcome come after those that have not been tried.

--- a/services/control/move.go
+++ b/services/control/move.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models/jobs"
@@ -63,21 +64,66 @@
 	return moveRejected{err: err}
 }
 
-// executeMoves stores the pending moves one by one, as part of the owner's chain of transactions.
-func (o *Owner) executeMoves(ctx context.Context) {
-	o.mu.Lock()
-	moves := slices.Clone(o.moves)
-	o.mu.Unlock()
-	for _, m := range moves {
-		outcome := o.executeMove(ctx, m)
+// maxMovesPerTurn is how many moves are stored until the owner's changes have their turn again. The records of all of them are
+// read at the same time.
+const maxMovesPerTurn = 8
+
+// executeMoves stores the next pending moves one by one, as part of the owner's chain of transactions. It reports whether there
+// are others that have not been tried yet.
+func (o *Owner) executeMoves(ctx context.Context) (more bool) {
+	moves := o.nextMoves()
+	records := o.readAllRecords(ctx, moves)
+	for n, m := range moves {
+		outcome := o.executeMove(ctx, m, records[n])
 		o.cells.health.record(outcome.cause())
 		o.mu.Lock()
 		o.finishMove(m, outcome)
 		o.mu.Unlock()
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if len(moves) > 0 {
 		wake(o.wakeDecide)
 	}
+	if len(moves) > 0 && len(o.moves) == 0 {
+		wake(o.wakeMove) // for the work that has found no place beside these
+	}
+	return slices.ContainsFunc(o.moves, func(m *move) bool { return !m.unresolved })
+}
+
+// nextMoves returns the moves to be tried next: first those that have not been tried yet, then those that were tried longest
+// ago.
+func (o *Owner) nextMoves() []*move {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	slices.SortStableFunc(o.moves, func(a, b *move) int {
+		switch {
+		case a.unresolved == b.unresolved:
+			return 0
+		case a.unresolved:
+			return 1
+		default:
+			return -1
+		}
+	})
+	return slices.Clone(o.moves[:min(maxMovesPerTurn, len(o.moves))])
+}
+
+// readMove is the result of readRecords for a move.
+type readMove struct {
+	records moveRecords
+	err     error
+}
+
+// readAllRecords reads the records that each of the moves depends on.
+func (o *Owner) readAllRecords(ctx context.Context, moves []*move) []readMove {
+	read := make([]readMove, len(moves))
+	var group conc.WaitGroup
+	for n, m := range moves {
+		group.Go(func() { read[n].records, read[n].err = o.readRecords(ctx, m) })
+	}
+	group.Wait()
+	return read
 }
 
 // finishMove tells the core in which cell the work is after a move. A move of unknown outcome stays in the list
@@ -85,6 +131,7 @@
 func (o *Owner) finishMove(m *move, outcome moveOutcome) {
 	switch outcome := outcome.(type) {
 	case moveUnresolved:
+		o.moves = append(slices.DeleteFunc(o.moves, func(other *move) bool { return other == m }), m)
 		return
 	case moveDone:
 		o.core.Moved(m.Move, uint64(outcome.version))
@@ -106,16 +153,12 @@
 var errPreviouslyInCell = errors.New("job has been in the other cell before")
 
 // executeMove moves work to another cell: one transaction takes the tasks out of the record in this cell and
-// adds them to the record in the other cell.
-func (o *Owner) executeMove(ctx context.Context, m *move) moveOutcome {
-	// The other records are read before the record in this cell. If they forbid the move, no earlier attempt
-	// can take effect from then on, and the record in this cell then shows whether an attempt did before. In the
-	// other order, an attempt that takes effect between the reads, and whose work ends at once, would be
-	// mistaken for an attempt that can't take effect.
-	records, err := o.readRecords(ctx, m)
-	if err != nil {
-		return m.failure(err)
+// adds them to the record in the other cell. The records are those read before.
+func (o *Owner) executeMove(ctx context.Context, m *move, read readMove) moveOutcome {
+	if read.err != nil {
+		return m.failure(read.err)
 	}
+	records := read.records
 	switch here := records[o.cell]; {
 	case here.Version == 0:
 		return moveJobMissing{}
@@ -136,7 +179,10 @@
 // cell and, if the source is an additional cell, that of the cell whose record names the source.
 type moveRecords map[jobs.CellName]jobs.Record
 
-// readRecords reads the records that a move depends on, that of this cell last.
+// readRecords reads the records that a move depends on, that of this cell last. If the others forbid the move, no earlier
+// attempt can take effect from then on, and the record in this cell then shows whether an attempt did before. In the other
+// order, an attempt that takes effect between the reads, and whose work ends at once, would be mistaken for an attempt
+// that can't take effect.
 func (o *Owner) readRecords(ctx context.Context, m *move) (moveRecords, error) {
 	records := moveRecords{}
 	for _, cell := range []jobs.CellName{m.To, cmp.Or(m.Home, o.cell), o.cell} {
--- a/services/control/offer.go
+++ b/services/control/offer.go
@@ -20,11 +20,11 @@
 	// moveBatchPause lets several waiting jobs accumulate, so that they are offered in one query.
 	moveBatchPause = 10 * time.Millisecond
 	// maxOffersPerQuery limits the jobs in one query, because the other cell's owner checks all its workers for
-	// each job. With some hundred jobs waiting, each has its turn within a second.
+	// each job. With some hundred jobs waiting, each has its turn within two seconds.
 	maxOffersPerQuery = 32
-	// maxMovesInProgress limits the jobs that move at once. Each costs two reads and a transaction of some
-	// milliseconds, during which nothing else of the cell is stored.
-	maxMovesInProgress = 8
+	// maxMovesInProgress limits the jobs that move at once: those of one query. Each costs two reads and a transaction of some
+	// milliseconds, and until its turn comes it runs in neither cell.
+	maxMovesInProgress = maxOffersPerQuery
 )
 
 // moveLoop offers work that finds no place in this cell to other cells, and finishes cancellations that another
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -21,8 +21,8 @@
 const jobsPerTxn = (platform.MaxTxnEntries - 5) / (cellsPerJob + 1)
 
 // maxStoresPerMoves is how many transactions store changes until pending moves have their turn, although there is more to store.
-// These take about as long as the moves that are in progress at once, so that each gets half of the time.
-const maxStoresPerMoves = 4 * maxMovesInProgress
+// These take about as long as the moves of one turn, so that each gets half of the time.
+const maxStoresPerMoves = maxMovesPerTurn
 
 // storeLoop stores the changes of the core.
 func (o *Owner) storeLoop(ctx context.Context) {
@@ -41,8 +41,7 @@
 			continue
 		default:
 			stored = 0
-			o.executeMoves(ctx)
-			if more {
+			if movesLeft := o.executeMoves(ctx); more || movesLeft {
 				continue
 			}
 			if endsErr != nil {
