Losses are stored before ends

Cause: a transaction stores six jobs, and took ends before losses. A task does not start again before its loss is stored, and the roster waits for all losses; so both waited for the ends of all other jobs. Change: losses come first, then ends, then other progress. An end waits for the losses before it instead, six in a transaction.

--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -41,7 +41,7 @@
 	version uint64
 }
 
-// TakeChanges returns at most limit changed and forgotten jobs, ended jobs first because callers wait for them. Jobs are
+// TakeChanges returns at most limit changed and forgotten jobs, in the order of storePriority. Jobs are
 // forgotten in what room the changes leave, one at a time at the least: after a takeover all ended jobs are due at the same
 // moment. Changes that can't be stored are to be returned with Unstored.
 func (c *Core) TakeChanges(limit int, now time.Time) Changes {
@@ -70,13 +70,13 @@
 	return changes
 }
 
-// storePriority returns a job's rank among those to be stored, lowest first: callers wait for ends, and starts
-// wait until counted losses are stored.
+// storePriority returns a job's rank among those to be stored, lowest first: starts wait until counted losses are stored, and so
+// does the roster, and callers wait for ends.
 func (j *job) storePriority() int {
 	switch {
-	case j.end != "":
-		return 0
 	case j.hasUnstoredLoss():
+		return 0
+	case j.end != "":
 		return 1
 	default:
 		return 2
