--- a/services/dispatch/bench_test.go
+++ b/services/dispatch/bench_test.go
@@ -32,7 +32,7 @@
 	ids []jobs.WorkerID
 }
 
-func newBench(t *testing.T, workers int) *bench {
+func newBench(t testing.TB, workers int) *bench {
 	t.Helper()
 	b := &bench{now: time.Unix(1_000_000, 0)}
 	b.Core = New(Config{
