One decision searches the workers once for filler tasks that are alike

Cause: each waiting step of filler tasks looked at all workers up to three times in a decision (findPlaces, noteRoom, workerBesideTrials), and once a second for the line about long waits, although the workers had just been searched in vain for a smaller task of the same pool, label and image.

Change: a decision remembers the sizes for which no worker has room, by pool, label, image and whether the job may start whatever the loads; for a task that needs as much or more of everything only workers are searched whose tasks or paces have changed since, or that were kept for suspects.

Nothing is decided otherwise: room for a task falls with its size on an unchanged worker (memory, unused CPU, added load and its variance), the predicted loads are computed at the same times, and a worker can only gain room by a change that is numbered.

--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -11,7 +11,6 @@
 	t.position = len(w.tasks)
 	w.tasks = append(w.tasks, t)
 	w.account(t, 1)
-	w.expectedValid = false
 }
 
 // remove takes a task off the worker and releases its resources.
@@ -22,7 +21,6 @@
 	w.tasks = w.tasks[:last]
 	w.endTrial(t)
 	w.account(t, -1)
-	w.expectedValid = false
 }
 
 // footprint returns what a task of the step deducts from its worker's free capacity; filler tasks deduct no
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -165,6 +165,8 @@
 	counts            Counts
 	figures           JobFigures
 	placeBuffer       placeHeap                           // reused by Core.findPlaces
+	full              fullSizes                           // sizes for which the present decision has found no room
+	workerChanges     int                                 // how often the tasks, figures or paces of a worker have changed
 	restoredLoads     map[stepKey]contention.BaselineLoad // baseline loads learned by a previous owner, until their step is added
 	parametersTakenAt time.Time                           // when the learned parameters were last included in changes to store
 }
@@ -195,7 +197,7 @@
 		restoredLoads: map[stepKey]contention.BaselineLoad{}, storeFreshness: newStoreFreshness(config.Taken),
 		repeats: newRetryBudget(), startsLeft: math.MaxInt,
 		unresolvedRuns: map[jobs.WorkerID][]*task{}, tasksWithLosses: map[*task]struct{}{}, replaced: map[jobs.Incarnation]struct{}{},
-		lateStartsUntil: map[jobs.WorkerID]time.Time{}, cordons: map[models.FailureDomain]cordon{},
+		lateStartsUntil: map[jobs.WorkerID]time.Time{}, cordons: map[models.FailureDomain]cordon{}, full: fullSizes{},
 	}
 }
 
@@ -238,6 +240,7 @@
 		c.retryStops(now)
 		if c.mayStart() {
 			c.placeAll(now)
+			clear(c.full)
 			if c.startsLeft <= 0 {
 				c.counts.LimitReached++
 			}
--- a/services/dispatch/expect.go
+++ b/services/dispatch/expect.go
@@ -57,6 +57,12 @@
 	return w.loadExpectations
 }
 
+// recordChange records that the worker's tasks, figures or paces have changed.
+func (c *Core) recordChange(w *worker) {
+	w.expectedValid = false
+	c.numberChange(w)
+}
+
 // expectTask returns a serving task with its predicted load; shares are those of the filler images beside it.
 func (c *Core) expectTask(t *task, shares []float64) servingTask {
 	image := t.step.spec.Image
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -76,9 +76,14 @@
 	return c.isMostlyFree() && s.spec.Size.CPU <= w.free().CPU
 }
 
+// mayWaitForLoads reports whether the loads on a worker may keep a waiting task of the step from starting for no longer than maxFillerWait.
+func (c *Core) mayWaitForLoads(s *step, now time.Time) bool {
+	return s.spec.Filler && c.isMostlyFree() && s.idleTime(now) > 0
+}
+
 // waitsForLoadsOn reports whether nothing but the loads of the serving tasks on a usable worker keeps the step's first task from
 // starting there, which they do for maxFillerWait at most.
 func (c *Core) waitsForLoadsOn(w *worker, s *step, now time.Time) bool {
-	return s.spec.Filler && s.idleTime(now) > 0 && c.hasDeclaredRoom(w, s) && c.usable(w, now) && c.fits(w, s) &&
+	return c.hasDeclaredRoom(w, s) && c.usable(w, now) && c.fits(w, s) &&
 		w.countFitting(s, 1, models.Resources{}) > 0
 }
--- a/services/dispatch/incarnation.go
+++ b/services/dispatch/incarnation.go
@@ -160,6 +160,7 @@
 		t.bindToLateStart(w.info.ID)
 		c.recordLateStart(t, w.info.ID)
 		w.add(t)
+		c.recordChange(w)
 		c.stop(t, "its worker's next incarnation may carry out its start")
 	}
 }
--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -62,7 +62,8 @@
 	UsedMemory     float64      `json:"used_memory"`    // share of their memory that all tasks declare
 	LimitReached   int64        `json:"limit_reached"`  // decisions since the previous summary that ordered all the starts that they might
 
-	step *step // of Task
+	step *step     // of Task
+	full fullSizes // sizes without room, found so far
 }
 
 // sumUpLongWaits updates the summary of what waits for long, and logs it, at most each longWaitInterval.
@@ -86,7 +87,7 @@
 
 // findLongWaits returns the summary of what waits for long; nil: nothing.
 func (c *Core) findLongWaits(now time.Time) *LongWaits {
-	waits := &LongWaits{Tasks: map[waitReason]int{}, Closed: map[closedReason]int{}, ClosedCPU: map[closedReason]models.MilliCPU{}}
+	waits := &LongWaits{full: fullSizes{}, Tasks: map[waitReason]int{}, Closed: map[closedReason]int{}, ClosedCPU: map[closedReason]models.MilliCPU{}}
 	idle := map[*job]time.Duration{}
 	for _, s := range c.stepsWithIdleTasks() {
 		c.addLongWaits(waits, s, now)
@@ -152,7 +153,7 @@
 			continue
 		}
 		if !roomKnown {
-			hasRoom, roomKnown = c.hasRoom(s), true
+			hasRoom, roomKnown = c.hasRoomBeside(waits.full, s), true
 		}
 		waits.add(t, c.waitReasonOf(t, hasRoom, now), waited)
 	}
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -163,7 +163,7 @@
 	default: // an earlier order without an answer remains uncertain
 		t.pace = order.Before // decided anew when the worker is next examined
 	}
-	t.worker.expectedValid = false
+	c.recordChange(t.worker)
 }
 
 // overtaken reports whether the outcome shows no more than that a later owner has called the worker, or that another
--- a/services/dispatch/pace.go
+++ b/services/dispatch/pace.go
@@ -33,7 +33,7 @@
 		zap.String("worker", string(w.info.ID)), zap.Float64("load", w.maxLoad), zap.Int64("figure_age_ms", now.Sub(w.reportedAt).Milliseconds()))
 	t.pace, t.pacedAt = pace, now
 	w.fillersChangedAt = now
-	w.expectedValid = false
+	c.recordChange(w)
 	c.counts.Paces++
 	c.orders = append(c.orders, PaceOrder{Worker: w.info, Before: before, Call: jobs.PaceCall{
 		Task: t.id(), Run: t.run, Fence: w.fence, Pace: pace,
@@ -71,6 +71,6 @@
 		c.config.Logger.Info("run is slower than its ordered pace; the observed pace is assumed from now on", zap.Stringer("task", t.id()), zap.Int("ordered", int(t.pace)),
 			zap.Int("figure", t.figure), zap.String("worker", string(w.info.ID)))
 		t.pace, t.pacedAt = pace, now
-		w.expectedValid = false
+		c.recordChange(w)
 	}
 }
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -146,6 +146,7 @@
 		w.fillersChangedAt = now
 	}
 	w.add(t)
+	c.recordChange(w)
 	c.takeShortCapacity(t)
 	c.startsLeft--
 	c.counts.Starts++
--- a/services/dispatch/places.go
+++ b/services/dispatch/places.go
@@ -59,11 +59,18 @@
 // findPlaces returns all workers that can take a task of the step now.
 func (c *Core) findPlaces(s *step, now time.Time) placeHeap {
 	list := c.placeBuffer[:0]
+	noRoomAsOf := c.noRoomAsOf(s)
+	if noRoomAsOf == c.workerChanges {
+		return list
+	}
 	for _, w := range c.sortedWorkers {
-		if c.mayTake(w, s, now) {
+		if w.changedAs > noRoomAsOf && c.mayTake(w, s, now) {
 			list = append(list, place{w, c.score(w, s)})
 		}
 	}
+	if len(list) == 0 {
+		c.recordNoRoom(s, now)
+	}
 	c.placeBuffer = list
 	heap.Init(&list)
 	return list
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -49,7 +49,7 @@
 		c.tryRecover(now)
 	}
 	c.learn(w, now)
-	w.expectedValid = false
+	c.recordChange(w)
 	return first || newEnds || w.maxExcess > shownMargin
 }
 
@@ -138,6 +138,7 @@
 	t.step.job.running++
 	t.step.job.begun = true
 	w.add(t)
+	c.recordChange(w)
 	if t.step.spec.Filler && t.pace == 0 {
 		c.beginStandby(t)
 	}
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -160,6 +160,7 @@
 	}
 	c.endStandby(t)
 	t.worker.remove(t)
+	c.recordChange(t.worker)
 	t.worker, t.endHidden = nil, false
 	t.step.job.running--
 }
--- a/services/dispatch/throttle.go
+++ b/services/dispatch/throttle.go
@@ -152,7 +152,7 @@
 func (c *Core) moveTask(w *worker, t *task, now time.Time) {
 	c.stop(t, "it can continue on a worker with free capacity")
 	w.throttledAt = now
-	w.expectedValid = false
+	c.recordChange(w)
 }
 
 const (
--- a/services/dispatch/wait_bound.go
+++ b/services/dispatch/wait_bound.go
@@ -29,7 +29,10 @@
 // noteRoom records that tasks of the step wait, and whether there is room for them that can be used now: beside room on other
 // workers alone, a task would find none at the end of its wait, and would start beside trials as soon as there is some.
 func (c *Core) noteRoom(s *step, now time.Time) {
-	hasRoom := slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return c.mayTakeSuspect(w, s, now) || c.waitsForLoadsOn(w, s, now) })
+	noRoomAsOf, mayWaitForLoads := c.noRoomAsOf(s), c.mayWaitForLoads(s, now)
+	hasRoom := slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool {
+		return w.changedAs > noRoomAsOf && c.mayTakeSuspect(w, s, now) || mayWaitForLoads && c.waitsForLoadsOn(w, s, now)
+	})
 	beginWait(&s.roomSince, hasRoom, now)
 }
 
@@ -63,8 +66,9 @@
 // first, or nil when none is usable and has room.
 func (c *Core) workerBesideTrials(workers []*worker, s *step, now time.Time) *worker {
 	var best *worker
+	noRoomAsOf := c.noRoomAsOf(s)
 	for _, w := range workers {
-		if c.mayTakeSuspect(w, s, now) && (best == nil || w.takesBesideTrialsBefore(best, now)) {
+		if w.changedAs > noRoomAsOf && c.mayTakeSuspect(w, s, now) && (best == nil || w.takesBesideTrialsBefore(best, now)) {
 			best = w
 		}
 	}
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -87,6 +87,7 @@
 	loadExpectations []servingTask // cached by Core.expectedLoads
 	expectedValid    bool
 	expectedAt       time.Time
+	changedAs        int // the number of the latest change of its tasks, figures or paces
 }
 
 // recordUnanswered records that a call which asks for a report was not answered. refused says that the worker's
