Comparisons of candidates and of loads stop at the first reason

Cause: comparing two candidates computed ids and step numbers even where their urgency differs (cmp.Or evaluates all arguments), and whether a task starts whatever the loads asked first for the time its job has been idle, the dearest of its conditions.

Change: the order of evaluation only; the results are the same.

--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -67,7 +67,7 @@
 // task has just been placed there so. Filler tasks that the loads allow do not count: where these are short, they come and go
 // all the time.
 func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
-	return s.idleTime(c.now) >= maxFillerWait && c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime
+	return c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime && s.idleTime(c.now) >= maxFillerWait
 }
 
 // hasDeclaredRoom reports whether the cell is mostly free, and the worker has the CPU that a filler task of the step declares
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -68,7 +68,10 @@
 
 // before compares candidates, the most urgent first.
 func (a candidate) before(b candidate) int {
-	return cmp.Or(a.compare(b.urgency), cmp.Compare(a.step.job.spec.ID, b.step.job.spec.ID), cmp.Compare(a.step.flat(), b.step.flat()))
+	if order := a.compare(b.urgency); order != 0 {
+		return order
+	}
+	return cmp.Or(cmp.Compare(a.step.job.spec.ID, b.step.job.spec.ID), cmp.Compare(a.step.flat(), b.step.flat()))
 }
 
 // scanBackoff is how long a step for whose task no worker was found waits before all workers are examined again.
