--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -70,7 +70,12 @@
 // and no other task has just been placed there so. Filler tasks that the loads allow do not count: where these are short, they
 // come and go all the time.
 func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
-	return s.idleTime(c.now) >= maxFillerWait && s.hasWaitingSuspect() && c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime
+	return c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime && c.mayIgnoreLoads(s)
+}
+
+// mayIgnoreLoads reports whether nothing of the step's job has run for so long that a suspect of the step starts whatever the loads.
+func (c *Core) mayIgnoreLoads(s *step) bool {
+	return s.idleTime(c.now) >= maxFillerWait && s.hasWaitingSuspect()
 }
 
 // hasWaitingSuspect reports whether a task of the step that waits is a suspect.
@@ -89,9 +94,14 @@
 	return c.isMostlyFree(w.info.Pool) && s.spec.Size.CPU <= w.free().CPU
 }
 
+// mayWaitForLoads reports whether the loads on a worker may keep a waiting task of the step from starting for no longer than maxFillerWait.
+func (c *Core) mayWaitForLoads(s *step, now time.Time) bool {
+	return s.spec.Filler && c.isMostlyFree(c.terms(s.job).Pool) && s.idleTime(now) > 0
+}
+
 // waitsForLoadsOn reports whether nothing but the loads of the serving tasks on a usable worker keeps the step's first task from
 // starting there, which they do for maxFillerWait at most.
 func (c *Core) waitsForLoadsOn(w *worker, s *step, now time.Time) bool {
-	return s.spec.Filler && s.idleTime(now) > 0 && c.hasDeclaredRoom(w, s) && c.usable(w, now) && c.fits(w, s) &&
+	return c.hasDeclaredRoom(w, s) && c.usable(w, now) && c.fits(w, s) &&
 		w.countFitting(s, 1, models.Resources{}) > 0
 }
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -130,6 +130,7 @@
 	t.standby = true
 	t.step.standby++
 	t.worker.standbyCPU += t.step.spec.Size.CPU
+	c.recordChange(t.worker)
 	c.listWaiting(t.step)
 }
 
@@ -147,6 +148,7 @@
 	t.standby = false
 	t.step.standby--
 	t.worker.standbyCPU -= t.step.spec.Size.CPU
+	c.recordChange(t.worker)
 }
 
 // resumeStandby lets tasks of the step that stand by go on where the loads allow it. If no task of the step waits, one that
@@ -183,10 +185,13 @@
 // a large one would not go on beside small ones that follow one another. The step is the most urgent one that has tasks to
 // place.
 func (c *Core) holdCPU(s *step) {
-	if held := c.cpuHeldFor; held != nil && held.lacksCPU() {
-		return
+	if held := c.cpuHeldFor; held != nil {
+		if held.lacksCPU() {
+			return
+		}
+		c.cpuHeldFor = nil
+		c.recordChange(held.worker)
 	}
-	c.cpuHeldFor = nil
 	for i := range s.tasks {
 		if t := &s.tasks[i]; t.lacksCPU() {
 			c.cpuHeldFor = t
