The use of a cell is kept while its owner does not answer

Cause: one query without answer made the other cell's workers count as not there, so that idle jobs of a full cell beside a free one had to wait. Change: the use last told is kept; the load is assumed as before.

--- a/services/control/load.go
+++ b/services/control/load.go
@@ -33,11 +33,11 @@
 func (c *Cells) queryLoad(ctx context.Context, cell jobs.CellName) {
 	answer, err := c.queryOwner(ctx, jobs.Query{Cell: cell, Load: true})
 	load := answer.Load
-	if err != nil {
-		load = jobs.CellLoad{Reserved: loadWithoutOwner, ExpectedUse: loadWithoutOwner}
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err != nil {
+		load = jobs.CellLoad{Reserved: loadWithoutOwner, ExpectedUse: loadWithoutOwner, Use: c.loads[cell].Use}
+	}
 	c.loads[cell] = load
 }
 
