--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -31,8 +31,6 @@
 	standbyBurst = 500 * time.Millisecond
 	// standbyPause is the time after a burst without such starts, in which the figures of the worker show it undisturbed.
 	standbyPause = time.Second
-	// burstWeight is how much less of a worker's memory may be free, as a share, for a start to go on a burst that has begun.
-	burstWeight = 0.25
 )
 
 // claimTime is how long a worker is the place for one task that stood by elsewhere: until that task has been stopped and started there,
@@ -99,11 +97,11 @@
 // standbyScore returns how good a place the worker is for a task on standby: the more of its memory is free, and the less harm
 // the task does there until it stands and once it goes on, the better.
 func (c *Core) standbyScore(w *worker, s *step) float64 {
-	score := float64(w.free().Memory) / float64(max(1, w.info.Capacity.Memory))
-	if w.isInBurst(c.now) {
-		return score + burstWeight + c.positionScore(w, s)
+	score := float64(w.free().Memory)/float64(max(1, w.info.Capacity.Memory)) + c.positionScore(w, s)
+	if !w.isInBurst(c.now) { // else its serving tasks are disturbed already
+		score -= c.addedHarm(w, s)
 	}
-	return score - c.addedHarm(w, s) + c.positionScore(w, s)
+	return score
 }
 
 // isInBurst reports whether the worker gets starts on standby in a row.
--- a/services/dispatch/standby_test.go
+++ b/services/dispatch/standby_test.go
@@ -291,3 +291,39 @@
 	b.pass(paceSettleTime+settleTime, nil)
 	b.requireStandby(t, testJob)
 }
+
+// TestStartsOnStandbyComeInBursts guards against starts on standby that follow one another on a worker without a pause, so that its
+// serving tasks are over their targets without a break, and against such starts on several workers at a time.
+func TestStartsOnStandbyComeInBursts(t *testing.T) {
+	const (
+		crowd        = 60
+		longestBurst = 500 * time.Millisecond
+		leastPause   = 900 * time.Millisecond
+	)
+	b := newHarmedBench(t, 2)
+	startedAt := [2][]time.Time{}
+	submitted := 0
+	b.pass(crowd*2*standbyTick+standbyWait+standbyPause, func() {
+		if submitted < crowd && b.now.UnixMilli()%(2*standbyTick).Milliseconds() == 0 {
+			b.submit(crowdID(submitted), fillerStep)
+			submitted++
+		}
+		for n, runs := range b.runs {
+			for len(startedAt[n]) < len(runs)-1 { // one of them serves
+				startedAt[n] = append(startedAt[n], b.now)
+			}
+		}
+	})
+	require.Zero(t, b.without(crowd))
+	for n, times := range startedAt {
+		first, last := times[0], times[0]
+		for _, at := range times {
+			if at.Sub(last) >= leastPause {
+				first = at
+			}
+			require.LessOrEqual(t, at.Sub(first), longestBurst, "on worker %d", n)
+			last = at
+		}
+	}
+	require.NotEqual(t, startedAt[0][0], startedAt[1][0], "the second start goes on the burst of the first")
+}
