--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -36,6 +36,8 @@
 //     cells fits here), move.go (the tasks while a move is being stored)
 //   - the load of the cell: load.go; figures for operators: summary.go, figures.go;
 //     what has waited for long: long_wait.go
+//   - filler tasks of idle jobs: filler_wait.go (how long nothing of a job has run), standby.go (tasks that hold a place at
+//     pace 0)
 //   - interference: the model is package contention; learn.go feeds it; learned_parameters.go
 //     stores its parameters for a successor
 //   - use of the interference model: expect.go (predicted loads), filler.go (placement and CPU
@@ -161,7 +163,8 @@
 	replaced          map[jobs.Incarnation]struct{} // incarnations that have certainly ended but are still in the platform's list
 	storeUrgently     bool                          // dirty jobs have changes that are to be stored without delay
 	shortWork         shortWork
-	startsLeft        int // how many more starts Decide may order
+	otherCells        jobs.Use // of the other cells, as last known
+	startsLeft        int      // how many more starts Decide may order
 	counts            Counts
 	figures           JobFigures
 	placeBuffer       placeHeap                           // reused by Core.findPlaces
@@ -243,6 +246,7 @@
 			}
 		}
 		c.throttle(now)
+		c.haltStandby(now)
 	}
 	c.sumUpLongWaits(now)
 	c.forgetEnded(now)
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -4,28 +4,24 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
 )
 
 // Filler tasks start only where the predicted loads of the serving tasks allow it. Where each worker has a serving task, the
 // jobs that are placed first can take all that the loads allow, or the loads allow nothing for as long as they are high.
 // But callers expect of each job that something of it runs soon while most of the capacity is free. So a job of filler
-// tasks of which nothing has run for some time goes before the others with one task. If the loads do not allow even that,
-// the task starts all the same a little later, where it does the least harm, and is throttled like others.
+// tasks of which nothing has run for some time starts one task on standby; see standby.go. A suspect, which has to work for
+// its trial, starts all the same a little later, where it does the least harm, and is throttled like others.
 
 const (
-	// fillerTurnAfter is how long nothing of a job runs until one of its filler tasks goes before those of other jobs. Callers look
-	// at what runs from time to time, and may not see a run of half a second.
-	fillerTurnAfter = time.Second
 	// maxFillerWait is how long nothing of a job runs until one of its filler tasks starts whatever the loads: less than the 3 s for
 	// which callers allow a job to have nothing running.
 	maxFillerWait = 2500 * time.Millisecond
-	// mostlyFreeBelow is the share of the CPU declared by other than filler tasks below which the cell is mostly free. Callers
-	// count half; what they see is older or newer than what the owner knows.
+	// mostlyFreeBelow is the share of the CPU declared by other than filler tasks, and of the memory declared by all, below which
+	// capacity is mostly free. Callers count half; what they see is older or newer than what the owner knows.
 	mostlyFreeBelow = 0.6
 )
 
@@ -60,39 +56,13 @@
 	}
 }
 
-// isMostlyFree reports whether callers may expect that each job runs: most of the CPU of the workers that stay is free. Those that
-// get no starts for a moment count, as callers do not know of that.
-func (c *Core) isMostlyFree() bool {
-	return float64(c.shortWork.used) < mostlyFreeBelow*float64(c.shortWork.present)
-}
-
-// placeIdleFillers starts one filler task of each job of which nothing has run for fillerTurnAfter, the longest first.
-func (c *Core) placeIdleFillers(candidates []candidate, now time.Time) {
-	c.updateSilentJobs()
-	if !c.isMostlyFree() {
-		return
-	}
-	var idle []*step
-	for _, each := range candidates {
-		if each.step.spec.Filler && each.step.idleTime(now) >= fillerTurnAfter {
-			idle = append(idle, each.step)
-		}
-	}
-	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.idleTime(now), a.idleTime(now)) })
-	for _, s := range idle {
-		if c.startsLeft <= 0 {
-			return
-		}
-		c.placeOne(s, now)
-	}
-}
+// SetOtherCells takes the use of the other cells, as last known.
+func (c *Core) SetOtherCells(use jobs.Use) { c.otherCells = use }
 
-// placeOne starts one of the step's waiting tasks at most.
-func (c *Core) placeOne(s *step, now time.Time) {
-	withheld := c.startsLeft - 1
-	c.startsLeft = 1
-	c.placeStep(s, now)
-	c.startsLeft += withheld
+// isMostlyFree reports whether callers may expect that each job runs: most of the CPU and of the memory is free on the workers of
+// all cells that stay. Workers that get no starts for a moment count, as callers do not know of that.
+func (c *Core) isMostlyFree() bool {
+	return c.shortWork.use.Add(c.otherCells).IsBelow(mostlyFreeBelow)
 }
 
 // startsWhateverTheLoads reports whether a filler task of the step may be placed on the worker although the loads of the
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -26,16 +26,22 @@
 	if len(candidates) > 0 {
 		c.updateShortWork(now)
 		c.placeOverdue(candidates, now)
-		c.placeIdleFillers(candidates, now)
+		c.startIdleFillers(candidates, now)
 	}
 	for _, candidate := range candidates {
 		if c.startsLeft <= 0 {
 			return
 		}
-		if now.Before(candidate.step.backoff) {
-			continue // no worker was found for it a moment ago
-		}
-		c.placeStep(candidate.step, now)
+		c.serveStep(candidate.step, now)
+	}
+}
+
+// serveStep lets the step's tasks that stand by go on, and starts those that wait, unless no worker was found for one a moment
+// ago.
+func (c *Core) serveStep(s *step, now time.Time) {
+	c.resumeStandby(s, now)
+	if s.waiting > 0 && !now.Before(s.backoff) {
+		c.placeStep(s, now)
 	}
 }
 
@@ -45,12 +51,12 @@
 	candidates := make([]candidate, 0, len(c.waitingSteps))
 	kept := c.waitingSteps[:0]
 	for _, s := range c.waitingSteps {
-		if s.waiting == 0 || s.job.end != "" || s.job.cancelled {
+		if !s.hasTasksToPlace() || s.job.end != "" || s.job.cancelled {
 			s.inWaitingSteps, s.roomSince = false, time.Time{}
 			continue
 		}
 		kept = append(kept, s)
-		if now.After(s.backoff) && !c.takeovers.blocksStarts(s.job) {
+		if (s.standby > 0 || now.After(s.backoff)) && !c.takeovers.blocksStarts(s.job) {
 			candidates = append(candidates, c.candidate(s, now))
 		}
 	}
@@ -127,17 +133,22 @@
 	}
 }
 
-// startTask assigns a task to a worker and orders its run.
+// startTask assigns a task to a worker and orders its run, which works from the beginning.
 func (c *Core) startTask(t *task, w *worker, now time.Time) {
+	if t.step.spec.Filler && !c.loadsAllow(w, t.step) {
+		w.loadsIgnoredAt = now
+	}
+	c.orderStart(t, w, now)
+}
+
+// orderStart assigns a task to a worker and orders its run.
+func (c *Core) orderStart(t *task, w *worker, now time.Time) {
 	c.beginRun(t, now)
 	if w.info.ID != t.lateStart.worker {
 		t.leaveLateStartWorker()
 	}
 	if t.step.spec.Filler {
 		w.fillersChangedAt = now
-		if !c.loadsAllow(w, t.step) {
-			w.loadsIgnoredAt = now
-		}
 	}
 	w.add(t)
 	c.takeShortCapacity(t)
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -37,6 +37,7 @@
 	used                      models.Resources // declared by its tasks; of filler tasks the memory only
 	longRunningCPU            models.MilliCPU  // declared by its long-running tasks
 	fillerCPU                 models.MilliCPU  // declared by its filler tasks
+	standbyCPU                models.MilliCPU  // of this, declared by those on standby
 	answered                  bool             // has reported in this epoch
 	fenceSent                 bool             // a call with its fence has asked for a report
 	everAnswered              bool             // an incarnation of it has answered this owner, or the roster of a previous owner named it
@@ -77,6 +78,7 @@
 	averageExcess    float64   // the same for the moving averages of the loads
 	overTargetSince  time.Time // since when a tail latency is over its target; zero: none is
 	fillersChangedAt time.Time // when its filler tasks or their paces last changed
+	standbyFrom      time.Time // when the first of the latest starts on standby was ordered here
 	loadsIgnoredAt   time.Time // when a filler task that the loads did not allow was last placed here
 	trials           int       // suspects on trial here; nothing else starts meanwhile
 	trialsSince      time.Time // when the first of these trials began
