--- a/services/control/filler_crowd_test.go
+++ b/services/control/filler_crowd_test.go
@@ -106,8 +106,10 @@
 // TestFillerJobsInCrowdsMakeProgress guards against jobs of filler tasks of which nothing runs for long because many others wait, in
 // one cell and over two, and after the loss of an owner.
 func TestFillerJobsInCrowdsMakeProgress(t *testing.T) {
+	t.Parallel()
 	for _, c := range casefile.Read[[]crowdCase](t, "testdata/filler_crowds.json") {
 		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, c.play)
 		})
 	}
--- a/services/control/moves_under_load_test.go
+++ b/services/control/moves_under_load_test.go
@@ -106,6 +106,7 @@
 // TestTasksMoveWhileMuchIsStored guards against work that is handed to another cell only once there is nothing else to store: beside many
 // short tasks, whose ends have to be stored, it stays in neither cell.
 func TestTasksMoveWhileMuchIsStored(t *testing.T) {
+	t.Parallel()
 	const (
 		perCell  = 48
 		runtime  = 100 * time.Millisecond // of the shortest task of a job; the others take longer, so that their ends are stored one by one
