After reading the change: one check of ordinary tasks, one successor in tests, less work in each decision

The check of a waiting task that is no suspect stood in three places, the set-up of a successor in two tests. What is in use was summed with a map for each worker in each decision; idle steps were collected and sorted where none may start; the most urgent task on standby was compared with candidates computed anew each time. No change of behaviour; tests keep their assertions.

--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -63,7 +63,7 @@
 	use := jobs.UseOfPools{}
 	for _, w := range c.sortedWorkers {
 		if w.isPresent() {
-			use.Add(jobs.UseOfPools{w.info.Pool: {Used: w.used, Present: w.info.Capacity}})
+			use[w.info.Pool] = use[w.info.Pool].Add(jobs.Use{Used: w.used, Present: w.info.Capacity})
 		}
 	}
 	return use
--- a/services/dispatch/late_start.go
+++ b/services/dispatch/late_start.go
@@ -95,7 +95,7 @@
 func (c *Core) placeAtLateStarts(s *step, now time.Time) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting || t.suspected() || c.startsLeft <= 0 || !t.lossesAreStored() {
+		if c.startsLeft <= 0 || !t.isOrdinary() {
 			continue
 		}
 		w, only := c.awaitsLateStartWorker(t, now)
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -101,7 +101,7 @@
 	places := c.findPlaces(s, now)
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting || t.suspected() || !t.lossesAreStored() {
+		if !t.isOrdinary() {
 			continue
 		}
 		if _, only := c.awaitsLateStartWorker(t, now); only {
@@ -134,6 +134,11 @@
 	}
 }
 
+// isOrdinary reports whether the task waits, is no suspect, and may start as far as its losses are concerned.
+func (t *task) isOrdinary() bool {
+	return t.state == taskWaiting && !t.suspected() && t.lossesAreStored()
+}
+
 // recordNoPlace records that no worker can take a waiting task of the step.
 func (s *step) recordNoPlace(now time.Time) {
 	s.backoff = now.Add(scanBackoff)
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -131,7 +131,8 @@
 
 // takeShortCapacity deducts a starting task from the capacity available to others.
 func (c *Core) takeShortCapacity(t *task) {
-	c.shortWork.use.Add(jobs.UseOfPools{t.worker.info.Pool: {Used: t.step.footprint()}})
+	pool := t.worker.info.Pool
+	c.shortWork.use[pool] = c.shortWork.use[pool].Add(jobs.Use{Used: t.step.footprint()})
 	if t.step.spec.LongRunning {
 		c.shortWork.free -= t.step.spec.Size.CPU
 	}
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -39,7 +39,7 @@
 	c.updateSilentJobs()
 	var idle []*step
 	for _, each := range candidates {
-		if each.step.spec.Filler && each.step.waiting > 0 && each.step.idleTime(now) >= standbyAfter {
+		if c.mayStartIdle(each.step, now) {
 			idle = append(idle, each.step)
 		}
 	}
@@ -48,18 +48,24 @@
 		if c.startsLeft <= 0 {
 			return
 		}
-		if c.isMostlyFree(c.terms(s.job).Pool) && s.idleTime(now) >= standbyAfter { // no other step of its job has just started a task
+		if c.mayStartIdle(s, now) { // neither has a start just taken the memory, nor another step of its job started a task
 			c.startOnStandby(s, now)
 		}
 	}
 }
 
+// mayStartIdle reports whether a filler task of the step is to start on standby: nothing of its job has run for standbyAfter, and its
+// pool is mostly free.
+func (c *Core) mayStartIdle(s *step, now time.Time) bool {
+	return s.spec.Filler && s.waiting > 0 && c.isMostlyFree(c.terms(s.job).Pool) && s.idleTime(now) >= standbyAfter
+}
+
 // startOnStandby starts a waiting task of the step on standby if a worker can take it. Suspects do not stand by: that nothing
 // happens to their worker meanwhile would be no evidence.
 func (c *Core) startOnStandby(s *step, now time.Time) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting || t.suspected() || !t.lossesAreStored() {
+		if !t.isOrdinary() {
 			continue
 		}
 		if _, only := c.awaitsLateStartWorker(t, now); only {
--- a/services/dispatch/standby_faults_test.go
+++ b/services/dispatch/standby_faults_test.go
@@ -54,13 +54,7 @@
 	b.pass(standbyWait, nil)
 	run := b.runsOf(testJob)[0]
 	run.pace, run.young = jobs.FullSpeed, 1 // it has gone on a moment before
-	next := newStandbyBench(t, 1)
-	next.setInterference(fillerStep.Image, harmfulFactor)
-	next.runs = b.runs
-	serving := next.job(servingStepOn(1))
-	serving.Spec.ID = otherJob
-	next.AddJob(serving, jobs.Progress{}, false, next.now)
-	next.AddJob(next.job(fillerStep), jobs.Progress{}, false, next.now)
+	next := b.successor(t)
 	next.pass(4*settleTime, nil)
 	require.Zero(t, run.pace)
 }
--- a/services/dispatch/standby_resume.go
+++ b/services/dispatch/standby_resume.go
@@ -127,9 +127,13 @@
 // mostUrgentOnStandby returns the most urgent task that stands by on a worker; nil: none does.
 func (c *Core) mostUrgentOnStandby(w *worker, now time.Time) *task {
 	var best *task
+	var first candidate
 	for _, t := range w.tasks {
-		if t.standby && t.state == taskRunning && (best == nil || c.candidate(t.step, now).before(c.candidate(best.step, now)) < 0) {
-			best = t
+		if !t.standby || t.state != taskRunning {
+			continue
+		}
+		if next := c.candidate(t.step, now); best == nil || next.before(first) < 0 {
+			best, first = t, next
 		}
 	}
 	return best
--- a/services/dispatch/standby_test.go
+++ b/services/dispatch/standby_test.go
@@ -38,6 +38,19 @@
 	return b
 }
 
+// successor returns a bench whose core has just taken over the only worker, with its runs.
+func (b *standbyBench) successor(t *testing.T) *standbyBench {
+	t.Helper()
+	next := newStandbyBench(t, 1)
+	next.setInterference(fillerStep.Image, harmfulFactor)
+	next.runs = b.runs
+	serving := next.job(servingStepOn(1))
+	serving.Spec.ID = otherJob
+	next.AddJob(serving, jobs.Progress{}, false, next.now)
+	next.AddJob(next.job(fillerStep), jobs.Progress{}, false, next.now)
+	return next
+}
+
 // requireStandby checks that the only run of a job is on standby and stands, and that the core's counts are right.
 func (b *standbyBench) requireStandby(t *testing.T, id jobs.ID) {
 	t.Helper()
@@ -168,13 +181,7 @@
 	b.submit(testJob, fillerStep)
 	b.pass(standbyWait, nil)
 	run := b.runsOf(testJob)[0]
-	next := newStandbyBench(t, 1)
-	next.setInterference(fillerStep.Image, harmfulFactor)
-	next.runs = b.runs
-	serving := next.job(servingStepOn(1))
-	serving.Spec.ID = otherJob
-	next.AddJob(serving, jobs.Progress{}, false, next.now)
-	next.AddJob(next.job(fillerStep), jobs.Progress{}, false, next.now)
+	next := b.successor(t)
 	next.pass(time.Second, nil)
 	require.Same(t, run, next.run(run.row.Task))
 	next.requireStandby(t, testJob)
