--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -140,8 +140,7 @@
 	w.add(t)
 	c.recordChange(w)
 	if t.step.spec.Filler && t.pace == 0 && !t.suspected() {
-		c.beginStandby(t)
-		t.expectFullPace() // the figure of a run that has just begun shows nothing
+		c.beginStandby(t) // the figure of a run that has just begun shows nothing, so it may work
 	}
 	if t.suspected() {
 		w.beginTrial(t)
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -76,7 +76,6 @@
 			w.noteStandbyStart(now)
 			c.orderStart(t, w, now)
 			c.beginStandby(t)
-			t.expectFullPace()
 		}
 		return
 	}
@@ -125,18 +124,16 @@
 		s.spec.Size.CPU <= w.free().CPU && w.countFitting(s, 1, models.Resources{}) > 0
 }
 
-// beginStandby records that the run of a task on a worker stands by.
+// beginStandby records that the run of a task on a worker stands by. It may work at full pace, and is ordered to stand at once.
 func (c *Core) beginStandby(t *task) {
 	t.standby = true
+	t.pace, t.pacedAt, t.paceUncertain = 0, time.Time{}, true
 	t.step.standby++
 	t.worker.standbyCPU += t.step.spec.Size.CPU
 	c.recordChange(t.worker)
 	c.listWaiting(t.step)
 }
 
-// expectFullPace records that the run of a task that stands by may work at full pace, so that it is ordered to stand at once.
-func (t *task) expectFullPace() { t.pace, t.pacedAt, t.paceUncertain = 0, time.Time{}, true }
-
 // endStandby records that a run on standby goes on or ends.
 func (c *Core) endStandby(t *task) {
 	if !t.standby {
