Long waits tell jobs of which nothing runs for long enough to be seen

The line 'tasks wait for long' counted a job as idle since its last run, however short that was. So it could not tell whether a job that callers found without a run had been waiting, or had run now and then for a tenth of a second.

It tells now how many jobs have had no run of 1 s without a break for 3 s, and the longest of these.

The simulated workers of the tests of tasks on standby carry a pace out after a delay and may do other work than estimated.

--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -34,6 +34,7 @@
 	silentSince        time.Time       // since when all tasks that may run are on workers that do not answer; zero: not all are
 	waitedElsewhere    time.Duration   // how long a job that has never run has waited in other cells, as far as it counts
 	lastRunEndedAt     time.Time       // when a run of it last left its worker, or else when the job was added
+	runSpan            runSpan         // the times in which something of it runs
 	version            uint64          // of its progress, incremented by each change
 	storedVersion      uint64          // the latest version that is stored
 	lossVersion        uint64          // the version at which a lost run was last counted
@@ -83,7 +84,7 @@
 	}
 	delete(c.movedOut, id)
 	j := newJob(record, fresh && !record.Rewritten)
-	j.lastRunEndedAt = now
+	j.lastRunEndedAt, j.runSpan.lastSeenAt = now, now
 	if j.fresh && j.fromOtherCell {
 		j.waitedElsewhere = min(maxFillerWait, max(0, time.Duration(c.timeOfDay(now)-j.accepted)*time.Millisecond))
 	}
--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -57,6 +57,9 @@
 
 	IdleJobs       int          `json:"idle_jobs"`      // with a task that could run, and nothing running for longWait
 	LongestIdleJob models.Milli `json:"idle_job_ms"`    // for how long nothing of the longest of these has run
+	UnseenJobs     int          `json:"unseen_jobs"`    // with a task that could run, and nothing running for seenRun without a break for longWait
+	LongestUnseen  models.Milli `json:"unseen_for_ms"`  // for how long that is so of the longest of these
+	UnseenJob      jobs.ID      `json:"unseen_job"`     // the longest of these
 	Fillers        int          `json:"fillers"`        // filler tasks on workers
 	HaltedFillers  int          `json:"halted_fillers"` // of these, those at pace 0
 	UsedCPU        float64      `json:"used_cpu"`       // share of the CPU of workers that stay that other than filler tasks declare
@@ -81,6 +84,7 @@
 			zap.Int("fitting", waits.Fitting), zap.Int64("starts", waits.Starts), zap.Int("usable", waits.Usable), zap.Int64("free_cpu", int64(waits.FreeCPU)),
 			zap.Any("closed", waits.Closed), zap.Any("closed_cpu", waits.ClosedCPU),
 			zap.Int("idle_jobs", waits.IdleJobs), zap.Duration("idle_job", waits.LongestIdleJob.Duration()),
+			zap.Int("unseen_jobs", waits.UnseenJobs), zap.Duration("unseen_for", waits.LongestUnseen.Duration()), zap.String("unseen_job", string(waits.UnseenJob)),
 			zap.Int("fillers", waits.Fillers), zap.Int("halted_fillers", waits.HaltedFillers), zap.Float64("used_cpu", waits.UsedCPU),
 			zap.Float64("used_memory", waits.UsedMemory), zap.Int64("limit_reached", waits.LimitReached))
 	}
@@ -89,12 +93,15 @@
 // findLongWaits returns the summary of what waits for long; nil: nothing.
 func (c *Core) findLongWaits(now time.Time) *LongWaits {
 	waits := &LongWaits{full: fullSizes{}, Tasks: map[waitReason]int{}, Closed: map[closedReason]int{}, ClosedCPU: map[closedReason]models.MilliCPU{}}
-	idle := map[*job]time.Duration{}
+	idle, unseen := map[*job]time.Duration{}, map[*job]time.Duration{}
 	for _, s := range c.stepsWithIdleTasks() {
 		c.addLongWaits(waits, s, now)
 		if waited := s.idleTime(now); waited >= longWait {
 			idle[s.job] = max(idle[s.job], waited)
 		}
+		if waited := s.unseenTime(now); s.waiting > 0 && waited >= longWait {
+			unseen[s.job] = waited
+		}
 	}
 	for _, w := range c.sortedWorkers {
 		waits.addUncertainRuns(w, now)
@@ -103,6 +110,7 @@
 		return nil
 	}
 	waits.addIdleJobs(idle)
+	waits.addUnseenJobs(unseen)
 	waits.Starts, waits.LimitReached = c.counts.Starts-c.longWaitsStarts, c.counts.LimitReached-c.longWaitsLimited
 	c.addUse(waits)
 	for _, w := range c.sortedWorkers {
@@ -122,6 +130,16 @@
 	}
 }
 
+// addUnseenJobs adds the jobs of which nothing has run for long enough to be seen for long.
+func (l *LongWaits) addUnseenJobs(unseen map[*job]time.Duration) {
+	l.UnseenJobs = len(unseen)
+	for j, waited := range unseen {
+		if ms := models.MilliOf(waited); ms > l.LongestUnseen {
+			l.LongestUnseen, l.UnseenJob = ms, j.spec.ID
+		}
+	}
+}
+
 // addUse adds the use of the workers that stay, and the filler tasks on workers.
 func (c *Core) addUse(l *LongWaits) {
 	var use jobs.Use
--- a/services/dispatch/long_wait_test.go
+++ b/services/dispatch/long_wait_test.go
@@ -227,3 +227,34 @@
 	require.Zero(t, waits.UsedCPU)
 	require.Positive(t, waits.UsedMemory)
 }
+
+// TestLongWaitsTellJobsOfWhichRunsAreTooShortToBeSeen guards against lines about long waits that show no job waiting, because a short task
+// of it runs now and then.
+func TestLongWaitsTellJobsOfWhichRunsAreTooShortToBeSeen(t *testing.T) {
+	for name, c := range map[string]struct {
+		work   models.Milli
+		unseen int
+	}{
+		"short runs": {work: 100, unseen: 1},
+		"long runs":  {work: 1500, unseen: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newStandbyBench(t, 1)
+			step := fillerStep
+			step.Count, step.Size.CPU, step.Estimate = 100, 4000, c.work
+			b.submit(testJob, step)
+			most := 0
+			b.pass(2*longWait, func() {
+				for _, r := range b.runsOf(testJob) {
+					if r.done == 0 {
+						b.workers[b.ids[0]].noStartsUntil = b.now.Add(time.Second)
+					}
+				}
+				if waits := b.Summary(b.now).LongWaits; waits != nil {
+					most = max(most, waits.UnseenJobs)
+				}
+			})
+			require.Equal(t, c.unseen, most)
+		})
+	}
+}
--- a/services/dispatch/occurrence.go
+++ b/services/dispatch/occurrence.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"iter"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -35,10 +36,11 @@
 	job            *job
 	number         int
 	steps          []*step
-	isNew          bool   // its tasks have no state yet; see Core.beginOccurrence
-	additional     bool   // held beside another occurrence that was due
-	remainingSteps int    // that are not done
-	doneVersion    uint64 // the job's version that records that all are; 0: some are not
+	openedAt       time.Time // when the first of its steps was opened
+	isNew          bool      // its tasks have no state yet; see Core.beginOccurrence
+	additional     bool      // held beside another occurrence that was due
+	remainingSteps int       // that are not done
+	doneVersion    uint64    // the job's version that records that all are; 0: some are not
 }
 
 // isDone reports whether all tasks of the occurrence are done.
--- a/services/dispatch/standby_bench_test.go
+++ b/services/dispatch/standby_bench_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -21,7 +22,11 @@
 	row  jobs.Run
 	step *jobs.Step
 	pace jobs.Percent
-	done time.Duration // of its work at full pace
+	// nextPace is in force from nextPaceAt on; zero: no order is open.
+	nextPace   jobs.Percent
+	nextPaceAt time.Time
+	done       time.Duration // of its work at full pace
+	work       time.Duration // that it has to do; 0: what its step estimates
 	// young is for how many more reports it shows no use of the CPU, although it works.
 	young int
 }
@@ -33,6 +38,10 @@
 	ended [][]jobs.Ended
 	// paced returns what becomes of an order on a pace; nil: it is carried out.
 	paced func(PaceOrder) Outcome
+	// paceDelay is how long after its order a pace is in force.
+	paceDelay time.Duration
+	// workOf returns the work of a task; nil: as its step estimates.
+	workOf func(jobs.TaskID) time.Duration
 	// paces are the orders on paces so far.
 	paces []PaceOrder
 	// succeeded counts the tasks that have ended by job.
@@ -77,7 +86,8 @@
 func (b *standbyBench) work(n int) {
 	b.runs[n] = slices.DeleteFunc(b.runs[n], func(r *standbyRun) bool {
 		r.done += standbyTick * time.Duration(r.pace) / time.Duration(jobs.FullSpeed)
-		if r.step.LongRunning || r.done < r.step.Estimate.Duration() {
+		r.applyPace(b.now)
+		if r.step.LongRunning || r.done < cmp.Or(r.work, r.step.Estimate.Duration()) {
 			return false
 		}
 		b.end(n, r, jobs.EndSucceeded)
@@ -86,6 +96,14 @@
 	})
 }
 
+// applyPace lets the run go on at the pace that was ordered, once it is in force.
+func (r *standbyRun) applyPace(now time.Time) {
+	if r.nextPaceAt.IsZero() || now.Before(r.nextPaceAt) {
+		return
+	}
+	r.pace, r.nextPaceAt = r.nextPace, time.Time{}
+}
+
 // end lists the end of a run.
 func (b *standbyBench) end(n int, r *standbyRun, how jobs.End) {
 	b.ended[n] = append(b.ended[n], jobs.Ended{Number: uint64(len(b.ended[n]) + 1), Task: r.row.Task, Run: r.row.Run, How: how})
@@ -118,7 +136,11 @@
 	case StartOrder:
 		n := slices.Index(b.ids, order.Worker.ID)
 		step := b.find(order.Call.Task).step.spec
-		b.runs[n] = append(b.runs[n], &standbyRun{row: jobs.Run{Task: order.Call.Task, Run: order.Call.Run}, step: step, pace: jobs.FullSpeed})
+		work := time.Duration(0)
+		if b.workOf != nil {
+			work = b.workOf(order.Call.Task)
+		}
+		b.runs[n] = append(b.runs[n], &standbyRun{row: jobs.Run{Task: order.Call.Task, Run: order.Call.Run}, step: step, pace: jobs.FullSpeed, work: work})
 		b.Started(order, Result{Outcome: OutcomeDone}, b.now)
 	case PaceOrder:
 		b.paces = append(b.paces, order)
@@ -127,7 +149,8 @@
 			outcome = b.paced(order)
 		}
 		if r := b.run(order.Call.Task); r != nil && outcome == OutcomeDone {
-			r.pace = order.Call.Pace
+			r.nextPace, r.nextPaceAt = order.Call.Pace, b.now.Add(b.paceDelay)
+			r.applyPace(b.now)
 		}
 		b.Paced(order, Result{Outcome: outcome}, b.now)
 	case StopOrder:
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -156,7 +156,10 @@
 		t.worker.fillersChangedAt = c.now
 	}
 	if j := t.step.job; t.confirmed {
-		j.lastRunEndedAt = latest(j.lastRunEndedAt, t.worker.lastAlive(c.now))
+		endedAt := t.worker.lastAlive(c.now)
+		j.lastRunEndedAt = latest(j.lastRunEndedAt, endedAt)
+		j.runSpan.end(endedAt)
+		t.confirmed = false
 	}
 	c.endStandby(t)
 	t.worker.remove(t)
