A run that callers may not see ends no wait

Cause: the wait of a job of filler tasks began anew with each run that ended, however short it was. A task on standby works until the order to stand is in force, some 0.1 s; a shorter one ends. So a job of short tasks in a cell whose CPU is in use ran for a tenth of a second in each second, or less while all workers rested from a burst of such starts, and callers, who look at what runs from time to time, could miss all of these runs.

Change: the wait of a job counts from the end of the last time in which something of it ran for 1 s without a break. Until then a task starts on standby as soon as nothing of the job runs, and as many more as have ended on standby meanwhile, so that a step of such tasks is over soon. Workers without serving tasks, which nothing disturbs, do not rest from bursts.

--- a/services/dispatch/end.go
+++ b/services/dispatch/end.go
@@ -92,6 +92,9 @@
 		c.stopStray(t.worker, jobs.Run{Task: t.id(), Run: t.run}, now)
 		c.unassign(t)
 	case t.worker != nil:
+		if t.standby {
+			t.step.job.runSpan.brief++
+		}
 		c.unassign(t)
 	case t.state == taskWaiting:
 		t.step.waiting--
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -27,12 +27,15 @@
 
 // idleTime returns for how long nothing of the job has run, while the step could.
 func (s *step) idleTime(now time.Time) time.Duration {
-	if s.job == nil || s.job.running > 0 && s.job.silentSince.IsZero() {
+	if s.job == nil || !s.job.isIdle() {
 		return 0
 	}
 	return now.Sub(latest(latest(s.job.lastRunEndedAt, s.openedAt), s.job.silentSince)) + s.job.waitedElsewhere
 }
 
+// isIdle reports whether nothing of the job can be running, but on workers that do not answer.
+func (j *job) isIdle() bool { return j.running == 0 || !j.silentSince.IsZero() }
+
 // updateSilentJobs updates since when all that may run of a job has been on workers that do not answer.
 func (c *Core) updateSilentJobs() {
 	for j := range c.silentJobs {
--- a/services/dispatch/job_runs.go
+++ b/services/dispatch/job_runs.go
@@ -14,6 +14,7 @@
 	runs       int       // of the job that are known to be under way
 	since      time.Time // since when there has been one without a break; zero: there is none
 	lastSeenAt time.Time // when there was last one after seenRun without a break, or else when the job was added
+	brief      int       // tasks of the job that have ended on standby since then
 }
 
 // begin records that a run is known to be under way.
@@ -27,7 +28,7 @@
 // end records that a run which was known to be under way has ended.
 func (r *runSpan) end(at time.Time) {
 	if at.Sub(r.since) >= seenRun {
-		r.lastSeenAt = latest(r.lastSeenAt, at)
+		r.lastSeenAt, r.brief = latest(r.lastSeenAt, at), 0
 	}
 	r.runs--
 	if r.runs == 0 {
--- a/services/dispatch/long_wait_test.go
+++ b/services/dispatch/long_wait_test.go
@@ -241,7 +241,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newStandbyBench(t, 1)
 			step := fillerStep
-			step.Count, step.Size.CPU, step.Estimate = 100, 4000, c.work
+			step.Count, step.Size, step.Estimate = 100, models.Resources{CPU: 4000, Memory: 7000}, c.work // too large to stand by
 			b.submit(testJob, step)
 			most := 0
 			b.pass(2*longWait, func() {
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -43,7 +43,7 @@
 			idle = append(idle, each.step)
 		}
 	}
-	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.idleTime(now), a.idleTime(now)) })
+	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.unseenTime(now), a.unseenTime(now)) })
 	for _, s := range idle {
 		if c.startsLeft <= 0 {
 			return
@@ -57,12 +57,14 @@
 // mayStartIdle reports whether a filler task of the step is to start on standby: nothing of its job has run for standbyAfter, and its
 // pool is mostly free.
 func (c *Core) mayStartIdle(s *step, now time.Time) bool {
-	return s.spec.Filler && s.waiting > 0 && c.isMostlyFree(c.terms(s.job).Pool) && s.idleTime(now) >= standbyAfter
+	return s.spec.Filler && s.waiting > 0 && s.job.isIdle() && c.isMostlyFree(c.terms(s.job).Pool) && s.unseenTime(now) >= standbyAfter
 }
 
-// startOnStandby starts a waiting task of the step on standby if a worker can take it. Suspects do not stand by: that nothing
-// happens to their worker meanwhile would be no evidence.
+// startOnStandby starts waiting tasks of the step on standby if workers can take them: one, and as many again as have ended on standby
+// since something of the job was last seen, because those that are shorter than the time until they stand leave nothing to be seen. So
+// such a step ends soon. Suspects do not stand by: that nothing happens to their worker meanwhile would be no evidence.
 func (c *Core) startOnStandby(s *step, now time.Time) {
+	left := 1 + s.job.runSpan.brief
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if !t.isOrdinary() {
@@ -71,13 +73,17 @@
 		if _, only := c.awaitsLateStartWorker(t, now); only {
 			continue
 		}
-		if w := c.standbyWorker(t, now); w != nil {
-			s.stuckSince = time.Time{}
-			w.noteStandbyStart(now)
-			c.orderStart(t, w, now)
-			c.beginStandby(t)
+		w := c.standbyWorker(t, now)
+		if w == nil {
+			return
+		}
+		s.stuckSince = time.Time{}
+		w.noteStandbyStart(now)
+		c.orderStart(t, w, now)
+		c.beginStandby(t)
+		if left--; left == 0 || c.startsLeft <= 0 {
+			return
 		}
-		return
 	}
 }
 
@@ -118,7 +124,7 @@
 // hasStandbyRoom reports whether a task of the step may start on standby on the worker: it is usable, has what the task declares
 // beside what others declare, and memory to spare, and does not rest from a burst.
 func (c *Core) hasStandbyRoom(w *worker, s *step, now time.Time) bool {
-	rests := !w.isInBurst(now) && now.Sub(w.standbyFrom) < standbyBurst+standbyPause
+	rests := !w.isInBurst(now) && now.Sub(w.standbyFrom) < standbyBurst+standbyPause && len(c.expectedLoads(w)) > 0
 	memory := float64(w.used.Memory + s.spec.Size.Memory)
 	return !rests && memory <= maxStandbyMemory*float64(w.info.Capacity.Memory) && c.usable(w, now) && c.fits(w, s) &&
 		s.spec.Size.CPU <= w.free().CPU && w.countFitting(s, 1, models.Resources{}) > 0
