--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -57,8 +57,8 @@
 
 	IdleJobs       int          `json:"idle_jobs"`      // with a task that could run, and nothing running for longWait
 	LongestIdleJob models.Milli `json:"idle_job_ms"`    // for how long nothing of the longest of these has run
-	UnseenJobs     int          `json:"unseen_jobs"`    // with a task that could run, and nothing running for seenRun without a break for longWait
-	LongestUnseen  models.Milli `json:"unseen_for_ms"`  // for how long that is so of the longest of these
+	UnseenJobs     int          `json:"unseen_jobs"`    // see step.isHardlySeen
+	LongestUnseen  models.Milli `json:"unseen_for_ms"`  // for how long nothing of the longest of these has run long enough to be seen
 	UnseenJob      jobs.ID      `json:"unseen_job"`     // the longest of these
 	Fillers        int          `json:"fillers"`        // filler tasks on workers
 	HaltedFillers  int          `json:"halted_fillers"` // of these, those at pace 0
@@ -99,8 +99,8 @@
 		if waited := s.idleTime(now); waited >= longWait {
 			idle[s.job] = max(idle[s.job], waited)
 		}
-		if waited := s.unseenTime(now); s.waiting > 0 && waited >= longWait {
-			unseen[s.job] = waited
+		if s.isHardlySeen(now) {
+			unseen[s.job] = s.unseenTime(now)
 		}
 	}
 	for _, w := range c.sortedWorkers {
@@ -130,7 +130,7 @@
 	}
 }
 
-// addUnseenJobs adds the jobs of which nothing has run for long enough to be seen for long.
+// addUnseenJobs adds the jobs that callers have hardly seen running for long.
 func (l *LongWaits) addUnseenJobs(unseen map[*job]time.Duration) {
 	l.UnseenJobs = len(unseen)
 	for j, waited := range unseen {
--- a/services/dispatch/standby_short_test.go
+++ b/services/dispatch/standby_short_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -16,11 +17,14 @@
 
 // shortTasksScript is a script of testdata/short_tasks.json: jobs of filler tasks in a cell whose CPU others use to the last core.
 type shortTasksScript struct {
-	Name    string      `json:"name"`
-	Workers int         `json:"workers"`
-	Serving bool        `json:"serving"` // each worker has a serving task, which a filler task pushes over its target
-	Jobs    int         `json:"jobs"`
-	Steps   []shortStep `json:"steps"` // one after the other
+	Name    string          `json:"name"`
+	Workers int             `json:"workers"`
+	Serving bool            `json:"serving"` // each worker has a serving task, which a filler task pushes over its target
+	Jobs    int             `json:"jobs"`
+	CPU     models.MilliCPU `json:"cpu"`            // that a task declares
+	Others  []models.Milli  `json:"others_work_ms"` // work of the other filler tasks that use the CPU, in turn; empty: they don't end
+	LookMS  []models.Milli  `json:"look_ms"`        // the times between two looks of callers
+	Steps   []shortStep     `json:"steps"`          // one after the other
 }
 
 // shortStep is a step of each job of a script.
@@ -32,42 +36,36 @@
 const (
 	// shortPaceDelay is how long after its order a pace is in force.
 	shortPaceDelay = 100 * time.Millisecond
-	// lookInterval is the time between two looks of a caller at what runs.
-	lookInterval = time.Second
-	shortTime    = 30 * time.Second
+	shortTime      = 30 * time.Second
 )
 
-// lookers are callers who look at what runs, each at other moments.
+// lookers are callers who look at what runs at the same interval, each at other moments.
 type lookers struct {
-	lastSeen map[jobs.ID]*[lookInterval / standbyTick]time.Time // by the moment of a look within lookInterval
+	interval time.Duration
+	lastSeen map[jobs.ID][]time.Time // by the moment of a look within the interval
+	longest  time.Duration           // for which one has not seen a job
+}
+
+func newLookers(interval time.Duration) *lookers {
+	return &lookers{interval: interval, lastSeen: map[jobs.ID][]time.Time{}}
 }
 
 // expect notes a job that is submitted.
 func (l *lookers) expect(id jobs.ID, now time.Time) {
-	var seen [lookInterval / standbyTick]time.Time
-	for moment := range seen {
-		seen[moment] = now
-	}
-	l.lastSeen[id] = &seen
+	l.lastSeen[id] = slices.Repeat([]time.Time{now}, int(l.interval/standbyTick))
 }
 
-// look notes which of the jobs run now, and returns for how long a caller who looks now has not seen one of them at most.
-func (l *lookers) look(b *standbyBench, crowd int, finished func(jobs.ID) bool) (longest time.Duration) {
-	moment := b.now.Sub(time.Unix(1_000_000, 0)) % lookInterval / standbyTick
-	for n := range crowd {
-		id := crowdID(n)
-		seen := l.lastSeen[id]
-		if len(b.runsOf(id)) > 0 || finished(id) {
-			seen[moment] = b.now
+// look notes for how long a caller who looks now has not seen one of the jobs, of which some run or have ended.
+func (l *lookers) look(now time.Time, isSeen map[jobs.ID]bool) {
+	moment := now.Sub(time.Unix(1_000_000, 0)) % l.interval / standbyTick
+	for id, seen := range l.lastSeen {
+		if isSeen[id] {
+			seen[moment] = now
 		}
-		longest = max(longest, b.now.Sub(seen[moment]))
+		l.longest = max(l.longest, now.Sub(seen[moment]))
 	}
-	return longest
 }
 
-// shortTasksSize is the size of a task of the jobs of a script.
-var shortTasksSize = models.Resources{CPU: 500, Memory: 10}
-
 // newShortTasksBench returns a bench whose workers have no CPU to spare for filler tasks: serving tasks or other filler tasks need it.
 func newShortTasksBench(t *testing.T, script shortTasksScript) *standbyBench {
 	t.Helper()
@@ -77,28 +75,31 @@
 	} else {
 		b = newStandbyBench(t, script.Workers)
 		others := fillerStep
-		others.Count, others.Size.CPU = script.Workers, 4000
+		others.Count, others.Size.CPU, others.Size.Memory = max(1, 200*len(script.Others))*script.Workers, 4000, 1
 		b.submit(otherJob, others)
 		b.pass(time.Second, nil)
 		require.Len(t, b.runsOf(otherJob), script.Workers)
 	}
 	b.paceDelay = shortPaceDelay
 	b.workOf = func(id jobs.TaskID) time.Duration {
-		if id.Job == otherJob {
+		work := script.Others
+		switch {
+		case id.Job != otherJob:
+			work = script.Steps[id.Step].Work
+		case len(work) == 0:
 			return time.Hour
 		}
-		work := script.Steps[id.Step].Work
 		return work[id.Index%len(work)].Duration()
 	}
 	return b
 }
 
 // submitShort adds a job with the steps of a script.
-func (b *standbyBench) submitShort(id jobs.ID, steps []shortStep) {
+func (b *standbyBench) submitShort(id jobs.ID, script shortTasksScript) {
 	record := b.job()
 	record.Spec.ID = id
-	for n, each := range steps {
-		step := jobs.Step{Count: each.Tasks, Size: shortTasksSize, Image: fillerStep.Image, Estimate: each.Work[0], Filler: true}
+	for n, each := range script.Steps {
+		step := jobs.Step{Count: each.Tasks, Size: models.Resources{CPU: script.CPU, Memory: 10}, Image: fillerStep.Image, Estimate: each.Work[0], Filler: true}
 		if n > 0 {
 			step.After = []int{n - 1}
 		}
@@ -107,6 +108,24 @@
 	b.AddJob(record, jobs.Progress{}, true, b.now)
 }
 
+// seenJobs returns the jobs of a script of which something runs, or which have ended.
+func (b *standbyBench) seenJobs(script shortTasksScript) map[jobs.ID]bool {
+	tasks := 0
+	for _, step := range script.Steps {
+		tasks += step.Tasks
+	}
+	seen := map[jobs.ID]bool{}
+	for id, done := range b.succeeded {
+		seen[id] = done == tasks
+	}
+	for _, runs := range b.runs {
+		for _, r := range runs {
+			seen[r.row.Task.Job] = true
+		}
+	}
+	return seen
+}
+
 // TestJobsOfShortTasksAreSeenRunning guards against jobs of which short runs end the wait again and again, so that callers, who look at
 // what runs from time to time, see nothing of the job for longer than they allow.
 func TestJobsOfShortTasksAreSeenRunning(t *testing.T) {
@@ -114,21 +133,26 @@
 		t.Run(script.Name, func(t *testing.T) {
 			t.Parallel()
 			b := newShortTasksBench(t, script)
-			l := lookers{map[jobs.ID]*[lookInterval / standbyTick]time.Time{}}
-			for n := range script.Jobs {
-				b.submitShort(crowdID(n), script.Steps)
-				l.expect(crowdID(n), b.now)
+			var callers []*lookers
+			for _, interval := range script.LookMS {
+				callers = append(callers, newLookers(interval.Duration()))
 			}
-			tasks := 0
-			for _, step := range script.Steps {
-				tasks += step.Tasks
+			for n := range script.Jobs {
+				b.submitShort(crowdID(n), script)
+				for _, l := range callers {
+					l.expect(crowdID(n), b.now)
+				}
 			}
-			longest := time.Duration(0)
 			b.pass(shortTime, func() {
-				longest = max(longest, l.look(b, script.Jobs, func(id jobs.ID) bool { return b.succeeded[id] == tasks }))
+				seen := b.seenJobs(script)
+				for _, l := range callers {
+					l.look(b.now, seen)
+				}
 			})
-			t.Logf("a caller who looks each %v has not seen a job for %v", lookInterval, longest)
-			require.Less(t, longest, fillerAllowed+lookInterval)
+			for _, l := range callers {
+				t.Logf("a caller who looks each %v has not seen a job for %v", l.interval, l.longest)
+				require.Less(t, l.longest, fillerAllowed+l.interval)
+			}
 		})
 	}
 }
