A run on a worker that has gone makes no short run seen

What callers would see: while a worker that has gone counts until its lease is over, a job with a run there runs for 0.1 s each 1.05 s on other workers, so that callers who look each second may see nothing of it for the whole lease.

Cause: the span in which something of a job runs without a break went on for as long as the run on the silent worker counted, so that each short run on another worker ended as part of a long span and began the wait of the job anew.

Change: a span ends when all runs of the job are on workers that do not answer, and begins with the next run on a worker that does, or with the next report of a worker that answers again.

--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -55,7 +55,9 @@
 	for j, silent := range c.silentJobs {
 		if silent < j.running {
 			j.silentSince = time.Time{}
+			continue
 		}
+		j.runSpan.interrupt(j.silentSince)
 	}
 }
 
--- a/services/dispatch/job_runs.go
+++ b/services/dispatch/job_runs.go
@@ -12,24 +12,40 @@
 // runSpan follows the times in which something of a job certainly runs.
 type runSpan struct {
 	runs       int       // of the job that are known to be under way
-	since      time.Time // since when there has been one without a break; zero: there is none
+	since      time.Time // since when there has been one without a break on a worker that answers; zero: there is none
 	lastSeenAt time.Time // when there was last one after seenRun without a break, or else when the job was added
 	brief      int       // tasks of the job that have ended on standby since then
 }
 
 // begin records that a run is known to be under way.
 func (r *runSpan) begin(now time.Time) {
-	if r.runs == 0 {
+	r.runs++
+	r.show(now)
+}
+
+// show records that a run is on a worker that answers.
+func (r *runSpan) show(now time.Time) {
+	if r.since.IsZero() {
 		r.since = now
 	}
-	r.runs++
 }
 
-// end records that a run which was known to be under way has ended.
-func (r *runSpan) end(at time.Time) {
-	if at.Sub(r.since) >= seenRun {
+// interrupt records that all runs have been on workers that do not answer since the given time.
+func (r *runSpan) interrupt(at time.Time) {
+	r.note(at)
+	r.since = time.Time{}
+}
+
+// note records until when there has been a run without a break.
+func (r *runSpan) note(at time.Time) {
+	if !r.since.IsZero() && at.Sub(r.since) >= seenRun {
 		r.lastSeenAt, r.brief = latest(r.lastSeenAt, at), 0
 	}
+}
+
+// end records that a run which was known to be under way has ended.
+func (r *runSpan) end(at time.Time) {
+	r.note(at)
 	r.runs--
 	if r.runs == 0 {
 		r.since = time.Time{}
@@ -37,7 +53,7 @@
 }
 
 // isSeen reports whether callers see that something runs.
-func (r *runSpan) isSeen(now time.Time) bool { return r.runs > 0 && now.Sub(r.since) >= seenRun }
+func (r *runSpan) isSeen(now time.Time) bool { return !r.since.IsZero() && now.Sub(r.since) >= seenRun }
 
 // unseenTime returns for how long nothing of the job has run for long enough to be seen, while the step could.
 func (s *step) unseenTime(now time.Time) time.Duration {
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -116,6 +116,9 @@
 	if t.state == taskStarting {
 		c.confirmRunning(t, now)
 	}
+	if t.confirmed {
+		t.step.job.runSpan.show(now)
+	}
 	c.recordSurvival(w, t, now)
 	if t.step.job.cancelled || t.step.job.end != "" {
 		c.stop(t, "its job has ended")
--- a/services/dispatch/standby_bench_test.go
+++ b/services/dispatch/standby_bench_test.go
@@ -42,6 +42,8 @@
 	paceDelay time.Duration
 	// workOf returns the work of a task; nil: as its step estimates.
 	workOf func(jobs.TaskID) time.Duration
+	// gone is the worker that has gone; nil: none has.
+	gone *int
 	// paces are the orders on paces so far.
 	paces []PaceOrder
 	// succeeded counts the tasks that have ended by job.
@@ -67,6 +69,10 @@
 	for until := b.now.Add(passed); b.now.Before(until); {
 		b.now = b.now.Add(standbyTick)
 		for n := range b.ids {
+			if b.gone != nil && *b.gone == n {
+				b.Unreached(b.ids[n], true, b.now)
+				continue
+			}
 			b.work(n)
 			b.answer(n)
 		}
--- a/services/dispatch/standby_short_test.go
+++ b/services/dispatch/standby_short_test.go
@@ -53,18 +53,23 @@
 
 // look notes which of the jobs run now, and returns for how long a caller who looks now has not seen one of them at most.
 func (l *lookers) look(b *standbyBench, crowd int, finished func(jobs.ID) bool) (longest time.Duration) {
-	moment := b.now.Sub(time.Unix(1_000_000, 0)) % lookInterval / standbyTick
 	for n := range crowd {
 		id := crowdID(n)
-		seen := l.lastSeen[id]
-		if len(b.runsOf(id)) > 0 || finished(id) {
-			seen[moment] = b.now
-		}
-		longest = max(longest, b.now.Sub(seen[moment]))
+		longest = max(longest, l.lookAt(b, id, finished(id)))
 	}
 	return longest
 }
 
+// lookAt notes whether a job runs now, and returns for how long a caller who looks now has not seen it.
+func (l *lookers) lookAt(b *standbyBench, id jobs.ID, finished bool) time.Duration {
+	moment := b.now.Sub(time.Unix(1_000_000, 0)) % lookInterval / standbyTick
+	seen := l.lastSeen[id]
+	if len(b.runsOf(id)) > 0 || finished {
+		seen[moment] = b.now
+	}
+	return b.now.Sub(seen[moment])
+}
+
 // shortTasksSize is the size of a task of the jobs of a script.
 var shortTasksSize = models.Resources{CPU: 500, Memory: 10}
 
--- /dev/null
+++ b/services/dispatch/standby_silent_test.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+// Copyright The Rillsail Authors
+
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"rillsail.example/rillsail/models"
+	"rillsail.example/rillsail/models/jobs"
+)
+
+// passWithout lets time pass while a worker is gone.
+func (b *standbyBench) passWithout(gone int, passed time.Duration, each func()) {
+	b.runs[gone] = nil
+	b.gone = &gone
+	b.pass(passed, each)
+}
+
+// TestJobsOfShortTasksAreSeenRunningBesideASilentWorker guards against short runs that end the wait of a job again and again, because a run
+// of it on a worker that has gone counts as under way until the lease of that worker is over.
+func TestJobsOfShortTasksAreSeenRunningBesideASilentWorker(t *testing.T) {
+	const tasks = 60
+	b := newShortTasksBench(t, shortTasksScript{Workers: 2, Steps: []shortStep{{Tasks: tasks, Work: []models.Milli{100}}}})
+	b.config.Lease = 6 * time.Second
+	short := b.workOf
+	b.workOf = func(id jobs.TaskID) time.Duration {
+		if id.Job == testJob && id.Index == 0 {
+			return time.Hour
+		}
+		return short(id)
+	}
+	b.submitShort(testJob, []shortStep{{Tasks: tasks, Work: []models.Milli{100}}})
+	b.pass(2*standbyWait, nil)
+	gone := slices.IndexFunc(b.runs, func(runs []*standbyRun) bool {
+		return slices.ContainsFunc(runs, func(r *standbyRun) bool { return r.row.Task.Job == testJob })
+	})
+	require.GreaterOrEqual(t, gone, 0)
+	l := lookers{map[jobs.ID]*[lookInterval / standbyTick]time.Time{}}
+	l.expect(testJob, b.now)
+	longest := time.Duration(0)
+	b.passWithout(gone, b.config.Lease, func() {
+		longest = max(longest, l.lookAt(b, testJob, b.succeeded[testJob] == tasks-1))
+	})
+	require.Less(t, longest, fillerAllowed+lookInterval)
+}
