A short run does not end the wait in another cell

What callers would see: a job of short filler tasks that was handed over by another cell after 2.5 s runs for 0.1 s at once, and then not for a second, because its wait began anew from the handover: nothing that lasts for 3.5 s and more.

Cause: the time that a job has waited in other cells was forgotten with the first start.

Change: for the time since something of the job was last seen it counts until something of the job has been seen. For all other waits it is forgotten with the first start as before.

Result: TestShortRunsEndNoWaitInAnotherCell, red before (the second run 3.5 s after the acceptance, 3 s allowed), green.

--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -87,6 +87,7 @@
 	j.lastRunEndedAt, j.runSpan.lastSeenAt = now, now
 	if j.fresh && j.fromOtherCell {
 		j.waitedElsewhere = min(maxFillerWait, max(0, time.Duration(c.timeOfDay(now)-j.accepted)*time.Millisecond))
+		j.runSpan.elsewhere = j.waitedElsewhere
 	}
 	c.jobs[id] = j
 	if record.Part {
--- a/services/dispatch/job_runs.go
+++ b/services/dispatch/job_runs.go
@@ -15,6 +15,8 @@
 	since      time.Time // since when there has been one without a break on a worker that answers; zero: there is none
 	lastSeenAt time.Time // when there was last one after seenRun without a break, or else when the job was added
 	brief      int       // tasks of the job that have ended on standby since then
+	// elsewhere is how long a job of which nothing has been seen yet has waited in other cells, as far as it counts.
+	elsewhere time.Duration
 }
 
 // begin records that a run is known to be under way.
@@ -39,7 +41,7 @@
 // note records until when there has been a run without a break.
 func (r *runSpan) note(at time.Time) {
 	if !r.since.IsZero() && at.Sub(r.since) >= seenRun {
-		r.lastSeenAt, r.brief = latest(r.lastSeenAt, at), 0
+		r.lastSeenAt, r.brief, r.elsewhere = latest(r.lastSeenAt, at), 0, 0
 	}
 }
 
@@ -60,5 +62,5 @@
 	if s.job == nil || s.job.silentSince.IsZero() && s.job.runSpan.isSeen(now) {
 		return 0
 	}
-	return now.Sub(latest(latest(s.job.runSpan.lastSeenAt, s.occurrence.openedAt), s.job.silentSince)) + s.job.waitedElsewhere
+	return now.Sub(latest(latest(s.job.runSpan.lastSeenAt, s.occurrence.openedAt), s.job.silentSince)) + s.job.runSpan.elsewhere
 }
--- a/services/dispatch/standby_short_test.go
+++ b/services/dispatch/standby_short_test.go
@@ -100,6 +100,11 @@
 
 // submitShort adds a job with the steps of a script.
 func (b *standbyBench) submitShort(id jobs.ID, steps []shortStep) {
+	b.AddJob(b.shortJob(id, steps), jobs.Progress{}, true, b.now)
+}
+
+// shortJob returns the record of a job with the steps of a script.
+func (b *standbyBench) shortJob(id jobs.ID, steps []shortStep) jobs.Record {
 	record := b.job()
 	record.Spec.ID = id
 	for n, each := range steps {
@@ -109,7 +114,7 @@
 		}
 		record.Spec.Steps = append(record.Spec.Steps, step)
 	}
-	b.AddJob(record, jobs.Progress{}, true, b.now)
+	return record
 }
 
 // TestJobsOfShortTasksAreSeenRunning guards against jobs of which short runs end the wait again and again, so that callers, who look at
--- a/services/dispatch/standby_silent_test.go
+++ b/services/dispatch/standby_silent_test.go
@@ -48,3 +48,25 @@
 	})
 	require.Less(t, longest, fillerAllowed+lookInterval)
 }
+
+// TestShortRunsEndNoWaitInAnotherCell guards against jobs that were handed over by another cell, and whose wait there is forgotten with the
+// first short run, so that callers who miss it see nothing of the job for longer than they allow.
+func TestShortRunsEndNoWaitInAnotherCell(t *testing.T) {
+	const waited = 2500 * time.Millisecond
+	steps := []shortStep{{Tasks: 60, Work: []models.Milli{100}}}
+	b := newShortTasksBench(t, shortTasksScript{Workers: 2, Steps: steps})
+	record := b.shortJob(testJob, steps)
+	record.Transferred, record.Accepted = true, models.UnixMilliOf(b.now.Add(-waited))
+	b.AddJob(record, jobs.Progress{}, true, b.now)
+	var second time.Duration // from the acceptance of the job to the beginning of its second run
+	began, runs := b.now, 0
+	b.pass(2*fillerAllowed, func() {
+		started := b.succeeded[testJob] + len(b.runsOf(testJob))
+		if runs < 2 && started >= 2 {
+			second = waited + b.now.Sub(began)
+		}
+		runs = max(runs, started)
+	})
+	require.Positive(t, second)
+	require.Less(t, second, fillerAllowed)
+}
