Short filler tasks leave starts to other tasks

What callers would see: while jobs of short filler tasks are started again and again, nothing of other jobs starts for 6 to 9 s, however urgent they are, ordinary ones too.

Cause: tasks on standby are started before all others are placed, and since runs that are not seen end no wait, a job of short tasks may start as many more as have ended, in each decision, first of all those that have been unseen the longest. The number of starts of a decision is limited; such jobs took all of them.

Change: before others are placed, one task on standby of each idle job starts, the longest idle first, as far as half of the starts allows. The further ones start after all others have been placed.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -166,6 +166,7 @@
 	cpuHeldFor        *task           // see holdCPU; nil: no task
 	otherCells        jobs.UseOfPools // of the other cells, as last known
 	startsLeft        int             // how many more starts Decide may order
+	oddStartToOthers  bool            // see startsOfOthers
 	counts            Counts
 	figures           JobFigures
 	placeBuffer       placeHeap                           // reused by Core.findPlaces
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -23,11 +23,20 @@
 func (c *Core) placeAll(now time.Time) {
 	c.logCapacityTaken(now)
 	candidates := c.candidates(now)
-	if len(candidates) > 0 {
-		c.updateShortWork(now)
-		c.placeOverdue(candidates, now)
-		c.startIdleFillers(candidates, now)
+	if len(candidates) == 0 {
+		return
 	}
+	c.updateShortWork(now)
+	c.placeOverdue(candidates, now)
+	idle := c.idleFillers(candidates, now)
+	c.startIdleFillersFirst(idle, now)
+	c.placeCandidates(candidates, now)
+	c.startIdleFillers(idle, now)
+	c.startMoreFillers(idle, now)
+}
+
+// placeCandidates places tasks of the steps in their order.
+func (c *Core) placeCandidates(candidates []candidate, now time.Time) {
 	urgentFiller := true
 	for _, candidate := range candidates {
 		if c.startsLeft <= 0 {
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -33,9 +33,8 @@
 	standbyPause = time.Second
 )
 
-// startIdleFillers starts one filler task on standby of each job of which nothing has run for standbyAfter, the longest first,
-// while its pool is mostly free.
-func (c *Core) startIdleFillers(candidates []candidate, now time.Time) {
+// idleFillers returns the steps of which a filler task is to start on standby, the longest idle first.
+func (c *Core) idleFillers(candidates []candidate, now time.Time) []*step {
 	c.updateSilentJobs()
 	var idle []*step
 	for _, each := range candidates {
@@ -43,13 +42,51 @@
 			idle = append(idle, each.step)
 		}
 	}
-	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.unseenTime(now), a.unseenTime(now)) })
+	slices.SortStableFunc(idle, func(a, b *step) int { return cmp.Compare(b.idleTime(now), a.idleTime(now)) })
+	return idle
+}
+
+// startIdleFillersFirst starts one task on standby of each of the steps before other tasks are placed, as far as that leaves these their
+// share of the starts.
+func (c *Core) startIdleFillersFirst(idle []*step, now time.Time) {
+	withheld := c.startsOfOthers()
+	c.startsLeft -= withheld
+	c.startIdleFillers(idle, now)
+	c.startsLeft += withheld
+}
+
+// startIdleFillers starts one task on standby of each of the steps of whose job nothing runs.
+func (c *Core) startIdleFillers(idle []*step, now time.Time) {
 	for _, s := range idle {
 		if c.startsLeft <= 0 {
 			return
 		}
 		if c.mayStartIdle(s, now) { // neither has a start just taken the memory, nor another step of its job started a task
-			c.startOnStandby(s, now)
+			c.startOnStandby(s, 1, now)
+		}
+	}
+}
+
+// startsOfOthers returns how many of the starts left are for other tasks: one half, of an odd number the larger and the smaller one in
+// turn.
+func (c *Core) startsOfOthers() int {
+	c.oddStartToOthers = !c.oddStartToOthers
+	if c.oddStartToOthers {
+		return c.startsLeft - c.startsLeft/2
+	}
+	return c.startsLeft / 2
+}
+
+// startMoreFillers starts as many more tasks on standby of each of the steps as have ended there since something of its job was last
+// seen, because those that are shorter than the time until they stand leave nothing to be seen. So such a step ends soon. They take no
+// starts from other tasks.
+func (c *Core) startMoreFillers(idle []*step, now time.Time) {
+	for _, s := range idle {
+		if c.startsLeft <= 0 {
+			return
+		}
+		if s.job.runSpan.brief > 0 && c.isMostlyFree(c.terms(s.job).Pool) {
+			c.startOnStandby(s, s.job.runSpan.brief, now)
 		}
 	}
 }
@@ -60,11 +97,9 @@
 	return s.spec.Filler && s.waiting > 0 && s.job.isIdle() && c.isMostlyFree(c.terms(s.job).Pool) && s.unseenTime(now) >= standbyAfter
 }
 
-// startOnStandby starts waiting tasks of the step on standby if workers can take them: one, and as many again as have ended on standby
-// since something of the job was last seen, because those that are shorter than the time until they stand leave nothing to be seen. So
-// such a step ends soon. Suspects do not stand by: that nothing happens to their worker meanwhile would be no evidence.
-func (c *Core) startOnStandby(s *step, now time.Time) {
-	left := 1 + s.job.runSpan.brief
+// startOnStandby starts up to count waiting tasks of the step on standby if workers can take them. Suspects do not stand by: that
+// nothing happens to their worker meanwhile would be no evidence.
+func (c *Core) startOnStandby(s *step, count int, now time.Time) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if !t.isOrdinary() {
@@ -81,7 +116,7 @@
 		w.noteStandbyStart(now)
 		c.orderStart(t, w, now)
 		c.beginStandby(t)
-		if left--; left == 0 || c.startsLeft <= 0 {
+		if count--; count == 0 || c.startsLeft <= 0 {
 			return
 		}
 	}
--- a/services/dispatch/standby_bench_test.go
+++ b/services/dispatch/standby_bench_test.go
@@ -42,6 +42,8 @@
 	paceDelay time.Duration
 	// workOf returns the work of a task; nil: as its step estimates.
 	workOf func(jobs.TaskID) time.Duration
+	// limit is that of the starts of each decision; 0: none.
+	limit int
 	// gone is the worker that has gone; nil: none has.
 	gone *int
 	// paces are the orders on paces so far.
@@ -77,6 +79,9 @@
 			b.answer(n)
 		}
 		for range 2 { // jobs are stored at once
+			if b.limit > 0 {
+				b.AllowStarts(b.limit)
+			}
 			for _, order := range b.Decide(b.now) {
 				b.obey(order)
 			}
