Short tasks of one step start no more tasks on standby of another

Cause: how many more tasks a job may start on standby was counted for the whole job.

Change: it is counted for each step.

--- a/services/dispatch/end.go
+++ b/services/dispatch/end.go
@@ -93,7 +93,7 @@
 		c.unassign(t)
 	case t.worker != nil:
 		if t.standby {
-			t.step.job.runSpan.brief++
+			t.step.countBriefRun()
 		}
 		c.unassign(t)
 	case t.state == taskWaiting:
--- a/services/dispatch/job_runs.go
+++ b/services/dispatch/job_runs.go
@@ -14,7 +14,6 @@
 	runs       int       // of the job that are known to be under way
 	since      time.Time // since when there has been one without a break on a worker that answers; zero: there is none
 	lastSeenAt time.Time // when there was last one after seenRun without a break, or else when the job was added
-	brief      int       // tasks of the job that have ended on standby since then
 	// elsewhere is how long a job of which nothing has been seen yet has waited in other cells, as far as it counts.
 	elsewhere time.Duration
 }
@@ -41,7 +40,7 @@
 // note records until when there has been a run without a break.
 func (r *runSpan) note(at time.Time) {
 	if !r.since.IsZero() && at.Sub(r.since) >= seenRun {
-		r.lastSeenAt, r.brief, r.elsewhere = latest(r.lastSeenAt, at), 0, 0
+		r.lastSeenAt, r.elsewhere = latest(r.lastSeenAt, at), 0
 	}
 }
 
@@ -64,3 +63,22 @@
 	}
 	return now.Sub(latest(latest(s.job.runSpan.lastSeenAt, s.occurrence.openedAt), s.job.silentSince)) + s.job.runSpan.elsewhere
 }
+
+// briefRuns counts the tasks of a step that have ended on standby.
+type briefRuns struct {
+	count int
+	since time.Time // when something of the job had last been seen
+}
+
+// countBriefRun records that a task of the step has ended on standby.
+func (s *step) countBriefRun() {
+	s.briefRuns = briefRuns{s.recentBriefRuns() + 1, s.job.runSpan.lastSeenAt}
+}
+
+// recentBriefRuns returns how many tasks of the step have ended on standby since something of its job was last seen.
+func (s *step) recentBriefRuns() int {
+	if !s.briefRuns.since.Equal(s.job.runSpan.lastSeenAt) {
+		return 0
+	}
+	return s.briefRuns.count
+}
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -77,16 +77,15 @@
 	return c.startsLeft / 2
 }
 
-// startMoreFillers starts as many more tasks on standby of each of the steps as have ended there since something of its job was last
-// seen, because those that are shorter than the time until they stand leave nothing to be seen. So such a step ends soon. They take no
+// startMoreFillers starts as many more tasks on standby of each of the steps as have ended since something of its job was last seen, because those that are shorter than the time until they stand leave nothing to be seen. So such a step ends soon. They take no
 // starts from other tasks.
 func (c *Core) startMoreFillers(idle []*step, now time.Time) {
 	for _, s := range idle {
 		if c.startsLeft <= 0 {
 			return
 		}
-		if s.job.runSpan.brief > 0 && c.isMostlyFree(c.terms(s.job).Pool) {
-			c.startOnStandby(s, s.job.runSpan.brief, now)
+		if brief := s.recentBriefRuns(); brief > 0 && c.isMostlyFree(c.terms(s.job).Pool) {
+			c.startOnStandby(s, brief, now)
 		}
 	}
 }
