--- a/services/dispatch/standby_bench_test.go
+++ b/services/dispatch/standby_bench_test.go
@@ -42,6 +42,10 @@
 	paceDelay time.Duration
 	// workOf returns the work of a task; nil: as its step estimates.
 	workOf func(jobs.TaskID) time.Duration
+	// limit is that of the starts of each decision; 0: none.
+	limit int
+	// gone is the worker that has gone; nil: none has.
+	gone *int
 	// paces are the orders on paces so far.
 	paces []PaceOrder
 	// succeeded counts the tasks that have ended by job.
@@ -67,10 +71,17 @@
 	for until := b.now.Add(passed); b.now.Before(until); {
 		b.now = b.now.Add(standbyTick)
 		for n := range b.ids {
+			if b.gone != nil && *b.gone == n {
+				b.Unreached(b.ids[n], true, b.now)
+				continue
+			}
 			b.work(n)
 			b.answer(n)
 		}
 		for range 2 { // jobs are stored at once
+			if b.limit > 0 {
+				b.AllowStarts(b.limit)
+			}
 			for _, order := range b.Decide(b.now) {
 				b.obey(order)
 			}
