Idle filler jobs stand by where callers count workers that are closed to starts

Callers expect that something of each job runs while less than half of a service's capacity is in use. The owner counted only workers that are open to starts: listed, not draining, not cordoned. Where free workers drain, are cordoned or are not listed any more and go on, callers who count them find less than half in use while the owner finds more than 0.6, and jobs of filler tasks of which nothing runs got nothing for as long as that lasts.

Whether callers count such workers is not stated. So the owner now takes the count that finds the least in use: a worker that answers and is closed to starts counts, for each resource, if less than 0.6 of it is in use there.

--- a/models/jobs/load.go
+++ b/models/jobs/load.go
@@ -22,7 +22,7 @@
 	Use UseOfPools `json:"use"`
 }
 
-// Use is what the tasks on some workers declare, beside what the workers have. Workers that leave count on neither side.
+// Use is the least that callers may count as in use on some workers, beside what these have.
 type Use struct {
 	// Used is what all tasks declare; of filler tasks the memory only.
 	Used models.Resources `json:"used"`
@@ -48,6 +48,18 @@
 	return float64(u.Used.CPU) < share*float64(u.Present.CPU) && float64(u.Used.Memory) < share*float64(u.Present.Memory)
 }
 
+// WhereBelow returns the use of those resources of which less than the given share is in use, and nothing of the others. Added to another
+// use, it only brings that one's share closer to less than the given share.
+func (u Use) WhereBelow(share float64) Use {
+	if float64(u.Used.CPU) >= share*float64(u.Present.CPU) {
+		u.Used.CPU, u.Present.CPU = 0, 0
+	}
+	if float64(u.Used.Memory) >= share*float64(u.Present.Memory) {
+		u.Used.Memory, u.Present.Memory = 0, 0
+	}
+	return u
+}
+
 // For returns the load that decides for a job: the declared load if any of its tasks needs free capacity, and
 // the expected load if all of them are filler tasks.
 func (l CellLoad) For(spec *Spec) float64 {
--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -53,18 +53,25 @@
 	}
 }
 
-// isPresent reports whether the worker stays and answers, even if it gets no starts for a moment.
-func (w *worker) isPresent() bool {
-	return w.listed && w.answered && !w.closedToStarts() && w.unansweredSince.IsZero()
-}
+// answers reports whether the worker's process is there, as far as is known.
+func (w *worker) answers() bool { return w.answered && w.unansweredSince.IsZero() }
+
+// staysOpen reports whether the worker is one for new tasks, even if it gets no starts for a moment.
+func (w *worker) staysOpen() bool { return w.listed && !w.closedToStarts() }
 
-// use returns what is in use of the workers that stay and answer.
+// use returns the least that callers may count as in use of the workers that answer. They may or may not count workers that
+// are closed to starts and go on.
 func (c *Core) use() jobs.UseOfPools {
 	use := jobs.UseOfPools{}
 	for _, w := range c.sortedWorkers {
-		if w.isPresent() {
-			use[w.info.Pool] = use[w.info.Pool].Add(jobs.Use{Used: w.used, Present: w.info.Capacity})
+		if !w.answers() {
+			continue
+		}
+		own := jobs.Use{Used: w.used, Present: w.info.Capacity}
+		if !w.staysOpen() {
+			own = own.WhereBelow(mostlyFreeBelow)
 		}
+		use[w.info.Pool] = use[w.info.Pool].Add(own)
 	}
 	return use
 }
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -63,7 +63,8 @@
 func (c *Core) SetOtherCells(use jobs.UseOfPools) { c.otherCells = use }
 
 // isMostlyFree reports whether callers may expect that each job of a pool runs: most of the CPU and of the memory is free on the
-// workers of the pool in all cells that stay. Workers that get no starts for a moment count, as callers do not know of that.
+// workers of the pool in all cells, by the count that finds the least in use. Workers that get no starts for a moment count, as
+// callers do not know of that.
 func (c *Core) isMostlyFree(pool jobs.PoolName) bool {
 	return c.shortWork.use[pool].Add(c.otherCells[pool]).IsBelow(mostlyFreeBelow)
 }
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -39,7 +39,7 @@
 	at       time.Time
 	free     models.MilliCPU // capacity that is free or used by short work, as of at
 	capacity models.MilliCPU // of all usable workers, as of at
-	use      jobs.UseOfPools // of all workers that stay and answer, also of those that get no starts for a moment, as of at and by starts since then
+	use      jobs.UseOfPools // the least that callers may count as in use, as of at and by starts since then
 
 	leftSince time.Time // since when long-running tasks leave capacity to it, as logged; zero: they don't
 	leftAt    time.Time // when one last did
