Runs count as in use while callers find them under way

The owner's share of the capacity in use, below which something of each job of filler tasks has to run, counted a run from the order of its start until a report told its end.

A run counts now from the first report that shows it, or from 150 ms after its start's answer at the latest, until a report misses it. So the delay of the begin offsets that of the end. A run on standby counts from the order on, up to the time from which its start is refused, so that a crowd whose starts are answered late takes no more than before.

Red before: TestIdleFillerJobsStandByWhereCallersCountLessInUse, case "starts have no answer, nor have their stops"; TestIdleFillerJobsStandBy- BesideShortRuns. Green before and now: TestStartsWithoutAnswerLeaveMemory, TestIdleFillerJobsStandByOnceOtherCellsAreKnownToBeFree.

--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"rillsail.example/rillsail/models"
 	"rillsail.example/rillsail/models/jobs"
 )
@@ -60,14 +62,14 @@
 func (w *worker) staysOpen() bool { return w.listed && !w.closedToStarts() }
 
 // use returns the least that callers may count as in use of the workers that answer. They may or may not count workers that
-// are closed to starts and go on.
-func (c *Core) use() jobs.UseOfPools {
+// are closed to starts and go on, and count a run only while it is under way.
+func (c *Core) use(now time.Time) jobs.UseOfPools {
 	use := jobs.UseOfPools{}
 	for _, w := range c.sortedWorkers {
 		if !w.answers() {
 			continue
 		}
-		own := jobs.Use{Used: w.used, Present: w.info.Capacity}
+		own := jobs.Use{Used: w.usedByRuns(now), Present: w.info.Capacity}
 		if !w.staysOpen() {
 			own = own.WhereBelow(mostlyFreeBelow)
 		}
@@ -76,6 +78,36 @@
 	return use
 }
 
+// usedByRuns returns what the runs on the worker use that count as under way. More is deducted from its free capacity.
+func (w *worker) usedByRuns(now time.Time) models.Resources {
+	used := w.used
+	for _, t := range w.tasks {
+		if !w.countsRun(t, now) {
+			used = used.Sub(t.step.footprint())
+		}
+	}
+	return used
+}
+
+// endKnownAfter is how long after its end a run may count as under way: a pause between calls for reports, and a late answer.
+const endKnownAfter = 150 * time.Millisecond
+
+// countsRun reports whether the run of a task on the worker counts as under way. It does so from the first report that shows it, or
+// from endKnownAfter after its start at the latest, because it does so until a report tells its end: so short runs count for no
+// longer than they last. A run on standby counts from the beginning, or a crowd of them would take more than they may.
+func (w *worker) countsRun(t *task, now time.Time) bool {
+	switch {
+	case t.lastReport == w.reportCount:
+		return true
+	case !t.confirmed:
+		return t.standby && !w.reportAskedAt.After(t.startSentAt.Add(maxStartAge))
+	case w.reportAskedAt.After(t.lastRunAt): // the report would show it
+		return false
+	default:
+		return t.standby || now.Sub(t.startedAt) >= endKnownAfter
+	}
+}
+
 // free returns the resources that no task has declared.
 func (w *worker) free() models.Resources { return w.info.Capacity.Sub(w.used) }
 
--- a/services/dispatch/counted_room_test.go
+++ b/services/dispatch/counted_room_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -33,6 +34,8 @@
 	Close  closing `json:"close"`
 	// ClosedAreFull says that the closed workers have a task of the ordinary job, too.
 	ClosedAreFull bool `json:"closed_are_full"`
+	// Unanswered says that starts of the ordinary job are not carried out, and neither they nor the stops are answered.
+	Unanswered bool `json:"unanswered"`
 	// CallersCountClosed says that callers count closed workers.
 	CallersCountClosed bool `json:"callers_count_closed"`
 	// Starts says that a filler task starts, which it has to if callers find less than half in use.
@@ -51,7 +54,18 @@
 }
 
 func newCountedRoom(t *testing.T, script countedRoomScript) *countedRoom {
-	return &countedRoom{countedRoomScript: script, standbyBench: newHarmedBench(t, script.Open+script.Closed)}
+	p := &countedRoom{countedRoomScript: script, standbyBench: newHarmedBench(t, script.Open+script.Closed)}
+	p.started = func(order StartOrder) Outcome { return p.outcome(order.Call.Task) }
+	p.stopped = func(order StopOrder) Outcome { return p.outcome(order.Call.Task) }
+	return p
+}
+
+// outcome returns what becomes of an order about a task.
+func (p *countedRoom) outcome(id jobs.TaskID) Outcome {
+	if p.Unanswered && id.Job == fullJob {
+		return OutcomeUnknown
+	}
+	return OutcomeDone
 }
 
 // fill hands the ordinary job in, a task for each worker that is open to starts.
@@ -123,10 +137,79 @@
 }
 
 // TestIdleFillerJobsStandByWhereCallersCountLessInUse guards against jobs of filler tasks of which nothing runs because their owner
-// counts more as in use than callers may: without workers that get no starts but go on; and against harm where callers count
-// as much.
+// counts more as in use than callers may: without workers that get no starts but go on, or with runs that are not under way; and
+// against harm where callers count as much.
 func TestIdleFillerJobsStandByWhereCallersCountLessInUse(t *testing.T) {
 	for _, script := range casefile.Read[[]countedRoomScript](t, "testdata/counted_room.json") {
 		t.Run(script.Name, func(t *testing.T) { newCountedRoom(t, script).play(t) })
 	}
 }
+
+// TestStartsWithoutAnswerLeaveMemory guards against tasks on standby that take the memory of a cell because their starts, which are
+// answered late, do not count as in use until then.
+func TestStartsWithoutAnswerLeaveMemory(t *testing.T) {
+	const crowd = 20
+	b := newHarmedBench(t, 2)
+	step := fillerStep
+	step.Size.Memory = 800
+	for n := range crowd {
+		b.submit(crowdID(n), step)
+	}
+	b.pass(standbyAfter-standbyTick, nil)
+	started := models.MiB(0)
+	for range 16 {
+		b.now = b.now.Add(standbyTick)
+		for n := range b.ids {
+			b.answer(n)
+		}
+		for range b.starts() { // in flight
+			started += step.Size.Memory
+		}
+	}
+	require.Positive(t, started)
+	require.LessOrEqual(t, float64(started), mostlyFreeBelow*2*8000+float64(step.Size.Memory), fmt.Sprint(started))
+}
+
+// TestIdleFillerJobsStandByBesideShortRuns guards against jobs of filler tasks of which nothing runs because their owner counts short
+// runs as in use until it learns of their ends, when callers have found less than half in use for long.
+func TestIdleFillerJobsStandByBesideShortRuns(t *testing.T) {
+	const (
+		workers     = 24
+		startsATick = 22 // of four ticks each, so that callers find 0.46 of the memory in use
+		reportTicks = 8
+	)
+	short := jobs.Step{Count: startsATick, Size: models.Resources{CPU: 100, Memory: 1000}, Estimate: models.MilliOf(4 * standbyTick), Image: "short"}
+	p := &countedRoom{countedRoomScript{Open: workers}, newHarmedBench(t, workers)}
+	p.reportTicks = reportTicks
+	submitted := 0
+	submit := func() {
+		p.submit(crowdID(submitted), short)
+		submitted++
+	}
+	p.pass(time.Second, submit)
+	p.submit(testJob, fillerStep)
+	idleSince := p.now
+	p.pass(3*fillerAllowed, func() {
+		submit()
+		if len(p.runsOf(testJob)) > 0 || !p.callersUse().IsBelow(crowdMostUsed) {
+			idleSince = p.now
+		}
+		require.Less(t, p.now.Sub(idleSince), fillerAllowed, "owner %+v, callers %+v", p.use(p.now)[testPool], p.callersUse())
+	})
+	require.Len(t, p.runsOf(testJob), 1)
+}
+
+// TestIdleFillerJobsStandByOnceOtherCellsAreKnownToBeFree guards against jobs of filler tasks that begin to wait anew when their owner
+// learns that most of the other cells has become free, which callers have found some time before.
+func TestIdleFillerJobsStandByOnceOtherCellsAreKnownToBeFree(t *testing.T) {
+	const learnedAfter = 2 * time.Second // longer than owners ask each other
+	p := newCountedRoom(t, countedRoomScript{Open: 2})
+	p.fill(p.Open)
+	p.submit(testJob, fillerStep)
+	p.pass(learnedAfter, nil)
+	require.Empty(t, p.runsOf(testJob))
+	p.addOtherCell()
+	p.addOtherCell()
+	p.pass(fillerAllowed-learnedAfter, nil)
+	require.Len(t, p.runsOf(testJob), 1)
+}
--- a/services/dispatch/load.go
+++ b/services/dispatch/load.go
@@ -35,5 +35,5 @@
 		}
 	}
 	divisor := float64(max(1, capacity))
-	return jobs.CellLoad{Reserved: float64(reserved) / divisor, ExpectedUse: float64(used+declaredByFillers) / divisor, Capacity: capacity, Use: c.use()}
+	return jobs.CellLoad{Reserved: float64(reserved) / divisor, ExpectedUse: float64(used+declaredByFillers) / divisor, Capacity: capacity, Use: c.use(now)}
 }
--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -112,7 +112,7 @@
 	waits.addIdleJobs(idle)
 	waits.addUnseenJobs(unseen)
 	waits.Starts, waits.LimitReached = c.counts.Starts-c.longWaitsStarts, c.counts.LimitReached-c.longWaitsLimited
-	c.addUse(waits)
+	c.addUse(waits, now)
 	for _, w := range c.sortedWorkers {
 		waits.addWorker(w, c.usable(w, now), c.closedReason(w, now))
 		if c.mayTakeSuspect(w, waits.step, now) {
@@ -141,9 +141,9 @@
 }
 
 // addUse adds the use of the workers that stay, and the filler tasks on workers.
-func (c *Core) addUse(l *LongWaits) {
+func (c *Core) addUse(l *LongWaits, now time.Time) {
 	var use jobs.Use
-	for _, ofPool := range c.use() {
+	for _, ofPool := range c.use(now) {
 		use = use.Add(ofPool)
 	}
 	l.UsedCPU = float64(use.Used.CPU) / float64(max(1, use.Present.CPU))
--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -51,7 +51,7 @@
 	s := &c.shortWork
 	elapsed := now.Sub(s.at)
 	s.free, s.capacity = 0, 0
-	s.use = c.use()
+	s.use = c.use(now)
 	taken := models.MilliCPU(0)
 	for _, w := range c.sortedWorkers {
 		if !c.usable(w, now) {
--- a/services/dispatch/standby_bench_test.go
+++ b/services/dispatch/standby_bench_test.go
@@ -38,8 +38,14 @@
 	ended [][]jobs.Ended
 	// paced returns what becomes of an order on a pace; nil: it is carried out.
 	paced func(PaceOrder) Outcome
+	// started returns what becomes of a start; nil: it is carried out.
+	started func(StartOrder) Outcome
+	// stopped returns what becomes of a stop; nil: it is carried out.
+	stopped func(StopOrder) Outcome
 	// paceDelay is how long after its order a pace is in force.
 	paceDelay time.Duration
+	// reportTicks is how many ticks pass between two reports of a worker; 0: one.
+	reportTicks int
 	// workOf returns the work of a task; nil: as its step estimates.
 	workOf func(jobs.TaskID) time.Duration
 	// paces are the orders on paces so far.
@@ -68,7 +74,9 @@
 		b.now = b.now.Add(standbyTick)
 		for n := range b.ids {
 			b.work(n)
-			b.answer(n)
+			if b.reportIsDue(n) {
+				b.answer(n)
+			}
 		}
 		for range 2 { // jobs are stored at once
 			for _, order := range b.Decide(b.now) {
@@ -82,6 +90,12 @@
 	}
 }
 
+// reportIsDue reports whether a worker reports now: they do so one after the other.
+func (b *standbyBench) reportIsDue(n int) bool {
+	ticks := int64(max(1, b.reportTicks))
+	return (b.now.UnixMilli()/standbyTick.Milliseconds()+int64(n))%ticks == 0
+}
+
 // work lets the runs of a worker work, and ends those whose work is done.
 func (b *standbyBench) work(n int) {
 	b.runs[n] = slices.DeleteFunc(b.runs[n], func(r *standbyRun) bool {
@@ -134,6 +148,12 @@
 func (b *standbyBench) obey(order Order) {
 	switch order := order.(type) {
 	case StartOrder:
+		if b.started != nil {
+			if outcome := b.started(order); outcome != OutcomeDone {
+				b.Started(order, Result{Outcome: outcome}, b.now)
+				return
+			}
+		}
 		n := slices.Index(b.ids, order.Worker.ID)
 		step := b.find(order.Call.Task).step.spec
 		work := time.Duration(0)
@@ -154,6 +174,12 @@
 		}
 		b.Paced(order, Result{Outcome: outcome}, b.now)
 	case StopOrder:
+		if b.stopped != nil {
+			if outcome := b.stopped(order); outcome != OutcomeDone {
+				b.Stopped(order, Result{Outcome: outcome}, b.now)
+				return
+			}
+		}
 		n := slices.Index(b.ids, order.Worker.ID)
 		b.runs[n] = slices.DeleteFunc(b.runs[n], func(r *standbyRun) bool {
 			stops := r.row.Task == order.Call.Task
