The audit of the workers counts closed workers both ways

Whether callers count workers on which nothing new may start as a part of the capacity is not stated. The audit left them out, so that no simulation showed a job that is idle while the others alone are half in use. It now takes the lesser of the two shares, which makes it stricter. The new case of TestWaitsAreFound fails with the share of before.

--- a/services/standin/grid/audit_progress.go
+++ b/services/standin/grid/audit_progress.go
@@ -157,7 +157,7 @@
 
 // progressMoment looks at all workers once.
 func (g *Grid) progressMoment() progressMoment {
-	now := progressMoment{mayIdle: g.busyShare() >= maxBusyShare, withRuns: map[jobs.ID]bool{}}
+	now := progressMoment{mayIdle: g.leastBusyShare() >= maxBusyShare, withRuns: map[jobs.ID]bool{}}
 	for _, id := range g.idsByPlace {
 		for task := range g.workers[id].runs {
 			now.withRuns[task.Job] = true
@@ -273,7 +273,7 @@
 	step := g.audit.step(w.task)
 	g.audit.breach("%s of job %s could run and doesn't%s: it needs %+v, waits for %s since %s after the start, last fault at %s, free workers %v, share in use %.2f",
 		w.task, w.task.Job, g.remarkOn(w.task.Job), step.Size, time.Since(w.since).Round(time.Millisecond), g.audit.sinceStart(w.since), g.audit.sinceStart(g.audit.lastFault),
-		g.workersWithRoom(w.task, step), g.busyShare())
+		g.workersWithRoom(w.task, step), g.leastBusyShare())
 }
 
 // remarkOn returns what a breach says about a job.
--- a/services/standin/grid/audit_progress_test.go
+++ b/services/standin/grid/audit_progress_test.go
@@ -137,6 +137,14 @@
 			p.pass(maxIdleTime)
 			return string(lastingJob) + ".0.0.1"
 		},
+		"a job on a worker half of which is in use, beside free ones that drain": func(p *progressTest) string {
+			p.start(0, busyJob, 1, 0, 1)
+			p.drainAllBut(0)
+			p.Accepted(waitingJob)
+			p.pass(calmTime + maxIdleTime)
+			require.Empty(p.t, p.Breaches())
+			return string(waitingJob) + ".0.0.0"
+		},
 		"a job whose due time has come": func(p *progressTest) string {
 			p.changeSpec(waitingJob, func(spec *jobs.Spec) {
 				spec.Repeat = jobs.Repeat{Count: 1, First: models.UnixMilliOf(time.Now().Add(testWork))}
--- a/services/standin/grid/audit_room_waits.go
+++ b/services/standin/grid/audit_room_waits.go
@@ -117,7 +117,7 @@
 		return
 	}
 	g.audit.breach("%s of job %s could run and doesn't%s: it needs %+v and has had room for %s in sum, last run %s, last fault at %s, workers with room now %v, share in use %.2f",
-		w.task, w.task.Job, g.remarkOn(w.task.Job), step.Size, w.beside.Round(time.Millisecond), g.lastRunOf(w.task), g.audit.sinceStart(g.audit.lastFault), g.workersWithRoom(w.task, step), g.busyShare())
+		w.task, w.task.Job, g.remarkOn(w.task.Job), step.Size, w.beside.Round(time.Millisecond), g.lastRunOf(w.task), g.audit.sinceStart(g.audit.lastFault), g.workersWithRoom(w.task, step), g.leastBusyShare())
 }
 
 // lastRunOf returns until when a task last ran, for a breach.
--- a/services/standin/grid/room.go
+++ b/services/standin/grid/room.go
@@ -15,9 +15,12 @@
 // cordoned.
 func (g *Grid) isUsable(w *incarnation) bool {
 	_, drains := g.draining[w.info.ID]
-	return w.up && !g.unlisted[w.info.ID] && !drains && !g.isCordoned(w) && w.faults == Faults{}
+	return w.isSound() && !g.unlisted[w.info.ID] && !drains && !g.isCordoned(w)
 }
 
+// isSound reports whether a worker is up and reachable, be it for new tasks or not.
+func (w *incarnation) isSound() bool { return w.up && w.faults == Faults{} }
+
 // WorkerState is what the incarnation in a place really runs.
 type WorkerState struct {
 	ID     jobs.WorkerID
@@ -142,11 +145,16 @@
 	return times
 }
 
-// busyShare returns the share of the usable workers' capacity that runs hold, of the resource that is scarcest.
-func (g *Grid) busyShare() float64 {
+// leastBusyShare returns the least that callers may find in use: they may or may not count workers on which nothing new may start.
+func (g *Grid) leastBusyShare() float64 {
+	return min(g.busyShare(g.isUsable), g.busyShare((*incarnation).isSound))
+}
+
+// busyShare returns the share of the capacity of some workers that runs hold, of the resource that is scarcest.
+func (g *Grid) busyShare(counts func(*incarnation) bool) float64 {
 	var used, capacity models.Resources
 	for _, id := range g.idsByPlace {
-		if w := g.workers[id]; g.isUsable(w) {
+		if w := g.workers[id]; counts(w) {
 			used = used.Add(g.usedOn(w, false))
 			capacity = capacity.Add(w.info.Capacity)
 		}
