--- a/services/dispatch/counted_room_test.go
+++ b/services/dispatch/counted_room_test.go
@@ -213,3 +213,24 @@
 	p.pass(fillerAllowed-learnedAfter, nil)
 	require.Len(t, p.runsOf(testJob), 1)
 }
+
+// TestTasksOnStandbyLeaveRoomBesideClosedWorkers guards against tasks on standby that take all the memory of the workers that are open to
+// starts, because those that are closed are free.
+func TestTasksOnStandbyLeaveRoomBesideClosedWorkers(t *testing.T) {
+	for _, how := range []closing{closeByDrain, closeByCordon, closeByList} {
+		t.Run(string(how), func(t *testing.T) {
+			p := newCountedRoom(t, countedRoomScript{Open: 2, Closed: 8, Close: how})
+			p.close()
+			step := fillerStep
+			step.Size.Memory = 800
+			for n := range 30 {
+				p.submit(crowdID(n), step)
+			}
+			p.pass(2*fillerAllowed, nil)
+			ordinary := jobs.Step{Count: 1, Size: models.Resources{CPU: 1000, Memory: 1000}, Estimate: 500, Image: "ordinary"}
+			p.submit(testJob, ordinary)
+			p.pass(fillerAllowed, nil)
+			require.Equal(t, 1, p.succeeded[testJob])
+		})
+	}
+}
