Workers that drained before a takeover count as other closed ones

A successor does not take up workers that drain and ran nothing, and left them out of the capacity, while callers may count them. Their entries in the list count now with what the workers have, as those of other workers that are closed to starts and free.

--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -65,6 +65,7 @@
 // are closed to starts and go on, and count a run only while it is under way.
 func (c *Core) use(now time.Time) jobs.UseOfPools {
 	use := jobs.UseOfPools{}
+	use.Add(c.unknownDraining)
 	for _, w := range c.sortedWorkers {
 		if !w.answers() {
 			continue
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -165,6 +165,7 @@
 	shortWork         shortWork
 	cpuHeldFor        *task           // see holdCPU; nil: no task
 	otherCells        jobs.UseOfPools // of the other cells, as last known
+	unknownDraining   jobs.UseOfPools // workers that the list names as draining, and that ran nothing when this owner first read of them
 	startsLeft        int             // how many more starts Decide may order
 	counts            Counts
 	figures           JobFigures
--- a/services/dispatch/counted_room_test.go
+++ b/services/dispatch/counted_room_test.go
@@ -23,6 +23,7 @@
 	closeByDrain  closing = "drain"
 	closeByCordon closing = "cordon"
 	closeByList   closing = "unlist" // the list does not name them, and they answer
+	closeBefore   closing = "before" // they drain since before the owner knew them, and run nothing
 )
 
 // countedRoomScript is a script of testdata/counted_room.json: workers that each have a small serving task, and a job of ordinary
@@ -54,7 +55,11 @@
 }
 
 func newCountedRoom(t *testing.T, script countedRoomScript) *countedRoom {
-	p := &countedRoom{countedRoomScript: script, standbyBench: newHarmedBench(t, script.Open+script.Closed)}
+	known := script.Open + script.Closed
+	if script.Close == closeBefore {
+		known = script.Open
+	}
+	p := &countedRoom{countedRoomScript: script, standbyBench: newHarmedBench(t, known)}
 	p.started = func(order StartOrder) Outcome { return p.outcome(order.Call.Task) }
 	p.stopped = func(order StopOrder) Outcome { return p.outcome(order.Call.Task) }
 	return p
@@ -86,26 +91,46 @@
 			closed[n].Draining, closed[n].Remaining = true, drainTime
 		case closeByCordon:
 			closed[n].Domain = cordonedDomain
-		case closeByList:
+		case closeByList, closeBefore:
 		}
 	}
-	if p.Close == closeByList {
+	switch p.Close {
+	case closeByList:
 		list = slices.Clip(list[:p.Open])
+	case closeBefore:
+		list = append(list, p.unknownDraining()...)
+	case closeByDrain, closeByCordon:
 	}
 	p.SetWorkers(list, p.now)
 	p.cordon(cordonedDomain)
 	p.pass(standbyTick, nil)
 }
 
+// unknownDraining returns entries of the closed workers, which the owner has not known before.
+func (p *countedRoom) unknownDraining() []jobs.Worker {
+	var list []jobs.Worker
+	for n := range p.Closed {
+		entry := p.Worker(p.ids[0])
+		entry.ID = jobs.WorkerID(fmt.Sprintf("d%d", n))
+		entry.Address, entry.Draining, entry.Remaining = string(entry.ID), true, drainTime
+		list = append(list, entry)
+	}
+	return list
+}
+
 // callersUse returns the use that callers see: that of the runs which are under way.
 func (p *countedRoom) callersUse() jobs.Use {
 	var use jobs.Use
-	for n, runs := range p.runs {
-		if n >= p.Open && !p.CallersCountClosed {
+	counted := p.Open
+	if p.CallersCountClosed {
+		counted += p.Closed
+	}
+	for n := range counted {
+		use.Present = use.Present.Add(models.Resources{CPU: 4000, Memory: 8000})
+		if n >= len(p.runs) {
 			continue
 		}
-		use.Present = use.Present.Add(models.Resources{CPU: 4000, Memory: 8000})
-		for _, r := range runs {
+		for _, r := range p.runs[n] {
 			size := r.step.Size
 			if r.step.Filler {
 				size.CPU = 0
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -112,7 +112,7 @@
 // SetWorkers takes the platform's list of workers. Workers that the list does not name are kept until they are
 // proved to run nothing.
 func (c *Core) SetWorkers(list []jobs.Worker, now time.Time) {
-	c.listRead = true
+	c.listRead, c.unknownDraining = true, jobs.UseOfPools{}
 	for _, w := range c.workers {
 		w.listed, w.otherEntry = false, nil
 	}
@@ -122,8 +122,9 @@
 			continue
 		}
 		w, known := c.workers[info.ID]
-		if !known && info.Draining {
-			continue // gets no starts; if a previous owner started tasks there, the roster names it
+		if !known && info.Draining { // gets no starts; if a previous owner started tasks there, the roster names it
+			c.unknownDraining.Add(jobs.UseOfPools{info.Pool: {Present: info.Capacity}})
+			continue
 		}
 		if !known {
 			w = c.addWorker(info, now) // the roster names it once it has answered
