--- a/services/dispatch/reserve.go
+++ b/services/dispatch/reserve.go
@@ -39,7 +39,7 @@
 	at       time.Time
 	free     models.MilliCPU // capacity that is free or used by short work, as of at
 	capacity models.MilliCPU // of all usable workers, as of at
-	use      jobs.UseOfPools // of all workers that stay and answer, also of those that get no starts for a moment, as of at and by starts since then
+	use      jobs.UseOfPools // the least that callers may count as in use, as of at and by starts since then
 
 	leftSince time.Time // since when long-running tasks leave capacity to it, as logged; zero: they don't
 	leftAt    time.Time // when one last did
@@ -51,7 +51,7 @@
 	s := &c.shortWork
 	elapsed := now.Sub(s.at)
 	s.free, s.capacity = 0, 0
-	s.use = c.use()
+	s.use = c.use(now)
 	taken := models.MilliCPU(0)
 	for _, w := range c.sortedWorkers {
 		if !c.usable(w, now) {
