A start without an answer is no run of its job

Callers could see accepted jobs of filler tasks with nothing running beside free workers, for as long as a worker reports but its starts get lost.

Cause: a job counted as running while any of its tasks was assigned to a worker. A start whose call times out, the repeated start, and the stop that bars the run take 0.8 to 4 s and more, and if the stops get lost too, they have no end; the job's other tasks did not stand by meanwhile. A start also ended the time that a job had waited in other cells, whether it was answered or not.

The task itself never starts twice: it waits until its run is barred, as before. The time in other cells ends with the first run that is known.

--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -96,10 +96,11 @@
 type Core struct {
 	config            Config
 	jobs              map[jobs.ID]*job
-	silentJobs        map[*job]int     // how many tasks of a job are on workers that do not answer
-	unheld            map[jobs.ID]*job // jobs of which not all occurrences are held or done
-	heldTasks         int              // of all jobs
-	additionalTasks   int              // of these, tasks of occurrences beside the first one of each job
+	unanswered        map[*task]struct{} // tasks whose start may have no answer
+	uncertainRuns     map[*job]int       // how many runs of a job may not exist any more, or not yet; see updateIdleJobs
+	unheld            map[jobs.ID]*job   // jobs of which not all occurrences are held or done
+	heldTasks         int                // of all jobs
+	additionalTasks   int                // of these, tasks of occurrences beside the first one of each job
 	ended             map[jobs.ID]endedJob
 	movedOut          map[jobs.ID]movedOutJob // jobs whose tasks are all in other cells
 	endedSweptAt      time.Time               // when expired ended jobs were last removed
@@ -195,7 +196,7 @@
 func New(config Config) *Core {
 	config.EndsPerReport = cmp.Or(config.EndsPerReport, jobs.EndsPerReport)
 	return &Core{
-		config: config, jobs: map[jobs.ID]*job{}, silentJobs: map[*job]int{}, unheld: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, movedOut: map[jobs.ID]movedOutJob{},
+		config: config, jobs: map[jobs.ID]*job{}, unanswered: map[*task]struct{}{}, uncertainRuns: map[*job]int{}, unheld: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, movedOut: map[jobs.ID]movedOutJob{},
 		workers: map[jobs.WorkerID]*worker{}, queueTerms: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
 		previousLease: config.LongestLease, recovering: true, provedAt: config.Taken, model: contention.NewModel(), queueSpeeds: map[jobs.QueueName]*speed{},
 		restoredLoads: map[stepKey]contention.BaselineLoad{}, storeFreshness: newStoreFreshness(config.Taken),
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -33,31 +33,9 @@
 	return now.Sub(latest(latest(s.job.lastRunEndedAt, s.openedAt), s.job.silentSince)) + s.job.waitedElsewhere
 }
 
-// isIdle reports whether nothing of the job can be running, but on workers that do not answer.
-func (j *job) isIdle() bool { return j.running == 0 || !j.silentSince.IsZero() }
-
-// updateSilentJobs updates since when all that may run of a job has been on workers that do not answer.
-func (c *Core) updateSilentJobs() {
-	for j := range c.silentJobs {
-		j.silentSince = time.Time{}
-	}
-	clear(c.silentJobs)
-	for _, w := range c.sortedWorkers {
-		if w.unansweredSince.IsZero() {
-			continue
-		}
-		for _, t := range w.tasks {
-			j := t.step.job
-			c.silentJobs[j]++
-			j.silentSince = latest(j.silentSince, w.unansweredSince)
-		}
-	}
-	for j, silent := range c.silentJobs {
-		if silent < j.running {
-			j.silentSince = time.Time{}
-		}
-	}
-}
+// isIdle reports whether nothing of the job can be running, but on workers that do not answer, or by starts that have had no answer for
+// long.
+func (j *job) isIdle() bool { return j.running == 0 || j.uncertain }
 
 // SetOtherCells takes the use of the other cells, as last known.
 func (c *Core) SetOtherCells(use jobs.UseOfPools) { c.otherCells = use }
--- a/services/dispatch/incarnation.go
+++ b/services/dispatch/incarnation.go
@@ -157,6 +157,7 @@
 		t.step.job.running++
 		t.state, t.confirmed = taskRunning, false
 		t.fromPreviousIncarnation = true
+		c.awaitAnswer(t)
 		t.bindToLateStart(w.info.ID)
 		c.recordLateStart(t, w.info.ID)
 		w.add(t)
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -31,7 +31,8 @@
 	end                jobs.State      // decided but perhaps not stored yet; empty while the job is active
 	endUnshared        bool            // end has to be stored in all cells of the job at once; see SharedEnd
 	running            int             // tasks that may be on a worker
-	silentSince        time.Time       // since when all tasks that may run are on workers that do not answer; zero: not all are
+	uncertain          bool            // whether any of these runs is not known; see Core.updateIdleJobs
+	silentSince        time.Time       // since when the last of their workers does not answer; zero: all do, or something is known to run
 	waitedElsewhere    time.Duration   // how long a job that has never run has waited in other cells, as far as it counts
 	lastRunEndedAt     time.Time       // when a run of it last left its worker, or else when the job was added
 	runSpan            runSpan         // the times in which something of it runs
--- a/services/dispatch/job_runs.go
+++ b/services/dispatch/job_runs.go
@@ -41,7 +41,7 @@
 
 // unseenTime returns for how long nothing of the job has run for long enough to be seen, while the step could.
 func (s *step) unseenTime(now time.Time) time.Duration {
-	if s.job == nil || s.job.silentSince.IsZero() && s.job.runSpan.isSeen(now) {
+	if s.job == nil || !s.job.uncertain && s.job.runSpan.isSeen(now) {
 		return 0
 	}
 	return now.Sub(latest(latest(s.job.runSpan.lastSeenAt, s.occurrence.openedAt), s.job.silentSince)) + s.job.waitedElsewhere
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -195,7 +195,8 @@
 func (c *Core) beginRun(t *task, now time.Time) {
 	t.step.waiting--
 	t.step.job.running++
-	t.step.job.silentSince, t.step.job.waitedElsewhere = time.Time{}, 0
+	t.step.job.uncertain, t.step.job.silentSince = false, time.Time{}
+	c.awaitAnswer(t)
 	t.starts++
 	t.trialWait = trialWait{}
 	t.orderedHere = true
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -136,6 +136,7 @@
 	t.pace, t.paceUncertain = inferPace(t.step.spec, run.Figure), false
 	t.pacedAt = c.now
 	t.step.job.running++
+	t.step.job.waitedElsewhere = 0
 	t.step.job.runSpan.begin(c.now)
 	t.step.job.begun = true
 	w.add(t)
@@ -193,6 +194,7 @@
 
 // confirmRunning records that a run is under way.
 func (c *Core) confirmRunning(t *task, now time.Time) {
+	t.step.job.waitedElsewhere = 0
 	t.step.job.runSpan.begin(now)
 	t.state, t.confirmed = taskRunning, true
 	t.answeredAt, t.lastRunAt = now, now
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -36,7 +36,7 @@
 // startIdleFillers starts one filler task on standby of each job of which nothing has run for standbyAfter, the longest first,
 // while its pool is mostly free.
 func (c *Core) startIdleFillers(candidates []candidate, now time.Time) {
-	c.updateSilentJobs()
+	c.updateIdleJobs(now)
 	var idle []*step
 	for _, each := range candidates {
 		if c.mayStartIdle(each.step, now) {
--- a/services/dispatch/standby_bench_test.go
+++ b/services/dispatch/standby_bench_test.go
@@ -31,6 +31,12 @@
 	young int
 }
 
+// lostOrder is an order that got lost on its way.
+type lostOrder struct {
+	order Order
+	until time.Time // its answer is awaited
+}
+
 // standbyBench is a core whose workers do the work of their runs at the paces that were ordered.
 type standbyBench struct {
 	*bench
@@ -42,6 +48,10 @@
 	paceDelay time.Duration
 	// workOf returns the work of a task; nil: as its step estimates.
 	workOf func(jobs.TaskID) time.Duration
+	// loses reports whether an order gets lost on its way, which is known after callTimeout; nil: none does.
+	loses       func(Order) bool
+	callTimeout time.Duration
+	unanswered  []lostOrder
 	// paces are the orders on paces so far.
 	paces []PaceOrder
 	// succeeded counts the tasks that have ended by job.
@@ -66,6 +76,7 @@
 func (b *standbyBench) pass(passed time.Duration, each func()) {
 	for until := b.now.Add(passed); b.now.Before(until); {
 		b.now = b.now.Add(standbyTick)
+		b.endCalls()
 		for n := range b.ids {
 			b.work(n)
 			b.answer(n)
@@ -130,11 +141,35 @@
 	}
 }
 
-// obey carries out an order.
+// endCalls ends the calls whose orders got lost and whose answers are awaited no longer.
+func (b *standbyBench) endCalls() {
+	lost := b.unanswered
+	b.unanswered = nil
+	for _, each := range lost {
+		if b.now.Before(each.until) {
+			b.unanswered = append(b.unanswered, each)
+			continue
+		}
+		switch order := each.order.(type) {
+		case StartOrder:
+			b.Started(order, Result{Outcome: OutcomeUnknown}, b.now)
+		case PaceOrder:
+			b.Paced(order, Result{Outcome: OutcomeUnknown}, b.now)
+		case StopOrder:
+			b.Stopped(order, Result{Outcome: OutcomeUnknown}, b.now)
+		}
+	}
+}
+
+// obey carries out an order, unless it gets lost.
 func (b *standbyBench) obey(order Order) {
+	if b.loses != nil && b.loses(order) {
+		b.unanswered = append(b.unanswered, lostOrder{order, b.now.Add(b.callTimeout)})
+		return
+	}
 	switch order := order.(type) {
 	case StartOrder:
-		n := slices.Index(b.ids, order.Worker.ID)
+		n := b.index(order.Worker.ID)
 		step := b.find(order.Call.Task).step.spec
 		work := time.Duration(0)
 		if b.workOf != nil {
@@ -154,7 +189,7 @@
 		}
 		b.Paced(order, Result{Outcome: outcome}, b.now)
 	case StopOrder:
-		n := slices.Index(b.ids, order.Worker.ID)
+		n := b.index(order.Worker.ID)
 		b.runs[n] = slices.DeleteFunc(b.runs[n], func(r *standbyRun) bool {
 			stops := r.row.Task == order.Call.Task
 			if stops {
@@ -166,6 +201,9 @@
 	}
 }
 
+// index returns the index of a worker.
+func (b *standbyBench) index(id jobs.WorkerID) int { return slices.Index(b.ids, id) }
+
 // run returns the run of a task; nil: it does not run.
 func (b *standbyBench) run(task jobs.TaskID) *standbyRun {
 	for _, runs := range b.runs {
--- a/services/dispatch/worker.go
+++ b/services/dispatch/worker.go
@@ -59,6 +59,7 @@
 	renewed                   bool             // the latest report answers a call that renewed the lease
 	noStartsUntil             time.Time        // no tasks are started until then
 	avoidUntil                time.Time        // placed last until then
+	startOverdueAt            time.Time        // when a start was last seen to have had no answer for long
 	ends                      []unacknowledgedEnd
 	endsHidden                bool   // the latest report may not list all ended runs
 	endsKnown                 bool   // a report in this epoch has listed all ended runs
