A run of a suspect that callers may not see ends no wait

Callers could see accepted jobs of filler tasks with nothing running for as long as their tasks last, if these are short and have lost two runs each, in a cell whose loads allow no filler task.

Cause: a suspect starts whatever the loads once nothing of its job has run for 2.5 s (maxFillerWait). That wait counted from the end of the last run, however short it was.

Change: it counts as that of standbyAfter does, from when something of the job was last seen, that is ran for 1 s without a break, and nothing of the job may be running. The next suspect of such a job starts as soon as the last one has ended, at the rate of one on a worker each settleTime, as before.

TestIdleJobsAreSearchedForByThemselves sets the times from which the wait counts now; what it requires is unchanged.

--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -54,9 +54,10 @@
 	return c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime && c.mayIgnoreLoads(s)
 }
 
-// mayIgnoreLoads reports whether nothing of the step's job has run for so long that a suspect of the step starts whatever the loads.
+// mayIgnoreLoads reports whether nothing of the step's job runs, and nothing has run for long enough to be seen for so long that a
+// suspect of the step starts whatever the loads.
 func (c *Core) mayIgnoreLoads(s *step) bool {
-	return s.idleTime(c.now) >= maxFillerWait && s.hasWaitingSuspect()
+	return s.job != nil && s.job.isIdle() && s.unseenTime(c.now) >= maxFillerWait && s.hasWaitingSuspect()
 }
 
 // hasWaitingSuspect reports whether a task of the step that waits is a suspect.
--- a/services/dispatch/no_room_test.go
+++ b/services/dispatch/no_room_test.go
@@ -93,9 +93,9 @@
 	b, running, waiting := newNoRoomBench(t)
 	b.shortWork.use = jobs.UseOfPools{testPool: {Present: models.Resources{CPU: 4000, Memory: 8000}}}
 	waiting.tasks[0].suspicion.Lost = []jobs.LostRun{{Run: 1}, {Run: 2}} // only suspects start so
-	waiting.job.lastRunEndedAt, waiting.openedAt = b.now, b.now
+	waiting.job.runSpan.lastSeenAt, waiting.occurrence.openedAt = b.now, b.now
 	require.Empty(t, b.findPlaces(waiting, b.now))
-	waiting.job.lastRunEndedAt, waiting.openedAt = b.now.Add(-maxFillerWait), b.now.Add(-maxFillerWait)
+	waiting.job.runSpan.lastSeenAt, waiting.occurrence.openedAt = b.now.Add(-maxFillerWait), b.now.Add(-maxFillerWait)
 	require.Len(t, b.findPlaces(waiting, b.now), 1, "beside %s", running.job.spec.ID)
 }
 
--- a/services/dispatch/standby_short_test.go
+++ b/services/dispatch/standby_short_test.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -20,7 +21,8 @@
 	Workers int         `json:"workers"`
 	Serving bool        `json:"serving"` // each worker has a serving task, which a filler task pushes over its target
 	Jobs    int         `json:"jobs"`
-	Steps   []shortStep `json:"steps"` // one after the other
+	Losses  int         `json:"losses"` // runs that each task has lost; two make it a suspect
+	Steps   []shortStep `json:"steps"`  // one after the other
 }
 
 // shortStep is a step of each job of a script.
@@ -93,8 +95,10 @@
 	return b
 }
 
-// submitShort adds a job with the steps of a script.
-func (b *standbyBench) submitShort(id jobs.ID, steps []shortStep) {
+// submitShort adds a job with the steps of a script, whose tasks have lost some runs.
+func (b *standbyBench) submitShort(id jobs.ID, steps []shortStep, losses int) {
+	lost := jobs.Suspicion{Lost: slices.Repeat([]jobs.LostRun{{Run: 1, EvidenceVsChance: 1, EvidenceVsAll: 1, RanAtMost: 100}}, losses)}
+	suspicions := jobs.Suspicions{}
 	record := b.job()
 	record.Spec.ID = id
 	for n, each := range steps {
@@ -103,8 +107,15 @@
 			step.After = []int{n - 1}
 		}
 		record.Spec.Steps = append(record.Spec.Steps, step)
+		suspicions[n] = map[int]jobs.Suspicion{}
+		for index := range each.Tasks {
+			suspicions[n][index] = lost
+		}
+	}
+	if losses == 0 {
+		suspicions = nil
 	}
-	b.AddJob(record, jobs.Progress{}, true, b.now)
+	b.AddJob(record, jobs.Progress{Suspected: suspicions}, true, b.now)
 }
 
 // TestJobsOfShortTasksAreSeenRunning guards against jobs of which short runs end the wait again and again, so that callers, who look at
@@ -116,7 +127,7 @@
 			b := newShortTasksBench(t, script)
 			l := lookers{map[jobs.ID]*[lookInterval / standbyTick]time.Time{}}
 			for n := range script.Jobs {
-				b.submitShort(crowdID(n), script.Steps)
+				b.submitShort(crowdID(n), script.Steps, script.Losses)
 				l.expect(crowdID(n), b.now)
 			}
 			tasks := 0
