--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -33,33 +33,9 @@
 	return now.Sub(latest(latest(s.job.lastRunEndedAt, s.openedAt), s.job.silentSince)) + s.job.waitedElsewhere
 }
 
-// isIdle reports whether nothing of the job can be running, but on workers that do not answer.
-func (j *job) isIdle() bool { return j.running == 0 || !j.silentSince.IsZero() }
-
-// updateSilentJobs updates since when all that may run of a job has been on workers that do not answer.
-func (c *Core) updateSilentJobs() {
-	for j := range c.silentJobs {
-		j.silentSince = time.Time{}
-	}
-	clear(c.silentJobs)
-	for _, w := range c.sortedWorkers {
-		if w.unansweredSince.IsZero() {
-			continue
-		}
-		for _, t := range w.tasks {
-			j := t.step.job
-			c.silentJobs[j]++
-			j.silentSince = latest(j.silentSince, w.unansweredSince)
-		}
-	}
-	for j, silent := range c.silentJobs {
-		if silent < j.running {
-			j.silentSince = time.Time{}
-			continue
-		}
-		j.runSpan.interrupt(j.silentSince)
-	}
-}
+// isIdle reports whether nothing of the job can be running, but on workers that do not answer, or by starts that have had no answer for
+// long.
+func (j *job) isIdle() bool { return j.running == 0 || j.uncertain }
 
 // SetOtherCells takes the use of the other cells, as last known.
 func (c *Core) SetOtherCells(use jobs.UseOfPools) { c.otherCells = use }
@@ -79,9 +55,10 @@
 	return c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime && c.mayIgnoreLoads(s)
 }
 
-// mayIgnoreLoads reports whether nothing of the step's job has run for so long that a suspect of the step starts whatever the loads.
+// mayIgnoreLoads reports whether nothing of the step's job runs, and nothing has run for long enough to be seen for so long that a
+// suspect of the step starts whatever the loads.
 func (c *Core) mayIgnoreLoads(s *step) bool {
-	return s.idleTime(c.now) >= maxFillerWait && s.hasWaitingSuspect()
+	return s.job != nil && s.job.isIdle() && s.unseenTime(c.now) >= maxFillerWait && s.hasWaitingSuspect()
 }
 
 // hasWaitingSuspect reports whether a task of the step that waits is a suspect.
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -35,7 +35,7 @@
 
 // idleFillers returns the steps of which a filler task is to start on standby, the longest idle first.
 func (c *Core) idleFillers(candidates []candidate, now time.Time) []*step {
-	c.updateSilentJobs()
+	c.updateIdleJobs(now)
 	var idle []*step
 	for _, each := range candidates {
 		if c.mayStartIdle(each.step, now) {
--- a/services/dispatch/standby_bench_test.go
+++ b/services/dispatch/standby_bench_test.go
@@ -31,6 +31,12 @@
 	young int
 }
 
+// lostOrder is an order that got lost on its way.
+type lostOrder struct {
+	order Order
+	until time.Time // its answer is awaited
+}
+
 // standbyBench is a core whose workers do the work of their runs at the paces that were ordered.
 type standbyBench struct {
 	*bench
@@ -52,6 +58,10 @@
 	limit int
 	// gone is the worker that has gone; nil: none has.
 	gone *int
+	// loses reports whether an order gets lost on its way, which is known after callTimeout; nil: none does.
+	loses       func(Order) bool
+	callTimeout time.Duration
+	unanswered  []lostOrder
 	// paces are the orders on paces so far.
 	paces []PaceOrder
 	// succeeded counts the tasks that have ended by job.
@@ -76,6 +86,7 @@
 func (b *standbyBench) pass(passed time.Duration, each func()) {
 	for until := b.now.Add(passed); b.now.Before(until); {
 		b.now = b.now.Add(standbyTick)
+		b.endCalls()
 		for n := range b.ids {
 			if b.gone != nil && *b.gone == n {
 				b.Unreached(b.ids[n], true, b.now)
@@ -155,8 +166,32 @@
 	}
 }
 
-// obey carries out an order.
+// endCalls ends the calls whose orders got lost and whose answers are awaited no longer.
+func (b *standbyBench) endCalls() {
+	lost := b.unanswered
+	b.unanswered = nil
+	for _, each := range lost {
+		if b.now.Before(each.until) {
+			b.unanswered = append(b.unanswered, each)
+			continue
+		}
+		switch order := each.order.(type) {
+		case StartOrder:
+			b.Started(order, Result{Outcome: OutcomeUnknown}, b.now)
+		case PaceOrder:
+			b.Paced(order, Result{Outcome: OutcomeUnknown}, b.now)
+		case StopOrder:
+			b.Stopped(order, Result{Outcome: OutcomeUnknown}, b.now)
+		}
+	}
+}
+
+// obey carries out an order, unless it gets lost.
 func (b *standbyBench) obey(order Order) {
+	if b.loses != nil && b.loses(order) {
+		b.unanswered = append(b.unanswered, lostOrder{order, b.now.Add(b.callTimeout)})
+		return
+	}
 	switch order := order.(type) {
 	case StartOrder:
 		if b.started != nil {
@@ -165,7 +200,7 @@
 				return
 			}
 		}
-		n := slices.Index(b.ids, order.Worker.ID)
+		n := b.index(order.Worker.ID)
 		step := b.find(order.Call.Task).step.spec
 		work := time.Duration(0)
 		if b.workOf != nil {
@@ -191,7 +226,7 @@
 				return
 			}
 		}
-		n := slices.Index(b.ids, order.Worker.ID)
+		n := b.index(order.Worker.ID)
 		b.runs[n] = slices.DeleteFunc(b.runs[n], func(r *standbyRun) bool {
 			stops := r.row.Task == order.Call.Task
 			if stops {
@@ -203,6 +238,9 @@
 	}
 }
 
+// index returns the index of a worker.
+func (b *standbyBench) index(id jobs.WorkerID) int { return slices.Index(b.ids, id) }
+
 // run returns the run of a task; nil: it does not run.
 func (b *standbyBench) run(task jobs.TaskID) *standbyRun {
 	for _, runs := range b.runs {
--- a/services/dispatch/standby_short_test.go
+++ b/services/dispatch/standby_short_test.go
@@ -22,11 +22,28 @@
 	Workers int            `json:"workers"`
 	Serving bool           `json:"serving"` // each worker has a serving task, which a filler task pushes over its target
 	Jobs    int            `json:"jobs"`
+	Losses  int            `json:"losses"`         // runs that each task has lost; two make it a suspect
 	Others  []models.Milli `json:"others_work_ms"` // work of the other filler tasks that use the CPU, in turn; empty: they don't end
 	LookMS  []models.Milli `json:"look_ms"`        // the times between two looks of callers
 	Steps   []shortStep    `json:"steps"`          // one after the other
 }
 
+// progress returns the progress of a job whose tasks have lost some runs.
+func (s *shortTasksScript) progress() jobs.Progress {
+	if s.Losses == 0 {
+		return jobs.Progress{}
+	}
+	lost := jobs.Suspicion{Lost: slices.Repeat([]jobs.LostRun{{Run: 1, EvidenceVsChance: 1, EvidenceVsAll: 1, RanAtMost: 100}}, s.Losses)}
+	suspicions := jobs.Suspicions{}
+	for n, step := range s.Steps {
+		suspicions[n] = map[int]jobs.Suspicion{}
+		for index := range step.Tasks {
+			suspicions[n][index] = lost
+		}
+	}
+	return jobs.Progress{Suspected: suspicions}
+}
+
 // shortStep is a step of each job of a script.
 type shortStep struct {
 	Tasks int             `json:"tasks"`
@@ -148,7 +165,7 @@
 				callers = append(callers, newLookers(interval.Duration()))
 			}
 			for n := range script.Jobs {
-				b.submitShort(crowdID(n), script.Steps)
+				b.AddJob(b.shortJob(crowdID(n), script.Steps), script.progress(), true, b.now)
 				for _, l := range callers {
 					l.expect(crowdID(n), b.now)
 				}
