Another task stands by beside one that may end unseen

What callers would see: of 1,000 jobs of tasks of 250 ms beside serving tasks that each task harms much, a few run for 0.45 s of each half second; a caller who looks once a second, always between two such runs, sees nothing of them for 5 s.

Cause: a task on standby started only when nothing of the job was running. One that goes on and ends before it has been seen left a break each time.

Change: while nothing of a job has been seen for standbyAfter, a task starts on standby if none of the job stands by, also beside one that works. So the runs overlap.

--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -55,13 +55,13 @@
 	c.startsLeft += withheld
 }
 
-// startIdleFillers starts one task on standby of each of the steps of whose job nothing runs.
+// startIdleFillers starts one task on standby of each of the steps of whose job none stands by.
 func (c *Core) startIdleFillers(idle []*step, now time.Time) {
 	for _, s := range idle {
 		if c.startsLeft <= 0 {
 			return
 		}
-		if c.mayStartIdle(s, now) { // neither has a start just taken the memory, nor another step of its job started a task
+		if c.mayStartIdle(s, now) { // neither has a start just taken the memory, nor does a task of its job stand by since then
 			c.startOnStandby(s, 1, now)
 		}
 	}
@@ -90,10 +90,21 @@
 	}
 }
 
-// mayStartIdle reports whether a filler task of the step is to start on standby: nothing of its job has run for standbyAfter, and its
-// pool is mostly free.
+// mayStartIdle reports whether a filler task of the step is to start on standby: its pool is mostly free, nothing of its job has been seen
+// for standbyAfter, and none of its tasks stands by. Beside one that works, which may end before it is seen, another one stands by.
 func (c *Core) mayStartIdle(s *step, now time.Time) bool {
-	return s.spec.Filler && s.waiting > 0 && s.job.isIdle() && c.isMostlyFree(c.terms(s.job).Pool) && s.unseenTime(now) >= standbyAfter
+	return s.spec.Filler && s.waiting > 0 && c.isMostlyFree(c.terms(s.job).Pool) && s.unseenTime(now) >= standbyAfter &&
+		(s.job.isIdle() || !s.job.hasStandby())
+}
+
+// hasStandby reports whether a task of the job stands by.
+func (j *job) hasStandby() bool {
+	for s := range j.heldSteps() {
+		if s.standby > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // startOnStandby starts up to count waiting tasks of the step on standby if workers can take them. Suspects do not stand by: that
