A time that is due does not begin the wait of its job anew

What callers would see: of a job that repeats each 0.9 s with two short filler tasks each time, something runs for 0.1 to 0.2 s of each 0.9 s, a second after the time was due; a caller who looks once a second sees nothing for 7 s, although there is always a task whose turn has come.

Cause: the time since something was last seen counted from when the time was due, also where an earlier time of the job was not done yet.

Change: it counts from when the first of the times was due that follow one another without one being done before the next.

Result: TestOccurrencesOfShortTasksAreSeenRunning, red before (7.25 s, less than 4 s allowed), green.

--- a/services/dispatch/occurrence.go
+++ b/services/dispatch/occurrence.go
@@ -36,13 +36,26 @@
 	job            *job
 	number         int
 	steps          []*step
-	openedAt       time.Time // when the first of its steps was opened
+	openedAt       time.Time // when the first of its steps was opened, or of the one before it if that was not done yet
 	isNew          bool      // its tasks have no state yet; see Core.beginOccurrence
 	additional     bool      // held beside another occurrence that was due
 	remainingSteps int       // that are not done
 	doneVersion    uint64    // the job's version that records that all are; 0: some are not
 }
 
+// open records that a step is opened.
+func (o *occurrence) open(now time.Time) {
+	if !o.openedAt.IsZero() {
+		return
+	}
+	o.openedAt = now
+	for _, other := range o.job.occurrences {
+		if !other.isDone() && !other.openedAt.IsZero() && other.openedAt.Before(o.openedAt) {
+			o.openedAt = other.openedAt
+		}
+	}
+}
+
 // isDone reports whether all tasks of the occurrence are done.
 func (o *occurrence) isDone() bool { return o.doneVersion != 0 }
 
--- a/services/dispatch/standby_silent_test.go
+++ b/services/dispatch/standby_silent_test.go
@@ -70,3 +70,25 @@
 	require.Positive(t, second)
 	require.Less(t, second, fillerAllowed)
 }
+
+// TestOccurrencesOfShortTasksAreSeenRunning guards against repeating jobs whose wait begins anew with each time that is due, although
+// nothing of the earlier ones has been seen.
+func TestOccurrencesOfShortTasksAreSeenRunning(t *testing.T) {
+	const (
+		times = 20
+		tasks = 2 // of each time
+		every = 900
+	)
+	b := newShortTasksBench(t, shortTasksScript{Workers: 4, Steps: []shortStep{{Tasks: tasks, Work: []models.Milli{100}}}})
+	record := b.shortJob(testJob, []shortStep{{Tasks: tasks, Work: []models.Milli{100}}})
+	record.Spec.Repeat = jobs.Repeat{Count: times, First: models.UnixMilliOf(b.now), Every: every}
+	b.AddJob(record, jobs.Progress{}, true, b.now)
+	l := lookers{map[jobs.ID]*[lookInterval / standbyTick]time.Time{}}
+	l.expect(testJob, b.now)
+	longest := time.Duration(0)
+	b.pass(times*every*time.Millisecond, func() {
+		j := b.jobs[testJob]
+		longest = max(longest, l.lookAt(b, testJob, j == nil || !j.holdsWork()))
+	})
+	require.Less(t, longest, fillerAllowed+lookInterval)
+}
--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -59,9 +59,7 @@
 	for _, s := range o.steps {
 		if !s.opened && due && s.mayOpen() {
 			s.opened, s.openedAt = true, now
-			if o.openedAt.IsZero() {
-				o.openedAt = now
-			}
+			o.open(now)
 		}
 		c.listWaiting(s)
 	}
