Callers see a run of half of the time that they allow

A caller who can tell that nothing has run for 3 s looks at least twice in that time. So a run of 1.5 s without a break is seen, and one that ends sooner has another task on standby beside it.

--- a/services/dispatch/job_runs.go
+++ b/services/dispatch/job_runs.go
@@ -6,8 +6,8 @@
 import "time"
 
 // seenRun is how long something of a job runs without a break until callers have certainly seen it: they look at what runs from time to
-// time, and often enough to tell that nothing has run for 3 s.
-const seenRun = 3 * time.Second
+// time, and at least twice in the 3 s for which they allow a job to have nothing running.
+const seenRun = 1500 * time.Millisecond
 
 // runSpan follows the times in which something of a job certainly runs.
 type runSpan struct {
