A transaction moves several jobs to other cells

Cause: an owner stored the moves of jobs that find no place one in a transaction, and one transaction after the other, 170 a second with 4 ms an answer, fewer than callers can submit (the store takes 400 writing calls a second). Of N such jobs the last one waited for N / 170 s beside another cell that is mostly free.

A job's record in this cell is read once for a move, not twice.

--- a/services/control/manual_owner_test.go
+++ b/services/control/manual_owner_test.go
@@ -81,7 +81,12 @@
 // beginMove accepts a job in cellHere and begins to move it as a whole to cellThere.
 func (h *manualOwner) beginMove() jobs.Spec {
 	h.t.Helper()
-	spec := twoStepJob(1, time.Second)
+	return h.beginMoveOf(twoStepJob(1, time.Second))
+}
+
+// beginMoveOf does the same with a given job.
+func (h *manualOwner) beginMoveOf(spec jobs.Spec) jobs.Spec {
+	h.t.Helper()
 	spec.Queue = testQueue
 	record := jobs.Record{Spec: spec, Terms: testTerms, Accepted: models.UnixMilliOf(time.Now())}
 	record.Version = uint64(h.put(cellHere, record))
--- a/services/control/move.go
+++ b/services/control/move.go
@@ -64,21 +64,22 @@
 	return moveRejected{err: err}
 }
 
-// maxMovesPerTurn is how many moves are stored until the owner's changes have their turn again. The records of all of them are
-// read at the same time.
-const maxMovesPerTurn = 8
+const (
+	// maxMovesPerTurn is how many moves are prepared until the owner's changes have their turn again: those of one query. The
+	// records of all of them are read at the same time.
+	maxMovesPerTurn = maxMovesInProgress
+	// maxMoveTxnsPerTurn is how many transactions store moves until the owner's changes have their turn again. Moves that these do
+	// not hold are prepared again in the next turn.
+	maxMoveTxnsPerTurn = 8
+)
 
-// executeMoves stores the next pending moves one by one, as part of the owner's chain of transactions. It reports whether there
-// are others that have not been tried yet.
+// executeMoves stores the next pending moves, as part of the owner's chain of transactions. It reports whether there are others
+// that have not been tried yet.
 func (o *Owner) executeMoves(ctx context.Context) (more bool) {
 	moves := o.nextMoves()
-	records := o.readAllRecords(ctx, moves)
-	for n, m := range moves {
-		outcome := o.executeMove(ctx, m, records[n])
-		o.cells.health.record(outcome.cause())
-		o.mu.Lock()
-		o.finishMove(m, outcome)
-		o.mu.Unlock()
+	batches := batchMoves(o.prepareMoves(ctx, moves))
+	for _, batch := range batches[:min(maxMoveTxnsPerTurn, len(batches))] {
+		o.storeMoves(ctx, batch)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -129,6 +130,9 @@
 // finishMove tells the core in which cell the work is after a move. A move of unknown outcome stays in the list
 // and is retried with the records that the store holds then.
 func (o *Owner) finishMove(m *move, outcome moveOutcome) {
+	o.cells.health.record(outcome.cause())
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	switch outcome := outcome.(type) {
 	case moveUnresolved:
 		o.moves = append(slices.DeleteFunc(o.moves, func(other *move) bool { return other == m }), m)
@@ -152,27 +156,31 @@
 // errPreviouslyInCell reports that the other cell already has a record of a job that moves as a whole.
 var errPreviouslyInCell = errors.New("job has been in the other cell before")
 
-// executeMove moves work to another cell: one transaction takes the tasks out of the record in this cell and
-// adds them to the record in the other cell. The records are those read before.
-func (o *Owner) executeMove(ctx context.Context, m *move, read readMove) moveOutcome {
+// prepareMove returns the transaction that stores a move, on condition that the records are as they were read. The outcome is set
+// instead if the records decide the move.
+func (o *Owner) prepareMove(m *move, read readMove) (txn platform.Txn, outcome moveOutcome) {
 	if read.err != nil {
-		return m.failure(read.err)
+		return txn, m.failure(read.err)
 	}
 	records := read.records
 	switch here := records[o.cell]; {
 	case here.Version == 0:
-		return moveJobMissing{}
+		return txn, moveJobMissing{}
 	case here.Ended != "": // which forbids all attempts
 		o.learnEnd(here)
-		return moveRejected{err: errJobEnded}
+		return txn, moveRejected{err: errJobEnded}
 	case !o.stillMoving(m, here):
-		return moveDone{platform.Version(here.Version)} // done by a transaction of unknown outcome
+		return txn, moveDone{platform.Version(here.Version)} // done by a transaction of unknown outcome
 	case records.forbidMove():
-		return moveRejected{err: errJobEnded}
+		return txn, moveRejected{err: errJobEnded}
 	case m.Whole && records[m.To].Version != 0:
-		return moveRejected{err: errPreviouslyInCell, permanent: true}
+		return txn, moveRejected{err: errPreviouslyInCell, permanent: true}
+	}
+	txn, err := o.moveTxn(m, records)
+	if err != nil {
+		return txn, m.failure(err)
 	}
-	return o.tryMove(ctx, m, records)
+	return txn, nil
 }
 
 // moveRecords are the records of a job that a move depends on, by cell: those of the source cell and the target
@@ -185,7 +193,7 @@
 // that can't take effect.
 func (o *Owner) readRecords(ctx context.Context, m *move) (moveRecords, error) {
 	records := moveRecords{}
-	for _, cell := range []jobs.CellName{m.To, cmp.Or(m.Home, o.cell), o.cell} {
+	for _, cell := range slices.Compact([]jobs.CellName{m.To, cmp.Or(m.Home, o.cell), o.cell}) {
 		record, err := o.readRecord(ctx, cell, m.Job)
 		if err != nil {
 			return nil, err
@@ -212,23 +220,8 @@
 	return o.core.StillMoving(m.Move, here)
 }
 
-// tryMove attempts a move on condition that the records are as they were read.
-func (o *Owner) tryMove(ctx context.Context, m *move, records moveRecords) moveOutcome {
-	txn, err := o.moveTxn(m, records)
-	if err != nil {
-		return m.failure(err)
-	}
-	version, err := o.commitJournaled(ctx, txn)
-	switch {
-	case err == nil:
-		return moveDone{version}
-	case errors.Is(err, platform.ErrUnknownOutcome):
-		m.unresolved = true
-	}
-	return m.failure(err)
-}
-
-// moveTxn returns the transaction of a move. A cancellation in either cell forbids the move: the daemon that
+// moveTxn returns the transaction of a move, which takes the tasks out of the record in this cell and adds them to the record in
+// the other cell, on condition that the records are as they were read. A cancellation in either cell forbids the move: the daemon that
 // stored it has read which cells had the job.
 func (o *Owner) moveTxn(m *move, records moveRecords) (platform.Txn, error) {
 	var txn platform.Txn
--- a/services/control/moves_under_load_test.go
+++ b/services/control/moves_under_load_test.go
@@ -47,13 +47,19 @@
 
 // newTwoCellClusterWithAnswerTime makes a cluster of two cells of the given size, in which tasks run for the given time.
 func newTwoCellClusterWithAnswerTime(t *testing.T, perCell int, runtime func(index int) time.Duration) *testCluster {
+	t.Helper()
+	return newTwoCellClusterWithStore(t, perCell, runtime, withAnswerTime)
+}
+
+// newTwoCellClusterWithStore does the same with the store that an option sets.
+func newTwoCellClusterWithStore(t *testing.T, perCell int, runtime func(index int) time.Duration, withStore func(w *testCluster)) *testCluster {
 	t.Helper()
 	settings := testSettings
 	settings.WorkersPerCell = perCell
 	work := func(task jobs.TaskID, _ jobs.RunID) (time.Duration, jobs.End) {
 		return runtime(task.Index), jobs.EndSucceeded
 	}
-	w := newTestClusterWithSettings(t, 3, settings, grid.Config{Workers: 2 * perCell, Work: work}, withAnswerTime)
+	w := newTestClusterWithSettings(t, 3, settings, grid.Config{Workers: 2 * perCell, Work: work}, withStore)
 	w.eventually(20*time.Second, "both cells have owners", func() bool {
 		return w.ownerOfCell(cellName(0)) != nil && w.ownerOfCell(cellName(1)) != nil
 	})
--- a/services/control/offer.go
+++ b/services/control/offer.go
@@ -22,8 +22,8 @@
 	// maxOffersPerQuery limits the jobs in one query, because the other cell's owner checks all its workers for
 	// each job. With some hundred jobs waiting, each has its turn within two seconds.
 	maxOffersPerQuery = 32
-	// maxMovesInProgress limits the jobs that move at once: those of one query. Each costs two reads and a transaction of some
-	// milliseconds, and until its turn comes it runs in neither cell.
+	// maxMovesInProgress limits the jobs that move at once: those of one query. Until its turn comes, each of them runs in neither
+	// cell.
 	maxMovesInProgress = maxOffersPerQuery
 )
 
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -21,8 +21,8 @@
 const jobsPerTxn = (platform.MaxTxnEntries - 5) / (cellsPerJob + 1)
 
 // maxStoresPerMoves is how many transactions store changes until pending moves have their turn, although there is more to store.
-// These take about as long as the moves of one turn, so that each gets half of the time.
-const maxStoresPerMoves = maxMovesPerTurn
+// These take about as long as the transactions of the moves of one turn, so that each gets half of the time.
+const maxStoresPerMoves = maxMoveTxnsPerTurn
 
 // storeLoop stores the changes of the core.
 func (o *Owner) storeLoop(ctx context.Context) {
