Moves of many jobs read each record once

Cause: a move reads the records of both cells. Change: where several jobs move, a job that moves as a whole and has not been tried yet is moved on condition that the other cell has no record of it, without reading it: with any such record it can't move. If the store rejects the transaction, the records of all its jobs are read as before, also if it had one job only. A single move and one of unknown outcome read both. TestRefusedMoveHoldsNoOthersUp has a move more, which is alone in its transaction; it is red if that transaction's rejection counts as that of the move.

--- a/services/control/move.go
+++ b/services/control/move.go
@@ -77,7 +77,7 @@
 // that have not been tried yet.
 func (o *Owner) executeMoves(ctx context.Context) (more bool) {
 	moves := o.nextMoves()
-	batches := batchMoves(o.prepareMoves(ctx, moves))
+	batches := batchMoves(o.prepareMoves(ctx, moves, len(moves) > 1))
 	for _, batch := range batches[:min(maxMoveTxnsPerTurn, len(batches))] {
 		o.storeMoves(ctx, batch)
 	}
@@ -113,15 +113,19 @@
 // readMove is the result of readRecords for a move.
 type readMove struct {
 	records moveRecords
+	// assumed is set if the record in the other cell was not read and is assumed to be absent.
+	assumed bool
 	err     error
 }
 
-// readAllRecords reads the records that each of the moves depends on.
-func (o *Owner) readAllRecords(ctx context.Context, moves []*move) []readMove {
+// readAllRecords reads the records that each of the moves depends on. With assumeAbsent, it saves the reads of records that must be
+// absent in the other cell.
+func (o *Owner) readAllRecords(ctx context.Context, moves []*move, assumeAbsent bool) []readMove {
 	read := make([]readMove, len(moves))
 	var group conc.WaitGroup
 	for n, m := range moves {
-		group.Go(func() { read[n].records, read[n].err = o.readRecords(ctx, m) })
+		read[n].assumed = assumeAbsent && m.Whole && !m.unresolved
+		group.Go(func() { read[n].records, read[n].err = o.readRecords(ctx, m, read[n].assumed) })
 	}
 	group.Wait()
 	return read
@@ -190,10 +194,14 @@
 // readRecords reads the records that a move depends on, that of this cell last. If the others forbid the move, no earlier
 // attempt can take effect from then on, and the record in this cell then shows whether an attempt did before. In the other
 // order, an attempt that takes effect between the reads, and whose work ends at once, would be mistaken for an attempt
-// that can't take effect.
-func (o *Owner) readRecords(ctx context.Context, m *move) (moveRecords, error) {
-	records := moveRecords{}
-	for _, cell := range slices.Compact([]jobs.CellName{m.To, cmp.Or(m.Home, o.cell), o.cell}) {
+// that can't take effect. With assumeAbsent, the record in the other cell is not read, but taken to be absent.
+func (o *Owner) readRecords(ctx context.Context, m *move, assumeAbsent bool) (moveRecords, error) {
+	records := moveRecords{m.To: {}}
+	cells := slices.Compact([]jobs.CellName{m.To, cmp.Or(m.Home, o.cell), o.cell})
+	if assumeAbsent {
+		cells = cells[1:]
+	}
+	for _, cell := range cells {
 		record, err := o.readRecord(ctx, cell, m.Job)
 		if err != nil {
 			return nil, err
--- a/services/control/move_batch.go
+++ b/services/control/move_batch.go
@@ -15,6 +15,8 @@
 type preparedMove struct {
 	*move
 	txn platform.Txn
+	// assumed is set if the transaction is conditional on a record that was not read.
+	assumed bool
 }
 
 // moveBatch are moves that one transaction stores.
@@ -31,16 +33,16 @@
 )
 
 // prepareMoves reads the records that the moves depend on, and returns the moves that can be stored. It finishes those that the
-// records decide.
-func (o *Owner) prepareMoves(ctx context.Context, moves []*move) []preparedMove {
+// records decide. With assumeAbsent, it does not read records that must be absent.
+func (o *Owner) prepareMoves(ctx context.Context, moves []*move, assumeAbsent bool) []preparedMove {
 	var prepared []preparedMove
-	for n, read := range o.readAllRecords(ctx, moves) {
+	for n, read := range o.readAllRecords(ctx, moves, assumeAbsent) {
 		txn, outcome := o.prepareMove(moves[n], read)
 		if outcome != nil {
 			o.finishMove(moves[n], outcome)
 			continue
 		}
-		prepared = append(prepared, preparedMove{moves[n], txn})
+		prepared = append(prepared, preparedMove{moves[n], txn, read.assumed})
 	}
 	return prepared
 }
@@ -93,7 +95,7 @@
 // of them is tried alone.
 func (o *Owner) storeMoves(ctx context.Context, batch moveBatch) {
 	version, err := o.commitJournaled(ctx, batch.txn())
-	if len(batch) > 1 && classifyCommit(err) == verdictConflict {
+	if (len(batch) > 1 || batch[0].assumed) && classifyCommit(err) == verdictConflict {
 		o.storeEachMove(ctx, batch)
 		return
 	}
@@ -108,7 +110,7 @@
 	for _, m := range batch {
 		moves = append(moves, m.move)
 	}
-	for _, m := range o.prepareMoves(ctx, moves) {
+	for _, m := range o.prepareMoves(ctx, moves, false) {
 		o.storeMoves(ctx, moveBatch{m})
 	}
 }
