A short run of a long-running task begins no new wait

Callers could see a long-running task away for some 10 s beside free capacity, where short work has demand.

Cause: such a task leaves capacity to short work until 5 s (shortReserveTime) after its last run, and that was the last answer or report that showed one, however short. A run of a tenth of a second, which callers may not see, began the 5 s anew.

Change: the time counts from the last report that showed a run of 1 s or more (seenRun).

--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -106,7 +106,10 @@
 		c.stopStray(w, run, now)
 		return
 	}
-	t.lastReport, t.lastRunAt, t.endHidden = w.reportCount, now, false
+	t.lastReport, t.endHidden = w.reportCount, false
+	if now.Sub(t.startedAt) >= seenRun {
+		t.lastRunAt = now
+	}
 	t.figure = run.Figure
 	c.checkPace(w, t, now)
 	c.sampleSpeed(w, t, run.Progress, now)
@@ -197,7 +200,7 @@
 	t.step.job.waitedElsewhere = 0
 	t.step.job.runSpan.begin(now)
 	t.state, t.confirmed = taskRunning, true
-	t.answeredAt, t.lastRunAt = now, now
+	t.answeredAt = now
 	if now.Sub(t.startedAt) <= promptAnswer {
 		t.startedAt = now
 	}
--- a/services/dispatch/reserve_wait_test.go
+++ b/services/dispatch/reserve_wait_test.go
@@ -83,6 +83,11 @@
 	return rows
 }
 
+// knownBut returns the same without a task.
+func (s *shortage) knownBut(w *worker, but jobs.TaskID) []jobs.Run {
+	return slices.DeleteFunc(s.known(w), func(run jobs.Run) bool { return run.Task == but })
+}
+
 func startIsDone(StartOrder) Result { return Result{Outcome: OutcomeDone} }
 
 // TestSilenceCountsAsTimeWithoutRun guards against long-running tasks of a silent worker that leave capacity to short work
@@ -126,6 +131,29 @@
 	}
 }
 
+// TestShortRunBeginsNoNewWait guards against a long-running task that leaves capacity to short work for 5 s anew after a run of a tenth of a
+// second, which callers may not have seen.
+func TestShortRunBeginsNoNewWait(t *testing.T) {
+	s := newShortage(t)
+	s.addWaitingShortWork()
+	s.advance(400 * time.Millisecond)
+	lastRun := s.workers[s.ids[0]].reportedAt
+	s.Replaced(s.ids[0], s.now)
+	short, ended := map[jobs.TaskID]jobs.Ended{}, map[jobs.WorkerID][]jobs.Ended{}
+	s.awaitAllRunning(lastRun, nil, func(order StartOrder) Result {
+		task, to := order.Call.Task, order.Worker.ID
+		if _, again := short[task]; !again {
+			short[task] = jobs.Ended{Number: uint64(len(ended[to]) + 1), Task: task, Run: order.Call.Run, How: jobs.EndFailed}
+			ended[to] = append(ended[to], short[task])
+			s.Started(order, startIsDone(order), s.now)
+			s.report(slices.Index(s.ids, to), jobs.Report{Running: s.known(s.workers[to]), Ended: ended[to][:len(ended[to])-1]})
+			s.report(slices.Index(s.ids, to), jobs.Report{Running: s.knownBut(s.workers[to], task), Ended: ended[to]})
+		}
+		return startIsDone(order)
+	})
+	require.NotEmpty(t, short)
+}
+
 // TestCapacityLeftToShortWorkIsTold guards against long-running tasks that wait beside free room while neither the log nor
 // the state dump tells why.
 func TestCapacityLeftToShortWorkIsTold(t *testing.T) {
--- a/services/dispatch/task.go
+++ b/services/dispatch/task.go
@@ -52,7 +52,7 @@
 	fromPreviousIncarnation bool             // ordered at the worker's previous incarnation; has to be barred at the present one
 	waitingSince            time.Time        // since when the task waits; zero: waiting for long, or moved from another cell
 	idleSince               time.Time        // since when this owner has known the task, or knows that it does not run, whichever is later; starts that were not carried out change nothing
-	lastRunAt               time.Time        // when it was last known to run, or else when its job was added; zero: not known to this owner
+	lastRunAt               time.Time        // when it was last known to run for long enough to be seen, or else when its job was added; zero: not known to this owner
 	cameWaiting             bool             // it came from another cell and has not run since
 	leftCapacityAt          time.Time        // when it last left capacity to short work instead of starting
 	trialWait               trialWait        // why it has not been tried yet since it waits; for suspects
