A start that is not carried out begins no new wait beside room

Callers could see a job with nothing running for 4 s and more beside free capacity on workers that are kept for suspects.

Cause: a task that has waited beside room for 2 s (maxWaitBesideRoom; 2.3 to 4.5 s for suspects) starts on any worker. The time since when a step has had room was forgotten as soon as the step had no waiting task, also while its only one had been ordered to start. If that start was not carried out, the task waited as long again.

Change: the time is kept. A task's wait counts from the end of its last run if that is later, as before.

Result: TestStartThatDoesNotRunBeginsNoNewWaitBesideRoom (new) fails before in its three cases (3 s allowed), and is green now.

--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -58,7 +58,7 @@
 	kept := c.waitingSteps[:0]
 	for _, s := range c.waitingSteps {
 		if !s.hasTasksToPlace() || s.job.end != "" || s.job.cancelled {
-			s.inWaitingSteps, s.roomSince = false, time.Time{}
+			s.inWaitingSteps = false
 			continue
 		}
 		kept = append(kept, s)
