A run that was barred before it began begins no new wait

Callers could see a job with nothing running for longer than 3 s beside free capacity on workers that are kept for suspects, after a start without an answer.

Cause: a task whose start has no answer waits again once its run is barred, as after a run, so that its wait beside room began anew.

Change: a run that was never known to be under way, and that its worker neither shows nor lists as ended, changes nothing about since when its task has been without a run, as a start that was certainly not carried out.

Result: the fourth case of TestStartThatDoesNotRunBeginsNoNewWaitBesideRoom, "no answer twice", fails before (3 s allowed), and is green now.

--- a/services/dispatch/listed_ends.go
+++ b/services/dispatch/listed_ends.go
@@ -47,7 +47,11 @@
 		if t.state == taskRunning {
 			c.config.Logger.Warn("run is missing from its worker's report without an end; its task waits again", zap.Stringer("task", t.id()), zap.String("worker", string(w.info.ID)))
 		}
-		c.requeue(t)
+		if t.confirmed {
+			c.requeue(t)
+		} else {
+			c.requeueUnstarted(t)
+		}
 	}
 }
 
--- a/services/dispatch/wait_bound_test.go
+++ b/services/dispatch/wait_bound_test.go
@@ -35,7 +35,7 @@
 func TestStartThatDoesNotRunBeginsNoNewWaitBesideRoom(t *testing.T) {
 	const answerTime = 200 * time.Millisecond // of a start
 	for name, outcome := range map[string]Outcome{
-		"not sent": OutcomeNotSent, "not reached": OutcomeUnreached, "not done": OutcomeNotDone,
+		"not sent": OutcomeNotSent, "not reached": OutcomeUnreached, "not done": OutcomeNotDone, "no answer twice": OutcomeUnknown,
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, 3)
