Suspects start on no worker whose targets filler tasks miss

Callers could see a serving task over its target for more than 4 s for the filler tasks beside it (HARM).

Cause: suspects of which nothing runs for long start whatever the loads, one on a worker each 0.7 s, also where the tasks that started so before keep a serving task over its target.

Change: none starts so on a worker where a serving task is over its target while filler tasks work there, or were throttled less than 0.7 s ago.

--- a/services/dispatch/filler_harm_test.go
+++ b/services/dispatch/filler_harm_test.go
@@ -144,30 +144,49 @@
 	return rows
 }
 
+// fillerHarms are serving tasks and filler tasks that raise their tail latency.
+var fillerHarms = map[string]struct {
+	idle, adds float64 // tail latencies in milliseconds
+	learned    float64 // the factor that is known
+	work       time.Duration
+}{
+	"the harm is known":           {85, 60, 20, time.Minute},
+	"the harm is not known":       {85, 60, math.NaN(), time.Minute},
+	"each task harms a little":    {90, 12, math.NaN(), time.Minute},
+	"the target is nearly met":    {98, 8, math.NaN(), time.Minute},
+	"short tasks, not known":      {85, 60, math.NaN(), 600 * time.Millisecond},
+	"short tasks, known":          {85, 60, 20, 600 * time.Millisecond},
+	"longer tasks, not known":     {85, 60, math.NaN(), 2 * time.Second},
+	"little harm, underestimated": {90, 12, 0, 2 * time.Second},
+	"the harm is underestimated":  {70, 40, 0, time.Minute},
+}
+
 // TestIdleFillerJobsEndNoTargets guards against many jobs of filler tasks that start in turn whatever the loads, and keep serving
 // tasks over their targets for longer than callers allow.
 func TestIdleFillerJobsEndNoTargets(t *testing.T) {
-	for name, c := range map[string]struct {
-		idle, adds float64 // tail latencies in milliseconds
-		learned    float64 // the factor that is known
-		work       time.Duration
-	}{
-		"the harm is known":           {85, 60, 20, time.Minute},
-		"the harm is not known":       {85, 60, math.NaN(), time.Minute},
-		"each task harms a little":    {90, 12, math.NaN(), time.Minute},
-		"the target is nearly met":    {98, 8, math.NaN(), time.Minute},
-		"short tasks, not known":      {85, 60, math.NaN(), 600 * time.Millisecond},
-		"short tasks, known":          {85, 60, 20, 600 * time.Millisecond},
-		"longer tasks, not known":     {85, 60, math.NaN(), 2 * time.Second},
-		"little harm, underestimated": {90, 12, 0, 2 * time.Second},
-		"the harm is underestimated":  {70, 40, 0, time.Minute},
-	} {
-		t.Run(name, func(t *testing.T) { playFillerHarm(t, c.idle, c.adds, c.learned, c.work) })
+	for name, c := range fillerHarms {
+		t.Run(name, func(t *testing.T) { playFillerHarm(t, c.idle, c.adds, c.learned, c.work, 0) })
 	}
 }
 
-func playFillerHarm(t *testing.T, idle, adds, learned float64, work time.Duration) {
+// TestIdleJobsOfSuspectsEndNoTargets guards against the same with tasks that are suspects.
+func TestIdleJobsOfSuspectsEndNoTargets(t *testing.T) {
+	for name, c := range fillerHarms {
+		t.Run(name, func(t *testing.T) { playFillerHarm(t, c.idle, c.adds, c.learned, c.work, suspectLosses) })
+	}
+}
+
+// playFillerHarm plays jobs of filler tasks that have lost some runs.
+func playFillerHarm(t *testing.T, idle, adds, learned float64, work time.Duration, losses int) {
 	t.Helper()
+	lost := jobs.Suspicion{Lost: slices.Repeat([]jobs.LostRun{{Run: 1, EvidenceVsChance: 1, EvidenceVsAll: 1, RanAtMost: 100}}, losses)}
+	var suspicions jobs.Suspicions
+	if losses > 0 {
+		suspicions = jobs.Suspicions{0: {}}
+		for n := range harmTasks {
+			suspicions[0][n] = lost
+		}
+	}
 	b := newBench(t, harmWorkers)
 	if !math.IsNaN(learned) {
 		b.setInterference(fillerStep.Image, learned)
@@ -188,7 +207,7 @@
 				step.Count, step.Estimate = harmTasks, models.MilliOf(work)
 				record := b.job(step)
 				record.Spec.ID = jobs.ID(fmt.Sprintf("%016x", n+0x100))
-				b.AddJob(record, jobs.Progress{}, true, b.now)
+				b.AddJob(record, jobs.Progress{Suspected: suspicions}, true, b.now)
 			}
 		}
 		for n := range workers {
--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"rillsail.example/rillsail/models"
@@ -48,10 +49,19 @@
 
 // startsWhateverTheLoads reports whether a task of the step, of which a suspect waits, may be placed on the worker although the loads
 // of the serving tasks there are too high: nothing of its job has run for long, the CPU that others have not declared is enough,
-// and no other task has just been placed there so. Filler tasks that the loads allow do not count: where these are short, they
+// no other task has just been placed there so, and no serving task there is over its target beside filler tasks at work. Filler tasks that the loads allow do not count: where these are short, they
 // come and go all the time.
 func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
-	return c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime && c.mayIgnoreLoads(s)
+	return c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime && !w.isHarmed(c.now) && c.mayIgnoreLoads(s)
+}
+
+// isHarmed reports whether a serving task on the worker is over its target, and filler tasks that work there, or did a moment ago, may be
+// the cause.
+func (w *worker) isHarmed(now time.Time) bool {
+	if w.overTargetSince.IsZero() {
+		return false
+	}
+	return now.Sub(w.throttledAt) < settleTime || slices.ContainsFunc(w.tasks, func(t *task) bool { return t.step.spec.Filler && !t.standby && t.pace > 0 })
 }
 
 // mayIgnoreLoads reports whether nothing of the step's job runs, and nothing has run for long enough to be seen for so long that a
