--- a/services/dispatch/capacity.go
+++ b/services/dispatch/capacity.go
@@ -102,7 +102,7 @@
 		return true
 	case !t.confirmed:
 		return t.standby && !w.reportAskedAt.After(t.startSentAt.Add(maxStartAge))
-	case w.reportAskedAt.After(t.lastRunAt): // the report would show it
+	case w.reportAskedAt.After(t.answeredAt): // the report would show it
 		return false
 	default:
 		return t.standby || now.Sub(t.startedAt) >= endKnownAfter
