--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -50,8 +50,8 @@
 
 // startsWhateverTheLoads reports whether a task of the step, of which a suspect waits, may be placed on the worker although the loads
 // of the serving tasks there are too high: nothing of its job has run for long, the CPU that others have not declared is enough,
-// no other task has just been placed there so, and no serving task there is over its target beside filler tasks at work. Filler tasks that the loads allow do not count: where these are short, they
-// come and go all the time.
+// no other task has just been placed there so, and no serving task there is over its target beside filler tasks at work. Filler
+// tasks that the loads allow do not count: where these are short, they come and go all the time.
 func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
 	return c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime && !w.isHarmed(c.now) && c.mayIgnoreLoads(s)
 }
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -91,10 +91,10 @@
 }
 
 // mayStartIdle reports whether a filler task of the step is to start on standby: its pool is mostly free, nothing of its job has been seen
-// for standbyAfter, and none of its tasks stands by. Beside one that works, which may end before it is seen, another one stands by.
+// for standbyAfter, and nothing of it runs. Beside one that works, which may end before it is seen as others did, another one stands by.
 func (c *Core) mayStartIdle(s *step, now time.Time) bool {
 	return s.spec.Filler && s.waiting > 0 && c.isMostlyFree(c.terms(s.job).Pool) && s.unseenTime(now) >= standbyAfter &&
-		(s.job.isIdle() || !s.job.hasStandby())
+		(s.job.isIdle() || s.job.runSpan.ran > 0 && !s.job.hasStandby())
 }
 
 // hasStandby reports whether a task of the job stands by.
