Tests of two cells wait until the daemon that they ask knows the layout

newClusterWithEmptyCell read the layout of the first daemon once both cells had owners, which may be two others: a nil layout, a panic seen once in some ten plays. It waits for that daemon's layout as well, and so does newTwoCellClusterWithStore.

--- a/services/control/moves_under_load_test.go
+++ b/services/control/moves_under_load_test.go
@@ -61,7 +61,7 @@
 	}
 	w := newTestClusterWithSettings(t, 3, settings, grid.Config{Workers: 2 * perCell, Work: work}, withStore)
 	w.eventually(20*time.Second, "both cells have owners", func() bool {
-		return w.ownerOfCell(cellName(0)) != nil && w.ownerOfCell(cellName(1)) != nil
+		return w.daemons[0].Cells.layout() != nil && w.ownerOfCell(cellName(0)) != nil && w.ownerOfCell(cellName(1)) != nil
 	})
 	return w
 }
--- a/services/control/takeover_moves_test.go
+++ b/services/control/takeover_moves_test.go
@@ -39,7 +39,7 @@
 	t.Helper()
 	w = newTestClusterWithCells(t, 4, 3, 2, nil)
 	w.eventually(20*time.Second, "both cells have owners", func() bool {
-		return w.ownerOfCell(cellName(0)) != nil && w.ownerOfCell(cellName(1)) != nil
+		return w.daemons[0].Cells.layout() != nil && w.ownerOfCell(cellName(0)) != nil && w.ownerOfCell(cellName(1)) != nil
 	})
 	for _, place := range w.workersOfCell(0) {
 		w.grid.SetListed(place, false)
