--- a/services/dispatch/filler_wait.go
+++ b/services/dispatch/filler_wait.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"rillsail.example/rillsail/models"
@@ -33,52 +34,41 @@
 	return now.Sub(latest(latest(s.job.lastRunEndedAt, s.openedAt), s.job.silentSince)) + s.job.waitedElsewhere
 }
 
-// isIdle reports whether nothing of the job can be running, but on workers that do not answer.
-func (j *job) isIdle() bool { return j.running == 0 || !j.silentSince.IsZero() }
-
-// updateSilentJobs updates since when all that may run of a job has been on workers that do not answer.
-func (c *Core) updateSilentJobs() {
-	for j := range c.silentJobs {
-		j.silentSince = time.Time{}
-	}
-	clear(c.silentJobs)
-	for _, w := range c.sortedWorkers {
-		if w.unansweredSince.IsZero() {
-			continue
-		}
-		for _, t := range w.tasks {
-			j := t.step.job
-			c.silentJobs[j]++
-			j.silentSince = latest(j.silentSince, w.unansweredSince)
-		}
-	}
-	for j, silent := range c.silentJobs {
-		if silent < j.running {
-			j.silentSince = time.Time{}
-		}
-	}
-}
+// isIdle reports whether nothing of the job can be running, but on workers that do not answer, or by starts that have had no answer for
+// long.
+func (j *job) isIdle() bool { return j.running == 0 || j.uncertain }
 
 // SetOtherCells takes the use of the other cells, as last known.
 func (c *Core) SetOtherCells(use jobs.UseOfPools) { c.otherCells = use }
 
 // isMostlyFree reports whether callers may expect that each job of a pool runs: most of the CPU and of the memory is free on the
-// workers of the pool in all cells that stay. Workers that get no starts for a moment count, as callers do not know of that.
+// workers of the pool in all cells, by the count that finds the least in use. Workers that get no starts for a moment count, as
+// callers do not know of that.
 func (c *Core) isMostlyFree(pool jobs.PoolName) bool {
 	return c.shortWork.use[pool].Add(c.otherCells[pool]).IsBelow(mostlyFreeBelow)
 }
 
 // startsWhateverTheLoads reports whether a task of the step, of which a suspect waits, may be placed on the worker although the loads
 // of the serving tasks there are too high: nothing of its job has run for long, the CPU that others have not declared is enough,
-// and no other task has just been placed there so. Filler tasks that the loads allow do not count: where these are short, they
-// come and go all the time.
+// no other task has just been placed there so, and no serving task there is over its target beside filler tasks at work. Filler
+// tasks that the loads allow do not count: where these are short, they come and go all the time.
 func (c *Core) startsWhateverTheLoads(w *worker, s *step) bool {
-	return c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime && c.mayIgnoreLoads(s)
+	return c.hasDeclaredRoom(w, s) && c.now.Sub(w.loadsIgnoredAt) >= settleTime && !w.isHarmed(c.now) && c.mayIgnoreLoads(s)
+}
+
+// isHarmed reports whether a serving task on the worker is over its target, and filler tasks that work there, or did a moment ago, may be
+// the cause.
+func (w *worker) isHarmed(now time.Time) bool {
+	if w.overTargetSince.IsZero() {
+		return false
+	}
+	return now.Sub(w.throttledAt) < settleTime || slices.ContainsFunc(w.tasks, func(t *task) bool { return t.step.spec.Filler && !t.standby && t.pace > 0 })
 }
 
-// mayIgnoreLoads reports whether nothing of the step's job has run for so long that a suspect of the step starts whatever the loads.
+// mayIgnoreLoads reports whether nothing of the step's job runs, and nothing has run for long enough to be seen for so long that a
+// suspect of the step starts whatever the loads.
 func (c *Core) mayIgnoreLoads(s *step) bool {
-	return s.idleTime(c.now) >= maxFillerWait && s.hasWaitingSuspect()
+	return s.job != nil && s.job.isIdle() && s.unseenTime(c.now) >= maxFillerWait && s.hasWaitingSuspect()
 }
 
 // hasWaitingSuspect reports whether a task of the step that waits is a suspect.
--- a/services/dispatch/place.go
+++ b/services/dispatch/place.go
@@ -23,11 +23,20 @@
 func (c *Core) placeAll(now time.Time) {
 	c.logCapacityTaken(now)
 	candidates := c.candidates(now)
-	if len(candidates) > 0 {
-		c.updateShortWork(now)
-		c.placeOverdue(candidates, now)
-		c.startIdleFillers(candidates, now)
+	if len(candidates) == 0 {
+		return
 	}
+	c.updateShortWork(now)
+	c.placeOverdue(candidates, now)
+	idle := c.idleFillers(candidates, now)
+	c.startIdleFillersFirst(idle, now)
+	c.placeCandidates(candidates, now)
+	c.startIdleFillers(idle, now)
+	c.startMoreFillers(idle, now)
+}
+
+// placeCandidates places tasks of the steps in their order.
+func (c *Core) placeCandidates(candidates []candidate, now time.Time) {
 	urgentFiller := true
 	for _, candidate := range candidates {
 		if c.startsLeft <= 0 {
@@ -58,7 +67,7 @@
 	kept := c.waitingSteps[:0]
 	for _, s := range c.waitingSteps {
 		if !s.hasTasksToPlace() || s.job.end != "" || s.job.cancelled {
-			s.inWaitingSteps, s.roomSince = false, time.Time{}
+			s.inWaitingSteps = false
 			continue
 		}
 		kept = append(kept, s)
@@ -195,7 +204,8 @@
 func (c *Core) beginRun(t *task, now time.Time) {
 	t.step.waiting--
 	t.step.job.running++
-	t.step.job.silentSince, t.step.job.waitedElsewhere = time.Time{}, 0
+	t.step.job.uncertain, t.step.job.silentSince = false, time.Time{}
+	c.awaitAnswer(t)
 	t.starts++
 	t.trialWait = trialWait{}
 	t.orderedHere = true
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -106,7 +106,10 @@
 		c.stopStray(w, run, now)
 		return
 	}
-	t.lastReport, t.lastRunAt, t.endHidden = w.reportCount, now, false
+	t.lastReport, t.endHidden = w.reportCount, false
+	if now.Sub(t.startedAt) >= seenRun {
+		t.lastRunAt = now
+	}
 	t.figure = run.Figure
 	c.checkPace(w, t, now)
 	c.sampleSpeed(w, t, run.Progress, now)
@@ -116,6 +119,9 @@
 	if t.state == taskStarting {
 		c.confirmRunning(t, now)
 	}
+	if t.confirmed {
+		t.step.job.runSpan.show(now)
+	}
 	c.recordSurvival(w, t, now)
 	if t.step.job.cancelled || t.step.job.end != "" {
 		c.stop(t, "its job has ended")
@@ -136,6 +142,7 @@
 	t.pace, t.paceUncertain = inferPace(t.step.spec, run.Figure), false
 	t.pacedAt = c.now
 	t.step.job.running++
+	t.step.job.waitedElsewhere = 0
 	t.step.job.runSpan.begin(c.now)
 	t.step.job.begun = true
 	w.add(t)
@@ -193,9 +200,10 @@
 
 // confirmRunning records that a run is under way.
 func (c *Core) confirmRunning(t *task, now time.Time) {
+	t.step.job.waitedElsewhere = 0
 	t.step.job.runSpan.begin(now)
 	t.state, t.confirmed = taskRunning, true
-	t.answeredAt, t.lastRunAt = now, now
+	t.answeredAt = now
 	if now.Sub(t.startedAt) <= promptAnswer {
 		t.startedAt = now
 	}
--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -20,6 +20,7 @@
 	done            int                     // tasks that have succeeded
 	waiting         int                     // tasks that are waiting
 	standby         int                     // tasks on standby
+	briefRuns       briefRuns               // those that have ended
 	opened          bool                    // the steps that it depends on are done, and its time has come
 	openedAt        time.Time               // when that was so
 	inWaitingSteps  bool                    // is among the core's steps with waiting tasks
@@ -58,9 +59,7 @@
 	for _, s := range o.steps {
 		if !s.opened && due && s.mayOpen() {
 			s.opened, s.openedAt = true, now
-			if o.openedAt.IsZero() {
-				o.openedAt = now
-			}
+			o.open(now)
 		}
 		c.listWaiting(s)
 	}
