Sixth starts of filler tasks that crash their workers: a test that fails

TestEvidenceOfLostRunsOfFillers plays the simulations of lost runs with filler tasks that need more CPU than there is, so that they stand by, are throttled and go on; tasks crash their workers after some work, or some time after their start, also at pace 0. The bounds are those of TestEvidenceOfLostRuns, whose plays are unchanged.

--- a/services/dispatch/evidence_simulation_test.go
+++ b/services/dispatch/evidence_simulation_test.go
@@ -34,6 +34,10 @@
 	BurstShare float64      `json:"burst_share"`    // of the workers
 	// BurstsAtRandom: the intervals between bursts vary, with BurstEvery as their mean.
 	BurstsAtRandom bool `json:"bursts_at_random"`
+	// Fillers: the tasks are filler tasks that need all the CPU of a worker, and more of it than there is.
+	Fillers bool `json:"fillers"`
+	// CrashesStanding: a task crashes its worker some time after its start, also at pace 0; else after some work.
+	CrashesStanding bool `json:"crashes_standing"`
 	// Abandoned is how many jobs of a million lost innocent runs may be abandoned, and TooOften how many of a thousand
 	// tasks that crash their workers may be started a sixth time.
 	Abandoned float64 `json:"given_up_per_million"`
@@ -73,8 +77,20 @@
 }
 
 type simulatedRun struct {
-	run   jobs.RunID
-	began time.Time
+	run    jobs.RunID
+	began  time.Time
+	pace   jobs.Percent
+	next   jobs.Percent  // in force from nextAt on
+	nextAt time.Time     // zero: no order is open
+	worked time.Duration // at full pace
+}
+
+// pass lets the run work for a step of a simulation.
+func (r *simulatedRun) pass(now time.Time) {
+	r.worked += simulationStep * time.Duration(r.pace) / time.Duration(jobs.FullSpeed)
+	if !r.nextAt.IsZero() && !now.Before(r.nextAt) {
+		r.pace, r.nextAt = r.next, time.Time{}
+	}
 }
 
 // lossSimulation is one simulation of a case.
@@ -147,10 +163,12 @@
 	if p.random.Float64() < crashingJobShare {
 		p.crashing[id] = time.Duration(float64(minCrashTime) * math.Pow(crashTimeRange, p.random.Float64()))
 	}
+	step := jobs.Step{Count: 4, Size: models.Resources{CPU: 1000, Memory: 500}, Estimate: models.MilliOf(taskRuntime)}
+	if p.Fillers {
+		step.Size, step.Filler, step.Image = models.Resources{CPU: 4000, Memory: 50}, true, fillerStep.Image
+	}
 	p.AddJob(jobs.Record{
-		Spec: jobs.Spec{ID: id, Queue: "q", Steps: []jobs.Step{{
-			Count: 4, Size: models.Resources{CPU: 1000, Memory: 500}, Estimate: models.MilliOf(taskRuntime),
-		}}},
+		Spec:  jobs.Spec{ID: id, Queue: "q", Steps: []jobs.Step{step}},
 		Terms: jobs.Terms{Pool: testPool, MaxAttempts: 3, Slack: 250, Stretch: 1.5}, Accepted: models.UnixMilliOf(p.now),
 	}, jobs.Progress{}, true, p.now)
 }
@@ -159,11 +177,16 @@
 func (p *lossSimulation) completeRuns() {
 	for _, w := range p.workers {
 		for _, id := range w.running() {
-			r := w.runs[id]
+			r, running := w.runs[id]
+			if !running {
+				continue
+			}
+			r.pass(p.now)
+			w.runs[id] = r
 			after, crashes := p.crashing[id.Job]
-			ran := p.now.Sub(r.began)
+			ran := r.worked
 			switch {
-			case crashes && id.Index == 0 && ran >= after:
+			case crashes && id.Index == 0 && (ran >= after || p.CrashesStanding && p.now.Sub(r.began) >= after):
 				p.crashes[id.Job]++
 				p.crash(w)
 			case ran >= taskRuntime && w.down.IsZero():
@@ -230,7 +253,11 @@
 		}
 		report := jobs.Report{Clock: models.MilliOf(p.now.Sub(w.clock)), Ended: w.ended}
 		for _, id := range w.running() {
-			report.Running = append(report.Running, jobs.Run{Task: id, Run: w.runs[id].run})
+			run := jobs.Run{Task: id, Run: w.runs[id].run}
+			if p.Fillers {
+				run.Figure = int(fillerUse * float64(w.info.Capacity.CPU) * float64(w.runs[id].pace) / float64(jobs.FullSpeed))
+			}
+			report.Running = append(report.Running, run)
 		}
 		sent := p.now.Add(-time.Millisecond)
 		p.LeaseCall(w.info.ID, time.Second, sent)
@@ -252,8 +279,19 @@
 				p.Started(order, Result{Outcome: OutcomeUnreached}, p.now)
 				continue
 			}
-			w.runs[order.Call.Task] = simulatedRun{run: order.Call.Run, began: p.now}
+			w.runs[order.Call.Task] = simulatedRun{run: order.Call.Run, began: p.now, pace: jobs.FullSpeed}
 			p.Started(order, Result{Outcome: OutcomeDone}, p.now)
+		case PaceOrder:
+			w := workers[order.Worker.ID]
+			if w == nil || !w.down.IsZero() {
+				p.Paced(order, Result{Outcome: OutcomeUnreached}, p.now)
+				continue
+			}
+			if r, ok := w.runs[order.Call.Task]; ok {
+				r.next, r.nextAt = order.Call.Pace, p.now.Add(harmPaceTime)
+				w.runs[order.Call.Task] = r
+			}
+			p.Paced(order, Result{Outcome: OutcomeDone}, p.now)
 		case StopOrder:
 			if w := workers[order.Worker.ID]; w != nil {
 				delete(w.runs, order.Call.Task)
@@ -283,6 +321,11 @@
 	simulateLosses(t, "testdata/evidence_plays_times.json", simulationsOfTimes)
 }
 
+// TestEvidenceOfLostRunsOfFillers guards against more such errors where tasks stand by and go on.
+func TestEvidenceOfLostRunsOfFillers(t *testing.T) {
+	simulateLosses(t, "testdata/evidence_plays_fillers.json", simulationsInCI)
+}
+
 // simulateLosses runs the given number of simulations for each case of a file.
 func simulateLosses(t *testing.T, file string, simulations int) {
 	for _, c := range casefile.Read[[]evidenceCase](t, file) {
