Jobs of short suspects are not seen by callers who look each 1.5 s: a listed test

The script 'suspects' of TestJobsOfShortTasksAreSeenRunning has callers who look each 0.5 and 1 s, to whom it is green. To one who looks each 1.5 s nothing of the job runs for 6.65 s (less than 4.5 s allowed), because suspects do not stand by and start at a rate. A test of its own, listed.

--- a/services/dispatch/standby_short_test.go
+++ b/services/dispatch/standby_short_test.go
@@ -155,8 +155,15 @@
 
 // TestJobsOfShortTasksAreSeenRunning guards against jobs of which short runs end the wait again and again, so that callers, who look at
 // what runs from time to time, see nothing of the job for longer than they allow.
-func TestJobsOfShortTasksAreSeenRunning(t *testing.T) {
-	for _, script := range casefile.Read[[]shortTasksScript](t, "testdata/short_tasks.json") {
+func TestJobsOfShortTasksAreSeenRunning(t *testing.T) { playShortTasks(t, "testdata/short_tasks.json") }
+
+// TestJobsOfShortSuspectsAreSeenRunning guards against the same for tasks that are suspects, which do not stand by.
+func TestJobsOfShortSuspectsAreSeenRunning(t *testing.T) { playShortTasks(t, "testdata/short_suspects.json") }
+
+// playShortTasks plays scripts, and requires that callers see something of each job.
+func playShortTasks(t *testing.T, scripts string) {
+	t.Helper()
+	for _, script := range casefile.Read[[]shortTasksScript](t, scripts) {
 		t.Run(script.Name, func(t *testing.T) {
 			t.Parallel()
 			b := newShortTasksBench(t, script)
