--- a/services/dispatch/standby_short_test.go
+++ b/services/dispatch/standby_short_test.go
@@ -158,7 +158,9 @@
 func TestJobsOfShortTasksAreSeenRunning(t *testing.T) { playShortTasks(t, "testdata/short_tasks.json") }
 
 // TestJobsOfShortSuspectsAreSeenRunning guards against the same for tasks that are suspects, which do not stand by.
-func TestJobsOfShortSuspectsAreSeenRunning(t *testing.T) { playShortTasks(t, "testdata/short_suspects.json") }
+func TestJobsOfShortSuspectsAreSeenRunning(t *testing.T) {
+	playShortTasks(t, "testdata/short_suspects.json")
+}
 
 // playShortTasks plays scripts, and requires that callers see something of each job.
 func playShortTasks(t *testing.T, scripts string) {
