--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -36,8 +36,9 @@
 //     cells fits here), move.go (the tasks while a move is being stored)
 //   - the load of the cell: load.go; figures for operators: summary.go, figures.go;
 //     what has waited for long: long_wait.go
-//   - filler tasks of idle jobs: job_runs.go and filler_wait.go (how long nothing of a job has run), standby.go (tasks that hold a place at
-//     pace 0), standby_resume.go (how these go on); no_room.go (searches that other steps have made)
+//   - filler tasks of idle jobs: job_runs.go and filler_wait.go (how long nothing of a job has run), unanswered_start.go (starts
+//     that are no runs), standby.go (tasks that hold a place at pace 0), standby_resume.go (how these go on); no_room.go
+//     (searches that other steps have made)
 //   - interference: the model is package contention; learn.go feeds it; learned_parameters.go
 //     stores its parameters for a successor
 //   - use of the interference model: expect.go (predicted loads), filler.go (placement and CPU
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -77,8 +77,9 @@
 	return c.startsLeft / 2
 }
 
-// startMoreFillers starts as many more tasks on standby of each of the steps as have ended since something of its job was last seen, because those that are shorter than the time until they stand leave nothing to be seen. So such a step ends soon. They take no
-// starts from other tasks.
+// startMoreFillers starts as many more tasks on standby of each of the steps as have ended there since something of its job was last
+// seen: those that are shorter than the time until they stand leave nothing to be seen, so that such a step has to end soon. They
+// take no starts from other tasks.
 func (c *Core) startMoreFillers(idle []*step, now time.Time) {
 	for _, s := range idle {
 		if c.startsLeft <= 0 {
--- a/services/dispatch/step.go
+++ b/services/dispatch/step.go
@@ -20,7 +20,7 @@
 	done            int                     // tasks that have succeeded
 	waiting         int                     // tasks that are waiting
 	standby         int                     // tasks on standby
-	briefRuns       briefRuns               // those that have ended
+	briefRuns       briefRuns               // see recentBriefRuns
 	opened          bool                    // the steps that it depends on are done, and its time has come
 	openedAt        time.Time               // when that was so
 	inWaitingSteps  bool                    // is among the core's steps with waiting tasks
