Starts that are overdue keep ordinary tasks from no worker

Callers could see a task of an ordinary job wait for more than a second beside workers that answer, while others have stopped to answer.

Cause: since 'A start without an answer is no run of its job' the score of a worker for any task was lower while a start there was overdue. Each decision looks anew, so ordinary starts went from one silent worker to the next one, which was not avoided for avoidPause, as one is that has left two starts unanswered.

Change: only tasks on standby avoid such a worker.

TestJobsRunSoonAfterStartsWithoutAnswer, which needs the lower score for tasks on standby, is green.

--- a/services/dispatch/score.go
+++ b/services/dispatch/score.go
@@ -43,7 +43,7 @@
 	if spec.SameRack && s.onRack(w.info.Rack) {
 		score += rackWeight
 	}
-	if c.now.Before(w.avoidUntil) || w.startOverdueAt.Equal(c.now) {
+	if c.now.Before(w.avoidUntil) {
 		score -= avoidWeight
 	}
 	return score
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -151,6 +151,9 @@
 // the task does there until it stands and once it goes on, the better.
 func (c *Core) standbyScore(w *worker, s *step) float64 {
 	score := float64(w.free().Memory)/float64(max(1, w.info.Capacity.Memory)) + c.positionScore(w, s)
+	if w.startOverdueAt.Equal(c.now) {
+		score -= avoidWeight
+	}
 	if !w.isInBurst(c.now) { // else its serving tasks are disturbed already
 		score -= c.addedHarm(w, s)
 	}
