--- a/services/dispatch/standby_faults_test.go
+++ b/services/dispatch/standby_faults_test.go
@@ -89,6 +89,12 @@
 	for range 4 {
 		b.addOtherCell()
 	}
+	b.requireRoomBesideStandby(t)
+}
+
+// requireRoomBesideStandby lets jobs of large filler tasks stand by, and checks that an ordinary task finds room beside them.
+func (b *standbyBench) requireRoomBesideStandby(t *testing.T) {
+	t.Helper()
 	step := fillerStep
 	step.Size.Memory = 800
 	for n := range 30 {
