--- a/services/control/journal.go
+++ b/services/control/journal.go
@@ -67,6 +67,9 @@
 	return nil
 }
 
+// journalEntries is the number of entries that commitJournaled adds to a transaction.
+const journalEntries = 3
+
 // commitJournaled commits a transaction as the owner's next one in the journal, and returns its version.
 func (o *Owner) commitJournaled(ctx context.Context, txn platform.Txn) (platform.Version, error) {
 	o.journal.attempts++
--- a/services/control/move_batch.go
+++ b/services/control/move_batch.go
@@ -23,8 +23,6 @@
 type moveBatch []preparedMove
 
 const (
-	// journalEntries are the entries that commitJournaled adds to a transaction.
-	journalEntries = 3
 	// maxMoveEntries is the number of entries that the moves of one transaction can have.
 	maxMoveEntries = platform.MaxTxnEntries - journalEntries
 	// maxBatchSize is the size of all values of a transaction of several moves, in bytes. A transaction with a single value may
--- a/services/control/shared_ends.go
+++ b/services/control/shared_ends.go
@@ -101,9 +101,9 @@
 }
 
 const (
-	// sharedEndEntries are the entries of the transaction of an end besides those for each cell: three of the journal, a
+	// sharedEndEntries are the entries of the transaction of an end besides those for each cell: those of the journal, a
 	// cancellation that must not exist, and the progress that is deleted.
-	sharedEndEntries = 5
+	sharedEndEntries = journalEntries + 2
 	// maxSharedEndCells is the number of cells in which one transaction of an owner can end a job. Each takes a condition
 	// and a write.
 	maxSharedEndCells = (platform.MaxTxnEntries - sharedEndEntries) / 2
--- a/services/dispatch/job_runs.go
+++ b/services/dispatch/job_runs.go
@@ -50,11 +50,12 @@
 
 // end records that a run which was known to be under way has ended.
 func (r *runSpan) end(at time.Time) {
-	r.note(at)
 	r.runs--
 	if r.runs == 0 {
 		r.interrupt(at)
+		return
 	}
+	r.note(at)
 }
 
 // runtime returns for how long in sum something of the job has run since it was last seen.
--- a/services/dispatch/long_wait.go
+++ b/services/dispatch/long_wait.go
@@ -125,19 +125,23 @@
 // addIdleJobs adds the jobs of which nothing has run for long.
 func (l *LongWaits) addIdleJobs(idle map[*job]time.Duration) {
 	l.IdleJobs = len(idle)
-	for _, waited := range idle {
-		l.LongestIdleJob = max(l.LongestIdleJob, models.MilliOf(waited))
-	}
+	_, l.LongestIdleJob = longestOf(idle)
 }
 
 // addUnseenJobs adds the jobs that callers have hardly seen running for long.
 func (l *LongWaits) addUnseenJobs(unseen map[*job]time.Duration) {
 	l.UnseenJobs = len(unseen)
-	for j, waited := range unseen {
-		if ms := models.MilliOf(waited); ms > l.LongestUnseen {
-			l.LongestUnseen, l.UnseenJob = ms, j.spec.ID
+	l.UnseenJob, l.LongestUnseen = longestOf(unseen)
+}
+
+// longestOf returns the job that has waited longest, and for how long.
+func longestOf(waits map[*job]time.Duration) (id jobs.ID, longest models.Milli) {
+	for j, waited := range waits {
+		if ms := models.MilliOf(waited); ms > longest {
+			id, longest = j.spec.ID, ms
 		}
 	}
+	return id, longest
 }
 
 // addUse adds the use of the workers that stay, and the filler tasks on workers.
--- a/services/dispatch/standby.go
+++ b/services/dispatch/standby.go
@@ -16,8 +16,7 @@
 // when its turn comes and the loads allow it. So a cell that is mostly free has something of each job on a worker, however
 // many jobs there are and whatever the loads, and the order in which jobs get the CPU is that of all waiting tasks.
 
-// standbyAfter is how long nothing of a job runs until one of its tasks starts on standby. Callers allow 3 s; they look at what runs
-// from time to time, and may not see a short run between two such times.
+// standbyAfter is how long nothing of a job is seen until one of its tasks starts on standby. Callers allow 3 s.
 const standbyAfter = time.Second
 
 // maxStandbyMemory is the share of a worker's memory in use up to which tasks start on standby there, so that other tasks find
--- a/services/dispatch/unanswered_start.go
+++ b/services/dispatch/unanswered_start.go
@@ -12,11 +12,6 @@
 // awaitAnswer records that the start of a task has no answer.
 func (c *Core) awaitAnswer(t *task) { c.unanswered[t] = struct{}{} }
 
-// isStartOverdue reports whether the run of a task is not known to have begun, and should have been for long.
-func (t *task) isStartOverdue(now time.Time) bool {
-	return t.worker != nil && !t.confirmed && now.Sub(t.startedAt) >= startAnswerTime
-}
-
 // updateIdleJobs updates of which jobs nothing can be running but on workers that do not answer, or by starts that have had no answer for
 // long.
 func (c *Core) updateIdleJobs(now time.Time) {
@@ -31,7 +26,7 @@
 			j.silentSince = time.Time{}
 			continue
 		}
-		j.runSpan.interrupt(latest(j.silentSince, j.runSpan.since))
+		j.runSpan.interrupt(j.silentSince)
 	}
 }
 
@@ -55,7 +50,7 @@
 		switch {
 		case t.worker == nil || t.confirmed:
 			delete(c.unanswered, t)
-		case t.worker.unansweredSince.IsZero() && t.isStartOverdue(now):
+		case t.worker.unansweredSince.IsZero() && now.Sub(t.startedAt) >= startAnswerTime:
 			c.uncertainRuns[t.step.job]++
 			t.worker.startOverdueAt = now
 		}
