The loss of a worker is weighed in time and memory that grow with its tasks, not with their square

What callers saw: after a worker with thousands of runs is lost, nothing of the cell runs for long. The owner computes the evidence of the loss for each of these runs, and lists all other runs on the worker for each.

Change: the crash rates of the tasks on a worker are computed once, and a run is compared with their sum without its own. The losses in which the worker's tasks had lost earlier runs are listed once each. Nothing else of the evidence changes; TestWhatALossSays has the same figures, and sums the rates that it listed before.

--- a/services/dispatch/chance.go
+++ b/services/dispatch/chance.go
@@ -53,7 +53,7 @@
 // newWorkerLoss describes the loss of a worker as far as it is known.
 func (c *Core) newWorkerLoss(w *worker, now time.Time) workerLoss {
 	return workerLoss{
-		lostWorker: lostWorkerOf(w, now), taskCrashRate: crashRate(c.neighboursOf(w, nil, now)), count: 1, earlier: w.earlierLossesOfTasks(),
+		lostWorker: lostWorkerOf(w, now), taskCrashRate: c.crashRateOn(w, nil, now), count: 1, earlier: w.earlierLossesOfTasks(),
 	}
 }
 
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -104,21 +104,27 @@
 	return (1-recurringShare)*anyTime + recurringShare*float64(earlier)/float64(len(earlierRuntimes))
 }
 
-// crashRate is the probability per second that one of the tasks on a worker crashes it now.
-func crashRate(tasks []neighbour) float64 {
-	sum := 0.0
-	for _, t := range tasks {
-		sum += t.crasherProbability * crashDensityAfter(t.runtime, t.earlierRuntimes)
-	}
-	return sum
+// crashRate is the probability per second that the task crashes the worker now.
+func (n neighbour) crashRate() float64 {
+	return n.crasherProbability * crashDensityAfter(n.runtime, n.earlierRuntimes)
 }
 
+// crashRates are the probabilities per second that the tasks on a worker crash it now. They are computed once for all tasks
+// on the worker, of which there may be thousands, before any of their losses is counted.
+type crashRates struct {
+	byTask map[*task]float64
+	sum    float64
+}
+
+// beside is the probability per second that one of the other tasks on the worker crashes it.
+func (r crashRates) beside(t *task) float64 { return max(0, r.sum-r.byTask[t]) }
+
 // lossContext describes the circumstances in which a run was lost with its worker.
 type lossContext struct {
 	runtime         time.Duration
 	earlierRuntimes []time.Duration // after which earlier runs of the task were lost
-	neighbours      []neighbour
-	chanceRate      float64 // losses of a worker by chance per second, at that time
+	neighbourRate   float64         // losses caused by the other tasks on the worker per second, at that time
+	chanceRate      float64         // losses of a worker by chance per second, at that time
 	// runtimeIsUpperBound is set when the run was lost at an unknown time up to runtime, because calls to its worker
 	// timed out.
 	runtimeIsUpperBound bool
@@ -131,7 +137,7 @@
 	if e.runtimeIsUpperBound && len(e.earlierRuntimes) > 0 {
 		byTask = crashProbabilityBy(e.runtime, e.earlierRuntimes) / e.runtime.Seconds()
 	}
-	return math.Log(byTask / e.chanceRate), math.Log(byTask / (e.chanceRate + crashRate(e.neighbours)))
+	return math.Log(byTask / e.chanceRate), math.Log(byTask / (e.chanceRate + e.neighbourRate))
 }
 
 // crasherProbability is the probability that the task crashes workers, as used for its neighbours. A suspect is
@@ -163,17 +169,32 @@
 	return ran, !t.endHidden && ran >= 0 && (t.orderedHere || t.suspected())
 }
 
-// neighboursOf returns the other tasks on a worker that was lost.
-func (c *Core) neighboursOf(w *worker, t *task, now time.Time) []neighbour {
-	var neighbours []neighbour
-	for _, other := range w.tasks {
-		ran, known := c.runtimeAtLoss(w, other, now)
-		if other == t || !known {
-			continue
+// crashRatesOn returns the crash rates of the tasks on a worker that is lost, or may be.
+func (c *Core) crashRatesOn(w *worker, now time.Time) crashRates {
+	rates := crashRates{byTask: make(map[*task]float64, len(w.tasks))}
+	for _, t := range w.tasks {
+		if ran, known := c.runtimeAtLoss(w, t, now); known {
+			rates.byTask[t] = t.asNeighbour(ran).crashRate()
+			rates.sum += rates.byTask[t]
+		}
+	}
+	return rates
+}
+
+// crashRateOn is the probability per second that a task on a worker crashes it, except for the given one; nil: no exception.
+func (c *Core) crashRateOn(w *worker, except *task, now time.Time) float64 {
+	sum := 0.0
+	for _, t := range w.tasks {
+		if ran, known := c.runtimeAtLoss(w, t, now); known && t != except {
+			sum += t.asNeighbour(ran).crashRate()
 		}
-		neighbours = append(neighbours, neighbour{runtime: ran, earlierRuntimes: other.lostRuntimes(), crasherProbability: other.crasherProbability()})
 	}
-	return neighbours
+	return sum
+}
+
+// asNeighbour describes the task as a neighbour of others, after the given runtime.
+func (t *task) asNeighbour(ran time.Duration) neighbour {
+	return neighbour{runtime: ran, earlierRuntimes: t.lostRuntimes(), crasherProbability: t.crasherProbability()}
 }
 
 // lostRuns returns the task's lost runs that an owner observed, whether chance explains them or not.
@@ -191,9 +212,9 @@
 }
 
 // lossContextOf describes the circumstances in which a task's run is lost with a worker.
-func (c *Core) lossContextOf(w *worker, t *task, ran time.Duration, history lossHistory, now time.Time) lossContext {
+func lossContextOf(w *worker, t *task, ran time.Duration, history lossHistory, rates crashRates) lossContext {
 	return lossContext{
-		runtime: ran, earlierRuntimes: t.lostRuntimes(), neighbours: c.neighboursOf(w, t, now),
+		runtime: ran, earlierRuntimes: t.lostRuntimes(), neighbourRate: rates.beside(t),
 		chanceRate: history.rateFor(t), runtimeIsUpperBound: w.endTimeUnknown(t),
 	}
 }
--- a/services/dispatch/evidence_test.go
+++ b/services/dispatch/evidence_test.go
@@ -41,7 +41,7 @@
 				if c.Suspected {
 					share = 1
 				}
-				e.neighbours = append(e.neighbours, neighbour{runtime: ran.Duration(), crasherProbability: share})
+				e.neighbourRate += neighbour{runtime: ran.Duration(), crasherProbability: share}.crashRate()
 			}
 			vsChance, vsAll := e.evidence()
 			require.InDelta(t, c.Doubt, vsChance, 0.01)
--- a/services/dispatch/recurrence.go
+++ b/services/dispatch/recurrence.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -71,11 +72,15 @@
 	return ids
 }
 
-// earlierLossesOfTasks returns the losses of workers with which earlier runs of the worker's tasks were lost.
+// earlierLossesOfTasks returns the losses of workers with which earlier runs of the worker's tasks were lost, each once.
 func (w *worker) earlierLossesOfTasks() []jobs.WorkerLossID {
-	var ids []jobs.WorkerLossID
+	ids := map[jobs.WorkerLossID]struct{}{}
 	for _, t := range w.tasks {
-		ids = append(ids, t.lossIDs()...)
+		for _, lost := range t.lostRuns() {
+			if lost.LossID != 0 {
+				ids[lost.LossID] = struct{}{}
+			}
+		}
 	}
-	return ids
+	return slices.Sorted(maps.Keys(ids))
 }
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -98,11 +98,12 @@
 	c.counts.WorkersLost++
 	lost := lostWorkerOf(w, now)
 	history := c.lossHistoryOf(lost, now)
+	rates := c.crashRatesOn(w, now)
 	contexts := map[*task]lossContext{}
 	recent := recentLoss{lostWorker: lost}
 	for _, t := range w.tasks {
 		if ran, known := c.runtimeAtLoss(w, t, now); known && ran < maxTimeToCrash {
-			e := c.lossContextOf(w, t, ran, history, now)
+			e := lossContextOf(w, t, ran, history, rates)
 			contexts[t] = e
 			recent.runs = append(recent.runs, weighedRun{task: t, run: t.run, lossContext: e})
 		}
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -42,7 +42,7 @@
 	unresolved := t.suspicion.Unresolved
 	unresolved.BeganAt = c.timeOfDay(now)
 	unresolved.ChanceRate = roundToThousandths(c.lossHistoryOf(lostWorkerOf(t.worker, now), now).chance)
-	unresolved.NeighbourRate = roundToThousandths(crashRate(c.neighboursOf(t.worker, t, now)))
+	unresolved.NeighbourRate = roundToThousandths(c.crashRateOn(t.worker, t, now))
 }
 
 // lostRunOf returns what an unresolved run of a previous owner counts as now that its worker is lost.
@@ -69,10 +69,10 @@
 		return
 	}
 	w.youngRunsStored = true
-	history := c.lossHistoryOf(lostWorkerOf(w, now), now)
+	history, rates := c.lossHistoryOf(lostWorkerOf(w, now), now), c.crashRatesOn(w, now)
 	for _, t := range w.tasks {
 		if ran, known := c.runtimeAtLoss(w, t, now); known && ran < youngRunLimit && t.suspicion.Unresolved == nil {
-			c.storeUnresolvedRun(t, c.lossContextOf(w, t, ran, history, now).lostRun(w, t))
+			c.storeUnresolvedRun(t, lossContextOf(w, t, ran, history, rates).lostRun(w, t))
 		}
 	}
 }
