A change that the store never accepts bars no other, and is known for what it is

Cause: the store's 400 ("nothing was done, and the same call will not be accepted later either") was taken for an unknown outcome. So the owner repeated the same transaction at once and for ever, always with the job of unstored losses first, and its log told of a store that answers, and doesn't, 137 times in 20 s.

Change: platform.ErrInvalid says that the store does not accept a call. A refused transaction is known not to be applied, and is logged with its keys and the sizes of their values (and counted, store_calls with result=invalid). Its tasks with losses that are not stored don't start, and its ends are not acknowledged: nothing runs twice. A submission that the store refuses is rejected as invalid at once, where it was in doubt after 0.9 s. A transaction above the store's limits is not sent at all, and learned parameters that no value holds are left out of the transaction with which they would be refused.

Each test of a cluster of services/control is red by such a call alone, unless it asks for it.

TestKnowledgeThatCannotBeEncodedKeepsNothingFromBeingStored names the limit now, and asks also for parameters above it.

--- a/services/control/cluster_test.go
+++ b/services/control/cluster_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
@@ -46,6 +47,9 @@
 	daemonLinkMbit   float64 // link rate of daemons started from now on; 0: unknown
 	logs             zapcore.Core
 	logged           *observer.ObservedLogs
+	maxValueSize     int // of the store, in bytes; 0: platform.MaxValueSize
+	// acceptsInvalid is set in tests in which the daemons are meant to make calls that the store refuses as invalid.
+	acceptsInvalid bool
 	// wrapStore adds faults to the store connection of daemons started from now on; nil: none.
 	wrapStore func(d *testDaemon, store platform.TxnStore) platform.TxnStore
 	// beforeStart is called before each start that a daemon sends to a worker; nil: nothing. It must be set before the
@@ -129,11 +133,11 @@
 
 // newTestClusterWithGrid creates a cluster with workers as configured. It sets their racks, pool, capacity, lease and
 // stop time to the tests' defaults.
-func newTestClusterWithGrid(t *testing.T, daemons, perCell int, workers grid.Config) *testCluster {
+func newTestClusterWithGrid(t *testing.T, daemons, perCell int, workers grid.Config, changes ...clusterChange) *testCluster {
 	t.Helper()
 	settings := testSettings
 	settings.WorkersPerCell, settings.EndsPerReport = perCell, workers.EndsPerReport
-	return newTestClusterWithSettings(t, daemons, settings, workers)
+	return newTestClusterWithSettings(t, daemons, settings, workers, changes...)
 }
 
 // newTestClusterWithSettings creates the same cluster, with daemons that have the given settings.
@@ -163,6 +167,9 @@
 			d.kill()
 		}
 		cancel()
+		if !w.acceptsInvalid {
+			assert.Zero(t, w.invalidCommits(), "transactions that the store does not accept")
+		}
 	})
 	return w
 }
@@ -191,7 +198,7 @@
 		store = w.wrapStore(d, store)
 	}
 	d.Service = New(Config{
-		Self: name, Address: name, Settings: settings, Store: store,
+		Self: name, Address: name, Settings: settings, Store: store, MaxValueSize: w.maxValueSize,
 		Clock:   clock.New(clock.Config{Monotonic: d.vmSuspension.steady, Meter: d.vmSuspension}),
 		Workers: &testWorkers{d}, List: &testList{d}, Cordons: &testCordons{d}, Feed: w.feed, Peers: &testPeers{d},
 		NewID: func() string {
@@ -384,6 +391,15 @@
 	return b.String()
 }
 
+// invalidCommits returns how many transactions of the daemons exceeded a limit of the store, or were refused by it as invalid.
+func (w *testCluster) invalidCommits() int64 {
+	counter := w.scope.Snapshot().Counters()["store_calls+call=commit,result=invalid"]
+	if counter == nil {
+		return 0
+	}
+	return counter.Value()
+}
+
 func (w *testCluster) requireNoBreaches() {
 	w.t.Helper()
 	require.Empty(w.t, w.grid.Breaches())
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -46,6 +46,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -67,7 +68,9 @@
 	Address  string // at which the other daemons call this daemon
 	Settings setting.Jobs
 	Store    platform.TxnStore
-	Workers  platform.JobWorkers
+	// MaxValueSize is the size of the largest value that Store accepts, in bytes; 0: platform.MaxValueSize.
+	MaxValueSize int
+	Workers      platform.JobWorkers
 	// WorkerCalls is the adaptive timeout of the calls through Workers. The service feeds it with call results.
 	WorkerCalls *calltime.Limit
 	Connections func() idleconn.Counts // connections to the store and the workers so far; nil: not counted
@@ -103,7 +106,8 @@
 		c.Peers = newPeerClient(c.Self)
 	}
 	meter := storeMeter{c.Scope}
-	c.Store = &meteredStore{c.Store, meter}
+	c.MaxValueSize = cmp.Or(c.MaxValueSize, platform.MaxValueSize)
+	c.Store = &meteredStore{&limitedStore{c.Store, c.MaxValueSize}, meter}
 	c.Feed = &meteredFeed{c.Feed, meter}
 	c.List = &meteredList{c.List, meter}
 	c.Cordons = &meteredCordons{c.Cordons, meter}
--- a/services/control/journal.go
+++ b/services/control/journal.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math"
 
 	"github.com/cockroachdb/errors"
@@ -83,6 +84,9 @@
 		platform.Precondition{Key: journalKey(o.cell), Version: o.journal.version})
 	txn.Put = append(txn.Put, platform.Write{Key: journalKey(o.cell), Value: value})
 	version, err := o.config.Store.Commit(ctx, txn)
+	if errors.Is(err, platform.ErrInvalid) {
+		o.config.Logger.Error("store does not accept a transaction", append(log.Err(err), zap.String("cell", string(o.cell)), zap.Strings("values", describeValues(txn)))...)
+	}
 	switch classifyCommit(err) {
 	case verdictDone:
 		o.journal.last, o.journal.version = entry, version
@@ -98,6 +102,15 @@
 	}
 }
 
+// describeValues returns the keys that a transaction writes with the sizes of their values in bytes.
+func describeValues(txn platform.Txn) []string {
+	values := make([]string, 0, len(txn.Put))
+	for _, w := range txn.Put {
+		values = append(values, fmt.Sprintf("%s: %d", w.Key, len(w.Value)))
+	}
+	return values
+}
+
 // resolveCommit finds out what became of a transaction that was not answered, or whose
 // preconditions failed because an earlier one was applied late or because the cell is lost. It returns
 // the version of the transaction if it was applied, and the cause otherwise. The error of a read that
--- a/services/control/learned_parameters_test.go
+++ b/services/control/learned_parameters_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,7 +82,7 @@
 }
 
 func TestKnowledgeThatCannotBeEncodedKeepsNothingFromBeingStored(t *testing.T) {
-	o := &Owner{config: Config{Logger: zap.NewNop()}, cell: cellName(0)}
+	o := &Owner{config: Config{Logger: zap.NewNop(), MaxValueSize: platform.MaxValueSize}, cell: cellName(0)}
 	learned := &jobs.LearnedParameters{Speeds: []jobs.QueueSpeed{{Queue: testQueue, Mean: math.NaN()}}}
 	txn, err := o.buildTxn(dispatch.Changes{Roster: &jobs.Roster{}, LearnedParameters: learned})
 	require.NoError(t, err)
@@ -91,4 +92,8 @@
 	txn, err = o.buildTxn(dispatch.Changes{Roster: &jobs.Roster{}, LearnedParameters: learned})
 	require.NoError(t, err)
 	require.Len(t, txn.Put, 2)
+	learned.Speeds[0].Queue = jobs.QueueName(strings.Repeat("q", platform.MaxValueSize))
+	txn, err = o.buildTxn(dispatch.Changes{Roster: &jobs.Roster{}, LearnedParameters: learned})
+	require.NoError(t, err)
+	require.Len(t, txn.Put, 1, "no value holds them")
 }
--- a/services/control/metered.go
+++ b/services/control/metered.go
@@ -51,6 +51,8 @@
 		return "unavailable"
 	case errors.Is(err, platform.ErrConflict):
 		return "conflict"
+	case errors.Is(err, platform.ErrInvalid):
+		return "invalid"
 	default:
 		return "other"
 	}
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models/jobs"
@@ -68,21 +69,33 @@
 	err = o.commit(ctx, changes)
 	o.cells.health.record(err)
 	o.mu.Lock()
-	if err == nil {
-		o.core.Stored(changes, o.config.Clock.Now())
-	} else {
-		o.core.Unstored(changes)
-	}
+	more = o.recordStore(changes, err)
 	o.storing = false
-	more = o.core.HasChanges()
 	o.mu.Unlock()
 	wake(o.wakeDecide)
 	if err != nil && !isOutage(err) { // storeHealth logs the begin and the end of an outage
 		o.config.Logger.Warn("progress is not stored", append(log.Err(err), zap.String("cell", string(o.cell)), zap.Int("jobs", len(changes.Jobs)))...)
 	}
+	if errors.Is(err, platform.ErrInvalid) && len(changes.Jobs) > 0 {
+		err = nil // the rest need not wait: each of these jobs is stored alone now, or set aside
+	}
 	return more, err
 }
 
+// recordStore tells the core what became of changes, and reports whether there are others to be stored.
+func (o *Owner) recordStore(changes dispatch.Changes, err error) (more bool) {
+	now := o.config.Clock.Now()
+	switch {
+	case err == nil:
+		o.core.Stored(changes, now)
+	case errors.Is(err, platform.ErrInvalid) && !errors.Is(err, platform.ErrUnknownOutcome):
+		o.core.Refused(changes, now)
+	default:
+		o.core.Unstored(changes)
+	}
+	return o.core.HasChanges()
+}
+
 // commit stores changes in one transaction of the owner.
 func (o *Owner) commit(ctx context.Context, changes dispatch.Changes) error {
 	txn, err := o.buildTxn(changes)
@@ -126,8 +139,8 @@
 }
 
 // encodeLearned returns the write of the learned parameters, if there are any. Parameters that cannot be
-// encoded cost the next owner some seconds of learning, and must not prevent the other changes from being
-// stored.
+// encoded, or that no value holds, cost the next owner some seconds of learning, and must not prevent the other
+// changes from being stored.
 func (o *Owner) encodeLearned(learned *jobs.LearnedParameters) []platform.Write {
 	if learned == nil {
 		return nil
@@ -135,6 +148,11 @@
 	writes, err := encodeWrites([]keyValue{{learnedKey(o.cell), learned}})
 	if err != nil {
 		o.config.Logger.Error("learned parameters cannot be encoded; not storing them", append(log.Err(err), zap.String("cell", string(o.cell)))...)
+		return nil
+	}
+	if err := (platform.Txn{Put: writes}).CheckLimits(o.config.MaxValueSize); err != nil {
+		o.config.Logger.Error("learned parameters are too large; not storing them", append(log.Err(err), zap.String("cell", string(o.cell)))...)
+		return nil
 	}
 	return writes
 }
--- a/services/control/submit.go
+++ b/services/control/submit.go
@@ -145,6 +145,8 @@
 // refusalFor returns the refusal for a change that the store rejected.
 func refusalFor(w rejected) platform.NotDone {
 	switch {
+	case errors.Is(w.cause, platform.ErrInvalid):
+		return platform.NotDone{Reason: "store does not accept the change", Refusal: platform.RefusedInvalid}
 	case errors.Is(w.cause, platform.ErrRateLimited):
 		return platform.NotDone{Reason: "store's rate limit is reached", RetryAfter: shortRetryAfter}
 	case errors.Is(w.cause, context.DeadlineExceeded):
--- a/services/control/write.go
+++ b/services/control/write.go
@@ -91,7 +91,7 @@
 	verdictUnknown  commitVerdict = iota // the transaction may have been applied, or may still be
 	verdictDone                          // applied
 	verdictConflict                      // not applied: a precondition failed
-	verdictRejected                      // not applied: the store did not process it
+	verdictRejected                      // not applied: the store did not process it, or does not accept it
 )
 
 // classifyCommit derives the verdict from the error of one try.
@@ -103,7 +103,7 @@
 		return verdictUnknown
 	case errors.Is(err, platform.ErrConflict):
 		return verdictConflict
-	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited, platform.ErrNoLease):
+	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited, platform.ErrNoLease, platform.ErrInvalid):
 		return verdictRejected
 	default:
 		return verdictUnknown
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -43,19 +43,20 @@
 
 // TakeChanges returns at most limit changed and forgotten jobs, in the order of storePriority. Jobs are
 // forgotten in what room the changes leave, one at a time at the least: after a takeover all ended jobs are due at the same
-// moment. Changes that can't be stored are to be returned with Unstored.
+// moment. Changes that can't be stored are to be returned with Unstored, and those
+// that the store does not accept with Refused.
 func (c *Core) TakeChanges(limit int, now time.Time) Changes {
 	changes := Changes{Proof: c.wantsProof, takenAt: now}
 	c.storeUrgently = false
-	changes.Forget = c.takeForgotten(max(1, limit-len(c.dirty)))
-	limit -= len(changes.Forget)
+	c.resumeSetAside(now)
 	slices.SortStableFunc(c.dirty, func(a, b *job) int { return cmp.Compare(a.storePriority(), b.storePriority()) })
-	taken := min(limit, len(c.dirty))
-	for _, j := range c.dirty[:taken] {
-		j.dirty = false
-		changes.Jobs = append(changes.Jobs, c.changeOf(j, now))
+	if len(c.dirty) > 0 && c.dirty[0].storeAlone {
+		c.takeJobs(&changes, 1, now)
+		return changes
 	}
-	c.dirty = slices.Clone(c.dirty[taken:])
+	changes.Forget = c.takeForgotten(max(1, limit-len(c.dirty)))
+	limit -= len(changes.Forget)
+	c.takeJobs(&changes, limit, now)
 	if c.rosterChanged && !slices.ContainsFunc(c.dirty, (*job).hasUnstoredLoss) {
 		changes.Roster = c.roster()
 		c.rosterUnresolved = true
@@ -70,6 +71,20 @@
 	return changes
 }
 
+// takeJobs adds the changes of at most limit jobs. A job that has to be stored alone is left unless it is the first one.
+func (c *Core) takeJobs(changes *Changes, limit int, now time.Time) {
+	var left []*job
+	for at, j := range c.dirty {
+		if at >= limit || j.storeAlone && at > 0 {
+			left = append(left, j)
+			continue
+		}
+		j.dirty = false
+		changes.Jobs = append(changes.Jobs, c.changeOf(j, now))
+	}
+	c.dirty = left
+}
+
 // storePriority returns a job's rank among those to be stored, lowest first: starts wait until counted losses are stored, and so
 // does the roster, and callers wait for ends.
 func (j *job) storePriority() int {
@@ -158,6 +173,7 @@
 	c.wantsProof = false
 	for _, change := range changes.Jobs {
 		j := change.job
+		j.storeAlone = false
 		j.storedVersion = max(j.storedVersion, change.version)
 		c.letDoneOccurrencesGo(j)
 		if change.Ended == nil {
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -17,7 +17,7 @@
 //     score.go; capacity that long-running tasks leave to short work: reserve.go
 //   - orders and their outcomes: order.go, outcome.go, stop.go; repeated starts: retry_budget.go
 //   - reports: report.go, end.go; ended runs that are not listed yet: listed_ends.go; stray runs: stray.go; checkpoints for the next run: checkpoint.go
-//   - what has to be stored: changes.go
+//   - what has to be stored: changes.go, refused.go (what the store does not accept)
 //   - workers: worker.go, closed.go (why nothing starts there), capacity.go, speed.go, lease.go; failure domains in which nothing starts:
 //     cordon.go; lost workers: lost_workers.go; workers that
 //     restart under the same id: incarnation.go, late_start.go
@@ -114,6 +114,7 @@
 	waitingSteps      []*step // opened steps with waiting tasks
 	orders            []Order
 	dirty             []*job
+	jobsSetAside      []*job              // dirty jobs whose changes the store has refused; see refused.go
 	unsharedEnds      []*job        // divided jobs whose end is decided here and still has to be stored in all of their cells
 	previousLease     time.Duration // longest lease that a previous owner may have granted; at most LongestLease
 	previousAllowance time.Duration // Roster.LeaseAllowance of the previous owners; 0: their leases may not be bound to proofs
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -40,6 +40,8 @@
 	storedVersion      uint64          // the latest version that is stored
 	lossVersion        uint64          // the version at which a lost run was last counted
 	hasProgress        bool            // the store may hold progress of it
+	storeAlone         bool            // the store has refused changes of it together with others; see refused.go
+	storeAgainAt       time.Time       // until when it is set aside, if the store has refused its changes alone
 	dirty              bool            // is among the core's dirty jobs
 	firstStartRecorded bool            // its first start is among the job figures
 	offeredAt          time.Time       // when it was last listed as movable
--- a/services/platform/http_store.go
+++ b/services/platform/http_store.go
@@ -208,6 +208,8 @@
 		return errors.Mark(err, ErrCompacted)
 	case http.StatusPreconditionFailed:
 		return errors.Mark(err, ErrNoLease)
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return errors.Mark(err, ErrInvalid)
 	default:
 		return nil
 	}
--- a/services/platform/jobs.go
+++ b/services/platform/jobs.go
@@ -35,6 +35,19 @@
 // Entries returns the number of entries, preconditions included.
 func (t Txn) Entries() int { return len(t.Require) + len(t.Put) + len(t.Delete) }
 
+// CheckLimits returns an ErrInvalid that names what no store accepts: too many entries, or a value above maxValueSize.
+func (t Txn) CheckLimits(maxValueSize int) error {
+	if t.Entries() > MaxTxnEntries {
+		return errors.Mark(errors.Newf("transaction has %d entries, at most %d are accepted", t.Entries(), MaxTxnEntries), ErrInvalid)
+	}
+	for _, w := range t.Put {
+		if len(w.Value) > maxValueSize {
+			return errors.Mark(errors.Newf("value of %s has %d bytes, at most %d are accepted", w.Key, len(w.Value), maxValueSize), ErrInvalid)
+		}
+	}
+	return nil
+}
+
 // MaxTxnEntries is the largest number of entries in a Txn, preconditions included.
 const MaxTxnEntries = 32
 
--- a/services/platform/platform.go
+++ b/services/platform/platform.go
@@ -44,6 +44,9 @@
 	ErrCompacted = errors.New("changes are no longer kept")
 	// ErrTooLarge says that the answer exceeds the size that the client reads; nothing changed.
 	ErrTooLarge = errors.New("answer is too large")
+	// ErrInvalid says that the store does not accept the call as it is, for example because a value is too large; nothing
+	// changed, and the same call will not be accepted later either.
+	ErrInvalid = errors.New("store does not accept the call")
 	// ErrNoLease says that the lease has lapsed.
 	ErrNoLease = errors.New("lease has lapsed")
 )
--- a/services/standin/kv/handler.go
+++ b/services/standin/kv/handler.go
@@ -149,6 +149,8 @@
 		return http.StatusGone
 	case errors.Is(err, platform.ErrNoLease):
 		return http.StatusPreconditionFailed
+	case errors.Is(err, platform.ErrInvalid):
+		return http.StatusBadRequest
 	default:
 		return http.StatusInternalServerError
 	}
--- a/services/standin/kv/kv.go
+++ b/services/standin/kv/kv.go
@@ -12,6 +12,7 @@
 package kv
 
 import (
+	"cmp"
 	"context"
 	"sort"
 	"strings"
@@ -23,10 +24,12 @@
 	"rillsail.example/rillsail/services/platform"
 )
 
-// Config contains the rate limits of a service; 0 is unlimited.
+// Config contains the limits of a service; a rate of 0 is unlimited.
 type Config struct {
 	WritesPerSecond int
 	ReadsPerSecond  int
+	// MaxValueSize is the size of the largest value that is accepted, in bytes; 0: platform.MaxValueSize.
+	MaxValueSize int
 }
 
 // Faults are the faults of the service until they are replaced.
@@ -47,6 +50,7 @@
 	Writes       int64            `json:"writes"`
 	Watches      int64            `json:"watches"`
 	Limited      int64            `json:"limited"`
+	Invalid      int64            `json:"invalid"` // writes that exceed a limit of the service
 	BytesIn      int64            `json:"bytes_in"`
 	BytesOut     int64            `json:"bytes_out"`
 	Keys         int              `json:"keys"`
@@ -73,6 +77,8 @@
 
 // Service is the key-value service.
 type Service struct {
+	maxValueSize int
+
 	mu          sync.Mutex
 	revision    platform.Version
 	keys        map[string]entry
@@ -89,12 +95,13 @@
 // New returns an empty service.
 func New(config Config) *Service {
 	return &Service{
-		keys:    map[string]entry{},
-		leases:  map[platform.LeaseID]*lease{},
-		changed: make(chan struct{}),
-		stats:   Stats{WritesByKind: map[string]int64{}},
-		writes:  limiter(config.WritesPerSecond),
-		reads:   limiter(config.ReadsPerSecond),
+		maxValueSize: cmp.Or(config.MaxValueSize, platform.MaxValueSize),
+		keys:         map[string]entry{},
+		leases:       map[platform.LeaseID]*lease{},
+		changed:      make(chan struct{}),
+		stats:        Stats{WritesByKind: map[string]int64{}},
+		writes:       limiter(config.WritesPerSecond),
+		reads:        limiter(config.ReadsPerSecond),
 	}
 }
 
@@ -160,6 +167,10 @@
 func (s *Service) commit(txn platform.Txn) (platform.StoreAnswer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := txn.CheckLimits(s.maxValueSize); err != nil {
+		s.stats.Invalid++
+		return platform.StoreAnswer{}, err
+	}
 	for _, p := range txn.Require {
 		if s.keys[p.Key].version != p.Version {
 			return platform.StoreAnswer{}, platform.ErrConflict
