The progress of a job that outgrows a value of the store is stored in chunks

The losses of 17,658 runs took 1,474,755 bytes in one value, the store takes 1,048,576.

Cause: what is stored of a job grows with its tasks times their losses and failures, and one value held all of it. MaxTasks bounds the tasks that are done only. All of it was written anew for each change.

Change: progress above a quarter of a value is stored in chunks, each with the failures and suspicions of 256 consecutive tasks of all steps and occurrences. The progress itself keeps which tasks have succeeded, bounded by the limits of a job, in the form that owners of the version before read. Of a task 16 lost runs are stored one by one; the earliest stands for those before, with the sum of their evidence. So a chunk fits into a value by construction (4 kB a task: TestChunkOfTheLargestTasksFitsIntoAValue). A transaction takes chunks up to the size of one value, those that have waited longest first; the job counts as stored up to the earliest change that is not, so that no task starts and no end is acknowledged before its losses and failures are stored. Chunks replace the whole progress when all have been stored once. The chunking is written with the progress, so that both keys have one version: if an owner of the version before has written the progress since, the chunks are void. Chunks of no use are deleted, also those that a lost owner has left.

New: TestProgressInChunksIsStoredWhole (random changes, lost answers), TestChangesOfTasksReachTheirChunks (random orders, ends and losses), TestRandomFaultsOfJobsWithManyTasks (whole daemons, takeovers, moves, outages), TestChunksAreTakenOverAndDropped, TestChunksCountWithTheProgressTheyWereWrittenWith.

--- a/models/jobs/record.go
+++ b/models/jobs/record.go
@@ -98,31 +98,6 @@
 	}
 }
 
-// Progress is the stored outcome of an active job's tasks, so that workers may forget their ended
-// runs. Long-running tasks have no outcomes there.
-type Progress struct {
-	// DoneOccurrences holds the occurrences of which all tasks have succeeded.
-	DoneOccurrences Numbers                  `json:"done_times,omitempty"`
-	Done            map[int][]int            `json:"done,omitempty"`   // indexes of succeeded tasks of other occurrences, by step over all occurrences
-	Failed          map[int]map[int]Failures `json:"failed,omitempty"` // counted failures by step and index
-	// Suspected holds the suspicions against tasks whose workers were lost, long-running tasks included.
-	Suspected Suspicions `json:"suspected,omitempty"`
-}
-
-// Empty reports whether there is nothing to store.
-func (p Progress) Empty() bool {
-	return len(p.DoneOccurrences)+len(p.Done)+len(p.Failed)+len(p.Suspected) == 0
-}
-
-// Failures lists the failed runs of a task that have been counted. The runs are listed one by one
-// because reports of several workers may arrive in any order after a takeover.
-type Failures []RunID
-
-// Check rejects an invalid set of occurrences. Indexes outside the job are ignored when applied.
-func (p Progress) Check() error {
-	return errors.Wrap(p.DoneOccurrences.Check(), "occurrences that are done")
-}
-
 // Cancellation is the stored request to cancel a job.
 type Cancellation struct {
 	At models.UnixMilli `json:"at"`
--- a/services/control/keys.go
+++ b/services/control/keys.go
@@ -85,6 +85,35 @@
 
 func progressKey(cell jobs.CellName, id jobs.ID) string { return progressKeyPrefix(cell) + string(id) }
 
+// A chunking's key follows that of the progress to which it belongs, and the keys of the chunks follow the chunking's.
+
+func chunkKey(cell jobs.CellName, chunk jobs.Chunk) string {
+	key := progressKey(cell, chunk.Job) + "/" + string(chunk.Chunking)
+	if chunk.Number == jobs.ChunkingItself {
+		return key
+	}
+	return key + "/" + strconv.Itoa(chunk.Number)
+}
+
+// parseProgressKey splits a key with the progress prefix of a cell into the job's id and, if the key is that of a chunking
+// or a chunk, which one; an error for other keys.
+func parseProgressKey(cell jobs.CellName, key string) (id jobs.ID, chunk *jobs.Chunk, err error) {
+	parts := strings.Split(strings.TrimPrefix(key, progressKeyPrefix(cell)), "/")
+	id = jobs.ID(parts[0])
+	if len(parts) == 1 {
+		return id, nil, nil
+	}
+	chunk = &jobs.Chunk{Job: id, Chunking: jobs.ChunkingID(parts[1]), Number: jobs.ChunkingItself}
+	switch len(parts) {
+	case 2:
+	case 3:
+		chunk.Number, err = strconv.Atoi(parts[2])
+	default:
+		err = errors.New("too many parts")
+	}
+	return id, chunk, errors.Wrapf(err, "key %s", key)
+}
+
 // parseJobKey splits a key with the job prefix of a cell into the job's id and whether the key is that of
 // a cancellation.
 func parseJobKey(cell jobs.CellName, key string) (id jobs.ID, cancel bool) {
--- a/services/control/owner.go
+++ b/services/control/owner.go
@@ -52,7 +52,7 @@
 	return &Owner{
 		config: c.config, cells: c, cell: cell, epoch: epoch, takenAt: taken, calling: map[jobs.WorkerID]context.CancelFunc{},
 		core: dispatch.New(dispatch.Config{
-			Epoch: epoch, Taken: taken, Lease: s.WorkerLease, LongestLease: s.LongestLease, EndsPerReport: s.EndsPerReport, OtherCells: c.hasMultipleCells(),
+			Epoch: epoch, Taken: taken, Lease: s.WorkerLease, LongestLease: s.LongestLease, EndsPerReport: s.EndsPerReport, MaxValueSize: c.config.MaxValueSize, OtherCells: c.hasMultipleCells(),
 			TimeOfDay: func(now time.Time) models.UnixMilli { return models.UnixMilliOf(c.config.Clock.TimeOfDay(now)) },
 			Logger:    c.config.Logger.With(zap.String("cell", string(cell)), zap.Uint64("epoch", uint64(epoch))),
 		}),
--- a/services/control/owner_jobs.go
+++ b/services/control/owner_jobs.go
@@ -68,9 +68,11 @@
 	now := o.config.Clock.Now()
 	o.core.RestoreRoster(roster, now)
 	o.core.RestoreParameters(learned, now)
-	if !o.applyAll(records, progress, now) {
+	o.core.RestoreChunks(progress.chunkings, progress.chunks)
+	if !o.applyAll(records, progress.byJob, now) {
 		return 0, errCellLost
 	}
+	o.core.DropUnusedChunks()
 	o.core.JobsReadAsOf(sent)
 	o.loaded = true
 	o.config.Logger.Info("cell is loaded", zap.String("cell", string(o.cell)), zap.Int("keys", len(records)),
@@ -121,25 +123,6 @@
 	return learned, nil
 }
 
-// loadProgress reads the progress of the cell's active jobs.
-func (o *Owner) loadProgress(ctx context.Context) (map[jobs.ID]jobs.Progress, error) {
-	prefix := progressKeyPrefix(o.cell)
-	records, _, err := o.config.Store.List(ctx, prefix)
-	if err != nil {
-		return nil, err
-	}
-	progress := make(map[jobs.ID]jobs.Progress, len(records))
-	for _, record := range records {
-		p, err := decode[jobs.Progress](record)
-		if err != nil {
-			o.config.Logger.Error("stored progress of a job cannot be decoded; ignoring it", append(log.Err(err), zap.String("key", record.Key))...)
-			continue
-		}
-		progress[jobs.ID(record.Key[len(prefix):])] = p
-	}
-	return progress, nil
-}
-
 // errCellLost reports that the cell has another owner or none.
 var errCellLost = errors.New("cell is lost")
 
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -115,7 +115,8 @@
 	}
 	for _, change := range changes.Jobs {
 		if change.Ended == nil {
-			puts = append(puts, keyValue{progressKey(o.cell, change.ID), change.Progress})
+			puts = append(puts, o.progressPuts(change)...)
+			txn.Delete = append(txn.Delete, o.emptyChunks(change)...)
 			continue
 		}
 		puts = append(puts, keyValue{jobKey(o.cell, change.ID), change.Ended})
@@ -133,11 +134,43 @@
 		}
 		txn.Delete = append(txn.Delete, jobKeys(cells, id)...)
 	}
+	for _, chunk := range changes.Remove {
+		txn.Delete = append(txn.Delete, chunkKey(o.cell, chunk))
+	}
 	writes, err := encodeWrites(puts)
 	txn.Put = append(writes, o.encodeLearned(changes.LearnedParameters)...)
 	return txn, err
 }
 
+// progressPuts returns what a change of an active job writes.
+func (o *Owner) progressPuts(change dispatch.JobChange) []keyValue {
+	var puts []keyValue
+	for _, chunk := range change.Chunks {
+		if !chunk.Content.Empty() {
+			puts = append(puts, keyValue{chunkKey(o.cell, chunk.Chunk), chunk.Content})
+		}
+	}
+	if change.ChunksOnly {
+		return puts
+	}
+	if change.Chunking != nil {
+		itself := jobs.Chunk{Job: change.ID, Chunking: change.Chunking.ID, Number: jobs.ChunkingItself}
+		puts = append(puts, keyValue{chunkKey(o.cell, itself), change.Chunking})
+	}
+	return append(puts, keyValue{progressKey(o.cell, change.ID), change.Progress})
+}
+
+// emptyChunks returns the keys of the chunks that a change of a job empties.
+func (o *Owner) emptyChunks(change dispatch.JobChange) []string {
+	var keys []string
+	for _, chunk := range change.Chunks {
+		if chunk.Content.Empty() {
+			keys = append(keys, chunkKey(o.cell, chunk.Chunk))
+		}
+	}
+	return keys
+}
+
 // encodeLearned returns the write of the learned parameters, if there are any. Parameters that cannot be
 // encoded, or that no value holds, cost the next owner some seconds of learning, and must not prevent the other
 // changes from being stored.
--- a/services/control/random_test.go
+++ b/services/control/random_test.go
@@ -116,6 +116,7 @@
 	maxLongRunning int  // 0: maxLongRunningTasks
 	endsPerReport  int  // ended runs that a worker lists at once; 0: as on the users' platform
 
+	maxValueSize      int  // of the store, in bytes; 0: as on the users' platform
 	progressUnchecked bool // jobs may wait although they could run
 	crashRule         grid.CrashRule
 	crashesEnd        bool // no task crashes its worker any more once the last fault is over
@@ -187,19 +188,33 @@
 	mu               sync.Mutex
 	crashing         map[jobs.ID]time.Duration // time from start to crash, by jobs whose first task crashes its workers
 	crashesOver      bool                      // they crash them no more
+	submitted        map[jobs.ID]jobs.Spec     // jobs that were handed in; nil: not recorded
+	failing          map[jobs.ID]bool          // jobs of which some tasks fail at first
+	failed           map[jobs.TaskID]int       // how many runs of these tasks have failed
 	weekJobs         int
 	workerFailsAll   bool // some worker has failed all its runs, so that jobs may fail
 }
 
+// newScriptRun returns a run of a script, without its cluster.
+func newScriptRun(in scenario) *scriptRun {
+	return &scriptRun{
+		scenario: in, cancelled: map[jobs.ID]bool{}, maybeCancelled: map[jobs.ID]bool{}, crashing: map[jobs.ID]time.Duration{},
+		submitted: map[jobs.ID]jobs.Spec{}, failing: map[jobs.ID]bool{}, failed: map[jobs.TaskID]int{},
+	}
+}
+
 func runScript(t *testing.T, script []scriptStep, in scenario) (failure string) {
 	outer := t
 	synctest.Test(t, func(t *testing.T) {
-		s := &scriptRun{cancelled: map[jobs.ID]bool{}, maybeCancelled: map[jobs.ID]bool{}, crashing: map[jobs.ID]time.Duration{}}
-		s.scenario = in
+		s := newScriptRun(in)
+		var changes []clusterChange
+		if in.maxValueSize > 0 {
+			changes = append(changes, withMaxValue(in.maxValueSize))
+		}
 		s.testCluster = newTestClusterWithGrid(t, scriptDaemons, in.perCell, grid.Config{
 			Workers: cmp.Or(in.workers, scriptWorkers), RestartDelay: workerDowntime, Crash: s.crashOf, Naming: in.naming, Domains: in.domains, AckFutureEnds: in.ackFutureEnds,
-			CrashRule: in.crashRule, EndsPerReport: in.endsPerReport,
-		})
+			CrashRule: in.crashRule, EndsPerReport: in.endsPerReport, Work: s.workOf,
+		}, changes...)
 		s.startProgressChecks()
 		time.Sleep(5 * time.Second)
 		for _, step := range script {
@@ -246,6 +261,10 @@
 		s.submitLongRunning(d, 1)
 	case "submit wide":
 		s.submitLongRunning(d, wideTasks)
+	case "submit many", "submit many failing":
+		s.submitMany(d, step.What == "submit many failing")
+	case "submit many lasting":
+		s.submitManyLasting(d)
 	case "submit spread":
 		s.submitSpread(d)
 	case "submit crashing":
@@ -366,6 +385,11 @@
 // trySubmit submits a job once. A job whose submission has an unknown outcome may run.
 func (s *scriptRun) trySubmit(d *testDaemon, spec jobs.Spec) {
 	spec.Queue = testQueue
+	s.mu.Lock()
+	if s.submitted != nil {
+		s.submitted[spec.ID] = spec
+	}
+	s.mu.Unlock()
 	s.grid.Expect(spec, testAttempts)
 	ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
 	defer cancel()
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -18,6 +18,7 @@
 	Jobs   []JobChange
 	Roster *jobs.Roster // nil: unchanged
 	Forget []jobs.ID    // ended jobs whose records have been kept long enough
+	Remove []jobs.Chunk // chunks of progress that is not needed any more
 	// LearnedParameters holds the learned parameters. They are stored along with other changes from time to time and
 	// are no reason to store by themselves.
 	LearnedParameters *jobs.LearnedParameters
@@ -32,6 +33,11 @@
 	ID       jobs.ID
 	Ended    *jobs.Record // the ended record; nil while the job is active
 	Progress jobs.Progress
+	// Chunking is to be stored beside Progress if the failures and suspicions are in chunks; nil: they are not.
+	Chunking *jobs.Chunking
+	Chunks   []ChunkChange
+	// ChunksOnly says that Progress and Chunking are not to be stored yet: further chunks have to be stored before.
+	ChunksOnly bool
 	// HasProgress says that stored progress is to be deleted with the end.
 	HasProgress bool
 	// Cancelled says that a stored cancellation is to be deleted with the end.
@@ -41,22 +47,23 @@
 	version uint64
 }
 
-// TakeChanges returns at most limit changed and forgotten jobs, in the order of storePriority. Jobs are
+// TakeChanges returns the changes of at most limit jobs, and jobs to be forgotten, in the order of storePriority. Jobs are
 // forgotten in what room the changes leave, one at a time at the least: after a takeover all ended jobs are due at the same
-// moment. Changes that can't be stored are to be returned with Unstored, and those
-// that the store does not accept with Refused.
+// moment. Changes that can't be stored are to be returned with Unstored, and those that the store does not accept with Refused.
 func (c *Core) TakeChanges(limit int, now time.Time) Changes {
 	changes := Changes{Proof: c.wantsProof, takenAt: now}
 	c.storeUrgently = false
 	c.resumeSetAside(now)
 	slices.SortStableFunc(c.dirty, func(a, b *job) int { return cmp.Compare(a.storePriority(), b.storePriority()) })
 	if len(c.dirty) > 0 && c.dirty[0].storeAlone {
-		c.takeJobs(&changes, 1, now)
+		room := txnRoom{entries: limit * MaxEntriesPerJob, size: c.config.MaxValueSize}
+		c.takeJobs(&changes, &room, now)
 		return changes
 	}
 	changes.Forget = c.takeForgotten(max(1, limit-len(c.dirty)))
-	limit -= len(changes.Forget)
-	c.takeJobs(&changes, limit, now)
+	room := txnRoom{entries: (limit - len(changes.Forget)) * MaxEntriesPerJob, size: c.config.MaxValueSize}
+	c.takeJobs(&changes, &room, now)
+	changes.Remove = c.takeUnusedChunks(room.entries)
 	if c.rosterChanged && !slices.ContainsFunc(c.dirty, (*job).hasUnstoredLoss) {
 		changes.Roster = c.roster()
 		c.rosterUnresolved = true
@@ -71,16 +78,21 @@
 	return changes
 }
 
-// takeJobs adds the changes of at most limit jobs. A job that has to be stored alone is left unless it is the first one.
-func (c *Core) takeJobs(changes *Changes, limit int, now time.Time) {
+// takeJobs adds the changes of jobs to be stored for which a transaction has room. A job that has to be stored alone is
+// taken only as the first one, and then is the only one.
+func (c *Core) takeJobs(changes *Changes, room *txnRoom, now time.Time) {
 	var left []*job
 	for at, j := range c.dirty {
-		if at >= limit || j.storeAlone && at > 0 {
+		apart := at > 0 && (j.storeAlone || c.dirty[0].storeAlone)
+		if apart || !room.takesJob() {
 			left = append(left, j)
 			continue
 		}
 		j.dirty = false
-		changes.Jobs = append(changes.Jobs, c.changeOf(j, now))
+		changes.Jobs = append(changes.Jobs, c.changeOf(j, room, now))
+		if j.dirty {
+			left = append(left, j)
+		}
 	}
 	c.dirty = left
 }
@@ -104,7 +116,7 @@
 
 // Empty reports whether there is nothing to store.
 func (c Changes) Empty() bool {
-	return len(c.Jobs) == 0 && c.Roster == nil && len(c.Forget) == 0 && !c.Proof
+	return len(c.Jobs) == 0 && c.Roster == nil && len(c.Forget) == 0 && len(c.Remove) == 0 && !c.Proof
 }
 
 // takeForgotten returns up to limit ended jobs to be deleted from the store.
@@ -127,43 +139,36 @@
 
 // HasChanges reports whether there is anything to store.
 func (c *Core) HasChanges() bool {
-	return len(c.dirty) > 0 || len(c.unsharedEnds) > 0 || len(c.forgotten) > 0 || c.rosterChanged || c.wantsProof
+	return len(c.dirty) > 0 || len(c.unsharedEnds) > 0 || len(c.forgotten) > 0 || len(c.unusedChunks) > 0 || c.rosterChanged || c.wantsProof
 }
 
-// changeOf returns what has to be stored of the job now.
-func (c *Core) changeOf(j *job, now time.Time) JobChange {
+// changeOf returns what has to be stored of the job now, as far as the transaction has room. The job stays dirty if
+// something is left.
+func (c *Core) changeOf(j *job, room *txnRoom, now time.Time) JobChange {
 	change := JobChange{ID: j.spec.ID, job: j, version: j.version, Cancelled: j.cancelled, HasProgress: j.hasProgress}
+	room.entries -= MaxEntriesPerJob
 	if j.end != "" && !j.endUnshared {
 		active := jobs.Record{Spec: j.spec, Accepted: j.accepted, AdditionalCells: j.additionalCells, MovesClosed: j.movesClosed}
 		ended := active.EndedAs(j.end, c.timeOfDay(now))
 		change.Ended = &ended
 		return change
 	}
-	change.Progress = progressOf(j)
-	return change
-}
-
-// progressOf collects the state of the job's tasks that would be lost when workers forget the ends of their runs.
-func progressOf(j *job) jobs.Progress {
-	progress := jobs.Progress{DoneOccurrences: j.doneOccurrences, Done: map[int][]int{}, Failed: map[int]map[int]jobs.Failures{}, Suspected: suspicionsOf(j)}
-	for s := range j.heldSteps() {
-		if s.spec.LongRunning || s.occurrence.isDone() {
-			continue
-		}
-		flat := s.flat()
-		for i := range s.tasks {
-			t := &s.tasks[i]
-			if t.state == taskDone {
-				progress.Done[flat] = append(progress.Done[flat], i)
-			} else if len(t.failures) > 0 {
-				if progress.Failed[flat] == nil {
-					progress.Failed[flat] = map[int]jobs.Failures{}
-				}
-				progress.Failed[flat][i] = t.failures
-			}
+	if j.chunks == nil {
+		change.Progress = progressOf(j)
+		if size := change.Progress.EncodedSize(); size <= c.config.MaxValueSize/wholeProgressPart {
+			room.use(0, size)
+			return change
 		}
+		c.divideProgress(j, change.Progress)
+	}
+	c.takeChunks(&change, room)
+	changed, missing := j.chunks.left()
+	j.dirty, change.ChunksOnly = changed, missing && !j.chunks.complete
+	if !change.ChunksOnly {
+		change.Progress, change.Chunking = successesOf(j), &j.chunks.Chunking
+		room.use(0, change.Progress.EncodedSize())
 	}
-	return progress
+	return change
 }
 
 // Stored records that the changes are stored: callers may be told that jobs have ended, and workers may forget ended
@@ -173,8 +178,7 @@
 	c.wantsProof = false
 	for _, change := range changes.Jobs {
 		j := change.job
-		j.storeAlone = false
-		j.storedVersion = max(j.storedVersion, change.version)
+		j.recordStored(change)
 		c.letDoneOccurrencesGo(j)
 		if change.Ended == nil {
 			j.hasProgress = true
@@ -203,17 +207,35 @@
 	}
 }
 
+// recordStored records that a change of the job is stored.
+func (j *job) recordStored(change JobChange) {
+	j.storeAlone = false
+	version := change.version
+	if j.chunks != nil && change.Ended == nil {
+		j.chunks.chunksStored(change)
+		version = j.chunks.storedThrough(version)
+	}
+	if !change.ChunksOnly {
+		j.storedVersion = max(j.storedVersion, version)
+	}
+}
+
 // Unstored takes back changes whose outcome is unknown or that were not stored. Progress among them may have been
 // stored or may be stored later, so it has to be deleted with the job's end.
 func (c *Core) Unstored(changes Changes) {
 	for _, change := range changes.Jobs {
-		change.job.hasProgress = change.job.hasProgress || change.Ended == nil
-		if j := change.job; !j.dirty {
+		j := change.job
+		j.hasProgress = j.hasProgress || change.Ended == nil
+		if j.chunks != nil {
+			j.chunks.chunksUnstored(change)
+		}
+		if !j.dirty {
 			j.dirty = true
 			c.dirty = append(c.dirty, j)
 		}
 	}
 	c.rosterChanged = c.rosterChanged || changes.Roster != nil
 	c.forgotten = append(c.forgotten, changes.Forget...)
+	c.unusedChunks = append(c.unusedChunks, changes.Remove...)
 	c.config.Logger.Debug("changes are not known to be stored; they are kept for the next attempt", zap.Int("jobs", len(changes.Jobs)))
 }
--- a/services/dispatch/core.go
+++ b/services/dispatch/core.go
@@ -17,7 +17,8 @@
 //     score.go; capacity that long-running tasks leave to short work: reserve.go
 //   - orders and their outcomes: order.go, outcome.go, stop.go; repeated starts: retry_budget.go
 //   - reports: report.go, end.go; ended runs that are not listed yet: listed_ends.go; stray runs: stray.go; checkpoints for the next run: checkpoint.go
-//   - what has to be stored: changes.go, refused.go (what the store does not accept)
+//   - what has to be stored: changes.go, progress.go, chunks.go (progress that no single value holds), refused.go (what the store
+//     does not accept)
 //   - workers: worker.go, closed.go (why nothing starts there), capacity.go, speed.go, lease.go; failure domains in which nothing starts:
 //     cordon.go; lost workers: lost_workers.go; workers that
 //     restart under the same id: incarnation.go, late_start.go
@@ -81,6 +82,8 @@
 	LongestLease time.Duration
 	// EndsPerReport is how many ended runs a worker lists at once; 0: jobs.EndsPerReport.
 	EndsPerReport int
+	// MaxValueSize is the size of the largest value that the store accepts, in bytes; 0: defaultMaxValueSize.
+	MaxValueSize int
 	// OtherCells says that work may be handed to other cells.
 	OtherCells bool
 	// TimeOfDay returns the current time of day; its argument is the time that the caller has just passed to
@@ -89,6 +92,9 @@
 	Logger    *zap.Logger
 }
 
+// defaultMaxValueSize is the size of the largest value that the store accepts unless a Config says otherwise, in bytes.
+const defaultMaxValueSize = 1 << 20
+
 // runsPerEpoch is how many run ids one epoch has for a single task. Run ids thereby rise from epoch to epoch
 // although no counter is stored.
 const runsPerEpoch = 1 << 12
@@ -115,15 +121,18 @@
 	orders            []Order
 	dirty             []*job
 	jobsSetAside      []*job              // dirty jobs whose changes the store has refused; see refused.go
-	unsharedEnds      []*job        // divided jobs whose end is decided here and still has to be stored in all of their cells
-	previousLease     time.Duration // longest lease that a previous owner may have granted; at most LongestLease
-	previousAllowance time.Duration // Roster.LeaseAllowance of the previous owners; 0: their leases may not be bound to proofs
-	jobsHeld          bool          // jobs are held back until they have been offered to other cells
-	recovering        bool          // workers that have not reported since the takeover may run tasks
-	fencedAt          time.Time     // when more than a third of the workers had reported in this epoch; zero: not yet; see updateFenced
-	answeredAt        time.Time     // when the first worker reported in this epoch; zero: none has
-	calledAt          time.Time     // when the first worker of the previous roster reported in this epoch; zero: none has
-	previousEndedAt   time.Time     // when the last of the previous owners had ended; zero: not known
+	chunkings         int                 // how many times progress was divided into chunks; numbers the chunkings
+	unusedChunks      []jobs.Chunk        // chunks of progress to be deleted from the store
+	restoredChunks    map[jobs.ID]*chunks // chunks that the store held at the takeover, of jobs that are not added yet
+	unsharedEnds      []*job              // divided jobs whose end is decided here and still has to be stored in all of their cells
+	previousLease     time.Duration       // longest lease that a previous owner may have granted; at most LongestLease
+	previousAllowance time.Duration       // Roster.LeaseAllowance of the previous owners; 0: their leases may not be bound to proofs
+	jobsHeld          bool                // jobs are held back until they have been offered to other cells
+	recovering        bool                // workers that have not reported since the takeover may run tasks
+	fencedAt          time.Time           // when more than a third of the workers had reported in this epoch; zero: not yet; see updateFenced
+	answeredAt        time.Time           // when the first worker reported in this epoch; zero: none has
+	calledAt          time.Time           // when the first worker of the previous roster reported in this epoch; zero: none has
+	previousEndedAt   time.Time           // when the last of the previous owners had ended; zero: not known
 	previousFence     witnessFence
 	previousLeases    map[jobs.WorkerID]time.Time // see PreviousLeasesEnd; nil: not known
 	noPreviousRuns    bool                        // no previous owner had started anything
@@ -199,6 +208,7 @@
 // New returns a Core without jobs and workers.
 func New(config Config) *Core {
 	config.EndsPerReport = cmp.Or(config.EndsPerReport, jobs.EndsPerReport)
+	config.MaxValueSize = cmp.Or(config.MaxValueSize, defaultMaxValueSize)
 	return &Core{
 		config: config, jobs: map[jobs.ID]*job{}, unanswered: map[*task]struct{}{}, uncertainRuns: map[*job]int{}, unheld: map[jobs.ID]*job{}, ended: map[jobs.ID]endedJob{}, movedOut: map[jobs.ID]movedOutJob{},
 		workers: map[jobs.WorkerID]*worker{}, queueTerms: map[jobs.QueueName]jobs.Terms{}, stopping: map[*task]struct{}{},
--- a/services/dispatch/divided_jobs.go
+++ b/services/dispatch/divided_jobs.go
@@ -51,9 +51,11 @@
 				t.state = taskWaiting
 				s.waiting++
 				arrived++
+				c.touchChunkOf(t)
 			case !holds && t.state == taskMoving:
 				t.state = taskElsewhere
 				departed++
+				c.touchChunkOf(t)
 			}
 		}
 		c.listWaiting(s)
--- a/services/dispatch/end.go
+++ b/services/dispatch/end.go
@@ -101,7 +101,7 @@
 	}
 	delete(c.stopping, t)
 	c.finishTask(t)
-	c.markChanged(t.step.job)
+	c.markTaskChanged(t)
 	if t.step.done == len(t.step.tasks) {
 		c.openSteps(t.step.occurrence, now)
 	}
@@ -115,7 +115,7 @@
 	}
 	j := t.step.job
 	t.failures = append(t.failures, run)
-	c.markChanged(j)
+	c.markTaskChanged(t)
 	if len(t.failures) >= c.maxAttempts(j) && j.end == "" && !j.cancelled {
 		c.endJob(j, jobs.StateFailed)
 		c.stopJob(j, "its job has failed")
--- a/services/dispatch/job.go
+++ b/services/dispatch/job.go
@@ -40,6 +40,7 @@
 	storedVersion      uint64          // the latest version that is stored
 	lossVersion        uint64          // the version at which a lost run was last counted
 	hasProgress        bool            // the store may hold progress of it
+	chunks             *chunks         // of its progress; nil: the progress is stored whole
 	storeAlone         bool            // the store has refused changes of it together with others; see refused.go
 	storeAgainAt       time.Time       // until when it is set aside, if the store has refused its changes alone
 	dirty              bool            // is among the core's dirty jobs
@@ -96,8 +97,10 @@
 	if record.Part {
 		c.markElsewhere(j, record)
 	}
+	j.chunks = c.restoredChunks[id]
+	delete(c.restoredChunks, id)
 	c.applyProgress(j, progress)
-	j.hasProgress = !progress.Empty()
+	j.hasProgress = !progress.Empty() || j.chunks != nil
 	for _, o := range j.occurrences {
 		c.beginOccurrence(o)
 	}
@@ -166,6 +169,7 @@
 func (c *Core) drop(j *job) {
 	delete(c.jobs, j.spec.ID)
 	delete(c.unheld, j.spec.ID)
+	c.dropChunks(j)
 	for _, o := range j.occurrences {
 		c.letGo(o)
 	}
@@ -199,13 +203,8 @@
 		zap.Int64("age_ms", int64(c.timeOfDay(c.now)-j.accepted)), zap.Int("running", j.running))
 }
 
-// markChangedUrgently marks the job's progress as changed and to be stored without delay.
-func (c *Core) markChangedUrgently(j *job) {
-	c.markChanged(j)
-	c.storeUrgently = true
-}
-
-// markChanged marks the job's progress as changed, so that it will be stored.
+// markChanged marks what is stored of the job as changed, so that it will be stored; see markTaskChanged for what is stored of
+// one of its tasks.
 func (c *Core) markChanged(j *job) {
 	j.version++
 	if !j.dirty {
--- a/services/dispatch/outcome.go
+++ b/services/dispatch/outcome.go
@@ -63,7 +63,7 @@
 	t.chanceLosses = slices.DeleteFunc(t.chanceLosses, func(lost jobs.LostRun) bool { return lost.Run == t.run })
 	if t.suspicion.HasRun(t.run) {
 		t.suspicion = t.suspicion.WithoutRun(t.run)
-		c.markChanged(t.step.job)
+		c.markTaskChanged(t)
 	}
 	if t.state == taskStarting || t.state == taskStopping && t.fromPreviousIncarnation {
 		c.requeueUnstarted(t)
--- a/services/dispatch/recent.go
+++ b/services/dispatch/recent.go
@@ -70,6 +70,6 @@
 	suspicion := &r.task.suspicion
 	if at := slices.IndexFunc(suspicion.Lost, of); at >= 0 {
 		suspicion.Lost = withLoweredEvidence(suspicion.Lost, at, roundToHundredths(vsChance), roundToHundredths(vsAll))
-		c.markChanged(r.task.step.job)
+		c.markTaskChanged(r.task)
 	}
 }
--- a/services/dispatch/refused.go
+++ b/services/dispatch/refused.go
@@ -33,7 +33,7 @@
 
 // isOfOneJob reports whether the changes are those of one job and nothing else.
 func (c Changes) isOfOneJob() bool {
-	return len(c.Jobs) == 1 && c.Roster == nil && len(c.Forget) == 0 && c.LearnedParameters == nil
+	return len(c.Jobs) == 1 && c.Roster == nil && len(c.Forget) == 0 && len(c.Remove) == 0 && c.LearnedParameters == nil
 }
 
 // setAside keeps a job's changes from being stored for some time.
--- a/services/dispatch/report.go
+++ b/services/dispatch/report.go
@@ -187,7 +187,7 @@
 			continue
 		}
 		c.finishTask(t)
-		c.markChanged(s.job)
+		c.markTaskChanged(t)
 		inferred = true
 	}
 	return inferred
--- a/services/dispatch/shared.go
+++ b/services/dispatch/shared.go
@@ -207,7 +207,7 @@
 	lost := t.suspicion.Lost[at]
 	left := roundToHundredths(-math.Log(math.Exp(-lost.EvidenceVsChance) + math.Exp(cause.EvidenceVsChance-lost.EvidenceVsChance)))
 	t.suspicion.Lost = withLoweredEvidence(t.suspicion.Lost, at, left, left)
-	c.markChangedUrgently(t.step.job)
+	c.markTaskChangedUrgently(t)
 	c.config.Logger.Info("loss is explained by another task", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(lost.Run)),
 		zap.Float64("weight", t.suspicion.Lost[at].EvidenceVsAll))
 }
--- a/services/dispatch/suspicion.go
+++ b/services/dispatch/suspicion.go
@@ -165,8 +165,8 @@
 func (c *Core) storeBeforeNextStart(t *task) {
 	t.suspicion.Unobserved += t.unobservedAtTakeover
 	t.suspicion.CountedEpoch, t.unobservedAtTakeover = c.config.Epoch, 0
+	c.markTaskChangedUrgently(t)
 	j := t.step.job
-	c.markChangedUrgently(j)
 	t.lossVersion, j.lossVersion = j.version, j.version
 }
 
@@ -202,5 +202,5 @@
 	c.config.Logger.Info("task is no longer suspected of crashing workers", zap.Stringer("task", t.id()), zap.Int("lost_before", len(t.suspicion.Lost)))
 	t.suspicion, t.unobservedAtTakeover = jobs.Suspicion{ClearedEpoch: c.config.Epoch}, 0
 	c.counts.Cleared++
-	c.markChanged(t.step.job)
+	c.markTaskChanged(t)
 }
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -32,7 +32,7 @@
 // storeUnresolvedRun stores, for a successor, that the task's run counts as lost if its worker is lost.
 func (c *Core) storeUnresolvedRun(t *task, loss jobs.LostRun) {
 	t.suspicion.Unresolved = &jobs.UnresolvedRun{LostRun: loss, Worker: t.worker.info.ID, Born: t.worker.info.Born}
-	c.markChangedUrgently(t.step.job)
+	c.markTaskChangedUrgently(t)
 }
 
 // storeUnresolvedTrial stores that a suspect has just been started, for a successor that does not observe how the run
@@ -58,7 +58,7 @@
 func (c *Core) clearUnresolvedRun(t *task) {
 	if t.suspicion.Unresolved != nil {
 		t.suspicion.Unresolved = nil
-		c.markChangedUrgently(t.step.job)
+		c.markTaskChangedUrgently(t)
 	}
 }
 
--- a/services/dispatch/unobserved_losses.go
+++ b/services/dispatch/unobserved_losses.go
@@ -85,7 +85,7 @@
 		return
 	}
 	t.suspicion = t.suspicion.WithoutRun(run)
-	c.markChanged(t.step.job)
+	c.markTaskChanged(t)
 	c.config.Logger.Info("run was not lost with its worker", zap.Stringer("task", t.id()), zap.Uint64("run", uint64(run)),
 		zap.Int("lost_before", len(t.suspicion.Lost)), zap.Int("unseen", t.unobservedLosses()))
 }
