Moves: one that the store never accepts holds no others up; what is handed over of suspicions is bounded

If a record is too large for a value, all of them were refused, and tried again with it. Now each is tried alone, as after a conflict; a job that the store does not take as a whole stays and is not offered again. Of a task's suspicion the record keeps what is stored elsewhere too (16 lost runs), and one move hands over suspicions up to a sixteenth of a value; the other tasks move later.

TestMoveThatTheStoreRefusesHoldsNoOthersUp, red without the change.

--- a/models/jobs/progress.go
+++ b/models/jobs/progress.go
@@ -89,14 +89,14 @@
 	for _, byIndex := range s {
 		size += encodedStep
 		for _, suspicion := range byIndex {
-			size += suspicion.encodedSize()
+			size += suspicion.EncodedSize()
 		}
 	}
 	return size
 }
 
-// encodedSize returns an upper bound of the size of the suspicion as it is stored, in bytes.
-func (s Suspicion) encodedSize() int {
+// EncodedSize returns an upper bound of the size of the suspicion as it is stored, in bytes.
+func (s Suspicion) EncodedSize() int {
 	size := encodedKey + encodedSuspicion + len(s.Lost)*encodedLoss + len(s.UnobservedRuns)*encodedRun
 	if s.Unresolved != nil {
 		size += encodedOpenRun + len(s.Unresolved.Worker)
--- a/services/control/move.go
+++ b/services/control/move.go
@@ -56,12 +56,13 @@
 func (o moveRejected) cause() error   { return o.err }
 func (o moveUnresolved) cause() error { return o.err }
 
-// failure returns the outcome after an attempt that certainly had no effect.
+// failure returns the outcome after an attempt that certainly had no effect. A move that the store does not accept will not be
+// accepted later either.
 func (m *move) failure(err error) moveOutcome {
 	if m.unresolved {
 		return moveUnresolved{err}
 	}
-	return moveRejected{err: err}
+	return moveRejected{err: err, permanent: errors.Is(err, platform.ErrInvalid)}
 }
 
 const (
--- a/services/control/move_batch.go
+++ b/services/control/move_batch.go
@@ -89,11 +89,12 @@
 	return size
 }
 
-// storeMoves stores a batch of moves in one transaction. If the store rejects it because a condition of any move does not hold, each
-// of them is tried alone.
+// storeMoves stores a batch of moves in one transaction. If the store rejects it because a condition of any move does not hold, or
+// because it does not accept what one of them writes, each of them is tried alone.
 func (o *Owner) storeMoves(ctx context.Context, batch moveBatch) {
 	version, err := o.commitJournaled(ctx, batch.txn())
-	if (len(batch) > 1 || batch[0].assumed) && classifyCommit(err) == verdictConflict {
+	conflict, invalid := classifyCommit(err) == verdictConflict, errors.Is(err, platform.ErrInvalid)
+	if conflict && (len(batch) > 1 || batch[0].assumed) || invalid && len(batch) > 1 {
 		o.storeEachMove(ctx, batch)
 		return
 	}
--- a/services/control/move_batch_test.go
+++ b/services/control/move_batch_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"rillsail.example/rillsail/models"
@@ -187,6 +188,32 @@
 	}
 }
 
+// TestMoveThatTheStoreRefusesHoldsNoOthersUp guards against a move that the store never accepts, because a record is too large for a
+// value, and that keeps those in its transaction from being stored: these move, and the job stays and is not offered again.
+func TestMoveThatTheStoreRefusesHoldsNoOthersUp(t *testing.T) {
+	h := newManualOwner(t)
+	ids := h.beginMoves(movesPerTxn + 1)
+	refused := ids[1]
+	h.store.commit = func(txn platform.Txn) (platform.Version, error) {
+		for _, w := range txn.Put {
+			if w.Key == jobKey(cellThere, refused) {
+				return 0, errors.Mark(errors.New("value is not accepted"), platform.ErrInvalid)
+			}
+		}
+		return h.store.Local.Commit(t.Context(), txn)
+	}
+	h.executeMoves(t.Context())
+	require.Empty(t, h.moves)
+	for _, id := range ids {
+		if id != refused {
+			h.requireMoved(id)
+		}
+	}
+	state, known := h.core.State(refused)
+	require.True(t, known)
+	require.Equal(t, jobs.StateQueued, state)
+}
+
 // TestMovesWithoutAnswerAreResolvedOneByOne guards against jobs that run in both cells, or in none, because the transaction of several
 // moves has no answer, whether it was carried out, is carried out late or never, and while one of the jobs changes.
 func TestMovesWithoutAnswerAreResolvedOneByOne(t *testing.T) {
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -25,7 +25,8 @@
 	// HighestRun is no lower than any run id that the tasks have had.
 	HighestRun jobs.RunID
 	// Suspected are the suspicions against the tasks.
-	Suspected jobs.Suspicions
+	Suspected     jobs.Suspicions
+	suspectedSize int // of Suspected as it is stored, in bytes; an upper bound
 }
 
 // offerAfter is how long a step must have been stuck before its work is offered to other cells, and the minimum
@@ -139,10 +140,18 @@
 		if _, only := c.awaitsLateStartWorker(t, c.now); only || c.awaitsTrialHere(t) {
 			continue
 		}
-		move.add(t)
+		suspicion := t.suspicionForMove()
+		if !suspicion.Empty() && move.suspectedSize > c.config.MaxValueSize/movedSuspicionsPart {
+			continue
+		}
+		move.add(t, suspicion)
 	}
 }
 
+// movedSuspicionsPart is the part of the largest value that the suspicions may have which one move hands over. They are
+// stored in the record of the job, which the suspicions of several moves share.
+const movedSuspicionsPart = 16
+
 // awaitsTrialHere reports whether a waiting suspect is tried in this cell: a worker has room for it, and it came from
 // another cell, or has waited for a worker without other suspects as long as it may. In each cell that it is handed to it
 // would wait as long once more, while a worker with another suspect counts as a place there.
@@ -153,13 +162,14 @@
 	return slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return c.mayTakeSuspect(w, t.step, c.now) })
 }
 
-// add adds a waiting task.
-func (m *Move) add(t *task) {
+// add adds a waiting task with the suspicion against it.
+func (m *Move) add(t *task, suspicion jobs.Suspicion) {
 	flat := t.step.flat()
 	m.Tasks[flat] = append(m.Tasks[flat], t.index)
 	m.HighestRun = max(m.HighestRun, t.run)
-	if suspicion := t.suspicionForMove(); !suspicion.Empty() {
+	if !suspicion.Empty() {
 		m.Suspected.Set(flat, t.index, suspicion)
+		m.suspectedSize += suspicion.EncodedSize()
 	}
 }
 
--- a/services/dispatch/unobserved_losses.go
+++ b/services/dispatch/unobserved_losses.go
@@ -138,7 +138,7 @@
 
 // suspicionForMove is the suspicion that is handed to another cell together with the task.
 func (t *task) suspicionForMove() jobs.Suspicion {
-	total := t.suspicion
+	total := t.suspicion.Stored()
 	total.Unobserved += t.unobservedAtTakeover
 	return total
 }
