--- a/services/daemon/scheduler.go
+++ b/services/daemon/scheduler.go
@@ -64,7 +64,7 @@
 	}
 	advertised := cmp.Or(c.Settings.Listen.PeerAdvertised, c.Settings.Listen.Peer)
 	s.control = control.New(control.Config{
-		Self: c.Settings.Daemon.ID, Address: advertised, Settings: c.Settings.Jobs,
+		Self: c.Settings.Daemon.ID, Address: advertised, Settings: c.Settings.Jobs, MaxValueSize: c.Settings.Platform.MaxValueSize,
 		Store: c.Store, Workers: c.Workers, WorkerCalls: c.WorkerCalls, Connections: c.Connections, Problems: c.Problems, List: c.List, Cordons: c.Cordons, Feed: c.Feed, NewID: ids.newID,
 		Logger: c.Logger, Scope: s.metrics.Scope.SubScope("control"),
 	})
--- a/services/standin/kv/local.go
+++ b/services/standin/kv/local.go
@@ -18,6 +18,8 @@
 	Service   *Service
 	Fault     Fault
 	WatchWait time.Duration // how long a watch waits for changes
+	// Unlimited lets writes exceed the limits of the service, as those of writers other than the daemons may.
+	Unlimited bool
 }
 
 // Fault is called before and after each call. An error before the call prevents its effect, an error after the call
@@ -55,6 +57,9 @@
 	call := platform.StoreCall{Key: key, Value: value, Expect: expect, Lease: lease}
 	answer, err := l.callWithFaults(ctx, true, key, func() (platform.StoreAnswer, error) {
 		l.Service.countWrite(len(value))
+		if err := l.checkLimits(platform.Txn{Put: []platform.Write{{Key: key, Value: value}}}); err != nil {
+			return platform.StoreAnswer{}, err
+		}
 		return l.Service.swap(call)
 	})
 	return answer.Version, err
@@ -68,11 +73,22 @@
 	}
 	answer, err := l.callWithFaults(ctx, true, key, func() (platform.StoreAnswer, error) {
 		l.Service.countWrite(0)
+		if err := l.checkLimits(txn); err != nil {
+			return platform.StoreAnswer{}, err
+		}
 		return l.Service.commit(txn)
 	})
 	return answer.Version, err
 }
 
+// checkLimits returns an ErrInvalid if a transaction exceeds a limit of the service that applies.
+func (l *Local) checkLimits(txn platform.Txn) error {
+	if l.Unlimited {
+		return nil
+	}
+	return l.Service.checkLimits(txn)
+}
+
 // Revoke implements platform.TxnStore.
 func (l *Local) Revoke(ctx context.Context, lease platform.LeaseID) error {
 	_, err := l.callWithFaults(ctx, true, "", func() (platform.StoreAnswer, error) {
