Soak: wide jobs in a store of small values; any call that the store does not accept is a breach

--wide-one-in N gives one job in N some hundred small tasks (--wide-tasks), and the store a limit of 32 kB a value, which the daemons are told by the new setting max_value_size ([platform]; by default as on the users' platform): what is stored of the job's lost runs takes many values. In every soak run a transaction that the store refuses as invalid, or that a daemon doesn't send because it would be, is a breach.

--- a/cmd/rillsail-soak/main.go
+++ b/cmd/rillsail-soak/main.go
@@ -93,6 +93,8 @@
 	flags.IntVar(&o.WorkersPerCell, "workers-per-cell", 4, "workers per cell")
 	flags.Float64Var(&o.Rate, "rate", 8, "jobs that callers submit per second")
 	flags.IntVar(&o.CrashingOneIn, "crashing-one-in", 0, "one in this many jobs has a task that crashes its workers; 0: none")
+	flags.IntVar(&o.WideOneIn, "wide-one-in", 0, "one in this many jobs has hundreds of tasks, in a store of small values; 0: none")
+	flags.IntVar(&o.WideTasks, "wide-tasks", 0, "number of tasks of these jobs; 0: 400")
 	flags.IntVar(&o.TimedOneIn, "timed-one-in", 0, "one in this many jobs runs several times, some for a week; 0: none")
 	flags.StringVar((*string)(&o.Naming), "ids", string(soak.NewIDs), "ids of workers that restart: new, same, or born (new, and workers report when they started)")
 	flags.BoolVar(&o.Restarts, "restarts", false, "restart workers while calls to them fail, and all workers at once")
--- a/modules/setting/platform.go
+++ b/modules/setting/platform.go
@@ -26,12 +26,20 @@
 	// limit grows while answers come late.
 	WorkerTimeout time.Duration
 	WatchWait     time.Duration // how long a watch waits at the store
+	// MaxValueSize is the size of the largest value that the store accepts for a job's state, in bytes.
+	MaxValueSize int
 }
 
+// Bounds of Platform.MaxValueSize, in bytes.
+const (
+	minMaxValueSize = 16 << 10
+	maxMaxValueSize = 1 << 20
+)
+
 func defaultPlatform() Platform {
 	return Platform{
 		Adapter: AdapterOwn, ListEvery: 2 * time.Second, CallTimeout: 2 * time.Second, DialTimeout: 500 * time.Millisecond,
-		WorkerTimeout: time.Second, WatchWait: 30 * time.Second,
+		WorkerTimeout: time.Second, WatchWait: 30 * time.Second, MaxValueSize: maxMaxValueSize,
 	}
 }
 
@@ -43,6 +51,7 @@
 	r.duration("call_timeout", &p.CallTimeout, 50*time.Millisecond, time.Minute, "how long a call may go without progress: no answer, or an answer that does not continue")
 	r.duration("worker_timeout", &p.WorkerTimeout, 50*time.Millisecond, time.Minute, "minimum time that a call to a worker on the users' platform may go without progress; the limit grows while answers come late")
 	r.duration("dial_timeout", &p.DialTimeout, 10*time.Millisecond, time.Minute, "time limit for connecting to the platform")
+	r.number("max_value_size", &p.MaxValueSize, minMaxValueSize, maxMaxValueSize, "size of the largest value that the store accepts for a job's state, in bytes")
 	r.duration("watch_wait", &p.WatchWait, 100*time.Millisecond, 10*time.Minute, "how long a watch waits at the store")
 }
 
--- a/tests/integration/soak_test.go
+++ b/tests/integration/soak_test.go
@@ -77,6 +77,15 @@
 	runSoak(t, soak.Config{Seed: timedSeed, TimedOneIn: 2})
 }
 
+// wideSeed is the seed of the run with wide jobs.
+const wideSeed = 509
+
+// TestSoakOfWideJobs has jobs with so many tasks that no single value of the store holds what is stored of their lost runs,
+// while workers and owners are lost.
+func TestSoakOfWideJobs(t *testing.T) {
+	runSoak(t, soak.Config{Seed: wideSeed, WideOneIn: 8, Restarts: true})
+}
+
 // runSoak runs one seed and returns its report.
 func runSoak(t *testing.T, config soak.Config) *soak.Report {
 	t.Helper()
--- a/tests/soak/callers.go
+++ b/tests/soak/callers.go
@@ -59,7 +59,7 @@
 	var group conc.WaitGroup
 	defer group.Wait()
 	for n := series.first; ; n++ {
-		spec := r.config.withTimes(drawJob(random, r.plan.Seed, n), time.Now())
+		spec := r.config.withTimes(r.config.widened(drawJob(random, r.plan.Seed, n)), time.Now())
 		plan := newCallerPlan(behaviorRandom, spec, random.IntN(len(r.site.daemons)), len(r.site.daemons))
 		r.site.emulator.Grid.Expect(spec, maxTaskAttempts)
 		group.Go(func() { r.runCaller(ctx, plan) })
--- a/tests/soak/daemon.go
+++ b/tests/soak/daemon.go
@@ -173,6 +173,7 @@
 		"[platform]", "adapter = users", "store = " + d.store.Listen,
 		fmt.Sprintf("call_timeout = %s", callTimeout), fmt.Sprintf("dial_timeout = %s", dialTimeout),
 		fmt.Sprintf("worker_timeout = %s", workerTimeout), fmt.Sprintf("watch_wait = %s", watchWait),
+		fmt.Sprintf("max_value_size = %d", s.config.maxValueSize()),
 		"[jobs]", fmt.Sprintf("worker_lease = %s", workerLease), fmt.Sprintf("longest_lease = %s", maxWorkerLease), fmt.Sprintf("stop_grace = %s", stopGrace),
 		fmt.Sprintf("workers_per_cell = %d", s.config.WorkersPerCell),
 	}
--- a/tests/soak/site.go
+++ b/tests/soak/site.go
@@ -73,10 +73,10 @@
 	s.emulator, err = emulator.New(emulator.Config{
 		Grid: grid.Config{
 			Workers: config.Workers, PerRack: perRack, Domains: config.domains(), Pool: workerPool, Capacity: models.Resources{CPU: workerCPU, Memory: workerMemory},
-			EndsPerReport: config.EndsPerReport, LongestLease: maxWorkerLease, StopTime: stopTime, ClockDrift: clockSlowdown, Work: taskOutcome,
+			EndsPerReport: config.EndsPerReport, LongestLease: maxWorkerLease, StopTime: stopTime, ClockDrift: clockSlowdown, Work: config.outcomeOf,
 			Crash: config.crashDelay, RestartDelay: workerDowntime, Naming: gridNamings[config.Naming], CheckpointInterval: checkpointTime, RestoreTime: restoreTime,
 		},
-		Store: kv.Config{}, Queues: queues(s.version), Heartbeat: heartbeat, Expose: s.expose,
+		Store: kv.Config{MaxValueSize: config.maxValueSize()}, Queues: queues(s.version), Heartbeat: heartbeat, Expose: s.expose,
 	})
 	if err != nil {
 		return nil, err
--- a/tests/soak/soak.go
+++ b/tests/soak/soak.go
@@ -39,6 +39,10 @@
 	CrashingOneIn int
 	// TimedOneIn is the share of jobs that run several times, some of them every minute for a week: one in so many; 0: none.
 	TimedOneIn int
+	// WideOneIn is the share of jobs that have WideTasks small tasks: one in so many; 0: none.
+	WideOneIn int
+	// WideTasks is the number of tasks of such a job; 0: defaultWideTasks.
+	WideTasks int
 	// Naming is how workers name their incarnations; NewIDs if empty.
 	Naming Naming
 	// Restarts enables restarts of workers while calls to them fail, and of all workers at once.
@@ -136,6 +140,7 @@
 // finish checks the guarantees and fills the report.
 func (r *run) finish() {
 	r.checkGuarantees()
+	r.checkInvalidCalls()
 	r.checkUnplannedExits()
 	r.checkRaces()
 	for _, breach := range r.site.emulator.Grid.Breaches() {
