--- a/services/control/control.go
+++ b/services/control/control.go
@@ -12,6 +12,8 @@
 //	job/CELL/ID               jobs.Record, written by the daemon that accepts the job; see below
 //	job/CELL/ID/cancel        jobs.Cancellation
 //	progress/CELL/ID          jobs.Progress, written by the cell's owner
+//	progress/CELL/ID/C        jobs.Chunking C of progress that no single value holds, written together with it
+//	progress/CELL/ID/C/N      jobs.Progress, chunk N of it
 //	roster/CELL               jobs.Roster
 //	claims/CELL               jobs.Claims, added to by each claim of the cell and shortened by its owner
 //	learned/CELL              jobs.LearnedParameters, the parameters that the owner has learned from reports
