--- a/models/jobs/spec.go
+++ b/models/jobs/spec.go
@@ -18,7 +18,7 @@
 	MaxSteps       = 64
 	MaxStepTasks   = 10_000
 	MaxOccurrences = 10_000
-	MaxTasks       = 20_000 // of one occurrence, so that its progress fits into one value of the store
+	MaxTasks       = 20_000 // of one occurrence, so that the list of those that have succeeded fits into one value of the store
 	maxEstimate    = models.Milli(7 * 24 * time.Hour / time.Millisecond)
 	maxLabel       = 200 // bytes of a label or image name
 )
--- a/services/control/stored_progress.go
+++ b/services/control/stored_progress.go
@@ -15,12 +15,14 @@
 
 // storedProgress is the progress of a cell's jobs, as the store holds it.
 type storedProgress struct {
-	byJob     map[jobs.ID]jobs.Progress     // with what is stored in chunks
-	chunkings map[jobs.ID]jobs.Chunking     // of the progress that is stored in chunks
-	chunks    []jobs.Chunk                  // all chunks and chunkings, also those that belong to no progress
-	versions  map[jobs.ID]platform.Version  // of the progress
-	contents  map[jobs.Chunk]jobs.Progress  // of the chunks
-	marked    map[jobs.Chunk]storedChunking // the chunkings
+	byJob     map[jobs.ID]jobs.Progress // with what is stored in chunks, once addChunks has been called
+	chunkings map[jobs.ID]jobs.Chunking // those that belong to the progress of their jobs
+	chunks    []jobs.Chunk              // all chunks and chunkings, also those that belong to no progress
+
+	// What the keys hold.
+	versions        map[jobs.ID]platform.Version // of the progress
+	chunkContents   map[jobs.Chunk]jobs.Progress
+	storedChunkings map[jobs.Chunk]storedChunking
 }
 
 // storedChunking is a chunking with the version of its key.
@@ -45,10 +47,11 @@
 	return p, nil
 }
 
+// newStoredProgress returns the progress of a cell of which nothing has been read.
 func newStoredProgress() storedProgress {
 	return storedProgress{
 		byJob: map[jobs.ID]jobs.Progress{}, chunkings: map[jobs.ID]jobs.Chunking{}, versions: map[jobs.ID]platform.Version{},
-		contents: map[jobs.Chunk]jobs.Progress{}, marked: map[jobs.Chunk]storedChunking{},
+		chunkContents: map[jobs.Chunk]jobs.Progress{}, storedChunkings: map[jobs.Chunk]storedChunking{},
 	}
 }
 
@@ -65,25 +68,25 @@
 	}
 	p.chunks = append(p.chunks, *chunk)
 	if chunk.Number != jobs.ChunkingItself {
-		p.contents[*chunk], err = decode[jobs.Progress](record)
+		p.chunkContents[*chunk], err = decode[jobs.Progress](record)
 		return err
 	}
 	chunking, err := decode[jobs.Chunking](record)
 	if err != nil {
 		return err
 	}
-	p.marked[*chunk] = storedChunking{chunking, record.Version}
+	p.storedChunkings[*chunk] = storedChunking{chunking, record.Version}
 	return nil
 }
 
 // addChunks adds the contents of the chunks to the progress that they belong to: that with which their chunking was written.
 func (p *storedProgress) addChunks() {
-	for key, chunking := range p.marked {
+	for key, chunking := range p.storedChunkings {
 		if chunking.ID == key.Chunking && chunking.version == p.versions[key.Job] {
 			p.chunkings[key.Job] = chunking.Chunking
 		}
 	}
-	for key, content := range p.contents {
+	for key, content := range p.chunkContents {
 		if chunking, valid := p.chunkings[key.Job]; valid && chunking.ID == key.Chunking {
 			whole := p.byJob[key.Job]
 			whole.AddChunk(content)
--- a/services/dispatch/chunks.go
+++ b/services/dispatch/chunks.go
@@ -24,7 +24,7 @@
 // the progress that was stored before as soon as all of them are stored for the first time.
 
 const (
-	// wholeProgressPart is the part of the largest value that a progress may have without being stored in chunks.
+	// wholeProgressPart is the part of the largest value that a progress may take without being stored in chunks: one in so many.
 	wholeProgressPart = 4
 	// sizePerTaskOfChunk is the size that is allowed for in a chunk for each task, in bytes: that of the losses that are
 	// stored of a task and of some tens of failures. It determines the number of tasks in a chunk.
--- a/services/dispatch/movable.go
+++ b/services/dispatch/movable.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// movedSuspicionsPart is the part of the largest value that the suspicions may have which one move hands over. They are
-// stored in the record of the job, which the suspicions of several moves share.
+// movedSuspicionsPart is the part of the largest value that the suspicions may take which one move hands over: one in so many. They
+// are stored in the record of the job, which the suspicions of several moves share.
 const movedSuspicionsPart = 16
 
 // awaitsTrialHere reports whether a waiting suspect is tried in this cell: a worker has room for it, and it came from
--- a/services/dispatch/suspicion_store.go
+++ b/services/dispatch/suspicion_store.go
@@ -11,7 +11,7 @@
 	"rillsail.example/rillsail/models/jobs"
 )
 
-// The suspicions against tasks are stored with their jobs' progress, at some 60 bytes for each loss. The loss of a
+// The suspicions against tasks are stored with their jobs' progress (progress.go, chunks.go). The loss of a
 // worker is proved only when another incarnation answers at its address, seconds later, and an owner that is lost in
 // between cannot tell its successor what ran there. So two kinds of runs are stored as unresolved, and count as lost if
 // the successor finds their worker lost: runs of suspects, as soon as they start, and young runs on a worker that
@@ -77,21 +77,6 @@
 	}
 }
 
-// suspicionsOf collects the suspicions against a job's tasks.
-func suspicionsOf(j *job) jobs.Suspicions {
-	all := jobs.Suspicions{}
-	for s := range j.heldSteps() {
-		for i := range s.tasks {
-			t := &s.tasks[i]
-			if t.suspicion.Empty() || t.state == taskDone || t.state == taskElsewhere {
-				continue
-			}
-			all.Set(s.flat(), i, t.suspicion)
-		}
-	}
-	return all
-}
-
 // applySuspicions takes the stored suspicions against a job's tasks.
 func (c *Core) applySuspicions(j *job, stored jobs.Suspicions) {
 	for flat, suspicions := range stored {
