--- a/models/jobs/progress.go
+++ b/models/jobs/progress.go
@@ -46,14 +46,21 @@
 	p.Failed[step][index] = failures
 }
 
-// AddChunk adds the failures and suspicions of a chunk.
+// AddChunk adds the failures and suspicions of a chunk, in place: a job may have many chunks.
 func (p *Progress) AddChunk(chunk Progress) {
+	if p.Suspected == nil {
+		p.Suspected = Suspicions{}
+	}
 	for step, byIndex := range chunk.Failed {
 		for index, failures := range byIndex {
 			p.SetFailures(step, index, failures)
 		}
 	}
-	p.Suspected = p.Suspected.MergedWith(chunk.Suspected)
+	for step, byIndex := range chunk.Suspected {
+		for index, suspicion := range byIndex {
+			p.Suspected.Set(step, index, suspicion)
+		}
+	}
 }
 
 // Upper bounds of encoded sizes, in bytes: of the names and signs around the values, and of numbers of usual length.
--- a/services/control/journal.go
+++ b/services/control/journal.go
@@ -84,7 +84,7 @@
 		platform.Precondition{Key: journalKey(o.cell), Version: o.journal.version})
 	txn.Put = append(txn.Put, platform.Write{Key: journalKey(o.cell), Value: value})
 	version, err := o.config.Store.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrInvalid) {
+	if isInvalid(err) {
 		o.config.Logger.Error("store does not accept a transaction", append(log.Err(err), zap.String("cell", string(o.cell)), zap.Strings("values", describeValues(txn)))...)
 	}
 	switch classifyCommit(err) {
--- a/services/control/keys.go
+++ b/services/control/keys.go
@@ -85,8 +85,8 @@
 
 func progressKey(cell jobs.CellName, id jobs.ID) string { return progressKeyPrefix(cell) + string(id) }
 
-// A chunking's key follows that of the progress to which it belongs, and the keys of the chunks follow the chunking's.
-
+// chunkKey returns the key of a chunk, or of a chunking. A chunking's key follows that of the progress to which it belongs, and the
+// keys of its chunks follow its own.
 func chunkKey(cell jobs.CellName, chunk jobs.Chunk) string {
 	key := progressKey(cell, chunk.Job) + "/" + string(chunk.Chunking)
 	if chunk.Number == jobs.ChunkingItself {
@@ -128,6 +128,11 @@
 	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrTooLarge)
 }
 
+// isInvalid reports whether an error says that the store does not accept a change and has certainly not carried it out.
+func isInvalid(err error) bool {
+	return errors.Is(err, platform.ErrInvalid) && !errors.Is(err, platform.ErrUnknownOutcome)
+}
+
 // isOutage reports whether an error says that the store cannot be used at present.
 func isOutage(err error) bool {
 	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome)
--- a/services/control/move.go
+++ b/services/control/move.go
@@ -62,7 +62,7 @@
 	if m.unresolved {
 		return moveUnresolved{err}
 	}
-	return moveRejected{err: err, permanent: errors.Is(err, platform.ErrInvalid)}
+	return moveRejected{err: err, permanent: isInvalid(err)}
 }
 
 const (
--- a/services/control/move_batch.go
+++ b/services/control/move_batch.go
@@ -93,8 +93,8 @@
 // because it does not accept what one of them writes, each of them is tried alone.
 func (o *Owner) storeMoves(ctx context.Context, batch moveBatch) {
 	version, err := o.commitJournaled(ctx, batch.txn())
-	conflict, invalid := classifyCommit(err) == verdictConflict, errors.Is(err, platform.ErrInvalid)
-	if conflict && (len(batch) > 1 || batch[0].assumed) || invalid && len(batch) > 1 {
+	conflict := classifyCommit(err) == verdictConflict
+	if conflict && batch[0].assumed || (conflict || isInvalid(err)) && len(batch) > 1 {
 		o.storeEachMove(ctx, batch)
 		return
 	}
--- a/services/control/owner_store.go
+++ b/services/control/owner_store.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"rillsail.example/rillsail/models/jobs"
@@ -76,7 +75,7 @@
 	if err != nil && !isOutage(err) { // storeHealth logs the begin and the end of an outage
 		o.config.Logger.Warn("progress is not stored", append(log.Err(err), zap.String("cell", string(o.cell)), zap.Int("jobs", len(changes.Jobs)))...)
 	}
-	if errors.Is(err, platform.ErrInvalid) && len(changes.Jobs) > 0 {
+	if isInvalid(err) && len(changes.Jobs) > 0 {
 		err = nil // the rest need not wait: each of these jobs is stored alone now, or set aside
 	}
 	return more, err
@@ -88,7 +87,7 @@
 	switch {
 	case err == nil:
 		o.core.Stored(changes, now)
-	case errors.Is(err, platform.ErrInvalid) && !errors.Is(err, platform.ErrUnknownOutcome):
+	case isInvalid(err):
 		o.core.Refused(changes, now)
 	default:
 		o.core.Unstored(changes)
--- a/services/dispatch/changes.go
+++ b/services/dispatch/changes.go
@@ -55,15 +55,16 @@
 	c.storeUrgently = false
 	c.resumeSetAside(now)
 	slices.SortStableFunc(c.dirty, func(a, b *job) int { return cmp.Compare(a.storePriority(), b.storePriority()) })
-	if len(c.dirty) > 0 && c.dirty[0].storeAlone {
-		room := txnRoom{entries: limit * MaxEntriesPerJob, size: c.config.MaxValueSize}
-		c.takeJobs(&changes, &room, now)
-		return changes
+	alone := len(c.dirty) > 0 && c.dirty[0].storeAlone
+	if !alone {
+		changes.Forget = takeFirst(&c.forgotten, max(1, limit-len(c.dirty)))
 	}
-	changes.Forget = c.takeForgotten(max(1, limit-len(c.dirty)))
 	room := txnRoom{entries: (limit - len(changes.Forget)) * MaxEntriesPerJob, size: c.config.MaxValueSize}
 	c.takeJobs(&changes, &room, now)
-	changes.Remove = c.takeUnusedChunks(room.entries)
+	if alone {
+		return changes
+	}
+	changes.Remove = takeFirst(&c.unusedChunks, room.entries)
 	if c.rosterChanged && !slices.ContainsFunc(c.dirty, (*job).hasUnstoredLoss) {
 		changes.Roster = c.roster()
 		c.rosterUnresolved = true
@@ -119,11 +120,11 @@
 	return len(c.Jobs) == 0 && c.Roster == nil && len(c.Forget) == 0 && len(c.Remove) == 0 && !c.Proof
 }
 
-// takeForgotten returns up to limit ended jobs to be deleted from the store.
-func (c *Core) takeForgotten(limit int) []jobs.ID {
-	n := min(limit, len(c.forgotten))
-	taken := c.forgotten[:n:n]
-	c.forgotten = c.forgotten[n:]
+// takeFirst removes and returns up to limit elements of a queue.
+func takeFirst[T any](queue *[]T, limit int) []T {
+	n := max(0, min(limit, len(*queue)))
+	taken := (*queue)[:n:n]
+	*queue = (*queue)[n:]
 	return taken
 }
 
@@ -146,7 +147,7 @@
 // something is left.
 func (c *Core) changeOf(j *job, room *txnRoom, now time.Time) JobChange {
 	change := JobChange{ID: j.spec.ID, job: j, version: j.version, Cancelled: j.cancelled, HasProgress: j.hasProgress}
-	room.entries -= MaxEntriesPerJob
+	room.use(MaxEntriesPerJob, 0)
 	if j.end != "" && !j.endUnshared {
 		active := jobs.Record{Spec: j.spec, Accepted: j.accepted, AdditionalCells: j.additionalCells, MovesClosed: j.movesClosed}
 		ended := active.EndedAs(j.end, c.timeOfDay(now))
@@ -161,7 +162,7 @@
 		}
 		c.divideProgress(j, change.Progress)
 	}
-	c.takeChunks(&change, room)
+	j.takeChunks(&change, room)
 	changed, missing := j.chunks.left()
 	j.dirty, change.ChunksOnly = changed, missing && !j.chunks.complete
 	if !change.ChunksOnly {
--- a/services/dispatch/chunks.go
+++ b/services/dispatch/chunks.go
@@ -160,8 +160,7 @@
 }
 
 // takeChunks adds the changed chunks for which a transaction has room, one at the least.
-func (c *Core) takeChunks(change *JobChange, room *txnRoom) {
-	j := change.job
+func (j *job) takeChunks(change *JobChange, room *txnRoom) {
 	for _, number := range j.chunks.changed() {
 		state, content := j.chunks.byNumber[number], j.chunkContent(number)
 		if content.Empty() && !state.mayExist {
@@ -265,11 +264,3 @@
 	c.unusedChunks = append(c.unusedChunks, j.chunks.keys(j.spec.ID)...)
 	j.chunks = nil
 }
-
-// takeUnusedChunks returns up to limit chunks to be deleted from the store.
-func (c *Core) takeUnusedChunks(limit int) []jobs.Chunk {
-	n := max(0, min(limit, len(c.unusedChunks)))
-	taken := c.unusedChunks[:n:n]
-	c.unusedChunks = c.unusedChunks[n:]
-	return taken
-}
--- a/services/dispatch/evidence.go
+++ b/services/dispatch/evidence.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -169,14 +170,28 @@
 	return ran, !t.endHidden && ran >= 0 && (t.orderedHere || t.suspected())
 }
 
-// crashRatesOn returns the crash rates of the tasks on a worker that is lost, or may be.
+// crashRateOfEach yields the crash rates of the tasks on a worker that is lost, or may be.
+func (c *Core) crashRateOfEach(w *worker, now time.Time) iter.Seq2[*task, float64] {
+	return func(yield func(*task, float64) bool) {
+		for _, t := range w.tasks {
+			ran, known := c.runtimeAtLoss(w, t, now)
+			if !known {
+				continue
+			}
+			n := neighbour{runtime: ran, earlierRuntimes: t.lostRuntimes(), crasherProbability: t.crasherProbability()}
+			if !yield(t, n.crashRate()) {
+				return
+			}
+		}
+	}
+}
+
+// crashRatesOn returns the crash rates of the tasks on a worker, by task.
 func (c *Core) crashRatesOn(w *worker, now time.Time) crashRates {
 	rates := crashRates{byTask: make(map[*task]float64, len(w.tasks))}
-	for _, t := range w.tasks {
-		if ran, known := c.runtimeAtLoss(w, t, now); known {
-			rates.byTask[t] = t.asNeighbour(ran).crashRate()
-			rates.sum += rates.byTask[t]
-		}
+	for t, rate := range c.crashRateOfEach(w, now) {
+		rates.byTask[t] = rate
+		rates.sum += rate
 	}
 	return rates
 }
@@ -184,19 +199,14 @@
 // crashRateOn is the probability per second that a task on a worker crashes it, except for the given one; nil: no exception.
 func (c *Core) crashRateOn(w *worker, except *task, now time.Time) float64 {
 	sum := 0.0
-	for _, t := range w.tasks {
-		if ran, known := c.runtimeAtLoss(w, t, now); known && t != except {
-			sum += t.asNeighbour(ran).crashRate()
+	for t, rate := range c.crashRateOfEach(w, now) {
+		if t != except {
+			sum += rate
 		}
 	}
 	return sum
 }
 
-// asNeighbour describes the task as a neighbour of others, after the given runtime.
-func (t *task) asNeighbour(ran time.Duration) neighbour {
-	return neighbour{runtime: ran, earlierRuntimes: t.lostRuntimes(), crasherProbability: t.crasherProbability()}
-}
-
 // lostRuns returns the task's lost runs that an owner observed, whether chance explains them or not.
 func (t *task) lostRuns() []jobs.LostRun { return slices.Concat(t.suspicion.Lost, t.chanceLosses) }
 
